Rename to one package merlinbay; the module moves to merlinbay/decision

The module, its records and its interface move by git mv to merlinbay/decision/, the adapter to merlinbay/simhost.py. Names in tests and imports adapted, no decision changed.

--- a/wrenbend/__init__.py
+++ b/merlinbay/decision/__init__.py
@@ -1,6 +1,6 @@
 """Admission and placement decisions for a dispatcher that pushes jobs to workers."""
 
-from wrenbend.api import (
+from merlinbay.decision.api import (
     NEVER_RAN,
     Action,
     AttemptEnded,
@@ -31,7 +31,7 @@
     TimerFired,
     WorkerEntry,
 )
-from wrenbend.rules import Balancer, threshold
+from merlinbay.decision.rules import Balancer, threshold
 
 __all__ = [
     "Action",
--- a/wrenbend/records.py
+++ b/merlinbay/decision/records.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from wrenbend.api import JobClass, ListChanged, Settings
+from merlinbay.decision.api import JobClass, ListChanged, Settings
 
 
 @dataclass(slots=True, eq=False)
--- a/wrenbend/rules.py
+++ b/merlinbay/decision/rules.py
@@ -1,7 +1,7 @@
-"""Every decision of the balancer. Its interface (settings, events, actions) is ``wrenbend/api.py``.
+"""Every decision of the balancer. Its interface (settings, events, actions) is ``merlinbay/decision/api.py``.
 
 Top to bottom: threshold, estimators, pick, a request's life, worker health, list. Records are in
-``wrenbend/records.py``. Departures from the design say "Guards against". Times are microseconds.
+``merlinbay/decision/records.py``. Departures from the design say "Guards against". Times are microseconds.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 
 from scipy.special import lambertw
 
-from wrenbend import api
-from wrenbend.records import Attempt, Class, Job, Kind, Memory, Rate, Worker
+from merlinbay.decision import api
+from merlinbay.decision.records import Attempt, Class, Job, Kind, Memory, Rate, Worker
 
 SCAN = 8  # workers sampled for one request: bounds its cost at any fleet size
 ASK = 3  # workers probed for one request of those nearby, and as many of those away
--- a/wrenbend/simhost.py
+++ b/merlinbay/simhost.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from wrenbend import api
-from wrenbend.rules import Balancer
+from merlinbay.decision import api
+from merlinbay.decision.rules import Balancer
 
 
 class Wire(msgspec.Struct, gc=False):
@@ -321,7 +321,7 @@
             sys.stdout.buffer.write(host.reply(now_us, batch))
             sys.stdout.buffer.flush()
     except BadInput as error:
-        print(f"wrenbend: bad input: {error}", file=sys.stderr)
+        print(f"merlinbay: bad input: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from wrenbend import api
+from merlinbay.decision import api
 
 NEVER = {3, 5, 8}
 
--- a/tests/test_estimators.py
+++ b/tests/test_estimators.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from merlinbay.decision import Balancer, api, threshold
+from merlinbay.decision.records import Class, Job
 from tests.support import entry, settings
-from wrenbend import Balancer, api, threshold
-from wrenbend.records import Class, Job
 
 
 def balancer(workers: int = 4, **changes: object) -> Balancer:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from merlinbay.decision import Balancer, api
 from tests.support import Checker, entry, settings
-from wrenbend import Balancer, api
 
 
 def fleet(workers: int = 6, **changes: object) -> Checker:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from merlinbay.decision import Balancer, api
 from tests.support import Checker, Decides, Seen, Sent, entry, settings
-from wrenbend import Balancer, api
 
 WORKERS = 8
 STEP = st.tuples(st.sampled_from(["job", "job", "job", "start", "end", "end", "progress", "time", "list",
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -11,8 +11,8 @@
 import msgspec
 import pytest
 
-from wrenbend.rules import Balancer
-from wrenbend.simhost import Host, Wire, settings_from
+from merlinbay.decision.rules import Balancer
+from merlinbay.simhost import Host, Wire, settings_from
 
 CONF: dict[str, Any] = {
     "az": "a", "balancers": 2, "me": 0, "kinds": ["k"], "zones": ["a"], "unknown": 1,
@@ -48,7 +48,7 @@
 
 def run(text: str, seed: str = "0") -> subprocess.CompletedProcess[str]:
     """Run the adapter over a text."""
-    return subprocess.run([sys.executable, "-B", "-m", "wrenbend.simhost"], input=text, text=True,
+    return subprocess.run([sys.executable, "-B", "-m", "merlinbay.simhost"], input=text, text=True,
                           check=False, capture_output=True, env={**os.environ, "PYTHONHASHSEED": seed})
 
 
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-RULES = Path(__file__).parent.parent / "wrenbend" / "rules.py"
+RULES = Path(__file__).parent.parent / "merlinbay" / "decision" / "rules.py"
 FOREIGN = ["jedalnicek", "teorica", "derwent", "tas-signing", "bratislava", "kosice", "bilbao", "hobart",
            "allergen", "kitchen", "verify", "sign-release", "next-question", "practice-set", "menu-", "gen-a",
            "PushBack", "CallOff", "EndFailed", "msgId", "scheduler_", "wallUs", "plaines", "lisboa"]
@@ -24,4 +24,4 @@
 
 def test_interface_is_named_at_the_top() -> None:
     """A reader finds the interface at once."""
-    assert "wrenbend/api.py" in RULES.read_text().splitlines()[0]
+    assert "merlinbay/decision/api.py" in RULES.read_text().splitlines()[0]
--- a/tests/test_threshold.py
+++ b/tests/test_threshold.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wrenbend.rules import threshold
+from merlinbay.decision.rules import threshold
 
 
 def oracle(r: Fraction, k: Fraction, most: int = 400) -> tuple[float, float]:
