--- /dev/null
+++ b/merlinbay/__main__.py
@@ -0,0 +1,76 @@
+"""One node: ``python -m merlinbay``. Reads its configuration, wires the parts and runs until SIGTERM."""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+import trio
+
+from merlinbay.clock import Clock
+from merlinbay.config import BadConfig, Config, load
+from merlinbay.core.owner import Owner
+from merlinbay.core.ports import EntriesChanged, Message, Stopping
+from merlinbay.counters import Counters
+from merlinbay.decision import Balancer
+from merlinbay.http.server import Listener
+from merlinbay.log import Log
+from merlinbay.platform import words
+from merlinbay.platform.discovery import Discovery
+from merlinbay.platform.edge import PlatformEdge
+from merlinbay.platform.servers import RealServerPool
+
+
+async def run(config: Config, counters: Counters) -> None:
+    """Run one node until it is told to stop and its last flow is answered."""
+    limits, log, clock = config.limits, Log(config.limits.log_lines), Clock()
+    send: trio.MemorySendChannel[Message]
+    send, receive = trio.open_memory_channel[Message](limits.inbox)
+    edge = PlatformEdge(send, clock, counters)
+    listener = Listener(edge, limits, counters, log)
+    discovery = Discovery(config.discovery, config.known.version, send, limits, counters, log)
+    async with trio.open_nursery() as nursery:
+        servers = RealServerPool(nursery, send, clock, limits, counters, config.settings.report_fields)
+        balancer = Balancer(config.settings, config.seed, clock.now_us())
+        owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
+        owner.turn([EntriesChanged("remembered", words.entries(config.known))])
+        sock = await listener.bind(*config.listen)
+        nursery.start_soon(servers.sweep)
+        nursery.start_soon(discovery.run)
+        nursery.start_soon(listener.serve, sock)
+        nursery.start_soon(signals, listener, send, nursery, counters, limits.stop_serving, limits.stop_most)
+        log.line(f"{config.name} serves at {config.listen[0]}:{config.listen[1]}")
+        await owner.run(receive)
+        await trio.sleep(0.05)  # the last answers are being written
+        nursery.cancel_scope.cancel()
+
+
+async def signals(listener: Listener, inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery,
+                  counters: Counters, serve_on: float, most: float) -> None:
+    """SIGUSR1 prints the counters; SIGTERM and SIGINT end the node in good order."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
+        async for number in received:
+            if number == signal.SIGUSR1:
+                counters.print()
+                continue
+            nursery.cancel_scope.deadline = trio.current_time() + most
+            await trio.sleep(serve_on)
+            listener.close_idle()
+            await inbox.send(Stopping())
+
+
+def main() -> int:
+    """Start; a bad configuration ends with one plain line."""
+    counters = Counters()
+    try:
+        trio.run(run, load(), counters)
+    except BadConfig as error:
+        print(f"merlinbay: {error}", file=sys.stderr)
+        return 2
+    finally:
+        counters.print()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/merlinbay/clock.py
@@ -0,0 +1,22 @@
+"""The node's clock: Unix time at the start, carried on by the monotonic clock."""
+
+from __future__ import annotations
+
+import time
+
+import trio
+
+
+class Clock:
+    """Microseconds of Unix time that never jump. Made inside a trio run."""
+
+    def __init__(self) -> None:
+        self.unix, self.started = time.time(), trio.current_time()
+
+    def now_us(self) -> int:
+        """Return the time."""
+        return int((self.unix + trio.current_time() - self.started) * 1e6)
+
+    def to_trio(self, at_us: int) -> float:
+        """Return the same moment on trio's clock."""
+        return at_us / 1e6 - self.unix + self.started
--- /dev/null
+++ b/merlinbay/config.py
@@ -0,0 +1,85 @@
+"""What a node is told at its start: the platform's environment and configuration file."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from merlinbay.decision import api
+from merlinbay.limits import Limits, limits_from
+from merlinbay.platform import words
+from merlinbay.simhost import settings_from
+
+
+class BadConfig(Exception):
+    """The configuration cannot be used; the text is one plain line."""
+
+
+class Bounds(msgspec.Struct):
+    """The ``limits`` of the file."""
+
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+class File(msgspec.Struct):
+    """The configuration file."""
+
+    name: str
+    listen: str
+    discovery: str
+    settings: dict[str, Any]
+    seed: str = "0"
+    limits: Bounds = msgspec.field(default_factory=Bounds)
+    known: words.Listing = msgspec.field(default_factory=lambda: words.Listing(0, True, []))
+
+
+class Config(msgspec.Struct):
+    """All that a node needs to start."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: str
+    seed: int
+    known: words.Listing
+    settings: api.Settings
+    limits: Limits
+
+
+def address(text: str) -> tuple[str, int]:
+    """Read ``host:port``."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise BadConfig(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    """Read the configuration. Raises ``BadConfig``."""
+    path = environ.get("LB_CONFIG", "")
+    if not path:
+        raise BadConfig("LB_CONFIG is not set")
+    try:
+        file = msgspec.json.decode(Path(path).read_bytes(), type=File)
+    except OSError as error:
+        raise BadConfig(f"{path}: {error.strerror}") from None
+    except msgspec.DecodeError as error:
+        raise BadConfig(f"{path}: {error}") from None
+    try:
+        settings = settings_from(file.settings)
+        seed = int(file.seed, 16)
+    except (ValueError, TypeError) as error:
+        raise BadConfig(f"{path}: {error}") from None
+    extra = file.settings.get("limits", {})
+    limits = limits_from(file.limits.sockets, file.limits.memory_mb, settings,
+                         int(extra.get("dialTimeoutUs") or 0), int(extra.get("keepaliveUs") or 0),
+                         int(extra.get("mostHeld") or Limits.most_held))
+    listen = address(environ.get("LB_LISTEN", file.listen))
+    discovery = environ.get("LB_DISCOVERY", file.discovery)
+    address(discovery)
+    return Config(environ.get("LB_NAME", file.name), listen, discovery, seed, file.known, settings, limits)
--- /dev/null
+++ b/merlinbay/core/owner.py
@@ -0,0 +1,234 @@
+"""The one task that owns the decision module: takes messages, asks it, and carries out what it says."""
+
+from __future__ import annotations
+
+import heapq
+import traceback
+from dataclasses import dataclass, field
+
+import trio
+
+from merlinbay.clock import Clock
+from merlinbay.core import ports
+from merlinbay.core.ports import Answer, Verdict
+from merlinbay.counters import Counters
+from merlinbay.decision import Balancer, api
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """A client's request, from its arrival until it is answered and its last scheduling has ended."""
+
+    spec: ports.JobSpec
+    number: int  # its id in the module
+    edge: ports.Edge
+    deadline_us: int
+    done: bool = False  # answered or withdrawn
+    sent: int = 0
+    open: dict[int, ports.Scheduling] = field(default_factory=dict)
+
+
+class Owner:
+    """Owns flows, schedulings, timers and the module. Only its own task calls it."""
+
+    def __init__(self, balancer: Balancer, clock: Clock, limits: Limits, counters: Counters, log: Log,
+                 servers: ports.ServerSide, directory: ports.Directory) -> None:
+        self.balancer, self.clock, self.limits = balancer, clock, limits
+        self.counters, self.log = counters, log
+        self.servers, self.directory = servers, directory
+        self.fields = balancer.settings.report_fields
+        self.classes = {spec.name for spec in balancer.settings.classes}
+        self.flows: dict[int, Flow] = {}
+        self.names: dict[str, Flow] = {}
+        self.open: dict[tuple[str, str], ports.Scheduling] = {}
+        self.due: list[tuple[int, int, str | Flow | ports.Scheduling]] = []
+        self.count = 0
+        self.stopping = False
+
+    async def run(self, inbox: trio.MemoryReceiveChannel[ports.Message]) -> None:
+        """Work until stopped and idle."""
+        while not (self.stopping and all(flow.done for flow in self.flows.values())):
+            messages: list[ports.Message] = []
+            wake = self.clock.to_trio(self.due[0][0]) if self.due else float("inf")
+            with trio.move_on_at(wake):
+                messages.append(await inbox.receive())
+            try:
+                while len(messages) < self.limits.inbox:
+                    messages.append(inbox.receive_nowait())
+            except trio.WouldBlock:
+                pass
+            self.turn(messages)
+
+    def turn(self, messages: list[ports.Message]) -> None:
+        """Take what has come and what is due, in one call of the module and those that follow from it."""
+        now = self.clock.now_us()
+        events: list[api.Event] = []
+        for message in messages:
+            self._take(message, now, events)
+        while self.due and self.due[0][0] <= now:
+            self._expire(heapq.heappop(self.due)[2], now, events)
+        while events:
+            try:
+                actions = self.balancer.handle(now, events)
+            except Exception as error:  # Guards against one bad event that would end every other flow.
+                self.counters.add("module_errors")
+                self.log.line("the module failed: " + "".join(traceback.format_exception(error)))
+                return
+            events = []
+            for action in actions:
+                self._carry_out(action, now, events)
+
+    # Messages.
+
+    def _take(self, message: ports.Message, now: int, events: list[api.Event]) -> None:
+        match message:
+            case ports.FlowArrived():
+                self._arrived(message, now, events)
+            case ports.SchedulingEnded():
+                scheduling = self.open.get((message.name, message.server))
+                if scheduling is None:  # Guards against call-backs that repeat, or cross a cancel.
+                    self.counters.add("schedulings_stale")
+                else:
+                    self._ended(scheduling, message.outcome, now, events, message.result, message.report)
+            case ports.SchedulingStarted():
+                if (found := self.open.get((message.name, message.server))) is not None:
+                    events.append(api.JobStarted(found.flow, found.number))
+            case ports.SchedulingProgress():
+                if (found := self.open.get((message.name, message.server))) is not None:
+                    events.append(api.JobProgress(found.flow, found.number, message.share))
+            case ports.FlowWithdrawn():
+                flow = self.names.get(message.name)
+                if flow is not None and flow.edge is message.edge and not flow.done:
+                    self.counters.add("flows_withdrawn")
+                    flow.done = True
+                    events.append(api.JobWithdrawn(flow.number))
+                    self._forget(flow)
+            case ports.ServerProbed():
+                events.append(api.ProbeEnded(message.server, message.outcome, message.took_us,
+                                             self._row(message.report)))
+            case ports.EntriesChanged():
+                self.counters.add(f"entries_{message.scope}")
+                self.servers.entries_changed(message.scope, message.entries)
+                events.append(api.ListChanged(message.scope, [
+                    api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us)
+                    for e in message.entries]))
+            case ports.Stopping():
+                self.stopping = True
+
+    def _arrived(self, message: ports.FlowArrived, now: int, events: list[api.Event]) -> None:
+        spec = message.spec
+        self.counters.add("flows_taken")
+        if spec.job_class not in self.classes or spec.name in self.names:
+            self.counters.add("answers_failed")
+            message.edge.answer(Answer(Verdict.FAILED))
+            return
+        if self.stopping or len(self.flows) >= self.limits.most_held:
+            self.counters.add("answers_refused")
+            message.edge.answer(Answer(Verdict.REFUSED, retry_after_us=self.limits.retry_when_stopping_us))
+            return
+        self.count += 1
+        deadline = spec.arrived_us + max(spec.budget_us - self.limits.answer_margin_us, 1000)
+        flow = Flow(spec, self.count, message.edge, deadline)
+        self.flows[flow.number] = self.names[spec.name] = flow
+        self._at(deadline, flow)
+        events.append(api.JobArrived(
+            flow.number, spec.job_class, max(deadline - now, 0), spec.slots, spec.memory, spec.key,
+            spec.tenant, spec.retried, spec.hint_us))
+
+    def _ended(self, scheduling: ports.Scheduling, outcome: api.Outcome, now: int, events: list[api.Event],
+               result: bytes = b"", report: dict[str, float] | None = None) -> None:
+        """End a scheduling, once; the first success answers its flow."""
+        del self.open[scheduling.spec.name, scheduling.server]
+        self.counters.add(f"schedulings_{outcome.name.lower()}")
+        flow = self.flows[scheduling.flow]
+        del flow.open[scheduling.number]
+        if outcome is api.Outcome.OK and not flow.done:
+            self._answer(flow, Answer(Verdict.SERVED, result))
+        events.append(api.AttemptEnded(scheduling.flow, scheduling.number, outcome, now - scheduling.sent_us,
+                                       flow.done, self._row(report), scheduling.server))
+        self._forget(flow)
+
+    def _row(self, report: dict[str, float] | None) -> list[object] | None:
+        return None if report is None else [report.get(name) for name in self.fields]
+
+    # Time.
+
+    def _at(self, due_us: int, what: str | Flow | ports.Scheduling) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (due_us, self.count, what))
+
+    def _expire(self, what: str | Flow | ports.Scheduling, now: int, events: list[api.Event]) -> None:
+        if isinstance(what, str):
+            events.append(api.TimerFired(what))
+        elif isinstance(what, ports.Scheduling):
+            if self.open.get((what.spec.name, what.server)) is what:
+                self.servers.give_up(what)
+                self._ended(what, api.Outcome.TIMEOUT, now, events)
+        elif not what.done:
+            for scheduling in list(what.open.values()):
+                self.servers.give_up(scheduling)
+                self._ended(scheduling, api.Outcome.TIMEOUT, now, events)
+            if what.sent == 0:  # Guards against a flow that the module holds past its time.
+                self._answer(what, Answer(Verdict.FAILED))
+                events.append(api.JobWithdrawn(what.number))
+                self._forget(what)
+
+    # Actions.
+
+    def _carry_out(self, action: api.Action, now: int, events: list[api.Event]) -> None:
+        match action:
+            case api.Place():
+                self._place(action, now, events)
+            case api.Cancel():
+                flow = self.flows.get(action.id)
+                scheduling = flow.open.get(action.attempt) if flow is not None else None
+                if scheduling is not None:
+                    self.servers.give_up(scheduling)
+                    self._ended(scheduling, api.Outcome.CANCELLED, now, events)
+            case api.Refuse() | api.Fail():
+                flow = self.flows.get(action.id)
+                if flow is not None and not flow.done:
+                    self._answer(flow, Answer(Verdict.FAILED) if isinstance(action, api.Fail)
+                                 else Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
+                    self._forget(flow)
+            case api.SetTimer():
+                self._at(now + action.in_us, action.token)
+            case api.Subscribe():
+                self.directory.subscribe()
+            case api.Probe():
+                self.counters.add("probes_sent")
+                self.servers.probe(action.worker)
+            case api.Note():
+                self.log.line(action.text)
+            case api.Tell():
+                self.counters.add("tells_dropped")  # no settings of ours let balancers speak to each other
+
+    def _place(self, action: api.Place, now: int, events: list[api.Event]) -> None:
+        flow = self.flows.get(action.id)
+        if flow is None:
+            return
+        number, flow.sent = flow.sent, flow.sent + 1
+        until = min(flow.deadline_us, now + action.timeout_us) if action.timeout_us else flow.deadline_us
+        scheduling = ports.Scheduling(flow.spec, flow.number, number, action.worker, now, until)
+        if flow.done or now >= flow.deadline_us or (flow.spec.name, action.worker) in self.open:
+            self.counters.add("schedulings_moot")
+            events.append(api.AttemptEnded(flow.number, number, api.Outcome.MOOT, 0, flow.done, None,
+                                           action.worker))
+            return
+        self.counters.add("schedulings_sent")
+        flow.open[number] = self.open[flow.spec.name, action.worker] = scheduling
+        if until < flow.deadline_us:
+            self._at(until, scheduling)
+        self.servers.start(scheduling)
+
+    def _answer(self, flow: Flow, answer: Answer) -> None:
+        """Give a flow its one final answer."""
+        flow.done = True
+        self.counters.add(f"answers_{answer.verdict.value}")
+        flow.edge.answer(answer)
+
+    def _forget(self, flow: Flow) -> None:
+        if flow.done and not flow.open and self.flows.pop(flow.number, None) is not None:
+            del self.names[flow.spec.name]
--- /dev/null
+++ b/merlinbay/counters.py
@@ -0,0 +1,22 @@
+"""What the node takes in, sends and answers, counted by name."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+
+
+class Counters:
+    """Counts by name; printed at exit and on SIGUSR1."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+
+    def add(self, name: str, number: int = 1) -> None:
+        """Count something."""
+        self.counts[name] += number
+
+    def print(self) -> None:
+        """Print all counts on one line of standard error."""
+        counts = " ".join(f"{name}={number}" for name, number in sorted(self.counts.items()))
+        print(f"merlinbay: counters {counts}", file=sys.stderr, flush=True)
--- /dev/null
+++ b/merlinbay/http/client.py
@@ -0,0 +1,108 @@
+"""The client's half of HTTP: one connection, one exchange at a time. Nothing is ever sent again here."""
+
+from __future__ import annotations
+
+import select
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from merlinbay.http.server import send_all
+from merlinbay.limits import Limits
+
+
+class NotSent(Exception):
+    """The connection never came up, or broke before the request's last byte was written."""
+
+
+class Broken(Exception):
+    """The connection broke, or spoke no HTTP, after the request's last byte was written."""
+
+
+@dataclass(slots=True)
+class Reply:
+    """A whole response. Header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class ClientConnection:
+    """One connection to a server."""
+
+    def __init__(self, sock: trio.socket.SocketType, host: str, limits: Limits, body_bytes: int) -> None:
+        self.sock, self.host, self.limits, self.body_bytes = sock, host, limits, body_bytes
+        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.head_bytes)
+        self.idle_since = 0.0
+
+    @classmethod
+    async def dial(cls, addr: str, limits: Limits, body_bytes: int = 0) -> ClientConnection:
+        """Open a connection, or raise ``NotSent``."""
+        host, _, port = addr.rpartition(":")
+        try:
+            sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+        except OSError as error:  # Guards against running out of descriptors: nothing was sent.
+            raise NotSent(f"socket: {error}") from None
+        try:
+            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+            with trio.fail_after(limits.dial):
+                await sock.connect((host, int(port)))
+        except (OSError, ValueError, trio.TooSlowError) as error:
+            sock.close()
+            raise NotSent(f"dial {addr}: {error}") from None
+        except BaseException:
+            sock.close()
+            raise
+        return cls(sock, addr, limits, body_bytes or limits.body_bytes)
+
+    def usable(self) -> bool:
+        """Tell whether it can carry another request: nothing is to be read, not even its end."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return self.h11.our_state is h11.IDLE and not poll.poll(0)
+
+    def close(self) -> None:
+        """Close it."""
+        self.sock.close()
+
+    async def exchange(self, method: str, target: str, headers: list[tuple[str, str]],
+                       body: bytes = b"") -> Reply:
+        """Send a request and return its answer. Raises ``NotSent`` or ``Broken``."""
+        everything = [("host", self.host), *headers]
+        if body or method == "POST":
+            everything.append(("content-length", str(len(body))))
+        try:
+            data = self.h11.send(h11.Request(method=method, target=target, headers=everything)) or b""
+            if body:
+                data += self.h11.send(h11.Data(data=body)) or b""
+            data += self.h11.send(h11.EndOfMessage()) or b""
+            await send_all(self.sock, data)
+        except (OSError, h11.LocalProtocolError) as error:
+            raise NotSent(str(error)) from None
+        try:
+            return await self._reply()
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise Broken(str(error)) from None
+
+    async def _reply(self) -> Reply:
+        head: h11.Response | None = None
+        body = bytearray()
+        while True:
+            event = self.h11.next_event()
+            if event is h11.NEED_DATA:
+                self.h11.receive_data(await self.sock.recv(self.limits.receive_bytes))
+            elif type(event) is h11.Response:
+                head = event
+            elif type(event) is h11.Data:
+                body += event.data
+                if len(body) > self.body_bytes:
+                    raise Broken("the answer is too large")
+            elif type(event) is h11.EndOfMessage and head is not None:
+                if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+                    self.h11.start_next_cycle()
+                return Reply(head.status_code, {name.decode(): value.decode("latin-1")
+                                                for name, value in head.headers}, bytes(body))
+            elif type(event) is h11.ConnectionClosed:
+                raise Broken("the connection ended before the answer")
--- /dev/null
+++ b/merlinbay/http/server.py
@@ -0,0 +1,240 @@
+"""The server's half of HTTP: connections of one request at a time, answered now or later."""
+
+from __future__ import annotations
+
+import errno
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import h11
+import trio
+
+from merlinbay.counters import Counters
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+
+REASONS = {200: b"OK", 201: b"Created", 204: b"No Content", 400: b"Bad Request", 404: b"Not Found",
+           405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict",
+           413: b"Content Too Large", 500: b"Internal Server Error", 503: b"Service Unavailable",
+           504: b"Gateway Timeout"}
+
+
+@dataclass(slots=True)
+class Request:
+    """A whole request. Header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    body: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+
+
+class Handler(Protocol):
+    """What stands behind a listener."""
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Answer a request, or return None and call ``connection.respond`` later."""
+
+    def gone(self, connection: Connection) -> None:
+        """Take it that the client hung up before its answer."""
+
+
+class Connection:
+    """One accepted connection: a task that reads, and one that writes answers."""
+
+    def __init__(self, sock: trio.socket.SocketType, limits: Limits, handler: Handler) -> None:
+        self.sock, self.limits, self.handler = sock, limits, handler
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        self.wake = trio.Event()  # there is something to write
+        self.next = trio.Event()  # the answer is written
+        self.response: Response | None = None
+        self.context: object = None  # the handler's own
+        self.waiting = False  # a request is with the handler
+        self.close_after = False  # no further request is wanted on this connection
+        self.scope = trio.CancelScope()
+        self.idle_since = trio.current_time()
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is under way."""
+        return not self.waiting and self.h11.their_state is h11.IDLE and not self.h11.trailing_data[0]
+
+    def respond(self, response: Response) -> None:
+        """Have an answer written. Does not wait."""
+        self.response = response
+        self.wake.set()
+
+    async def serve(self) -> None:
+        """Serve the connection to its end. Its errors end it alone."""
+        with self.scope, self.sock:
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write)
+                    await self._read()
+                    nursery.cancel_scope.cancel()
+            except* (OSError, h11.ProtocolError, trio.TooSlowError):
+                pass
+        if self.waiting:
+            self.waiting = False
+            self.handler.gone(self)
+
+    async def _read(self) -> None:
+        head: h11.Request | None = None
+        body = bytearray()
+        self.scope.deadline = trio.current_time() + self.limits.edge_idle
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                await self._last_words(error.error_status_hint if error.error_status_hint >= 400 else 400)
+                return
+            if event is h11.NEED_DATA:
+                data = await self.sock.recv(self.limits.receive_bytes)
+                if self.idle:
+                    self.scope.deadline = trio.current_time() + self.limits.read_request
+                self.h11.receive_data(data)
+            elif type(event) is h11.Request:
+                head, body = event, bytearray()
+                if any(name == b"expect" for name, _ in head.headers):
+                    await self.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+            elif type(event) is h11.Data:
+                body += event.data
+                if len(body) > self.limits.body_bytes:
+                    await self._last_words(413)
+                    return
+            elif type(event) is h11.EndOfMessage and head is not None:
+                self.scope.deadline = float("inf")
+                self.waiting = True
+                request = Request(head.method.decode(), head.target.decode("latin-1"),
+                                  {name.decode(): value.decode("latin-1") for name, value in head.headers},
+                                  bytes(body))
+                response = await self.handler.request(self, request)
+                if response is not None:
+                    self.respond(response)
+            elif event is h11.PAUSED:
+                if self.h11.our_state is h11.MUST_CLOSE:
+                    return
+                await self.next.wait()
+                self.next = trio.Event()
+            elif type(event) is h11.ConnectionClosed:
+                return
+
+    async def _last_words(self, status: int) -> None:
+        """Answer what can't be served, then let the connection end."""
+        self.waiting = False
+        if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._send(Response(status), close=True)
+
+    async def _write(self) -> None:
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            response, self.response = self.response, None
+            if response is None:
+                continue
+            with trio.fail_after(self.limits.write_answer):
+                await self._send(response, self.close_after)
+            self.waiting = False
+            if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+                self.h11.start_next_cycle()
+                self.idle_since = trio.current_time()
+                self.scope.deadline = self.idle_since + self.limits.edge_idle
+                self.next.set()
+            else:
+                self.scope.cancel()
+
+    async def _send(self, response: Response, close: bool) -> None:
+        headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
+        if close:
+            headers.append((b"connection", b"close"))
+        send = self.h11.send
+        data = send(h11.Response(status_code=response.status, headers=headers,
+                                 reason=REASONS.get(response.status, b""))) or b""
+        data += send(h11.Data(data=response.body)) or b""
+        data += send(h11.EndOfMessage()) or b""
+        await send_all(self.sock, data)
+
+
+async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
+    """Write all of it."""
+    sent = await sock.send(data)
+    while sent < len(data):
+        sent += await sock.send(data[sent:])
+
+
+class Listener:
+    """Accepts connections, so many at the most."""
+
+    def __init__(self, handler: Handler, limits: Limits, counters: Counters, log: Log) -> None:
+        self.handler, self.limits, self.counters, self.log = handler, limits, counters, log
+        self.connections: set[Connection] = set()
+        self.closing = False
+
+    async def bind(self, host: str, port: int) -> trio.socket.SocketType:
+        """Return a socket that listens."""
+        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+        sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        await sock.bind((host, port))
+        sock.listen(self.limits.backlog)
+        return sock
+
+    async def serve(self, sock: trio.socket.SocketType) -> None:
+        """Accept until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                if len(self.connections) >= self.limits.edge_connections:
+                    self._make_room()
+                try:
+                    accepted, _ = await sock.accept()
+                except OSError as error:
+                    # Guards against running out of descriptors: the listener must outlive it.
+                    self.counters.add("accepts_failed")
+                    if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                        self._make_room()
+                        await trio.sleep(self.limits.accept_pause)
+                    continue
+                if len(self.connections) >= self.limits.edge_connections:
+                    self.counters.add("edge_connections_dropped")
+                    accepted.close()  # no request was read: the client sends it again elsewhere
+                    await trio.sleep(self.limits.accept_pause)
+                    continue
+                accepted.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+                self.counters.add("edge_connections")
+                connection = Connection(accepted, self.limits, self.handler)
+                connection.close_after = self.closing
+                self.connections.add(connection)
+                nursery.start_soon(self._serve, connection)
+
+    async def _serve(self, connection: Connection) -> None:
+        try:
+            await connection.serve()
+        except* Exception as group:  # Guards against a fault in one connection ending the others.
+            self.counters.add("edge_connections_faulty")
+            self.log.line(f"a connection failed: {group.exceptions[0]!r}")
+        finally:
+            self.connections.discard(connection)
+
+    def _make_room(self) -> None:
+        """Close the connection that has stood idle the longest."""
+        idle = [connection for connection in self.connections if connection.idle]
+        if idle:
+            oldest = min(idle, key=lambda connection: connection.idle_since)
+            oldest.scope.cancel()
+            self.connections.discard(oldest)
+
+    def close_idle(self) -> None:
+        """Close idle connections and have the others close after their answer. Goes on accepting."""
+        self.closing = True
+        for connection in self.connections:
+            connection.close_after = True
+            if connection.idle:
+                connection.scope.cancel()
--- /dev/null
+++ b/merlinbay/limits.py
@@ -0,0 +1,59 @@
+"""Every size, count and time of the node, in one type that is filled at start and handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from merlinbay.decision import api
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Sizes in bytes, times in seconds unless the name ends in ``_us``."""
+
+    body_bytes: int = 64 * 1024
+    head_bytes: int = 16 * 1024
+    receive_bytes: int = 32 * 1024
+    backlog: int = 1024
+    inbox: int = 4096  # messages that wait for the owner; beyond it, readers wait and so do their peers
+    edge_connections: int = 400
+    server_connections: int = 400
+    server_tasks: int = 4000  # exchanges with real servers under way, refused ones and cancels included
+    most_held: int = 4000  # flows
+    edge_idle: float = 75.0  # an edge connection that stands idle is closed
+    read_request: float = 10.0  # from a request's first byte to its last
+    write_answer: float = 5.0
+    dial: float = 0.12
+    pool_idle: float = 8.0  # below the real servers' keep-alive
+    accept_pause: float = 0.05  # after an accept that failed for want of descriptors
+    cancel_exchange: float = 2.0  # for a DELETE and its answer
+    probe_exchange: float = 1.0
+    watch_wait: float = 3.0  # how long discovery may hold a watch call
+    watch_slack: float = 1.5  # and how long after that its answer is waited for
+    watch_backoff: float = 0.1  # the first wait after a failed call; doubles
+    watch_backoff_most: float = 1.0
+    answer_margin_us: int = 20_000  # a flow is given up so long before its client gives it up
+    late_answer: float = 1.0  # a 202 is waited for so long after the flow's deadline
+    stop_serving: float = 0.5  # after SIGTERM, go on as before for so long
+    stop_most: float = 5.6  # and leave after so long at the latest, before SIGKILL
+    retry_when_stopping_us: int = 100_000
+    log_lines: int = 20  # a second
+    listing_bytes: int = 4 * 1024 * 1024  # a list of service entries
+
+
+def limits_from(sockets: int, memory_mb: int, settings: api.Settings, dial_us: int, keepalive_us: int,
+                most_held: int) -> Limits:
+    """Divide the descriptors between the edge, the real servers and the rest; take times from the site."""
+    usable = max(sockets - 32, 16)  # the interpreter, trio, discovery and the listener hold the others
+    longest = max(job_class.deadline_us for job_class in settings.classes) / 1e6
+    ask_in = settings.safety.must_ask_in_us / 1e6
+    return Limits(
+        edge_connections=usable * 55 // 100,
+        server_connections=usable * 35 // 100,
+        most_held=min(most_held, usable * 55 // 100 * 4),
+        inbox=min(4096, max(256, memory_mb * 16)),
+        dial=dial_us / 1e6 if dial_us > 0 else Limits.dial,
+        pool_idle=keepalive_us / 1e6 * 0.7 if keepalive_us > 0 else Limits.pool_idle,
+        watch_wait=min(Limits.watch_wait, ask_in / 3) if ask_in else Limits.watch_wait,
+        watch_backoff_most=min(Limits.watch_backoff_most, ask_in / 8) if ask_in else 1.0,
+        stop_most=max(longest, 3.0) + 0.6)
--- /dev/null
+++ b/merlinbay/platform/edge.py
@@ -0,0 +1,94 @@
+"""The platform's listener: edge connections, and the call-backs that share their address."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from merlinbay.clock import Clock
+from merlinbay.core import ports
+from merlinbay.core.ports import Answer, Verdict
+from merlinbay.counters import Counters
+from merlinbay.decision.api import Outcome
+from merlinbay.http.server import Connection, Request, Response
+from merlinbay.platform import words
+
+OUTCOMES = {"done": Outcome.OK, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
+TAKEN = Response(200)
+
+
+class EdgeFlow:
+    """The client's side of one flow."""
+
+    def __init__(self, connection: Connection, name: str) -> None:
+        self.connection, self.name = connection, name
+
+    def answer(self, answer: Answer) -> None:
+        """Write the flow's answer to its edge connection."""
+        self.connection.context = None
+        if answer.verdict is Verdict.SERVED:
+            self.connection.respond(Response(200, answer.result))
+        elif answer.verdict is Verdict.REFUSED:
+            wait = f"{answer.retry_after_us / 1e6:.3f}".encode()
+            headers = [(b"retry-after", wait)] if answer.retry_after_us else []
+            self.connection.respond(Response(503, b"refused\n", headers))
+        else:
+            self.connection.respond(Response(500, b"failed\n"))
+
+
+class PlatformEdge:
+    """Handles every request at the node's address."""
+
+    def __init__(self, inbox: trio.MemorySendChannel[ports.Message], clock: Clock,
+                 counters: Counters) -> None:
+        self.inbox, self.clock, self.counters = inbox, clock, counters
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Take a call-back, a job or a check."""
+        path = request.target.partition("?")[0]
+        if path == "/v1/job-events":
+            return await self._call_back(request)
+        if path == "/-/ready":
+            return Response(200, b"ready\n") if request.method in ("GET", "HEAD") else Response(405)
+        if path.startswith("/-/") or path == "/":
+            return Response(404)
+        if request.method != "POST":
+            return Response(404 if request.method == "GET" else 405)
+        try:
+            spec = words.job_spec(request.target, request.headers, request.body, self.clock.now_us())
+        except words.BadRequest as error:
+            self.counters.add("requests_bad")
+            return Response(400, f"bad request: {error}\n".encode())
+        flow = connection.context = EdgeFlow(connection, spec.name)
+        await self.inbox.send(ports.FlowArrived(spec, flow))
+        return None
+
+    def gone(self, connection: Connection) -> None:
+        """Withdraw the flow of a client that hung up."""
+        flow = connection.context
+        if isinstance(flow, EdgeFlow):
+            try:
+                self.inbox.send_nowait(ports.FlowWithdrawn(flow.name, flow))
+            except (trio.WouldBlock, trio.BrokenResourceError):  # its deadline will end it
+                self.counters.add("withdrawals_lost")
+
+    async def _call_back(self, request: Request) -> Response:
+        if request.method != "POST":
+            return Response(405)
+        try:
+            event = words.read_job_event(request.body)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            self.counters.add("call_backs_bad")
+            return Response(400)
+        self.counters.add("call_backs")
+        if event.state == "started":
+            await self.inbox.send(ports.SchedulingStarted(event.id, event.server))
+        elif event.state == "running":
+            await self.inbox.send(ports.SchedulingProgress(event.id, event.server, event.share))
+        elif event.state in OUTCOMES:
+            result = words.result_bytes(event.result) if event.state == "done" else b""
+            await self.inbox.send(ports.SchedulingEnded(event.id, event.server, OUTCOMES[event.state], result,
+                                                        words.named(event.load)))
+        else:
+            self.counters.add("call_backs_unknown")
+        return TAKEN
--- /dev/null
+++ b/merlinbay/platform/words.py
@@ -0,0 +1,114 @@
+"""The platform's words on the wire, to and from the core's values."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from merlinbay.core.ports import JobSpec, ServiceEntry
+
+STATES = {"SERVING": "up", "DRAINING": "draining", "DELETED": "removed"}
+LOAD_NAMES = {"eps": "err_rps", "inflight": "active", "queue": "waiting", "util": "cpu", "qps": "rps",
+              "latency_ms": "avg_ms"}
+
+
+class BadRequest(Exception):
+    """A request that cannot be read."""
+
+
+class Row(msgspec.Struct):
+    """An entry of discovery's list."""
+
+    id: str
+    addr: str
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    state: str = "SERVING"
+    weight: float = 1.0
+    started_ms: int = 0
+
+
+class Listing(msgspec.Struct):
+    """Discovery's answer."""
+
+    version: int
+    full: bool
+    servers: list[Row]
+
+
+class JobEvent(msgspec.Struct):
+    """A call-back."""
+
+    id: str
+    server: str = msgspec.field(name="from")
+    state: str
+    share: float = 0.0
+    result: Any = ""
+    load: dict[str, float] | None = None
+
+
+read_listing = msgspec.json.Decoder(Listing).decode
+read_job_event = msgspec.json.Decoder(JobEvent).decode
+
+
+def entries(listing: Listing) -> list[ServiceEntry]:
+    """Translate a list's entries; an unknown state counts as draining: nothing new goes there."""
+    return [ServiceEntry(row.id, row.addr, row.zone, row.kind, row.cell, STATES.get(row.state, "draining"),
+                         row.weight, row.started_ms * 1000) for row in listing.servers]
+
+
+def result_bytes(result: Any) -> bytes:
+    """Return the body that a result stands for."""
+    return result.encode() if isinstance(result, str) else msgspec.json.encode(result)
+
+
+def load_from(header: str) -> dict[str, float] | None:
+    """Read ``inflight=7,queue=2``; what makes no sense is left out."""
+    return named(pairs(header)) if header else None
+
+
+def named(load: Mapping[str, float | str] | None) -> dict[str, float] | None:
+    """Name a load report's values as the settings do."""
+    if load is None:
+        return None
+    out = {}
+    for name, value in load.items():
+        try:
+            out[LOAD_NAMES.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    return out
+
+
+def pairs(text: str) -> dict[str, str]:
+    """Read ``name=value,name=value``."""
+    parts = (part.partition("=") for part in text.split(","))
+    return {name.strip(): value.strip() for name, equals, value in parts if equals}
+
+
+def job_spec(target: str, headers: Mapping[str, str], body: bytes, now_us: int) -> JobSpec:
+    """Read a client's request. Raises ``BadRequest``."""
+    name, path = headers.get("x-request-id", ""), target.partition("?")[0]
+    if not name or len(name) > 64:
+        raise BadRequest("x-request-id")
+    try:
+        extras = pairs(headers.get("x-attrs", ""))
+        budget_ms = int(headers["x-timeout-ms"])
+        slots = float(extras.get("slots", extras.get("needs", 1)))
+        memory = float(extras.get("memory", extras.get("ramUnits", 0)))
+        hint = int(float(headers.get("x-cost") or 0))
+    except (KeyError, ValueError, OverflowError) as error:
+        raise BadRequest(str(error)) from None
+    if not 0 < budget_ms <= 3_600_000:
+        raise BadRequest("x-timeout-ms")
+    if not 0 <= slots < 1e6 or not 0 <= memory < 1e9:
+        raise BadRequest("x-attrs")
+    return JobSpec(
+        name=name, job_class=headers.get("x-priority-class") or path.strip("/").partition("/")[0],
+        arrived_us=now_us, budget_us=budget_ms * 1000, target=target, body=body,
+        repeat_key=headers.get("idempotency-key", ""), key=headers.get("x-route-key", ""),
+        tenant=headers.get("x-tenant-id", ""), slots=slots, memory=memory, hint_us=hint,
+        retried=headers.get("x-retried") == "1")
