--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -8,17 +8,22 @@
 import trio
 
 from merlinbay.clock import Clock
-from merlinbay.config import BadConfig, Config, load
+from merlinbay.config import BadConfig, Config, address, load
 from merlinbay.core.owner import Owner
-from merlinbay.core.ports import EntriesChanged, Message, Stopping
+from merlinbay.core.ports import EntriesChanged, Message, ServerSide, Stopping
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
-from merlinbay.http.server import Listener
+from merlinbay.dnssd.directory import DnsSdDirectory
+from merlinbay.drmaa.front import DrmaaFront
+from merlinbay.drmaa.servers import DrmaaServers, NotificationHandler
+from merlinbay.http.pool import ConnectionPool
+from merlinbay.http.routes import Routes
+from merlinbay.http.server import Handler, Listener
 from merlinbay.log import Log
 from merlinbay.platform import words
 from merlinbay.platform.discovery import Discovery
 from merlinbay.platform.edge import PlatformEdge
-from merlinbay.platform.servers import RealServerPool
+from merlinbay.platform.servers import PlatformServers
 
 
 async def run(config: Config, counters: Counters) -> None:
@@ -26,16 +31,36 @@
     limits, log, clock = config.limits, Log(config.limits.log_lines), Clock()
     send: trio.MemorySendChannel[Message]
     send, receive = trio.open_memory_channel[Message](limits.inbox)
-    edge = PlatformEdge(send, clock, counters)
-    listener = Listener(edge, limits, counters, log)
-    discovery = Discovery(config.discovery, config.known.version, send, limits, counters, log)
+    drmaa, dnssd = config.operator.drmaa, config.operator.dnssd
+    handler: Handler = PlatformEdge(send, clock, counters)
+    if drmaa.front or drmaa.servers:
+        routes: list[tuple[str, Handler]] = []
+        if drmaa.front:
+            routes.append(("/drmaa2/jobs", DrmaaFront(send, clock, limits, counters,
+                                                      config.settings.classes)))
+        if drmaa.servers:
+            routes.append(("/drmaa2/notifications", NotificationHandler(send, counters)))
+        handler = Routes([*routes, ("/", handler)])
+    listener = Listener(handler, limits, counters, log)
+    discovery: Discovery | DnsSdDirectory
+    if dnssd is None:
+        discovery = Discovery(config.discovery, config.known.version, send, limits, counters, log)
+    else:
+        discovery = DnsSdDirectory(address(dnssd.nameserver), dnssd.service, send, limits, counters, log)
     async with trio.open_nursery() as nursery:
-        servers = RealServerPool(nursery, send, clock, limits, counters, config.settings.report_fields)
+        pool = ConnectionPool(limits, counters)
+        servers: ServerSide
+        if drmaa.servers:
+            notify = f"http://{config.listen[0]}:{config.listen[1]}/drmaa2/notifications"
+            servers = DrmaaServers(nursery, pool, send, clock, limits, counters, notify)
+        else:
+            servers = PlatformServers(nursery, pool, send, clock, limits, counters,
+                                      bool(config.settings.report_fields))
         balancer = Balancer(config.settings, config.seed, clock.now_us())
         owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
         owner.turn([EntriesChanged("remembered", words.entries(config.known))])
         sock = await listener.bind(*config.listen)
-        nursery.start_soon(servers.sweep)
+        nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
         nursery.start_soon(listener.serve, sock)
         nursery.start_soon(signals, listener, send, nursery, counters, limits.stop_serving, limits.stop_most)
--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -39,6 +40,27 @@
     known: words.Listing = msgspec.field(default_factory=lambda: words.Listing(0, True, []))
 
 
+class Drmaa(msgspec.Struct, forbid_unknown_fields=True):
+    """Which DRMAA parts are on."""
+
+    front: bool = False
+    servers: bool = False
+
+
+class DnsSd(msgspec.Struct, forbid_unknown_fields=True):
+    """Where service entries come from in place of the platform's discovery."""
+
+    nameserver: str
+    service: str
+
+
+class Operator(msgspec.Struct, forbid_unknown_fields=True):
+    """The operator's file."""
+
+    drmaa: Drmaa = msgspec.field(default_factory=Drmaa)
+    dnssd: DnsSd | None = None
+
+
 class Config(msgspec.Struct):
     """All that a node needs to start."""
 
@@ -49,6 +71,22 @@
     known: words.Listing
     settings: api.Settings
     limits: Limits
+    operator: Operator = msgspec.field(default_factory=Operator)
+
+
+def operator_file(path: str) -> Operator:
+    """Read the operator's file; without one, everything beside the platform's protocol is off."""
+    if not path:
+        return Operator()
+    try:
+        operator = msgspec.convert(tomllib.loads(Path(path).read_text()), Operator)
+        if operator.dnssd is not None:
+            address(operator.dnssd.nameserver)
+        return operator
+    except OSError as error:
+        raise BadConfig(f"{path}: {error.strerror}") from None
+    except (ValueError, msgspec.ValidationError) as error:
+        raise BadConfig(f"{path}: {error}") from None
 
 
 def address(text: str) -> tuple[str, int]:
@@ -82,4 +120,5 @@
     listen = address(environ.get("LB_LISTEN", file.listen))
     discovery = environ.get("LB_DISCOVERY", file.discovery)
     address(discovery)
-    return Config(environ.get("LB_NAME", file.name), listen, discovery, seed, file.known, settings, limits)
+    return Config(environ.get("LB_NAME", file.name), listen, discovery, seed, file.known, settings, limits,
+                  operator_file(environ.get("LB_OPERATOR", "")))
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -95,6 +95,8 @@
             case ports.SchedulingStarted():
                 if (found := self.open.get((message.name, message.server))) is not None:
                     events.append(api.JobStarted(found.flow, found.number))
+                    if not self.flows[found.flow].done:
+                        self.flows[found.flow].edge.started()
             case ports.SchedulingProgress():
                 if (found := self.open.get((message.name, message.server))) is not None:
                     events.append(api.JobProgress(found.flow, found.number, message.share))
@@ -141,6 +143,8 @@
                result: bytes = b"", report: dict[str, float] | None = None) -> None:
         """End a scheduling, once; the first success answers its flow."""
         del self.open[scheduling.spec.name, scheduling.server]
+        scheduling.ended = True
+        self.servers.forget(scheduling)
         self.counters.add(f"schedulings_{outcome.name.lower()}")
         flow = self.flows[scheduling.flow]
         del flow.open[scheduling.number]
@@ -222,6 +226,7 @@
         if until < flow.deadline_us:
             self._at(until, scheduling)
         self.servers.start(scheduling)
+        flow.edge.sent()
 
     def _answer(self, flow: Flow, answer: Answer) -> None:
         """Give a flow its one final answer."""
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -36,6 +36,7 @@
     budget_us: int
     target: str = "/"  # passes on unchanged
     body: bytes = b""  # passes on unchanged
+    body_type: str = ""  # its media type, where the front says
     repeat_key: str = ""  # by which real servers know a repeat
     key: str = ""
     tenant: str = ""
@@ -62,6 +63,12 @@
 class Edge(Protocol):
     """The client's side of one flow."""
 
+    def sent(self) -> None:
+        """Take it that a real server has been chosen. May come more than once."""
+
+    def started(self) -> None:
+        """Take it that a real server has started the job. May come more than once."""
+
     def answer(self, answer: Answer) -> None:
         """Take the flow's one answer. Does not wait."""
 
@@ -76,6 +83,7 @@
     server: str
     sent_us: int
     deadline_us: int
+    ended: bool = False
 
 
 class ServerSide(Protocol):
@@ -87,6 +95,9 @@
     def give_up(self, scheduling: Scheduling) -> None:
         """Stop an attempt whose outcome is settled already."""
 
+    def forget(self, scheduling: Scheduling) -> None:
+        """Drop what is kept of an attempt: it has ended, by itself or given up."""
+
     def probe(self, server: str) -> None:
         """Test a real server."""
 
--- /dev/null
+++ b/merlinbay/dnssd/__init__.py
@@ -0,0 +1,1 @@
+"""Service entries from DNS-SD records (RFC 6763)."""
--- /dev/null
+++ b/merlinbay/dnssd/directory.py
@@ -0,0 +1,85 @@
+"""Asks a name server for a service's instances, again whenever the least TTL has run out."""
+
+from __future__ import annotations
+
+import dns.asyncquery
+import dns.exception
+import dns.message
+import dns.name
+import dns.rcode
+import dns.rdatatype
+import trio
+
+from merlinbay.core import ports
+from merlinbay.core.ports import ServiceEntry
+from merlinbay.counters import Counters
+from merlinbay.dnssd import records
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+
+
+class Failed(Exception):
+    """The name server gave no usable answer."""
+
+
+class DnsSdDirectory:
+    """Tells the whole list after every change. A name that it lacks is removed."""
+
+    def __init__(self, server: tuple[str, int], service: str, inbox: trio.MemorySendChannel[ports.Message],
+                 limits: Limits, counters: Counters, log: Log) -> None:
+        self.server, self.service = server, dns.name.from_text(service)
+        self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
+        self.asked = trio.Event()
+
+    def subscribe(self) -> None:
+        """Begin to ask, or go on after a failure."""
+        self.asked.set()
+
+    async def run(self) -> None:
+        """Ask for ever."""
+        last: dict[str, ServiceEntry] | None = None
+        while True:
+            await self.asked.wait()
+            self.asked = trio.Event()
+            try:
+                while True:
+                    listed, ttl = await self.look()
+                    if listed != last:
+                        await self.inbox.send(ports.EntriesChanged("all", list(listed.values())))
+                        last = listed
+                    self.counters.add("dns_listings")
+                    await trio.sleep(min(max(ttl, self.limits.dns_least), self.limits.dns_most))
+            except (Failed, OSError, dns.exception.DNSException, trio.TooSlowError) as error:
+                # Guards against an outage that empties the list: what was heard last still stands.
+                self.counters.add("dns_failed")
+                self.log.line(f"dns-sd: {type(error).__name__}: {error}")
+                await trio.sleep(self.limits.watch_backoff)
+                await self.inbox.send(ports.EntriesChanged("refused"))
+
+    async def look(self) -> tuple[dict[str, ServiceEntry], float]:
+        """Return the entries by name, and the least TTL of all that they rest on."""
+        found, least = await self._query(self.service, dns.rdatatype.PTR)
+        listed: dict[str, ServiceEntry] = {}
+        for instance in records.instances(found)[:self.limits.dns_instances]:
+            try:
+                services, srv_ttl = await self._query(instance, dns.rdatatype.SRV)
+                target = records.best_target(services)
+                texts, txt_ttl = await self._query(instance, dns.rdatatype.TXT)
+                hosts, host_ttl = await self._query(target.target, dns.rdatatype.A)
+                entry = records.entry(instance, target, records.address(hosts), records.attributes(texts))
+            except records.NoEntry as error:  # one bad instance hides no other
+                self.counters.add("dns_bad_instances")
+                self.log.line(f"dns-sd: {instance}: {error}")
+                continue
+            listed[entry.server] = entry
+            least = min(least, srv_ttl, txt_ttl, host_ttl)
+        return listed, float(least)
+
+    async def _query(self, name: dns.name.Name, kind: dns.rdatatype.RdataType) -> tuple[list[object], int]:
+        host, port = self.server
+        query = dns.message.make_query(name, kind)
+        answer, _ = await dns.asyncquery.udp_with_fallback(query, host, timeout=self.limits.dns_query,
+                                                           port=port)
+        if answer.rcode() not in (dns.rcode.NOERROR, dns.rcode.NXDOMAIN):
+            raise Failed(f"{name}: {dns.rcode.to_text(answer.rcode())}")
+        return records.records(answer, name, kind)
--- /dev/null
+++ b/merlinbay/dnssd/records.py
@@ -0,0 +1,73 @@
+"""PTR, SRV and TXT records to service entries. Reads messages; sends nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import dns.message
+import dns.name
+import dns.rdatatype
+from dns.rdtypes.ANY.PTR import PTR
+from dns.rdtypes.ANY.TXT import TXT
+from dns.rdtypes.IN.A import A
+from dns.rdtypes.IN.SRV import SRV
+
+from merlinbay.core.ports import ServiceEntry
+
+STATES = ("up", "draining")
+
+
+class NoEntry(Exception):
+    """An instance whose records do not make an entry."""
+
+
+def records(message: dns.message.Message, name: dns.name.Name,
+            kind: dns.rdatatype.RdataType) -> tuple[list[object], int]:
+    """Return the records of a name in an answer, and their TTL."""
+    found = message.get_rrset(message.answer, name, dns.rdataclass.IN, kind)
+    return ([], 0) if found is None else (list(found), int(found.ttl))
+
+
+def instances(rdata: Iterable[object]) -> list[dns.name.Name]:
+    """Return the instances that PTR records name, in one order at every reader."""
+    return sorted({record.target for record in rdata if isinstance(record, PTR)})
+
+
+def attributes(rdata: Iterable[object]) -> dict[str, str]:
+    """Read TXT strings as RFC 6763 section 6 says: the first of a key counts; keys have no case."""
+    out: dict[str, str] = {}
+    for record in rdata:
+        for string in record.strings if isinstance(record, TXT) else ():
+            key, _, value = string.decode("utf-8", "replace").partition("=")
+            if key:
+                out.setdefault(key.lower(), value)
+    return out
+
+
+def best_target(rdata: Iterable[object]) -> SRV:
+    """Return the SRV record of the lowest priority and the highest weight (RFC 2782)."""
+    services = [record for record in rdata if isinstance(record, SRV)]
+    if not services or services[0].target == dns.name.root:
+        raise NoEntry("no SRV")
+    return min(services, key=lambda record: (record.priority, -record.weight, record.target, record.port))
+
+
+def address(rdata: Iterable[object]) -> str:
+    """Return the first address."""
+    found = sorted(str(record.address) for record in rdata if isinstance(record, A))
+    if not found:
+        raise NoEntry("no address")
+    return found[0]
+
+
+def entry(instance: dns.name.Name, service: SRV, host: str, txt: dict[str, str]) -> ServiceEntry:
+    """Make an entry. The instance's first label names the server unless TXT has an ``id``."""
+    state = txt.get("state", "up").lower()
+    try:
+        return ServiceEntry(
+            server=txt.get("id") or instance.labels[0].decode("utf-8", "replace"),
+            addr=f"{host}:{service.port}", zone=txt.get("zone", ""), kind=txt.get("kind", ""),
+            cell=int(txt.get("cell") or 0), state=state if state in STATES else "draining",
+            weight=float(service.weight or 1), started_us=int(txt.get("started_ms") or 0) * 1000)
+    except ValueError as error:
+        raise NoEntry(str(error)) from None
--- /dev/null
+++ b/merlinbay/http/pool.py
@@ -0,0 +1,109 @@
+"""Pooled connections to named real servers, shared by every real-server side."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+
+from merlinbay.core.ports import ServiceEntry
+from merlinbay.counters import Counters
+from merlinbay.http.client import ClientConnection, NotSent, Reply
+from merlinbay.limits import Limits
+
+
+@dataclass(slots=True, eq=False)
+class RealServer:
+    """A real server as the pool knows it."""
+
+    addr: str
+    started_us: int = 0
+    idle: list[ClientConnection] = field(default_factory=list)  # oldest first
+
+
+class ConnectionPool:
+    """Connections by real server, newest used first, so many over all."""
+
+    def __init__(self, limits: Limits, counters: Counters) -> None:
+        self.limits, self.counters = limits, counters
+        self.servers: dict[str, RealServer] = {}
+        self.connections = 0
+
+    def entries_changed(self, scope: str, entries: list[ServiceEntry]) -> None:
+        """Learn addresses. Connections to an earlier process of a server are of no use."""
+        if scope in ("all", "remembered"):
+            named = {entry.server for entry in entries}
+            for name in [name for name in self.servers if name not in named]:
+                self._drop_idle(self.servers.pop(name))
+        for entry in entries:
+            known = self.servers.get(entry.server)
+            if known is not None and (entry.state == "removed" or known.addr != entry.addr
+                                      or known.started_us != entry.started_us):
+                self._drop_idle(self.servers.pop(entry.server))
+                known = None
+            if known is None and entry.state != "removed":
+                self.servers[entry.server] = RealServer(entry.addr, entry.started_us)
+
+    async def exchange(self, name: str, method: str, target: str, headers: list[tuple[str, str]],
+                       body: bytes = b"") -> Reply:
+        """Have one exchange, and keep the connection if it can carry another."""
+        server = self.servers.get(name)
+        if server is None:
+            raise NotSent("not listed")
+        connection = await self._connection(server)
+        try:
+            reply = await connection.exchange(method, target, headers, body)
+        except BaseException:
+            self._close(connection)
+            raise
+        connection.idle_since = trio.current_time()
+        if connection.usable() and self.servers.get(name) is server:
+            server.idle.append(connection)
+        else:
+            self._close(connection)
+        return reply
+
+    async def sweep(self) -> None:
+        """Close connections before the server's keep-alive does."""
+        while True:
+            await trio.sleep(self.limits.pool_idle / 8)
+            before = trio.current_time() - self.limits.pool_idle
+            for server in self.servers.values():
+                while server.idle and server.idle[0].idle_since < before:
+                    self._close(server.idle.pop(0))
+
+    async def _connection(self, server: RealServer) -> ClientConnection:
+        """Return the connection that was used last, or a new one."""
+        while server.idle:
+            connection = server.idle.pop()
+            fresh = trio.current_time() - connection.idle_since < self.limits.pool_idle
+            if fresh and connection.usable():
+                return connection
+            # Guards against a write that crosses the server's keep-alive: it would end as a reset.
+            self._close(connection)
+        if self.connections >= self.limits.server_connections:
+            self._make_room()
+        if self.connections >= self.limits.server_connections:
+            raise NotSent("no descriptor left for real servers")
+        self.connections += 1
+        try:
+            connection = await ClientConnection.dial(server.addr, self.limits)
+        except BaseException:
+            self.connections -= 1
+            raise
+        self.counters.add("server_connections")
+        return connection
+
+    def _close(self, connection: ClientConnection) -> None:
+        connection.close()
+        self.connections -= 1
+
+    def _make_room(self) -> None:
+        """Close the connection that has stood idle the longest, of all real servers."""
+        waiting = [server for server in self.servers.values() if server.idle]
+        if waiting:
+            self._close(min(waiting, key=lambda server: server.idle[0].idle_since).idle.pop(0))
+
+    def _drop_idle(self, server: RealServer) -> None:
+        while server.idle:
+            self._close(server.idle.pop())
--- /dev/null
+++ b/merlinbay/http/routes.py
@@ -0,0 +1,25 @@
+"""One listener for several fronts, told apart by the first parts of the path."""
+
+from __future__ import annotations
+
+from merlinbay.http.server import Connection, Handler, Request, Response
+
+
+class Routes:
+    """Hands a request to the handler with the first prefix that fits."""
+
+    def __init__(self, handlers: list[tuple[str, Handler]]) -> None:
+        self.handlers = handlers
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Hand the request on."""
+        path = request.target.partition("?")[0]
+        for prefix, handler in self.handlers:
+            if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
+                return await handler.request(connection, request)
+        return Response(404)
+
+    def gone(self, connection: Connection) -> None:
+        """Tell all; the one whose request it was knows it by the connection's context."""
+        for _, handler in self.handlers:
+            handler.gone(connection)
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -37,6 +37,12 @@
     stop_serving: float = 0.5  # after SIGTERM, go on as before for so long
     stop_most: float = 5.6  # and leave after so long at the latest, before SIGKILL
     retry_when_stopping_us: int = 100_000
+    finished_jobs: int = 2000  # DRMAA jobs kept after their end, for status queries that come late
+    finished_keep: float = 60.0
+    dns_query: float = 1.0
+    dns_least: float = 0.2  # a list is asked for again after its least TTL, but neither sooner
+    dns_most: float = 5.0  # nor later than this
+    dns_instances: int = 2000
     log_lines: int = 20  # a second
     listing_bytes: int = 4 * 1024 * 1024  # a list of service entries
 
@@ -55,5 +61,6 @@
         dial=dial_us / 1e6 if dial_us > 0 else Limits.dial,
         pool_idle=keepalive_us / 1e6 * 0.7 if keepalive_us > 0 else Limits.pool_idle,
         watch_wait=min(Limits.watch_wait, ask_in / 3) if ask_in else Limits.watch_wait,
+        dns_most=min(Limits.dns_most, ask_in / 3) if ask_in else Limits.dns_most,
         watch_backoff_most=min(Limits.watch_backoff_most, ask_in / 8) if ask_in else 1.0,
         stop_most=max(longest, 3.0) + 0.6)
--- a/merlinbay/platform/edge.py
+++ b/merlinbay/platform/edge.py
@@ -23,6 +23,12 @@
     def __init__(self, connection: Connection, name: str) -> None:
         self.connection, self.name = connection, name
 
+    def sent(self) -> None:
+        """Pass over it: this wire tells clients the end only."""
+
+    def started(self) -> None:
+        """Pass over it likewise."""
+
     def answer(self, answer: Answer) -> None:
         """Write the flow's answer to its edge connection."""
         self.connection.context = None
--- /dev/null
+++ b/tests/net.py
@@ -0,0 +1,224 @@
+"""The one helper of the network tests: a node among stand-ins, all on loopback sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from merlinbay.__main__ import run
+from merlinbay.config import load
+from merlinbay.counters import Counters
+from merlinbay.http.client import ClientConnection, Reply
+from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+
+LIMITS = Limits()
+ROOT = Path(__file__).parent.parent
+CONF: dict[str, Any] = {
+    "balancers": 1, "me": 0, "az": "hall-a", "kinds": ["k"], "discovery": "subscribe",
+    "classes": [{"name": "admit", "aimUs": 120000, "deadlineUs": 3000000, "worth": 1.0, "effect": "by_key",
+                 "group": "cell", "windowUs": 7500000}],
+    "limits": {"cancelling": True, "secondCopies": True, "sendCap": 5, "retryAfter": True,
+               "maxRetryAfterUs": 2000000, "probes": True},
+    "report": {"how": "inline", "fields": ["err_rps", "active", "x0", "x1"]},
+    "extra": {"tellsStart": True, "reportX0": "free slots", "reportX1": "free memory"},
+    "safety": {"drainGraceUs": 500000, "coldFrom": 0.31, "coldUs": 9000000, "tipMultiple": 3.0,
+               "overloadForUs": 2000000, "mustAskInUs": 10000000}}
+LOAD = {"inflight": 0, "x0": 4, "x1": 4, "eps": 0}
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+Play = Callable[["StandIn", Request], Awaitable[Response | None]]
+
+
+@dataclass
+class StandIn:
+    """A stand-in server: notes what comes and does what its play says; None breaks the connection."""
+
+    stage: Stage
+    name: str
+    play: Play
+    port: int = field(default_factory=free_port)
+    seen: list[tuple[float, Request]] = field(default_factory=list)
+    connections: set[int] = field(default_factory=set)
+
+    @property
+    def addr(self) -> str:
+        """Return where it listens."""
+        return f"127.0.0.1:{self.port}"
+
+    def targets(self, method: str = "POST") -> list[str]:
+        """Return the targets asked for by a method."""
+        return [request.target for _, request in self.seen if request.method == method]
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Note it and play."""
+        self.seen.append((trio.current_time(), request))
+        self.connections.add(id(connection))
+        response = await self.play(self, request)
+        if response is None:
+            connection.scope.cancel()
+        return response
+
+    def gone(self, connection: Connection) -> None:
+        """Pass over it."""
+
+    async def listen(self) -> None:
+        """Serve for ever."""
+        listener = Listener(self, LIMITS, Counters(), Log(100))
+        await listener.serve(await listener.bind("127.0.0.1", self.port))
+
+    async def notify(self, job: str, state: str, **info: object) -> int:
+        """Make a DRMAA notification; return its status."""
+        note = {"event": "NEW_STATE", "sessionName": self.name, "jobId": f"id-{job}", "jobName": job,
+                "jobState": state, "jobInfo": {"jobId": f"id-{job}", "jobState": state, **info}}
+        return (await self.stage.json("POST", "/drmaa2/notifications", note))[0]
+
+    async def tell(self, job: str, state: str, **more: object) -> int:
+        """Make a call-back; return its status."""
+        event = {"id": job, "from": self.name, "state": state, **more}
+        return (await self.stage.call("POST", "/v1/job-events", body=json.dumps(event).encode())).status
+
+
+async def serves(server: StandIn, request: Request) -> Response | None:
+    """Take a job, start it and be done soon."""
+    job = request.headers.get("x-request-id", "")
+
+    async def work() -> None:
+        await server.tell(job, "started")
+        await trio.sleep(0.02)
+        await server.tell(job, "done", result=f"{server.name}:{job}", load=LOAD)
+
+    if request.method == "POST":
+        server.stage.nursery.start_soon(work)
+    return Response(202)
+
+
+@dataclass
+class Stage:
+    """A node and its stand-ins."""
+
+    nursery: trio.Nursery
+    folder: Path
+    port: int = field(default_factory=free_port)
+    servers: list[StandIn] = field(default_factory=list)
+    rows: list[dict[str, Any]] = field(default_factory=list)
+    version: int = 1
+    changed: trio.Event = field(default_factory=trio.Event)
+    counters: Counters = field(default_factory=Counters)
+    process: trio.Process | None = None
+    operator: str = ""  # the text of the operator's file; none by default
+
+    def add(self, name: str, play: Play = serves, cell: int = 0, **row: object) -> StandIn:
+        """Add a real server to the list, before the node starts or while it runs."""
+        server = StandIn(self, name, play)
+        self.servers.append(server)
+        self.nursery.start_soon(server.listen)
+        self.rows.append({"id": name, "addr": server.addr, "zone": "hall-a", "kind": "k", "cell": cell,
+                          "state": "SERVING", "weight": 1.0, "started_ms": 0, **row})
+        return server
+
+    def change(self, name: str, **row: object) -> None:
+        """Change a line of the list and tell the watch."""
+        for line in self.rows:
+            if line["id"] == name:
+                line.update(row)
+        self.version += 1
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def discovery(self, server: StandIn, request: Request) -> Response | None:
+        """Play discovery: every answer is the whole list."""
+        if f"after={self.version}&" in request.target:
+            with trio.move_on_after(0.5):
+                await self.changed.wait()
+        return Response(200, json.dumps(
+            {"version": self.version, "full": True, "servers": self.rows}).encode())
+
+    def configure(self, **conf: object) -> dict[str, str]:
+        """Write the node's configuration; return its environment."""
+        asked = StandIn(self, "discovery", self.discovery)
+        self.nursery.start_soon(asked.listen)
+        path, operator = self.folder / "config.json", self.folder / "operator.toml"
+        operator.write_text(self.operator)
+        path.write_text(json.dumps({
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": asked.addr, "seed": "2a",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "known": {"version": 0, "full": True, "servers": self.rows}, "settings": {**CONF, **conf}}))
+        return {"LB_CONFIG": str(path), "LB_OPERATOR": str(operator) if self.operator else ""}
+
+    async def start(self, program: bool = False, **conf: object) -> None:
+        """Start the node, in this process or as the program, and wait until it is ready."""
+        environ = self.configure(**conf)
+        if program:
+            self.process = await trio.lowlevel.open_process(
+                [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, env={**os.environ, **environ})
+        else:
+            self.nursery.start_soon(run, load(environ), self.counters)
+        with trio.fail_after(15):
+            while True:
+                try:
+                    if (await self.call("GET", "/-/ready")).status == 200:
+                        return
+                except Exception:
+                    await trio.sleep(0.02)
+
+    async def call(self, method: str, target: str, headers: list[tuple[str, str]] | None = None,
+                   body: bytes = b"") -> Reply:
+        """Have one exchange with the node on a new connection."""
+        connection = await ClientConnection.dial(f"127.0.0.1:{self.port}", LIMITS)
+        try:
+            return await connection.exchange(method, target, headers or [], body)
+        finally:
+            connection.close()
+
+    async def admit(self, job: str, timeout_ms: int = 2000) -> Reply:
+        """Hand in one job and return its answer."""
+        return await self.call("POST", "/admit?x=1", admission(job, timeout_ms), b"seat")
+
+    async def json(self, method: str, target: str, value: object = None) -> tuple[int, Any]:
+        """Have one exchange in JSON; return status and answer."""
+        body = b"" if value is None else json.dumps(value).encode()
+        reply = await self.call(method, target, body=body)
+        return reply.status, json.loads(reply.body) if reply.body else None
+
+
+def admission(job: str, timeout_ms: int = 2000) -> list[tuple[str, str]]:
+    """Return a job's headers."""
+    return [("X-Request-ID", job), ("X-Priority-Class", "admit"), ("X-Timeout-Ms", str(timeout_ms)),
+            ("Idempotency-Key", f"key-{job}")]
+
+
+@asynccontextmanager
+async def stage(folder: Path) -> AsyncIterator[Stage]:
+    """Open a stage, and close all of it at the end."""
+    with trio.fail_after(30):
+        async with trio.open_nursery() as nursery:
+            scene = Stage(nursery, folder)
+            try:
+                yield scene
+            finally:
+                if scene.process is not None and scene.process.poll() is None:
+                    scene.process.kill()
+                nursery.cancel_scope.cancel()
+
+
+def play(scene: Callable[..., Awaitable[None]], *args: object) -> None:
+    """Run a test's scene."""
+    trio.run(scene, *args)
--- /dev/null
+++ b/tests/test_drmaa.py
@@ -0,0 +1,379 @@
+"""DRMAA-style submission: the whole path, the crossings, and the rules, against stand-in schedulers."""
+
+from __future__ import annotations
+
+import base64
+import json
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+from merlinbay.core.ports import Answer, JobSpec, SchedulingEnded, SchedulingStarted, Verdict
+from merlinbay.decision.api import JobClass, Outcome
+from merlinbay.drmaa import words
+from merlinbay.drmaa.servers import message_of, outcome_of
+from merlinbay.http.client import Reply
+from merlinbay.http.server import Request, Response
+from merlinbay.limits import Limits
+from tests.net import Stage, StandIn, play, serves, stage
+from tests.test_node import full
+
+FRONT, BOTH = "[drmaa]\nfront = true\n", "[drmaa]\nfront = true\nservers = true\n"
+CALL = {"jobTemplate": {"remoteCommand": "transcribe", "args": ["--minutes"]}}
+NOW = 1_800_000_000_000_000
+CLASSES = [JobClass("admit", 1, 3_000_000, effect="by_key"), JobClass("print", 1, 9_000_000, effect="once")]
+
+
+def taken(request: Request) -> tuple[str, Response]:
+    """Return a runJob call's job name, and the answer that takes it."""
+    job = json.loads(request.body)["jobTemplate"]["jobName"]
+    return job, Response(201, json.dumps({"jobId": f"id-{job}", "jobState": "QUEUED"}).encode())
+
+
+async def schedules(server: StandIn, request: Request) -> Response | None:
+    """Take a job, run it and be done soon."""
+    if request.target != "/drmaa2/jobs":
+        return Response(200, b"{}")
+    job, answer = taken(request)
+
+    async def work() -> None:
+        await server.notify(job, "RUNNING")
+        await trio.sleep(0.1)
+        await server.notify(job, "DONE", exitStatus=0, output=base64.b64encode(b"minutes").decode())
+
+    server.stage.nursery.start_soon(work)
+    return answer
+
+
+async def takes(server: StandIn, request: Request) -> Response | None:
+    """Take a job and leave its notices to the test."""
+    return taken(request)[1] if request.target == "/drmaa2/jobs" else Response(200, b"{}")
+
+
+async def later(server: StandIn, request: Request) -> Response | None:
+    """Refuse a job: it never ran."""
+    return Response(503, b'{"exception":"TryLaterException","message":"full"}')
+
+
+async def submit(s: Stage, **template: object) -> tuple[int, Any]:
+    """Call runJob."""
+    return await s.json("POST", "/drmaa2/jobs", {"jobTemplate": {**CALL["jobTemplate"], **template}})
+
+
+def one_end(s: Stage) -> int:
+    """Return how many final states and answers the node gave."""
+    counts = s.counters.counts
+    assert (counts["drmaa_jobs_done"] + counts["drmaa_jobs_failed"]
+            == counts["answers_served"] + counts["answers_failed"] + counts["flows_withdrawn"])
+    return counts["drmaa_jobs_done"] + counts["drmaa_jobs_failed"]
+
+
+def test_the_whole_path(tmp_path: Path) -> None:
+    """From runJob through QUEUED and RUNNING to DONE, with the output, and a status query after it."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = BOTH
+            scheduler = s.add("s-1", takes)
+            await s.start()
+            status, body = await submit(s, minSlots=1, deadlineTime=(
+                datetime.now(UTC) + timedelta(seconds=2)).isoformat())
+            assert (status, body["jobState"]) == (201, "QUEUED")
+            job = body["jobId"]
+            while not scheduler.seen:  # runJob is answered once a scheduler is chosen
+                await trio.sleep(0.01)
+            call = json.loads(scheduler.seen[0][1].body)
+            assert call["sessionName"] == "s-1" and call["notify"].endswith("/drmaa2/notifications")
+            template = call["jobTemplate"]
+            assert (template["remoteCommand"], template["args"]) == ("transcribe", ["--minutes"])
+            assert (template["jobName"], template["jobCategory"]) == (job, "admit")
+            assert 1 < datetime.fromisoformat(template["deadlineTime"]).timestamp() - datetime.now(
+                UTC).timestamp() < 2
+            assert await scheduler.notify(job, "RUNNING") == 200
+            assert (await s.json("GET", f"/drmaa2/jobs/{job}"))[1]["jobState"] == "RUNNING"
+            assert (await s.json("GET", f"/drmaa2/jobs/{job}/wait?timeout=0.05"))[0] == 504
+            for _ in range(3):
+                assert await scheduler.notify(job, "DONE", output=base64.b64encode(b"text").decode()) == 200
+            for path in ("/wait", "", "/wait?timeout=1"):
+                status, info = await s.json("GET", f"/drmaa2/jobs/{job}{path}")
+                assert (status, info["jobState"], info["exitStatus"]) == (200, "DONE", 0)
+                assert base64.b64decode(info["output"]) == b"text"
+            status, error = await s.json("POST", f"/drmaa2/jobs/{job}/terminate")
+            assert (status, error["exception"]) == (409, "InvalidStateException")
+            assert one_end(s) == 1
+
+    play(scene)
+
+
+@pytest.mark.parametrize("servers", ["platform", "drmaa"])
+@pytest.mark.parametrize("front", ["platform", "drmaa"])
+def test_any_front_works_with_any_real_server_side(tmp_path: Path, front: str, servers: str) -> None:
+    """The same job through both fronts to both kinds of real server."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = BOTH if servers == "drmaa" else FRONT
+            server = s.add("s-1", schedules if servers == "drmaa" else serves)
+            await s.start()
+            if front == "platform":
+                reply = await s.admit("a1")
+                assert reply.status == 200
+                result = reply.body
+                if servers == "drmaa":
+                    sent = json.loads(server.seen[0][1].body)["jobTemplate"]
+                    assert (sent["remoteCommand"], sent["payload"]) == (
+                        "/admit?x=1", base64.b64encode(b"seat").decode())
+                    assert sent["jobEnvironment"] == {"DRMAA2_REPEAT_KEY": "key-a1"}
+            else:
+                job = (await submit(s))[1]["jobId"]
+                info = (await s.json("GET", f"/drmaa2/jobs/{job}/wait"))[1]
+                assert info["jobState"] == "DONE"
+                result = base64.b64decode(info["output"])
+                if servers == "platform":
+                    request = server.seen[0][1]
+                    assert (request.target, request.headers["idempotency-key"]) == ("/admit", job)
+                    assert json.loads(request.body)["remoteCommand"] == "transcribe"
+            name = "a1" if front == "platform" else job
+            assert result == (b"minutes" if servers == "drmaa" else f"s-1:{name}".encode())
+
+    play(scene)
+
+
+@pytest.mark.parametrize("gave_up", ["terminate", "deadline"])
+def test_a_status_query_after_the_client_gave_up(tmp_path: Path, gave_up: str) -> None:
+    """The job's late DONE changes nothing: every query finds the one FAILED."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = BOTH
+            scheduler = s.add("s-1", takes)
+            await s.start()
+            until = datetime.now(UTC) + timedelta(seconds=0.5)
+            job = (await submit(s, deadlineTime=until.isoformat()))[1]["jobId"]
+            await scheduler.notify(job, "RUNNING")
+            if gave_up == "terminate":
+                status, info = await s.json("POST", f"/drmaa2/jobs/{job}/terminate")
+                assert (status, info["annotation"]) == (200, "terminated")
+            else:
+                info = (await s.json("GET", f"/drmaa2/jobs/{job}/wait"))[1]
+                assert info["exception"] == "TimeoutException"
+                assert datetime.now(UTC) < until + timedelta(seconds=0.1)
+            assert await scheduler.notify(job, "DONE", output="") == 200
+            await trio.sleep(0.1)
+            first, second = [await s.json("GET", f"/drmaa2/jobs/{job}") for _ in range(2)]
+            assert first == second == (200, info) and info["jobState"] == "FAILED"
+            assert scheduler.targets().count(f"/drmaa2/jobs/id-{job}/terminate") == 1
+            assert one_end(s) == 1
+
+    play(scene)
+
+
+@pytest.mark.parametrize("first", ["terminate", "notice", "together"])
+def test_a_cancel_that_crosses_a_start_notice(tmp_path: Path, first: str) -> None:
+    """Whichever is first, the job ends FAILED once, and its scheduler is told once."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = BOTH
+            scheduler = s.add("s-1", takes)
+            await s.start()
+            job = (await submit(s))[1]["jobId"]
+            async with trio.open_nursery() as nursery:
+                calls = [lambda: s.json("POST", f"/drmaa2/jobs/{job}/terminate"),
+                         lambda: scheduler.notify(job, "RUNNING")]
+                for call in calls if first != "notice" else reversed(calls):
+                    nursery.start_soon(call)
+                    if first != "together":
+                        await trio.sleep(0.05)
+            await scheduler.notify(job, "DONE", output="")
+            await trio.sleep(0.1)
+            info = (await s.json("GET", f"/drmaa2/jobs/{job}"))[1]
+            assert (info["jobState"], info["annotation"]) == ("FAILED", "terminated")
+            assert scheduler.targets().count(f"/drmaa2/jobs/id-{job}/terminate") == 1
+            assert one_end(s) == 1
+
+    play(scene)
+
+
+def test_a_cancel_that_crosses_run_job_ends_the_job_once_its_id_is_known(tmp_path: Path) -> None:
+    """The client hangs up before the scheduler's 201: the job must not run on unknown."""
+    async def slow(server: StandIn, request: Request) -> Response | None:
+        if request.target == "/drmaa2/jobs":
+            await trio.sleep(0.4)
+        return await takes(server, request)
+
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = BOTH
+            scheduler = s.add("s-1", slow)
+            await s.start()
+            with trio.move_on_after(0.2):
+                await s.admit("a1")
+            await trio.sleep(0.5)
+            assert scheduler.targets() == ["/drmaa2/jobs", "/drmaa2/jobs/id-a1/terminate"]
+
+    play(scene)
+
+
+@pytest.mark.parametrize("operator, server", [(BOTH, later), (FRONT, full)])
+def test_a_refusal_is_try_later_with_when_to_come_back(tmp_path: Path, operator: str, server: Any) -> None:
+    """Refused by all schedulers, unstarted: FAILED at once, with TryLaterException and a time."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = operator
+            s.add("s-1", server)
+            await s.start()
+            job = (await submit(s))[1]["jobId"]
+            with trio.fail_after(0.5):
+                info = (await s.json("GET", f"/drmaa2/jobs/{job}/wait"))[1]
+            assert (info["jobState"], info["exception"]) == ("FAILED", "TryLaterException")
+            assert 0 < info["retryAfter"] <= 2
+
+    play(scene)
+
+
+def test_a_job_refused_unsent_is_no_job(tmp_path: Path) -> None:
+    """With every gate shut, runJob itself raises TryLaterException, and nothing was sent."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = BOTH
+            scheduler = s.add("s-1", takes, state="DRAINING")
+            await s.start()
+            reply = await s.call("POST", "/drmaa2/jobs", body=json.dumps(CALL).encode())
+            error = json.loads(reply.body)
+            assert (reply.status, error["exception"]) == (503, "TryLaterException")
+            assert 0 < error["retryAfter"] <= 2
+            assert float(reply.headers["retry-after"]) == pytest.approx(error["retryAfter"], abs=0.001)
+            assert scheduler.seen == []
+
+    play(scene)
+
+
+def test_repeats_and_drains_are_kept_with_schedulers(tmp_path: Path) -> None:
+    """A killed job goes out again in its cell only; a draining scheduler gets nothing new."""
+    async def kills(server: StandIn, request: Request) -> Response | None:
+        job, answer = taken(request)
+        server.stage.nursery.start_soon(lambda: server.notify(job, "FAILED", terminatingSignal="SIGKILL"))
+        return answer
+
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = BOTH
+            schedulers = [s.add("s-1", kills), s.add("s-2", kills), s.add("s-3", kills, cell=1)]
+            await s.start()
+            job = (await submit(s))[1]["jobId"]
+            info = (await s.json("GET", f"/drmaa2/jobs/{job}/wait"))[1]
+            assert (info["jobState"], info["exception"]) == ("FAILED", "InternalException")
+            cells = [{0: 0, 1: 0, 2: 1}[n] for n, scheduler in enumerate(schedulers) if scheduler.seen]
+            assert len(set(cells)) == 1 and max(len(scheduler.seen) for scheduler in schedulers) == 1
+            for name in ("s-1", "s-2", "s-3"):
+                s.change(name, state="DRAINING")
+            await trio.sleep(0.5)
+            before = sum(len(scheduler.seen) for scheduler in schedulers)
+            assert (await submit(s))[0] == 503
+            assert sum(len(scheduler.seen) for scheduler in schedulers) == before
+
+    play(scene)
+
+
+def test_finished_jobs_are_kept_for_a_bounded_time(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of many, the oldest is forgotten: its id is no job any more."""
+    monkeypatch.setattr("merlinbay.config.limits_from", lambda *_: Limits(finished_jobs=2))
+
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = BOTH
+            s.add("s-1", schedules)
+            await s.start()
+            jobs = []
+            for _ in range(3):
+                jobs.append((await submit(s))[1]["jobId"])
+                await s.json("GET", f"/drmaa2/jobs/{jobs[-1]}/wait")
+            found = [await s.json("GET", f"/drmaa2/jobs/{job}") for job in jobs]
+            assert [status for status, _ in found] == [404, 200, 200]
+            assert found[0][1]["exception"] == "InvalidArgumentException"
+
+    play(scene)
+
+
+BAD = [
+    (b"{", "InvalidArgumentException"), (b"{}", "InvalidArgumentException"),
+    (b'{"jobTemplate":{}}', "InvalidArgumentException"),
+    (b'{"jobTemplate":{"remoteCommand":"x","nonsense":1}}', "InvalidArgumentException"),
+    (b'{"jobTemplate":{"remoteCommand":"x","minSlots":"2"}}', "InvalidArgumentException"),
+    (b'{"jobTemplate":{"remoteCommand":"x","submitAsHold":true}}', "UnsupportedAttributeException"),
+    (b'{"jobTemplate":{"remoteCommand":"x","queueName":"q"}}', "UnsupportedAttributeException"),
+    (b'{"jobTemplate":{"remoteCommand":"x"},"notify":"http://x"}', "UnsupportedOperationException")]
+
+
+@pytest.mark.parametrize("body, name", BAD)
+def test_a_bad_call_raises(body: bytes, name: str) -> None:
+    """Each with the standard's exception."""
+    with pytest.raises(words.DrmaaError) as caught:
+        words.read_run_job(body)
+    assert caught.value.name == name
+
+
+TEMPLATES: list[tuple[dict[str, Any], dict[str, Any] | None]] = [
+    ({}, {"job_class": "admit", "budget_us": 3_000_000, "slots": 1.0, "tenant": ""}),
+    ({"jobCategory": "print", "rerunnable": False}, {"job_class": "print", "budget_us": 9_000_000}),
+    ({"minSlots": 2, "maxSlots": 4, "accountingId": "t"}, {"slots": 2.0, "tenant": "t"}),
+    ({"deadlineTime": words.when(NOW + 1_500_000)}, {"budget_us": 1_500_000}),
+    ({"deadlineTime": words.when(NOW + 60_000_000)}, {"budget_us": 3_000_000}),
+    ({"deadlineTime": words.when(NOW - 1)}, None), ({"deadlineTime": datetime(2027, 1, 15)}, None),
+    ({"jobCategory": "nonsense"}, None), ({"rerunnable": False}, None), ({"remoteCommand": ""}, None),
+    ({"minSlots": 0}, None), ({"minSlots": 3, "maxSlots": 2}, None)]
+
+
+@pytest.mark.parametrize("attributes, expected", TEMPLATES)
+def test_a_template_becomes_a_job(attributes: dict[str, Any], expected: dict[str, Any] | None) -> None:
+    """Attribute by attribute; None: InvalidArgumentException."""
+    template = words.JobTemplate(**{"remoteCommand": "x", **attributes})
+    if expected is None:
+        with pytest.raises(words.DrmaaError, match=".") as caught:
+            words.job_spec(template, "j", CLASSES, NOW)
+        assert caught.value.name == "InvalidArgumentException"
+    else:
+        spec = words.job_spec(template, "j", CLASSES, NOW)
+        assert {name: getattr(spec, name) for name in expected} == expected
+
+
+NOTES: list[tuple[str, str, dict[str, Any], Outcome | str | None]] = [
+    ("NEW_STATE", "RUNNING", {}, "started"), ("NEW_STATE", "QUEUED", {}, None),
+    ("MIGRATED", "RUNNING", {}, None), ("NEW_STATE", "DONE", {"output": b"x"}, Outcome.OK),
+    ("NEW_STATE", "FAILED", {"exitStatus": 1}, Outcome.ERROR),
+    ("NEW_STATE", "FAILED", {"exception": "TryLaterException"}, Outcome.FULL),
+    ("NEW_STATE", "FAILED", {"terminatingSignal": "SIGKILL"}, Outcome.RESET)]
+
+
+@pytest.mark.parametrize("event, state, info, expected", NOTES)
+def test_a_notification_becomes_an_outcome(event: str, state: str, info: dict[str, Any],
+                                           expected: Outcome | str | None) -> None:
+    """State by state."""
+    message = message_of(words.Notification(event, "s-1", "j", state, "id",
+                                            words.JobInfo("id", state, **info)))
+    if expected is None:
+        assert message is None
+    elif expected == "started":
+        assert message == SchedulingStarted("j", "s-1")
+    else:
+        assert isinstance(message, SchedulingEnded) and message.outcome is expected
+        assert message.result == info.get("output", b"")
+
+
+@pytest.mark.parametrize("status, body, expected", [
+    (201, b'{"jobId":"7","jobState":"QUEUED"}', (Outcome.OK, "7")), (201, b"x", (Outcome.ERROR, "")),
+    (503, b'{"exception":"TryLaterException"}', (Outcome.FULL, "")),
+    (503, b'{"exception":"OutOfResourceException"}', (Outcome.FULL, "")),
+    (400, b'{"exception":"InvalidArgumentException"}', (Outcome.ERROR, "")), (500, b"", (Outcome.ERROR, ""))])
+def test_a_run_job_answer_becomes_an_outcome(status: int, body: bytes, expected: tuple[Outcome, str]) -> None:
+    """Only what the scheduler says it refused counts as never run."""
+    assert outcome_of(Reply(status, {}, body)) == expected
+
+
+def test_values_of_the_core_know_no_wire() -> None:
+    """The core imports neither front, and its values are made without one."""
+    core = Path(words.__file__).parent.parent / "core"
+    text = "".join(path.read_text() for path in core.glob("*.py"))
+    assert not [name for name in ("http", "platform", "drmaa", "dnssd", "json") if f"merlinbay.{name}" in text
+                or f"import {name}" in text]
+    assert JobSpec("j", "c", 0, 1).budget_us == 1 and Answer(Verdict.FAILED).retry_after_us == 0
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,263 @@
+"""The four rules, and what else the platform's protocol asks, each on real sockets."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import pytest
+import trio
+
+from merlinbay.http.client import ClientConnection
+from merlinbay.http.server import Request, Response
+from tests.net import LIMITS, LOAD, StandIn, admission, play, serves, stage
+
+
+async def silent(server: StandIn, request: Request) -> Response | None:
+    """Take a job and never tell of it again."""
+    return Response(202)
+
+
+async def breaks(server: StandIn, request: Request) -> Response | None:
+    """Break the connection before the 202."""
+    return None
+
+
+async def starts_only(server: StandIn, request: Request) -> Response | None:
+    """Take and start a job, and never end it."""
+    if request.method == "POST":
+        server.stage.nursery.start_soon(server.tell, request.headers["x-request-id"], "started")
+    return Response(202)
+
+
+async def full(server: StandIn, request: Request) -> Response | None:
+    """Turn a job away."""
+    return Response(503, b"", [(b"x-not-processed", b"1")])
+
+
+def test_rule_1_one_answer_though_call_backs_repeat_and_precede_the_202(tmp_path: Path) -> None:
+    """A ``done`` told ten times, the first before the 202, is one answer; the next job gets its own."""
+    async def tells_early(server: StandIn, request: Request) -> Response | None:
+        job = request.headers["x-request-id"]
+        for _ in range(10):
+            assert await server.tell(job, "done", result=f"of {job}") == 200
+        return Response(202)
+
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1", tells_early)
+            await s.start()
+            client = await ClientConnection.dial(f"127.0.0.1:{s.port}", LIMITS)
+            for job in ("a1", "a2"):
+                reply = await client.exchange("POST", "/admit", admission(job), b"x")
+                assert (reply.status, reply.body) == (200, f"of {job}".encode())
+            client.close()
+            while s.counters.counts["call_backs"] < 20:
+                await trio.sleep(0.01)
+            await trio.sleep(0.01)
+            assert s.counters.counts["answers_served"] == 2
+            assert s.counters.counts["schedulings_stale"] == 18
+
+    play(scene)
+
+
+def test_rule_1_an_answer_comes_before_the_client_gives_up(tmp_path: Path) -> None:
+    """A job that no real server ends fails in time, and is deleted there."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            servers = [s.add("s-1", starts_only), s.add("s-2", starts_only)]
+            await s.start()
+            began = trio.current_time()
+            assert (await s.admit("a1", 600)).status == 500
+            assert 0.5 < trio.current_time() - began < 0.6
+            await trio.sleep(0.1)
+            assert [t for server in servers for t in server.targets("DELETE")] == ["/jobs/a1"]
+
+    play(scene)
+
+
+def test_rule_2_repeats_stay_in_the_cell_and_are_not_refused(tmp_path: Path) -> None:
+    """After a reset it may have run: the second goes to the same cell, and the end is no refusal."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            cells = {0: [s.add("s-1", breaks), s.add("s-2", breaks)], 1: [s.add("s-3", breaks, cell=1)]}
+            await s.start()
+            reply = await s.admit("a1")
+            used = [cell for cell, servers in cells.items() if any(server.seen for server in servers)]
+            assert (reply.status, len(used)) == (500, 1)
+            assert all(len(server.seen) <= 1 for servers in cells.values() for server in servers)
+
+    play(scene)
+
+
+def test_rule_2_a_handed_back_job_goes_elsewhere_or_is_refused(tmp_path: Path) -> None:
+    """What never ran may be refused, at once and with the time to come back."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            servers = [s.add("s-1", full), s.add("s-2", full, cell=1)]
+            await s.start()
+            began = trio.current_time()
+            reply = await s.admit("a1")
+            assert (reply.status, trio.current_time() - began < 0.5) == (503, True)
+            assert 0 < float(reply.headers["retry-after"]) <= 2
+            assert 1 <= sum(len(server.seen) for server in servers) <= 2
+
+    play(scene)
+
+
+@pytest.mark.parametrize("state", ["DRAINING", "DELETED"])
+def test_rule_3_nothing_new_to_a_draining_or_gone_server(tmp_path: Path, state: str) -> None:
+    """500 ms after the node was told, all jobs go to the other server."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            leaving, staying = s.add("s-1"), s.add("s-2")
+            await s.start()
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(s.admit, f"a{number}")
+            assert leaving.seen
+            s.change("s-1", state=state)
+            await trio.sleep(0.5)
+            before = len(leaving.targets())
+            for number in range(8):
+                assert (await s.admit(f"b{number}")).status == 200
+            assert (len(leaving.targets()), len(staying.targets()) >= 8) == (before, True)
+
+    play(scene)
+
+
+def test_rule_4_a_cold_server_gets_no_burst(tmp_path: Path) -> None:
+    """Of a burst in the second after its start, a server gets far fewer jobs than a warm one."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            warm = s.add("s-1", silent)
+            await s.start()
+            cold = s.add("s-2", silent, started_ms=int(time.time() * 1000))
+            s.change("s-2")
+            await trio.sleep(0.3)
+            async with trio.open_nursery() as nursery:
+                for number in range(40):
+                    nursery.start_soon(s.admit, f"a{number}", 400)
+            # 3 times its capacity for 2 s is the budget: at 31 % of 4 slots, some 7 jobs of a second
+            assert warm.seen and len(cold.targets()) <= 7
+
+    play(scene)
+
+
+def test_a_client_that_hangs_up_withdraws_its_job(tmp_path: Path) -> None:
+    """The job is deleted where it runs, and the node serves on."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            server = s.add("s-1", starts_only)
+            await s.start()
+            with trio.move_on_after(0.2):
+                await s.admit("a1")
+            await trio.sleep(0.2)
+            assert server.targets("DELETE") == ["/jobs/a1"]
+            assert s.counters.counts["flows_withdrawn"] == 1
+
+    play(scene)
+
+
+def test_a_server_that_refuses_connections_is_passed_over(tmp_path: Path) -> None:
+    """A dial that fails never ran anywhere: the job goes to the next server."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1")
+            s.rows.append({**s.rows[0], "id": "s-0", "addr": "127.0.0.1:1"})
+            await s.start()
+            assert [(await s.admit(f"a{n}")).status for n in range(6)] == [200] * 6
+
+    play(scene)
+
+
+def test_connections_to_servers_are_used_again(tmp_path: Path) -> None:
+    """The 202 frees the connection, so jobs in turn need one, though each runs on for a while."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            server = s.add("s-1")
+            await s.start()
+            for number in range(10):
+                assert (await s.admit(f"a{number}")).status == 200
+            assert len(server.connections) == 1
+
+    play(scene)
+
+
+def test_the_request_passes_on_unchanged(tmp_path: Path) -> None:
+    """Target, body, id and key are as the client sent them; the time-out is what is left."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            server = s.add("s-1")
+            await s.start()
+            await s.admit("a1", 2000)
+            sent = server.seen[0][1]
+            assert (sent.method, sent.target, sent.body) == ("POST", "/admit?x=1", b"seat")
+            assert (sent.headers["x-request-id"], sent.headers["idempotency-key"]) == ("a1", "key-a1")
+            assert 1500 < int(sent.headers["x-timeout-ms"]) <= 2000
+
+    play(scene)
+
+
+def test_discovery_that_fails_is_asked_again(tmp_path: Path) -> None:
+    """The remembered list serves meanwhile; the change is heard once discovery is back."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1")
+            down = True
+
+            async def flaky(server: StandIn, request: Request) -> Response | None:
+                return Response(503) if down else Response(200, (
+                    b'{"version":9,"full":true,"servers":[{"id":"s-9","addr":"' + other.addr.encode()
+                    + b'","zone":"hall-a","kind":"k"}]}'))
+
+            s.discovery = flaky  # type: ignore[method-assign]
+            await s.start()
+            assert (await s.admit("a1")).status == 200
+            other = StandIn(s, "s-9", serves)
+            s.nursery.start_soon(other.listen)
+            down = False
+            await trio.sleep(1.8)
+            assert (await s.admit("a2")).body == b"s-9:a2"
+
+    play(scene)
+
+
+RAW = [
+    (b"nonsense\r\n\r\n", 400), (b"POST /admit HTTP/1.1\r\nHost: x\r\nContent-Length: zz\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 70000 + b"\r\n\r\n", 431),
+    (b"POST /admit HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + b"a" * 70000, 413),
+    (b"POST /admit HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 400),
+    (b"POST /admit HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\nX-Timeout-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+     400),
+    (b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n{", 400),
+    (b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 404), (b"GET /-/nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    (b"GET /drmaa2/jobs/x HTTP/1.1\r\nHost: x\r\n\r\n", 404)]
+
+
+def test_bad_input_ends_its_own_connection_alone(tmp_path: Path) -> None:
+    """Each gets its status, and the node serves on."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1")
+            await s.start()
+            for data, status in RAW:
+                stream = await trio.open_tcp_stream("127.0.0.1", s.port)
+                try:
+                    await stream.send_all(data)
+                    answer = await stream.receive_some(100)
+                except trio.BrokenResourceError:
+                    answer = b""
+                await stream.aclose()
+                assert answer[9:12] == str(status).encode(), data[:60]
+            assert (await s.admit("a1")).status == 200
+
+    play(scene)
+
+
+def test_a_load_report_reaches_the_module(tmp_path: Path) -> None:
+    """Free slots in a ``done`` and in a 503's header are read under the settings' names."""
+    from merlinbay.platform.words import load_from, named
+    assert named(dict(LOAD)) == {"active": 0.0, "x0": 4.0, "x1": 4.0, "err_rps": 0.0}
+    assert load_from("inflight=7,queue=2,util=0.61,bad,eps=x") == {"active": 7.0, "waiting": 2.0, "cpu": 0.61}
+    assert load_from("") is None
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,119 @@
+"""The program itself: started, spoken to over sockets, and stopped."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import trio
+
+from merlinbay.http.server import Request, Response
+from tests.net import ROOT, StandIn, play, serves, stage
+
+BAD = {"missing": None, "not_json": "{", "no_settings": "{}",
+       "bad_settings": json.dumps({"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
+                                   "settings": {"limits": {}}}),
+       "bad_address": json.dumps({"name": "n", "listen": "here", "discovery": "x", "settings": {}})}
+
+
+@pytest.mark.parametrize("case", BAD)
+def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, case: str) -> None:
+    """Non-zero, one line, no traceback."""
+    path, text = tmp_path / "config.json", BAD[case]
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run([sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, capture_output=True, text=True,
+                          env={**os.environ, "LB_CONFIG": str(path)}, check=False, timeout=30)
+    assert done.returncode != 0
+    lines = [line for line in done.stderr.splitlines() if "counters" not in line]
+    assert len(lines) == 1 and lines[0].startswith("merlinbay: "), done.stderr
+
+
+def test_sigterm_answers_what_was_taken_and_exits_0(tmp_path: Path) -> None:
+    """Jobs taken are answered through call-backs that come after the signal; new ones are refused."""
+    async def slow(server: StandIn, request: Request) -> Response | None:
+        async def work() -> None:
+            await server.tell(request.headers["x-request-id"], "started")
+            await trio.sleep(1.2)
+            await server.tell(request.headers["x-request-id"], "done", result="late")
+
+        server.stage.nursery.start_soon(work)
+        return Response(202)
+
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1", slow)
+            await s.start(program=True)
+            assert s.process is not None
+            answers: list[tuple[int, bytes]] = []
+
+            async def one(job: str, after: float) -> None:
+                await trio.sleep(after)
+                reply = await s.admit(job)
+                answers.append((reply.status, reply.body))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one, "a1", 0)
+                nursery.start_soon(one, "a2", 0.7)
+                nursery.start_soon(one, "a3", 0.3)
+                await trio.sleep(0.1)
+                s.process.send_signal(signal.SIGTERM)
+            assert sorted(answers) == [(200, b"late"), (200, b"late"), (503, b"refused\n")]
+            with trio.fail_after(2):
+                assert await s.process.wait() == 0
+
+    play(scene)
+
+
+def test_the_program_outlives_a_lack_of_descriptors(tmp_path: Path) -> None:
+    """With fewer descriptors than connections, it goes on accepting once some are closed."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1", serves)
+            await s.start(program=True)
+            assert s.process is not None
+            subprocess.run(["prlimit", f"--pid={s.process.pid}", "--nofile=24:24"], check=True)
+            streams = []
+            for _ in range(40):
+                streams.append(await trio.open_tcp_stream("127.0.0.1", s.port))
+            await trio.sleep(0.3)
+            for stream in streams:
+                await stream.aclose()
+            await trio.sleep(0.3)
+            assert (await s.admit("a1")).status == 200
+
+    play(scene)
+
+
+def test_counters_are_printed_on_request_and_at_exit(tmp_path: Path) -> None:
+    """SIGUSR1 and the exit each print one line that counts what was taken, sent and answered."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1")
+            environ = s.configure()
+            s.process = await trio.lowlevel.open_process(
+                [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, env={**os.environ, **environ},
+                stderr=subprocess.PIPE)
+            assert s.process.stderr is not None
+            text = b""
+            while b"serves at" not in text:
+                text += await s.process.stderr.receive_some()
+            assert (await s.admit("a1")).status == 200
+            s.process.send_signal(signal.SIGUSR1)
+            while b"counters" not in text:
+                text += await s.process.stderr.receive_some()
+            s.process.send_signal(signal.SIGTERM)
+            while more := await s.process.stderr.receive_some():
+                text += more
+            lines = [line for line in text.decode().splitlines() if "counters" in line]
+            assert len(lines) == 2
+            for line in lines:
+                assert " flows_taken=1 " in line and " schedulings_sent=1 " in line
+                assert " answers_served=1 " in line
+
+    play(scene)
