Serve call-back connections without a writer task, nursery or scopes of their own

Lines at fault: Connection.serve and _write, fail_after for each answer, scope deadlines. Ruled out: system calls as the cost.

--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 
@@ -87,6 +88,9 @@
 def main() -> int:
     """Start; a bad configuration ends with one plain line."""
     counters = Counters()
+    # Guards against pauses: a full collection would walk all that the imports have made, again and again.
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
     try:
         trio.run(run, load(), counters)
     except BadConfig as error:
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -57,11 +57,16 @@
             raise
         return cls(sock, addr, limits, body_bytes or limits.body_bytes)
 
+    @property
+    def reusable(self) -> bool:
+        """Tell whether the last exchange leaves it open."""
+        return self.h11.our_state is h11.IDLE
+
     def usable(self) -> bool:
         """Tell whether it can carry another request: nothing is to be read, not even its end."""
         poll = select.poll()
         poll.register(self.sock.fileno(), select.POLLIN)
-        return self.h11.our_state is h11.IDLE and not poll.poll(0)
+        return self.reusable and not poll.poll(0)
 
     def close(self) -> None:
         """Close it."""
--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -57,7 +57,7 @@
             self._close(connection)
             raise
         connection.idle_since = trio.current_time()
-        if connection.usable() and self.servers.get(name) is server:
+        if connection.reusable and self.servers.get(name) is server:
             server.idle.append(connection)
         else:
             self._close(connection)
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -49,19 +49,23 @@
 
 
 class Connection:
-    """One accepted connection: a task that reads, and one that writes answers."""
+    """One accepted connection: a task that reads, and one that writes answers that come later."""
 
-    def __init__(self, sock: trio.socket.SocketType, limits: Limits, handler: Handler) -> None:
-        self.sock, self.limits, self.handler = sock, limits, handler
+    def __init__(self, sock: trio.socket.SocketType, limits: Limits, handler: Handler,
+                 nursery: trio.Nursery) -> None:
+        self.sock, self.limits, self.handler, self.nursery = sock, limits, handler, nursery
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
         self.wake = trio.Event()  # there is something to write
         self.next = trio.Event()  # the answer is written
         self.response: Response | None = None
         self.context: object = None  # the handler's own
+        self.has_writer = False  # most connections carry one call-back and need none
         self.waiting = False  # a request is with the handler
+        self.ended = False
         self.close_after = False  # no further request is wanted on this connection
         self.scope = trio.CancelScope()
         self.idle_since = trio.current_time()
+        self.expires = self.idle_since + limits.edge_idle  # watched by the listener's sweep
 
     @property
     def idle(self) -> bool:
@@ -77,12 +81,11 @@
         """Serve the connection to its end. Its errors end it alone."""
         with self.scope, self.sock:
             try:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._write)
-                    await self._read()
-                    nursery.cancel_scope.cancel()
-            except* (OSError, h11.ProtocolError, trio.TooSlowError):
+                await self._read()
+            except (OSError, h11.ProtocolError, trio.ClosedResourceError):
                 pass
+        self.ended = True
+        self.wake.set()
         if self.waiting:
             self.waiting = False
             self.handler.gone(self)
@@ -90,7 +93,6 @@
     async def _read(self) -> None:
         head: h11.Request | None = None
         body = bytearray()
-        self.scope.deadline = trio.current_time() + self.limits.edge_idle
         while True:
             try:
                 event = self.h11.next_event()
@@ -98,28 +100,24 @@
                 await self._last_words(error.error_status_hint if error.error_status_hint >= 400 else 400)
                 return
             if event is h11.NEED_DATA:
-                data = await self.sock.recv(self.limits.receive_bytes)
-                if self.idle:
-                    self.scope.deadline = trio.current_time() + self.limits.read_request
-                self.h11.receive_data(data)
+                was_idle = self.idle
+                self.h11.receive_data(await self.sock.recv(self.limits.receive_bytes))
+                if was_idle:  # Guards against a request that dribbles in: all of it has so long.
+                    self.expires = trio.current_time() + self.limits.read_request
             elif type(event) is h11.Request:
                 head, body = event, bytearray()
-                if any(name == b"expect" for name, _ in head.headers):
-                    await self.sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+                if self.h11.they_are_waiting_for_100_continue:
+                    await send_all(self.sock, self.h11.send(
+                        h11.InformationalResponse(status_code=100, headers=[])) or b"")
             elif type(event) is h11.Data:
                 body += event.data
                 if len(body) > self.limits.body_bytes:
                     await self._last_words(413)
                     return
             elif type(event) is h11.EndOfMessage and head is not None:
-                self.scope.deadline = float("inf")
-                self.waiting = True
-                request = Request(head.method.decode(), head.target.decode("latin-1"),
-                                  {name.decode(): value.decode("latin-1") for name, value in head.headers},
-                                  bytes(body))
-                response = await self.handler.request(self, request)
-                if response is not None:
-                    self.respond(response)
+                await self._handle(Request(
+                    head.method.decode(), head.target.decode("latin-1"),
+                    {name.decode(): value.decode("latin-1") for name, value in head.headers}, bytes(body)))
             elif event is h11.PAUSED:
                 if self.h11.our_state is h11.MUST_CLOSE:
                     return
@@ -128,29 +126,56 @@
             elif type(event) is h11.ConnectionClosed:
                 return
 
+    async def _handle(self, request: Request) -> None:
+        """Hand a request on; write its answer if it has come at once, else leave it to the writer."""
+        self.expires = float("inf")
+        self.waiting = True
+        response = await self.handler.request(self, request)
+        if response is not None:
+            await self._answer(response)
+        elif not self.has_writer:
+            self.has_writer = True
+            self.nursery.start_soon(self._write)
+
     async def _last_words(self, status: int) -> None:
         """Answer what can't be served, then let the connection end."""
         self.waiting = False
         if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.expires = trio.current_time() + self.limits.write_answer
             await self._send(Response(status), close=True)
+            # Guards against a reset that overtakes the answer: what still comes is read, for a moment.
+            self.sock.shutdown(trio.socket.SHUT_WR)
+            with trio.move_on_after(self.limits.linger):
+                while await self.sock.recv(self.limits.receive_bytes):
+                    pass
 
     async def _write(self) -> None:
+        """Write the answers that come later, until the connection ends."""
         while True:
             await self.wake.wait()
             self.wake = trio.Event()
             response, self.response = self.response, None
-            if response is None:
-                continue
-            with trio.fail_after(self.limits.write_answer):
-                await self._send(response, self.close_after)
-            self.waiting = False
-            if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
-                self.h11.start_next_cycle()
-                self.idle_since = trio.current_time()
-                self.scope.deadline = self.idle_since + self.limits.edge_idle
-                self.next.set()
-            else:
-                self.scope.cancel()
+            if self.ended:
+                return
+            if response is not None:
+                try:
+                    await self._answer(response)
+                except (OSError, h11.ProtocolError, trio.ClosedResourceError):
+                    self.scope.cancel()
+                    return
+
+    async def _answer(self, response: Response) -> None:
+        """Write an answer, and make ready for the next request or end the connection."""
+        self.expires = trio.current_time() + self.limits.write_answer
+        await self._send(response, self.close_after)
+        self.waiting = False
+        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+            self.h11.start_next_cycle()
+            self.idle_since = trio.current_time()
+            self.expires = self.idle_since + self.limits.edge_idle
+            self.next.set()
+        else:
+            self.scope.cancel()
 
     async def _send(self, response: Response, close: bool) -> None:
         headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
@@ -159,7 +184,8 @@
         send = self.h11.send
         data = send(h11.Response(status_code=response.status, headers=headers,
                                  reason=REASONS.get(response.status, b""))) or b""
-        data += send(h11.Data(data=response.body)) or b""
+        if response.body:
+            data += send(h11.Data(data=response.body)) or b""
         data += send(h11.EndOfMessage()) or b""
         await send_all(self.sock, data)
 
@@ -183,6 +209,7 @@
         """Return a socket that listens."""
         sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
         sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)  # accepted ones inherit it
         await sock.bind((host, port))
         sock.listen(self.limits.backlog)
         return sock
@@ -190,6 +217,7 @@
     async def serve(self, sock: trio.socket.SocketType) -> None:
         """Accept until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._sweep)
             while True:
                 if len(self.connections) >= self.limits.edge_connections:
                     self._make_room()
@@ -207,9 +235,8 @@
                     accepted.close()  # no request was read: the client sends it again elsewhere
                     await trio.sleep(self.limits.accept_pause)
                     continue
-                accepted.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
                 self.counters.add("edge_connections")
-                connection = Connection(accepted, self.limits, self.handler)
+                connection = Connection(accepted, self.limits, self.handler, nursery)
                 connection.close_after = self.closing
                 self.connections.add(connection)
                 nursery.start_soon(self._serve, connection)
@@ -217,12 +244,22 @@
     async def _serve(self, connection: Connection) -> None:
         try:
             await connection.serve()
-        except* Exception as group:  # Guards against a fault in one connection ending the others.
+        except Exception as error:  # Guards against a fault in one connection ending the others.
             self.counters.add("edge_connections_faulty")
-            self.log.line(f"a connection failed: {group.exceptions[0]!r}")
+            self.log.line(f"a connection failed: {error!r}")
         finally:
             self.connections.discard(connection)
 
+    async def _sweep(self) -> None:
+        """End connections that have stood idle, dribbled or been stuck for too long."""
+        while True:
+            await trio.sleep(self.limits.sweep)
+            now = trio.current_time()
+            for connection in list(self.connections):
+                if connection.expires < now:
+                    self.counters.add("edge_connections_expired")
+                    connection.scope.cancel()
+
     def _make_room(self) -> None:
         """Close the connection that has stood idle the longest."""
         idle = [connection for connection in self.connections if connection.idle]
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -20,6 +20,8 @@
     server_connections: int = 400
     server_tasks: int = 4000  # exchanges with real servers under way, refused ones and cancels included
     most_held: int = 4000  # flows
+    linger: float = 0.3  # after an answer to what can't be read
+    sweep: float = 0.5  # between looks for connections that have expired
     edge_idle: float = 75.0  # an edge connection that stands idle is closed
     read_request: float = 10.0  # from a request's first byte to its last
     write_answer: float = 5.0
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -70,7 +70,7 @@
                 self.version = listing.version
                 self.counters.add("watch_answers")
                 yield ("all" if listing.full else "changes"), listing
-                if not connection.usable():
+                if not connection.reusable:
                     connection.close()
                     connection = await ClientConnection.dial(self.addr, self.limits,
                                                              self.limits.listing_bytes)
