Never close a connection whose request is written but unread; document the parts

Seen: a test with 64 descriptors ended in resets: at the edge's limit the listener closed connections that it had just accepted, with requests in them, and dropped others outright. Lines at fault: Listener._make_room and the accept loop in http/server.py; close_idle likewise. Changed: only connections that stood idle for a while and have nothing to read are closed, else accepting waits; flows stay below the edge's limit so that call-backs come in; a flow left by a failing module fails at its deadline; the end refuses for 0.2 s more; unknown class 404. Ruled out: the call-back path (it failed only for want of connections).

--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -33,7 +33,7 @@
     send: trio.MemorySendChannel[Message]
     send, receive = trio.open_memory_channel[Message](limits.inbox)
     drmaa, dnssd = config.operator.drmaa, config.operator.dnssd
-    handler: Handler = PlatformEdge(send, clock, counters)
+    handler: Handler = PlatformEdge(send, clock, counters, {spec.name for spec in config.settings.classes})
     if drmaa.front or drmaa.servers:
         routes: list[tuple[str, Handler]] = []
         if drmaa.front:
@@ -67,7 +67,6 @@
         nursery.start_soon(signals, listener, send, nursery, counters, limits.stop_serving, limits.stop_most)
         log.line(f"{config.name} serves at {config.listen[0]}:{config.listen[1]}")
         await owner.run(receive)
-        await trio.sleep(0.05)  # the last answers are being written
         nursery.cancel_scope.cancel()
 
 
@@ -79,6 +78,8 @@
             if number == signal.SIGUSR1:
                 counters.print()
                 continue
+            if listener.closing:
+                continue
             nursery.cancel_scope.deadline = trio.current_time() + most
             await trio.sleep(serve_on)
             listener.close_idle()
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -48,10 +48,13 @@
         self.stopping = False
 
     async def run(self, inbox: trio.MemoryReceiveChannel[ports.Message]) -> None:
-        """Work until stopped and idle."""
-        while not (self.stopping and all(flow.done for flow in self.flows.values())):
+        """Work until stopped, and for a moment after the last flow is answered."""
+        end = float("inf")
+        while trio.current_time() < end:
+            if self.stopping and end == float("inf") and all(flow.done for flow in self.flows.values()):
+                end = trio.current_time() + self.limits.stop_tail
             messages: list[ports.Message] = []
-            wake = self.clock.to_trio(self.due[0][0]) if self.due else float("inf")
+            wake = min(end, self.clock.to_trio(self.due[0][0]) if self.due else float("inf"))
             with trio.move_on_at(wake):
                 messages.append(await inbox.receive())
             try:
@@ -171,10 +174,13 @@
                 self.servers.give_up(what)
                 self._ended(what, api.Outcome.TIMEOUT, now, events)
         elif not what.done:
-            for scheduling in list(what.open.values()):
+            ended = list(what.open.values())
+            for scheduling in ended:
                 self.servers.give_up(scheduling)
                 self._ended(scheduling, api.Outcome.TIMEOUT, now, events)
-            if what.sent == 0:  # Guards against a flow that the module holds past its time.
+            if ended:
+                self._at(now + self.limits.recheck_us, what)
+            else:  # Guards against a flow that the module holds, or has failed on, past its time.
                 self._answer(what, Answer(Verdict.FAILED))
                 events.append(api.JobWithdrawn(what.number))
                 self._forget(what)
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -85,6 +85,7 @@
         self.inbox, self.clock, self.limits = inbox, clock, limits
         self.counters, self.classes = counters, classes
         self.jobs: dict[str, SubmittedJob] = {}
+        self.waits = 0
         self.kept: deque[tuple[float, str]] = deque()  # finished jobs, the oldest first
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
@@ -154,8 +155,15 @@
             timeout = -1.0
         if not timeout >= 0:
             raise DrmaaError("InvalidArgumentException", "timeout")
-        with trio.move_on_after(timeout):
-            await job.finished.wait()
+        # Guards against waits that hold every edge connection.
+        if self.waits >= self.limits.waits and not job.finished.is_set():
+            raise DrmaaError("TryLaterException", "too many waits", self.limits.retry_when_stopping_us)
+        self.waits += 1
+        try:
+            with trio.move_on_after(timeout):
+                await job.finished.wait()
+        finally:
+            self.waits -= 1
         if not job.finished.is_set():
             raise DrmaaError("TimeoutException", "the job has not ended")
         return self._info(job)
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import select
 from dataclasses import dataclass
 
 import h11
 import trio
 
-from merlinbay.http.server import send_all
+from merlinbay.http.server import readable, send_all
 from merlinbay.limits import Limits
 
 
@@ -64,9 +63,7 @@
 
     def usable(self) -> bool:
         """Tell whether it can carry another request: nothing is to be read, not even its end."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return self.reusable and not poll.poll(0)
+        return self.reusable and not readable(self.sock)
 
     def close(self) -> None:
         """Close it."""
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -62,6 +63,7 @@
         self.has_writer = False  # most connections carry one call-back and need none
         self.waiting = False  # a request is with the handler
         self.ended = False
+        self.head_only = False  # the request is a HEAD: its answer has no body
         self.close_after = False  # no further request is wanted on this connection
         self.scope = trio.CancelScope()
         self.idle_since = trio.current_time()
@@ -129,7 +131,7 @@
     async def _handle(self, request: Request) -> None:
         """Hand a request on; write its answer if it has come at once, else leave it to the writer."""
         self.expires = float("inf")
-        self.waiting = True
+        self.waiting, self.head_only = True, request.method == "HEAD"
         response = await self.handler.request(self, request)
         if response is not None:
             await self._answer(response)
@@ -184,7 +186,7 @@
         send = self.h11.send
         data = send(h11.Response(status_code=response.status, headers=headers,
                                  reason=REASONS.get(response.status, b""))) or b""
-        if response.body:
+        if response.body and not self.head_only:
             data += send(h11.Data(data=response.body)) or b""
         data += send(h11.EndOfMessage()) or b""
         await send_all(self.sock, data)
@@ -197,6 +199,14 @@
         sent += await sock.send(data[sent:])
 
 
+def readable(sock: trio.socket.SocketType) -> bool:
+    """Tell whether there is something to read, be it the end."""
+    # Guards against closing on a request that is written but not yet read: it would be lost.
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Listener:
     """Accepts connections, so many at the most."""
 
@@ -219,8 +229,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sweep)
             while True:
-                if len(self.connections) >= self.limits.edge_connections:
-                    self._make_room()
+                if len(self.connections) >= self.limits.edge_connections and not self._make_room():
+                    # Guards against losing a request: one that is accepted and closed may have been written.
+                    self.counters.add("accepts_put_off")
+                    await trio.sleep(self.limits.accept_pause)
+                    continue
                 try:
                     accepted, _ = await sock.accept()
                 except OSError as error:
@@ -230,11 +243,6 @@
                         self._make_room()
                         await trio.sleep(self.limits.accept_pause)
                     continue
-                if len(self.connections) >= self.limits.edge_connections:
-                    self.counters.add("edge_connections_dropped")
-                    accepted.close()  # no request was read: the client sends it again elsewhere
-                    await trio.sleep(self.limits.accept_pause)
-                    continue
                 self.counters.add("edge_connections")
                 connection = Connection(accepted, self.limits, self.handler, nursery)
                 connection.close_after = self.closing
@@ -260,18 +268,21 @@
                     self.counters.add("edge_connections_expired")
                     connection.scope.cancel()
 
-    def _make_room(self) -> None:
-        """Close the connection that has stood idle the longest."""
-        idle = [connection for connection in self.connections if connection.idle]
+    def _make_room(self) -> bool:
+        """Close the connection that has stood idle the longest; tell whether there was one."""
+        before = trio.current_time() - self.limits.evict_after
+        idle = [connection for connection in self.connections
+                if connection.idle and connection.idle_since < before and not readable(connection.sock)]
         if idle:
             oldest = min(idle, key=lambda connection: connection.idle_since)
             oldest.scope.cancel()
             self.connections.discard(oldest)
+        return bool(idle)
 
     def close_idle(self) -> None:
         """Close idle connections and have the others close after their answer. Goes on accepting."""
         self.closing = True
         for connection in self.connections:
             connection.close_after = True
-            if connection.idle:
+            if connection.idle and not readable(connection.sock):
                 connection.scope.cancel()
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -19,7 +19,7 @@
     edge_connections: int = 400
     server_connections: int = 400
     server_tasks: int = 4000  # exchanges with real servers under way, refused ones and cancels included
-    most_held: int = 4000  # flows
+    most_held: int = 300  # flows
     linger: float = 0.3  # after an answer to what can't be read
     sweep: float = 0.5  # between looks for connections that have expired
     edge_idle: float = 75.0  # an edge connection that stands idle is closed
@@ -27,20 +27,24 @@
     write_answer: float = 5.0
     dial: float = 0.12
     pool_idle: float = 8.0  # below the real servers' keep-alive
-    accept_pause: float = 0.05  # after an accept that failed for want of descriptors
+    evict_after: float = 0.2  # a connection has stood idle so long before it may be closed for another
+    accept_pause: float = 0.02  # after an accept that failed for want of descriptors
     cancel_exchange: float = 2.0  # for a DELETE and its answer
     probe_exchange: float = 1.0
     watch_wait: float = 3.0  # how long discovery may hold a watch call
     watch_slack: float = 1.5  # and how long after that its answer is waited for
     watch_backoff: float = 0.1  # the first wait after a failed call; doubles
     watch_backoff_most: float = 1.0
+    recheck_us: int = 5_000  # after its deadline, a flow that the module left unanswered fails
     answer_margin_us: int = 20_000  # a flow is given up so long before its client gives it up
     late_answer: float = 1.0  # a 202 is waited for so long after the flow's deadline
     stop_serving: float = 0.5  # after SIGTERM, go on as before for so long
+    stop_tail: float = 0.2  # refuse for so long after the last answer, for what crossed the closing
     stop_most: float = 5.6  # and leave after so long at the latest, before SIGKILL
     retry_when_stopping_us: int = 100_000
     finished_jobs: int = 2000  # DRMAA jobs kept after their end, for status queries that come late
     finished_keep: float = 60.0
+    waits: int = 100  # DRMAA waits under way, each of which holds an edge connection
     dns_query: float = 1.0
     dns_least: float = 0.2  # a list is asked for again after its least TTL, but neither sooner
     dns_most: float = 5.0  # nor later than this
@@ -58,7 +62,9 @@
     return Limits(
         edge_connections=usable * 55 // 100,
         server_connections=usable * 35 // 100,
-        most_held=min(most_held, usable * 55 // 100 * 4),
+        # Guards against flows that hold every edge connection, so that no call-back could end them.
+        most_held=min(most_held, usable * 55 // 100 * 3 // 4),
+        waits=usable * 55 // 100 // 8,
         inbox=min(4096, max(256, memory_mb * 16)),
         dial=dial_us / 1e6 if dial_us > 0 else Limits.dial,
         pool_idle=keepalive_us / 1e6 * 0.7 if keepalive_us > 0 else Limits.pool_idle,
--- a/merlinbay/platform/edge.py
+++ b/merlinbay/platform/edge.py
@@ -46,8 +46,8 @@
     """Handles every request at the node's address."""
 
     def __init__(self, inbox: trio.MemorySendChannel[ports.Message], clock: Clock,
-                 counters: Counters) -> None:
-        self.inbox, self.clock, self.counters = inbox, clock, counters
+                 counters: Counters, classes: set[str]) -> None:
+        self.inbox, self.clock, self.counters, self.classes = inbox, clock, counters, classes
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Take a call-back, a job or a check."""
@@ -56,10 +56,10 @@
             return await self._call_back(request)
         if path == "/-/ready":
             return Response(200, b"ready\n") if request.method in ("GET", "HEAD") else Response(405)
-        if path.startswith("/-/") or path == "/":
+        if path.strip("/").partition("/")[0] not in self.classes:
             return Response(404)
         if request.method != "POST":
-            return Response(404 if request.method == "GET" else 405)
+            return Response(405)
         try:
             spec = words.job_spec(request.target, request.headers, request.body, self.clock.now_us())
         except words.BadRequest as error:
--- a/tests/net.py
+++ b/tests/net.py
@@ -37,10 +37,17 @@
 LOAD = {"inflight": 0, "x0": 4, "x1": 4, "eps": 0}
 
 
+def bound() -> socket.socket:
+    """Return a socket on a port of its own. No client's port is ever taken from 127.0.0.2."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.2", 0))
+    return sock
+
+
 def free_port() -> int:
     """Return a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+    with bound() as sock:
         return int(sock.getsockname()[1])
 
 
@@ -54,14 +61,14 @@
     stage: Stage
     name: str
     play: Play
-    port: int = field(default_factory=free_port)
+    sock: socket.socket = field(default_factory=bound)
     seen: list[tuple[float, Request]] = field(default_factory=list)
     connections: set[int] = field(default_factory=set)
 
     @property
     def addr(self) -> str:
         """Return where it listens."""
-        return f"127.0.0.1:{self.port}"
+        return f"127.0.0.2:{self.sock.getsockname()[1]}"
 
     def targets(self, method: str = "POST") -> list[str]:
         """Return the targets asked for by a method."""
@@ -81,8 +88,9 @@
 
     async def listen(self) -> None:
         """Serve for ever."""
+        self.sock.listen(LIMITS.backlog)
         listener = Listener(self, LIMITS, Counters(), Log(100))
-        await listener.serve(await listener.bind("127.0.0.1", self.port))
+        await listener.serve(trio.socket.from_stdlib_socket(self.sock))
 
     async def notify(self, job: str, state: str, **info: object) -> int:
         """Make a DRMAA notification; return its status."""
@@ -123,6 +131,7 @@
     changed: trio.Event = field(default_factory=trio.Event)
     counters: Counters = field(default_factory=Counters)
     process: trio.Process | None = None
+    sockets: int = 256
     operator: str = ""  # the text of the operator's file; none by default
 
     def add(self, name: str, play: Play = serves, cell: int = 0, **row: object) -> StandIn:
@@ -158,8 +167,8 @@
         path, operator = self.folder / "config.json", self.folder / "operator.toml"
         operator.write_text(self.operator)
         path.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": asked.addr, "seed": "2a",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "name": "n0", "listen": f"127.0.0.2:{self.port}", "discovery": asked.addr, "seed": "2a",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": {"version": 0, "full": True, "servers": self.rows}, "settings": {**CONF, **conf}}))
         return {"LB_CONFIG": str(path), "LB_OPERATOR": str(operator) if self.operator else ""}
 
@@ -182,7 +191,7 @@
     async def call(self, method: str, target: str, headers: list[tuple[str, str]] | None = None,
                    body: bytes = b"") -> Reply:
         """Have one exchange with the node on a new connection."""
-        connection = await ClientConnection.dial(f"127.0.0.1:{self.port}", LIMITS)
+        connection = await ClientConnection.dial(f"127.0.0.2:{self.port}", LIMITS)
         try:
             return await connection.exchange(method, target, headers or [], body)
         finally:
--- a/tests/test_dnssd.py
+++ b/tests/test_dnssd.py
@@ -133,7 +133,8 @@
         async with stage(tmp_path) as s:
             real = s.add("s-1", serves)
             s.rows.clear()
-            server = NameServer(ONE.replace("8081", str(real.port)).replace("127.0.0.9", "127.0.0.1")
+            host, _, at = real.addr.partition(":")
+            server = NameServer(ONE.replace("8081", at).replace("127.0.0.9", host)
                                 .replace("started_ms=7", "started_ms=0"))
             host, port = await listen(s.nursery, server)
             s.operator = f'[dnssd]\nnameserver = "{host}:{port}"\nservice = "{SERVICE}"\n'
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,8 +8,10 @@
 import pytest
 import trio
 
+from merlinbay.decision import Balancer, api
 from merlinbay.http.client import ClientConnection
 from merlinbay.http.server import Request, Response
+from merlinbay.platform.words import load_from, named
 from tests.net import LIMITS, LOAD, StandIn, admission, play, serves, stage
 
 
@@ -47,7 +49,7 @@
         async with stage(tmp_path) as s:
             s.add("s-1", tells_early)
             await s.start()
-            client = await ClientConnection.dial(f"127.0.0.1:{s.port}", LIMITS)
+            client = await ClientConnection.dial(f"127.0.0.2:{s.port}", LIMITS)
             for job in ("a1", "a2"):
                 reply = await client.exchange("POST", "/admit", admission(job), b"x")
                 assert (reply.status, reply.body) == (200, f"of {job}".encode())
@@ -231,7 +233,10 @@
     (b"POST /admit HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\nX-Timeout-Ms: soon\r\nContent-Length: 0\r\n\r\n",
      400),
     (b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n{", 400),
-    (b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 404), (b"GET /-/nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    (b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    (b"POST /nowhere HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 404),
+    (b"HEAD /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 200), (b"GET /admit HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+    (b"GET /-/nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404),
     (b"GET /drmaa2/jobs/x HTTP/1.1\r\nHost: x\r\n\r\n", 404)]
 
 
@@ -242,7 +247,7 @@
             s.add("s-1")
             await s.start()
             for data, status in RAW:
-                stream = await trio.open_tcp_stream("127.0.0.1", s.port)
+                stream = await trio.open_tcp_stream("127.0.0.2", s.port)
                 try:
                     await stream.send_all(data)
                     answer = await stream.receive_some(100)
@@ -255,9 +260,62 @@
     play(scene)
 
 
+def test_call_backs_come_in_though_flows_hold_what_they_may(tmp_path: Path) -> None:
+    """With few descriptors, jobs beyond the limit are refused at once and the others still end."""
+    async def slow(server: StandIn, request: Request) -> Response | None:
+        async def work() -> None:
+            await server.tell(request.headers["x-request-id"], "started")
+            await trio.sleep(0.5)
+            await server.tell(request.headers["x-request-id"], "done", result="x", load={"x0": 90})
+
+        if request.method == "POST":
+            server.stage.nursery.start_soon(work)
+        return Response(202)
+
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.sockets = 64  # 17 edge connections, 12 flows
+            for number in range(20):
+                s.add(f"s-{number}", slow)
+            await s.start()
+            statuses: list[int] = []
+
+            async def one(job: str) -> None:
+                statuses.append((await s.admit(job)).status)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(16):
+                    nursery.start_soon(one, f"a{number}")
+            assert sorted(statuses) == [200] * 12 + [503] * 4
+
+    play(scene)
+
+
+def test_a_failing_module_leaves_no_flow_unanswered(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its exception is counted, the flow fails at its deadline, and the node serves on."""
+    handle = Balancer.handle
+
+    def failing(self: Balancer, now_us: int, events: list[api.Event]) -> list[api.Action]:
+        if any(isinstance(event, api.JobArrived) and event.budget_us < 400_000 for event in events):
+            raise RuntimeError("a fault put in by the test")
+        return handle(self, now_us, events)
+
+    async def scene() -> None:
+        monkeypatch.setattr(Balancer, "handle", failing)
+        async with stage(tmp_path) as s:
+            s.add("s-1")
+            await s.start()
+            began = trio.current_time()
+            assert (await s.admit("a1", 300)).status == 500
+            assert trio.current_time() - began < 0.3
+            assert (await s.admit("a2")).status == 200
+            assert s.counters.counts["module_errors"] == 1
+
+    play(scene)
+
+
 def test_a_load_report_reaches_the_module(tmp_path: Path) -> None:
     """Free slots in a ``done`` and in a 503's header are read under the settings' names."""
-    from merlinbay.platform.words import load_from, named
     assert named(dict(LOAD)) == {"active": 0.0, "x0": 4.0, "x1": 4.0, "err_rps": 0.0}
     assert load_from("inflight=7,queue=2,util=0.61,bad,eps=x") == {"active": 7.0, "waiting": 2.0, "cpu": 0.61}
     assert load_from("") is None
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -42,7 +42,8 @@
             await trio.sleep(1.2)
             await server.tell(request.headers["x-request-id"], "done", result="late")
 
-        server.stage.nursery.start_soon(work)
+        if request.method == "POST":
+            server.stage.nursery.start_soon(work)
         return Response(202)
 
     async def scene() -> None:
@@ -80,7 +81,7 @@
             subprocess.run(["prlimit", f"--pid={s.process.pid}", "--nofile=24:24"], check=True)
             streams = []
             for _ in range(40):
-                streams.append(await trio.open_tcp_stream("127.0.0.1", s.port))
+                streams.append(await trio.open_tcp_stream("127.0.0.2", s.port))
             await trio.sleep(0.3)
             for stream in streams:
                 await stream.aclose()
