Harden what is read off the wire; one base for both real-server sides; tables for the parsers

Seen while reading for crashes: a header byte beyond ASCII raised UnicodeEncodeError in a task of the main nursery, which ends the node; a report with a null lost its outcome to a 400; an address in use ended in a traceback; kept DRMAA outputs could reach 128 MB. Lines at fault: http/client.py exchange, platform/words.py JobEvent.load, __main__.run, drmaa/front.py keep. Changed: bytes pass on as they came, ids are checked, faults in an exchange end it alone, outputs are bounded; http/servers.py holds what the two real-server sides had twice. A test for each.

--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -43,6 +43,10 @@
             routes.append(("/drmaa2/notifications", NotificationHandler(send, counters)))
         handler = Routes([*routes, ("/", handler)])
     listener = Listener(handler, limits, counters, log)
+    try:
+        sock = await listener.bind(*config.listen)
+    except OSError as error:
+        raise BadConfig(f"cannot listen at {config.listen[0]}:{config.listen[1]}: {error.strerror}") from None
     discovery: Discovery | DnsSdDirectory
     if dnssd is None:
         discovery = Discovery(config.discovery, config.known.version, send, limits, counters, log)
@@ -53,14 +57,13 @@
         servers: ServerSide
         if drmaa.servers:
             notify = f"http://{config.listen[0]}:{config.listen[1]}/drmaa2/notifications"
-            servers = DrmaaServers(nursery, pool, send, clock, limits, counters, notify)
+            servers = DrmaaServers(nursery, pool, send, clock, limits, counters, log, notify)
         else:
-            servers = PlatformServers(nursery, pool, send, clock, limits, counters,
+            servers = PlatformServers(nursery, pool, send, clock, limits, counters, log,
                                       bool(config.settings.report_fields))
         balancer = Balancer(config.settings, config.seed, clock.now_us())
         owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
         owner.turn([EntriesChanged("remembered", words.entries(config.known))])
-        sock = await listener.bind(*config.listen)
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
         nursery.start_soon(listener.serve, sock)
@@ -88,17 +91,24 @@
 
 def main() -> int:
     """Start; a bad configuration ends with one plain line."""
+    try:
+        config = load()
+    except BadConfig as error:
+        print(f"merlinbay: {error}", file=sys.stderr)
+        return 2
     counters = Counters()
     # Guards against pauses: a full collection would walk all that the imports have made, again and again.
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     try:
-        trio.run(run, load(), counters)
+        trio.run(run, config, counters)
     except BadConfig as error:
         print(f"merlinbay: {error}", file=sys.stderr)
         return 2
-    finally:
+    except BaseException:
         counters.print()
+        raise
+    counters.print()
     return 0
 
 
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -86,7 +86,8 @@
         self.counters, self.classes = counters, classes
         self.jobs: dict[str, SubmittedJob] = {}
         self.waits = 0
-        self.kept: deque[tuple[float, str]] = deque()  # finished jobs, the oldest first
+        self.kept: deque[tuple[float, str]] = deque()  # finished jobs, the oldest first,
+        self.kept_bytes = 0  # and the size of their outputs
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Answer one call, or leave runJob to be answered by what the core decides."""
@@ -113,7 +114,6 @@
         """Withdraw a job whose client hung up before it had learned the job's id."""
         job = connection.context
         if isinstance(job, SubmittedJob) and not job.submitted:
-            self.jobs.pop(job.name, None)
             job.submitted = True  # nobody is left to be told
             job.end(FAILED, "", "the client hung up")
             try:
@@ -124,12 +124,14 @@
     def keep(self, job: SubmittedJob) -> None:
         """Keep a finished job for a while, and so many at the most."""
         self.kept.append((trio.current_time() + self.limits.finished_keep, job.name))
+        self.kept_bytes += len(job.info.output)
         self._expire()
 
     def _expire(self) -> None:
         now = trio.current_time()
-        while self.kept and (self.kept[0][0] <= now or len(self.kept) > self.limits.finished_jobs):
-            self.jobs.pop(self.kept.popleft()[1], None)
+        while self.kept and (self.kept[0][0] <= now or len(self.kept) > self.limits.finished_jobs
+                             or self.kept_bytes > self.limits.finished_bytes):
+            self.kept_bytes -= len(self.jobs.pop(self.kept.popleft()[1]).info.output)
 
     def _job(self, job_id: str) -> SubmittedJob:
         job = self.jobs.get(job_id)
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -72,11 +72,14 @@
     async def exchange(self, method: str, target: str, headers: list[tuple[str, str]],
                        body: bytes = b"") -> Reply:
         """Send a request and return its answer. Raises ``NotSent`` or ``Broken``."""
-        everything = [("host", self.host), *headers]
+        # Guards against header bytes beyond ASCII, which pass on as they came.
+        everything = [(name.encode(), value.encode("latin-1", "replace"))
+                      for name, value in [("host", self.host), *headers]]
         if body or method == "POST":
-            everything.append(("content-length", str(len(body))))
+            everything.append((b"content-length", str(len(body)).encode()))
         try:
-            data = self.h11.send(h11.Request(method=method, target=target, headers=everything)) or b""
+            data = self.h11.send(h11.Request(method=method, target=target.encode("latin-1", "replace"),
+                                             headers=everything)) or b""
             if body:
                 data += self.h11.send(h11.Data(data=body)) or b""
             data += self.h11.send(h11.EndOfMessage()) or b""
--- /dev/null
+++ b/merlinbay/http/servers.py
@@ -0,0 +1,76 @@
+"""What every real-server side over the connection pool has in common."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from merlinbay.clock import Clock
+from merlinbay.core import ports
+from merlinbay.core.ports import Scheduling, ServiceEntry
+from merlinbay.counters import Counters
+from merlinbay.decision.api import Outcome
+from merlinbay.http.client import Broken, NotSent, Reply
+from merlinbay.http.pool import ConnectionPool
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+
+
+class PooledServers:
+    """Tasks of one nursery, so many at the most, that have exchanges and post what came of them."""
+
+    def __init__(self, nursery: trio.Nursery, pool: ConnectionPool,
+                 inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
+                 counters: Counters, log: Log) -> None:
+        self.nursery, self.pool, self.inbox = nursery, pool, inbox
+        self.clock, self.limits, self.counters = clock, limits, counters
+        self.log, self.tasks = log, 0
+
+    def entries_changed(self, scope: str, entries: list[ServiceEntry]) -> None:
+        """Learn addresses."""
+        self.pool.entries_changed(scope, entries)
+
+    def spawn(self, task: Callable[..., Awaitable[None]], *args: object) -> bool:
+        """Start a task, unless there are too many."""
+        if self.tasks >= self.limits.server_tasks:
+            self.counters.add("server_tasks_missing")
+            return False
+        self.tasks += 1
+        self.nursery.start_soon(self._counted, task, args)
+        return True
+
+    def not_sent(self, scheduling: Scheduling) -> None:
+        """Tell that an attempt never went out. The owner's own task must not wait for its inbox."""
+        self.nursery.start_soon(self.ended, scheduling, Outcome.CONNECT_FAILED)
+
+    async def attempt(self, server: str, method: str, target: str, headers: list[tuple[str, str]],
+                      body: bytes = b"") -> Reply | Outcome:
+        """Have one exchange; return its answer, or the outcome where none came."""
+        try:
+            return await self.pool.exchange(server, method, target, headers, body)
+        except NotSent:
+            return Outcome.CONNECT_FAILED
+        except Broken:
+            return Outcome.RESET
+
+    async def ended(self, scheduling: Scheduling, outcome: Outcome,
+                    report: dict[str, float] | None = None) -> None:
+        """Tell how an attempt ended."""
+        await self.post(ports.SchedulingEnded(scheduling.spec.name, scheduling.server, outcome, b"", report))
+
+    async def post(self, message: ports.Message) -> None:
+        """Put a message into the owner's inbox."""
+        try:
+            await self.inbox.send(message)
+        except trio.BrokenResourceError:  # the owner has ended, and with it every flow
+            pass
+
+    async def _counted(self, task: Callable[..., Awaitable[None]], args: tuple[object, ...]) -> None:
+        try:
+            await task(*args)
+        except Exception as error:  # Guards against a fault in one exchange ending the node.
+            self.counters.add("server_tasks_faulty")
+            self.log.line(f"an exchange failed: {error!r}")
+        finally:
+            self.tasks -= 1
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -44,6 +44,7 @@
     retry_when_stopping_us: int = 100_000
     finished_jobs: int = 2000  # DRMAA jobs kept after their end, for status queries that come late
     finished_keep: float = 60.0
+    finished_bytes: int = 16 * 1024 * 1024  # of their outputs
     waits: int = 100  # DRMAA waits under way, each of which holds an edge connection
     dns_query: float = 1.0
     dns_least: float = 0.2  # a list is asked for again after its least TTL, but neither sooner
@@ -64,6 +65,7 @@
         server_connections=usable * 35 // 100,
         # Guards against flows that hold every edge connection, so that no call-back could end them.
         most_held=min(most_held, usable * 55 // 100 * 3 // 4),
+        finished_bytes=memory_mb * 1024 * 1024 // 12,
         waits=usable * 55 // 100 // 8,
         inbox=min(4096, max(256, memory_mb * 16)),
         dial=dial_us / 1e6 if dial_us > 0 else Limits.dial,
--- a/merlinbay/platform/words.py
+++ b/merlinbay/platform/words.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -10,6 +11,7 @@
 from merlinbay.core.ports import JobSpec, ServiceEntry
 
 STATES = {"SERVING": "up", "DRAINING": "draining", "DELETED": "removed"}
+NAME = re.compile(r"[A-Za-z0-9._~-]{1,64}")
 LOAD_NAMES = {"eps": "err_rps", "inflight": "active", "queue": "waiting", "util": "cpu", "qps": "rps",
               "latency_ms": "avg_ms"}
 
@@ -47,7 +49,7 @@
     state: str
     share: float = 0.0
     result: Any = ""
-    load: dict[str, float] | None = None
+    load: Any = None  # Guards against a report that makes no sense: the outcome beside it still counts.
 
 
 read_listing = msgspec.json.Decoder(Listing).decode
@@ -70,15 +72,15 @@
     return named(pairs(header)) if header else None
 
 
-def named(load: Mapping[str, float | str] | None) -> dict[str, float] | None:
-    """Name a load report's values as the settings do."""
-    if load is None:
+def named(load: Any) -> dict[str, float] | None:
+    """Name a load report's values as the settings do; what makes no sense is left out."""
+    if not isinstance(load, dict):
         return None
-    out = {}
+    out: dict[str, float] = {}
     for name, value in load.items():
         try:
-            out[LOAD_NAMES.get(name, name)] = float(value)
-        except ValueError:
+            out[LOAD_NAMES.get(str(name), str(name))] = float(value)
+        except (TypeError, ValueError):
             continue
     return out
 
@@ -92,7 +94,7 @@
 def job_spec(target: str, headers: Mapping[str, str], body: bytes, now_us: int) -> JobSpec:
     """Read a client's request. Raises ``BadRequest``."""
     name, path = headers.get("x-request-id", ""), target.partition("?")[0]
-    if not name or len(name) > 64:
+    if not NAME.fullmatch(name):  # it becomes part of a path
         raise BadRequest("x-request-id")
     try:
         extras = pairs(headers.get("x-attrs", ""))
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -275,9 +275,11 @@
     play(scene)
 
 
-def test_finished_jobs_are_kept_for_a_bounded_time(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Of many, the oldest is forgotten: its id is no job any more."""
-    monkeypatch.setattr("merlinbay.config.limits_from", lambda *_: Limits(finished_jobs=2))
+@pytest.mark.parametrize("limits", [Limits(finished_jobs=2), Limits(finished_bytes=20)])
+def test_finished_jobs_are_kept_within_bounds(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                              limits: Limits) -> None:
+    """Of many, or large ones, the oldest is forgotten: its id is no job any more."""
+    monkeypatch.setattr("merlinbay.config.limits_from", lambda *_: limits)
 
     async def scene() -> None:
         async with stage(tmp_path) as s:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -186,6 +186,23 @@
     play(scene)
 
 
+def test_bytes_beyond_ascii_and_odd_reports_do_no_harm(tmp_path: Path) -> None:
+    """A header passes on as it came; a ``done`` counts though its report makes no sense."""
+    async def odd(server: StandIn, request: Request) -> Response | None:
+        assert await server.tell("a1", "done", result="x", load={"x0": None, "x1": "many"}) == 200
+        return Response(202)
+
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            server = s.add("s-1", odd)
+            await s.start()
+            headers = [*admission("a1")[:3], ("Idempotency-Key", "caf\xe9")]
+            assert (await s.call("POST", "/admit", headers, b"x")).status == 200
+            assert server.seen[0][1].headers["idempotency-key"] == "caf\xe9"
+
+    play(scene)
+
+
 def test_the_request_passes_on_unchanged(tmp_path: Path) -> None:
     """Target, body, id and key are as the client sent them; the time-out is what is left."""
     async def scene() -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -14,6 +15,7 @@
 
 from merlinbay.http.server import Request, Response
 from tests.net import ROOT, StandIn, play, serves, stage
+from tests.test_drmaa import schedules, submit
 
 BAD = {"missing": None, "not_json": "{", "no_settings": "{}",
        "bad_settings": json.dumps({"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
@@ -30,8 +32,25 @@
     done = subprocess.run([sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, capture_output=True, text=True,
                           env={**os.environ, "LB_CONFIG": str(path)}, check=False, timeout=30)
     assert done.returncode != 0
-    lines = [line for line in done.stderr.splitlines() if "counters" not in line]
-    assert len(lines) == 1 and lines[0].startswith("merlinbay: "), done.stderr
+    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith("merlinbay: "), done.stderr
+
+
+def test_an_address_in_use_ends_with_one_plain_line(tmp_path: Path) -> None:
+    """The listener cannot be bound: non-zero, one line, no traceback."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            environ = s.configure()
+            with socket.socket() as taken:
+                taken.bind(("127.0.0.2", s.port))
+                taken.listen()
+                done = await trio.run_process(
+                    [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, check=False, capture_stderr=True,
+                    env={**os.environ, **environ})
+            assert done.returncode == 2
+            assert done.stderr.decode().startswith("merlinbay: cannot listen at 127.0.0.2:")
+            assert len(done.stderr.splitlines()) == 1
+
+    play(scene)
 
 
 def test_sigterm_answers_what_was_taken_and_exits_0(tmp_path: Path) -> None:
@@ -91,6 +110,21 @@
     play(scene)
 
 
+def test_the_program_takes_drmaa_submissions(tmp_path: Path) -> None:
+    """With an operator's file, a job goes from runJob to DONE at a stand-in scheduler."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = "[drmaa]\nfront = true\nservers = true\n"
+            s.add("s-1", schedules)
+            await s.start(program=True)
+            status, job = await submit(s)
+            assert (status, job["jobState"]) == (201, "QUEUED")
+            info = (await s.json("GET", f"/drmaa2/jobs/{job['jobId']}/wait"))[1]
+            assert (info["jobState"], info["exitStatus"]) == ("DONE", 0)
+
+    play(scene)
+
+
 def test_counters_are_printed_on_request_and_at_exit(tmp_path: Path) -> None:
     """SIGUSR1 and the exit each print one line that counts what was taken, sent and answered."""
     async def scene() -> None:
--- /dev/null
+++ b/tests/test_words.py
@@ -0,0 +1,104 @@
+"""Tables for what the platform's wire, the configuration and the limits are read into."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from merlinbay.config import BadConfig, DnsSd, Drmaa, address, operator_file
+from merlinbay.core.ports import ServiceEntry
+from merlinbay.decision.api import JobClass, Outcome, Safety, Settings
+from merlinbay.http.client import Reply
+from merlinbay.limits import limits_from
+from merlinbay.platform import words
+from merlinbay.platform.servers import outcome_of
+from tests.net import ROOT
+
+HEADERS = {"x-request-id": "9b1f", "x-priority-class": "admit", "x-timeout-ms": "4998",
+           "idempotency-key": "k", "x-attrs": "slots=1,memory=0.638"}
+
+JOBS: list[tuple[str, dict[str, str], dict[str, Any] | None]] = [
+    ("/admit?x=1", {}, {"name": "9b1f", "job_class": "admit", "budget_us": 4_998_000, "slots": 1.0,
+                        "memory": 0.638, "repeat_key": "k", "target": "/admit?x=1", "retried": False}),
+    ("/admit", {"x-priority-class": ""}, {"job_class": "admit"}),
+    ("/admit", {"x-retried": "1", "x-route-key": "r", "x-cost": "1200.5"},
+     {"retried": True, "key": "r", "hint_us": 1200}),
+    ("/admit", {"x-attrs": "odd,slots = 2 ,new=x"}, {"slots": 2.0, "memory": 0.0}),
+    ("/admit", {"x-request-id": ""}, None), ("/admit", {"x-request-id": "a" * 65}, None),
+    ("/admit", {"x-request-id": "a/../b"}, None), ("/admit", {"x-request-id": "\xe9"}, None),
+    ("/admit", {"x-timeout-ms": ""}, None), ("/admit", {"x-timeout-ms": "0"}, None),
+    ("/admit", {"x-timeout-ms": "1e3"}, None), ("/admit", {"x-timeout-ms": "9" * 30}, None),
+    ("/admit", {"x-attrs": "slots=many"}, None), ("/admit", {"x-attrs": "slots=nan"}, None),
+    ("/admit", {"x-attrs": "memory=-1"}, None), ("/admit", {"x-cost": "inf"}, None)]
+
+
+@pytest.mark.parametrize("target, more, expected", JOBS)
+def test_a_request_becomes_a_job(target: str, more: dict[str, str], expected: dict[str, Any] | None) -> None:
+    """None: it is answered 400."""
+    if expected is None:
+        with pytest.raises(words.BadRequest):
+            words.job_spec(target, {**HEADERS, **more}, b"", 7)
+    else:
+        spec = words.job_spec(target, {**HEADERS, **more}, b"", 7)
+        assert {name: getattr(spec, name) for name in expected} == expected
+        assert spec.arrived_us == 7
+
+
+@pytest.mark.parametrize("status, headers, expected", [
+    (202, {}, None), (503, {"x-not-processed": "1"}, Outcome.FULL),
+    (504, {"x-not-processed": "1"}, Outcome.FULL),
+    (503, {}, Outcome.ERROR), (500, {"x-not-processed": "1"}, Outcome.ERROR), (200, {}, Outcome.ERROR)])
+def test_an_answer_becomes_an_outcome(status: int, headers: dict[str, str], expected: Outcome | None) -> None:
+    """Only 503 and 504 with the header prove that it never ran."""
+    assert outcome_of(Reply(status, headers, b"")) is expected
+
+
+@pytest.mark.parametrize("state, expected", [
+    ("SERVING", "up"), ("DRAINING", "draining"), ("DELETED", "removed"), ("NEW", "draining")])
+def test_a_listing_becomes_entries(state: str, expected: str) -> None:
+    """Id and address stay apart; an unknown state gets nothing new."""
+    listing = words.read_listing(msgspec.json.encode({"version": 4, "full": False, "servers": [
+        {"id": "s-1", "addr": "127.0.0.9:1", "zone": "a", "kind": "k", "cell": 3, "state": state,
+         "weight": 2.5, "started_ms": 12, "new": 1}]}))
+    assert words.entries(listing) == [ServiceEntry("s-1", "127.0.0.9:1", "a", "k", 3, expected, 2.5, 12_000)]
+
+
+@pytest.mark.parametrize("result, expected", [("é", "é".encode()), ("", b""), ({"a": 1}, b'{"a":1}')])
+def test_a_result_becomes_a_body(result: Any, expected: bytes) -> None:
+    """Text is the body itself."""
+    assert words.result_bytes(result) == expected
+
+
+@pytest.mark.parametrize("sockets", [64, 256, 1024, 65536])
+def test_descriptors_are_divided(sockets: int) -> None:
+    """Edge and servers leave some to the rest, and flows leave room for call-backs."""
+    settings = Settings([JobClass("admit", 1, 5_000_000)], safety=Safety(must_ask_in_us=10_000_000))
+    limits = limits_from(sockets, 192, settings, 120_000, 10_000_000, 20_000)
+    assert limits.edge_connections + limits.server_connections + 32 <= sockets
+    assert 0 < limits.most_held < limits.edge_connections
+    assert 0 < limits.waits < limits.edge_connections
+    assert (limits.dial, limits.pool_idle < 10, limits.stop_most) == (0.12, True, 5.6)
+    assert limits.watch_wait + limits.watch_slack + limits.watch_backoff_most < 10
+
+
+def test_the_operators_file_turns_the_second_front_on() -> None:
+    """As it stands under deploy/; without one, all of it is off."""
+    operator = operator_file(str(ROOT / "deploy" / "drmaa.toml"))
+    assert operator.drmaa == Drmaa(front=True, servers=True)
+    assert isinstance(operator.dnssd, DnsSd) and address(operator.dnssd.nameserver) == ("127.0.0.1", 5353)
+    assert operator_file("").drmaa == Drmaa() and operator_file("").dnssd is None
+
+
+@pytest.mark.parametrize("text", ["[drmaa", "[drmaa]\nfront = 3\n", "[dnssd]\n", "[nonsense]\n",
+                                  '[dnssd]\nnameserver = "x"\nservice = "y"\n', None])
+def test_a_bad_operators_file_is_one_plain_line(tmp_path: Path, text: str | None) -> None:
+    """It names the file or the value."""
+    path = tmp_path / "operator.toml"
+    if text is not None:
+        path.write_text(text)
+    with pytest.raises(BadConfig) as caught:
+        operator_file(str(path))
+    assert len(str(caught.value).splitlines()) == 1 and str(caught.value)
