Let a told free memory count for one mean run time: shut-out workers come back

Lines at fault: rules.py _pick, worker.free_memory < job.memory, with no end to the reading's validity. Ruled out: benches, asked_at and cold budgets (all clear in the trace), leaked holds (0), discovery.

--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -40,7 +40,8 @@
     running: float = 0.0  # and of these, the started ones
     others: float = 0.0  # slots that the other schedulers held there when last observed,
     others_at: int = -1  # and when that was
-    free_memory: float = math.inf
+    free_memory: float = math.inf  # as a report told it last,
+    memory_at: int = 0  # and when that was
     fails: int = 0
     bench_until: int = 0
     asked_at: int = 0  # the first send since it was last heard
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -29,6 +29,7 @@
 CAUTION = 0.65  # share of the spread (square root, less for a few) of an unseen count that counts as held
 TRUST_STEP = 0.05  # weight of one answer in the share of workers with room that do take a job
 REPORT_TRUST = 0.5  # weight of a load report against the estimate it meets: reports are old and noisy
+MEMORY_RUNS = 1.0  # mean run times for which a told free memory counts: by then other jobs hold it
 PROMPT = 0.05  # share of a mean run time within which a start means that there was room
 DENSE_MOST = 4.0  # the most that worth for each slot and second, over the mean job's, counts
 SLOT_STEP = 0.01  # weight of one start in the learned slots of a kind: the count of running ones is noise
@@ -183,6 +184,11 @@
         fits = wanted < 0 or self.kinds[self.settings.kinds[wanted]] is worker.kind
         return fits and all(attempt.worker is not worker for attempt in job.attempts)
 
+    def _lacks_memory(self, worker: Worker, job: Job) -> bool:
+        """Tell whether the worker was told lately to have less free memory than the job needs."""
+        # Guards against a worker shut out for good: it gets no job, so no report says that memory is free.
+        return worker.free_memory < job.memory and self.now < worker.memory_at + MEMORY_RUNS * self.mean_run
+
     def _batches(self, job: Job) -> list[list[Worker]]:
         """Return batches of workers to look at; cold ones first, while we have a share of their budget."""
         spec = job.cls.spec
@@ -205,7 +211,7 @@
         for batch in [job.asked] if job.asked or job.awaited else self._batches(job):
             for worker in batch:
                 free = self._free(worker)
-                if free <= best_free or not self._may(worker, job) or worker.free_memory < job.memory:
+                if free <= best_free or not self._may(worker, job) or self._lacks_memory(worker, job):
                     continue
                 if free < job.slots:
                     if room_only:
@@ -420,6 +426,7 @@
         readings = self.settings.read(event.report)
         free, held = readings.get(self.settings.free_slots_field), readings.get(self.settings.held_field)
         worker.free_memory = readings.get(self.settings.free_memory_field, worker.free_memory)
+        worker.memory_at = self.now
         if free is not None:
             kind, told = worker.kind, worker.kind.told
             kind.slots, kind.told = max(float(round(free)), kind.slots if told else 1.0), True
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -417,3 +417,19 @@
     assert "w7" not in probes(check, 1)
     check.pass_time(60_000)
     assert "w7" in probes(check, 2)
+
+
+def test_worker_told_to_lack_memory_is_not_shut_out_for_good() -> None:
+    """Only jobs end with reports: a worker that gets none must be tried again some run times later."""
+    check = fleet(1, report_fields=["active", "x0", "x1"], free_memory_field="x1")
+    serve(check, range(5))
+    assert offer(check, 10, memory=0.5) == "w0"
+    check.give(api.JobStarted(10, 0))
+    check.pass_time(50_000)
+    end(check, 10, report=[1, 3, 0.1])
+    assert offer(check, 11, memory=0.5) == ""  # told just now
+    assert offer(check, 12, memory=0.05) == "w0"
+    end(check, 12)
+    check.pass_time(1_000_000)
+    assert offer(check, 13, memory=0.5) == "w0"
+    assert check.broken == []
