--- a/tests/net.py
+++ b/tests/net.py
@@ -64,6 +64,7 @@
     sock: socket.socket = field(default_factory=bound)
     seen: list[tuple[float, Request]] = field(default_factory=list)
     connections: set[int] = field(default_factory=set)
+    last: Connection | None = None
 
     @property
     def addr(self) -> str:
@@ -78,6 +79,7 @@
         """Note it and play."""
         self.seen.append((trio.current_time(), request))
         self.connections.add(id(connection))
+        self.last = connection
         response = await self.play(self, request)
         if response is None:
             connection.scope.cancel()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -186,6 +186,23 @@
     play(scene)
 
 
+def test_a_pooled_connection_that_the_server_closed_is_not_written_to(tmp_path: Path) -> None:
+    """A request on it would end as a reset, which may have run: a new connection is opened instead."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            server = s.add("s-1")
+            await s.start()
+            assert (await s.admit("a1")).status == 200
+            assert server.last is not None
+            server.last.scope.cancel()
+            await trio.sleep(0.05)
+            assert (await s.admit("a2")).status == 200
+            assert s.counters.counts["schedulings_reset"] == 0
+            assert s.counters.counts["server_connections"] == 2
+
+    play(scene)
+
+
 def test_bytes_beyond_ascii_and_odd_reports_do_no_harm(tmp_path: Path) -> None:
     """A header passes on as it came; a ``done`` counts though its report makes no sense."""
     async def odd(server: StandIn, request: Request) -> Response | None:
