SIGHUP moves the watch; two-length, huge and silent requests end early

Now: SIGHUP reads the file again (its discovery, not the environment's), the watch moves at once and asks the new address for the whole list; a broken file leaves all as it was with one line. A head with both lengths is 400, a length over the limit 413 before its body; a first request has 2 s from the accept; headers that come twice are joined, so none hides another; a repeat key or time-out in odd characters is 400. Silent connections are closed before kept ones where descriptors run out. Ruled out: versions that run on between the two addresses were not assumed (the whole list is asked for).

--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -9,7 +9,7 @@
 import trio
 
 from merlinbay.clock import Clock
-from merlinbay.config import BadConfig, Config, address, load
+from merlinbay.config import BadConfig, Config, address, load, reload
 from merlinbay.core.owner import Owner
 from merlinbay.core.ports import EntriesChanged, Message, ServerSide, Stopping
 from merlinbay.counters import Counters
@@ -20,6 +20,7 @@
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.routes import Routes
 from merlinbay.http.server import Handler, Listener
+from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.platform import words
 from merlinbay.platform.discovery import Discovery
@@ -67,26 +68,51 @@
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
         nursery.start_soon(listener.serve, sock)
-        nursery.start_soon(signals, listener, send, nursery, counters, limits.stop_serving, limits.stop_most)
+        nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log)
         log.line(f"{config.name} serves at {config.listen[0]}:{config.listen[1]}")
         await owner.run(receive)
         nursery.cancel_scope.cancel()
 
 
-async def signals(listener: Listener, inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery,
-                  counters: Counters, serve_on: float, most: float) -> None:
-    """SIGUSR1 prints the counters; SIGTERM and SIGINT end the node in good order."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
+async def signals(config: Config, listener: Listener, discovery: Discovery | DnsSdDirectory,
+                  inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery, counters: Counters,
+                  log: Log) -> None:
+    """SIGHUP reads the configuration again, SIGUSR1 prints the counters, SIGTERM and SIGINT end the node."""
+    with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
         async for number in received:
             if number == signal.SIGUSR1:
                 counters.print()
-                continue
-            if listener.closing:
-                continue
-            nursery.cancel_scope.deadline = trio.current_time() + most
-            await trio.sleep(serve_on)
-            listener.close_idle()
-            await inbox.send(Stopping())
+            elif number == signal.SIGHUP:
+                follow(config, discovery, counters, log)
+            elif not listener.closing:
+                nursery.start_soon(stop, listener, inbox, nursery, config.limits)
+
+
+def follow(config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log) -> None:
+    """Move the watch to where the configuration now says; one that cannot be used changes nothing."""
+    try:
+        new = reload(config)
+    except BadConfig as error:
+        counters.add("reloads_bad")
+        log.line(f"the old configuration stays in force: {error}")
+        return
+    if isinstance(discovery, Discovery):
+        discovery.move(new.discovery)
+    elif new.operator.dnssd is not None:
+        discovery.move(address(new.operator.dnssd.nameserver), new.operator.dnssd.service)
+    counters.add("reloads")
+    log.line(f"configuration read again; discovery at {new.discovery}")
+
+
+async def stop(listener: Listener, inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery,
+               limits: Limits) -> None:
+    """Serve on for a moment, then end in good order."""
+    nursery.cancel_scope.deadline = min(nursery.cancel_scope.deadline,
+                                        trio.current_time() + limits.stop_most)
+    await trio.sleep(limits.stop_serving)
+    if not listener.closing:
+        listener.close_idle()
+        await inbox.send(Stopping())
 
 
 def main() -> int:
--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -106,19 +106,31 @@
         file = msgspec.json.decode(Path(path).read_bytes(), type=File)
     except OSError as error:
         raise BadConfig(f"{path}: {error.strerror}") from None
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise BadConfig(f"{path}: {error}") from None
     try:
         settings = settings_from(file.settings)
         seed = int(file.seed, 16)
-    except (ValueError, TypeError) as error:
+        extra = file.settings.get("limits", {})
+        limits = limits_from(file.limits.sockets, file.limits.memory_mb, settings,
+                             int(extra.get("dialTimeoutUs") or 0), int(extra.get("keepaliveUs") or 0),
+                             int(extra.get("mostHeld") or Limits.most_held))
+    except (ValueError, TypeError, OverflowError) as error:
         raise BadConfig(f"{path}: {error}") from None
-    extra = file.settings.get("limits", {})
-    limits = limits_from(file.limits.sockets, file.limits.memory_mb, settings,
-                         int(extra.get("dialTimeoutUs") or 0), int(extra.get("keepaliveUs") or 0),
-                         int(extra.get("mostHeld") or Limits.most_held))
     listen = address(environ.get("LB_LISTEN", file.listen))
     discovery = environ.get("LB_DISCOVERY", file.discovery)
     address(discovery)
     return Config(environ.get("LB_NAME", file.name), listen, discovery, seed, file.known, settings, limits,
                   operator_file(environ.get("LB_OPERATOR", "")))
+
+
+def reload(old: Config, environ: Mapping[str, str] = os.environ) -> Config:
+    """Read the configuration again. Raises ``BadConfig``, also where what only a restart can change differs.
+
+    The file's ``discovery`` counts, whatever the environment said at the start.
+    """
+    new = load({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
+    was, now = old.operator, new.operator
+    if (now.dnssd is None) != (was.dnssd is None) or now.drmaa != was.drmaa:
+        raise BadConfig("the operator's file: fronts and the kind of discovery change by a restart only")
+    return new
--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -30,31 +30,40 @@
         self.server, self.service = server, dns.name.from_text(service)
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
         self.asked = trio.Event()
+        self.watch = trio.CancelScope()
 
     def subscribe(self) -> None:
         """Begin to ask, or go on after a failure."""
         self.asked.set()
 
+    def move(self, server: tuple[str, int], service: str) -> None:
+        """Ask another name server, or for another service, from now on; what is known stays until then."""
+        if (server, dns.name.from_text(service)) != (self.server, self.service):
+            self.server, self.service = server, dns.name.from_text(service)
+            self.asked.set()
+            self.watch.cancel()
+
     async def run(self) -> None:
         """Ask for ever."""
         last: dict[str, ServiceEntry] | None = None
         while True:
             await self.asked.wait()
             self.asked = trio.Event()
-            try:
-                while True:
-                    listed, ttl = await self.look()
-                    if listed != last:
-                        await self.inbox.send(ports.EntriesChanged("all", list(listed.values())))
-                        last = listed
-                    self.counters.add("dns_listings")
-                    await trio.sleep(min(max(ttl, self.limits.dns_least), self.limits.dns_most))
-            except (Failed, OSError, dns.exception.DNSException, trio.TooSlowError) as error:
-                # Guards against an outage that empties the list: what was heard last still stands.
-                self.counters.add("dns_failed")
-                self.log.line(f"dns-sd: {type(error).__name__}: {error}")
-                await trio.sleep(self.limits.watch_backoff)
-                await self.inbox.send(ports.EntriesChanged("refused"))
+            with trio.CancelScope() as self.watch:
+                try:
+                    while True:
+                        listed, ttl = await self.look()
+                        if listed != last:
+                            await self.inbox.send(ports.EntriesChanged("all", list(listed.values())))
+                            last = listed
+                        self.counters.add("dns_listings")
+                        await trio.sleep(min(max(ttl, self.limits.dns_least), self.limits.dns_most))
+                except (Failed, OSError, dns.exception.DNSException, trio.TooSlowError) as error:
+                    # Guards against an outage that empties the list: what was heard last still stands.
+                    self.counters.add("dns_failed")
+                    self.log.line(f"dns-sd: {type(error).__name__}: {error}")
+                    await trio.sleep(self.limits.watch_backoff)
+                    await self.inbox.send(ports.EntriesChanged("refused"))
 
     async def look(self) -> tuple[dict[str, ServiceEntry], float]:
         """Return the entries by name, and the least TTL of all that they rest on."""
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -67,7 +67,8 @@
         self.close_after = False  # no further request is wanted on this connection
         self.scope = trio.CancelScope()
         self.idle_since = trio.current_time()
-        self.expires = self.idle_since + limits.edge_idle  # watched by the listener's sweep
+        self.proven = False  # a whole request has come
+        self.expires = self.idle_since + limits.read_request  # watched by the listener's sweep
 
     @property
     def idle(self) -> bool:
@@ -105,9 +106,12 @@
                 was_idle = self.idle
                 self.h11.receive_data(await self.sock.recv(self.limits.receive_bytes))
                 if was_idle:  # Guards against a request that dribbles in: all of it has so long.
-                    self.expires = trio.current_time() + self.limits.read_request
+                    self.expires = min(self.expires, trio.current_time() + self.limits.read_request)
             elif type(event) is h11.Request:
                 head, body = event, bytearray()
+                if status := self._unwanted(event):
+                    await self._last_words(status)
+                    return
                 if self.h11.they_are_waiting_for_100_continue:
                     await send_all(self.sock, self.h11.send(
                         h11.InformationalResponse(status_code=100, headers=[])) or b"")
@@ -117,9 +121,9 @@
                     await self._last_words(413)
                     return
             elif type(event) is h11.EndOfMessage and head is not None:
-                await self._handle(Request(
-                    head.method.decode(), head.target.decode("latin-1"),
-                    {name.decode(): value.decode("latin-1") for name, value in head.headers}, bytes(body)))
+                self.proven = True
+                await self._handle(Request(head.method.decode(), head.target.decode("latin-1"),
+                                           header_table(head), bytes(body)))
             elif event is h11.PAUSED:
                 if self.h11.our_state is h11.MUST_CLOSE:
                     return
@@ -128,6 +132,16 @@
             elif type(event) is h11.ConnectionClosed:
                 return
 
+    def _unwanted(self, head: h11.Request) -> int:
+        """Return the status that a request's head earns already, 0 if its body may come."""
+        headers = dict(head.headers)
+        length = headers.get(b"content-length")
+        if length is not None and b"transfer-encoding" in headers:
+            return 400  # Guards against a request hidden in the body: the two say different ends.
+        if length is not None and int(length) > self.limits.body_bytes:
+            return 413  # Guards against megabytes read for nothing.
+        return 0
+
     async def _handle(self, request: Request) -> None:
         """Hand a request on; write its answer if it has come at once, else leave it to the writer."""
         self.expires = float("inf")
@@ -145,11 +159,13 @@
         if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.expires = trio.current_time() + self.limits.write_answer
             await self._send(Response(status), close=True)
-            # Guards against a reset that overtakes the answer: what still comes is read, for a moment.
+            # Guards against a reset that overtakes the answer: what still comes is read, for a moment,
+            # and not much of it: a client that sends at full speed would take the CPU from the others.
             self.sock.shutdown(trio.socket.SHUT_WR)
+            left = self.limits.linger_bytes
             with trio.move_on_after(self.limits.linger):
-                while await self.sock.recv(self.limits.receive_bytes):
-                    pass
+                while left > 0 and (data := await self.sock.recv(self.limits.receive_bytes)):
+                    left -= len(data)
 
     async def _write(self) -> None:
         """Write the answers that come later, until the connection ends."""
@@ -192,6 +208,15 @@
         await send_all(self.sock, data)
 
 
+def header_table(head: h11.Request) -> dict[str, str]:
+    """Return the headers by name; those that come more than once are joined, so none hides another."""
+    table: dict[str, str] = {}
+    for name, value in head.headers:
+        key, text = name.decode(), value.decode("latin-1")
+        table[key] = f"{table[key]}, {text}" if key in table else text
+    return table
+
+
 async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
     """Write all of it."""
     sent = await sock.send(data)
@@ -270,14 +295,16 @@
 
     def _make_room(self) -> bool:
         """Close the connection that has stood idle the longest; tell whether there was one."""
-        before = trio.current_time() - self.limits.evict_after
         idle = [connection for connection in self.connections
-                if connection.idle and connection.idle_since < before and not readable(connection.sock)]
-        if idle:
-            oldest = min(idle, key=lambda connection: connection.idle_since)
-            oldest.scope.cancel()
-            self.connections.discard(oldest)
-        return bool(idle)
+                if connection.idle and not readable(connection.sock)]
+        # Guards against silent clients that crowd out usual ones: those never heard go first, and where
+        # all of these have just come, none goes yet.
+        oldest = min(idle, key=lambda connection: (connection.proven, connection.idle_since), default=None)
+        if oldest is None or oldest.idle_since > trio.current_time() - self.limits.evict_after:
+            return False
+        oldest.scope.cancel()
+        self.connections.discard(oldest)
+        return True
 
     def close_idle(self) -> None:
         """Close idle connections and have the others close after their answer. Goes on accepting."""
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -20,10 +20,11 @@
     server_connections: int = 400
     server_tasks: int = 4000  # exchanges with real servers under way, refused ones and cancels included
     most_held: int = 300  # flows
-    linger: float = 0.3  # after an answer to what can't be read
-    sweep: float = 0.5  # between looks for connections that have expired
+    linger: float = 0.3  # after an answer to what can't be read,
+    linger_bytes: int = 256 * 1024  # and so much more is taken in
+    sweep: float = 0.25  # between looks for connections that have expired
     edge_idle: float = 75.0  # an edge connection that stands idle is closed
-    read_request: float = 10.0  # from a request's first byte to its last
+    read_request: float = 2.0  # from the accept, or a later request's first byte, to a request's last byte
     write_answer: float = 5.0
     dial: float = 0.12
     pool_idle: float = 8.0  # below the real servers' keep-alive
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
-
 import msgspec
 import trio
 
@@ -19,57 +17,64 @@
     """An answer with a status other than 200."""
 
 
-Answers = AsyncGenerator[tuple[str, words.Listing], None]
-
-
 class Discovery:
     """Watches the list while subscribed; a failed call ends the watch and is told as ``refused``."""
 
     def __init__(self, addr: str, version: int, inbox: trio.MemorySendChannel[ports.Message], limits: Limits,
                  counters: Counters, log: Log) -> None:
-        self.addr, self.version = addr, version
+        self.addr = addr
+        self.version: int | None = version  # the list's, as told last; None: the whole list is wanted
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
         self.asked = trio.Event()
+        self.watch = trio.CancelScope()
+        self.fails = 0
 
     def subscribe(self) -> None:
         """Begin to watch, or go on after a failure."""
         self.asked.set()
 
+    def move(self, addr: str) -> None:
+        """Watch at another address from now on. What is known of the list stays until that one answers."""
+        if addr != self.addr:
+            # Guards against versions that differ between the two: the first call asks for the whole list.
+            self.addr, self.version, self.fails = addr, None, 0
+            self.asked.set()
+            self.watch.cancel()
+
     async def run(self) -> None:
         """Watch for ever."""
-        fails = 0
         while True:
             await self.asked.wait()
             self.asked = trio.Event()
-            if fails:
-                await trio.sleep(min(self.limits.watch_backoff * 2 ** (fails - 1),
-                                     self.limits.watch_backoff_most))
-            try:
-                async for scope, listing in self._watch():
-                    fails = 0
-                    if listing.servers or scope == "all":
-                        await self.inbox.send(ports.EntriesChanged(scope, words.entries(listing)))
-            except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
-                fails = min(fails + 1, 8)
-                self.counters.add("watches_failed")
-                self.log.line(f"discovery: {type(error).__name__}: {error}")
-                await self.inbox.send(ports.EntriesChanged("refused"))
+            with trio.CancelScope() as self.watch:
+                if self.fails:
+                    await trio.sleep(min(self.limits.watch_backoff * 2 ** (self.fails - 1),
+                                         self.limits.watch_backoff_most))
+                try:
+                    await self._watch()
+                except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
+                    self.fails = min(self.fails + 1, 8)
+                    self.counters.add("watches_failed")
+                    self.log.line(f"discovery: {type(error).__name__}: {error}")
+                    await self.inbox.send(ports.EntriesChanged("refused"))
 
-    async def _watch(self) -> Answers:
-        """Yield what the watch tells, call after call on one connection."""
+    async def _watch(self) -> None:
+        """Tell what the watch tells, call after call on one connection."""
         connection = await ClientConnection.dial(self.addr, self.limits, self.limits.listing_bytes)
         try:
             wait_ms = int(self.limits.watch_wait * 1000)
             while True:
+                query = "" if self.version is None else f"?after={self.version}&wait_ms={wait_ms}"
                 with trio.fail_after(self.limits.watch_wait + self.limits.watch_slack):
-                    reply = await connection.exchange(
-                        "GET", f"/api/targets?after={self.version}&wait_ms={wait_ms}", [])
+                    reply = await connection.exchange("GET", f"/api/targets{query}", [])
                 if reply.status != 200:
                     raise Unexpected(f"status {reply.status}")
                 listing = words.read_listing(reply.body)
-                self.version = listing.version
+                self.version, self.fails = listing.version, 0
                 self.counters.add("watch_answers")
-                yield ("all" if listing.full else "changes"), listing
+                if listing.servers or listing.full:
+                    await self.inbox.send(ports.EntriesChanged("all" if listing.full else "changes",
+                                                               words.entries(listing)))
                 if not connection.reusable:
                     connection.close()
                     connection = await ClientConnection.dial(self.addr, self.limits,
--- a/merlinbay/platform/words.py
+++ b/merlinbay/platform/words.py
@@ -12,6 +12,8 @@
 
 STATES = {"SERVING": "up", "DRAINING": "draining", "DELETED": "removed"}
 NAME = re.compile(r"[A-Za-z0-9._~-]{1,64}")
+REPEAT_KEY = re.compile(r"[!-~]{0,255}")
+DIGITS = re.compile(r"[0-9]{1,7}")
 LOAD_NAMES = {"eps": "err_rps", "inflight": "active", "queue": "waiting", "util": "cpu", "qps": "rps",
               "latency_ms": "avg_ms"}
 
@@ -96,6 +98,11 @@
     name, path = headers.get("x-request-id", ""), target.partition("?")[0]
     if not NAME.fullmatch(name):  # it becomes part of a path
         raise BadRequest("x-request-id")
+    # Guards against a key that a real server cannot read: it would close the connection on it.
+    if not REPEAT_KEY.fullmatch(headers.get("idempotency-key", "")):
+        raise BadRequest("idempotency-key")
+    if not DIGITS.fullmatch(headers.get("x-timeout-ms", "")):
+        raise BadRequest("x-timeout-ms")
     try:
         extras = pairs(headers.get("x-attrs", ""))
         budget_ms = int(headers["x-timeout-ms"])
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -90,6 +90,59 @@
     play(scene)
 
 
+def test_sighup_moves_the_watch_and_keeps_all_else(tmp_path: Path) -> None:
+    """Twice, under a flow: the list comes from the new address at once; a broken file changes nothing."""
+    async def slow(server: StandIn, request: Request) -> Response | None:
+        async def work() -> None:
+            await server.tell(request.headers["x-request-id"], "started")
+            await trio.sleep(1.2)
+            await server.tell(request.headers["x-request-id"], "done", result="kept")
+
+        if request.method == "POST":
+            server.stage.nursery.start_soon(work)
+        return Response(202)
+
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1", slow)
+            await s.start(program=True)
+            assert s.process is not None
+            answers: list[bytes] = []
+
+            async def one() -> None:
+                answers.append((await s.admit("a1")).body)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one)
+                await trio.sleep(0.1)
+                for name in ("s-2", "s-3"):  # each move finds another list, at a lower version
+                    server = StandIn(s, name, serves)
+                    s.nursery.start_soon(server.listen)
+                    body = json.dumps({"version": 0, "full": True, "servers": [
+                        {**s.rows[0], "id": name, "addr": server.addr}]}).encode()
+
+                    async def listing(asked: StandIn, request: Request, body: bytes = body) -> Response:
+                        await trio.sleep(3 if "wait_ms" in request.target else 0)
+                        return Response(200, body)
+
+                    moved = StandIn(s, "discovery", listing)
+                    s.nursery.start_soon(moved.listen)
+                    s.write(moved.addr)
+                    s.process.send_signal(signal.SIGHUP)
+                    await trio.sleep(0.4)
+                    assert (await s.admit(f"b-{name}")).body == f"{name}:b-{name}".encode()
+                    (tmp_path / "config.json").write_text("{")
+                    s.process.send_signal(signal.SIGHUP)
+                    await trio.sleep(0.1)
+                    assert (await s.admit(f"c-{name}")).body == f"{name}:c-{name}".encode()
+            assert answers == [b"kept"]
+            s.process.send_signal(signal.SIGTERM)
+            s.process.send_signal(signal.SIGHUP)
+            assert await s.process.wait() == 0
+
+    play(scene)
+
+
 def test_the_program_outlives_a_lack_of_descriptors(tmp_path: Path) -> None:
     """With fewer descriptors than connections, it goes on accepting once some are closed."""
     async def scene() -> None:
