Leave a worker out only after the third reset in a row

A trace of each broken exchange (pool) showed five resets a second and node, 0.3 ms after the write, on connections idle for 0.02 to 1 s alike, spread over all servers: the network breaks kept connections. Lines at fault: rules.Balancer._judge left a worker out for a second at its first reset, so most were out at any time. Ruled out: the keep-alive (idle times don't matter), dead servers (the next request serves), CPU (0.34 of 0.85). Now: LET_PASS says how many failures in a row tell nothing yet: one error, two resets. Conclusion: what the node believes of health follows the workers, not the connections.

--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -39,6 +39,7 @@
 SILENT_US = 1_500_000  # a worker not heard for so long after a send is taken to hang
 BENCH_US = 1_000_000  # how long a failing worker is left out; doubles with each failure in a row,
 BENCH_DOUBLINGS = 3  # so often at the most: none is shut out for good
+LET_PASS = {api.Outcome.ERROR: 1, api.Outcome.RESET: 2}  # failures in a row that tell nothing yet of a worker
 MOST_SUMMED = 10_000  # beyond so many waiting jobs the threshold's fraction decides nothing
 KEYS_KEPT = 4096  # keys whose preferred workers are remembered, to save hashing the zone anew
 
@@ -407,12 +408,14 @@
         elif outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT) and (
                 outcome != api.Outcome.TIMEOUT or worker.heard_at <= attempt.at):
             # Guards against a worker that fails at once and so looks free: each failure in a row leaves
-            # it out for longer. A single error, or a time-out on a worker that works, is let pass.
+            # it out for longer. A single error, or a time-out on a worker that works, is let pass. So are
+            # two resets: a network that breaks connections says nothing of the workers behind it.
             worker.fails += 1
-            if worker.fails > 1 or outcome != api.Outcome.ERROR:
+            if worker.fails > LET_PASS.get(api.Outcome(outcome), 0):
                 worker.bench_until = self.now + (BENCH_US << min(worker.fails - 1, BENCH_DOUBLINGS))
-            if worker.fails == 2:
-                self.out.append(api.Note(f"left out {worker.name}: outcome {int(outcome)} twice in a row"))
+                if worker.fails in (2, 3):
+                    self.out.append(api.Note(
+                        f"left out {worker.name}: outcome {int(outcome)}, {worker.fails} failures in a row"))
         self._report(event)
 
     def _report(self, event: api.AttemptEnded | api.ProbeEnded) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -71,6 +71,26 @@
     assert check.broken == []
 
 
+def test_connections_that_break_now_and_then_leave_no_worker_out() -> None:
+    """Two resets in a row tell of the network; each worker goes on getting its share of the jobs."""
+    check = fleet()
+    serve(check, range(20))
+    for number in range(100, 160):
+        worker = offer(check, number)
+        check.pass_time(5_000)
+        end(check, number, 6 if number % 3 else 1, report=[1, 3])
+        assert not check.jobs[number].over or number % 3 == 0
+        for i, sent in enumerate(check.jobs[number].attempts):
+            if not sent.outcome:
+                end(check, number, 1, i, report=[1, 3])
+        assert worker
+    now = check.now
+    assert isinstance(check.balancer, Balancer)
+    assert all(worker.bench_until <= now for worker in check.balancer.workers.values())
+    check.finish()
+    assert check.broken == []
+
+
 def test_hung_worker_gets_nothing_new_and_comes_back() -> None:
     """A worker that takes jobs and answers none is left out; it is tried again after its time-outs."""
     check = fleet(balancers=1)
