Learn each worker's pace: slow ones come last, and what runs long there gets a copy

Lines at fault: rules.Balancer knew a pace by kind only, so a slowed machine looked as good as any with free slots, and a job that had started was never looked at again, though the class allows a copy in its cell. Now: a worker's run times over its kind's mean are smoothed, a job that runs on counts before it ends; from 1.9 on the worker comes after all others, and a job there gets a copy after one mean run, where a quick worker has room. The start of that copy no longer cancels a job that runs.

--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -42,6 +42,8 @@
     others_at: int = -1  # and when that was
     free_memory: float = math.inf  # as a report told it last,
     memory_at: int = 0  # and when that was
+    pace: float = 1.0  # its smoothed run time over its kind's, by its jobs,
+    paced_at: int = 0  # and when the last of these told it
     fails: int = 0
     bench_until: int = 0
     asked_at: int = 0  # the first send since it was last heard
@@ -71,6 +73,7 @@
     at: int
     room: bool = False  # there seemed to be room
     started: int = 0
+    look_at: int = 0  # once it has started: when to see whether it still runs
     open: bool = True
 
 
@@ -225,6 +228,7 @@
             if entry.ready_at_us > worker.ready_at:
                 worker.ready_at = entry.ready_at_us
                 worker.fails, worker.bench_until, worker.asked_at, worker.cold_next = 0, 0, 0, 0
+                worker.pace = 1.0
                 started.append(worker)
         self.workers = {w.name: w for w in self.workers.values() if w.state != "removed" or w.held > 0}
         self.reindex()
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -26,6 +26,11 @@
 FEW = 20  # jobs that the mean of our outstanding rests on: with fewer, one job would shut gates
 RUN_WEIGHT = 0.03  # weight of one run time or start delay: some tens of jobs against long tails
 CAUTION = 0.65  # share of the spread (square root, less for a few) of an unseen count that counts as held
+PACE_WEIGHT = 0.15  # weight of one job in its worker's pace: a few jobs tell a slowed machine
+PACE_TAU_US = 20_000_000  # and how long that lasts without news, for one that is passed over gets no jobs
+SLOW = 1.9  # a worker of this pace and more comes after all others, and its jobs get a second copy
+LATE_RUN = 1.0  # share of a mean run time that a job may run there before the copy goes out,
+LONG_RUN = 2.5  # and elsewhere before it tells of its worker's pace
 TRUST_STEP = 0.05  # weight of one answer in the share of workers with room that do take a job
 REPORT_TRUST = 0.5  # weight of a load report against the estimate it meets: reports are old and noisy
 MEMORY_RUNS = 1.0  # mean run times for which a told free memory counts: by then other jobs hold it
@@ -136,6 +141,18 @@
         spread = others * math.sqrt((1 - self._fade(worker)) / (1 + others))
         return slots - worker.held - others - CAUTION * spread
 
+    def _pace(self, worker: Worker) -> float:
+        """Return the worker's run time over its kind's, as its jobs told it lately."""
+        return 1 + (worker.pace - 1) * math.exp((worker.paced_at - self.now) / PACE_TAU_US)
+
+    def _learn_pace(self, worker: Worker, ratio: float, least: bool = False) -> None:
+        """Learn a worker's pace from a run time over its kind's mean, or from the least that it will be."""
+        # Guards against machines that slow down: they look no fuller than others for a while, yet what
+        # is sent there is late. A job that runs on is known to be long before it ends.
+        pace = self._pace(worker)
+        if ratio > pace or not least:
+            worker.pace, worker.paced_at = pace + (min(ratio, 10.0) - pace) * PACE_WEIGHT, self.now
+
     def _learn_slots(self, worker: Worker, late: bool) -> None:
         """Learn a kind's slots where no report tells them: from what we see running, and starting late."""
         # Guards against a small share: where schedulers are many, ours alone never fill a worker. So the
@@ -207,11 +224,12 @@
     def _pick(self, job: Job, room_only: bool = False) -> Worker | None:
         """Choose a worker with room for the job's slots, else one under its gate; nearer ones first."""
         gates: dict[int, float] = {}
-        best, best_free = None, -math.inf
+        best, best_free, best_slow = None, -math.inf, True
         for batch in [job.asked] if job.asked or job.awaited else self._batches(job):
             for worker in batch:
-                free = self._free(worker)
-                if free <= best_free or not self._may(worker, job) or self._lacks_memory(worker, job):
+                free, slow = self._free(worker), self._pace(worker) >= SLOW
+                if (slow, -free) >= (best_slow, -best_free) or not self._may(worker, job) or (
+                        self._lacks_memory(worker, job)):
                     continue
                 if free < job.slots:
                     if room_only:
@@ -220,7 +238,7 @@
                         gates[id(worker.kind)] = self._gate(worker.kind, job)
                     if -free >= gates[id(worker.kind)]:
                         continue
-                best, best_free = worker, free
+                best, best_free, best_slow = worker, free, slow
             if best is not None and (best_free >= job.slots or job.key):
                 return best
         return best
@@ -313,7 +331,11 @@
                 waiting.awaited = 0
                 self._settle(waiting)
             job, attempt = self.find(waiting.id, number)
-            if job is None or attempt is None or job.done or job.pending > 1 or attempt.started:
+            if job is None or attempt is None or job.done or job.pending > 1:
+                continue
+            if attempt.started:
+                if self.now >= attempt.look_at:  # else it is the watch for its start
+                    self._runs_long(job, attempt, number)
                 continue
             # Guards against a stalled worker or a stale view: the job has not started, so its worker was
             # full. A copy goes only where there is room, and whichever starts first keeps the job.
@@ -329,6 +351,25 @@
                 self._watch(job, number, job.patience)
         self.out += [api.SetTimer(us, "watch") for us in self.remind_next()]
 
+    def _look(self, job: Job, attempt: Attempt, number: int, runs: float) -> None:
+        """See after so many mean run times whether the attempt still runs."""
+        wait = int(max(job.cls.run * attempt.worker.kind.pace * runs, 1000.0))
+        attempt.look_at = self.now + wait
+        self._watch(job, number, wait)
+
+    def _runs_long(self, job: Job, attempt: Attempt, number: int) -> None:
+        """Learn from a job that runs on; where its worker is slow, send a copy to one that has room."""
+        elapsed, mean = self.now - attempt.started, job.cls.run * attempt.worker.kind.pace
+        self._learn_pace(attempt.worker, elapsed / mean, least=True)
+        if self._pace(attempt.worker) < SLOW:
+            self._look(job, attempt, number, LATE_RUN)
+            return
+        job.maybe = job.maybe or (attempt if job.cls.spec.effect == "by_key" else None)
+        if job.cls.spec.effect != "once" and self._repeatable(job):
+            target = self._pick(job, room_only=True)
+            if target is not None and self._pace(target) < SLOW:
+                self._place(job, target)
+
     def _repeatable(self, job: Job) -> bool:
         """Tell whether a further attempt keeps the rules of the job's class now."""
         spec, first = job.cls.spec, job.maybe
@@ -351,11 +392,14 @@
             self._learn_slots(worker, self.now - attempt.at > PROMPT * self.mean_run)
         self.own_running += job.slots
         self._cancel(job, attempt)
+        if self.limits.second_copies and job.pending == 1 and not job.done:
+            self._look(job, attempt, event.attempt, LATE_RUN if self._pace(worker) >= SLOW else LONG_RUN)
 
     def _cancel(self, job: Job, keep: Attempt | None) -> None:
+        """Cancel the job's other attempts; but one that runs goes on until the first has ended."""
         if self.limits.cancelling and job.pending > (keep is not None and keep.open):
             self.out += [api.Cancel(job.id, number) for number, other in enumerate(job.attempts)
-                         if other.open and other is not keep]
+                         if other.open and other is not keep and not (keep and other.started)]
 
     def _ended(self, event: api.AttemptEnded) -> None:
         job, attempt = self.find(event.id, event.attempt)
@@ -398,6 +442,8 @@
             cls.run += (run - cls.run) * max(RUN_WEIGHT, 1 / cls.seen)
             kind, ratio = worker.kind, min(max(run / cls.run, 0.1), 10.0)
             kind.pace += (ratio - kind.pace) * RUN_WEIGHT / 3 * (attempt.room or attempt.started > 0)
+            if attempt.started:
+                self._learn_pace(worker, ratio / kind.pace)
             if not attempt.room and not attempt.started:  # the longer it took, the more of the count is queue
                 kind.queued += (max(0.0, 1 - kind.pace / ratio) - kind.queued) * RUN_WEIGHT
         elif outcome == api.Outcome.FULL:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -71,6 +71,43 @@
     assert check.broken == []
 
 
+def run_fleet(check: Checker, numbers: range, slow: str, times: float) -> list[str]:
+    """Offer a job every 10 ms; each runs for 50 ms, on one worker longer. Return where their first went."""
+    due: dict[tuple[int, int], int] = {}
+    where, offers = [], iter(numbers)
+    while (number := next(offers, None)) is not None or due:
+        if number is not None:
+            where.append(offer(check, number))
+        for one, job in check.jobs.items():
+            for copy, sent in enumerate(job.attempts):  # each starts at once
+                if one in numbers and not sent.outcome and (one, copy) not in due:
+                    check.give(api.JobStarted(one, copy))
+                    due[one, copy] = check.now + int(50_000 * (times if sent.worker == slow else 1))
+        check.pass_time(10_000)
+        for (one, copy), at in list(due.items()):
+            if check.jobs[one].attempts[copy].outcome:  # cancelled
+                del due[one, copy]
+            elif at <= check.now:
+                del due[one, copy]
+                end(check, one, 1, copy, report=[1, 3])
+    return where
+
+
+def test_a_machine_that_slows_down_gets_few_jobs_and_comes_back() -> None:
+    """Its pace is learned from its jobs, they get copies elsewhere, and it is tried again after a while."""
+    check = fleet(kinds=["k"], balancers=1)
+    before = run_fleet(check, range(100, 200), "w2", 1)
+    during = run_fleet(check, range(200, 500), "w2", 6)
+    assert before.count("w2") >= 8
+    assert during.count("w2") <= 15  # at its old share it would be 50 and more
+    copied = [job for job in check.jobs.values() if len(job.attempts) > 1]
+    assert copied and all(job.attempts[0].worker == "w2" for job in copied)
+    check.pass_time(40_000_000)
+    assert run_fleet(check, range(500, 700), "w2", 1).count("w2") >= 10
+    check.finish()
+    assert check.broken == []
+
+
 def test_connections_that_break_now_and_then_leave_no_worker_out() -> None:
     """Two resets in a row tell of the network; each worker goes on getting its share of the jobs."""
     check = fleet()
