--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -23,7 +23,7 @@
 ASK_US = 150_000  # answers to probes are waited for no longer: one may get lost
 AFFINE = 2  # workers over all zones that a key prefers after its first in the own zone
 RATE_TAU_US = 2_000_000  # memory of the offered load: longer than a stall, shorter than a burst
-FEW = 20  # jobs that the mean of our outstanding rests on: with fewer, one job would shut gates
+FEW = 20  # jobs that a mean rests on: with fewer, one job would shut gates, or make its worker look slow
 RUN_WEIGHT = 0.03  # weight of one run time or start delay: some tens of jobs against long tails
 CAUTION = 0.65  # share of the spread (square root, less for a few) of an unseen count that counts as held
 PACE_WEIGHT = 0.15  # weight of one job in its worker's pace: a few jobs tell a slowed machine
@@ -360,7 +360,8 @@
     def _runs_long(self, job: Job, attempt: Attempt, number: int) -> None:
         """Learn from a job that runs on; where its worker is slow, send a copy to one that has room."""
         elapsed, mean = self.now - attempt.started, job.cls.run * attempt.worker.kind.pace
-        self._learn_pace(attempt.worker, elapsed / mean, least=True)
+        if job.cls.seen >= FEW:  # before, no run time is known to be long
+            self._learn_pace(attempt.worker, elapsed / mean, least=True)
         if self._pace(attempt.worker) < SLOW:
             self._look(job, attempt, number, LATE_RUN)
             return
@@ -442,7 +443,7 @@
             cls.run += (run - cls.run) * max(RUN_WEIGHT, 1 / cls.seen)
             kind, ratio = worker.kind, min(max(run / cls.run, 0.1), 10.0)
             kind.pace += (ratio - kind.pace) * RUN_WEIGHT / 3 * (attempt.room or attempt.started > 0)
-            if attempt.started:
+            if attempt.started and cls.seen >= FEW:
                 self._learn_pace(worker, ratio / kind.pace)
             if not attempt.room and not attempt.started:  # the longer it took, the more of the count is queue
                 kind.queued += (max(0.0, 1 - kind.pace / ratio) - kind.queued) * RUN_WEIGHT
