Send clients to the other nodes before a leaving one refuses

Lines at fault: __main__.stop refused from 3.1 s on whoever was connected. Now: where other balancers serve, idle kept connections end half a second earlier and answers end theirs, so that clients go there unrefused; what still comes is served until 3.1 s.

--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -20,7 +20,6 @@
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.routes import Routes
 from merlinbay.http.server import Handler, Listener
-from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.platform import words
 from merlinbay.platform.discovery import Discovery
@@ -87,13 +86,15 @@
                   log: Log) -> None:
     """SIGHUP reads the configuration again, SIGUSR1 prints the counters, SIGTERM and SIGINT end the node."""
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
+        stopping = False
         async for number in received:
             if number == signal.SIGUSR1:
                 counters.print()
             elif number == signal.SIGHUP:
                 follow(config, discovery, counters, log)
-            elif not listener.closing:
-                nursery.start_soon(stop, listener, inbox, nursery, config.limits)
+            elif not stopping:
+                stopping = True
+                nursery.start_soon(stop, config, listener, inbox, nursery)
 
 
 def follow(config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log) -> None:
@@ -112,17 +113,22 @@
     log.line(f"configuration read again; discovery at {new.discovery}")
 
 
-async def stop(listener: Listener, inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery,
-               limits: Limits) -> None:
+async def stop(config: Config, listener: Listener, inbox: trio.MemorySendChannel[Message],
+               nursery: trio.Nursery) -> None:
     """Serve on for a moment, then end in good order."""
-    nursery.cancel_scope.deadline = min(nursery.cancel_scope.deadline,
-                                        trio.current_time() + limits.stop_most)
+    limits = config.limits
+    began = trio.current_time()
+    nursery.cancel_scope.deadline = began + limits.stop_most
     await trio.sleep(limits.stop_arrivals)
     listener.leaving = True
-    await trio.sleep(limits.stop_serving - limits.stop_arrivals)
-    if not listener.closing:
+    if config.settings.balancers > 1:
+        # Guards against refusing clients that another node could serve: their connections end unrefused,
+        # and they open new ones, which lead there.
+        await trio.sleep_until(began + limits.stop_serving - limits.stop_retiring)
         listener.close_idle()
-        await inbox.send(Stopping())
+    await trio.sleep_until(began + limits.stop_serving)
+    listener.close_idle()
+    await inbox.send(Stopping())
 
 
 def main() -> int:
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -42,6 +42,7 @@
     late_answer: float = 1.0  # a 202 is waited for so long after the flow's deadline
     stop_serving: float = 3.1  # after SIGTERM, go on as before for so long: clients keep their connections
     stop_arrivals: float = 0.3  # after which no new connection is expected any more
+    stop_retiring: float = 0.5  # where others serve, clients are sent there so long before jobs are refused
     spare_connections: int = 3  # and so many of the kept ones stay free, where no other balancer serves
     stop_answers_us: int = 400_000  # and then have the flows under way end within so long
     stop_tail: float = 0.1  # refuse for so long after the last answer, for what crossed the closing
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -130,6 +130,28 @@
     play(scene)
 
 
+def test_a_node_that_leaves_others_sends_its_clients_there(tmp_path: Path) -> None:
+    """Before jobs are refused, idle connections end and answers end theirs; what still comes is served."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1")
+            await s.start(program=True, balancers=2)
+            assert s.process is not None
+            kept = [await ClientConnection.dial(f"127.0.0.2:{s.port}", LIMITS) for _ in range(2)]
+            for number, connection in enumerate(kept):
+                reply = await connection.exchange("POST", "/admit", admission(f"a{number}"), b"x")
+                assert reply.status == 200
+            s.process.send_signal(signal.SIGTERM)
+            await trio.sleep(2.4)
+            assert kept[0].usable() and kept[1].usable()
+            await trio.sleep(0.4)
+            assert not kept[0].usable() and not kept[1].usable()
+            reply = await s.admit("b1")
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+
+    play(scene)
+
+
 def test_sighup_moves_the_watch_and_keeps_all_else(tmp_path: Path) -> None:
     """Twice, under a flow: the list comes from the new address at once; a broken file changes nothing."""
     async def slow(server: StandIn, request: Request) -> Response | None:
