--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -15,7 +16,7 @@
 
 from merlinbay.http.client import ClientConnection
 from merlinbay.http.server import Request, Response
-from tests.net import LIMITS, LOAD, ROOT, StandIn, admission, play, serves, stage
+from tests.net import LIMITS, LOAD, ROOT, Play, StandIn, admission, play, serves, stage
 from tests.test_drmaa import schedules, submit
 
 BAD = {"missing": None, "not_json": "{", "no_settings": "{}",
@@ -54,22 +55,27 @@
     play(scene)
 
 
-def test_sigterm_serves_on_then_answers_all_and_exits_0(tmp_path: Path) -> None:
-    """Kept connections serve until shortly before SIGKILL, 3.7 s on; what is left then fails in time."""
-    async def slow(server: StandIn, request: Request) -> Response | None:
+def runs(seconds: Callable[[str], float]) -> Play:
+    """Return the play of a server whose jobs run so long, by their id; 0 is for ever."""
+    async def play(server: StandIn, request: Request) -> Response | None:
         async def work(job: str) -> None:
             await server.tell(job, "started")
-            await trio.sleep(0.4)
-            if job != "stuck":
-                await server.tell(job, "done", result="late", load=LOAD)
+            await trio.sleep(seconds(job))
+            if seconds(job):
+                await server.tell(job, "done", result="x", load=LOAD)
 
         if request.method == "POST":
             server.stage.nursery.start_soon(work, request.headers["x-request-id"])
         return Response(202)
 
+    return play
+
+
+def test_sigterm_serves_on_then_answers_all_and_exits_0(tmp_path: Path) -> None:
+    """Kept connections serve until shortly before SIGKILL, 3.7 s on; what is left then fails in time."""
     async def scene() -> None:
         async with stage(tmp_path) as s:
-            s.add("s-1", slow)
+            s.add("s-1", runs(lambda job: 0 if job == "stuck" else 0.4))
             await s.start(program=True)
             assert s.process is not None
             answers: dict[str, tuple[int, bytes]] = {}
@@ -85,7 +91,7 @@
                     for job, after in {"a1": 0, "a2": 1.5, "a3": 2.5, "stuck": 2.6, "new": 3.3}.items():
                         nursery.start_soon(one, job, after)
                 assert await s.process.wait() == 0
-            assert answers == {"a1": (200, b"late"), "a2": (200, b"late"), "a3": (200, b"late"),
+            assert answers == {"a1": (200, b"x"), "a2": (200, b"x"), "a3": (200, b"x"),
                                "stuck": (500, b"failed\n"), "new": (503, b"refused\n")}
 
     play(scene)
@@ -93,20 +99,10 @@
 
 def test_a_node_that_leaves_keeps_connections_free(tmp_path: Path) -> None:
     """Of six kept connections three may be busy after SIGTERM; on a fourth, a job is refused at once."""
-    async def slow(server: StandIn, request: Request) -> Response | None:
-        async def work(job: str) -> None:
-            await server.tell(job, "started")
-            await trio.sleep(0.05 if job.startswith("first") else 0.8)
-            await server.tell(job, "done", result="x", load=LOAD)
-
-        if request.method == "POST":
-            server.stage.nursery.start_soon(work, request.headers["x-request-id"])
-        return Response(202)
-
     async def scene() -> None:
         async with stage(tmp_path) as s:
             for name in ("s-1", "s-2"):
-                s.add(name, slow)
+                s.add(name, runs(lambda job: 0.05 if job.startswith("first") else 0.8))
             await s.start(program=True)
             assert s.process is not None
             kept = [await ClientConnection.dial(f"127.0.0.2:{s.port}", LIMITS) for _ in range(6)]
@@ -154,19 +150,9 @@
 
 def test_sighup_moves_the_watch_and_keeps_all_else(tmp_path: Path) -> None:
     """Twice, under a flow: the list comes from the new address at once; a broken file changes nothing."""
-    async def slow(server: StandIn, request: Request) -> Response | None:
-        async def work() -> None:
-            await server.tell(request.headers["x-request-id"], "started")
-            await trio.sleep(1.2)
-            await server.tell(request.headers["x-request-id"], "done", result="kept")
-
-        if request.method == "POST":
-            server.stage.nursery.start_soon(work)
-        return Response(202)
-
     async def scene() -> None:
         async with stage(tmp_path) as s:
-            s.add("s-1", slow)
+            s.add("s-1", runs(lambda job: 1.2))
             await s.start(program=True)
             assert s.process is not None
             answers: list[bytes] = []
@@ -198,7 +184,7 @@
                     s.process.send_signal(signal.SIGHUP)
                     await trio.sleep(0.1)
                     assert (await s.admit(f"c-{name}")).body == f"{name}:c-{name}".encode()
-            assert answers == [b"kept"]
+            assert answers == [b"x"]
             s.process.send_signal(signal.SIGTERM)
             s.process.send_signal(signal.SIGHUP)
             with trio.fail_after(4):
