--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -15,10 +15,7 @@
 from merlinbay.core.ports import EntriesChanged, Message, ServerSide, Stopping
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
-from merlinbay.drmaa.front import DrmaaFront
-from merlinbay.drmaa.servers import DrmaaServers, NotificationHandler
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.routes import Routes
 from merlinbay.http.server import Handler, Listener
 from merlinbay.log import Log
 from merlinbay.platform import words
@@ -28,24 +25,23 @@
 
 if TYPE_CHECKING:
     from merlinbay.dnssd.directory import DnsSdDirectory
+    from merlinbay.drmaa.wiring import DrmaaParts
 
 
 async def run(config: Config, counters: Counters) -> None:
     """Run one node until it is told to stop and its last flow is answered."""
-    limits, log, clock = config.limits, Log(config.limits.log_lines), Clock()
+    limits, clock, operator = config.limits, Clock(), config.operator
+    log = log_for(config)
     send: trio.MemorySendChannel[Message]
     send, receive = trio.open_memory_channel[Message](limits.inbox)
-    drmaa, dnssd = config.operator.drmaa, config.operator.dnssd
     edge = PlatformEdge(send, clock, limits, counters, {spec.name for spec in config.settings.classes})
     handler: Handler = edge
-    if drmaa.front or drmaa.servers:
-        routes: list[tuple[str, Handler]] = []
-        if drmaa.front:
-            routes.append(("/drmaa2/jobs", DrmaaFront(send, clock, limits, counters,
-                                                      config.settings.classes)))
-        if drmaa.servers:
-            routes.append(("/drmaa2/notifications", NotificationHandler(send, counters)))
-        handler = Routes([*routes, ("/", handler)])
+    parts: DrmaaParts | None = None
+    if operator is not None:
+        # Guards against a slow start: without an operator's file, nothing of this is waited for.
+        from merlinbay.drmaa.wiring import DrmaaParts
+        parts = DrmaaParts(operator.drmaa, config, send, clock, counters, log)
+        handler = parts.routes(handler)
     listener = Listener(handler, limits, counters, log)
     if config.settings.balancers == 1:  # else clients find another node by a new connection
         edge.scarce = listener.scarce
@@ -54,19 +50,16 @@
     except OSError as error:
         raise BadConfig(f"cannot listen at {config.listen[0]}:{config.listen[1]}: {error.strerror}") from None
     discovery: Discovery | DnsSdDirectory
-    if dnssd is None:
+    if operator is None or operator.dnssd is None:
         discovery = Discovery(config.discovery, config.known.version, send, limits, counters, log)
     else:
-        # Guards against a slow start: without these records, their library is not waited for.
         from merlinbay.dnssd.directory import DnsSdDirectory
-        discovery = DnsSdDirectory(address(dnssd.nameserver), dnssd.service, send, limits, counters, log)
+        discovery = DnsSdDirectory(address(operator.dnssd.nameserver), operator.dnssd.service, send, limits,
+                                   counters, log)
     async with trio.open_nursery() as nursery:
         pool = ConnectionPool(limits, counters)
-        servers: ServerSide
-        if drmaa.servers:
-            notify = f"http://{config.listen[0]}:{config.listen[1]}/drmaa2/notifications"
-            servers = DrmaaServers(nursery, pool, send, clock, limits, counters, log, notify)
-        else:
+        servers: ServerSide | None = parts.start(nursery, pool) if parts is not None else None
+        if servers is None:
             servers = PlatformServers(nursery, pool, send, clock, limits, counters, log,
                                       bool(config.settings.report_fields))
         balancer = Balancer(config.settings, config.seed, clock.now_us())
@@ -81,6 +74,15 @@
         nursery.cancel_scope.cancel()
 
 
+def log_for(config: Config) -> Log:
+    """Return the log that the operator's file asks for."""
+    section = config.operator.log if config.operator is not None else None
+    if section is None or section.format == "plain":
+        return Log(config.limits.log_lines)
+    from merlinbay.events import EventLog
+    return EventLog(section.lines, section.format, section.level, config.name)
+
+
 async def signals(config: Config, listener: Listener, discovery: Discovery | DnsSdDirectory,
                   inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery, counters: Counters,
                   log: Log) -> None:
@@ -107,7 +109,7 @@
         return
     if isinstance(discovery, Discovery):
         discovery.move(new.discovery)
-    elif new.operator.dnssd is not None:
+    elif new.operator is not None and new.operator.dnssd is not None:
         discovery.move(address(new.operator.dnssd.nameserver), new.operator.dnssd.service)
     counters.add("reloads")
     log.line(f"configuration read again; discovery at {new.discovery}")
--- /dev/null
+++ b/merlinbay/batch/jobs.py
@@ -0,0 +1,156 @@
+"""What is kept of sessions, jobs and waits. Times are microseconds of Unix time; 0 is none."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from merlinbay.batch.quota import Allowance, Quota
+from merlinbay.batch.shares import Branch, Lane
+from merlinbay.batch.states import ENDED, State
+from merlinbay.batch.timers import Timer
+
+if TYPE_CHECKING:
+    from merlinbay.batch.arrays import JobArray
+
+
+class Stage(Enum):
+    """Where a job is in the front. The client sees its state; this decides what may be done with it."""
+
+    PARKED = "parked"  # held, not yet due, or a member of an array that waits for its turn
+    WAITING = "waiting"  # in its account's lane
+    OFFERED = "offered"  # with the core, undecided
+    PLACED = "placed"  # with a real server
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class Backlog:
+    """A session's opt-in: what it cannot place at once, it keeps and offers again."""
+
+    share: float = 1.0  # of the servers, against the other sessions
+    wait_most_us: int = 86_400_000_000  # a job that has been due for so long is given up
+    priority_us: int = 60_000_000  # a step of priority is worth so much waiting
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """What the front has read off a template."""
+
+    template: object  # passes on unchanged; nothing here looks into it
+    job_class: str
+    slots: float = 1.0
+    size: int = 0  # bytes of the template
+    account: str = ""
+    priority: int = 0
+    held: bool = False
+    start_us: int = 0  # not to be offered before
+    deadline_us: int = 0  # not to run after
+    fits: Hashable = ()  # what else decides where it fits: memory, machines
+
+    @property
+    def shape(self) -> Hashable:
+        """Return what decides where it fits."""
+        return self.job_class, self.slots, self.fits
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """A job session."""
+
+    name: str
+    quota: Quota
+    contact: str = ""
+    backlog: Backlog | None = None
+    branch: Branch | None = None  # its place among the sessions, with a backlog,
+    lanes: dict[str, Lane] = field(default_factory=dict)  # and those of its accounts below it
+    jobs: dict[str, Job] = field(default_factory=dict)
+    arrays: dict[str, JobArray] = field(default_factory=dict)
+    is_open: bool = True
+    destroyed: bool = False
+
+    @property
+    def allowance(self) -> Allowance:
+        """Return what the session may have."""
+        return self.quota.allowance
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A batch job, from its submission until its record is reaped or dropped."""
+
+    id: str
+    session: Session
+    what: Submission
+    order: int
+    rank: int  # see ``shares``
+    submitted_us: int
+    state: State = State.QUEUED
+    stage: Stage = Stage.PARKED
+    array: JobArray | None = None
+    index: int = 0  # in its array
+    offer: int = 0  # how often it was offered to the core: tells apart what comes back
+    server: str = ""  # where it was placed last,
+    servers: tuple[str, ...] = ()  # and everywhere that it was, in order
+    started_us: int = 0  # the first start
+    running_us: int = 0  # the last start,
+    booked: float = 0.0  # and the work that was booked for it when it was offered
+    finished_us: int = 0
+    ran: bool = False  # it may have had an effect
+    output: bytes = b""
+    exit_status: int | None = None
+    signal: str = ""
+    cpu_us: int = 0
+    exception: str = ""
+    annotation: str = ""
+    retry_after_us: int = 0
+    submit_call: object = None  # the runJob call that waits for its placement, without a backlog
+    hold_calls: list[object] | None = None  # hold calls that wait for the placement to be settled
+    control: tuple[str, object] | None = None  # suspend or resume under way, and its call
+    waits: dict[Wait, None] | None = None  # in the order in which they came
+    timer: Timer | None = None
+
+    @property
+    def job_class(self) -> str:
+        """Return its class."""
+        return self.what.job_class
+
+    @property
+    def shape(self) -> Hashable:
+        """Return what decides where it fits."""
+        return self.what.shape
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether its state is final."""
+        return self.state in ENDED
+
+    @property
+    def substate(self) -> str:
+        """Return what the state leaves open, in words."""
+        if self.stage is Stage.ENDED:
+            return ""
+        if self.hold_calls:
+            return "a hold is under way"
+        if self.control is not None:
+            return f"a {self.control[0]} is under way"
+        if self.stage is Stage.PLACED:
+            return f"at {self.server}"
+        if self.state in (State.QUEUED_HELD, State.REQUEUED_HELD):
+            return "held in the front"
+        if self.stage is Stage.PARKED:
+            return "waits for its turn in its array" if self.array is not None else (
+                "not before its start time")
+        return "offered" if self.stage is Stage.OFFERED else "waits in the backlog"
+
+
+@dataclass(slots=True, eq=False)
+class Wait:
+    """A call that waits until one of several jobs has started, or has ended."""
+
+    call: object
+    jobs: list[Job]
+    started: bool  # a start is enough
+    timer: Timer | None = None
--- /dev/null
+++ b/merlinbay/batch/turns.py
@@ -0,0 +1,278 @@
+"""The backlog: which job is offered to the core next, when one is given up, and how each ends."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Hashable
+
+from merlinbay.batch.arrays import JobArray
+from merlinbay.batch.book import Book, Effect, Offer
+from merlinbay.batch.errors import DrmaaError, invalid_state
+from merlinbay.batch.jobs import Job, Session, Stage, Submission
+from merlinbay.batch.shares import Lane
+from merlinbay.batch.states import HELD, Event, State
+
+
+class Turns(Book):
+    """Jobs on their way from their submission to the core, and from there to their end."""
+
+    waiting: Counter[Hashable]  # in lanes, by shape
+    ends: Counter[State]  # how jobs ended
+    look_us = 0  # when the backlog is looked at next, though nothing else happens
+
+    def take(self, now_us: int) -> list[Effect]:
+        """Offer what may be offered now; return the effects so far, and forget them."""
+        self._offer(now_us)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def tick(self, now_us: int) -> None:
+        """Do what is due."""
+        self.timers.run(now_us)
+        self._expire(now_us)
+
+    def next_us(self) -> int | None:
+        """Return when ``tick`` has something to do; None: never, as it stands."""
+        due = self.timers.next_us()
+        if self.kept:
+            until = next(iter(self.kept.values()))
+            due = until if due is None else min(due, until)
+        return due
+
+    # The lanes.
+
+    def _queue(self, job: Job, now_us: int) -> None:
+        """Let a job wait in its account's lane, once it may."""
+        if self._is_late(job, now_us):
+            self._late(job, now_us)
+            return
+        job.stage = Stage.PARKED
+        if job.what.start_us > now_us:
+            self._arm(job, job.what.start_us)
+            return
+        self._arm(job)
+        job.stage = Stage.WAITING
+        self.pace.know(job.shape, job.job_class, now_us)
+        self._lane(job).add(job)
+        self.waiting[job.shape] += 1
+        if job.array is not None:
+            job.array.queued += 1
+
+    def _ready(self, job: Job, now_us: int) -> None:
+        """Let a job wait in its lane, or for its turn in its array before that."""
+        if job.array is None:
+            self._queue(job, now_us)
+            return
+        # Guards against members beyond maxParallel: none enters the lane but by its array's count.
+        self._arm(job)
+        job.array.back[job] = None
+        self._feed(job.array, now_us)
+
+    def _unqueue(self, job: Job) -> None:
+        if job.stage is Stage.WAITING:
+            self._lane(job).remove(job)
+            self.waiting[job.shape] -= 1
+            if not self.waiting[job.shape]:
+                del self.waiting[job.shape]
+            if job.array is not None:
+                job.array.queued -= 1
+            job.stage = Stage.PARKED
+
+    def _lane(self, job: Job) -> Lane:
+        session, account = job.session, job.what.account
+        assert session.branch is not None
+        lane = session.lanes.get(account)
+        if lane is None:
+            lane = session.lanes[account] = Lane(session.branch)
+        return lane
+
+    def _forget_lanes(self, session: Session) -> None:
+        """Forget the accounts that have nothing waiting and no more served than the others."""
+        branch = session.branch
+        assert branch is not None
+        for account, lane in list(session.lanes.items()):
+            if not lane.waiting and lane.tag <= branch.served:
+                del session.lanes[account]
+
+    def _offer(self, now_us: int) -> None:
+        """Offer what comes next, as far as the pace allows."""
+        def may(shape: Hashable) -> bool:
+            return self.pace.may(shape, now_us)
+
+        # Guards against a look at every lane where nothing that waits may go.
+        while any(may(shape) for shape in self.waiting) and (found := self.root.first(may)) is not None:
+            lane, job = found
+            assert isinstance(job, Job)
+            self._unqueue(job)
+            if job.array is not None:
+                job.array.out += 1
+                self._feed(job.array, now_us)
+            self.pace.offered(job.shape)
+            job.booked = self.pace.work(job.job_class) * job.what.slots
+            lane.charge(job.booked)
+            self._send(job)
+        # What is shut for a while is looked at again when it opens.
+        opens = [at for shape in self.waiting if (at := self.pace.opens_us(shape)) > now_us]
+        if opens and not now_us < self.look_us <= min(opens):
+            self.look_us = min(opens)
+            self.timers.at(self.look_us, lambda now: None)
+
+    def _send(self, job: Job) -> None:
+        job.stage, job.offer = Stage.OFFERED, job.offer + 1
+        self.effects.append(Offer(job))
+
+    def _take_back(self, job: Job) -> None:
+        """Take it that neither the core nor a server has a job of the backlog, and it did no work."""
+        self._lane(job).charge(-job.booked)
+        if job.stage is Stage.OFFERED:
+            self.pace.settled(job.shape)
+        if job.array is not None:
+            job.array.out -= 1
+        job.booked, job.stage = 0.0, Stage.PARKED
+
+    # Arrays.
+
+    def _feed(self, array: JobArray, now_us: int) -> None:
+        """Let members whose turn it is enter the lane."""
+        if array.what.start_us > now_us:
+            return
+        while array.room(self.bounds.window):
+            if array.back:
+                job = next(iter(array.back))
+                del array.back[job]
+            elif not array.held and array.cursor < len(array.range):
+                index = array.range[array.cursor]
+                array.cursor += 1
+                if array.codes[array.cursor - 1]:
+                    continue
+                job = self._member(array, index)
+            else:
+                return
+            if job.stage is Stage.PARKED and job.state not in HELD:
+                self._queue(job, now_us)
+
+    def _member(self, array: JobArray, index: int) -> Job:
+        self.orders += 1
+        return array.member(index, self.orders)
+
+    def _end_unmade(self, array: JobArray, why: str, now_us: int) -> int:
+        """End the members that were never made; return how many there were."""
+        number = 0
+        for index in array.unmade():
+            array.note_end(index, State.FAILED)
+            number += 1
+        if number:
+            array.annotation = why
+            self.jobs -= number
+            self.ends[State.FAILED] += number
+            array.session.quota.give_back(number, 0 if array.left else array.what.size,
+                                          array.what.account, now_us)
+            if not array.left:
+                self._array_ended(array, now_us)
+        return number
+
+    def _array_ended(self, array: JobArray, now_us: int) -> None:
+        self.timers.cancel(array.timer)
+        if array.session.destroyed:
+            self._drop(array)
+        else:
+            self._keep(array, now_us)
+
+    # Time.
+
+    def give_up_us(self, session: Session, what: Submission, submitted_us: int) -> int:
+        """Return when a job that has not been placed is given up; 0: never."""
+        backlog = session.backlog
+        late = (max(submitted_us, what.start_us) + backlog.wait_most_us
+                if backlog is not None and backlog.wait_most_us else 0)
+        return min(late, what.deadline_us) if late and what.deadline_us else late or what.deadline_us
+
+    def _arm(self, job: Job, not_before_us: int = 0) -> None:
+        """Have the job looked at when it may wait in its lane, or when it is given up."""
+        self.timers.cancel(job.timer)
+        job.timer = None
+        late = self.give_up_us(job.session, job.what, job.submitted_us)
+        if not_before_us and (not late or not_before_us < late):
+            job.timer = self.timers.at(not_before_us, lambda now: self._due(job, now))
+        elif late:
+            job.timer = self.timers.at(late, lambda now: self._late(job, now))
+
+    def _due(self, job: Job, now_us: int) -> None:
+        job.timer = None
+        if job.state in HELD:
+            self._arm(job)
+        else:
+            self._ready(job, now_us)
+
+    def _is_late(self, job: Job, now_us: int) -> bool:
+        late = self.give_up_us(job.session, job.what, job.submitted_us)
+        return 0 < late <= now_us
+
+    def _late(self, job: Job, now_us: int) -> None:
+        """Give up a job that was not placed in time, and say so at once."""
+        if job.ended or job.stage in (Stage.OFFERED, Stage.PLACED):
+            return  # its flow has a deadline of its own
+        if 0 < job.what.deadline_us <= now_us:
+            self._end(job, Event.FAIL, now_us, "TimeoutException", "its deadline passed before it was placed")
+        else:
+            self._end(job, Event.FAIL, now_us, "TryLaterException", "it has waited for as long as jobs may",
+                      job.session.quota.drain.wait_us(1))
+
+    def _array_late(self, array: JobArray, now_us: int) -> None:
+        """Give up the members of an array that were never made."""
+        self._end_unmade(array, "it waited for as long as jobs may, or its deadline passed", now_us)
+
+    # The end.
+
+    def _end(self, job: Job, event: Event, now_us: int, exception: str = "", annotation: str = "",
+             retry_after_us: int = 0, output: bytes = b"") -> None:
+        """Reach the final state. The table has no way on from it, so this is done once."""
+        self.timers.cancel(job.timer)
+        job.timer = None
+        self._unqueue(job)
+        array, session = job.array, job.session
+        if job.stage in (Stage.OFFERED, Stage.PLACED) and session.backlog is not None:
+            used = max(now_us - job.running_us, 0) / 1e6 if job.running_us else 0.0
+            if event is Event.FINISH and job.running_us:
+                self.pace.learn(job.job_class, used)
+            self._lane(job).charge(used * job.what.slots - job.booked)
+            if job.stage is Stage.OFFERED:
+                self.pace.settled(job.shape)
+            if array is not None:
+                array.out -= 1
+        job.booked, job.stage, job.finished_us = 0.0, Stage.ENDED, now_us
+        job.output, job.exception, job.annotation = output, exception, annotation
+        job.retry_after_us = retry_after_us
+        calls, submit_call = self._calls(job), job.submit_call
+        job.submit_call = None
+        self._move(job, event)
+        self.jobs -= 1
+        self.ends[job.state] += 1
+        if array is not None:
+            array.note_end(job.index, job.state)
+        last = array is None or not array.left
+        session.quota.give_back(1, job.what.size if last else 0, job.what.account, now_us)
+        for call in calls:
+            self.reply(call, error=invalid_state(f"the job is {job.state.value}"))
+        if submit_call is not None:  # runJob itself raises; there is no job to ask for
+            del session.jobs[job.id]
+            self.reply(submit_call, error=DrmaaError(exception or "InternalException", annotation,
+                                                     retry_after_us))
+        elif session.destroyed:
+            self._drop(job)
+        else:
+            self._keep(job, now_us)
+        if array is not None:
+            array.back.pop(job, None)
+            if last:
+                self._array_ended(array, now_us)
+            else:
+                self._feed(array, now_us)
+
+    def _calls(self, job: Job) -> list[object]:
+        """Take the calls that wait for something to come of the job."""
+        calls = job.hold_calls or []
+        if job.control is not None:
+            calls.append(job.control[1])
+        job.hold_calls = job.control = None
+        return calls
--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import os
-import tomllib
 from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -15,6 +15,9 @@
 from merlinbay.platform import words
 from merlinbay.simhost import settings_from
 
+if TYPE_CHECKING:
+    from merlinbay.operator_file import Operator
+
 
 class BadConfig(Exception):
     """The configuration cannot be used; the text is one plain line."""
@@ -40,28 +43,8 @@
     known: words.Listing = msgspec.field(default_factory=lambda: words.Listing(0, True, []))
 
 
-class Drmaa(msgspec.Struct, forbid_unknown_fields=True):
-    """Which DRMAA parts are on."""
-
-    front: bool = False
-    servers: bool = False
-
-
-class DnsSd(msgspec.Struct, forbid_unknown_fields=True):
-    """Where service entries come from in place of the platform's discovery."""
-
-    nameserver: str
-    service: str
-
-
-class Operator(msgspec.Struct, forbid_unknown_fields=True):
-    """The operator's file."""
-
-    drmaa: Drmaa = msgspec.field(default_factory=Drmaa)
-    dnssd: DnsSd | None = None
-
-
-class Config(msgspec.Struct):
+@dataclass(frozen=True)
+class Config:
     """All that a node needs to start."""
 
     name: str
@@ -71,22 +54,17 @@
     known: words.Listing
     settings: api.Settings
     limits: Limits
-    operator: Operator = msgspec.field(default_factory=Operator)
+    operator: Operator | None = None  # without one, everything beside the platform's protocol is off
 
 
-def operator_file(path: str) -> Operator:
-    """Read the operator's file; without one, everything beside the platform's protocol is off."""
+def operator_file(path: str) -> Operator | None:
+    """Read the operator's file, if there is one."""
     if not path:
-        return Operator()
-    try:
-        operator = msgspec.convert(tomllib.loads(Path(path).read_text()), Operator)
-        if operator.dnssd is not None:
-            address(operator.dnssd.nameserver)
-        return operator
-    except OSError as error:
-        raise BadConfig(f"{path}: {error.strerror}") from None
-    except (ValueError, msgspec.ValidationError) as error:
-        raise BadConfig(f"{path}: {error}") from None
+        return None
+    from merlinbay.operator_file import (
+        read,  # Guards against a slow start: without a file, nothing of it is used.
+    )
+    return read(path)
 
 
 def address(text: str) -> tuple[str, int]:
@@ -120,8 +98,11 @@
     listen = address(environ.get("LB_LISTEN", file.listen))
     discovery = environ.get("LB_DISCOVERY", file.discovery)
     address(discovery)
+    operator = operator_file(environ.get("LB_OPERATOR", ""))
+    if operator is not None and operator.drmaa.front:
+        limits = replace(limits, body_bytes=max(limits.body_bytes, operator.drmaa.body_kib * 1024))
     return Config(environ.get("LB_NAME", file.name), listen, discovery, seed, file.known, settings, limits,
-                  operator_file(environ.get("LB_OPERATOR", "")))
+                  operator)
 
 
 def reload(old: Config, environ: Mapping[str, str] = os.environ) -> Config:
@@ -131,6 +112,7 @@
     """
     new = load({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
     was, now = old.operator, new.operator
-    if (now.dnssd is None) != (was.dnssd is None) or now.drmaa != was.drmaa:
+    if was is not None and now is not None and (
+            (now.dnssd is None) != (was.dnssd is None) or now.drmaa != was.drmaa):
         raise BadConfig("the operator's file: fronts and the kind of discovery change by a restart only")
     return new
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -27,6 +27,8 @@
     deadline_us: int
     done: bool = False  # answered or withdrawn
     sent: int = 0
+    recalling: bool = False  # the client's side wants it back, if it has not started
+    ending: ports.Ending | None = None
     open: dict[int, ports.Scheduling] = field(default_factory=dict)
 
 
@@ -94,17 +96,24 @@
                 if scheduling is None:  # Guards against call-backs that repeat, or cross a cancel.
                     self.counters.add("schedulings_stale")
                 elif message.unfit:
-                    self._unfit(scheduling, now, events, message.report)
+                    self._unfit(scheduling, now, events, message)
                 else:
+                    self.flows[scheduling.flow].ending = message.ending
                     self._ended(scheduling, message.outcome, now, events, message.result, message.report)
             case ports.SchedulingStarted():
                 if (found := self.open.get((message.name, message.server))) is not None:
-                    events.append(api.JobStarted(found.flow, found.number))
+                    found.started = True
+                    events.append(api.JobPaused(found.flow, found.number, False) if found.paused
+                                  else api.JobStarted(found.flow, found.number))
+                    found.paused = False
                     if not self.flows[found.flow].done:
-                        self.flows[found.flow].edge.started()
+                        self.flows[found.flow].edge.started(found.server)
             case ports.SchedulingProgress():
                 if (found := self.open.get((message.name, message.server))) is not None:
                     events.append(api.JobProgress(found.flow, found.number, message.share))
+            case (ports.FlowRecalled() | ports.FlowControlled() | ports.SchedulingRecalled()
+                  | ports.SchedulingControlled() | ports.SchedulingSuspended() | ports.SchedulingUnseen()):
+                self._control(message, now, events)
             case ports.FlowWithdrawn():
                 flow = self.names.get(message.name)
                 if flow is not None and flow.edge is message.edge and not flow.done:
@@ -148,11 +157,14 @@
         self._at(deadline, flow)
         events.append(api.JobArrived(
             flow.number, spec.job_class, max(deadline - now, 0), spec.slots, spec.memory, spec.key,
-            spec.tenant, spec.retried, spec.hint_us))
+            spec.tenant, spec.retried, spec.hint_us, spec.only))
 
     def _ended(self, scheduling: ports.Scheduling, outcome: api.Outcome, now: int, events: list[api.Event],
                result: bytes = b"", report: dict[str, float] | None = None) -> None:
         """End a scheduling, once; the first success answers its flow."""
+        if scheduling.started and outcome in api.NEVER_RAN:
+            # Guards against a server that tells of a start and hands the job back: it may have run.
+            outcome = api.Outcome.RESET
         del self.open[scheduling.spec.name, scheduling.server]
         scheduling.ended = True
         self.servers.forget(scheduling)
@@ -160,21 +172,84 @@
         flow = self.flows[scheduling.flow]
         del flow.open[scheduling.number]
         if outcome is api.Outcome.OK and not flow.done:
-            self._answer(flow, Answer(Verdict.SERVED, result))
+            self._answer(flow, Answer(Verdict.SERVED, result, ending=flow.ending))
+        elif scheduling.started and not flow.done and not any(s.started for s in flow.open.values()):
+            flow.edge.unplaced()
         events.append(api.AttemptEnded(scheduling.flow, scheduling.number, outcome, now - scheduling.sent_us,
                                        flow.done, self._row(report), scheduling.server))
         self._forget(flow)
 
     def _unfit(self, scheduling: ports.Scheduling, now: int, events: list[api.Event],
-               report: dict[str, float] | None) -> None:
+               message: ports.SchedulingEnded) -> None:
         """Fail a flow whose job a real server cannot use."""
         # Guards against one bad job that goes from server to server and has each left out as failing: it
         # is tried no more, and its attempt ends as one that was called off, which tells nothing of health.
         flow = self.flows[scheduling.flow]
         self.counters.add("flows_unfit")
         if not flow.done:
-            self._answer(flow, Answer(Verdict.FAILED))
-        self._ended(scheduling, api.Outcome.CANCELLED, now, events, report=report)
+            self._answer(flow, Answer(Verdict.FAILED, ending=message.ending))
+        self._ended(scheduling, api.Outcome.CANCELLED, now, events, report=message.report)
+
+    # What fronts with more words than the platform's ask for.
+
+    def _control(self, message: ports.Message, now: int, events: list[api.Event]) -> None:
+        match message:
+            case ports.FlowRecalled():
+                flow = self.names.get(message.name)
+                # A flow that is done has been answered: that, and nothing here, tells what became of it.
+                if flow is not None and flow.edge is message.edge and not flow.done and not flow.recalling:
+                    flow.recalling = True
+                    for scheduling in flow.open.values():
+                        self.servers.recall(scheduling)
+            case ports.FlowControlled():
+                flow = self.names.get(message.name)
+                if flow is None or flow.edge is not message.edge or flow.done:
+                    return
+                if len(flow.open) == 1:
+                    self.servers.control(next(iter(flow.open.values())), message.action)
+                else:  # Guards against a copy that runs on while the other is suspended.
+                    flow.edge.controlled(message.action, "TryLaterException",
+                                         f"{len(flow.open)} servers have the job")
+            case ports.SchedulingRecalled():
+                found = self.open.get((message.name, message.server))
+                if found is not None and not self.flows[found.flow].done:
+                    self._recalled(self.flows[found.flow], found, message.done, now, events)
+            case ports.SchedulingControlled():
+                found = self.open.get((message.name, message.server))
+                if found is not None and not self.flows[found.flow].done:
+                    if not message.error:
+                        found.paused = message.action == "suspend"
+                        events.append(api.JobPaused(found.flow, found.number, found.paused))
+                    self.flows[found.flow].edge.controlled(message.action, message.error, message.message)
+            case ports.SchedulingSuspended():
+                found = self.open.get((message.name, message.server))
+                if found is not None and not found.paused:
+                    found.started = found.paused = True
+                    events.append(api.JobPaused(found.flow, found.number, True))
+                    if not self.flows[found.flow].done:
+                        self.flows[found.flow].edge.suspended()
+            case ports.SchedulingUnseen():
+                found = self.open.get((message.name, message.server))
+                if found is not None and not self.flows[found.flow].done:
+                    edge = self.flows[found.flow].edge
+                    edge.found_queued() if message.found else edge.lost_sight()
+
+    def _recalled(self, flow: Flow, scheduling: ports.Scheduling, done: bool, now: int,
+                  events: list[api.Event]) -> None:
+        """Take a server's word on an attempt that is to come back unstarted."""
+        if flow.recalling and (not done or scheduling.started):
+            flow.recalling = False
+            flow.edge.recalled(False)
+        if not done:
+            return
+        if not flow.recalling or len(flow.open) > 1:  # the others are asked too: the last one's word counts
+            self._ended(scheduling, api.Outcome.FULL, now, events)
+        else:
+            # Guards against a next attempt: the module hears of the end before it hears of the attempt's.
+            flow.done = True
+            events.append(api.JobWithdrawn(flow.number))
+            flow.edge.recalled(True)
+            self._ended(scheduling, api.Outcome.FULL, now, events)
 
     def _row(self, report: dict[str, float] | None) -> list[object] | None:
         return None if report is None else [report.get(name) for name in self.fields]
@@ -219,7 +294,8 @@
             case api.Refuse() | api.Fail():
                 flow = self.flows.get(action.id)
                 if flow is not None and not flow.done:
-                    self._answer(flow, Answer(Verdict.FAILED) if isinstance(action, api.Fail)
+                    self._answer(flow, Answer(Verdict.FAILED, ending=flow.ending)
+                                 if isinstance(action, api.Fail)
                                  else Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
                     self._forget(flow)
             case api.SetTimer():
@@ -251,7 +327,9 @@
         if until < flow.deadline_us:
             self._at(until, scheduling)
         self.servers.start(scheduling)
-        flow.edge.sent()
+        if flow.recalling:  # Guards against a copy that starts while the first attempt is called back.
+            self.servers.recall(scheduling)
+        flow.edge.sent(scheduling.server)
 
     def _answer(self, flow: Flow, answer: Answer) -> None:
         """Give a flow its one final answer."""
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -17,6 +17,17 @@
     FAILED = "failed"  # nothing is promised about the effect
 
 
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """What a real server told of a job's end beside its outcome."""
+
+    exit_status: int | None = None
+    signal: str = ""  # the name of the one that ended it
+    cpu_us: int = 0
+    note: str = ""
+    output: bytes = b""  # of a job that failed
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """A flow's one final answer."""
@@ -24,6 +35,7 @@
     verdict: Verdict
     result: bytes = b""
     retry_after_us: int = 0
+    ending: Ending | None = None  # of the scheduling that ended last, where its server told one
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +56,7 @@
     memory: float = 0.0
     hint_us: int = 0
     retried: bool = False
+    only: tuple[str, ...] = ()  # the real servers that may run it; empty: any
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,17 +73,36 @@
     started_us: int = 0
 
 
-class Edge(Protocol):
-    """The client's side of one flow."""
+class Edge:
+    """The client's side of one flow. A front overrides what its wire has words for; nothing here waits."""
 
-    def sent(self) -> None:
+    def answer(self, answer: Answer) -> None:
+        """Take the flow's one answer."""
+        raise NotImplementedError
+
+    def sent(self, server: str) -> None:
         """Take it that a real server has been chosen. May come more than once."""
 
-    def started(self) -> None:
-        """Take it that a real server has started the job. May come more than once."""
+    def started(self, server: str) -> None:
+        """Take it that a real server runs the job. May come more than once."""
 
-    def answer(self, answer: Answer) -> None:
-        """Take the flow's one answer. Does not wait."""
+    def suspended(self) -> None:
+        """Take it that its real server has suspended the job."""
+
+    def unplaced(self) -> None:
+        """Take it that no real server runs the job any more; the module decides anew."""
+
+    def lost_sight(self) -> None:
+        """Take it that its real server cannot be asked at present."""
+
+    def found_queued(self) -> None:
+        """Take it that its real server was asked, and has not started the job."""
+
+    def recalled(self, done: bool) -> None:
+        """Take it that the flow was called back unstarted and is over (``done``), or that it goes on."""
+
+    def controlled(self, action: str, error: str, message: str) -> None:
+        """Take what came of ``suspend`` or ``resume``; ``error`` is empty where it was done."""
 
 
 @dataclass(slots=True, eq=False)
@@ -84,6 +116,8 @@
     sent_us: int
     deadline_us: int
     ended: bool = False
+    started: bool = False
+    paused: bool = False  # suspended by its real server
 
 
 class ServerSide(Protocol):
@@ -98,6 +132,12 @@
     def forget(self, scheduling: Scheduling) -> None:
         """Drop what is kept of an attempt: it has ended, by itself or given up."""
 
+    def recall(self, scheduling: Scheduling) -> None:
+        """Take an attempt back if it has not started; ``SchedulingRecalled`` tells."""
+
+    def control(self, scheduling: Scheduling, action: str) -> None:
+        """Have the real server ``suspend`` or ``resume`` a job; ``SchedulingControlled`` tells."""
+
     def probe(self, server: str) -> None:
         """Test a real server."""
 
@@ -131,6 +171,60 @@
     edge: Edge
 
 
+@dataclass(frozen=True, slots=True)
+class FlowRecalled:
+    """The client's side wants the flow back, if it has not started."""
+
+    name: str
+    edge: Edge
+
+
+@dataclass(frozen=True, slots=True)
+class FlowControlled:
+    """The client's side wants the job ``suspend``-ed or ``resume``-d."""
+
+    name: str
+    edge: Edge
+    action: str
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulingRecalled:
+    """Whether a real server gave an attempt back unstarted."""
+
+    name: str
+    server: str
+    done: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulingControlled:
+    """What came of ``suspend`` or ``resume``; ``error`` names one of the standard's, or is empty."""
+
+    name: str
+    server: str
+    action: str
+    error: str = ""
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulingSuspended:
+    """The real server has suspended the job."""
+
+    name: str
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulingUnseen:
+    """The real server cannot be asked (``found`` false), or was asked and has not started the job."""
+
+    name: str
+    server: str
+    found: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SchedulingStarted:
     """The real server has started the job."""
@@ -158,6 +252,7 @@
     result: bytes = b""
     report: dict[str, float] | None = None
     unfit: bool = False  # the real server finds the job itself at fault: no other would take it
+    ending: Ending | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,5 +278,6 @@
     """Refuse what is new, and end once the last flow is answered."""
 
 
-Message = (FlowArrived | FlowWithdrawn | SchedulingStarted | SchedulingProgress | SchedulingEnded
-           | ServerProbed | EntriesChanged | Stopping)
+Message = (FlowArrived | FlowWithdrawn | FlowRecalled | FlowControlled | SchedulingRecalled
+           | SchedulingControlled | SchedulingSuspended | SchedulingUnseen | SchedulingStarted
+           | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | Stopping)
--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -187,6 +187,7 @@
     tenant: str = ""
     returned: bool = False  # the client says that it is a repeat
     hint_us: int = 0  # expected work; 0: not told
+    only: tuple[str, ...] = ()  # the workers that may run it; empty: any
 
 
 @dataclass(slots=True)
@@ -213,6 +214,15 @@
     done: float = 0.0
 
 
+@dataclass(slots=True)
+class JobPaused:
+    """The worker has suspended the attempt, or goes on with it."""
+
+    id: int
+    attempt: int
+    paused: bool
+
+
 @dataclass(slots=True)
 class StreamStarted:
     """The answer streams to the client, to whom the attempt now belongs."""
@@ -259,7 +269,7 @@
     body: bytes
 
 
-Event = (ListChanged | JobArrived | JobWithdrawn | JobStarted | JobProgress | StreamStarted
+Event = (ListChanged | JobArrived | JobWithdrawn | JobStarted | JobProgress | JobPaused | StreamStarted
          | AttemptEnded | ProbeEnded | TimerFired | PeerMessage)
 
 
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -74,6 +74,7 @@
     room: bool = False  # there seemed to be room
     started: int = 0
     look_at: int = 0  # once it has started: when to see whether it still runs
+    paused_at: int = 0  # it stands still since then; 0: it does not
     open: bool = True
 
 
@@ -90,6 +91,7 @@
     worth: float
     deadline: int
     patience: float = 0.0  # how long an attempt waits unstarted before another goes out
+    only: tuple[str, ...] = ()  # the workers that may run it; empty: any
     attempts: list[Attempt] = field(default_factory=list)
     pending: int = 0
     done: bool = False
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -90,7 +90,7 @@
             api.JobArrived: self._arrived, api.AttemptEnded: self._ended, api.JobStarted: self._noted,
             api.JobProgress: self._noted, api.StreamStarted: self._noted, api.JobWithdrawn: self._withdrawn,
             api.TimerFired: self._timer, api.ListChanged: self._list, api.ProbeEnded: self._probed,
-            api.PeerMessage: lambda event: None}
+            api.JobPaused: self._paused, api.PeerMessage: lambda event: None}
 
     def handle(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
         """Take events of one instant; return what to do, in order. A clock that goes back stands still."""
@@ -191,7 +191,8 @@
 
     def _may(self, worker: Worker, job: Job) -> bool:
         """Tell whether the worker may be sent this job at all now."""
-        if worker.state != "up" or worker.bench_until > self.now:
+        if worker.state != "up" or worker.bench_until > self.now or (
+                job.only and worker.name not in job.only):
             return False
         if worker.asked_at and worker.held > 0 and self.now - worker.asked_at > SILENT_US:
             return False  # Guards against a hung worker, which takes jobs and answers none.
@@ -213,6 +214,8 @@
         if job.maybe is not None and spec.effect == "by_key" and spec.group != "all":
             home = job.maybe.worker  # once it may have run, only its group drops the repeat
             return [self.groups.get(home.cell if spec.group == "cell" else home.zone, [])]
+        if job.only:  # Guards against samples that miss the few workers that the job is bound to.
+            return [[self.workers[name] for name in job.only if name in self.workers]]
         if job.key:
             # Guards against keys fetched everywhere: what a worker keeps for a key is worth more than
             # room, so a job with a key stays with its few workers unless none of them can be used.
@@ -262,7 +265,7 @@
         worth = cls.spec.worth * (self.settings.over_share_worth if self._over_share(event.tenant) else 1)
         worth *= run if self.settings.worth_by_work else 1
         job = Job(event.id, cls, max(event.slots, 0.0), max(event.memory, 0.0), event.key, run, worth,
-                  self.now + event.budget_us, max(PATIENCE_MIN_US, PATIENCE * cls.spec.aim_us))
+                  self.now + event.budget_us, max(PATIENCE_MIN_US, PATIENCE * cls.spec.aim_us), event.only)
         self._count_offered(job)
         self._try(job)
 
@@ -334,7 +337,7 @@
             if job is None or attempt is None or job.done or job.pending > 1:
                 continue
             if attempt.started:
-                if self.now >= attempt.look_at:  # else it is the watch for its start
+                if self.now >= attempt.look_at and not attempt.paused_at:  # else it was watched to start
                     self._runs_long(job, attempt, number)
                 continue
             # Guards against a stalled worker or a stale view: the job has not started, so its worker was
@@ -396,6 +399,18 @@
         if self.limits.second_copies and job.pending == 1 and not job.done:
             self._look(job, attempt, event.attempt, LATE_RUN if self._pace(worker) >= SLOW else LONG_RUN)
 
+    def _paused(self, event: api.JobPaused) -> None:
+        job, attempt = self.find(event.id, event.attempt)
+        if job is None or attempt is None or not attempt.started or event.paused == (attempt.paused_at > 0):
+            return
+        # Guards against a suspended job that makes its worker look slow, or gets a copy.
+        if event.paused:
+            attempt.paused_at = self.now
+            return
+        attempt.started, attempt.paused_at = attempt.started + self.now - attempt.paused_at, 0
+        if self.limits.second_copies and job.pending == 1 and not job.done:
+            self._look(job, attempt, event.attempt, LONG_RUN)
+
     def _cancel(self, job: Job, keep: Attempt | None) -> None:
         """Cancel the job's other attempts; but one that runs goes on until the first has ended."""
         if self.limits.cancelling and job.pending > (keep is not None and keep.open):
@@ -431,7 +446,8 @@
     def _judge(self, worker: Worker, job: Job, attempt: Attempt, event: api.AttemptEnded) -> None:
         """Learn from one outcome."""
         outcome, cls = event.outcome, job.cls
-        run = max(self.now - attempt.started if attempt.started else event.took_us, 1000.0)
+        now = attempt.paused_at or self.now
+        run = max(now - attempt.started if attempt.started else event.took_us, 1000.0)
         if outcome in (api.Outcome.OK, api.Outcome.FULL):
             worker.asked_at, worker.heard_at, worker.fails = 0, self.now, 0
         if attempt.room and outcome in (api.Outcome.OK, api.Outcome.FULL):
--- /dev/null
+++ b/merlinbay/drmaa/info.py
@@ -0,0 +1,54 @@
+"""What clients are told of jobs, arrays, sessions and the front itself."""
+
+from __future__ import annotations
+
+from merlinbay.batch.arrays import JobArray
+from merlinbay.batch.jobs import Job, Session
+from merlinbay.drmaa.words import JobInfo, when
+
+VERSION = {"major": "1", "minor": "0"}
+# GFD.194, 4.5: what an implementation may offer, and whether this one does.
+CAPABILITIES = {"ADVANCE_RESERVATION": False, "RESERVE_SLOTS": False, "CALLBACK": False,
+                "BULK_JOBS_MAXPARALLEL": True, "JT_EMAIL": False, "JT_STAGING": False, "JT_DEADLINE": True,
+                "JT_MAXSLOTS": True, "JT_ACCOUNTINGID": True, "RT_STARTNOW": False, "RT_DURATION": False,
+                "RT_MACHINEOS": False, "RT_MACHINEARCH": False}
+
+
+def job_info(job: Job, machine: str) -> JobInfo:
+    """Return a job's information. Times that have not come are left out."""
+    wall = None
+    if job.started_us and job.finished_us:
+        wall = (job.finished_us - job.started_us) / 1e6
+    return JobInfo(
+        job.id, job.state.value, job.substate, job.exit_status, job.signal, job.annotation,
+        [job.server] if job.server else [], machine, job.what.account, int(job.what.slots),
+        job.what.job_class, wall, job.cpu_us / 1e6 if job.cpu_us else None, when(job.submitted_us),
+        when(job.started_us), when(job.finished_us), job.output, job.exception, job.retry_after_us / 1e6)
+
+
+def array_info(array: JobArray) -> dict[str, object]:
+    """Return an array's information."""
+    return {"jobArrayId": array.id, "beginIndex": array.range.start, "endIndex": array.range[-1],
+            "step": array.range.step, "members": len(array.range), "maxParallel": array.max_parallel,
+            "left": array.left, "states": array.counts(), "sessionName": array.session.name,
+            "jobTemplate": array.what.template}
+
+
+def session_info(session: Session) -> dict[str, object]:
+    """Return a session's information."""
+    quota, most = session.quota, session.quota.allowance
+    settings: dict[str, object] = {"backlog": session.backlog is not None, "jobs": most.jobs,
+                                   "bytes": most.size, "rate": most.rate, "burst": most.burst}
+    if session.backlog is not None:
+        settings |= {"share": session.backlog.share, "waitMost": session.backlog.wait_most_us / 1e6,
+                     "priorityStep": session.backlog.priority_us / 1e6}
+    return {"sessionName": session.name, "contact": session.contact, "open": session.is_open,
+            "settings": settings, "jobs": quota.jobs, "bytes": quota.size,
+            "waiting": session.branch.waiting if session.branch is not None else 0,
+            "arrays": len(session.arrays)}
+
+
+def about(machine: str) -> dict[str, object]:
+    """Return what the session manager says of itself (GFD.194, 7.1)."""
+    return {"drmsName": "merlinbay", "drmsVersion": VERSION, "drmaaName": f"merlinbay at {machine}",
+            "drmaaVersion": {"major": "2", "minor": "0"}}
--- a/merlinbay/drmaa/servers.py
+++ b/merlinbay/drmaa/servers.py
@@ -7,10 +7,11 @@
 
 from merlinbay.clock import Clock
 from merlinbay.core import ports
-from merlinbay.core.ports import Scheduling
+from merlinbay.core.ports import Ending, Scheduling, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.drmaa import words
+from merlinbay.drmaa import templates, words
+from merlinbay.drmaa.asking import Asking, AskLimits
 from merlinbay.http.client import Reply
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.server import Connection, Request, Response
@@ -19,6 +20,7 @@
 from merlinbay.log import Log
 
 UNSTARTED = {"TryLaterException", "OutOfResourceException"}
+JOBS = "/drmaa2/jobs"
 
 
 class DrmaaServers(PooledServers):
@@ -26,12 +28,17 @@
 
     def __init__(self, nursery: trio.Nursery, pool: ConnectionPool,
                  inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
-                 counters: Counters, log: Log, notify: str) -> None:
+                 counters: Counters, log: Log, notify: str, ask: AskLimits) -> None:
         super().__init__(nursery, pool, inbox, clock, limits, counters, log)
         self.notify = notify
         self.sending: set[Scheduling] = set()  # their runJob is unanswered,
-        self.given_up: set[Scheduling] = set()  # and of these, the ones to terminate then
-        self.job_ids: dict[Scheduling, str] = {}  # of the taken ones, until they end
+        self.given_up: set[Scheduling] = set()  # and of these, the ones to terminate then,
+        self.recalls: set[Scheduling] = set()  # and to call back
+        self.job_ids: dict[Scheduling, str] = {}  # of the taken ones, until they end,
+        self.taken: dict[tuple[str, str], Scheduling] = {}  # and these by job name and scheduler
+        self.asking = Asking(ask)
+        self.started_us: dict[str, int] = {}  # of the schedulers
+        self.nap = trio.CancelScope()
 
     def start(self, scheduling: Scheduling) -> None:
         """Send an attempt."""
@@ -52,35 +59,150 @@
     def forget(self, scheduling: Scheduling) -> None:
         """Drop the job's id."""
         self.job_ids.pop(scheduling, None)
+        self.recalls.discard(scheduling)
+        if self.taken.pop((scheduling.spec.name, scheduling.server), None) is not None:
+            self.asking.forget(scheduling)
+
+    def recall(self, scheduling: Scheduling) -> None:
+        """Take the job back if it has not started, as soon as its id is known."""
+        if scheduling in self.sending:
+            self.recalls.add(scheduling)
+        elif job_id := self.job_ids.get(scheduling, ""):
+            self.spawn(self._recall, scheduling, job_id)
+
+    def control(self, scheduling: Scheduling, action: str) -> None:
+        """Pass ``suspend`` or ``resume`` on."""
+        self.spawn(self._control, scheduling, self.job_ids.get(scheduling, ""), action)
 
     def probe(self, server: str) -> None:
         """Tell at once that the probe failed: schedulers of this binding have none."""
         self.nursery.start_soon(self.post, ports.ServerProbed(server, Outcome.ERROR, 0))
 
+    def entries_changed(self, scope: str, entries: list[ServiceEntry]) -> None:
+        """Learn addresses, and ask schedulers that have restarted or gone for the jobs they had."""
+        super().entries_changed(scope, entries)
+        now, changed = self.clock.now_us(), set()
+        if scope in ("all", "remembered"):
+            changed = set(self.started_us) - {entry.server for entry in entries}
+        for entry in entries:
+            if self.started_us.get(entry.server, entry.started_us) != entry.started_us or (
+                    entry.state == "removed"):
+                changed.add(entry.server)
+            self.started_us[entry.server] = entry.started_us
+        for server in changed:
+            if server not in {entry.server for entry in entries if entry.state != "removed"}:
+                self.started_us.pop(server, None)
+        if changed:
+            for (_, server), scheduling in self.taken.items():
+                if server in changed:
+                    self.asking.hasten(scheduling, now)
+            self._rouse()
+
+    def heard(self, job_name: str, server: str) -> None:
+        """Take it that a scheduler told of a job: it need not be asked soon."""
+        scheduling = self.taken.get((job_name, server))
+        if scheduling is not None:
+            self.asking.heard(scheduling, self.clock.now_us())
+
+    async def run(self) -> None:
+        """Ask for the state of jobs that nothing was heard of, for ever."""
+        while True:
+            due = self.asking.next_us()
+            with trio.CancelScope(deadline=float("inf") if due is None else self.clock.to_trio(due)
+                                  ) as self.nap:
+                await trio.sleep_forever()
+            for key in self.asking.take(self.clock.now_us()):
+                assert isinstance(key, Scheduling)
+                if not self.spawn(self._ask, key, self.job_ids.get(key, "")):
+                    self.asking.missed(key, self.clock.now_us())
+
+    def _rouse(self) -> None:
+        due = self.asking.next_us()
+        if due is not None and self.clock.to_trio(due) < self.nap.deadline:
+            self.nap.deadline = self.clock.to_trio(due)
+
     async def _send(self, scheduling: Scheduling) -> None:
-        call = words.RunJob(words.template_for(scheduling.spec, scheduling.deadline_us),
+        call = words.RunJob(templates.template_for(scheduling.spec, scheduling.deadline_us),
                             scheduling.server, self.notify)
         reply: Reply | Outcome = Outcome.TIMEOUT
         with trio.move_on_at(self.clock.to_trio(scheduling.deadline_us) + self.limits.late_answer):
-            reply = await self.attempt(scheduling.server, "POST", "/drmaa2/jobs",
+            reply = await self.attempt(scheduling.server, "POST", JOBS,
                                        [("content-type", "application/json")], words.write(call))
         outcome, job_id = outcome_of(reply) if isinstance(reply, Reply) else (reply, "")
         self.sending.discard(scheduling)
-        gave_up = scheduling in self.given_up
+        gave_up, recall = scheduling in self.given_up, scheduling in self.recalls
         self.given_up.discard(scheduling)
+        self.recalls.discard(scheduling)
         if job_id and gave_up:
             await self._terminate(scheduling.server, job_id)
         elif job_id and not scheduling.ended:
             self.job_ids[scheduling] = job_id
+            self.taken[scheduling.spec.name, scheduling.server] = scheduling
+            self.asking.watch(scheduling, scheduling.deadline_us, self.clock.now_us())
+            self._rouse()
+            if recall:
+                await self._recall(scheduling, job_id)
         elif not job_id and not gave_up:
             await self.ended(scheduling, outcome, unfit=(
                 isinstance(reply, Reply) and outcome is Outcome.ERROR and reply.status == 400))
 
     async def _terminate(self, server: str, job_id: str) -> None:
         with trio.move_on_after(self.limits.cancel_exchange):
-            reply = await self.attempt(server, "POST", f"/drmaa2/jobs/{job_id}/terminate", [])
+            reply = await self.attempt(server, "POST", f"{JOBS}/{job_id}/terminate", [])
             self.counters.add("drmaa_terminates" if isinstance(reply, Reply) else "drmaa_terminates_failed")
 
+    async def _recall(self, scheduling: Scheduling, job_id: str) -> None:
+        done = False
+        with trio.move_on_after(self.limits.cancel_exchange):
+            reply = await self.attempt(scheduling.server, "POST", f"{JOBS}/{job_id}/recall", [])
+            done = isinstance(reply, Reply) and reply.status == 200
+        self.counters.add("drmaa_recalls" if done else "drmaa_recalls_failed")
+        await self.post(ports.SchedulingRecalled(scheduling.spec.name, scheduling.server, done))
+
+    async def _control(self, scheduling: Scheduling, job_id: str, action: str) -> None:
+        error, message = "DrmCommunicationException", "its scheduler did not answer"
+        with trio.move_on_after(self.limits.cancel_exchange):
+            reply = await self.attempt(scheduling.server, "POST", f"{JOBS}/{job_id}/{action}", [])
+            if isinstance(reply, Reply):
+                error, message = error_of(reply)
+        self.counters.add("drmaa_controls_failed" if error else "drmaa_controls")
+        await self.post(ports.SchedulingControlled(scheduling.spec.name, scheduling.server, action,
+                                                   error, message))
+
+    async def _ask(self, scheduling: Scheduling, job_id: str) -> None:
+        """Ask for one job's state, and tell what differs from what is known."""
+        reply: Reply | Outcome = Outcome.TIMEOUT
+        with trio.move_on_after(self.limits.cancel_exchange):
+            reply = await self.attempt(scheduling.server, "GET", f"{JOBS}/{job_id}", [])
+        self.counters.add("drmaa_asked")
+        now, name, server = self.clock.now_us(), scheduling.spec.name, scheduling.server
+        info: words.JobInfo | None = None
+        if isinstance(reply, Reply) and reply.status == 200:
+            try:
+                info = words.read_job_info(reply.body)
+            except msgspec.DecodeError:
+                self.counters.add("drmaa_notifications_bad")
+        if info is not None:
+            was_unseen = self.asking.answered(scheduling, now)
+            message = message_of(words.Notification("NEW_STATE", server, name, info.jobState, job_id, info))
+            if message is not None and not isinstance(message, ports.SchedulingUnseen):
+                if isinstance(message, ports.SchedulingEnded):
+                    self.counters.add("drmaa_found_ended")
+                await self.post(message)
+            elif was_unseen:
+                await self.post(ports.SchedulingUnseen(name, server, True))
+        elif isinstance(reply, Reply) and reply.status == 404:
+            # A scheduler that has restarted and knows no job: nobody can tell whether it had run.
+            self.counters.add("drmaa_found_lost")
+            await self.ended(scheduling, Outcome.RESET)
+        else:
+            sight = self.asking.missed(scheduling, now)
+            if sight == "unseen":
+                await self.post(ports.SchedulingUnseen(name, server, False))
+            elif sight == "gone":
+                await self.ended(scheduling, Outcome.RESET)
+        self._rouse()
+
 
 def outcome_of(reply: Reply) -> tuple[Outcome, str]:
     """Return what runJob's answer says: the job's id if it was taken, else the attempt's outcome."""
@@ -93,11 +215,26 @@
     return (Outcome.FULL if body.get("exception") in UNSTARTED else Outcome.ERROR), ""
 
 
+def error_of(reply: Reply) -> tuple[str, str]:
+    """Return the exception and the text of an answer; both empty if it is none."""
+    if reply.status == 200:
+        return "", ""
+    try:
+        body = msgspec.json.decode(reply.body, type=dict[str, object])
+    except msgspec.DecodeError:
+        body = {}
+    name = str(body.get("exception", ""))
+    if name not in words.STATUSES:
+        name = "UnsupportedOperationException" if reply.status in (404, 405) else "DrmCommunicationException"
+    return name, str(body.get("message", f"status {reply.status}"))[:200]
+
+
 class NotificationHandler:
     """Takes the schedulers' notifications at ``/drmaa2/notifications``."""
 
     def __init__(self, inbox: trio.MemorySendChannel[ports.Message], counters: Counters) -> None:
         self.inbox, self.counters = inbox, counters
+        self.servers: DrmaaServers | None = None
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Take one. What matches nothing, repeats, or crosses a terminate is answered all the same."""
@@ -109,6 +246,8 @@
             self.counters.add("drmaa_notifications_bad")
             return Response(400)
         self.counters.add("drmaa_notifications")
+        if self.servers is not None:
+            self.servers.heard(note.jobName, note.sessionName)
         message = message_of(note)
         if message is not None:
             await self.inbox.send(message)
@@ -124,11 +263,17 @@
         return None
     if note.jobState == words.RUNNING:
         return ports.SchedulingStarted(note.jobName, note.sessionName)
+    if note.jobState == words.SUSPENDED:
+        return ports.SchedulingSuspended(note.jobName, note.sessionName)
     info = note.jobInfo or words.JobInfo(note.jobId, note.jobState)
+    ending = Ending(info.exitStatus, info.terminatingSignal, int((info.cpuTime or 0) * 1e6),
+                    info.annotation, info.output if note.jobState == words.FAILED else b"")
     if note.jobState == words.DONE:
-        return ports.SchedulingEnded(note.jobName, note.sessionName, Outcome.OK, info.output)
+        return ports.SchedulingEnded(note.jobName, note.sessionName, Outcome.OK, info.output, ending=ending)
     if note.jobState == words.FAILED:
         outcome = (Outcome.FULL if info.exception in UNSTARTED  # handed back unstarted, by a drain for one
                    else Outcome.RESET if info.terminatingSignal else Outcome.ERROR)
-        return ports.SchedulingEnded(note.jobName, note.sessionName, outcome)
+        # Guards against a job that fails by itself and is run again and again: it has told its exit status.
+        ran = outcome is Outcome.ERROR and info.exitStatus is not None and not info.exception
+        return ports.SchedulingEnded(note.jobName, note.sessionName, outcome, unfit=ran, ending=ending)
     return None
--- /dev/null
+++ b/merlinbay/drmaa/settings.py
@@ -0,0 +1,106 @@
+"""The ``[drmaa]`` section of the operator's file."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated
+
+import msgspec
+
+from merlinbay.batch.book import Bounds
+from merlinbay.batch.jobs import Backlog
+from merlinbay.batch.quota import Allowance
+from merlinbay.drmaa.asking import AskLimits
+from merlinbay.drmaa.words import SessionSettings
+from merlinbay.limits import Limits
+
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Number = Annotated[int, msgspec.Meta(ge=0)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Share = Annotated[float, msgspec.Meta(gt=0, le=1000)]
+NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+Name = Annotated[str, msgspec.Meta(pattern=rf"^{NAME.pattern}$")]
+
+
+class SessionSection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """One session's settings."""
+
+    backlog: bool = False  # what cannot be placed at once waits in the front
+    share: Share = 1.0  # of the servers, against the other sessions' backlogs
+    wait_most: Number = 86_400  # seconds after which a job that was not placed is given up; 0: never
+    priority_step: Number = 60  # seconds of waiting that one step of a job's priority is worth
+    jobs: Count = 10_000  # unfinished ones
+    bytes: Count = 64 * 1024 * 1024  # of their templates
+    rate: Annotated[float, msgspec.Meta(ge=0)] = 0.0  # submissions a second; 0: any
+    burst: Count = 100
+
+    def allowance(self) -> Allowance:
+        """Return its bounds."""
+        return Allowance(self.jobs, self.bytes, self.rate, self.burst)
+
+    def waits(self) -> Backlog | None:
+        """Return its backlog's settings, if it keeps one."""
+        if not self.backlog:
+            return None
+        return Backlog(self.share, self.wait_most * 1_000_000, self.priority_step * 1_000_000)
+
+
+def session_section(wish: SessionSettings, limits: SessionSection) -> SessionSection:
+    """Return what a client gets: what it wishes for, within what the operator allows."""
+    wait = limits.wait_most
+    if wish.waitMost is not None and 0 < wish.waitMost < (wait or 1e9):
+        wait = max(int(wish.waitMost), 1)
+    rate = limits.rate
+    if wish.rate is not None and wish.rate > 0:
+        rate = min(wish.rate, rate or wish.rate)
+    return msgspec.structs.replace(
+        limits, backlog=wish.backlog, share=wish.share, wait_most=wait, rate=rate,
+        priority_step=int(min(max(wish.priorityStep, 0), 86_400)),
+        jobs=min(wish.jobs, limits.jobs) if wish.jobs and wish.jobs > 0 else limits.jobs)
+
+
+class NamedSession(SessionSection, forbid_unknown_fields=True, kw_only=True):
+    """A session that is there from the start."""
+
+    name: Name
+    contact: str = ""
+
+
+class Sessions(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """What clients may create."""
+
+    create: bool = True
+    most: Count = 256
+    share_most: Share = 1.0  # a client may not give itself more than this
+    limits: SessionSection = msgspec.field(default_factory=lambda: SessionSection(backlog=True))
+
+
+class Drmaa(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """The DRMAA front, and schedulers as real servers."""
+
+    front: bool = False  # clients may submit by POST /drmaa2/jobs
+    servers: bool = False  # the real servers speak the binding too
+    body_kib: Annotated[int, msgspec.Meta(ge=1, le=16 * 1024)] = 64  # the largest body of a request
+    memory_unit_kib: Number = 0  # what the decision module's unit of memory is; 0: minPhysMemory is refused
+    jobs: Count = 200_000  # unfinished ones, over all sessions
+    array: Count = 100_000  # members of one array
+    finished: Count = 2000  # records of finished jobs that are kept,
+    finished_keep: Seconds = 60.0  # for so many seconds
+    ask_first: Seconds = 1.0  # a scheduler that has told nothing of a job for so long is asked,
+    ask_most: Seconds = 30.0  # and again within this time at the latest
+    ask_gone: Seconds = 60.0  # one that has not answered for so long is taken to have lost the job
+    default: SessionSection = msgspec.field(
+        default_factory=lambda: SessionSection(jobs=1_000_000, bytes=1 << 40))  # the session of /drmaa2/jobs
+    sessions: Sessions = msgspec.field(default_factory=Sessions)
+    session: list[NamedSession] = []
+
+    def bounds(self, limits: Limits) -> Bounds:
+        """Return what the front keeps at the most."""
+        return Bounds(sessions=self.sessions.most + len(self.session) + 1, jobs=self.jobs, array=self.array,
+                      finished=self.finished, finished_keep_us=int(self.finished_keep * 1e6),
+                      finished_bytes=limits.finished_bytes, waits=limits.waits)
+
+    def asking(self) -> AskLimits:
+        """Return how eagerly schedulers are asked."""
+        return AskLimits(first_us=int(self.ask_first * 1e6), most_us=int(self.ask_most * 1e6),
+                         gone_after_us=int(self.ask_gone * 1e6))
--- /dev/null
+++ b/merlinbay/drmaa/templates.py
@@ -0,0 +1,149 @@
+"""What becomes of a template: read off it at its submission, and written into what goes to a real server."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import datetime
+
+import msgspec
+
+from merlinbay.batch.errors import DrmaaError, invalid_argument
+from merlinbay.batch.jobs import Job, Submission
+from merlinbay.core.ports import JobSpec
+from merlinbay.decision import api
+from merlinbay.drmaa.words import JobTemplate, when, write
+
+TEMPLATE_TYPE = "application/vnd.drmaa2.job-template+json"
+INDEX = "$DRMAA2_INDEX$"  # GFD.194, 5.6: in these attributes it stands for an array member's index
+INDEXED = ("workingDirectory", "inputPath", "outputPath", "errorPath")
+PRIORITIES = range(-100, 101)
+
+# GFD.194's attributes that this binding knows but does not carry: they are refused, never dropped silently.
+UNSUPPORTED = ("email", "emailOnStarted", "emailOnTerminated", "reservationId", "machineOS", "machineArch",
+               "stageInFiles", "stageOutFiles")
+RESOURCE_LIMITS = ("CORE_FILE_SIZE", "CPU_TIME", "DATA_SIZE", "FILE_SIZE", "OPEN_FILES", "STACK_SIZE",
+                   "VIRTUAL_MEMORY", "WALLCLOCK_TIME")
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """What templates are read by."""
+
+    classes: Mapping[str, api.JobClass]  # the first is the default
+    memory_unit_kib: int = 0  # of the decision module's unit of memory; 0: the operator has not said
+
+
+def submission(template: JobTemplate, rules: Rules, now_us: int) -> Submission:
+    """Check a template and read off what decides when and where it runs. Raises ``DrmaaError``."""
+    for name in UNSUPPORTED:
+        if getattr(template, name) is not None:
+            raise DrmaaError("UnsupportedAttributeException", name)
+    if not template.remoteCommand:
+        raise invalid_argument("remoteCommand is empty")
+    if template.payload and template.inputPath:
+        raise invalid_argument("payload and inputPath exclude each other")
+    for name, value in template.resourceLimits.items():
+        if name not in RESOURCE_LIMITS or value < 0:
+            raise invalid_argument(f"resourceLimits: {name!r}")
+    if template.priority not in PRIORITIES:
+        raise invalid_argument(f"priority: {PRIORITIES.start} to {PRIORITIES.stop - 1}")
+    if len(template.candidateMachines) > 256:
+        raise invalid_argument("candidateMachines: 256 at the most")
+    job_class = _class_of(template, rules)
+    low = 1 if template.minSlots is None else template.minSlots
+    high = low if template.maxSlots is None else template.maxSlots
+    if not 1 <= low <= high <= 1_000_000:
+        raise invalid_argument("minSlots and maxSlots")
+    if template.minPhysMemory is not None:
+        if not rules.memory_unit_kib:
+            raise DrmaaError("UnsupportedAttributeException", "minPhysMemory: no memory_unit_kib is set")
+        if not 0 <= template.minPhysMemory < 2**53:
+            raise invalid_argument("minPhysMemory")
+    start_us, deadline_us = _moment("startTime", template.startTime), _moment(
+        "deadlineTime", template.deadlineTime)
+    if template.deadlineTime is not None and deadline_us <= now_us:
+        raise invalid_argument("deadlineTime has passed")
+    if deadline_us and start_us >= deadline_us:
+        raise invalid_argument("deadlineTime comes before startTime")
+    return Submission(template, job_class.name, float(low), len(write(template)), template.accountingId,
+                      template.priority, template.submitAsHold, start_us if start_us > now_us else 0,
+                      deadline_us, (template.minPhysMemory, tuple(template.candidateMachines)))
+
+
+def _class_of(template: JobTemplate, rules: Rules) -> api.JobClass:
+    """Return the class that a template asks for: a class is a job category, and a queue of that name."""
+    wanted = template.jobCategory or template.queueName or next(iter(rules.classes))
+    if template.queueName and template.queueName != wanted:
+        raise invalid_argument(f"queueName {template.queueName!r} is not that of jobCategory {wanted!r}")
+    job_class = rules.classes.get(wanted)
+    if job_class is None:
+        raise invalid_argument(f"unknown jobCategory or queueName {wanted!r}")
+    if template.rerunnable is False and job_class.effect != "once":
+        raise invalid_argument(f"jobCategory {wanted!r} repeats jobs")
+    return job_class
+
+
+def _moment(name: str, at: datetime | None) -> int:
+    if at is None:
+        return 0
+    if at.tzinfo is None:
+        raise invalid_argument(f"{name} names no time zone")
+    moment = int(at.timestamp() * 1e6)
+    if not 0 < moment < 2**62:
+        raise invalid_argument(name)
+    return moment
+
+
+def job_spec(job: Job, rules: Rules, now_us: int) -> JobSpec:
+    """Translate a job that is offered now into what the core takes.
+
+    Its class's deadline counts from now: what it has waited in the backlog is not taken off. Its own
+    ``deadlineTime`` bounds both.
+    """
+    what = job.what
+    template = what.template
+    assert isinstance(template, JobTemplate)
+    budget_us = rules.classes[what.job_class].deadline_us
+    if what.deadline_us:
+        budget_us = min(budget_us, what.deadline_us - now_us)
+    if job.array is not None:
+        template = for_member(template, job.index)
+    memory = 0.0
+    if template.minPhysMemory is not None:
+        memory = template.minPhysMemory / rules.memory_unit_kib
+    # Guards against what a scheduler tells late of an earlier offer: each has a name of its own. The key by
+    # which it knows a repeat stays the job's.
+    return JobSpec(name=job.id if job.offer == 1 else f"{job.id}~{job.offer}", job_class=what.job_class,
+                   arrived_us=now_us, budget_us=max(budget_us, 1000), target=f"/{what.job_class}",
+                   body=write(template), body_type=TEMPLATE_TYPE, repeat_key=job.id, tenant=what.account,
+                   slots=what.slots, memory=memory if math.isfinite(memory) else 0.0,
+                   only=tuple(template.candidateMachines))
+
+
+def for_member(template: JobTemplate, index: int) -> JobTemplate:
+    """Return an array member's template: its index in the paths, and in ``DRMAA2_INDEX``."""
+    number = str(index)
+    paths = {name: value.replace(INDEX, number) for name in INDEXED if INDEX in (value := getattr(
+        template, name))}
+    return msgspec.structs.replace(template, **paths, jobEnvironment={
+        **template.jobEnvironment, "DRMAA2_INDEX": number})
+
+
+def template_for(spec: JobSpec, deadline_us: int) -> JobTemplate:
+    """Translate a flow into the template that a scheduler gets; its ``jobName`` is the flow's name.
+
+    What the front has seen to (waiting, turns, the choice of machines) is not said again.
+    """
+    if spec.body_type == TEMPLATE_TYPE:
+        template = msgspec.json.decode(spec.body, type=JobTemplate)
+        template.submitAsHold, template.startTime, template.priority = False, None, 0
+        template.candidateMachines, template.queueName = [], ""
+    else:
+        template = JobTemplate(remoteCommand=spec.target, payload=spec.body)
+    template.jobCategory, template.jobName = spec.job_class, spec.name
+    template.deadlineTime = when(deadline_us)
+    if spec.repeat_key:
+        template.jobEnvironment = {**template.jobEnvironment, "DRMAA2_REPEAT_KEY": spec.repeat_key}
+    return template
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -48,9 +48,7 @@
     stop_tail: float = 0.1  # refuse for so long after the last answer, for what crossed the closing
     stop_most: float = 3.6  # and leave after so long at the latest, before SIGKILL
     retry_when_stopping_us: int = 100_000
-    finished_jobs: int = 2000  # DRMAA jobs kept after their end, for status queries that come late
-    finished_keep: float = 60.0
-    finished_bytes: int = 16 * 1024 * 1024  # of their outputs
+    finished_bytes: int = 16 * 1024 * 1024  # of the outputs of DRMAA jobs kept after their end
     waits: int = 100  # DRMAA waits under way, each of which holds an edge connection
     dns_query: float = 1.0
     dns_least: float = 0.2  # a list is asked for again after its least TTL, but neither sooner
--- a/merlinbay/log.py
+++ b/merlinbay/log.py
@@ -15,6 +15,10 @@
         self.printed = 0
         self.dropped = 0
 
+    def event(self, name: str, **values: object) -> None:
+        """Print an event with what belongs to it."""
+        self.line(" ".join([name, *(f"{key}={value}" for key, value in values.items())]))
+
     def line(self, text: str) -> None:
         """Print one line, unless this second has had its share."""
         second = int(time.monotonic())
--- /dev/null
+++ b/merlinbay/operator_file.py
@@ -0,0 +1,58 @@
+"""The operator's file: what is on beside the platform's protocol, section by section."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+
+from merlinbay.config import BadConfig, address
+from merlinbay.drmaa.settings import Drmaa
+
+
+class DnsSd(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Where service entries come from in place of the platform's discovery."""
+
+    nameserver: str
+    service: str
+
+
+class LogSection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """How events are written to standard error."""
+
+    format: Literal["plain", "console", "json"] = "plain"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    lines: Annotated[int, msgspec.Meta(ge=1)] = 20  # of one event a second; what is beyond it is counted
+
+
+class Operator(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """The operator's file."""
+
+    drmaa: Drmaa = msgspec.field(default_factory=Drmaa)
+    dnssd: DnsSd | None = None
+    log: LogSection = msgspec.field(default_factory=LogSection)
+
+
+def read(path: str) -> Operator:
+    """Read an operator's file. Raises ``BadConfig`` with one line that names file, key and cause."""
+    try:
+        operator = msgspec.convert(tomllib.loads(Path(path).read_text()), Operator)
+        if operator.dnssd is not None:
+            address(operator.dnssd.nameserver)
+    except OSError as error:
+        raise BadConfig(f"{path}: {error.strerror}") from None
+    except (ValueError, msgspec.ValidationError) as error:
+        raise BadConfig(f"{path}: {error}") from None
+    except BadConfig as error:
+        raise BadConfig(f"{path}: dnssd.nameserver: {error}") from None
+    names = [session.name for session in operator.drmaa.session]
+    if "default" in names or len(set(names)) < len(names):
+        raise BadConfig(f"{path}: drmaa.session: names must differ, and from 'default'")
+    return operator
+
+
+def schema() -> dict[str, object]:
+    """Return the file's JSON schema."""
+    return msgspec.json.schema(Operator)
--- a/merlinbay/platform/edge.py
+++ b/merlinbay/platform/edge.py
@@ -26,18 +26,12 @@
     return Response(503, b"refused\n", [(b"retry-after", wait)] if retry_after_us else [])
 
 
-class EdgeFlow:
-    """The client's side of one flow."""
+class EdgeFlow(ports.Edge):
+    """The client's side of one flow: this wire tells clients the end only."""
 
     def __init__(self, connection: Connection, name: str) -> None:
         self.connection, self.name = connection, name
 
-    def sent(self) -> None:
-        """Pass over it: this wire tells clients the end only."""
-
-    def started(self) -> None:
-        """Pass over it likewise."""
-
     def answer(self, answer: Answer) -> None:
         """Write the flow's answer to its edge connection."""
         self.connection.context = None
--- a/merlinbay/platform/servers.py
+++ b/merlinbay/platform/servers.py
@@ -47,6 +47,17 @@
     def forget(self, scheduling: Scheduling) -> None:
         """Keep an exchange that is under way: its answer frees the connection."""
 
+    def recall(self, scheduling: Scheduling) -> None:
+        """Tell at once that it can't be: this wire does not say whether a deleted job had started."""
+        self.nursery.start_soon(self.post, ports.SchedulingRecalled(
+            scheduling.spec.name, scheduling.server, False))
+
+    def control(self, scheduling: Scheduling, action: str) -> None:
+        """Tell at once that this wire has no word for it."""
+        self.nursery.start_soon(self.post, ports.SchedulingControlled(
+            scheduling.spec.name, scheduling.server, action, "UnsupportedOperationException",
+            "the real server has no such operation"))
+
     def probe(self, server: str) -> None:
         """Ask a real server for its load."""
         self.spawn(self._probe, server)
