Command line on click, merlinbay local with executors of child processes, structured events

Need: batch clients had no program to submit with, and a newcomer nothing to submit to; logs were free text; the operator's sections had no published schema.

Change: merlinbay/cli (serve, local, config, session, job, completion; documented exit codes), merlinbay/ executor (slots without I/O, children in process groups of their own, an ordinary scheduler on the wire), structlog events by the operator's [log] section, typed [drmaa] settings with a schema. A hold takes a placed job back by recall, which the module hears of as a cancel, not as a full server.

--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -1,4 +1,7 @@
-"""One node: ``python -m merlinbay``. Reads its configuration, wires the parts and runs until SIGTERM."""
+"""One node: ``python -m merlinbay``. Reads its configuration, wires the parts and runs until SIGTERM.
+
+With arguments it is the command line (``cli``), of which nothing is imported otherwise.
+"""
 
 from __future__ import annotations
 
@@ -69,7 +72,7 @@
         nursery.start_soon(discovery.run)
         nursery.start_soon(listener.serve, sock)
         nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log)
-        log.line(f"{config.name} serves at {config.listen[0]}:{config.listen[1]}")
+        log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
         await owner.run(receive)
         nursery.cancel_scope.cancel()
 
@@ -105,14 +108,14 @@
         new = reload(config)
     except BadConfig as error:
         counters.add("reloads_bad")
-        log.line(f"the old configuration stays in force: {error}")
+        log.event("reload_failed", level="warning", error=str(error), kept="the old configuration")
         return
     if isinstance(discovery, Discovery):
         discovery.move(new.discovery)
     elif new.operator is not None and new.operator.dnssd is not None:
         discovery.move(address(new.operator.dnssd.nameserver), new.operator.dnssd.service)
     counters.add("reloads")
-    log.line(f"configuration read again; discovery at {new.discovery}")
+    log.event("reloaded", discovery=new.discovery)
 
 
 async def stop(config: Config, listener: Listener, inbox: trio.MemorySendChannel[Message],
@@ -134,6 +137,14 @@
 
 
 def main() -> int:
+    """Serve; with arguments, hand over to the command line."""
+    if len(sys.argv) > 1:
+        from merlinbay.cli.main import main as command_line
+        command_line(prog_name="merlinbay")
+    return serve()
+
+
+def serve() -> int:
     """Start; a bad configuration ends with one plain line."""
     try:
         config = load()
--- /dev/null
+++ b/merlinbay/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line. Nothing of it is imported by ``python -m merlinbay`` without arguments."""
--- /dev/null
+++ b/merlinbay/cli/main.py
@@ -0,0 +1,113 @@
+"""``merlinbay``: the group of all commands, and those that need no front."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from pathlib import Path
+
+import click
+from click.shell_completion import get_completion_class
+
+from merlinbay.cli.caller import DONE, Caller, Raised, end_with
+
+LOCAL = "http://127.0.0.1:8181"
+
+
+class Group(click.Group):
+    """A group whose commands end with a documented exit code."""
+
+    def invoke(self, ctx: click.Context) -> object:
+        """Run a command."""
+        try:
+            return super().invoke(ctx)
+        except (Raised, OSError) as error:
+            end_with(error)
+
+
+@click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--url", envvar="MERLINBAY_URL", default=LOCAL, show_default=True, help="The front's address.")
+@click.option("--session", envvar="MERLINBAY_SESSION", default="default", show_default=True,
+              help="The job session that is meant.")
+@click.pass_context
+def main(ctx: click.Context, url: str, session: str) -> None:
+    """Run a node, and submit and control batch jobs."""
+    if not url.startswith("http://"):
+        raise click.BadParameter("it starts with http://", param_hint="--url")
+    ctx.obj = Caller(url, session)
+
+
+@main.command()
+@click.option("--config", type=click.Path(dir_okay=False), help="The node's configuration, as LB_CONFIG.")
+@click.option("--operator", type=click.Path(dir_okay=False), help="The operator's file, as LB_OPERATOR.")
+def serve(config: str | None, operator: str | None) -> None:
+    """Run one node until SIGTERM."""
+    from merlinbay.__main__ import serve as run_node
+    for name, value in (("LB_CONFIG", config), ("LB_OPERATOR", operator)):
+        if value is not None:
+            os.environ[name] = value
+    sys.exit(run_node())
+
+
+@main.group("config")
+def config_group() -> None:
+    """Check the operator's file."""
+
+
+@config_group.command()
+@click.argument("file", type=click.Path())
+def check(file: str) -> None:
+    """Read an operator's FILE as a node would, and say what is wrong with it in one line."""
+    from merlinbay.config import BadConfig
+    from merlinbay.operator_file import read
+    try:
+        operator = read(file)
+    except BadConfig as error:
+        click.echo(f"merlinbay: {error}", err=True)
+        sys.exit(2)
+    on = [name for name, is_on in (("drmaa.front", operator.drmaa.front), ("drmaa.servers",
+          operator.drmaa.servers), ("dnssd", operator.dnssd is not None)) if is_on]
+    click.echo(f"{file}: good; on: {', '.join(on) or 'nothing'}")
+
+
+@config_group.command("schema")
+def print_schema() -> None:
+    """Print the JSON schema of the operator's file."""
+    from merlinbay.operator_file import schema
+    click.echo(json.dumps(schema(), indent=2))
+
+
+@main.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print a script that completes commands in SHELL: eval "$(merlinbay completion bash)"."""
+    found = get_completion_class(shell)
+    assert found is not None
+    click.echo(found(main, {}, "merlinbay", "_MERLINBAY_COMPLETE").source())
+
+
+@main.command()
+@click.option("--port", default=8181, show_default=True, help="Where the front listens, on 127.0.0.1.")
+@click.option("--executors", default=2, show_default=True, type=click.IntRange(1, 16))
+@click.option("--slots", default=4, show_default=True, type=click.IntRange(1, 1024), help="Of each executor.")
+@click.option("--log", "log_format", default="console", type=click.Choice(["plain", "console", "json"]))
+@click.option("--folder", type=click.Path(file_okay=False, exists=True, path_type=Path), default=Path.cwd,
+              help="Where jobs run; this folder by default.")
+def local(port: int, executors: int, slots: int, log_format: str, folder: Path) -> None:
+    """Start a front and executors that run jobs as processes on this machine, until Ctrl-C."""
+    from merlinbay.cli.local import start
+    sys.exit(start(port, executors, slots, log_format, folder))
+
+
+def attach() -> None:
+    """Add the commands that call a front."""
+    from merlinbay.cli.jobs import job
+    from merlinbay.cli.sessions import session
+    main.add_command(job)
+    main.add_command(session)
+
+
+attach()
+
+__all__ = ["DONE", "main"]
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -79,7 +79,8 @@
                 actions = self.balancer.handle(now, events)
             except Exception as error:  # Guards against one bad event that would end every other flow.
                 self.counters.add("module_errors")
-                self.log.line("the module failed: " + "".join(traceback.format_exception(error)))
+                self.log.event("module_failed", level="error",
+                               error="".join(traceback.format_exception(error)))
                 return
             events = []
             for action in actions:
@@ -242,14 +243,17 @@
             flow.edge.recalled(False)
         if not done:
             return
-        if not flow.recalling or len(flow.open) > 1:  # the others are asked too: the last one's word counts
+        # Guards against a server that looks full for having given back what was asked for: that is CANCELLED.
+        if not flow.recalling:
             self._ended(scheduling, api.Outcome.FULL, now, events)
+        elif len(flow.open) > 1:  # the others are asked too: the last one's word counts
+            self._ended(scheduling, api.Outcome.CANCELLED, now, events)
         else:
             # Guards against a next attempt: the module hears of the end before it hears of the attempt's.
             flow.done = True
             events.append(api.JobWithdrawn(flow.number))
             flow.edge.recalled(True)
-            self._ended(scheduling, api.Outcome.FULL, now, events)
+            self._ended(scheduling, api.Outcome.CANCELLED, now, events)
 
     def _row(self, report: dict[str, float] | None) -> list[object] | None:
         return None if report is None else [report.get(name) for name in self.fields]
@@ -306,7 +310,7 @@
                 self.counters.add("probes_sent")
                 self.servers.probe(action.worker)
             case api.Note():
-                self.log.line(action.text)
+                self.log.event("module_note", text=action.text)
             case api.Tell():
                 self.counters.add("tells_dropped")  # no settings of ours let balancers speak to each other
 
--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -61,7 +61,7 @@
                 except (Failed, OSError, dns.exception.DNSException, trio.TooSlowError) as error:
                     # Guards against an outage that empties the list: what was heard last still stands.
                     self.counters.add("dns_failed")
-                    self.log.line(f"dns-sd: {type(error).__name__}: {error}")
+                    self.log.event("dnssd_failed", level="warning", error=repr(error))
                     await trio.sleep(self.limits.watch_backoff)
                     await self.inbox.send(ports.EntriesChanged("refused"))
 
@@ -78,7 +78,8 @@
                 entry = records.entry(instance, target, records.address(hosts), records.attributes(texts))
             except records.NoEntry as error:  # one bad instance hides no other
                 self.counters.add("dns_bad_instances")
-                self.log.line(f"dns-sd: {instance}: {error}")
+                self.log.event("dnssd_instance_failed", level="warning", instance=str(instance),
+                               error=repr(error))
                 continue
             listed[entry.server] = entry
             least = min(least, srv_ttl, txt_ttl, host_ttl)
--- a/merlinbay/drmaa/edges.py
+++ b/merlinbay/drmaa/edges.py
@@ -108,6 +108,9 @@
         else:
             exception, note = self._why_failed(ending, now)
             front.engine.failed(job, exception, note, now, ending.exit_status, ending.signal, ending.output)
+        front.log.event("job_ended" if job.ended else "job_refused", level="debug", job=job.id,
+                        session=job.session.name, state=job.state.value, server=job.server,
+                        exception=job.exception)
         front.flush()
 
     def _why_failed(self, ending: Ending, now_us: int) -> tuple[str, str]:
@@ -115,7 +118,7 @@
         if ending.signal:
             return "InternalException", ending.note or f"ended by {ending.signal}; it may have run"
         if ending.exit_status is not None:
-            return "", ending.note or f"exit status {ending.exit_status}"
+            return "", ending.note
         if now_us >= self.deadline_us - self.front.limits.answer_margin_us:
             return "TimeoutException", "the deadline has passed; it may have run"
         return "InternalException", ending.note or "failed; it may have run"
--- a/merlinbay/drmaa/settings.py
+++ b/merlinbay/drmaa/settings.py
@@ -29,7 +29,7 @@
     share: Share = 1.0  # of the servers, against the other sessions' backlogs
     wait_most: Number = 86_400  # seconds after which a job that was not placed is given up; 0: never
     priority_step: Number = 60  # seconds of waiting that one step of a job's priority is worth
-    jobs: Count = 10_000  # unfinished ones
+    jobs: Count = 50_000  # unfinished ones; half of them for one account
     bytes: Count = 64 * 1024 * 1024  # of their templates
     rate: Annotated[float, msgspec.Meta(ge=0)] = 0.0  # submissions a second; 0: any
     burst: Count = 100
--- a/merlinbay/drmaa/words.py
+++ b/merlinbay/drmaa/words.py
@@ -163,6 +163,11 @@
     return call.jobTemplate
 
 
+def read_scheduled(body: bytes) -> RunJob:
+    """Read a runJob call as a scheduler gets it. Raises ``DrmaaError``."""
+    return _read(_run_job, body)
+
+
 def read_run_bulk(body: bytes) -> RunBulkJobs:
     """Read a runBulkJobs call. Raises ``DrmaaError``."""
     return _read(_run_bulk, body)
--- /dev/null
+++ b/merlinbay/executor/slots.py
@@ -0,0 +1,118 @@
+"""What an executor has: jobs in order of their coming, a number of slots, and the states. No I/O.
+
+A job that does not fit waits, and those behind it with it, so that a wide one gets its turn. So many wait
+at the most: beyond that, runJob raises TryLaterException and nothing is kept.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from merlinbay.batch.errors import DrmaaError, invalid_argument, invalid_state, try_later
+from merlinbay.batch.states import ENDED, Event, InvalidState, State, after
+from merlinbay.drmaa.words import JobInfo, JobTemplate
+
+RETRY_US = 200_000
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job of this executor."""
+
+    id: str
+    template: JobTemplate
+    session: str
+    notify: str
+    info: JobInfo
+    state: State = State.QUEUED
+    ending: bool = False  # terminate has been called
+
+    @property
+    def slots(self) -> int:
+        """Return how many slots it takes."""
+        return self.template.minSlots or 1
+
+
+@dataclass(slots=True)
+class Slots:
+    """The jobs and the slots of one executor."""
+
+    slots: int
+    queue_most: int = 8
+    kept_most: int = 1000
+    free: int = 0
+    draining: bool = False
+    jobs: dict[str, Job] = field(default_factory=dict)
+    queue: deque[Job] = field(default_factory=deque)
+    kept: deque[Job] = field(default_factory=deque)
+    count: int = 0
+
+    def __post_init__(self) -> None:
+        self.free = self.slots
+
+    def add(self, template: JobTemplate, session: str, notify: str) -> Job:
+        """Take a job into the queue. Raises ``DrmaaError`` where there is no room, or never will be."""
+        if self.draining:
+            raise try_later("the executor drains", RETRY_US)
+        if (template.minSlots or 1) > self.slots:
+            raise DrmaaError("OutOfResourceException", f"{self.slots} slots in all")
+        if len(self.queue) >= self.queue_most:
+            raise try_later(f"{self.queue_most} jobs wait", RETRY_US)
+        self.count += 1
+        job = Job(str(self.count), template, session, notify, JobInfo(str(self.count), "QUEUED"))
+        self.jobs[job.id] = job
+        self.queue.append(job)
+        return job
+
+    def job(self, job_id: str) -> Job:
+        """Return a job. Raises ``DrmaaError``."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            raise invalid_argument(f"no job {job_id!r}", missing=True)
+        return job
+
+    def startable(self) -> list[Job]:
+        """Take what can start now out of the queue, and give it its slots."""
+        started = []
+        while self.queue and self.queue[0].slots <= self.free:
+            job = self.queue.popleft()
+            self.free -= job.slots
+            job.state = after(job.state, Event.START)
+            started.append(job)
+        return started
+
+    def recall(self, job: Job) -> None:
+        """Give a job back that has not started. Raises ``DrmaaError``."""
+        if job.state is not State.QUEUED:
+            raise invalid_state(f"the job is {job.state.value}")
+        self.queue.remove(job)
+        self.end(job, Event.FAIL)
+
+    def drain(self) -> list[Job]:
+        """Take nothing new, and give back what waits."""
+        self.draining = True
+        given = list(self.queue)
+        for job in given:
+            self.recall(job)
+        return given
+
+    def move(self, job: Job, event: Event) -> None:
+        """Suspend or resume. Raises ``DrmaaError``."""
+        try:
+            job.state = after(job.state, event)
+        except InvalidState as error:
+            raise invalid_state(str(error)) from None
+
+    def end(self, job: Job, event: Event) -> None:
+        """Reach a job's final state, and free its slots if it had some."""
+        if job.state in (State.RUNNING, State.SUSPENDED):
+            self.free += job.slots
+        job.state = after(job.state, event)
+        self.kept.append(job)
+        if len(self.kept) > self.kept_most:
+            del self.jobs[self.kept.popleft().id]
+
+    def alive(self) -> list[Job]:
+        """Return the jobs that have not ended."""
+        return [job for job in self.jobs.values() if job.state not in ENDED]
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -282,7 +282,7 @@
             await connection.serve()
         except Exception as error:  # Guards against a fault in one connection ending the others.
             self.counters.add("edge_connections_faulty")
-            self.log.line(f"a connection failed: {error!r}")
+            self.log.event("connection_failed", level="error", error=repr(error))
         finally:
             self.connections.discard(connection)
 
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -72,6 +72,6 @@
             await task(*args)
         except Exception as error:  # Guards against a fault in one exchange ending the node.
             self.counters.add("server_tasks_faulty")
-            self.log.line(f"an exchange failed: {error!r}")
+            self.log.event("exchange_failed", level="error", error=repr(error))
         finally:
             self.tasks -= 1
--- a/merlinbay/log.py
+++ b/merlinbay/log.py
@@ -16,7 +16,9 @@
         self.dropped = 0
 
     def event(self, name: str, **values: object) -> None:
-        """Print an event with what belongs to it."""
+        """Print an event with what belongs to it. Those of level ``debug`` are for event logs only."""
+        if values.pop("level", "") == "debug":
+            return
         self.line(" ".join([name, *(f"{key}={value}" for key, value in values.items())]))
 
     def line(self, text: str) -> None:
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -55,7 +55,7 @@
                 except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
                     self.fails = min(self.fails + 1, 8)
                     self.counters.add("watches_failed")
-                    self.log.line(f"discovery: {type(error).__name__}: {error}")
+                    self.log.event("discovery_failed", level="warning", error=repr(error))
                     await self.inbox.send(ports.EntriesChanged("refused"))
 
     async def _watch(self) -> None:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,179 @@
+"""The command line: the whole of ``merlinbay local`` as a person uses it, exit codes, and its parts."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from merlinbay.cli.main import main
+from tests.net import ROOT, free_port
+from tests.test_executor import alive
+
+COMMAND = [sys.executable, "-B", "-m", "merlinbay"]
+
+
+class Local:
+    """A running ``merlinbay local``."""
+
+    def __init__(self, folder: Path) -> None:
+        self.port, self.folder = free_port(), folder
+        self.process = subprocess.Popen(
+            [*COMMAND, "local", "--port", str(self.port), "--executors", "2", "--slots", "2", "--folder",
+             str(folder), "--log", "json"], cwd=ROOT, stderr=subprocess.PIPE, text=True)
+        assert self.process.stderr is not None
+        self.lines: list[str] = []
+        while not self.lines or '"serves"' not in self.lines[-1]:
+            self.lines.append(self.process.stderr.readline())
+            assert self.lines[-1], self.lines
+
+    def __call__(self, *args: str) -> Result:
+        """Run a command against it, in this process."""
+        return CliRunner().invoke(main, ["--url", f"http://127.0.0.1:{self.port}", *args])
+
+    def job(self, *args: str) -> str:
+        """Submit a job; return its id."""
+        result = self("job", "submit", "--json", *args)
+        assert result.exit_code == 0, result.output
+        return str(json.loads(result.output)["jobId"])
+
+    def info(self, job: str) -> dict[str, object]:
+        """Return what is known of a job."""
+        return dict(json.loads(self("job", "show", "--json", job).output))
+
+
+@pytest.fixture(scope="module")
+def local(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Local]:
+    """Start it once for this module."""
+    found = Local(tmp_path_factory.mktemp("jobs"))
+    try:
+        yield found
+    finally:
+        found.process.kill()
+        found.process.wait()
+
+
+def test_the_readme_s_first_command(local: Local) -> None:
+    """Submit and wait: DONE, the exit status and the output; 3 where the job failed."""
+    result = local("job", "submit", "--wait", "--", "echo", "minutes")
+    assert result.exit_code == 0 and "DONE  exit status 0" in result.output and "minutes\n" in result.output
+    result = local("job", "submit", "--wait", "--", "sh", "-c", "echo why >&2; exit 4")
+    assert result.exit_code == 3 and "FAILED  exit status 4  why" in result.output
+    result = local("job", "submit", "--wait", "--", "sh", "-c", "kill -KILL $$")
+    assert result.exit_code == 3 and "SIGKILL" in result.output
+    assert local("job", "submit", "--wait", "--", "/nowhere").exit_code == 3
+
+
+def test_a_job_is_held_released_suspended_resumed_and_terminated(local: Local) -> None:
+    """Each shown as the standard names it, and each wrong moment by exit code 6."""
+    job = local.job("--hold", "--", "sleep", "60")
+    assert local.info(job)["jobState"] == "QUEUED_HELD"
+    assert local("job", "suspend", job).exit_code == 6
+    assert local("job", "release", job).exit_code == 0
+    assert local("job", "wait", "--started", "--timeout", "5", job).exit_code == 0
+    for verb, state in (("suspend", "SUSPENDED"), ("resume", "RUNNING"), ("suspend", "SUSPENDED")):
+        result = local("job", verb, job)
+        assert result.exit_code == 0 and state in result.output
+    assert local("job", "wait", "--timeout", "0.1", job).exit_code == 5
+    assert "FAILED" in local("job", "terminate", job).output
+    assert local("job", "terminate", job).exit_code == 6
+    assert local("job", "reap", job).exit_code == 0 and local("job", "show", job).exit_code == 7
+
+
+def test_arrays_sessions_and_lists(local: Local) -> None:
+    """An array runs with its index; a session of its own keeps its jobs apart."""
+    assert local("session", "create", "mine", "--share", "0.5").exit_code == 0
+    assert local("session", "list", "--json").output.split() == ["[", '"default",', '"mine"', "]"]
+    result = local("--session", "mine", "job", "array", "submit", "--json", "--end", "6",
+                   "--max-parallel", "2", "--output", "out.$DRMAA2_INDEX$", "--", "sh", "-c",
+                   "echo $DRMAA2_INDEX")
+    array = json.loads(result.output)["jobArrayId"]
+    assert local("--session", "mine", "job", "wait", f"{array}.6").exit_code == 0
+    assert "DONE 6" in local("--session", "mine", "job", "array", "show", array).output
+    assert (local.folder / "out.4").read_text() == "4\n"
+    rows = json.loads(local("--session", "mine", "job", "list", "--state", "DONE", "--json").output)
+    assert len(rows) == 6
+    assert local("--session", "mine", "job", "array", "act", "reap", array).exit_code == 0
+    for verb in ("show", "close", "open", "destroy"):
+        assert local("session", verb, "mine").exit_code == 0
+    assert local("session", "show", "mine").exit_code == 7
+
+
+def test_input_times_and_waiting_for_one_of_several(local: Local, tmp_path: Path) -> None:
+    """A small input goes along; a start in the future waits; the first of several to end answers."""
+    (tmp_path / "in").write_text("small")
+    result = local("job", "submit", "--wait", "--stdin", str(tmp_path / "in"), "--", "cat")
+    assert result.output.endswith("small")
+    late = local.job("--start", "+60", "--", "true")
+    assert local.info(late)["jobSubState"] == "not before its start time"
+    soon = local.job("--start", "+0.3", "--", "true")
+    result = local("job", "wait", late, soon)
+    assert result.exit_code == 0 and soon in result.output
+    assert local("job", "terminate", late).exit_code == 0
+    for bad in (["--start", "tomorrow"], ["--start", "2027-01-01T00:00:00"], ["--env", "A"],
+                ["--limit", "CPU_TIME=x"]):
+        assert local("job", "submit", *bad, "--", "true").exit_code == 2
+
+
+def test_ctrl_c_leaves_no_child_behind(tmp_path: Path) -> None:
+    """Running, suspended and waiting jobs: all end with it, and it ends with 0 and without waiting."""
+    local = Local(tmp_path)
+    jobs = [local.job("--", "sh", "-c", f"echo $$ > pid{number}; sleep 60 & wait") for number in range(6)]
+    while len(pids := [int(path.read_text()) for path in tmp_path.glob("pid*") if path.read_text()]) < 4:
+        time.sleep(0.02)
+    running = [job for job in jobs if local.info(job)["jobState"] == "RUNNING"]
+    assert len(running) == 4 and local("job", "suspend", running[0]).exit_code == 0
+    began = time.monotonic()
+    local.process.send_signal(signal.SIGINT)
+    assert local.process.wait(10) == 0 and time.monotonic() - began < 3
+    time.sleep(0.1)
+    assert [pid for pid in pids if alive(pid)] == []
+
+
+def test_nobody_there_is_said_in_one_line() -> None:
+    """Exit code 8."""
+    result = CliRunner().invoke(main, ["--url", f"http://127.0.0.2:{free_port()}", "job", "list"])
+    assert result.exit_code == 8 and len(result.output.splitlines()) == 1
+
+
+@pytest.mark.parametrize("text, words", [
+    ("[drmaa]\nfront = 3\n", "drmaa.front"), ("[drmaa]\nfronts = true\n", "fronts"),
+    ("[[drmaa.session]]\nname = 'a b'\n", "session"), ("[drmaa.default]\nshare = 0\n", "drmaa.default.share"),
+    ("[[drmaa.session]]\nname = 'default'\n", "drmaa.session"), ("[log]\nformat = 'xml'\n", "log.format"),
+    ("[dnssd]\nnameserver = 'x'\nservice = 'y'\n", "dnssd.nameserver"), ("[drmaa\n", "line 1")])
+def test_config_check_names_file_key_and_cause(tmp_path: Path, text: str, words: str) -> None:
+    """One line and exit code 2; a good file is said to be so."""
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    result = CliRunner().invoke(main, ["config", "check", str(path)])
+    assert result.exit_code == 2 and len(result.output.splitlines()) == 1
+    assert str(path) in result.output and words in result.output
+    path.write_text("[drmaa]\nfront = true\n")
+    result = CliRunner().invoke(main, ["config", "check", str(path)])
+    assert result.exit_code == 0 and "drmaa.front" in result.output
+
+
+def test_the_schema_and_the_completion_are_printed() -> None:
+    """The schema names every section; each shell's script names the program."""
+    schema = json.loads(CliRunner().invoke(main, ["config", "schema"]).output)
+    assert {"Drmaa", "DnsSd", "LogSection", "SessionSection"} <= set(schema["$defs"])
+    for shell in ("bash", "zsh", "fish"):
+        assert "_MERLINBAY_COMPLETE" in CliRunner().invoke(main, ["completion", shell]).output
+
+
+def test_the_platform_s_start_imports_none_of_it() -> None:
+    """Neither the command line nor the batch side, nor what they use."""
+    code = ("import sys; import merlinbay.__main__; "
+            "print([name for name in sys.modules if name.startswith(('click', 'structlog', 'merlinbay.cli', "
+            "'merlinbay.batch', 'merlinbay.drmaa', 'merlinbay.executor', 'merlinbay.dnssd', 'dns.'))])")
+    done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True,
+                          check=True, env={**os.environ})
+    assert done.stdout == "[]\n"
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,112 @@
+"""The executor: its slots without I/O, and its children as real processes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import trio
+
+from merlinbay.batch.errors import DrmaaError
+from merlinbay.batch.states import Event, State
+from merlinbay.drmaa.words import JobTemplate
+from merlinbay.executor.child import Child, NotStarted
+from merlinbay.executor.slots import Job, Slots
+from tests.net import play
+
+
+def alive(pid: int) -> bool:
+    """Tell whether a process runs; one that has only not been reaped does not."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except OSError:
+        return False
+
+
+def add(slots: Slots, wide: int = 1) -> Job:
+    """Hand a job in."""
+    return slots.add(JobTemplate("x", minSlots=wide), "s", "")
+
+
+def test_slots_are_given_in_order_and_come_back() -> None:
+    """A wide job waits for room, and those behind it with it; the queue is bounded; a drain empties it."""
+    slots = Slots(4, queue_most=3)
+    first = add(slots, 2)
+    assert slots.startable() == [first] and slots.free == 2
+    wide, small = add(slots, 3), add(slots)
+    assert slots.startable() == [] and slots.free == 2
+    slots.move(first, Event.SUSPEND)
+    slots.end(first, Event.FAIL)
+    assert slots.startable() == [wide, small] and slots.free == 0
+    queued = [add(slots) for _ in range(3)]
+    with pytest.raises(DrmaaError) as caught:
+        add(slots)
+    assert caught.value.name == "TryLaterException" and caught.value.retry_after_us > 0
+    with pytest.raises(DrmaaError) as caught:
+        add(slots, 5)
+    assert caught.value.name == "OutOfResourceException"
+    slots.recall(queued[1])
+    with pytest.raises(DrmaaError, match="RUNNING"):
+        slots.recall(wide)
+    assert slots.drain() == [queued[0], queued[2]] and slots.alive() == [wide, small]
+    with pytest.raises(DrmaaError, match="drains"):
+        add(slots)
+    slots.end(wide, Event.FINISH)
+    slots.end(small, Event.FINISH)
+    assert (slots.free, wide.state, slots.startable()) == (4, State.DONE, [])
+
+
+def run_child(tmp_path: Path, **template: object) -> tuple[int, Child]:
+    """Run a shell command to its end."""
+    found: list[tuple[int, Child]] = []
+
+    async def body() -> None:
+        child = Child(JobTemplate("sh", **template), tmp_path)  # type: ignore[arg-type]
+        with trio.fail_after(10):
+            found.append((await child.run(), child))
+
+    play(body)
+    return found[0]
+
+
+def test_a_child_has_its_input_output_environment_and_folder(tmp_path: Path) -> None:
+    """By payload and capture, and by files in a working directory of its own."""
+    status, child = run_child(tmp_path, args=["-c", 'cat; echo "$A" >&2'], payload=b"in",
+                              jobEnvironment={"A": "b"})
+    assert (status, bytes(child.output), bytes(child.error)) == (0, b"in", b"b\n")
+    (tmp_path / "sub").mkdir()
+    (tmp_path / "sub" / "in").write_text("text")
+    status, child = run_child(tmp_path, args=["-c", "cat; pwd; echo no >&2; exit 3"], inputPath="in",
+                              outputPath="$DRMAA2_WORKING_DIR$/out", joinFiles=True, workingDirectory="sub")
+    assert (status, bytes(child.output)) == (3, b"")
+    assert (tmp_path / "sub" / "out").read_text() == f"text{tmp_path / 'sub'}\nno\n"
+
+
+@pytest.mark.parametrize("command, limits, expected", [
+    ("kill -SEGV $$", {}, -11), ("sleep 9", {"WALLCLOCK_TIME": 0}, -9), ("ulimit -n", {"OPEN_FILES": 33}, 0),
+    ("while :; do :; done", {"CPU_TIME": 1}, -9)])
+def test_a_child_ends_by_signals_and_limits(tmp_path: Path, command: str, limits: dict[str, int],
+                                            expected: int) -> None:
+    """The status is the signal's; a limit is the child's own."""
+    status, child = run_child(tmp_path, args=["-c", command], resourceLimits=limits)
+    assert status == expected
+    if "OPEN_FILES" in limits:
+        assert bytes(child.output) == b"33\n"
+
+
+def test_a_child_that_leaves_others_behind_ends_with_them(tmp_path: Path) -> None:
+    """A background process that holds the pipe open neither holds the job nor outlives it."""
+    _, child = run_child(tmp_path, args=["-c", "sleep 60 & echo $!"])
+    pid = int(child.output)
+    assert not alive(pid)
+
+
+def test_what_cannot_be_started_says_why(tmp_path: Path) -> None:
+    """A command, a folder or a file that is not there."""
+    for template in (JobTemplate("/nowhere"), JobTemplate("true", workingDirectory="/nowhere"),
+                     JobTemplate("true", inputPath="none")):
+        async def body(child: Child) -> None:
+            with pytest.raises(NotStarted, match="No such file"):
+                await child.run()
+
+        play(body, Child(template, tmp_path))
