--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: whole programs on loopback sockets, measured from outside. None of it runs in CI."""
--- a/merlinbay/batch/book.py
+++ b/merlinbay/batch/book.py
@@ -199,9 +199,17 @@
     def _keep(self, ended: Job | JobArray, now_us: int) -> None:
         self.kept[ended] = now_us + self.bounds.finished_keep_us
         self.kept_bytes += size_of(ended)
-        self._expire(now_us)
+        if len(self.kept) == 1:
+            self.timers.at(self.kept[ended], self._expire)
+        if len(self.kept) > self.bounds.finished or self.kept_bytes > self.bounds.finished_bytes:
+            self._trim(now_us)
 
     def _expire(self, now_us: int) -> None:
+        self._trim(now_us)
+        if self.kept:
+            self.timers.at(next(iter(self.kept.values())), self._expire)
+
+    def _trim(self, now_us: int) -> None:
         while self.kept:
             ended, until = next(iter(self.kept.items()))
             if (until > now_us and len(self.kept) <= self.bounds.finished
--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -39,7 +39,7 @@
 class Submission:
     """What the front has read off a template."""
 
-    template: object  # passes on unchanged; nothing here looks into it
+    template: bytes  # passes on unchanged; nothing here looks into it
     job_class: str
     slots: float = 1.0
     size: int = 0  # bytes of the template
@@ -48,7 +48,7 @@
     held: bool = False
     start_us: int = 0  # not to be offered before
     deadline_us: int = 0  # not to run after
-    fits: Hashable = ()  # what else decides where it fits: memory, machines
+    fits: tuple[int | None, tuple[str, ...]] = (None, ())  # the memory that it needs, KiB; its machines
 
     @property
     def shape(self) -> Hashable:
--- a/merlinbay/batch/turns.py
+++ b/merlinbay/batch/turns.py
@@ -17,27 +17,24 @@
     """Jobs on their way from their submission to the core, and from there to their end."""
 
     waiting: Counter[Hashable]  # in lanes, by shape
-    ends: Counter[State]  # how jobs ended
+    ends: Counter[State]  # how jobs ended,
+    ended = 0  # and how many
     look_us = 0  # when the backlog is looked at next, though nothing else happens
 
     def take(self, now_us: int) -> list[Effect]:
         """Offer what may be offered now; return the effects so far, and forget them."""
-        self._offer(now_us)
+        if self.waiting:
+            self._offer(now_us)
         effects, self.effects = self.effects, []
         return effects
 
     def tick(self, now_us: int) -> None:
         """Do what is due."""
         self.timers.run(now_us)
-        self._expire(now_us)
 
-    def next_us(self) -> int | None:
-        """Return when ``tick`` has something to do; None: never, as it stands."""
-        due = self.timers.next_us()
-        if self.kept:
-            until = next(iter(self.kept.values()))
-            due = until if due is None else min(due, until)
-        return due
+    def next_us(self) -> int:
+        """Return when ``tick`` may have something to do; ``timers.NEVER``: as it stands, never."""
+        return self.timers.soonest
 
     # The lanes.
 
@@ -165,6 +162,7 @@
             array.annotation = why
             self.jobs -= number
             self.ends[State.FAILED] += number
+            self.ended += number
             array.session.quota.give_back(number, 0 if array.left else array.what.size,
                                           array.what.account, now_us)
             if not array.left:
@@ -248,6 +246,7 @@
         self._move(job, event)
         self.jobs -= 1
         self.ends[job.state] += 1
+        self.ended += 1
         if array is not None:
             array.note_end(job.index, job.state)
         last = array is None or not array.left
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -76,6 +76,7 @@
     look_at: int = 0  # once it has started: when to see whether it still runs
     paused_at: int = 0  # it stands still since then; 0: it does not
     open: bool = True
+    ran: bool = False  # it has ended, and may have run
 
 
 @dataclass(slots=True, eq=False)
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -424,7 +424,11 @@
         self.release(job, attempt)
         self._judge(attempt.worker, job, attempt, event)
         if event.outcome not in api.NEVER_RAN:
-            job.maybe = job.maybe or attempt
+            attempt.ran, job.maybe = True, job.maybe or attempt
+        elif job.maybe is attempt:
+            # Guards against a failure where a refusal is due: an attempt that was out when its copy went
+            # has come back unstarted, so it binds no longer. Others that may have run, or are out, do.
+            job.maybe = next((other for other in job.attempts if other.open or other.ran), None)
         if (event.final or event.outcome == api.Outcome.OK) and not job.done:
             job.done = True
             self._cancel(job, None)
--- a/merlinbay/drmaa/asking.py
+++ b/merlinbay/drmaa/asking.py
@@ -37,6 +37,7 @@
     due_us: int = 0
     misses: int = 0
     asking: bool = False
+    hasty: bool = False  # it is to be asked though it was heard of
     unseen: bool = False
 
 
@@ -67,10 +68,7 @@
         if asked is None:
             return False
         was, asked.unseen = asked.unseen, False
-        asked.heard_us, asked.misses = now_us, 0
-        if not asked.asking:
-            self._unplan(key, asked)
-            self._plan(key, asked, now_us)
+        asked.heard_us, asked.misses = now_us, 0  # ``take`` looks at it when the question comes up
         return was
 
     def hasten(self, key: Hashable, now_us: int) -> None:
@@ -78,7 +76,7 @@
         asked = self.jobs.get(key)
         if asked is not None and not asked.asking:
             self._unplan(key, asked)
-            asked.due_us = now_us
+            asked.due_us, asked.hasty = now_us, True
             self.due.add((asked.due_us, id(asked), key))
 
     def next_us(self) -> int | None:
@@ -92,7 +90,11 @@
         taken: list[Hashable] = []
         while self.due and self.due[0][0] <= now_us and self.out < self.limits.at_once:
             key = self.due.pop(0)[2]
-            self.jobs[key].asking = True
+            asked = self.jobs[key]
+            if asked.heard_us + asked.wait_us > now_us and not asked.hasty:
+                self._plan(key, asked, asked.heard_us)
+                continue
+            asked.asking, asked.hasty = True, False
             self.out += 1
             taken.append(key)
         return taken
@@ -104,7 +106,9 @@
             return False
         self._settle(asked)
         asked.wait_us = min(asked.wait_us * 2, self.limits.most_us)
-        return self.heard(key, now_us)
+        was = self.heard(key, now_us)
+        self._plan(key, asked, now_us)
+        return was
 
     def missed(self, key: Hashable, now_us: int) -> str:
         """Take it that no answer came; return "", "unseen" (for the first time) or "gone"."""
@@ -127,8 +131,8 @@
 
     def _plan(self, key: Hashable, asked: Asked, now_us: int) -> None:
         left = max(asked.deadline_us - now_us, 0) // 4
-        wait = max(min(asked.wait_us, self.limits.most_us, left), self.limits.least_us)
-        asked.due_us = now_us + wait
+        asked.wait_us = max(min(asked.wait_us, self.limits.most_us, left), self.limits.least_us)
+        asked.due_us = now_us + asked.wait_us
         self.due.add((asked.due_us, id(asked), key))
 
     def _unplan(self, key: Hashable, asked: Asked) -> None:
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -17,6 +17,7 @@
 from merlinbay.batch.errors import DrmaaError, invalid_argument, unsupported
 from merlinbay.batch.jobs import Job, Session
 from merlinbay.batch.states import State
+from merlinbay.batch.timers import NEVER
 from merlinbay.clock import Clock
 from merlinbay.core import ports
 from merlinbay.counters import Counters
@@ -31,6 +32,7 @@
 DEFAULT = "default"  # the session of the paths that name none
 ACTIONS = ("hold", "release", "suspend", "resume", "terminate", "reap")
 PAGE, PAGE_MOST = 100, 1000
+PLAIN = ("jobs", "arrays", "waitAnyStarted", "waitAnyTerminated")  # in the session that need not be named
 
 
 class DrmaaFront:
@@ -46,7 +48,8 @@
         self.edges: dict[Job, JobEdge] = {}  # of the jobs that are with the core
         self.outbox: deque[ports.Message] = deque()  # what the owner's inbox had no room for, in order
         self.ready = trio.Event()  # there is something in it
-        self.nap = trio.CancelScope()
+        self.nap, self.due_us = trio.CancelScope(), NEVER  # when the engine is looked at next; maybe too soon
+        self.ends = 0  # jobs that had ended when they were counted last
         now = clock.now_us()
         self.engine.create(DEFAULT, "", settings.default.allowance(), settings.default.waits(), now)
         for session in settings.session:
@@ -60,14 +63,15 @@
             nursery.start_soon(self._send_outbox)
             while True:
                 with trio.CancelScope() as self.nap:
-                    self._set_nap()
+                    self._set_nap(self.engine.next_us())
                     await trio.sleep_forever()
                 self.engine.tick(self.clock.now_us())
                 self.flush()
 
     def flush(self) -> None:
         """Carry out what the engine wants done."""
-        while effects := self.engine.take(self.clock.now_us()):
+        engine = self.engine
+        while (engine.effects or engine.waiting) and (effects := engine.take(self.clock.now_us())):
             for effect in effects:
                 match effect:
                     case Offer():
@@ -85,13 +89,16 @@
                     case Control():
                         if (edge := self.edges.get(effect.job)) is not None:
                             self._post(ports.FlowControlled(edge.name, edge, effect.action))
-        counts, ends = self.counters.counts, self.engine.ends
-        counts["drmaa_jobs_done"], counts["drmaa_jobs_failed"] = ends[State.DONE], ends[State.FAILED]
-        self._set_nap()
+        if self.ends != engine.ended:
+            self.ends = engine.ended
+            counts, ends = self.counters.counts, engine.ends
+            counts["drmaa_jobs_done"], counts["drmaa_jobs_failed"] = ends[State.DONE], ends[State.FAILED]
+        if engine.timers.soonest < self.due_us:
+            self._set_nap(engine.timers.soonest)
 
-    def _set_nap(self) -> None:
-        due = self.engine.next_us()
-        self.nap.deadline = math.inf if due is None else self.clock.to_trio(due)
+    def _set_nap(self, due_us: int) -> None:
+        self.due_us = due_us
+        self.nap.deadline = math.inf if due_us == NEVER else self.clock.to_trio(due_us)
 
     def _offer(self, job: Job) -> None:
         spec = templates.job_spec(job, self.rules, self.clock.now_us())
@@ -129,9 +136,16 @@
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Answer one call, or leave it to be answered by what becomes of the job."""
         path, _, query = request.target.partition("?")
-        parts = [unquote(part) for part in path.strip("/").split("/")[1:]]
+        parts = path.strip("/").split("/")[1:]
+        if "%" in path:
+            parts = [unquote(part) for part in parts]
+        asked = parse_qs(query) if query else {}
         try:
-            response = self._call(connection, request, parts, parse_qs(query))
+            if parts and parts[0] in PLAIN:
+                response = self._in_session(connection, request, self.engine.session(DEFAULT), parts, asked,
+                                            self.clock.now_us())
+            else:
+                response = self._call(connection, request, parts, asked)
         except DrmaaError as error:
             self.counters.add("drmaa_errors")
             response = failure(error)
@@ -184,8 +198,6 @@
                 return ok(info.session_info(session))
             case _, ["sessions", name, *rest] if rest:
                 return self._in_session(connection, request, self.engine.session(name), rest, query, now)
-            case _, [("jobs" | "arrays" | "waitAnyStarted" | "waitAnyTerminated"), *_]:
-                return self._in_session(connection, request, self.engine.session(DEFAULT), parts, query, now)
         raise unsupported(f"{request.method} {request.target[:200]}")
 
     def _in_session(self, connection: Connection, request: Request, session: Session, parts: list[str],
--- a/merlinbay/drmaa/info.py
+++ b/merlinbay/drmaa/info.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from merlinbay.batch.arrays import JobArray
 from merlinbay.batch.jobs import Job, Session
 from merlinbay.drmaa.words import JobInfo, when
@@ -31,7 +33,7 @@
     return {"jobArrayId": array.id, "beginIndex": array.range.start, "endIndex": array.range[-1],
             "step": array.range.step, "members": len(array.range), "maxParallel": array.max_parallel,
             "left": array.left, "states": array.counts(), "sessionName": array.session.name,
-            "jobTemplate": array.what.template}
+            "jobTemplate": msgspec.Raw(array.what.template)}
 
 
 def session_info(session: Session) -> dict[str, object]:
--- a/merlinbay/http/routes.py
+++ b/merlinbay/http/routes.py
@@ -10,12 +10,13 @@
 
     def __init__(self, handlers: list[tuple[str, Handler]]) -> None:
         self.handlers = handlers
+        self.prefixes = [(prefix, prefix.rstrip("/") + "/", handler) for prefix, handler in handlers]
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Hand the request on."""
         path = request.target.partition("?")[0]
-        for prefix, handler in self.handlers:
-            if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
+        for prefix, below, handler in self.prefixes:
+            if path.startswith(below) or path == prefix:
                 return await handler.request(connection, request)
         return Response(404)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -490,3 +490,47 @@
     check.pass_time(1_000_000)
     assert offer(check, 13, memory=0.5) == "w0"
     assert check.broken == []
+
+
+def test_copies_that_all_came_back_unstarted_leave_a_job_that_may_be_refused() -> None:
+    """A keyed job, unstarted at both its workers: nothing has run, so trying again is harmless."""
+    for first, second in ((0, 1), (1, 0)):
+        check = fleet()
+        offer(check, 1, "keyed")
+        check.pass_time(400_000)
+        assert len(check.jobs[1].attempts) == 2  # it had not started, so a copy went out
+        end(check, 1, api.Outcome.FULL, first)
+        actions = end(check, 1, api.Outcome.FULL, second)
+        while not any(isinstance(action, api.Refuse | api.Fail) for action in actions):
+            actions = end(check, 1, api.Outcome.FULL, len(check.jobs[1].attempts) - 1)
+        assert any(isinstance(action, api.Refuse) for action in actions) and not check.broken
+
+
+def test_a_suspended_job_tells_no_pace_and_gets_no_copy() -> None:
+    """Suspended for ten mean run times, then run to its end: its worker looks no slower for it."""
+    for paused in (True, False):
+        check = fleet()
+        serve(check, range(60))
+        worker = offer(check, 100)
+        check.give(api.JobStarted(100, 0))
+        if paused:
+            check.give(api.JobPaused(100, 0, True))
+        check.pass_time(2_000_000)
+        balancer = check.balancer
+        assert isinstance(balancer, Balancer)
+        assert (balancer._pace(balancer.workers[worker]) < 1.2) == paused
+        if paused:
+            assert len(check.jobs[100].attempts) == 1
+            check.give(api.JobPaused(100, 0, False))
+            check.pass_time(50_000)
+            end(check, 100)
+            assert balancer._pace(balancer.workers[worker]) < 1.2
+
+
+def test_a_job_bound_to_workers_goes_to_no_other() -> None:
+    """Of many, the named one gets it; without it, the job is refused unsent."""
+    check = fleet(60)
+    assert [offer(check, number, only=("w41",)) for number in range(2)] == ["w41"] * 2
+    check.give(api.ListChanged("changes", [entry(41, "draining")]))
+    assert offer(check, 10, only=("w41", "w99")) == ""
+    assert offer(check, 11, only=("w41", "w7")) == "w7"
