--- a/bench/batch.py
+++ b/bench/batch.py
@@ -120,6 +120,26 @@
                    f"{min(ratios):.3f} to {max(ratios):.3f}")
 
 
+@main.command()
+@click.option("--against", required=True, type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.option("--rounds", default=15, show_default=True)
+def start(against: Path, rounds: int) -> None:
+    """Time and memory to ready of the platform's node, without an operator's file, in both trees."""
+    found: dict[str, list[tuple[float, float]]] = {"this": [], "other": []}
+    with StandIns(2, "refuse") as standins:
+        for turn in range(rounds):
+            trees = [("this", ROOT), ("other", against.resolve())]
+            for name, tree in trees if turn % 2 else reversed(trees):
+                with tempfile.TemporaryDirectory() as folder:
+                    began = time.perf_counter()
+                    with Node(tree, Path(folder), standins.discovery, "") as node:
+                        found[name].append((time.perf_counter() - began, node.rss_mb()))
+    for name, pairs in found.items():
+        seconds, megabytes = zip(*pairs, strict=True)
+        click.echo(f"{name:6} ready after {statistics.median(seconds):.3f} s (least {min(seconds):.3f}), "
+                   f"{statistics.median(megabytes):.1f} MB")
+
+
 @main.command()
 @click.option("--jobs", default=10_000, show_default=True)
 def memory(jobs: int) -> None:
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -61,16 +61,16 @@
         (folder / "config.json").write_text(json.dumps({
             "name": "bench", "listen": f"127.0.0.1:{self.port}", "discovery": discovery, "seed": "1",
             "settings": SETTINGS, "limits": {"cores": 1.0, "memory_mb": 1024, "sockets": sockets}}))
-        environ = {**os.environ, "LB_CONFIG": str(folder / "config.json"),
-                   "LB_OPERATOR": str(folder / "operator.toml"), "OPENBLAS_NUM_THREADS": "1"}
+        environ = {**os.environ, "LB_CONFIG": str(folder / "config.json"), "OPENBLAS_NUM_THREADS": "1",
+                   "LB_OPERATOR": str(folder / "operator.toml") if operator else ""}
         self.process = subprocess.Popen([sys.executable, "-B", "-m", "merlinbay"], cwd=tree, env=environ,
                                         stderr=subprocess.DEVNULL)
-        for _ in range(500):
+        for _ in range(2000):
             try:
                 with urllib.request.urlopen(f"http://127.0.0.1:{self.port}/-/ready"):
                     return
             except (urllib.error.URLError, OSError):
-                time.sleep(0.02)
+                time.sleep(0.005)
         raise RuntimeError("the node does not get ready")
 
     def __enter__(self) -> Node:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -15,6 +15,7 @@
 from click.testing import CliRunner, Result
 
 from merlinbay.cli.main import main
+from merlinbay.events import EventLog
 from tests.net import ROOT, free_port
 from tests.test_executor import alive
 
@@ -161,6 +162,31 @@
     assert result.exit_code == 0 and "drmaa.front" in result.output
 
 
+def test_events_are_lines_of_json_with_a_rate(capsys: pytest.CaptureFixture[str]) -> None:
+    """One name each, with what belongs to it; what is beyond the rate is counted and said; levels count."""
+    log = EventLog(2, "json", "info", "n0")
+    for number in range(5):
+        log.event("job_ended", job=str(number), session="q")
+    log.event("job_refused", level="debug", job="x")
+    log.seen["job_ended"] = (0, 2, 3)  # a second later
+    log.event("job_ended", level="warning", job="6", session="q")
+    log.line("free text")
+    lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    assert [(line["event"], line.get("job"), line["level"]) for line in lines] == [
+        ("job_ended", "0", "info"), ("job_ended", "1", "info"), ("job_ended", "6", "warning"),
+        ("note", None, "info")]
+    assert lines[2]["dropped_before"] == 3 and all(line["node"] == "n0" for line in lines)
+
+
+def test_serve_runs_a_node_by_the_files_it_is_given(tmp_path: Path) -> None:
+    """A bad one ends it with one line and 2, as the bare program."""
+    (tmp_path / "config.json").write_text("{")
+    done = subprocess.run([*COMMAND, "serve", "--config", str(tmp_path / "config.json")], cwd=ROOT,
+                          capture_output=True, text=True, check=False, timeout=30)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1
+    assert str(tmp_path / "config.json") in done.stderr
+
+
 def test_the_schema_and_the_completion_are_printed() -> None:
     """The schema names every section; each shell's script names the program."""
     schema = json.loads(CliRunner().invoke(main, ["config", "schema"]).output)
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,331 @@
+"""Front, owner and module together, without sockets: clients, schedulers and the clock in any order."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, defaultdict
+from datetime import UTC, datetime
+from typing import Any
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from merlinbay.core import ports
+from merlinbay.core.owner import Owner
+from merlinbay.core.ports import Ending, Scheduling, ServiceEntry
+from merlinbay.counters import Counters
+from merlinbay.decision import Balancer, api
+from merlinbay.decision.api import NEVER_RAN, Outcome
+from merlinbay.drmaa.front import DrmaaFront
+from merlinbay.drmaa.settings import Drmaa, NamedSession
+from merlinbay.http.server import Request, Response
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+from tests.test_fuzz import FakeConnection, documented
+
+SECOND = 1_000_000
+T0 = 1_800_000_000 * SECOND
+ENDS = ("DONE", "FAILED")
+CLASS = st.sampled_from(["keyed", "once"])
+NEWS = ["started", "started", "done", "done", "failed", "exit", "full", "lost", "suspended", "unseen",
+        "found"]
+
+
+class FakeClock:
+    """A clock that stands where it is put."""
+
+    def __init__(self) -> None:
+        self.now = T0
+
+    def now_us(self) -> int:
+        """Return the time."""
+        return self.now
+
+    def to_trio(self, at_us: int) -> float:
+        """Return the same moment on another clock."""
+        return at_us / 1e6
+
+
+class Servers(ports.ServerSide):
+    """Schedulers that do nothing by themselves."""
+
+    def __init__(self) -> None:
+        self.open: dict[tuple[str, str], Scheduling] = {}
+        self.recalls: list[Scheduling] = []
+        self.controls: list[tuple[Scheduling, str]] = []
+        self.runs: dict[str, list[Scheduling]] = defaultdict(list)  # by repeat key: what may have run
+        self.given_up: set[Scheduling] = set()
+
+    def start(self, scheduling: Scheduling) -> None:
+        """Take an attempt."""
+        key = scheduling.spec.name, scheduling.server
+        assert key not in self.open
+        if scheduling.spec.job_class == "once":  # it may go out only while nothing of it may have run
+            assert not self.runs[scheduling.spec.repeat_key]
+        self.open[key] = scheduling
+
+    def give_up(self, scheduling: Scheduling) -> None:
+        """Note it: what is given up unstarted never starts later in this world."""
+        self.given_up.add(scheduling)
+
+    def forget(self, scheduling: Scheduling) -> None:
+        """Drop it."""
+        self.open.pop((scheduling.spec.name, scheduling.server), None)
+
+    def recall(self, scheduling: Scheduling) -> None:
+        """Note it."""
+        self.recalls.append(scheduling)
+
+    def control(self, scheduling: Scheduling, action: str) -> None:
+        """Note it."""
+        self.controls.append((scheduling, action))
+
+    def probe(self, server: str) -> None:
+        """Pass over it."""
+
+    def entries_changed(self, scope: str, entries: list[ServiceEntry]) -> None:
+        """Pass over it."""
+
+
+class Inbox:
+    """The owner's inbox: so much fits, and the rest waits in the front's outbox."""
+
+    def __init__(self) -> None:
+        self.messages: list[ports.Message] = []
+
+    def send_nowait(self, message: ports.Message) -> None:
+        """Take a message."""
+        self.messages.append(message)
+
+
+class World(RuleBasedStateMachine):
+    """Each job has one final state, each call one answer, and the rules of its class are kept."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock, self.inbox, self.servers, counters = FakeClock(), Inbox(), Servers(), Counters()
+        classes = [api.JobClass("keyed", 300_000, 4 * SECOND, effect="by_key", group="cell",
+                                window_us=3 * SECOND),
+                   api.JobClass("once", 300_000, 4 * SECOND, effect="once")]
+        conf = api.Settings(classes=classes, kinds=["k"], tells_start=True, limits=api.Limits(
+            cancelling=True, second_copies=True, send_cap=4, retry_after=True))
+        drmaa = Drmaa(front=True, session=[NamedSession(name="q", backlog=True, jobs=60, wait_most=20)],
+                      finished=500, finished_keep=1000)
+        limits = Limits(most_held=12)
+        clock: Any = self.clock
+        inbox: Any = self.inbox
+        self.front = DrmaaFront(inbox, clock, limits, counters, Log(1), classes, drmaa, "n")
+        self.owner = Owner(Balancer(conf, 7, T0), clock, limits, counters, Log(1), self.servers, self)
+        self.rows = [ServiceEntry(f"s-{n}", "", "", "k", n // 2) for n in range(4)]
+        self.owner.turn([ports.EntriesChanged("all", self.rows)])
+        self.answers: list[tuple[FakeConnection, str]] = []  # of calls that wait
+        self.finals: dict[str, str] = {}
+        self.parallel: dict[str, int] = {}
+        self.counters = counters
+
+    def subscribe(self) -> None:
+        """Be the directory: all is told without being asked."""
+
+    def turn(self) -> None:
+        """Let the owner and the front work until nothing is left to do now."""
+        while self.inbox.messages:
+            messages, self.inbox.messages = self.inbox.messages, []
+            self.owner.turn(messages)
+        for connection, _ in self.answers:
+            assert len(connection.answers) <= 1
+            for answer in connection.answers:
+                self.documented(answer)
+        self.answers = [(connection, what) for connection, what in self.answers if not connection.answers]
+
+    def documented(self, answer: Response) -> None:
+        """Check an answer; a runJob that failed says so by an exception of its own."""
+        if answer.status != 500:
+            documented(answer)
+
+    def call(self, method: str, path: str, value: object = None) -> Any:
+        """Make a call; return the answer's body, None if it is still to come."""
+        connection: Any = FakeConnection()
+        body = b"" if value is None else json.dumps(value).encode()
+        coroutine = self.front.request(connection, Request(method, f"/drmaa2{path}", {}, body))
+        try:
+            coroutine.send(None)
+            raise AssertionError("a call waits inside the front")
+        except StopIteration as stop:
+            response = stop.value
+        self.answers.append((connection, path))
+        if response is not None:
+            connection.answers.append(response)
+        self.turn()
+        return json.loads(connection.answers[0].body) if connection.answers else None
+
+    # Clients.
+
+    @rule(session=st.sampled_from(["", "/sessions/q", "/sessions/q"]), job_class=CLASS,
+          held=st.booleans(), start=st.integers(0, 3), end=st.integers(0, 8))
+    def submit(self, session: str, job_class: str, held: bool, start: int, end: int) -> None:
+        """Submit a job."""
+        template: dict[str, object] = {"remoteCommand": "x", "jobCategory": job_class}
+        if session:
+            template["submitAsHold"] = held
+            if start:
+                template["startTime"] = stamp(self.clock.now + start * SECOND)
+        if end:
+            template["deadlineTime"] = stamp(self.clock.now + (start + end) * SECOND)
+        self.call("POST", f"{session}/jobs", {"jobTemplate": template})
+
+    @rule(members=st.integers(1, 15), parallel=st.integers(0, 3), job_class=CLASS)
+    def submit_array(self, members: int, parallel: int, job_class: str) -> None:
+        """Submit an array."""
+        found = self.call("POST", "/sessions/q/arrays", {
+            "jobTemplate": {"remoteCommand": "x", "jobCategory": job_class}, "beginIndex": 1,
+            "endIndex": members, "maxParallel": parallel})
+        if "jobArrayId" in found:
+            self.parallel[found["jobArrayId"]] = parallel
+
+    def jobs(self) -> list[tuple[str, str]]:
+        """Return paths and ids of all jobs that are known."""
+        return [(path, job_id) for name, path in (("default", ""), ("q", "/sessions/q"))
+                for job_id in self.front.engine.sessions[name].jobs]
+
+    @rule(data=st.data(), verb=st.sampled_from(["hold", "release", "suspend", "resume", "terminate", "wait",
+                                               "waitStarted"]))
+    def act(self, data: st.DataObject, verb: str) -> None:
+        """Call something on a job."""
+        if jobs := self.jobs():
+            path, job_id = data.draw(st.sampled_from(jobs))
+            self.call("GET" if verb.startswith("wait") else "POST", f"{path}/jobs/{job_id}/{verb}")
+
+    @rule(data=st.data(), verb=st.sampled_from(["hold", "release", "suspend", "resume", "terminate"]))
+    def act_on_array(self, data: st.DataObject, verb: str) -> None:
+        """Call something on an array."""
+        if arrays := list(self.front.engine.sessions["q"].arrays):
+            self.call("POST", f"/sessions/q/arrays/{data.draw(st.sampled_from(arrays))}/{verb}")
+
+    @rule(data=st.data())
+    def hang_up(self, data: st.DataObject) -> None:
+        """Leave a call that waits."""
+        if self.answers:
+            one = data.draw(st.sampled_from(range(len(self.answers))))
+            connection: Any = self.answers.pop(one)[0]
+            self.front.gone(connection)
+            self.turn()
+
+    # Schedulers.
+
+    def tell(self, message: ports.Message) -> None:
+        """Put a scheduler's news into the inbox."""
+        self.inbox.send_nowait(message)
+        self.turn()
+
+    @precondition(lambda self: self.servers.open)
+    @rule(data=st.data(), news=st.sampled_from(NEWS), again=st.booleans())
+    def news(self, data: st.DataObject, news: str, again: bool) -> None:
+        """Tell something of a job, perhaps twice."""
+        scheduling = data.draw(st.sampled_from(list(self.servers.open.values())))
+        name, server = scheduling.spec.name, scheduling.server
+        for _ in range(1 + again):
+            match news:
+                case "started" | "suspended":
+                    if (name, server) in self.servers.open:
+                        self.ran(scheduling)
+                    self.tell(ports.SchedulingStarted(name, server) if news == "started"
+                              else ports.SchedulingSuspended(name, server))
+                case "unseen" | "found":
+                    self.tell(ports.SchedulingUnseen(name, server, news == "found"))
+                case _:
+                    outcome = {"done": Outcome.OK, "failed": Outcome.ERROR, "exit": Outcome.ERROR,
+                               "full": Outcome.FULL, "lost": Outcome.RESET}[news]
+                    if outcome not in NEVER_RAN and (name, server) in self.servers.open:
+                        self.ran(scheduling)
+                    self.tell(ports.SchedulingEnded(name, server, outcome, unfit=news == "exit",
+                                                    ending=Ending(3) if news == "exit" else None))
+
+    def ran(self, scheduling: Scheduling) -> None:
+        """Note that an attempt may have run; a held job never does."""
+        key = scheduling.spec.repeat_key
+        if scheduling not in self.servers.runs[key]:
+            self.servers.runs[key].append(scheduling)
+        for session in self.front.engine.sessions.values():
+            job = session.jobs.get(key)
+            assert job is None or not job.state.value.endswith("_HELD")
+
+    @precondition(lambda self: self.servers.recalls or self.servers.controls)
+    @rule(yes=st.booleans())
+    def answer_server_call(self, yes: bool) -> None:
+        """Answer a recall, or a suspend or resume."""
+        if self.servers.recalls:
+            scheduling = self.servers.recalls.pop(0)
+            done = yes and not scheduling.started
+            self.tell(ports.SchedulingRecalled(scheduling.spec.name, scheduling.server, done))
+        else:
+            scheduling, action = self.servers.controls.pop(0)
+            self.tell(ports.SchedulingControlled(scheduling.spec.name, scheduling.server, action,
+                                                 "" if yes else "UnsupportedOperationException", "no"))
+
+    @rule(data=st.data(), state=st.sampled_from(["up", "draining"]))
+    def change_list(self, data: st.DataObject, state: str) -> None:
+        """Let a scheduler drain, or come back."""
+        row = data.draw(st.sampled_from(self.rows))
+        self.tell(ports.EntriesChanged("changes", [ServiceEntry(row.server, "", "", "k", row.cell, state)]))
+
+    @rule(by=st.integers(1, 3 * SECOND))
+    def pass_time(self, by: int) -> None:
+        """Let time pass, with all that becomes due on the way."""
+        until = self.clock.now + by
+        for _ in range(10_000):
+            due = min(self.front.engine.next_us(), self.owner.due[0][0] if self.owner.due else until, until)
+            self.clock.now = max(due, self.clock.now)
+            self.front.engine.tick(self.clock.now)
+            self.front.flush()
+            self.owner.turn([])
+            self.turn()
+            if self.clock.now >= until:
+                return
+        raise AssertionError("time stands still")
+
+    @invariant()
+    def keeps_its_word(self) -> None:
+        """One final state each, no job without somebody who looks after it, bounds and parallels kept."""
+        engine = self.front.engine
+        out: Counter[str] = Counter()
+        for session in engine.sessions.values():
+            assert session.quota.jobs <= session.quota.allowance.jobs
+            for job in session.jobs.values():
+                if job.id in self.finals:
+                    assert self.finals[job.id] == job.state.value
+                elif job.state.value in ENDS:
+                    self.finals[job.id] = job.state.value
+                has_flow = job.stage.value in ("offered", "placed")
+                assert has_flow == (job in self.front.edges)
+                if has_flow:
+                    edge = self.front.edges[job]
+                    flow = self.owner.names.get(edge.name)
+                    assert flow is not None and flow.edge is edge and not flow.done
+                    if job.array is not None:
+                        out[job.array.id] += 1
+        for array_id, most in self.parallel.items():
+            assert not most or out[array_id] <= most
+        counts = self.counters.counts
+        assert not counts["module_errors"] and len(engine.waits) <= engine.bounds.waits
+
+    def teardown(self) -> None:
+        """After all deadlines every job has ended, every call is answered, and nothing is left open."""
+        for _ in range(2):
+            while self.servers.recalls or self.servers.controls:
+                self.answer_server_call(False)
+            for array in list(self.front.engine.sessions["q"].arrays):
+                self.call("POST", f"/sessions/q/arrays/{array}/release")
+            self.pass_time(60 * SECOND)
+        assert self.front.engine.jobs == 0 and not self.owner.flows and not self.front.edges
+        assert not self.answers and not self.servers.open and not self.front.engine.waits
+
+
+def stamp(at_us: int) -> str:
+    """Return a moment as the binding writes it."""
+    return datetime.fromtimestamp(at_us / 1e6, UTC).isoformat()
+
+
+TestWorld = World.TestCase
+TestWorld.settings = settings(max_examples=120, stateful_step_count=40, deadline=None, derandomize=True,
+                              suppress_health_check=list(HealthCheck))
