Versions that tell the truth, and an event for each job taken

Need: GET /drmaa2 said 1.0 for a program of version 0.1.0, and a job's events began at its end. Measured: the test of the session manager compares the two.

--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -270,6 +270,8 @@
         call = Call(connection, taken)
         self.counters.add("drmaa_jobs_taken")
         job = self.engine.submit(session, what, now, call)
+        if self.log.debug:
+            self.log.event("job_taken", level="debug", job=job.id, session=session.name, account=what.account)
         return taken(job) if session.backlog is not None else call
 
     def _told(self, job: Job | None) -> Response:
--- a/merlinbay/drmaa/info.py
+++ b/merlinbay/drmaa/info.py
@@ -4,11 +4,12 @@
 
 import msgspec
 
+from merlinbay import __version__
 from merlinbay.batch.arrays import JobArray
 from merlinbay.batch.jobs import Job, Session
 from merlinbay.drmaa.words import JobInfo, when
 
-VERSION = {"major": "1", "minor": "0"}
+VERSION = dict(zip(("major", "minor"), __version__.split("."), strict=False))
 # GFD.194, 4.5: what an implementation may offer, and whether this one does.
 CAPABILITIES = {"ADVANCE_RESERVATION": False, "RESERVE_SLOTS": False, "CALLBACK": False,
                 "BULK_JOBS_MAXPARALLEL": True, "JT_EMAIL": False, "JT_STAGING": False, "JT_DEADLINE": True,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -11,6 +11,7 @@
 import pytest
 import trio
 
+from merlinbay import __version__
 from merlinbay.http.client import ClientConnection
 from merlinbay.http.server import Request, Response
 from tests.net import LIMITS, Play, Stage, StandIn, play, stage
@@ -121,7 +122,9 @@
         assert (await call("DELETE", path))[0] == 200
         assert (await call("GET", path))[0] == 404
         assert await call("DELETE", "/drmaa2/sessions/default") == (400, "InvalidArgumentException")
-        assert (await call("GET", "/drmaa2"))[1]["drmaaVersion"] == {"major": "2", "minor": "0"}
+        about = (await call("GET", "/drmaa2"))[1]
+        assert about["drmaaVersion"] == {"major": "2", "minor": "0"}
+        assert ".".join(about["drmsVersion"].values()) == __version__.rpartition(".")[0]
         assert (await call("GET", "/drmaa2/supports/BULK_JOBS_MAXPARALLEL"))[1]["supported"] is True
         assert (await call("GET", "/drmaa2/supports/JT_STAGING"))[1]["supported"] is False
         assert await call("GET", "/drmaa2/supports/X") == (400, "InvalidArgumentException")
