Tests for three guards that nothing noticed when they were taken out

Seen: with guards taken out one by one, four changes went unnoticed: a released member that enters the lane past its array's count, a refusal that shuts the whole class for its full time, a copy that goes out while the first attempt is called back, and news of an offer that is over.

Change: a test for each of the first three. The fourth cannot come about, since the owner tells nothing of a flow that is over; the front now checks only whether the job has ended, which a terminate can cross.

--- a/merlinbay/drmaa/edges.py
+++ b/merlinbay/drmaa/edges.py
@@ -7,7 +7,7 @@
 
 from merlinbay.batch.book import Reply
 from merlinbay.batch.errors import DrmaaError
-from merlinbay.batch.jobs import Job, Stage
+from merlinbay.batch.jobs import Job
 from merlinbay.core import ports
 from merlinbay.core.ports import Answer, Ending, Verdict
 from merlinbay.drmaa import words
@@ -43,15 +43,14 @@
     """The client's side of one flow: one offer of a job."""
 
     def __init__(self, front: DrmaaFront, job: Job, spec: ports.JobSpec) -> None:
-        self.front, self.job, self.name, self.offer = front, job, spec.name, job.offer
+        self.front, self.job, self.name = front, job, spec.name
         self.deadline_us = spec.arrived_us + spec.budget_us
 
     def _mine(self) -> bool:
-        """Tell whether the job is still with the core by this offer."""
-        job = self.job
-        if job.offer == self.offer and job.stage in (Stage.OFFERED, Stage.PLACED):
+        """Tell whether the job has not ended: the owner tells nothing more of a flow that is over."""
+        if not self.job.ended:
             return True
-        # Guards against what crosses the job's end, or a hold: it changes nothing.
+        # Guards against what crosses a terminate, which the owner has yet to hear of: it changes nothing.
         self.front.counters.add("drmaa_crossed")
         return False
 
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -152,6 +152,22 @@
     assert made <= 8 + 10 + 1
 
 
+def test_a_released_member_waits_for_its_array_s_turn() -> None:
+    """With one member out at a time, one that was held and comes back takes no second place."""
+    e = engine()
+    array = e.submit_array(opened(e), what(), 1, 3, 1, 1, T0)
+    [first] = offers(e.take(T0))
+    e.hold(first, T0, "hold")
+    e.refused(first, SECOND, T0)
+    e.tick(T0 + SECOND)
+    [second] = offers(e.take(T0 + SECOND))
+    e.placed(second, "s", T0 + SECOND)
+    e.release(first, T0 + SECOND, "release")
+    assert offers(e.take(T0 + SECOND)) == [] and array.out == 1
+    e.finished(second, b"", T0 + SECOND)
+    assert offers(e.take(T0 + SECOND)) == [first]
+
+
 def test_arrays_hold_and_release_members_made_or_not() -> None:
     """A held array offers nothing; a member released by itself is offered all the same."""
     e = engine()
@@ -211,26 +227,27 @@
     assert found == jobs
 
 
-def test_a_job_that_fits_nowhere_does_not_keep_its_class_back() -> None:
-    """It is refused at each try; the others go on, and it comes round again."""
+@pytest.mark.parametrize("shapes", [1, 12])
+def test_jobs_that_fit_nowhere_do_not_keep_their_class_back(shapes: int) -> None:
+    """They are refused at each try, be they of many shapes; the others go on, and they come round again."""
     e = engine()
     session = opened(e)
-    wide = e.submit(session, what(slots=64.0), T0)
+    wide = [e.submit(session, what(slots=64.0 + number), T0) for number in range(shapes)]
     others = [e.submit(session, what(), T0 + 1) for _ in range(40)]
     now, done, tries = T0, dict[Job, int](), 0
     while now < T0 + 5 * SECOND:
         now += SECOND // 100
         e.tick(now)
         for job in offers(e.take(now)):
-            if job is wide:
-                tries += 1
+            if job in wide:
+                tries += job is wide[0]
                 e.refused(job, SECOND // 10, now)
             else:
                 e.placed(job, "s", now)
                 e.finished(job, b"", now)
                 done[job] = now
     assert len(done) == len(others) and max(done.values()) < T0 + SECOND
-    assert 5 < tries < 50 and wide.state is State.QUEUED
+    assert 5 < tries < 50 and all(job.state is State.QUEUED for job in wide)
 
 
 def test_limits_of_a_session_refuse_with_when_to_come_back() -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -184,6 +184,30 @@
     scene(tmp_path, body, answers=answers)
 
 
+def test_a_copy_that_goes_out_during_a_hold_is_called_back_as_well(tmp_path: Path) -> None:
+    """The first scheduler is slow to give back, so the module sends a copy: held only once neither has it."""
+    async def whole() -> None:
+        async with stage(tmp_path) as s:
+            s.operator = QUEUE
+            schedulers = {"s-1": Scheduler(), "s-2": Scheduler()}
+
+            async def slow(server: StandIn, request: Request) -> Response | None:
+                if request.target.endswith("/recall"):
+                    await trio.sleep(0.2)
+                return await schedulers[server.name](server, request)
+
+            for name in schedulers:
+                s.add(name, slow)
+            await s.start()
+            job = await queue(s)
+            status, info = await s.json("POST", f"{Q}/jobs/{job}/hold")
+            assert (status, info["jobState"]) == (200, "QUEUED_HELD")
+            calls = [verb for scheduler in schedulers.values() for verb, _ in scheduler.calls if verb != "state"]
+            assert sorted(calls) == ["recall", "recall", "runJob", "runJob"]
+
+    play(whole)
+
+
 @pytest.mark.parametrize("able", [True, False])
 def test_suspend_and_resume_at_the_scheduler(tmp_path: Path, able: bool) -> None:
     """Done there, and shown; where the scheduler cannot, the state is unchanged and that is said."""
