--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -173,6 +173,10 @@
     e = engine()
     array = e.submit_array(opened(e), what(), 10, 30, 10, 0, T0)
     [first] = offers(e.take(T0))
+    many = e.submit_array(array.session, what(job_class="d"), 1, 10_000, 1, 1, T0)
+    e.on_array(many, "hold", T0, None)
+    assert many.counts() == {"QUEUED_HELD": 10_000} and len(many.made) <= 1  # what is held need not be made
+    e.on_array(many, "terminate", T0, None)
     e.on_array(array, "hold", T0, "hold")
     e.refused(first, SECOND, T0)
     assert replies(e.take(T0)) == {"hold": ""} and array.counts() == {"QUEUED_HELD": 3}
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -2,17 +2,28 @@
 
 from __future__ import annotations
 
+import json
+import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
+import trio.testing
 
 from merlinbay.batch.errors import DrmaaError
 from merlinbay.batch.states import Event, State
+from merlinbay.clock import Clock
+from merlinbay.counters import Counters
 from merlinbay.drmaa.words import JobTemplate
 from merlinbay.executor.child import Child, NotStarted
+from merlinbay.executor.server import Executor
 from merlinbay.executor.slots import Job, Slots
+from merlinbay.http.server import Request
+from merlinbay.limits import Limits
+from merlinbay.log import Log
 from tests.net import play
+from tests.test_fuzz import FakeConnection
 
 
 def alive(pid: int) -> bool:
@@ -110,3 +121,29 @@
                 await child.run()
 
         play(body, Child(template, tmp_path))
+
+
+def test_an_executor_that_is_cancelled_leaves_no_process(tmp_path: Path) -> None:
+    """Also where nobody has terminated the job before: running, or stopped by a suspend."""
+    async def body() -> None:
+        counters, limits = Counters(), Limits()
+        executor = Executor("e", Slots(2), tmp_path, limits, counters, Log(5), Clock())
+        connection: Any = FakeConnection()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(executor.run)
+            await trio.testing.wait_all_tasks_blocked()
+            for number in (1, 2):
+                args = ["-c", f"echo $$ > {number}; sleep 60"]
+                call = {"jobTemplate": {"remoteCommand": "sh", "args": args}}
+                request = Request("POST", "/drmaa2/jobs", {}, json.dumps(call).encode())
+                response = await executor.request(connection, request)
+                assert response is not None and response.status == 201
+            while not all((tmp_path / name).exists() and (tmp_path / name).read_text() for name in "12"):
+                await trio.sleep(0.01)
+            await executor.request(connection, Request("POST", "/drmaa2/jobs/2/suspend", {}, b""))
+            assert executor.slots.job("2").state is State.SUSPENDED
+            nursery.cancel_scope.cancel()
+
+    play(body)
+    time.sleep(0.1)
+    assert not any(alive(int((tmp_path / name).read_text())) for name in "12")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -258,7 +258,8 @@
         await trio.sleep(0.2)
         assert [verb for verb, _ in scheduler.calls].count("runJob") == 1
 
-    scene(tmp_path, body, answers={"state": answer}, classes=ONCE)
+    operator = QUEUE.replace("ask_gone = 1.0", "ask_gone = 30.0")
+    scene(tmp_path, body, answers={"state": answer}, operator=operator, classes=ONCE)
 
 
 def test_a_scheduler_that_cannot_be_asked_leaves_the_state_undetermined(tmp_path: Path) -> None:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -329,3 +329,19 @@
 TestWorld = World.TestCase
 TestWorld.settings = settings(max_examples=120, stateful_step_count=40, deadline=None, derandomize=True,
                               suppress_health_check=list(HealthCheck))
+
+
+def test_a_client_that_hangs_up_before_it_has_the_id_leaves_no_job() -> None:
+    """Its job is withdrawn behind the offer, and no scheduler keeps it."""
+    world = World()
+    connection: Any = FakeConnection()
+    body = b'{"jobTemplate":{"remoteCommand":"x"}}'
+    coroutine = world.front.request(connection, Request("POST", "/drmaa2/jobs", {}, body))
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        assert stop.value is None and connection.context is not None
+    world.front.gone(connection)
+    world.turn()
+    assert not world.owner.flows and not world.servers.open and world.front.engine.jobs == 0
+    assert not connection.answers and world.counters.counts["flows_withdrawn"] == 1
