A job's, a session's and an array's text is one line

Seen: a test run with the guard of held arrays taken out ended without a summary after minutes. Cause: pytest writes out the values of a failed assertion, and a job's text ran through its session to all jobs and arrays. A log line that named a job would have done the same in service.

Change: short texts for the three; a property that nothing used is gone.

--- a/merlinbay/batch/arrays.py
+++ b/merlinbay/batch/arrays.py
@@ -25,7 +25,7 @@
     return found
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class JobArray:
     """An array: which members there are, how many may be out at once, and whose turn it is."""
 
@@ -51,6 +51,9 @@
         self.codes = bytearray(len(self.range))
         self.left = len(self.range)
 
+    def __repr__(self) -> str:
+        return f"<JobArray {self.id} {len(self.range)} members, {self.left} left>"
+
     def position(self, index: int) -> int:
         """Return an index's place in the range."""
         if index not in self.range:
--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from merlinbay.batch.quota import Allowance, Quota
+from merlinbay.batch.quota import Quota
 from merlinbay.batch.shares import Branch, Lane
 from merlinbay.batch.states import ENDED, State
 from merlinbay.batch.timers import Timer
@@ -58,7 +58,7 @@
         return self.job_class, self.slots, self.fits
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Session:
     """A job session."""
 
@@ -73,13 +73,12 @@
     is_open: bool = True
     destroyed: bool = False
 
-    @property
-    def allowance(self) -> Allowance:
-        """Return what the session may have."""
-        return self.quota.allowance
+    def __repr__(self) -> str:
+        return f"<Session {self.name}>"
 
 
-@dataclass(slots=True, eq=False)
+# Guards against a text that runs through all sessions and jobs: each holds the others.
+@dataclass(slots=True, eq=False, repr=False)
 class Job:
     """A batch job, from its submission until its record is reaped or dropped."""
 
@@ -114,6 +113,9 @@
     waits: dict[Wait, None] | None = None  # in the order in which they came
     timer: Timer | None = None
 
+    def __repr__(self) -> str:
+        return f"<Job {self.id} {self.state} {self.stage.value}>"
+
     @property
     def job_class(self) -> str:
         """Return its class."""
