Drop the executor's drain, which nothing but its own test reached

Seen on reading the whole change once more: no command or call leads to a drain of the small executor; the hand-back of a draining scheduler is tested against the stand-ins, by the notification that the binding has. Change: drain, its flag and a listing of jobs alive are gone from merlinbay/executor.

--- a/merlinbay/executor/server.py
+++ b/merlinbay/executor/server.py
@@ -104,12 +104,6 @@
         job.info.jobState = job.state.value
         return ok(job.info)
 
-    def drain(self) -> None:
-        """Take nothing new, hand back what waits, and let what runs end."""
-        for job in self.slots.drain():
-            job.info.exception = "TryLaterException"
-            self._tell(job)
-
     # Jobs.
 
     def _start_what_fits(self) -> None:
--- a/merlinbay/executor/slots.py
+++ b/merlinbay/executor/slots.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from merlinbay.batch.errors import DrmaaError, invalid_argument, invalid_state, try_later
-from merlinbay.batch.states import ENDED, Event, InvalidState, State, after
+from merlinbay.batch.states import Event, InvalidState, State, after
 from merlinbay.drmaa.words import JobInfo, JobTemplate
 
 RETRY_US = 200_000
@@ -42,7 +42,6 @@
     queue_most: int = 8
     kept_most: int = 1000
     free: int = 0
-    draining: bool = False
     jobs: dict[str, Job] = field(default_factory=dict)
     queue: deque[Job] = field(default_factory=deque)
     kept: deque[Job] = field(default_factory=deque)
@@ -53,8 +52,6 @@
 
     def add(self, template: JobTemplate, session: str, notify: str) -> Job:
         """Take a job into the queue. Raises ``DrmaaError`` where there is no room, or never will be."""
-        if self.draining:
-            raise try_later("the executor drains", RETRY_US)
         if (template.minSlots or 1) > self.slots:
             raise DrmaaError("OutOfResourceException", f"{self.slots} slots in all")
         if len(self.queue) >= self.queue_most:
@@ -89,14 +86,6 @@
         self.queue.remove(job)
         self.end(job, Event.FAIL)
 
-    def drain(self) -> list[Job]:
-        """Take nothing new, and give back what waits."""
-        self.draining = True
-        given = list(self.queue)
-        for job in given:
-            self.recall(job)
-        return given
-
     def move(self, job: Job, event: Event) -> None:
         """Suspend or resume. Raises ``DrmaaError``."""
         try:
@@ -112,7 +101,3 @@
         self.kept.append(job)
         if len(self.kept) > self.kept_most:
             del self.jobs[self.kept.popleft().id]
-
-    def alive(self) -> list[Job]:
-        """Return the jobs that have not ended."""
-        return [job for job in self.jobs.values() if job.state not in ENDED]
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -40,7 +40,7 @@
 
 
 def test_slots_are_given_in_order_and_come_back() -> None:
-    """A wide job waits for room, and those behind it with it; the queue is bounded; a drain empties it."""
+    """A wide job waits for room, and those behind it with it; the queue is bounded; a recall leaves it."""
     slots = Slots(4, queue_most=3)
     first = add(slots, 2)
     assert slots.startable() == [first] and slots.free == 2
@@ -59,12 +59,10 @@
     slots.recall(queued[1])
     with pytest.raises(DrmaaError, match="RUNNING"):
         slots.recall(wide)
-    assert slots.drain() == [queued[0], queued[2]] and slots.alive() == [wide, small]
-    with pytest.raises(DrmaaError, match="drains"):
-        add(slots)
+    assert list(slots.queue) == [queued[0], queued[2]]
     slots.end(wide, Event.FINISH)
     slots.end(small, Event.FINISH)
-    assert (slots.free, wide.state, slots.startable()) == (4, State.DONE, [])
+    assert wide.state is State.DONE and slots.startable() == [queued[0], queued[2]] and slots.free == 2
 
 
 def run_child(tmp_path: Path, **template: object) -> tuple[int, Child]:
