--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -134,6 +134,12 @@
                 call = connection.context
                 front.gone(connection)  # type: ignore[arg-type]
                 assert call is not None and call not in front.engine.waits
+        for name in [job.id for job in front.engine.sessions["default"].jobs.values() if not job.ended]:
+            connection, waits = FakeConnection(), len(front.engine.waits)
+            wait: Any = connection
+            if await front.request(wait, Request("GET", f"/drmaa2/jobs/{name}/wait", {}, b"")) is None:
+                front.gone(wait)
+            assert len(front.engine.waits) == waits
         for message in list(front.outbox):
             assert isinstance(message, ports.FlowArrived | ports.FlowWithdrawn)
         for session in front.engine.sessions.values():
