Spread subscriptions over the fleet; count what others hold by a worker's capacity

Continued watches cost nothing there: ruled out as a cause. Cold budget ruled out (it allows 12 a second for each); it was Balancer._others, by which an unheard worker holds the mean of the fleet's counts by slots, cold or not: nothing goes there, so nothing is heard of it, and it stays that way.

Change: the module subscribes at a moment drawn from balancers x 0.15 s (one node: at once), after a failure from twice, four and eight times that; the network side no longer waits by itself, and tells of a watch's first answer. What the others hold is spread by slots x present capacity. Tests: 40 modules against a discovery of one queue; a cold worker's estimate.

--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -46,6 +46,8 @@
 BENCH_DOUBLINGS = 3  # so often at the most: none is shut out for good
 LET_PASS = {api.Outcome.ERROR: 1, api.Outcome.RESET: 2}  # failures in a row that tell nothing yet of a worker
 MOST_SUMMED = 10_000  # beyond so many waiting jobs the threshold's fraction decides nothing
+CALL_US = 150_000  # discovery's work on one call, as a guess: the balancers' calls are spread to it
+CALL_DOUBLINGS = 3  # and spread twice as far after each failure in a row, so often at the most
 KEYS_KEPT = 4096  # keys whose preferred workers are remembered, to save hashing the zone anew
 
 
@@ -85,12 +87,14 @@
         self.limits, self.safety = settings.limits, settings.safety
         self.classes = {spec.name: Class(spec, max(spec.aim_us, 1000.0)) for spec in settings.classes}
         self.kinds = {name: Kind() for name in settings.kinds}
-        self.out: list[api.Action] = [api.Subscribe()] if settings.must_subscribe else []
+        self.out: list[api.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.JobArrived: self._arrived, api.AttemptEnded: self._ended, api.JobStarted: self._noted,
             api.JobProgress: self._noted, api.StreamStarted: self._noted, api.JobWithdrawn: self._withdrawn,
             api.TimerFired: self._timer, api.ListChanged: self._list, api.ProbeEnded: self._probed,
             api.JobPaused: self._paused, api.PeerMessage: lambda event: None}
+        if settings.must_subscribe:
+            self._subscribe(settings.balancers - 1)
 
     def handle(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
         """Take events of one instant; return what to do, in order. A clock that goes back stands still."""
@@ -110,7 +114,8 @@
         self.mean_held = self.mean_held * decay + self.own_held * (1 - decay)
         self.offered += 1
         if self.now >= self.slots_at:  # slots are learned on the way, so now and then they are counted anew
-            self.slots_total = max(1.0, sum(w.kind.slots for w in self.usable))
+            # Guards against cold workers that get nothing: they would count as holding what the warm ones do.
+            self.slots_total = max(1.0, sum(w.kind.slots * self.capacity(w) for w in self.usable))
             self.slots_at = self.now + RATE_TAU_US // 10
         weight = max(0.01, 1 / self.offered)
         self.mean_run += (job.run * max(job.slots, 0.01) - self.mean_run) * weight
@@ -129,7 +134,8 @@
         """Return the slots that the other schedulers hold there."""
         # Guards against coarse counts: scaled by the balancers, our one job there would shut a gate. So
         # the mean of our counts is scaled, an unheard worker holds it too, and news fade back to it.
-        mean = (self.settings.balancers - 1) * self.mean_held * worker.kind.slots / self.slots_total
+        mean = (self.settings.balancers - 1) * self.mean_held * (
+            worker.kind.slots * self.capacity(worker) / self.slots_total)
         return mean + (worker.others - mean) * self._fade(worker)
 
     def _free(self, worker: Worker) -> float:
@@ -514,11 +520,20 @@
 
     # The list.
 
+    def _subscribe(self, calls: int) -> None:
+        """Subscribe at some moment of the time that discovery needs for so many calls."""
+        # Guards against a herd: discovery works through what has timed out too, so that balancers which
+        # ask together, and again together, are told nothing at all.
+        wait = int(self.rng.random() * calls * CALL_US)
+        self.out.append(api.SetTimer(wait, "subscribe") if wait else api.Subscribe())
+
     def _list(self, event: api.ListChanged) -> None:
+        if event.scope == "refused" and self.settings.must_subscribe:
+            self.refusals = min(self.refusals + 1, CALL_DOUBLINGS)
+            self._subscribe(self.settings.balancers << self.refusals)
         if event.scope == "refused":
-            again = self.rng.randrange(500_000, 1_500_000)
-            self.out += [api.SetTimer(again, "subscribe")] if self.settings.must_subscribe else []
             return
+        self.refusals = 0
         for worker in self.relist(event):  # those that have just started, empty
             worker.observe(self.now, 0.0)
             # Guards against a joint push: the schedulers' first jobs come at spread moments.
--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -62,7 +62,7 @@
                     # Guards against an outage that empties the list: what was heard last still stands.
                     self.counters.add("dns_failed")
                     self.log.event("dnssd_failed", level="warning", error=repr(error))
-                    await trio.sleep(self.limits.watch_backoff)
+                    await trio.sleep(self.limits.dns_backoff)
                     await self.inbox.send(ports.EntriesChanged("refused"))
 
     async def look(self) -> tuple[dict[str, ServiceEntry], float]:
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -35,8 +35,6 @@
     probe_exchange: float = 1.0
     watch_wait: float = 3.0  # how long discovery may hold a watch call
     watch_slack: float = 1.5  # and how long after that its answer is waited for
-    watch_backoff: float = 0.1  # the first wait after a failed call; doubles
-    watch_backoff_most: float = 1.0
     recheck_us: int = 5_000  # after its deadline, a flow that the module left unanswered fails
     answer_margin_us: int = 20_000  # a flow is given up so long before its client gives it up
     late_answer: float = 1.0  # a 202 is waited for so long after the flow's deadline
@@ -51,6 +49,7 @@
     finished_bytes: int = 16 * 1024 * 1024  # of the outputs of DRMAA jobs kept after their end
     waits: int = 100  # DRMAA waits under way, each of which holds an edge connection
     dns_query: float = 1.0
+    dns_backoff: float = 0.1  # after a query that failed
     dns_least: float = 0.2  # a list is asked for again after its least TTL, but neither sooner
     dns_most: float = 5.0  # nor later than this
     dns_instances: int = 2000
@@ -76,7 +75,6 @@
         pool_idle=keepalive_us / 1e6 * 0.7 if keepalive_us > 0 else Limits.pool_idle,
         watch_wait=min(Limits.watch_wait, ask_in / 3) if ask_in else Limits.watch_wait,
         dns_most=min(Limits.dns_most, ask_in / 3) if ask_in else Limits.dns_most,
-        watch_backoff_most=min(Limits.watch_backoff_most, ask_in / 8) if ask_in else 1.0,
         # Guards against SIGKILL, which comes 0.7 s after the longest deadline, counted as 3 s at the most.
         stop_serving=min(longest, 3.0) + 0.1,
         stop_most=min(longest, 3.0) + 0.6)
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -18,7 +18,10 @@
 
 
 class Discovery:
-    """Watches the list while subscribed; a failed call ends the watch and is told as ``refused``."""
+    """Watches the list while subscribed; a failed call ends the watch and is told as ``refused``.
+
+    When to call again is the module's to say.
+    """
 
     def __init__(self, addr: str, version: int, inbox: trio.MemorySendChannel[ports.Message], limits: Limits,
                  counters: Counters, log: Log) -> None:
@@ -27,7 +30,6 @@
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
         self.asked = trio.Event()
         self.watch = trio.CancelScope()
-        self.fails = 0
 
     def subscribe(self) -> None:
         """Begin to watch, or go on after a failure."""
@@ -37,7 +39,7 @@
         """Watch at another address from now on. What is known of the list stays until that one answers."""
         if addr != self.addr:
             # Guards against versions that differ between the two: the first call asks for the whole list.
-            self.addr, self.version, self.fails = addr, None, 0
+            self.addr, self.version = addr, None
             self.asked.set()
             self.watch.cancel()
 
@@ -47,13 +49,9 @@
             await self.asked.wait()
             self.asked = trio.Event()
             with trio.CancelScope() as self.watch:
-                if self.fails:
-                    await trio.sleep(min(self.limits.watch_backoff * 2 ** (self.fails - 1),
-                                         self.limits.watch_backoff_most))
                 try:
                     await self._watch()
                 except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
-                    self.fails = min(self.fails + 1, 8)
                     self.counters.add("watches_failed")
                     self.log.event("discovery_failed", level="warning", error=repr(error))
                     await self.inbox.send(ports.EntriesChanged("refused"))
@@ -62,7 +60,7 @@
         """Tell what the watch tells, call after call on one connection."""
         connection = await ClientConnection.dial(self.addr, self.limits, self.limits.listing_bytes)
         try:
-            wait_ms = int(self.limits.watch_wait * 1000)
+            wait_ms, first = int(self.limits.watch_wait * 1000), True
             while True:
                 query = "" if self.version is None else f"?after={self.version}&wait_ms={wait_ms}"
                 with trio.fail_after(self.limits.watch_wait + self.limits.watch_slack):
@@ -70,11 +68,12 @@
                 if reply.status != 200:
                     raise Unexpected(f"status {reply.status}")
                 listing = words.read_listing(reply.body)
-                self.version, self.fails = listing.version, 0
+                self.version = listing.version
                 self.counters.add("watch_answers")
-                if listing.servers or listing.full:
+                if listing.servers or listing.full or first:  # the first answer also tells that it works
                     await self.inbox.send(ports.EntriesChanged("all" if listing.full else "changes",
                                                                words.entries(listing)))
+                first = False
                 if not connection.reusable:
                     connection.close()
                     connection = await ClientConnection.dial(self.addr, self.limits,
--- a/tests/test_estimators.py
+++ b/tests/test_estimators.py
@@ -148,7 +148,7 @@
 
 def test_subscription_is_renewed_after_a_failed_call() -> None:
     """Where the list must be asked for, a refused call is made again after a while."""
-    made = Balancer(settings(must_subscribe=True), 1, 0)
+    made = Balancer(settings(must_subscribe=True, balancers=1), 1, 0)
     assert api.Subscribe() in made.handle(0, [api.ListChanged("remembered", [entry(0)])])
     later = made.handle(10, [api.ListChanged("refused", [])])
     assert [a.token for a in later if isinstance(a, api.SetTimer)] == ["subscribe"]
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,69 @@
+"""What forty balancers do together: harmless from each alone, without the bench and without sockets."""
+
+from __future__ import annotations
+
+import heapq
+
+import pytest
+
+from merlinbay.decision import Balancer, api
+from tests.support import entry, settings
+
+SECOND = 1_000_000
+
+
+def discovery_plays(count: int, call_us: int, until_us: int) -> tuple[dict[int, int], int]:
+    """Have a fleet start at once and subscribe at one discovery.
+
+    It works on one call after the other, ``call_us`` each, also on those that have timed out meanwhile (after
+    2 s). Returns when each was subscribed, and how many calls there were.
+    """
+    fleet = [Balancer(settings(balancers=count, must_subscribe=True), seed, 0) for seed in range(count)]
+    due: list[tuple[int, int, str]] = []
+    free, calls, told = 0, 0, dict[int, int]()
+
+    def act(now: int, who: int, events: list[api.Event]) -> None:
+        nonlocal free, calls
+        for action in fleet[who].handle(now, events):
+            if isinstance(action, api.SetTimer):
+                heapq.heappush(due, (now + action.in_us, who, action.token))
+            elif isinstance(action, api.Subscribe):
+                calls += 1
+                free = max(free, now) + call_us
+                if free - now < 2 * SECOND:
+                    heapq.heappush(due, (free, who, "told"))
+                else:
+                    heapq.heappush(due, (now + 2 * SECOND, who, "refused"))
+
+    for who in range(count):
+        act(0, who, [api.ListChanged("remembered", [entry(0)])])
+    while due and due[0][0] < until_us:
+        now, who, what = heapq.heappop(due)
+        if what == "told":
+            told[who] = now
+            act(now, who, [api.ListChanged("changes", [])])
+        else:
+            act(now, who, [api.ListChanged("refused", []) if what == "refused" else api.TimerFired(what)])
+    return told, calls
+
+
+@pytest.mark.parametrize(("count", "call_us"), [(1, 200_000), (3, 200_000), (40, 125_000), (40, 160_000)])
+def test_a_fleet_that_starts_at_once_is_subscribed(count: int, call_us: int) -> None:
+    """All of it within twice the time that its calls take, and hardly a call is made twice."""
+    told, calls = discovery_plays(count, call_us, 60 * SECOND)
+    assert len(told) == count
+    assert max(told.values()) <= max(2.2 * count * call_us, SECOND)
+    assert calls <= 1.5 * count
+
+
+def test_an_unheard_cold_worker_is_not_held_to_be_as_full_as_warm_ones() -> None:
+    """What the others hold is spread by capacity: a worker at a third of its own holds a third as much."""
+    made = Balancer(settings(balancers=40), 1, 0)
+    made.handle(0, [api.ListChanged("all", [entry(0), entry(2)])])
+    made.handle(20 * SECOND, [api.ListChanged("changes", [entry(4, ready=20 * SECOND)])])
+    made.handle(22 * SECOND, [api.JobArrived(1, "safe", 10**7)])
+    made.mean_held = 2.0
+    warm, cold = made.workers["w0"], made.workers["w4"]
+    assert made._others(cold) == pytest.approx(made._others(warm) * made.capacity(cold), rel=0.01)
+    assert made.capacity(cold) < 0.5
+    assert made._free(cold) > made._free(warm)
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -83,7 +83,7 @@
     assert 0 < limits.most_held < limits.edge_connections
     assert 0 < limits.waits < limits.edge_connections
     assert (limits.dial, limits.pool_idle < 10, limits.stop_most) == (0.12, True, 3.6)
-    assert limits.watch_wait + limits.watch_slack + limits.watch_backoff_most < 10
+    assert limits.watch_wait + limits.watch_slack < 10
 
 
 def test_the_operators_file_turns_the_second_front_on() -> None:
