Errors that a report counts leave a worker out at the first loss; a start clears none

Cause: rules._noted set fails to 0 at each start, and these executors start what they fail (a copy of the job then goes to its cell, 640 copies a second). The reports beside the failures said err_rps 20 to 68, healthy ones 0 to 2; nobody read that field.

Change: a start tells that a worker is there, not that it works; an error whose report counts a tenth or more of what a full worker ends leaves the worker out at once, and a success beside such a report does not clear its failures.

--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -125,6 +125,7 @@
     over_share_worth: float = 1.0
     report_fields: list[str] = field(default_factory=list)
     free_slots_field: str = ""  # the report field that holds free slots, if any
+    errors_field: str = ""  # the report field that counts its errors a second, if any
     held_field: str = ""  # the report field that counts the requests held there, if any
     free_memory_field: str = ""  # the report field that holds free memory, if any
     tells_start: bool = False
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -45,6 +45,7 @@
 BENCH_US = 1_000_000  # how long a failing worker is left out; doubles with each failure in a row,
 BENCH_DOUBLINGS = 3  # so often at the most: none is shut out for good
 LET_PASS = {api.Outcome.ERROR: 1, api.Outcome.RESET: 2}  # failures in a row that tell nothing yet of a worker
+ERRING = 0.1  # errors reported, over the jobs that a full worker ends, from which one error leaves it out
 MOST_SUMMED = 10_000  # beyond so many waiting jobs the threshold's fraction decides nothing
 CALL_US = 150_000  # discovery's work on one call, as a guess: the balancers' calls are spread to it
 CALL_DOUBLINGS = 3  # and spread twice as far after each failure in a row, so often at the most
@@ -395,7 +396,7 @@
         if job is None or attempt is None:
             return
         worker = attempt.worker
-        worker.asked_at, worker.heard_at, worker.fails = 0, self.now, 0
+        worker.asked_at, worker.heard_at = 0, self.now  # it is there, but the job may fail yet
         if attempt.started:
             return
         attempt.started = self.now
@@ -460,8 +461,9 @@
         outcome, cls = event.outcome, job.cls
         now = attempt.paused_at or self.now
         run = max(now - attempt.started if attempt.started else event.took_us, 1000.0)
+        erring = self._erring(worker, event)
         if outcome in (api.Outcome.OK, api.Outcome.FULL):
-            worker.asked_at, worker.heard_at, worker.fails = 0, self.now, 0
+            worker.asked_at, worker.heard_at, worker.fails = 0, self.now, worker.fails if erring else 0
         if attempt.room and outcome in (api.Outcome.OK, api.Outcome.FULL):
             # Guards against reports that are frozen or lie: where room is answered with 'full', the mean
             # counts for more, and what they say for less.
@@ -486,13 +488,19 @@
             # it out for longer. A single error, or a time-out on a worker that works, is let pass. So are
             # two resets: a network that breaks connections says nothing of the workers behind it.
             worker.fails += 1
-            if worker.fails > LET_PASS.get(api.Outcome(outcome), 0):
+            if erring or worker.fails > LET_PASS.get(api.Outcome(outcome), 0):
                 worker.bench_until = self.now + (BENCH_US << min(worker.fails - 1, BENCH_DOUBLINGS))
                 if worker.fails in (2, 3):
                     self.out.append(api.Note(
                         f"left out {worker.name}: outcome {int(outcome)}, {worker.fails} failures in a row"))
         self._report(event)
 
+    def _erring(self, worker: Worker, event: api.AttemptEnded) -> bool:
+        """Tell whether a report counts errors of some share of what the worker can do."""
+        # Guards against each scheduler learning a bad worker by its own losses: a report counts everybody's.
+        errors = self.settings.read(event.report or []).get(self.settings.errors_field, 0.0)
+        return errors * self.mean_run / 1e6 >= ERRING * worker.kind.slots
+
     def _report(self, event: api.AttemptEnded | api.ProbeEnded) -> None:
         """Take free slots and memory from a load report; a repeated or absurd value is ignored."""
         worker = self.workers.get(event.worker)
--- a/merlinbay/simhost.py
+++ b/merlinbay/simhost.py
@@ -147,6 +147,7 @@
                  for row in _get(conf, "tenants", list, [])],
         over_share_worth=float(_get(conf, "overShareWorth", NUMBER, 1.0)),
         report_fields=fields if report.get("how") != "off" else [],
+        errors_field="err_rps" if "err_rps" in fields else "",
         held_field="active" if "active" in fields else "",
         free_slots_field=meaning("free slots"),
         free_memory_field=meaning("free memory"),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -67,3 +67,26 @@
     assert made._others(cold) == pytest.approx(made._others(warm) * made.capacity(cold), rel=0.01)
     assert made.capacity(cold) < 0.5
     assert made._free(cold) > made._free(warm)
+
+
+@pytest.mark.parametrize("field", ["err_rps", ""])
+def test_a_bad_worker_is_left_out_after_few_losses(field: str) -> None:
+    """It starts what it gets and fails four in five; with a report of its errors the first loss is enough."""
+    made = Balancer(settings(balancers=40, report_fields=["err_rps"], errors_field=field), 1, 0)
+    made.handle(0, [api.ListChanged("all", [entry(n) for n in range(4)])])
+    lost = 0
+    for number in range(400):
+        now = 200_000 * (number + 1)
+        actions = made.handle(now, [api.JobArrived(number, "safe", 10**7)])
+        worker = next(a.worker for a in actions if isinstance(a, api.Place))
+        bad = worker == "w0" and number % 5 > 0
+        made.handle(now, [api.JobStarted(number, 0)])
+        later = made.handle(now + 100_000, [api.AttemptEnded(
+            number, 0, api.Outcome.ERROR if bad else api.Outcome.OK, 100_000, not bad,
+            [40.0 if worker == "w0" else 0.01], worker)])
+        lost += bad
+        if bad:
+            made.handle(now + 150_000, [api.JobWithdrawn(number), *(
+                api.AttemptEnded(number, n + 1, api.Outcome.CANCELLED, 1, True, None, a.worker)
+                for n, a in enumerate(x for x in later if isinstance(x, api.Place)))])
+    assert 0 < lost <= (14 if field else 24)
