A job known to wait gets a copy where the mean leaves room, without caution

At one of 40 nodes all but the job's own worker are unheard, so it is taken to hold the mean, 2.4 of 4, and 0.65 of that count's spread: 0.8 free, never one. Ruled out: dials (0 to 3 time-outs a second, 0.7 of them by the watch), the N-plus-q gate, discovery (no call failed).

Change: for a copy of a job that has not started, _pick leaves the caution out; where the mean itself leaves no room, as under overload, no copy goes. First sends are as before.

--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -139,14 +139,14 @@
             worker.kind.slots * self.capacity(worker) / self.slots_total)
         return mean + (worker.others - mean) * self._fade(worker)
 
-    def _free(self, worker: Worker) -> float:
+    def _free(self, worker: Worker, caution: float = CAUTION) -> float:
         """Return the estimated free slots; below 0, the waiting count. A cold worker has a part of them."""
         slots = worker.kind.slots * self.capacity(worker)
         # Guards against the mean's blind spot: workers' true counts lie spread about it, and a queue on
         # some is not made good by room on others. So a share of the unseen part's spread is added.
         others = self._others(worker)
         spread = others * math.sqrt((1 - self._fade(worker)) / (1 + others))
-        return slots - worker.held - others - CAUTION * spread
+        return slots - worker.held - others - caution * spread
 
     def _pace(self, worker: Worker) -> float:
         """Return the worker's run time over its kind's, as its jobs told it lately."""
@@ -231,13 +231,13 @@
                 return [[w] for w in some]
         return [self.starting(SCAN) + self.sample(near, SCAN), self.sample(far, SCAN)]
 
-    def _pick(self, job: Job, room_only: bool = False) -> Worker | None:
+    def _pick(self, job: Job, room_only: bool = False, caution: float = CAUTION) -> Worker | None:
         """Choose a worker with room for the job's slots, else one under its gate; nearer ones first."""
         gates: dict[int, float] = {}
         best, best_free, best_slow = None, -math.inf, True
         for batch in [job.asked] if job.asked or job.awaited else self._batches(job):
             for worker in batch:
-                free, slow = self._free(worker), self._pace(worker) >= SLOW
+                free, slow = self._free(worker, caution), self._pace(worker) >= SLOW
                 if (slow, -free) >= (best_slow, -best_free) or not self._may(worker, job) or (
                         self._lacks_memory(worker, job)):
                     continue
@@ -356,7 +356,9 @@
             if len(job.attempts) >= self.limits.send_cap:
                 continue
             job.maybe = job.maybe or (attempt if job.cls.spec.effect == "by_key" else None)
-            target = self._pick(job, room_only=self._density(job) < 1) if self._repeatable(job) else None
+            # Guards against copies that never go out where schedulers are many: all but a job's own worker
+            # is unheard, and with caution none of it has room, while this one is known to have a queue.
+            target = self._pick(job, self._density(job) < 1, 0.0) if self._repeatable(job) else None
             if target is not None:
                 self._place(job, target)
             else:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -90,3 +90,16 @@
                 api.AttemptEnded(number, n + 1, api.Outcome.CANCELLED, 1, True, None, a.worker)
                 for n, a in enumerate(x for x in later if isinstance(x, api.Place)))])
     assert 0 < lost <= (14 if field else 24)
+
+
+def test_a_job_that_waits_gets_a_copy_where_the_mean_leaves_room() -> None:
+    """At one of 40 all other workers are unheard; at 0.6 of the load a copy is worth sending all the same."""
+    made = Balancer(settings(balancers=40), 1, 0)
+    made.handle(0, [api.ListChanged("all", [entry(n) for n in range(0, 8, 2)])])
+    made.kinds["k1"].slots, made.kinds["k1"].told = 4.0, True
+    first = made.handle(SECOND, [api.JobArrived(1, "safe", 10**7)])
+    made.mean_held, wait = 4 * 4 * 0.6 / 39, next(a.in_us for a in first if isinstance(a, api.SetTimer))
+    assert all(made._free(worker) < 1 for worker in made.usable)
+    made.jobs[1].worth /= 2  # of a job that is worth less than others, the copy goes only where there is room
+    late = made.handle(SECOND + wait, [api.TimerFired("watch")])
+    assert [a for a in late if isinstance(a, api.Place)]
