First sends of a starting node spread over cold workers; odd list entries cost one entry

Seen: a test of 40 modules that start together beside a cold zone: in 2 s a cold worker gets 12.0 s of work where 11.9 s tip it over. Cause: Memory.mean_run began at 1 ms, by which rules._list put the first send off, so all forty went out at once. Also: a row without address made the whole list unreadable (msgspec), and a balancer count of 0 divided by zero.

Change: mean_run begins at the classes' run time. A row without address, or with an unknown state, counts as draining, is counted (entries_odd) and named in one line; a count of 0 is read as 1. Tests: the cold zone (fails without the change, and with the share not divided), one job out at one of 40, odd lists and a count of 0, an executor without connections.

--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,68 @@
+"""What a node of a fleet pays for the decisions on a job, and for its start, at 14 and at 60 entries.
+
+``python -m bench.fleet [--against DIR] [--rounds N]``: processor time, trees in turn in one run.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+JOBS = 4000
+CHILD = """
+import sys, time
+import merlinbay.__main__
+from merlinbay.decision import Balancer, api
+entries, jobs, balancers = (int(word) for word in sys.argv[1:])
+admit = api.JobClass("admit", 120_000, 5_000_000, effect="by_key", group="cell", window_us=7_500_000)
+settings = api.Settings([admit],
+    balancers=balancers, kinds=["k"], tells_start=True, report_fields=["active", "x0"], free_slots_field="x0",
+    held_field="active", limits=api.Limits(cancelling=True, second_copies=True, send_cap=5, retry_after=True))
+made = Balancer(settings, 1, 0)
+made.handle(0, [api.ListChanged("all", [
+    api.WorkerEntry(f"w{n}", "z", "k", n // 6, "up", 1.0, 0) for n in range(entries)])])
+started = time.process_time()
+now = 0
+for number in range(jobs):
+    now += 50_000
+    actions = made.handle(now, [api.JobArrived(number, "admit", 5_000_000)])
+    for attempt, action in enumerate(a for a in actions if isinstance(a, api.Place)):
+        made.handle(now + 1_000, [api.JobStarted(number, attempt)])
+        made.handle(now + 40_000, [api.AttemptEnded(number, attempt, api.Outcome.OK, 40_000, True,
+                                                    [2.0, 2.0], action.worker)])
+print(started * 1e3, (time.process_time() - started) / jobs * 1e6)
+"""
+
+
+def once(tree: Path, entries: int, balancers: int) -> tuple[float, float]:
+    """Return milliseconds of a start and microseconds of a job's decisions, in a process of its own."""
+    done = subprocess.run([sys.executable, "-B", "-c", CHILD, str(entries), str(JOBS), str(balancers)],
+                          cwd=tree, capture_output=True, text=True, check=True)
+    start, job = (float(word) for word in done.stdout.split())
+    return start, job
+
+
+def main() -> None:
+    """Print a line for each number of entries and tree."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--against", type=Path)
+    parser.add_argument("--rounds", type=int, default=7)
+    args = parser.parse_args()
+    trees = {"this tree": ROOT} | ({"against": args.against} if args.against else {})
+    for entries, balancers in ((14, 2), (60, 40)):
+        seen: dict[str, list[tuple[float, float]]] = {name: [] for name in trees}
+        for _ in range(args.rounds):
+            for name, tree in trees.items():
+                seen[name].append(once(tree, entries, balancers))
+        for name, rows in seen.items():
+            start, job = (statistics.median(column) for column in zip(*rows, strict=True))
+            print(f"{entries} entries, {balancers} balancers, {name}: "
+                  f"start {start:.0f} ms, {job:.0f} us a job")
+
+
+if __name__ == "__main__":
+    main()
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -88,6 +88,7 @@
         self.limits, self.safety = settings.limits, settings.safety
         self.classes = {spec.name: Class(spec, max(spec.aim_us, 1000.0)) for spec in settings.classes}
         self.kinds = {name: Kind() for name in settings.kinds}
+        self.mean_run = max(cls.run for cls in self.classes.values())  # or starting ones flood cold workers
         self.out: list[api.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.JobArrived: self._arrived, api.AttemptEnded: self._ended, api.JobStarted: self._noted,
@@ -356,8 +357,7 @@
             if len(job.attempts) >= self.limits.send_cap:
                 continue
             job.maybe = job.maybe or (attempt if job.cls.spec.effect == "by_key" else None)
-            # Guards against copies that never go out where schedulers are many: all but a job's own worker
-            # is unheard, and with caution none of it has room, while this one is known to have a queue.
+            # Guards against copies that never go out: where schedulers are many, the others are unheard.
             target = self._pick(job, self._density(job) < 1, 0.0) if self._repeatable(job) else None
             if target is not None:
                 self._place(job, target)
@@ -516,7 +516,7 @@
         worker.memory_at = self.now
         if free is not None:
             kind = worker.kind
-            if held is not None and free >= held:  # half empty, so nothing waits there and the two make up all
+            if held is not None and free >= held:  # half empty: nothing waits, and the two make up all
                 kind.counts += 1  # Guards against few slots believed, where none is ever seen empty.
                 kind.slots += (free + held - kind.slots) * max(RUN_WEIGHT, 1 / kind.counts)
             elif not kind.counts:
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -15,6 +15,10 @@
     """The connection never came up, or broke before the request's last byte was written."""
 
 
+class DialTimedOut(NotSent):
+    """No connection in time: the server is gone silently, or holds as many as it accepts."""
+
+
 class Broken(Exception):
     """The connection broke, or spoke no HTTP, after the request's last byte was written."""
 
@@ -48,7 +52,10 @@
             sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
             with trio.fail_after(limits.dial):
                 await sock.connect((host, int(port)))
-        except (OSError, ValueError, trio.TooSlowError) as error:
+        except trio.TooSlowError:
+            sock.close()
+            raise DialTimedOut(f"dial {addr}: no answer in {limits.dial} s") from None
+        except (OSError, ValueError) as error:
             sock.close()
             raise NotSent(f"dial {addr}: {error}") from None
         except BaseException:
--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -8,7 +8,7 @@
 
 from merlinbay.core.ports import ServiceEntry
 from merlinbay.counters import Counters
-from merlinbay.http.client import ClientConnection, NotSent, Reply
+from merlinbay.http.client import ClientConnection, DialTimedOut, NotSent, Reply
 from merlinbay.limits import Limits
 
 
@@ -88,8 +88,10 @@
         self.connections += 1
         try:
             connection = await ClientConnection.dial(server.addr, self.limits)
-        except BaseException:
+        except BaseException as error:
             self.connections -= 1
+            if isinstance(error, NotSent):
+                self.counters.add("dials_timed_out" if isinstance(error, DialTimedOut) else "dials_refused")
             raise
         self.counters.add("server_connections")
         return connection
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -70,6 +70,9 @@
                 listing = words.read_listing(reply.body)
                 self.version = listing.version
                 self.counters.add("watch_answers")
+                if wrong := words.odd(listing):
+                    self.counters.add("entries_odd", len(wrong))
+                    self.log.event("entries_odd", level="warning", number=len(wrong), first=wrong[0])
                 if listing.servers or listing.full or first:  # the first answer also tells that it works
                     await self.inbox.send(ports.EntriesChanged("all" if listing.full else "changes",
                                                                words.entries(listing)))
--- a/merlinbay/platform/words.py
+++ b/merlinbay/platform/words.py
@@ -26,7 +26,7 @@
     """An entry of discovery's list."""
 
     id: str
-    addr: str
+    addr: str = ""  # Guards against a list thrown away for one entry that lacks it.
     zone: str = ""
     kind: str = ""
     cell: int = 0
@@ -59,9 +59,24 @@
 
 
 def entries(listing: Listing) -> list[ServiceEntry]:
-    """Translate a list's entries; an unknown state counts as draining: nothing new goes there."""
-    return [ServiceEntry(row.id, row.addr, row.zone, row.kind, row.cell, STATES.get(row.state, "draining"),
-                         row.weight, row.started_ms * 1000) for row in listing.servers]
+    """Translate a list's entries.
+
+    An unknown state counts as draining: nothing new goes there. So does an entry without an address.
+    """
+    return [ServiceEntry(row.id, row.addr, row.zone, row.kind, row.cell, state(row), row.weight,
+                         row.started_ms * 1000) for row in listing.servers]
+
+
+def state(row: Row) -> str:
+    """Return the core's word for an entry's state."""
+    known = STATES.get(row.state, "draining")
+    return "draining" if known == "up" and not row.addr else known
+
+
+def odd(listing: Listing) -> list[str]:
+    """Return the entries with an unknown state or, while they are up, no address, one text each."""
+    return [f"{row.id}: state {row.state!r}, address {row.addr!r}" for row in listing.servers
+            if STATES.get(row.state) != state(row)]
 
 
 def result_bytes(result: Any) -> bytes:
--- a/merlinbay/simhost.py
+++ b/merlinbay/simhost.py
@@ -121,7 +121,7 @@
 
     return api.Settings(
         classes=classes,
-        balancers=_get(conf, "balancers", int),
+        balancers=max(_get(conf, "balancers", int), 1),  # Guards against a count of 0, by which shares divide
         me=_get(conf, "me", int),
         zone=_get(conf, "az", str, ""),
         limits=api.Limits(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -115,3 +115,43 @@
     assert made.kinds["k1"].slots == 5
     made.handle(SECOND, [api.ProbeEnded("w0", 1, 9, [9.0, 1.0])])
     assert made.kinds["k1"].slots == 5
+
+
+def test_one_job_out_moves_a_gate_by_one_job_not_by_forty() -> None:
+    """What a worker is held to hold grows by the job itself: that count is not scaled by the balancers."""
+    made = Balancer(settings(balancers=40), 1, 0)
+    made.handle(0, [api.ListChanged("all", [entry(n) for n in range(0, 120, 2)])])
+    made.kinds["k1"].slots, made.kinds["k1"].told, made.mean_held = 4.0, True, 3.0
+    made.handle(SECOND, [api.JobArrived(1, "safe", 10**7)])
+    worker = made.jobs[1].attempts[0].worker
+    before = made._free(worker) + worker.held
+    made.handle(SECOND + 5_000, [api.JobArrived(2, "safe", 10**7)])
+    assert worker.held == 1
+    assert made._free(worker) == pytest.approx(before - 1, abs=0.5)
+
+
+def test_forty_balancers_tip_no_cold_worker_over() -> None:
+    """All have just started, and send all to a zone that is cold: no 2 s bring it 3 times what it can do."""
+    fleet = [Balancer(settings(balancers=40), seed, 0) for seed in range(40)]
+    cold = [entry(n, ready=SECOND) for n in range(0, 8, 2)]
+    sent: dict[str, list[int]] = {}
+    for made in fleet:
+        made.handle(0, [api.ListChanged("all", [entry(100)])])
+        made.handle(SECOND, [api.ListChanged("all", cold)])
+        made.kinds["k1"].slots, made.kinds["k1"].told = 4.0, True
+    for step in range(400):
+        now = SECOND + 20_000 * step
+        for number, made in enumerate(fleet):
+            job = step * 40 + number
+            for action in made.handle(now, [api.JobArrived(job, "safe", 10**7)]):
+                if isinstance(action, api.Place):
+                    sent.setdefault(action.worker, []).append(now)
+                    made.handle(now, [api.AttemptEnded(job, 0, api.Outcome.OK, 150_000, True, None,
+                                                       action.worker)])
+    assert len(sent) == len(cold)
+    for times in sent.values():
+        assert len(times) > 40
+        for first, at in enumerate(times):
+            work = sum(0.15 for later in times[first:] if later < at + 2 * SECOND)
+            share = min(1.0, 0.3 + 0.7 * (at - SECOND) / (9 * SECOND))  # settings: cold_from, cold_us
+            assert work < 3 * 4 * share * 2
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -198,6 +198,39 @@
     play(scene)
 
 
+def test_a_server_without_connections_left_costs_no_job_and_few_dials(tmp_path: Path) -> None:
+    """Jobs in turn are served elsewhere; once a dial failed there, it is left out for a while."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1")
+            s.rows.append({**s.rows[0], "id": "s-0", "addr": "127.0.0.1:1"})
+            await s.start(balancers=40)
+            await s.admit("a0")
+            assert [(await s.admit(f"b{number}")).status for number in range(12)] == [200] * 12
+            counts = s.counters.counts
+            assert 0 < counts["dials_refused"] == counts["schedulings_connect_failed"] <= 3
+
+    play(scene)
+
+
+@pytest.mark.parametrize("bad", [{"state": "NEW"}, {"addr": ""}])
+def test_an_odd_list_and_a_count_of_none_leave_the_node_serving(bad: dict[str, str], tmp_path: Path) -> None:
+    """The entry gets nothing, the others do, and the counter tells; 0 balancers are read as one."""
+    async def scene() -> None:
+        async with stage(tmp_path) as s:
+            s.add("s-1")
+            s.rows.append({**s.rows[0], "id": "s-0", **bad})
+            await s.start(balancers=0)
+            s.change("s-1", weight=2.0)
+            with trio.fail_after(5):
+                while not s.counters.counts["entries_odd"]:
+                    await trio.sleep(0.02)
+            for n in range(4):
+                assert (await s.admit(f"a{n}")).body == f"s-1:a{n}".encode()
+
+    play(scene)
+
+
 def test_connections_to_servers_are_used_again(tmp_path: Path) -> None:
     """The 202 frees the connection, so jobs in turn need one, though each runs on for a while."""
     async def scene() -> None:
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -68,6 +68,18 @@
     assert words.entries(listing) == [ServiceEntry("s-1", "127.0.0.9:1", "a", "k", 3, expected, 2.5, 12_000)]
 
 
+@pytest.mark.parametrize("row, state, named", [
+    ({"state": "NEW"}, "draining", ["s-1"]), ({"addr": ""}, "draining", ["s-1"]),
+    ({"state": "DELETED", "addr": ""}, "removed", []), ({"state": "DRAINING"}, "draining", []),
+    ({}, "up", [])])
+def test_an_odd_entry_is_named(row: dict[str, str], state: str, named: list[str]) -> None:
+    """An unknown state or a missing address costs the one entry, not the list; what is gone needs none."""
+    listing = words.read_listing(msgspec.json.encode({"version": 4, "full": False, "servers": [
+        {"id": "s-1", "addr": "127.0.0.9:1", **row}, {"id": "s-2", "addr": "127.0.0.9:2"}]}))
+    assert [text.partition(":")[0] for text in words.odd(listing)] == named
+    assert [entry.state for entry in words.entries(listing)] == [state, "up"]
+
+
 @pytest.mark.parametrize("result, expected", [("é", "é".encode()), ("", b""), ({"a": 1}, b'{"a":1}')])
 def test_a_result_becomes_a_body(result: Any, expected: bytes) -> None:
     """Text is the body itself."""
