A report of no free slot and nothing held no longer sets a kind's slots to nothing

Seen on reading the change again: rules._report took free 0 and held 0 as half empty (0 >= 0), so a first report of that form made kind.slots 0.0, and rules._gate divides by it; before the change the least was 1.

Change: a worker counts as half empty only with at least one free slot. The test of the slots has two such reports and fails without the change.

--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -516,7 +516,7 @@
         worker.memory_at = self.now
         if free is not None:
             kind = worker.kind
-            if held is not None and free >= held:  # half empty: nothing waits, and the two make up all
+            if held is not None and free >= max(held, 1.0):  # half empty: none waits; the two make up all
                 kind.counts += 1  # Guards against few slots believed, where none is ever seen empty.
                 kind.slots += (free + held - kind.slots) * max(RUN_WEIGHT, 1 / kind.counts)
             elif not kind.counts:
