--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -109,7 +109,8 @@
     """Free and held make up its slots; where more are held than free, some may wait, and they do not."""
     made = Balancer(settings(held_field="active"), 1, 0)
     made.handle(0, [api.ListChanged("all", [entry(0), entry(2)])])
-    for odd in ([6.0, 1.0], [0.0, 0.0], [0.0, 0.2]):  # full, and reports that say there is nothing at all
+    odd_ones: list[list[object]] = [[6.0, 1.0], [0.0, 0.0], [0.0, 0.2]]
+    for odd in odd_ones:  # full, and reports that say there is nothing at all
         made.handle(SECOND, [api.ProbeEnded("w0", 1, 9, odd)])
         assert made.kinds["k1"].slots == 1
     made.handle(SECOND, [api.ProbeEnded("w2", 1, 9, [2.0, 3.0])])
