--- /dev/null
+++ b/bench/events.py
@@ -0,0 +1,180 @@
+"""Events a second and their delay with 1 and 100 listeners; what tokens and TLS cost a call; long pages.
+
+``python -m bench.events [deliver|access|pages]``: all in one process and one run, so ratios are what counts.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import ssl
+import sys
+import tempfile
+import time
+from random import Random
+
+import numpy as np
+import trio
+import trustme
+
+from merlinbay.access import tokens
+from merlinbay.access.grants import Scope
+from merlinbay.access.tls import Files, Handshakes
+from merlinbay.batch.book import Bounds
+from merlinbay.batch.engine import Engine
+from merlinbay.batch.jobs import Backlog, Submission
+from merlinbay.batch.quota import Allowance
+from merlinbay.batch.timers import Timers
+from merlinbay.clock import Clock
+from merlinbay.counters import Counters
+from merlinbay.drmaa import listening
+from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+from merlinbay.monitor import filters, view
+from merlinbay.notify.hub import Hub, wanted_of
+from merlinbay.notify.journal import Journal, News
+from merlinbay.notify.listeners import Batch
+from merlinbay.notify.listeners import Bounds as ListenerBounds
+from merlinbay.notify.sender import Sender
+from merlinbay.notify.targets import Allowed
+
+SECONDS = 3.0
+
+
+class Sink:
+    """A listener that notes how old events are when they come."""
+
+    def __init__(self) -> None:
+        self.ages: list[float] = []
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Take a call-back."""
+        now = time.time()
+        self.ages += [now - float(event["jobId"]) for event in json.loads(request.body)["events"]]
+        return Response(204)
+
+    def gone(self, connection: Connection) -> None:
+        """Pass over it."""
+
+
+async def deliver(listeners: int, rate: int) -> tuple[float, float, float]:
+    """Offer events at a rate; return what was delivered a second, and its delay, ms (50 %, 99 %)."""
+    limits, counters, log, clock, sink = Limits(), Counters(), Log(5), Clock(), Sink()
+    hub = Hub(Journal(100_000, 1 << 30, lambda: "s"), ListenerBounds(), 10, Allowed.read(["127.0.0.0/8"], ()),
+              Timers(), lambda: os.urandom(4).hex(), Random(1))
+
+    def flush(now: int) -> None:
+        for found in hub.take(now):
+            if isinstance(found, Batch):
+                sender.send(found)
+
+    sender = Sender(hub.listeners, listening.write_batch, flush, clock, limits, counters, log, 5.0)
+    listener = Listener(sink, limits, counters, log)
+    sock = await listener.bind("127.0.0.1", 0)
+    port = sock.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.serve, sock)
+        nursery.start_soon(sender.run)
+        await trio.sleep(0.05)
+        for number in range(listeners):
+            hub.register("q", f"http://127.0.0.1:{port}/{number}", wanted_of([], None), b"k" * 24, "", "")
+        began, told = trio.current_time(), 0
+        while (past := trio.current_time() - began) < SECONDS:
+            while told < past * rate:
+                hub.tell("q", News.NEW_STATE, f"{time.time():.6f}", "RUNNING", "a", clock.now_us())
+                told += 1
+            flush(clock.now_us())
+            await trio.sleep(0.005)
+        nursery.cancel_scope.cancel()
+    ages = np.array(sink.ages)
+    return len(ages) / SECONDS, float(np.median(ages)) * 1e3, float(np.percentile(ages, 99)) * 1e3
+
+
+class Nothing:
+    """A front that answers every call at once, by a gate or without."""
+
+    def __init__(self, gate: tokens.TokenGate | None) -> None:
+        self.gate = gate
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Answer."""
+        if self.gate is not None:
+            self.gate.grant(request.headers, int(time.time() * 1e6))
+        connection.proven = True
+        return Response(200, b"{}")
+
+    def gone(self, connection: Connection) -> None:
+        """Pass over it."""
+
+
+async def access() -> None:
+    """Print CPU a call without, with tokens, and over TLS, in slices that take turns."""
+    limits, counters, log, ca = Limits(), Counters(), Log(5), trustme.CA()
+    ring = tokens.Ring([tokens.new_key()])
+    token = tokens.issue(ring, "a", [Scope.MONITOR], 999, int(time.time())).encode()
+    made = ca.issue_cert("127.0.0.1")
+    with tempfile.TemporaryDirectory() as folder:
+        made.private_key_and_cert_chain_pem.write_to_path(f"{folder}/all.pem")
+        shake = Handshakes(Files(f"{folder}/all.pem", f"{folder}/all.pem"), 16, 2.0, counters)
+    context = ssl.create_default_context()
+    ca.configure_trust(context)
+    asks = b"GET /x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer " + token + b"\r\n\r\n"
+    costs: dict[str, list[float]] = {"plain": [], "tokens": [], "tokens and TLS": []}
+    async with trio.open_nursery() as nursery:
+        streams: dict[str, trio.abc.Stream] = {}
+        for name in costs:
+            gate = None if name == "plain" else tokens.TokenGate(ring)
+            listener = Listener(Nothing(gate), limits, counters, log)
+            listener.prepare = shake if "TLS" in name else None
+            sock = await listener.bind("127.0.0.1", 0)
+            nursery.start_soon(listener.serve, sock)
+            stream: trio.abc.Stream = await trio.open_tcp_stream("127.0.0.1", sock.getsockname()[1])
+            if "TLS" in name:
+                assert isinstance(stream, trio.SocketStream)
+                stream = trio.SSLStream(stream, context, server_hostname="127.0.0.1")
+            streams[name] = stream
+        for _ in range(30):
+            for name, stream in streams.items():
+                began = time.process_time()
+                for _ in range(100):
+                    await stream.send_all(asks)
+                    await stream.receive_some(4096)
+                costs[name].append((time.process_time() - began) / 100 * 1e6)
+        nursery.cancel_scope.cancel()
+    base = float(np.median(costs["plain"]))
+    for name, found in costs.items():
+        print(f"a call {name}: {np.median(found):.0f} us of CPU, both ends ({np.median(found) / base:.2f})")
+
+
+def pages() -> None:
+    """Print what a page of the monitoring session takes at 100,000 jobs."""
+    engine = Engine(Bounds(), lambda: os.urandom(8).hex())
+    session = engine.create("q", "", Allowance(jobs=10**6, size=1 << 40), Backlog(), 0)
+    for number in range(100_000):
+        engine.submit(session, Submission(b"", "print", account=f"a{number % 1000}", held=True), 0)
+    test = filters.compiled('accountingId in ("a1", "a2") and jobState != "DONE"', view.KINDS)
+    for after in (0, 50_000, 99_000):
+        began = time.perf_counter()
+        found, _ = view.page([session], after, 100, lambda job: view.passes(test, job))
+        print(f"a page after {after}: {len(found)} jobs in {(time.perf_counter() - began) * 1e3:.1f} ms")
+
+
+def main() -> None:
+    """Print what was asked for."""
+    wanted = sys.argv[1:] or ["deliver", "access", "pages"]
+    if "deliver" in wanted:
+        for listeners, rate in ((1, 2000), (1, 100_000), (100, 20), (100, 1000)):
+            done, median, most = trio.run(deliver, listeners, rate)
+            print(f"{listeners} listeners, {rate} events a second offered: {done:.0f} delivered a second, "
+                  f"delay {median:.0f} ms median, {most:.0f} ms 99th percentile")
+    if "access" in wanted:
+        trio.run(access)
+    if "pages" in wanted:
+        pages()
+
+
+if __name__ == "__main__":
+    main()
+
+
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -24,7 +24,7 @@
     "extra": {"tellsStart": True},
     "safety": {"drainGraceUs": 500_000, "coldFrom": 1.0, "coldUs": 0, "tipMultiple": 100.0,
                "overloadForUs": 2_000_000, "mustAskInUs": 10_000_000}}
-PLAIN = "[drmaa]\nfront = true\nservers = true\n"
+PLAIN = "[drmaa]\nfront = true\naccess.open = true\nservers = true\n"
 
 
 def free_port() -> int:
--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -8,7 +8,6 @@
 import gc
 import signal
 import sys
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import trio
@@ -72,8 +71,9 @@
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
         nursery.start_soon(listener.serve, sock)
-        stopping = parts.stop if parts is not None else None
-        nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, stopping)
+        if parts is not None:
+            await parts.listen(nursery, limits)
+        nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, parts)
         log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
         await owner.run(receive)
         nursery.cancel_scope.cancel()
@@ -90,7 +90,7 @@
 
 async def signals(config: Config, listener: Listener, discovery: Discovery | DnsSdDirectory,
                   inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery, counters: Counters,
-                  log: Log, stopping_too: Callable[[], None] | None) -> None:
+                  log: Log, parts: DrmaaParts | None) -> None:
     """SIGHUP reads the configuration again, SIGUSR1 prints the counters, SIGTERM and SIGINT end the node."""
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
         stopping = False
@@ -98,16 +98,19 @@
             if number == signal.SIGUSR1:
                 counters.print()
             elif number == signal.SIGHUP:
-                follow(config, discovery, counters, log)
+                follow(config, discovery, counters, log, parts)
             elif not stopping:
                 stopping = True
-                nursery.start_soon(stop, config, listener, inbox, nursery, stopping_too)
+                nursery.start_soon(stop, config, listener, inbox, nursery, parts)
 
 
-def follow(config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log) -> None:
+def follow(config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log,
+           parts: DrmaaParts | None) -> None:
     """Move the watch to where the configuration now says; one that cannot be used changes nothing."""
     try:
         new = reload(config)
+        if parts is not None:
+            parts.reload()
     except BadConfig as error:
         counters.add("reloads_bad")
         log.event("reload_failed", level="warning", error=str(error), kept="the old configuration")
@@ -121,7 +124,7 @@
 
 
 async def stop(config: Config, listener: Listener, inbox: trio.MemorySendChannel[Message],
-               nursery: trio.Nursery, stopping_too: Callable[[], None] | None) -> None:
+               nursery: trio.Nursery, parts: DrmaaParts | None) -> None:
     """Serve on for a moment, then end in good order."""
     limits = config.limits
     began = trio.current_time()
@@ -134,8 +137,9 @@
         await trio.sleep_until(began + limits.stop_serving - limits.stop_retiring)
         listener.close_idle()
     await trio.sleep_until(began + limits.stop_serving)
-    if stopping_too is not None:  # before connections close: calls that wait are answered on theirs
-        stopping_too()
+    if parts is not None:  # before connections close: calls that wait are answered on theirs
+        parts.stop()
+        parts.close_idle()
     listener.close_idle()
     await inbox.send(Stopping())
 
--- /dev/null
+++ b/merlinbay/access/__init__.py
@@ -0,0 +1,1 @@
+"""Who may call the submission front: tokens, keys and TLS. docs/SECURITY.md."""
--- a/merlinbay/batch/book.py
+++ b/merlinbay/batch/book.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
 
 import msgspec
 
@@ -35,6 +37,24 @@
     waits: int = 100
 
 
+class Change(Enum):
+    """What changes of a job that is worth telling; the values are the standard's events."""
+
+    STATE = "NEW_STATE"
+    MACHINE = "MIGRATED"
+    ATTRIBUTE = "ATTRIBUTE_CHANGE"
+
+
+class Watcher(Protocol):
+    """Is told of changes as they happen, and of nothing else."""
+
+    def changed(self, change: Change, job: Job) -> None:
+        """Take it that a job has changed."""
+
+    def unmade_ended(self, array: JobArray, number: int) -> None:
+        """Take it that so many members of an array have ended that were never made."""
+
+
 class Offer(msgspec.Struct, frozen=True):
     """Offer the job to the core."""
 
@@ -94,6 +114,7 @@
         self.kept: dict[Job | JobArray, int] = {}  # finished ones and until when, the oldest first,
         self.kept_bytes = 0  # and the size of their outputs
         self.orders = 0
+        self.watcher: Watcher | None = None
 
     # Sessions.
 
@@ -186,6 +207,8 @@
 
     def _move(self, job: Job, event: Event) -> None:
         job.state = after(job.state, event)
+        if self.watcher is not None:
+            self.watcher.changed(Change.STATE, job)
         if job.waits and job.state in STARTED:
             for wait in list(job.waits):
                 if wait.started or job.state in ENDED:
--- a/merlinbay/batch/engine.py
+++ b/merlinbay/batch/engine.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 
 from merlinbay.batch.arrays import JobArray, indices
-from merlinbay.batch.book import NO_BACKLOG, ROOM, Bounds, Control, Gathered, Recall, Withdraw
+from merlinbay.batch.book import NO_BACKLOG, ROOM, Bounds, Change, Control, Gathered, Recall, Withdraw
 from merlinbay.batch.errors import DrmaaError, invalid_argument, invalid_state, try_later, unsupported
 from merlinbay.batch.jobs import Job, Session, Stage, Submission
 from merlinbay.batch.states import Event, State
@@ -48,11 +48,14 @@
         self.orders += 1
         job = Job(self.new_id(), session, what, self.orders, self._rank(session, what, now_us), now_us)
         session.jobs[job.id] = job
+        if what.held:
+            job.state = State.QUEUED_HELD
+        if self.watcher is not None:
+            self.watcher.changed(Change.STATE, job)
         if session.backlog is None:
             job.submit_call = call
             self._send(job)
         elif what.held:
-            job.state = State.QUEUED_HELD
             self._arm(job)
         else:
             self._queue(job, now_us)
@@ -261,6 +264,8 @@
     def placed(self, job: Job, server: str, now_us: int) -> None:
         """Note that a real server was chosen; again for a copy or a repeat."""
         job.server, job.servers = server, (*job.servers, server)
+        if self.watcher is not None:
+            self.watcher.changed(Change.ATTRIBUTE, job)  # allocatedMachines
         if job.stage is not Stage.OFFERED:
             return
         job.stage = Stage.PLACED
@@ -281,7 +286,10 @@
         job.server, job.ran = server or job.server, True
         job.running_us = job.running_us or now_us
         job.started_us = job.started_us or now_us
+        moved, job.machine = job.machine not in ("", job.server), job.server
         self._move(job, Event.RESUME if job.state is State.SUSPENDED else Event.START)
+        if moved and self.watcher is not None:
+            self.watcher.changed(Change.MACHINE, job)
 
     def suspended(self, job: Job, now_us: int) -> None:
         """Note that its server suspended it."""
--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -51,6 +51,7 @@
     start_us: int = 0  # not to be offered before
     deadline_us: int = 0  # not to run after
     fits: tuple[int | None, tuple[str, ...]] = (None, ())  # the memory that it needs, KiB; its machines
+    name: str = ""  # the client's own
 
     @property
     def shape(self) -> Hashable:
@@ -70,6 +71,7 @@
     lanes: dict[str, Lane] = field(default_factory=dict)  # and those of its accounts below it
     jobs: dict[str, Job] = field(default_factory=dict)
     arrays: dict[str, JobArray] = field(default_factory=dict)
+    owner: str | None = None  # the account whose it is; None: everybody's
     is_open: bool = True
     destroyed: bool = False
 
@@ -93,6 +95,7 @@
     array: JobArray | None = None
     index: int = 0  # in its array
     offer: int = 0  # how often it was offered to the core: tells apart what comes back
+    machine: str = ""  # where it started last
     server: str = ""  # where it was placed last,
     servers: tuple[str, ...] = ()  # and everywhere that it was, in order
     started_us: int = 0  # the first start
@@ -116,6 +119,11 @@
     def __repr__(self) -> str:
         return f"<Job {self.id} {self.state} {self.stage.value}>"
 
+    @property
+    def name(self) -> str:
+        """Return the client's name for it."""
+        return self.what.name
+
     @property
     def job_class(self) -> str:
         """Return its class."""
--- a/merlinbay/batch/turns.py
+++ b/merlinbay/batch/turns.py
@@ -6,7 +6,7 @@
 from collections.abc import Hashable
 
 from merlinbay.batch.arrays import JobArray
-from merlinbay.batch.book import Book, Effect, Offer
+from merlinbay.batch.book import Book, Change, Effect, Offer
 from merlinbay.batch.errors import DrmaaError, invalid_state
 from merlinbay.batch.jobs import Job, Session, Stage, Submission
 from merlinbay.batch.shares import Lane
@@ -148,7 +148,11 @@
 
     def _member(self, array: JobArray, index: int) -> Job:
         self.orders += 1
-        return array.member(index, self.orders)
+        made = len(array.made)
+        job = array.member(index, self.orders)
+        if self.watcher is not None and len(array.made) > made:
+            self.watcher.changed(Change.STATE, job)
+        return job
 
     def _end_unmade(self, array: JobArray, why: str, now_us: int) -> int:
         """End the members that were never made; return how many there were."""
@@ -158,6 +162,8 @@
             number += 1
         if number:
             array.annotation = why
+            if self.watcher is not None:
+                self.watcher.unmade_ended(array, number)
             self.jobs -= number
             self.ends[State.FAILED] += number
             self.ended += number
--- a/merlinbay/cli/local.py
+++ b/merlinbay/cli/local.py
@@ -33,6 +33,7 @@
 OPERATOR = """\
 [drmaa]
 front = true
+access.open = true
 servers = true
 body_kib = 1024
 
--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -104,6 +104,13 @@
     """Add the commands that call a front."""
     from merlinbay.cli.jobs import job
     from merlinbay.cli.sessions import session
+    try:
+        from merlinbay.cli.keys import keys, tls
+    except ModuleNotFoundError:  # without the libraries of the front, there is nothing to make keys for
+        pass
+    else:
+        main.add_command(keys)
+        main.add_command(tls)
     main.add_command(job)
     main.add_command(session)
 
--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -101,6 +101,10 @@
     operator = operator_file(environ.get("LB_OPERATOR", ""))
     if operator is not None and operator.drmaa.front:
         limits = replace(limits, body_bytes=max(limits.body_bytes, operator.drmaa.body_kib * 1024))
+        if operator.drmaa.access.tls:  # two listeners share the descriptors
+            limits = replace(limits, edge_connections=limits.edge_connections // 2,
+                             most_held=min(limits.most_held, limits.edge_connections * 3 // 8),
+                             waits=max(limits.waits // 2, 1))
     return Config(environ.get("LB_NAME", file.name), listen, discovery, seed, file.known, settings, limits,
                   operator)
 
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -115,6 +115,8 @@
             case (ports.FlowRecalled() | ports.FlowControlled() | ports.SchedulingRecalled()
                   | ports.SchedulingControlled() | ports.SchedulingSuspended() | ports.SchedulingUnseen()):
                 self._control(message, now, events)
+            case ports.FleetAsked():
+                message.told([ports.MachineView(**view) for view in self.balancer.beliefs(now)])
             case ports.FlowWithdrawn():
                 flow = self.names.get(message.name)
                 if flow is not None and flow.edge is message.edge and not flow.done:
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -259,10 +260,34 @@
     entries: list[ServiceEntry] = []
 
 
+class MachineView(msgspec.Struct, frozen=True):
+    """What the module believes of one real server."""
+
+    name: str
+    zone: str
+    kind: str
+    state: str
+    slots: float
+    held: float  # by us,
+    others: float  # and as is believed by the others
+    pace: float
+    failures: int  # in a row
+    cold: bool
+    out_since_us: int = 0  # left out; 0: it is not
+    out_until_us: int = 0
+    why: str = ""
+
+
+class FleetAsked(msgspec.Struct, frozen=True):
+    """Somebody wants to know what the module believes of the real servers."""
+
+    told: Callable[[list[MachineView]], None]
+
+
 class Stopping(msgspec.Struct, frozen=True):
     """Refuse what is new, and end once the last flow is answered."""
 
 
 Message = (FlowArrived | FlowWithdrawn | FlowRecalled | FlowControlled | SchedulingRecalled
            | SchedulingControlled | SchedulingSuspended | SchedulingUnseen | SchedulingStarted
-           | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | Stopping)
+           | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | FleetAsked | Stopping)
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
-from merlinbay.decision.api import JobClass, ListChanged, Settings
+from merlinbay.decision.api import JobClass, ListChanged, Outcome, Settings
 
 MARGIN = 1.25  # what reports of some twenty jobs show of the others' slots is off by about a fifth
 
@@ -48,7 +49,9 @@
     pace: float = 1.0  # its smoothed run time over its kind's, by its jobs,
     paced_at: int = 0  # and when the last of these told it
     fails: int = 0
-    bench_until: int = 0
+    bench_until: int = 0  # left out until then,
+    fault: int = 0  # the outcome that counted as a failure last,
+    fault_at: int = 0  # and when
     asked_at: int = 0  # the first send since it was last heard
     heard_at: int = 0
     cold_next: int = 0  # before this a cold worker gets nothing more from us
@@ -286,6 +289,26 @@
         past = math.sqrt(safety.cold_from ** 2 + 2 * grows * amount) - safety.cold_from
         return worker.ready_at + int(past / grows)
 
+    def beliefs(self, now_us: int) -> list[dict[str, Any]]:
+        """Return what is believed of each worker, for people: slots, seconds and words."""
+        found = []
+        for worker in self.workers.values():
+            out = worker.bench_until > now_us
+            found.append({
+                "name": worker.name, "zone": worker.zone, "kind": self.kind_names().get(worker.kind, ""),
+                "state": worker.state, "slots": worker.kind.slots, "held": worker.held,
+                "others": worker.others if worker.others_at >= 0 else 0.0, "pace": worker.pace,
+                "failures": worker.fails, "cold": self.cold(worker),
+                "out_since_us": worker.fault_at if out else 0,
+                "out_until_us": worker.bench_until if out else 0,
+                "why": f"{Outcome(worker.fault).name.lower().replace('_', ' ')}, {worker.fails} in a row"
+                       if out else ""})
+        return found
+
+    def kind_names(self) -> dict[Kind, str]:
+        """Return the kinds' names."""
+        return {kind: name for name, kind in self.kinds.items()}
+
     def reindex(self) -> None:
         """Index the workers that are up, shuffled so that a slice of a pool is a random sample."""
         self.usable = [w for w in self.workers.values() if w.state == "up"]
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -488,7 +488,7 @@
             # Guards against a worker that fails at once and so looks free: each failure in a row leaves
             # it out for longer. A single error, or a time-out on a worker that works, is let pass. So are
             # two resets: a network that breaks connections says nothing of the workers behind it.
-            worker.fails += 1
+            worker.fails, worker.fault, worker.fault_at = worker.fails + 1, int(outcome), self.now
             if erring or worker.fails > LET_PASS.get(api.Outcome(outcome), 0):
                 worker.bench_until = self.now + (BENCH_US << min(worker.fails - 1, BENCH_DOUBLINGS))
                 if worker.fails in (2, 3):
--- /dev/null
+++ b/merlinbay/drmaa/calls.py
@@ -0,0 +1,334 @@
+"""What each call does: path and verb to the engine, for the account whose token the call bears."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from merlinbay.access.grants import Grant, Scope
+from merlinbay.batch.arrays import JobArray
+from merlinbay.batch.engine import Engine
+from merlinbay.batch.errors import DrmaaError, invalid_argument, unsupported
+from merlinbay.batch.jobs import Job, Session, Submission
+from merlinbay.batch.states import State
+from merlinbay.batch.timers import NEVER
+from merlinbay.drmaa import info, templates, words
+from merlinbay.drmaa.edges import Call, ok
+from merlinbay.drmaa.listening import ListeningCalls
+from merlinbay.drmaa.monitoring import MonitorCalls
+from merlinbay.drmaa.settings import NAME, session_section
+from merlinbay.http.server import Connection, Request, Response
+
+if TYPE_CHECKING:
+    from merlinbay.drmaa.front import DrmaaFront
+
+DEFAULT = "default"  # the session of the paths that name none
+ACTIONS = ("hold", "release", "suspend", "resume", "terminate", "reap")
+PAGE, PAGE_MOST = 100, 1000
+PLAIN = ("jobs", "arrays", "waitAnyStarted", "waitAnyTerminated", "events",
+         "listeners")  # in the session that need not be named
+
+
+@dataclass(slots=True)
+class Ask:
+    """One call: who makes it, on what connection, when."""
+
+    connection: Connection
+    request: Request
+    grant: Grant
+    query: dict[str, list[str]]
+    now: int
+
+    def page(self) -> tuple[int, int]:
+        """Return ``after`` and ``limit``. Raises ``DrmaaError``."""
+        try:
+            return int(self.query.get("after", ["0"])[0]), self.page_limit()
+        except ValueError:
+            raise invalid_argument("after is a number") from None
+
+    def page_limit(self) -> int:
+        """Return ``limit``. Raises ``DrmaaError``."""
+        text = self.query.get("limit", [str(PAGE)])[0]
+        if not (text.isdigit() and 1 <= int(text[:9]) <= PAGE_MOST):
+            raise invalid_argument(f"limit: 1 to {PAGE_MOST}")
+        return int(text)
+
+    def timeout(self) -> float | None:
+        """Return a wait's timeout in seconds; None: for as long as it takes. Raises ``DrmaaError``."""
+        text = self.query.get("timeout", [""])[0]
+        if not text:
+            return None
+        try:
+            timeout = float(text)
+        except ValueError:
+            timeout = -1.0
+        if not timeout >= 0:
+            raise invalid_argument("timeout")
+        return timeout
+
+    def until_us(self, timeout: float | None) -> int:
+        """Return when a wait of so many seconds ends, with the token at the latest; 0: never."""
+        until = NEVER if timeout is None or timeout > 1e9 else max(self.now + int(timeout * 1e6), 1)
+        until = min(until, self.grant.until_us)
+        return until if until < NEVER else 0
+
+
+class Calls:
+    """The calls of the binding."""
+
+    def __init__(self, front: DrmaaFront) -> None:
+        self.front, self.engine, self.settings = front, front.engine, front.settings
+        self.counters, self.rules, self.machine = front.counters, front.rules, front.machine
+        self.listening = ListeningCalls(front)
+        self.monitoring = MonitorCalls(front)
+
+    def take(self, ask: Ask, parts: list[str]) -> Response | Call:
+        """Answer a call, or leave it to be answered by what becomes of the job. Raises ``DrmaaError``."""
+        engine: Engine = self.engine
+        match ask.request.method, parts:
+            case _, [first, *_] if first in PLAIN:
+                return self._in_session(ask, engine.session(DEFAULT), parts)
+            case "GET", []:
+                return ok(info.about(self.machine))
+            case "GET", ["supports"]:
+                return ok(info.capabilities(self.front.hub is not None))
+            case "GET", ["supports", name]:
+                found = info.capabilities(self.front.hub is not None)
+                if name not in found:
+                    raise invalid_argument(f"no capability {name!r}")
+                return ok({"capability": name, "supported": found[name]})
+            case "GET", ["sessions"]:
+                return ok({"sessionNames": sorted(name for name, session in engine.sessions.items()
+                                                  if ask.grant.sees(session.owner))})
+            case "POST", ["sessions"]:
+                return self._create(ask)
+            case "GET", ["sessions", name]:
+                return self._about(ask, self._session(ask, name, opened=False))
+            case "DELETE", ["sessions", name]:
+                return self._destroy(ask, name)
+            case "POST", ["sessions", name, ("open" | "close") as verb]:
+                session = self._own(ask, name)
+                session.is_open = verb == "open"
+                return self._about(ask, session)
+            case _, ["sessions", name, *rest] if rest:
+                return self._in_session(ask, self._session(ask, name), rest)
+            case "GET", ["monitor", *rest]:
+                ask.grant.need(Scope.MONITOR)
+                return self.monitoring.take(ask, rest)
+        raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
+
+    # Sessions.
+
+    def _session(self, ask: Ask, name: str, opened: bool = True) -> Session:
+        """Return a session that the caller may know of."""
+        session = self.engine.sessions.get(name)
+        if session is not None and not ask.grant.sees(session.owner):
+            raise invalid_argument(f"no session {name!r}", missing=True)  # the words where there is none
+        return self.engine.session(name, opened)
+
+    def _own(self, ask: Ask, name: str) -> Session:
+        """Return a session that the caller may open, close and destroy."""
+        ask.grant.need(Scope.SUBMIT)
+        session = self._session(ask, name, opened=False)
+        if session.owner is None:  # everybody's: for the operator alone
+            ask.grant.need_all()
+        return session
+
+    def _about(self, ask: Ask, session: Session) -> Response:
+        found = info.session_info(session)
+        if session.owner is None and ask.grant.account is not None:
+            # Guards against counting the others' jobs in a session that accounts share.
+            for name in ("jobs", "bytes", "waiting", "arrays"):
+                del found[name]
+        return ok(found)
+
+    def _create(self, ask: Ask) -> Response:
+        ask.grant.need(Scope.SUBMIT)
+        call, most = words.read_create(ask.request.body), self.settings.sessions
+        if not most.create:
+            raise DrmaaError("DeniedByDrmsException", "clients create no sessions here")
+        wish, limits = call.settings, most.limits
+        if not NAME.fullmatch(call.sessionName):
+            raise invalid_argument("sessionName: letters, digits, '.', '_' and '-', 64 at the most")
+        if not 0 < wish.share <= most.share_most:
+            raise invalid_argument(f"share: above 0, and {most.share_most:g} at the most")
+        if wish.backlog and not limits.backlog:
+            raise DrmaaError("DeniedByDrmsException", "sessions of clients keep no backlog here")
+        section = session_section(wish, limits)
+        session = self.engine.create(call.sessionName, call.contact, section.allowance(),
+                                     section.waits(), ask.now)
+        session.owner = ask.grant.account
+        self.front.log.event("session_created", session=session.name, backlog=section.backlog)
+        return ok(info.session_info(session), 201)
+
+    def _destroy(self, ask: Ask, name: str) -> Response:
+        if name == DEFAULT:
+            raise invalid_argument(f"session {name!r} is always there")
+        session = self._own(ask, name)
+        self.engine.destroy(session, ask.now)
+        if self.front.hub is not None:
+            self.front.hub.close(name)
+        self.front.log.event("session_destroyed", session=name)
+        return ok({"sessionName": name})
+
+    def _in_session(self, ask: Ask, session: Session, parts: list[str]) -> Response | Call:
+        body = ask.request.body
+        match ask.request.method, parts:
+            case "POST", ["jobs"]:
+                return self._run_job(ask, session)
+            case "GET", ["jobs"]:
+                return self._list(ask, session)
+            case "GET", ["jobs", job_id]:
+                ask.grant.need(Scope.MONITOR)
+                return self._told(self._job(ask, session, job_id))
+            case "GET", ["jobs", job_id, ("wait" | "waitTerminated" | "waitStarted") as verb]:
+                return self._wait(ask, [self._job(ask, session, job_id)], verb == "waitStarted",
+                                  ask.timeout())
+            case "POST", ["jobs", job_id, verb] if verb in ACTIONS:
+                return self._act(ask, self._job(ask, session, job_id), verb)
+            case "DELETE", ["jobs", job_id]:
+                return self._act(ask, self._job(ask, session, job_id), "reap")
+            case "POST", [("waitAnyStarted" | "waitAnyTerminated") as verb]:
+                wanted = words.read_wait_any(body)
+                if wanted.timeout is not None and not wanted.timeout >= 0:
+                    raise invalid_argument("timeout")
+                return self._wait(ask, self._known(ask, session, wanted.jobIds), verb == "waitAnyStarted",
+                                  wanted.timeout)
+            case "POST", ["arrays"]:
+                ask.grant.need(Scope.SUBMIT)
+                bulk = words.read_run_bulk(body)
+                array = self.engine.submit_array(session, self._submission(ask, bulk.jobTemplate),
+                                                 bulk.beginIndex, bulk.endIndex, bulk.step, bulk.maxParallel,
+                                                 ask.now)
+                self.counters.add("drmaa_arrays_taken")
+                return ok(info.array_info(array), 201)
+            case "GET", ["arrays"]:
+                ask.grant.need(Scope.MONITOR)
+                return ok({"jobArrayIds": [found.id for found in session.arrays.values()
+                                           if ask.grant.sees(found.what.account)]})
+            case "GET", ["arrays", array_id]:
+                ask.grant.need(Scope.MONITOR)
+                return ok(info.array_info(self._array(ask, session, array_id)))
+            case "POST", ["arrays", array_id, verb] if verb in ACTIONS:
+                return self._act_on_array(ask, self._array(ask, session, array_id), verb)
+            case "DELETE", ["arrays", array_id]:
+                return self._act_on_array(ask, self._array(ask, session, array_id), "reap")
+            case _, [("events" | "listeners"), *_]:
+                ask.grant.need(Scope.MONITOR)
+                return self.listening.take(ask, session, parts)
+        raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
+
+    # Jobs and arrays.
+
+    def _job(self, ask: Ask, session: Session, job_id: str) -> Job:
+        """Return a job that the caller may know of; another's is answered like one that is not there."""
+        job = session.jobs.get(job_id)
+        array = session.arrays.get(job_id.partition(".")[0]) if job is None else None
+        account = job.what.account if job is not None else array.what.account if array is not None else None
+        if not ask.grant.sees(account):
+            raise invalid_argument(f"no job {job_id!r}", missing=True)
+        return self.engine.job(session, job_id)
+
+    def _array(self, ask: Ask, session: Session, array_id: str) -> JobArray:
+        array = session.arrays.get(array_id)
+        if array is not None and not ask.grant.sees(array.what.account):
+            raise invalid_argument(f"no array {array_id!r}", missing=True)
+        return self.engine.array(session, array_id)
+
+    def _submission(self, ask: Ask, template: words.JobTemplate) -> Submission:
+        account = ask.grant.account
+        if account is not None and template.accountingId not in ("", account):
+            raise DrmaaError("DeniedByDrmsException", f"accountingId: the token is for {account!r}")
+        if account is not None:
+            template.accountingId = account
+        return templates.submission(template, self.rules, ask.now)
+
+    def _run_job(self, ask: Ask, session: Session) -> Response | Call:
+        ask.grant.need(Scope.SUBMIT)
+        what = self._submission(ask, words.read_run_job(ask.request.body))
+        call = Call(ask.connection, taken)
+        self.counters.add("drmaa_jobs_taken")
+        job = self.engine.submit(session, what, ask.now, call)
+        log = self.front.log
+        if log.debug:
+            log.event("job_taken", level="debug", job=job.id, session=session.name, account=what.account)
+        return taken(job) if session.backlog is not None else call
+
+    def _told(self, job: Job | None) -> Response:
+        assert job is not None
+        return ok(info.job_info(job, self.machine))
+
+    def _wait(self, ask: Ask, jobs: list[Job], started: bool, timeout: float | None) -> Call:
+        ask.grant.need(Scope.MONITOR)
+        call = self.later(ask)
+        self.engine.wait(call, jobs, started, ask.until_us(timeout), ask.now)
+        return call
+
+    def later(self, ask: Ask) -> Call:
+        """Return a call that waits, as long as its token is good."""
+        call = Call(ask.connection, self._told)
+        call.ends_with(ask.grant.until_us, self.front.clock)
+        return call
+
+    def _known(self, ask: Ask, session: Session, job_ids: Iterable[str]) -> list[Job]:
+        """Return the jobs of the ids that are known: one that was reaped has ended, and was told of then."""
+        found = []
+        for job_id in job_ids:
+            try:
+                found.append(self._job(ask, session, job_id))
+            except DrmaaError:
+                continue
+        if not found:
+            raise invalid_argument("none of the jobs is known", missing=True)
+        return found
+
+    def _act(self, ask: Ask, job: Job, verb: str) -> Response | Call:
+        ask.grant.need(Scope.CONTROL)
+        call = Call(ask.connection, self._told)
+        match verb:
+            case "hold":
+                self.engine.hold(job, ask.now, call)
+            case "release":
+                self.engine.release(job, ask.now, call)
+            case "suspend" | "resume":
+                self.engine.control(job, verb, ask.now, call)
+            case "terminate":
+                self.engine.terminate(job, ask.now)
+                return self._told(job)
+            case _:
+                self.engine.reap(job)
+                return self._told(job)
+        return call
+
+    def _act_on_array(self, ask: Ask, array: JobArray, verb: str) -> Response | Call:
+        ask.grant.need(Scope.CONTROL)
+        if verb == "reap":
+            self.engine.reap_array(array)
+            return ok(info.array_info(array))
+        call = Call(ask.connection, lambda job: ok(info.array_info(array)))
+        self.engine.on_array(array, verb, ask.now, call)
+        return call
+
+    def _list(self, ask: Ask, session: Session) -> Response:
+        """Answer getJobs: so many at a time, in order of submission; ``after`` is the last one's order."""
+        ask.grant.need(Scope.MONITOR)
+        states = set(ask.query.get("state", []))
+        if not states <= {state.value for state in State}:
+            raise invalid_argument("state")
+        (after, limit), sees = ask.page(), ask.grant.sees
+        found = list(islice((job for job in session.jobs.values() if job.order > after
+                             and sees(job.what.account)
+                             and (not states or job.state.value in states)), limit + 1))
+        jobs = [info.job_brief(job) for job in found[:limit]]
+        more = {"next": found[limit - 1].order} if len(found) > limit else {}
+        return ok({"jobs": jobs, **more})
+
+
+def taken(job: Job | None) -> Response:
+    """Return runJob's answer."""
+    assert job is not None
+    return ok({"jobId": job.id, "jobState": str(job.state)}, 201)
+
+
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -1,38 +1,38 @@
-"""The submission front: reads calls off the wire, asks the engine, and carries out what it says."""
+"""The submission front: takes calls in, asks the engine and the hub, and carries out what they say."""
 
 from __future__ import annotations
 
 import math
 import secrets
 from collections import deque
-from collections.abc import Iterable
-from itertools import islice
+from random import Random
 from urllib.parse import parse_qs, unquote
 
 import trio
 
+from merlinbay.access.grants import Gate, OpenGate
 from merlinbay.batch.arrays import JobArray
-from merlinbay.batch.book import Control, Offer, Recall, Reply, Withdraw
+from merlinbay.batch.book import Change, Control, Offer, Recall, Reply, Withdraw
 from merlinbay.batch.engine import Engine
-from merlinbay.batch.errors import DrmaaError, invalid_argument, unsupported
-from merlinbay.batch.jobs import Job, Session
+from merlinbay.batch.errors import DrmaaError
+from merlinbay.batch.jobs import Job
 from merlinbay.batch.states import State
 from merlinbay.batch.timers import NEVER
 from merlinbay.clock import Clock
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.decision import api
-from merlinbay.drmaa import info, templates, words
-from merlinbay.drmaa.edges import Call, JobEdge, failure, ok
-from merlinbay.drmaa.settings import NAME, Drmaa, session_section
+from merlinbay.drmaa import listening, templates
+from merlinbay.drmaa.calls import DEFAULT, Ask, Calls
+from merlinbay.drmaa.edges import Call, JobEdge, failure
+from merlinbay.drmaa.settings import Drmaa
 from merlinbay.http.server import Connection, Request, Response
 from merlinbay.limits import Limits
 from merlinbay.log import Log
-
-DEFAULT = "default"  # the session of the paths that name none
-ACTIONS = ("hold", "release", "suspend", "resume", "terminate", "reap")
-PAGE, PAGE_MOST = 100, 1000
-PLAIN = ("jobs", "arrays", "waitAnyStarted", "waitAnyTerminated")  # in the session that need not be named
+from merlinbay.notify.hub import Answer, Hub
+from merlinbay.notify.journal import Journal, News
+from merlinbay.notify.sender import Sender
+from merlinbay.notify.targets import Allowed
 
 
 class DrmaaFront:
@@ -40,7 +40,7 @@
 
     def __init__(self, inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
                  counters: Counters, log: Log, classes: list[api.JobClass], settings: Drmaa,
-                 machine: str) -> None:
+                 machine: str, gate: Gate | None = None, own: tuple[tuple[str, int], ...] = ()) -> None:
         self.inbox, self.clock, self.limits = inbox, clock, limits
         self.counters, self.log, self.settings, self.machine = counters, log, settings, machine
         self.rules = templates.Rules({spec.name: spec for spec in classes}, settings.memory_unit_kib)
@@ -50,17 +50,46 @@
         self.ready = trio.Event()  # there is something in it
         self.nap, self.due_us = trio.CancelScope(), NEVER  # when the engine is looked at next; maybe too soon
         self.ends = 0  # jobs that had ended when they were counted last
+        self.gate: Gate = gate or OpenGate()
+        self.hub: Hub | None = None
+        self.sender: Sender | None = None
+        if settings.events.keep:
+            self._keep_events(own)
+        self.calls = Calls(self)
         now = clock.now_us()
         self.engine.create(DEFAULT, "", settings.default.allowance(), settings.default.waits(), now)
         for session in settings.session:
             self.engine.create(session.name, session.contact, session.allowance(), session.waits(), now)
 
+    def _keep_events(self, own: tuple[tuple[str, int], ...]) -> None:
+        wish = self.settings.events
+        journal = Journal(wish.keep, wish.keep_kib * 1024, lambda: secrets.token_hex(4))
+        self.hub = Hub(journal, wish.bounds(), self.limits.waits, Allowed.read(wish.to, own),
+                       self.engine.timers, lambda: secrets.token_hex(8), Random(secrets.randbits(64)))
+        self.sender = Sender(self.hub.listeners, listening.write_batch, self.flush, self.clock, self.limits,
+                             self.counters, self.log, wish.timeout)
+        self.engine.watcher = self
+
+    def changed(self, change: Change, job: Job) -> None:
+        """Take it that a job has changed."""
+        assert self.hub is not None
+        self.hub.tell(job.session.name, News(change.value), job.id, job.state.value, job.what.account,
+                      self.clock.now_us(), job.server)
+
+    def unmade_ended(self, array: JobArray, number: int) -> None:
+        """Take it that members of an array have ended that were never made: one event for all of them."""
+        assert self.hub is not None
+        self.hub.tell(array.session.name, News.NEW_STATE, array.id, State.FAILED.value, array.what.account,
+                      self.clock.now_us(), members=number)
+
     # The engine's side.
 
     async def run(self) -> None:
         """Do what is due, and send what had to wait, for ever."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_outbox)
+            if self.sender is not None:
+                nursery.start_soon(self.sender.run)
             while True:
                 with trio.CancelScope() as self.nap:
                     self._set_nap(self.engine.next_us())
@@ -89,13 +118,20 @@
                     case Withdraw():
                         if (edge := self.edges.pop(effect.job, None)) is not None:
                             self.counters.add("drmaa_jobs_withdrawn")
-                            self._post(ports.FlowWithdrawn(edge.name, edge))
+                            self.post(ports.FlowWithdrawn(edge.name, edge))
                     case Recall():
                         if (edge := self.edges.get(effect.job)) is not None:
-                            self._post(ports.FlowRecalled(edge.name, edge))
+                            self.post(ports.FlowRecalled(edge.name, edge))
                     case Control():
                         if (edge := self.edges.get(effect.job)) is not None:
-                            self._post(ports.FlowControlled(edge.name, edge, effect.action))
+                            self.post(ports.FlowControlled(edge.name, edge, effect.action))
+        if self.hub is not None:
+            for found in self.hub.take(now_us):
+                if isinstance(found, Answer):
+                    assert isinstance(found.call, Call)
+                    found.call.done(listening.page(found.stream, found.page))
+                elif self.sender is not None:
+                    self.sender.send(found)
         if self.ends != engine.ended:
             self.ends = engine.ended
             counts, ends = self.counters.counts, engine.ends
@@ -111,9 +147,10 @@
         spec = templates.job_spec(job, self.rules, now_us)
         edge = self.edges[job] = JobEdge(self, job, spec)
         self.counters.add("drmaa_offers")
-        self._post(ports.FlowArrived(spec, edge))
+        self.post(ports.FlowArrived(spec, edge))
 
-    def _post(self, message: ports.Message) -> None:
+    def post(self, message: ports.Message) -> None:
+        """Send the owner a message, after those that wait already."""
         if not self.outbox:
             try:
                 self.inbox.send_nowait(message)
@@ -148,11 +185,8 @@
             parts = [unquote(part) for part in parts]
         asked, now = parse_qs(query) if query else {}, self.clock.now_us()
         try:
-            if parts and parts[0] in PLAIN:
-                response = self._in_session(connection, request, self.engine.session(DEFAULT), parts, asked,
-                                            now)
-            else:
-                response = self._call(connection, request, parts, asked, now)
+            ask = Ask(connection, request, self.gate.grant(request.headers, now), asked, now)
+            response = self.calls.take(ask, parts)
         except DrmaaError as error:
             self.counters.add("drmaa_errors")
             response = failure(error)
@@ -174,200 +208,9 @@
         if isinstance(call, Call):
             connection.context = None
             self.engine.forget_call(call)
+            if self.hub is not None:
+                self.hub.forget(call)
             for job in [job for job in self.edges if job.submit_call is call]:
                 job.submit_call = None
                 self.engine.terminate(job, self.clock.now_us(), "the client hung up")
             self.flush(self.clock.now_us())
-
-    def _call(self, connection: Connection, request: Request, parts: list[str],
-              query: dict[str, list[str]], now: int) -> Response | Call:
-        match request.method, parts:
-            case "GET", []:
-                return ok(info.about(self.machine))
-            case "GET", ["supports"]:
-                return ok(info.CAPABILITIES)
-            case "GET", ["supports", name]:
-                if name not in info.CAPABILITIES:
-                    raise invalid_argument(f"no capability {name!r}")
-                return ok({"capability": name, "supported": info.CAPABILITIES[name]})
-            case "GET", ["sessions"]:
-                return ok({"sessionNames": sorted(self.engine.sessions)})
-            case "POST", ["sessions"]:
-                return self._create(request.body, now)
-            case "GET", ["sessions", name]:
-                return ok(info.session_info(self.engine.session(name, opened=False)))
-            case "DELETE", ["sessions", name]:
-                return self._destroy(name, now)
-            case "POST", ["sessions", name, ("open" | "close") as verb]:
-                session = self.engine.session(name, opened=False)
-                session.is_open = verb == "open"
-                return ok(info.session_info(session))
-            case _, ["sessions", name, *rest] if rest:
-                return self._in_session(connection, request, self.engine.session(name), rest, query, now)
-        raise unsupported(f"{request.method} {request.target[:200]}")
-
-    def _in_session(self, connection: Connection, request: Request, session: Session, parts: list[str],
-                    query: dict[str, list[str]], now: int) -> Response | Call:
-        engine, job_of = self.engine, self.engine.job
-        match request.method, parts:
-            case "POST", ["jobs"]:
-                return self._run_job(connection, session, request.body, now)
-            case "GET", ["jobs"]:
-                return self._list(session, query)
-            case "GET", ["jobs", job_id]:
-                return self._told(job_of(session, job_id))
-            case "GET", ["jobs", job_id, ("wait" | "waitTerminated" | "waitStarted") as verb]:
-                return self._wait(connection, [job_of(session, job_id)], verb == "waitStarted",
-                                  timeout_of(query), now)
-            case "POST", ["jobs", job_id, verb] if verb in ACTIONS:
-                return self._act(connection, job_of(session, job_id), verb, now)
-            case "DELETE", ["jobs", job_id]:
-                return self._act(connection, job_of(session, job_id), "reap", now)
-            case "POST", [("waitAnyStarted" | "waitAnyTerminated") as verb]:
-                wanted = words.read_wait_any(request.body)
-                if wanted.timeout is not None and not wanted.timeout >= 0:
-                    raise invalid_argument("timeout")
-                return self._wait(connection, self._known(session, wanted.jobIds), verb == "waitAnyStarted",
-                                  wanted.timeout, now)
-            case "POST", ["arrays"]:
-                bulk = words.read_run_bulk(request.body)
-                what = templates.submission(bulk.jobTemplate, self.rules, now)
-                array = engine.submit_array(session, what, bulk.beginIndex, bulk.endIndex, bulk.step,
-                                            bulk.maxParallel, now)
-                self.counters.add("drmaa_arrays_taken")
-                return ok(info.array_info(array), 201)
-            case "GET", ["arrays"]:
-                return ok({"jobArrayIds": list(session.arrays)})
-            case "GET", ["arrays", array_id]:
-                return ok(info.array_info(engine.array(session, array_id)))
-            case "POST", ["arrays", array_id, verb] if verb in ACTIONS:
-                return self._act_on_array(connection, engine.array(session, array_id), verb, now)
-            case "DELETE", ["arrays", array_id]:
-                return self._act_on_array(connection, engine.array(session, array_id), "reap", now)
-        raise unsupported(f"{request.method} {request.target[:200]}")
-
-    def _create(self, body: bytes, now: int) -> Response:
-        call, most = words.read_create(body), self.settings.sessions
-        if not most.create:
-            raise DrmaaError("DeniedByDrmsException", "clients create no sessions here")
-        wish, limits = call.settings, most.limits
-        if not NAME.fullmatch(call.sessionName):
-            raise invalid_argument("sessionName: letters, digits, '.', '_' and '-', 64 at the most")
-        if not 0 < wish.share <= most.share_most:
-            raise invalid_argument(f"share: above 0, and {most.share_most:g} at the most")
-        if wish.backlog and not limits.backlog:
-            raise DrmaaError("DeniedByDrmsException", "sessions of clients keep no backlog here")
-        section = session_section(wish, limits)
-        session = self.engine.create(call.sessionName, call.contact, section.allowance(),
-                                     section.waits(), now)
-        self.log.event("session_created", session=session.name, backlog=section.backlog)
-        return ok(info.session_info(session), 201)
-
-    def _destroy(self, name: str, now: int) -> Response:
-        if name == DEFAULT:
-            raise invalid_argument(f"session {name!r} is always there")
-        session = self.engine.session(name, opened=False)
-        self.engine.destroy(session, now)
-        self.log.event("session_destroyed", session=name)
-        return ok({"sessionName": name})
-
-    def _run_job(self, connection: Connection, session: Session, body: bytes, now: int) -> Response | Call:
-        what = templates.submission(words.read_run_job(body), self.rules, now)
-        call = Call(connection, taken)
-        self.counters.add("drmaa_jobs_taken")
-        job = self.engine.submit(session, what, now, call)
-        if self.log.debug:
-            self.log.event("job_taken", level="debug", job=job.id, session=session.name, account=what.account)
-        return taken(job) if session.backlog is not None else call
-
-    def _told(self, job: Job | None) -> Response:
-        assert job is not None
-        return ok(info.job_info(job, self.machine))
-
-    def _wait(self, connection: Connection, jobs: list[Job], started: bool, timeout: float | None,
-              now: int) -> Call:
-        call = Call(connection, self._told)
-        until = 0 if timeout is None or timeout > 1e9 else max(now + int(timeout * 1e6), 1)
-        self.engine.wait(call, jobs, started, until, now)
-        return call
-
-    def _known(self, session: Session, job_ids: Iterable[str]) -> list[Job]:
-        """Return the jobs of the ids that are known: one that was reaped has ended, and was told of then."""
-        found = []
-        for job_id in job_ids:
-            try:
-                found.append(self.engine.job(session, job_id))
-            except DrmaaError:
-                continue
-        if not found:
-            raise invalid_argument("none of the jobs is known", missing=True)
-        return found
-
-    def _act(self, connection: Connection, job: Job, verb: str, now: int) -> Response | Call:
-        call = Call(connection, self._told)
-        match verb:
-            case "hold":
-                self.engine.hold(job, now, call)
-            case "release":
-                self.engine.release(job, now, call)
-            case "suspend" | "resume":
-                self.engine.control(job, verb, now, call)
-            case "terminate":
-                self.engine.terminate(job, now)
-                return self._told(job)
-            case _:
-                self.engine.reap(job)
-                return self._told(job)
-        return call
-
-    def _act_on_array(self, connection: Connection, array: JobArray, verb: str, now: int) -> Response | Call:
-        if verb == "reap":
-            self.engine.reap_array(array)
-            return ok(info.array_info(array))
-        call = Call(connection, lambda job: ok(info.array_info(array)))
-        self.engine.on_array(array, verb, now, call)
-        return call
-
-    def _list(self, session: Session, query: dict[str, list[str]]) -> Response:
-        """Answer getJobs: so many at a time, in order of submission; ``after`` is the last one's order."""
-        states = set(query.get("state", []))
-        if not states <= {state.value for state in State}:
-            raise invalid_argument("state")
-        try:
-            after, limit = int(query.get("after", ["0"])[0]), int(query.get("limit", [str(PAGE)])[0])
-        except ValueError:
-            raise invalid_argument("after and limit are numbers") from None
-        if not 1 <= limit <= PAGE_MOST:
-            raise invalid_argument(f"limit: 1 to {PAGE_MOST}")
-        found = list(islice((job for job in session.jobs.values() if job.order > after
-                             and (not states or job.state.value in states)), limit + 1))
-        jobs = [job_info_brief(job) for job in found[:limit]]
-        more = {"next": found[limit - 1].order} if len(found) > limit else {}
-        return ok({"jobs": jobs, **more})
-
-
-def job_info_brief(job: Job) -> dict[str, object]:
-    """Return a job's line in a list."""
-    return {"jobId": job.id, "jobState": job.state.value, "jobSubState": job.substate,
-            "jobOwner": job.what.account, "queueName": job.job_class,
-            "submissionTime": words.when(job.submitted_us)}
-
-
-def taken(job: Job | None) -> Response:
-    """Return runJob's answer."""
-    assert job is not None
-    return ok({"jobId": job.id, "jobState": str(job.state)}, 201)
-
-
-def timeout_of(query: dict[str, list[str]]) -> float | None:
-    """Return a wait's timeout in seconds; None: for as long as it takes. Raises ``DrmaaError``."""
-    text = query.get("timeout", [""])[0]
-    if not text:
-        return None
-    try:
-        timeout = float(text)
-    except ValueError:
-        timeout = -1.0
-    if not timeout >= 0:
-        raise invalid_argument("timeout")
-    return timeout
--- a/merlinbay/drmaa/info.py
+++ b/merlinbay/drmaa/info.py
@@ -17,6 +17,18 @@
                 "RT_MACHINEOS": False, "RT_MACHINEARCH": False}
 
 
+def capabilities(events: bool) -> dict[str, bool]:
+    """Return what is supported here; call-backs where events are kept."""
+    return {**CAPABILITIES, "CALLBACK": events}
+
+
+def job_brief(job: Job) -> dict[str, object]:
+    """Return a job's line in a list."""
+    return {"jobId": job.id, "jobState": job.state.value, "jobSubState": job.substate,
+            "jobOwner": job.what.account, "queueName": job.job_class,
+            "submissionTime": when(job.submitted_us)}
+
+
 def job_info(job: Job, machine: str) -> JobInfo:
     """Return a job's information. Times that have not come are left out."""
     wall = None
--- /dev/null
+++ b/merlinbay/drmaa/monitoring.py
@@ -0,0 +1,96 @@
+"""The calls of the monitoring session (GFD.194, 9): jobs by filter, queues, machines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from merlinbay.batch.errors import invalid_argument, unsupported
+from merlinbay.batch.jobs import Job
+from merlinbay.core import ports
+from merlinbay.drmaa import info
+from merlinbay.drmaa.edges import Call, ok
+from merlinbay.drmaa.words import when
+from merlinbay.http.server import Response
+
+if TYPE_CHECKING:
+    from merlinbay.drmaa.calls import Ask
+    from merlinbay.drmaa.front import DrmaaFront
+
+
+class MonitorCalls:
+    """The calls below ``/drmaa2/monitor``."""
+
+    def __init__(self, front: DrmaaFront) -> None:
+        self.front = front
+
+    def take(self, ask: Ask, parts: list[str]) -> Response | Call:
+        """Answer a call. Raises ``DrmaaError``."""
+        match parts:
+            case ["jobs"]:
+                return self._jobs(ask)
+            case ["queues"]:
+                return self._queues(ask)
+            case ["machines"]:
+                return self._machines(ask)
+        raise unsupported(f"GET {ask.request.target[:200]}")
+
+    def _jobs(self, ask: Ask) -> Response:
+        from merlinbay.monitor import filters, view  # Guards against a slow start: a grammar is built
+        grant, text = ask.grant, ask.query.get("filter", [""])[0]
+        try:
+            test = filters.compiled(text, view.KINDS) if text else None
+        except filters.BadFilter as error:
+            raise invalid_argument(f"filter: {error}") from None
+        after, limit = ask.page()
+
+        def wanted(job: Job) -> bool:
+            return grant.sees(job.what.account) and view.passes(test, job)
+
+        sessions = [found for found in self.front.engine.sessions.values() if grant.sees(found.owner)]
+        jobs, then = view.page(sessions, after, limit, wanted)
+        full = ask.query.get("full", [""])[0] == "true"
+        rows = [info.job_info(job, self.front.machine) if full else info.job_brief(job) for job in jobs]
+        return ok({"jobs": rows, **({"next": then} if then else {})})
+
+    def _queues(self, ask: Ask) -> Response:
+        names, engine = ask.query.get("name", []), self.front.engine
+        rows: list[dict[str, object]] = []
+        for name, spec in self.front.rules.classes.items():
+            if names and name not in names:
+                continue
+            row: dict[str, object] = {"name": name, "effect": spec.effect, "aim": spec.aim_us / 1e6,
+                                      "deadline": spec.deadline_us / 1e6}
+            if ask.grant.account is None:
+                row["waiting"] = sum(number for shape, number in engine.waiting.items()
+                                     if isinstance(shape, tuple) and shape[0] == name)
+            rows.append(row)
+        return ok({"queues": rows})
+
+    def _machines(self, ask: Ask) -> Call:
+        names = set(ask.query.get("name", []))
+        after, limit = ask.query.get("after", [""])[0], ask.page_limit()
+        call = self.front.calls.later(ask)
+
+        def told(machines: list[ports.MachineView]) -> None:
+            found = sorted((row for row in machines if row.name > after and (not names or row.name in names)),
+                           key=lambda row: row.name)
+            more = {"next": found[limit - 1].name} if len(found) > limit else {}
+            call.done(ok({"machines": [machine_info(row, ask.now) for row in found[:limit]], **more}))
+
+        self.front.post(ports.FleetAsked(told))
+        return call
+
+
+def machine_info(row: ports.MachineView, now_us: int) -> dict[str, object]:
+    """Return MachineInfo (GFD.194, 5.7), as far as it is known, and what the node believes."""
+    found: dict[str, object] = {
+        "name": row.name, "available": row.state == "up" and not row.out_until_us, "state": row.state,
+        "zone": row.zone, "kind": row.kind, "slots": round(row.slots, 1), "held": row.held,
+        "heldByOthers": round(row.others, 1), "load": round((row.held + row.others) / max(row.slots, 1), 3),
+        "pace": round(row.pace, 3), "failures": row.failures}
+    if row.cold:
+        found["cold"] = True
+    if row.out_until_us:
+        found["leftOut"] = {"why": row.why, "since": when(row.out_since_us),
+                            "until": when(row.out_until_us)}
+    return found
--- a/merlinbay/drmaa/settings.py
+++ b/merlinbay/drmaa/settings.py
@@ -7,12 +7,14 @@
 
 import msgspec
 
+from merlinbay.access.settings import Access
 from merlinbay.batch.book import Bounds
 from merlinbay.batch.jobs import Backlog
 from merlinbay.batch.quota import Allowance
 from merlinbay.drmaa.asking import AskLimits
 from merlinbay.drmaa.words import SessionSettings
 from merlinbay.limits import Limits
+from merlinbay.notify.settings import Events
 
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Number = Annotated[int, msgspec.Meta(ge=0)]
@@ -95,6 +97,8 @@
         default_factory=lambda: SessionSection(jobs=1_000_000, bytes=1 << 40))  # the session of /drmaa2/jobs
     sessions: Sessions = msgspec.field(default_factory=Sessions)
     session: list[NamedSession] = []
+    access: Access = msgspec.field(default_factory=Access)
+    events: Events = msgspec.field(default_factory=Events)
 
     def bounds(self, limits: Limits) -> Bounds:
         """Return what the front keeps at the most."""
--- a/merlinbay/drmaa/templates.py
+++ b/merlinbay/drmaa/templates.py
@@ -70,7 +70,8 @@
     body = write(template)
     return Submission(body, job_class.name, float(low), len(body), template.accountingId,
                       template.priority, template.submitAsHold, start_us if start_us > now_us else 0,
-                      deadline_us, (template.minPhysMemory, tuple(template.candidateMachines)))
+                      deadline_us, (template.minPhysMemory, tuple(template.candidateMachines)),
+                      template.jobName)
 
 
 def _class_of(template: JobTemplate, rules: Rules) -> api.JobClass:
--- a/merlinbay/drmaa/wiring.py
+++ b/merlinbay/drmaa/wiring.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+from typing import TYPE_CHECKING
+
 import trio
 
 from merlinbay.clock import Clock
-from merlinbay.config import Config
+from merlinbay.config import BadConfig, Config, address
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.drmaa.front import DrmaaFront
@@ -13,9 +16,14 @@
 from merlinbay.drmaa.settings import Drmaa
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.routes import Routes
-from merlinbay.http.server import Handler
+from merlinbay.http.server import Handler, Listener
+from merlinbay.limits import Limits
 from merlinbay.log import Log
 
+if TYPE_CHECKING:
+    from merlinbay.access.tls import Handshakes
+    from merlinbay.access.tokens import Ring, TokenGate
+
 NOTIFICATIONS = "/drmaa2/notifications"
 
 
@@ -26,9 +34,21 @@
                  clock: Clock, counters: Counters, log: Log) -> None:
         self.settings, self.config, self.inbox = settings, config, inbox
         self.clock, self.counters, self.log = clock, counters, log
+        self.listeners: list[Listener] = []
         self.at = f"{config.listen[0]}:{config.listen[1]}"
+        self.tokens: TokenGate | None = None
+        self.handshakes: Handshakes | None = None
+        access = settings.access
+        if settings.front and access.keys:
+            from merlinbay.access.tokens import TokenGate  # Guards against PyJWT where nobody needs it.
+            self.tokens = TokenGate(self._keys())
+        elif settings.front:
+            log.event("front_open", level="warning", says="everybody may do everything on the front")
+        if settings.front and access.tls:
+            self.handshakes = self._certificates()
+        own = (config.listen, address(access.tls)) if access.tls else (config.listen,)
         self.front = DrmaaFront(inbox, clock, config.limits, counters, log, config.settings.classes, settings,
-                                config.name) if settings.front else None
+                                config.name, self.tokens, own) if settings.front else None
         self.notifications = NotificationHandler(inbox, counters) if settings.servers else None
 
     def routes(self, platform: Handler) -> Handler:
@@ -36,10 +56,53 @@
         handlers: list[tuple[str, Handler]] = []
         if self.notifications is not None:
             handlers.append((NOTIFICATIONS, self.notifications))
-        if self.front is not None:
+        if self.front is not None and (self.handshakes is None or self.settings.access.plain):
             handlers.append(("/drmaa2", self.front))
         return Routes([*handlers, ("/", platform)]) if handlers else platform
 
+    def _keys(self) -> Ring:
+        from merlinbay.access.tokens import BadKeys, load
+        try:
+            return load(Path(self.settings.access.keys))
+        except BadKeys as error:
+            raise BadConfig(f"drmaa.access.keys: {error}") from None
+
+    def _certificates(self) -> Handshakes:
+        from merlinbay.access.tls import BadCertificate, Files, Handshakes
+        access = self.settings.access
+        try:
+            return Handshakes(Files(access.certificate, access.certificate_key, access.client_ca),
+                              access.handshakes, access.handshake, self.counters)
+        except BadCertificate as error:
+            raise BadConfig(f"drmaa.access.certificate: {error}") from None
+
+    def reload(self) -> None:
+        """Read keys and certificates again. Raises ``BadConfig``; what cannot be used changes nothing."""
+        keys = self._keys() if self.tokens is not None else None
+        if self.handshakes is not None:
+            self.handshakes.context = self._certificates().context
+        if self.tokens is not None and keys is not None:
+            self.tokens.use(keys)
+
+    async def listen(self, nursery: trio.Nursery, limits: Limits) -> None:
+        """Serve the front over TLS as well. Raises ``BadConfig``."""
+        if self.handshakes is None or self.front is None:
+            return
+        listener = Listener(Routes([("/drmaa2", self.front)]), limits, self.counters, self.log)
+        listener.prepare = self.handshakes
+        host, port = address(self.settings.access.tls)
+        try:
+            sock = await listener.bind(host, port)
+        except OSError as error:
+            raise BadConfig(f"cannot listen at {host}:{port}: {error.strerror}") from None
+        nursery.start_soon(listener.serve, sock)
+        self.listeners.append(listener)
+
+    def close_idle(self) -> None:
+        """End what stands idle on the TLS listener: the node stops."""
+        for listener in self.listeners:
+            listener.close_idle()
+
     def stop(self) -> None:
         """Tell the clients of what waits, shortly before the node refuses all."""
         if self.front is not None:
--- a/merlinbay/drmaa/words.py
+++ b/merlinbay/drmaa/words.py
@@ -185,7 +185,7 @@
 
 def status_of(error: DrmaaError) -> int:
     """Return the HTTP status that goes with an exception."""
-    return 404 if error.missing else STATUSES[error.name]
+    return 404 if error.missing else 401 if error.nobody else STATUSES[error.name]
 
 
 def error_body(name: str, message: str, retry_after_us: int = 0) -> bytes:
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -4,6 +4,7 @@
 
 import errno
 import select
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -14,7 +15,8 @@
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
-REASONS = {200: b"OK", 201: b"Created", 204: b"No Content", 400: b"Bad Request", 404: b"Not Found",
+REASONS = {200: b"OK", 201: b"Created", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
+           403: b"Forbidden", 404: b"Not Found",
            405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict",
            413: b"Content Too Large", 500: b"Internal Server Error", 503: b"Service Unavailable",
            504: b"Gateway Timeout"}
@@ -39,6 +41,25 @@
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
 
 
+class Sock(Protocol):
+    """What a connection needs of a socket."""
+
+    def recv(self, most: int, /) -> Awaitable[bytes]:
+        """Read some; nothing at the end."""
+
+    def send(self, data: bytes, /) -> Awaitable[int]:
+        """Write some; return how much."""
+
+    def shutdown(self, how: int, /) -> None:
+        """Write no more."""
+
+    def fileno(self) -> int:
+        """Return the descriptor."""
+
+
+Prepare = Callable[[trio.socket.SocketType], Awaitable[Sock]]
+
+
 class Handler(Protocol):
     """What stands behind a listener."""
 
@@ -53,8 +74,10 @@
     """One accepted connection: a task that reads, and one that writes answers that come later."""
 
     def __init__(self, sock: trio.socket.SocketType, limits: Limits, handler: Handler,
-                 nursery: trio.Nursery) -> None:
-        self.sock, self.limits, self.handler, self.nursery = sock, limits, handler, nursery
+                 nursery: trio.Nursery, prepare: Prepare | None = None) -> None:
+        self.raw, self.limits, self.handler, self.nursery = sock, limits, handler, nursery
+        self.sock: Sock = sock
+        self.prepare = prepare
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
         self.wake = trio.Event()  # there is something to write
         self.next = trio.Event()  # the answer is written
@@ -82,8 +105,10 @@
 
     async def serve(self) -> None:
         """Serve the connection to its end. Its errors end it alone."""
-        with self.scope, self.sock:
+        with self.scope, self.raw:
             try:
+                if self.prepare is not None:
+                    self.sock = await self.prepare(self.raw)
                 await self._read()
             except (OSError, h11.ProtocolError, trio.ClosedResourceError):
                 pass
@@ -219,14 +244,14 @@
     return table
 
 
-async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
+async def send_all(sock: Sock, data: bytes) -> None:
     """Write all of it."""
     sent = await sock.send(data)
     while sent < len(data):
         sent += await sock.send(data[sent:])
 
 
-def readable(sock: trio.socket.SocketType) -> bool:
+def readable(sock: Sock) -> bool:
     """Tell whether there is something to read, be it the end."""
     # Guards against closing on a request that is written but not yet read: it would be lost.
     poll = select.poll()
@@ -240,6 +265,7 @@
     def __init__(self, handler: Handler, limits: Limits, counters: Counters, log: Log) -> None:
         self.handler, self.limits, self.counters, self.log = handler, limits, counters, log
         self.connections: set[Connection] = set()
+        self.prepare: Prepare | None = None  # what makes TLS of what is accepted
         self.leaving = False  # no new connection is to be expected, but the kept ones serve on
         self.closing = False
 
@@ -272,7 +298,7 @@
                         await trio.sleep(self.limits.accept_pause)
                     continue
                 self.counters.add("edge_connections")
-                connection = Connection(accepted, self.limits, self.handler, nursery)
+                connection = Connection(accepted, self.limits, self.handler, nursery, self.prepare)
                 connection.close_after = self.closing
                 self.connections.add(connection)
                 nursery.start_soon(self._serve, connection)
--- /dev/null
+++ b/merlinbay/monitor/__init__.py
@@ -0,0 +1,1 @@
+"""The monitoring session: jobs by filter, queues and machines."""
--- a/merlinbay/operator_file.py
+++ b/merlinbay/operator_file.py
@@ -10,6 +10,7 @@
 
 from merlinbay.config import BadConfig, address
 from merlinbay.drmaa.settings import Drmaa
+from merlinbay.notify.targets import Allowed
 
 
 class DnsSd(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -47,6 +48,16 @@
         raise BadConfig(f"{path}: {error}") from None
     except BadConfig as error:
         raise BadConfig(f"{path}: dnssd.nameserver: {error}") from None
+    if operator.drmaa.front and (wrong := operator.drmaa.access.wrong()):
+        raise BadConfig(f"{path}: drmaa.{wrong}")
+    try:
+        if operator.drmaa.access.tls:
+            address(operator.drmaa.access.tls)
+        Allowed.read(operator.drmaa.events.to, ())
+    except BadConfig as error:
+        raise BadConfig(f"{path}: drmaa.access.tls: {error}") from None
+    except ValueError as error:
+        raise BadConfig(f"{path}: drmaa.events.to: {error}") from None
     names = [session.name for session in operator.drmaa.session]
     if "default" in names or len(set(names)) < len(names):
         raise BadConfig(f"{path}: drmaa.session: names must differ, and from 'default'")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -164,7 +164,7 @@
     result = CliRunner().invoke(main, ["config", "check", str(path)])
     assert result.exit_code == 2 and len(result.output.splitlines()) == 1
     assert str(path) in result.output and words in result.output
-    path.write_text("[drmaa]\nfront = true\n")
+    path.write_text("[drmaa]\nfront = true\naccess.open = true\n")
     result = CliRunner().invoke(main, ["config", "check", str(path)])
     assert result.exit_code == 0 and "drmaa.front" in result.output
 
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -26,7 +26,8 @@
 from tests.net import Stage, StandIn, play, serves, stage
 from tests.test_node import full
 
-FRONT, BOTH = "[drmaa]\nfront = true\n", "[drmaa]\nfront = true\nservers = true\n"
+FRONT = "[drmaa]\nfront = true\naccess.open = true\n"
+BOTH = FRONT + "servers = true\n"
 CALL = {"jobTemplate": {"remoteCommand": "transcribe", "args": ["--minutes"]}}
 NOW = 1_800_000_000_000_000
 CLASSES = [JobClass("admit", 1, 3_000_000, effect="by_key"), JobClass("print", 1, 9_000_000, effect="once")]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -18,13 +18,16 @@
 from merlinbay.decision.api import JobClass
 from merlinbay.drmaa import words
 from merlinbay.drmaa.front import DrmaaFront
+from merlinbay.drmaa.listening import Register
 from merlinbay.drmaa.settings import Drmaa, NamedSession
 from merlinbay.http.server import Request, Response
 from merlinbay.limits import Limits
 from merlinbay.log import Log
+from merlinbay.notify.settings import Events
 
 CLASSES = [JobClass("admit", 1, 3_000_000), JobClass("print", 1, 9_000_000, effect="once")]
-SETTINGS = Drmaa(front=True, memory_unit_kib=1024, session=[NamedSession(name="q", backlog=True, jobs=50)])
+SETTINGS = Drmaa(front=True, memory_unit_kib=1024, events=Events(keep=50, to=["0.0.0.0/0"]),
+                 session=[NamedSession(name="q", backlog=True, jobs=50)])
 
 
 class FakeConnection:
@@ -95,7 +98,9 @@
 
 IDS = st.sampled_from(["x", "default", "q", "%2e%2e", "a.1", "a.99999999999", "job"])
 QUERIES = st.sampled_from(["", "?timeout=0", "?timeout=nan", "?timeout=-1", "?timeout=inf", "?state=DONE",
-                           "?state=X", "?limit=-1", "?after=x", "?limit=1e9", "?&&="])
+                           "?state=X", "?limit=-1", "?after=x", "?limit=1e9", "?&&=", "?after=now",
+                           "?event=X",
+                           "?filter=slots%3E0", "?filter=(", "?name=x", "?full=true"])
 VERBS = ["", "/hold", "/release", "/suspend", "/resume", "/terminate", "/reap", "/wait", "/waitStarted"]
 KNOWN = st.tuples(st.sampled_from(["", "/sessions/q"]), st.sampled_from(["/jobs", "/arrays"]),
                   st.sampled_from(["/job", ""]), st.sampled_from(VERBS)).map("".join)
@@ -106,6 +111,10 @@
     st.tuples(st.just("POST"), st.sampled_from(["/jobs", "/sessions/q/jobs"]), bodies(words.RunJob)),
     st.tuples(st.just("POST"), st.sampled_from(["/arrays", "/sessions/q/arrays"]), bodies(words.RunBulkJobs)),
     st.tuples(st.just("POST"), st.just("/sessions"), bodies(words.CreateSession)),
+    st.tuples(st.just("POST"), st.sampled_from(["/listeners", "/sessions/q/listeners"]), bodies(Register)),
+    st.tuples(st.just("GET"), st.tuples(st.sampled_from(
+        ["/events", "/sessions/q/events", "/monitor/jobs", "/monitor/queues", "/monitor/machines"]),
+        QUERIES).map("".join), st.just(b"")),
     st.tuples(st.just("POST"), st.sampled_from(["/waitAnyStarted", "/sessions/q/waitAnyTerminated"]),
               bodies(words.WaitAny)),
     st.tuples(st.sampled_from(["GET", "POST", "DELETE", "PUT", "HEAD"]),
@@ -134,6 +143,7 @@
                 call = connection.context
                 front.gone(connection)  # type: ignore[arg-type]
                 assert call is not None and call not in front.engine.waits
+                assert front.hub is not None and call not in front.hub.polls
         for name in [job.id for job in front.engine.sessions["default"].jobs.values() if not job.ended]:
             connection, waits = FakeConnection(), len(front.engine.waits)
             wait: Any = connection
@@ -141,7 +151,7 @@
                 front.gone(wait)
             assert len(front.engine.waits) == waits
         for message in list(front.outbox):
-            assert isinstance(message, ports.FlowArrived | ports.FlowWithdrawn)
+            assert isinstance(message, ports.FlowArrived | ports.FlowWithdrawn | ports.FleetAsked)
         for session in front.engine.sessions.values():
             assert session.quota.jobs <= (50 if session.name == "q" else session.quota.allowance.jobs)
         assert front.engine.jobs >= sum(not job.ended for session in front.engine.sessions.values()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -217,7 +217,7 @@
     """With an operator's file, a job goes from runJob to DONE at a stand-in scheduler."""
     async def scene() -> None:
         async with stage(tmp_path) as s:
-            s.operator = "[drmaa]\nfront = true\nservers = true\n"
+            s.operator = "[drmaa]\nfront = true\naccess.open = true\nservers = true\n"
             s.add("s-1", schedules)
             await s.start(program=True)
             status, job = await submit(s)
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from merlinbay.access.settings import Access
 from merlinbay.config import BadConfig, address, operator_file
 from merlinbay.core.ports import ServiceEntry
 from merlinbay.decision.api import JobClass, Outcome, Safety, Settings
@@ -102,7 +103,7 @@
     """As it stands under deploy/; without one, all of it is off."""
     operator = operator_file(str(ROOT / "deploy" / "drmaa.toml"))
     assert operator is not None
-    assert operator.drmaa == Drmaa(front=True, servers=True)
+    assert operator.drmaa == Drmaa(front=True, servers=True, access=Access(open=True))
     assert isinstance(operator.dnssd, DnsSd) and address(operator.dnssd.nameserver) == ("127.0.0.1", 5353)
     assert operator_file("") is None and not Drmaa().front and not Drmaa().servers
 
