--- a/merlinbay/cli/jobs.py
+++ b/merlinbay/cli/jobs.py
@@ -4,15 +4,17 @@
 
 import base64
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any, TypeVar
 
 import click
+import msgspec
 
 from merlinbay.batch.states import State
-from merlinbay.cli.caller import DONE, JOB_FAILED, Caller, Raised, table
+from merlinbay.cli.caller import DONE, JOB_FAILED, Caller, table
+from merlinbay.client.policy import DrmaaRemote
 
 F = TypeVar("F", bound=Callable[..., Any])
 STATES = [state.value for state in State]
@@ -119,17 +121,15 @@
     return JOB_FAILED if info["jobState"] == "FAILED" else DONE
 
 
-def wait_for(caller: Caller, path: str, timeout: float | None = None) -> dict[str, Any]:
-    """Wait on a path; a connection that breaks is opened again, since asking twice harms nothing."""
-    suffix = "" if timeout is None else f"?timeout={timeout}"
-    for again in (True, True, False):
-        try:
-            found: dict[str, Any] = caller.call("GET", path + suffix)
-            return found
-        except ConnectionError:
-            if not again:
-                raise
-    raise AssertionError
+def wait_for(caller: Caller, job_ids: Sequence[str], started: bool, timeout: float | None) -> dict[str, Any]:
+    """Wait for the first of the jobs, however long that is; a node that restarts is asked again."""
+    with caller.client() as client:
+        if len(job_ids) > 1:
+            info = client.wait_any(job_ids, started, timeout)
+        else:
+            info = (client.wait_started if started else client.wait_terminated)(job_ids[0], timeout)
+    found: dict[str, Any] = msgspec.to_builtins(info)
+    return found
 
 
 @job.command(context_settings={"ignore_unknown_options": False})
@@ -144,7 +144,7 @@
     if not wait:
         caller.show(taken, f"{taken['jobId']}  {taken['jobState']}")
         return
-    sys.exit(ended(caller, wait_for(caller, caller.path("jobs", taken["jobId"], "wait"))))
+    sys.exit(ended(caller, wait_for(caller, [taken["jobId"]], False, None)))
 
 
 @job.command("list")
@@ -190,13 +190,7 @@
          as_json: bool) -> None:
     """Wait for a job, or for the first of several; the exit code says how it ended."""
     caller.as_json = as_json
-    verb = "waitStarted" if started else "waitTerminated"
-    if len(job_ids) == 1:
-        info = wait_for(caller, caller.path("jobs", job_ids[0], verb), timeout)
-    else:
-        info = caller.call("POST", caller.path(verb.replace("wait", "waitAny")),
-                           {"jobIds": list(job_ids), "timeout": timeout})
-    sys.exit(ended(caller, info))
+    sys.exit(ended(caller, wait_for(caller, job_ids, started, timeout)))
 
 
 def add_verb(verb: str, text: str) -> None:
@@ -207,12 +201,12 @@
     @click.pass_obj
     def act(caller: Caller, job_ids: tuple[str, ...], as_json: bool) -> None:
         caller.as_json = as_json
-        failed: Raised | None = None
+        failed: DrmaaRemote | None = None
         for job_id in job_ids:
             try:
                 info = caller.call("POST", caller.path("jobs", job_id, verb))
                 caller.show(info, line(info))
-            except Raised as error:  # the others are still done; the last error decides the exit code
+            except DrmaaRemote as error:  # the others are still done; the last error decides the exit code
                 click.echo(f"{job_id}: {error.name}: {error}", err=True)
                 failed = error
         if failed is not None:
--- a/merlinbay/cli/local.py
+++ b/merlinbay/cli/local.py
@@ -36,6 +36,8 @@
 access.open = true
 servers = true
 body_kib = 1024
+events.keep = 20_000
+events.to = ["127.0.0.0/8"]
 
 [drmaa.default]
 backlog = true
--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -10,7 +10,8 @@
 import click
 from click.shell_completion import get_completion_class
 
-from merlinbay.cli.caller import DONE, Caller, Raised, end_with
+from merlinbay.cli.caller import DONE, Caller, end_with
+from merlinbay.client.policy import DrmaaRemote
 
 LOCAL = "http://127.0.0.1:8181"
 
@@ -22,7 +23,7 @@
         """Run a command."""
         try:
             return super().invoke(ctx)
-        except (Raised, OSError) as error:
+        except (DrmaaRemote, OSError) as error:
             end_with(error)
 
 
@@ -30,12 +31,15 @@
 @click.option("--url", envvar="MERLINBAY_URL", default=LOCAL, show_default=True, help="The front's address.")
 @click.option("--session", envvar="MERLINBAY_SESSION", default="default", show_default=True,
               help="The job session that is meant.")
+@click.option("--token", envvar="MERLINBAY_TOKEN", default="", help="The bearer token.")
+@click.option("--ca", envvar="MERLINBAY_CA", default="", help="PEM file of who signs its certificate.")
+@click.option("--cert", envvar="MERLINBAY_CERT", default="", help="PEM file of our certificate and its key.")
 @click.pass_context
-def main(ctx: click.Context, url: str, session: str) -> None:
+def main(ctx: click.Context, url: str, session: str, token: str, ca: str, cert: str) -> None:
     """Run a node, and submit and control batch jobs."""
-    if not url.startswith("http://"):
-        raise click.BadParameter("it starts with http://", param_hint="--url")
-    ctx.obj = Caller(url, session)
+    if not url.startswith(("http://", "https://")):
+        raise click.BadParameter("it starts with http:// or https://", param_hint="--url")
+    ctx.obj = Caller(url, session, token, ca, cert)
 
 
 @main.command()
@@ -102,7 +106,9 @@
 
 def attach() -> None:
     """Add the commands that call a front."""
+    from merlinbay.cli.conformance import conformance
     from merlinbay.cli.jobs import job
+    from merlinbay.cli.looks import events, monitor
     from merlinbay.cli.sessions import session
     try:
         from merlinbay.cli.keys import keys, tls
@@ -113,6 +119,9 @@
         main.add_command(tls)
     main.add_command(job)
     main.add_command(session)
+    main.add_command(conformance)
+    main.add_command(events)
+    main.add_command(monitor)
 
 
 attach()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -25,11 +25,11 @@
 class Local:
     """A running ``merlinbay local``."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, slots: int = 2) -> None:
         self.port, self.folder = free_port(), folder
         self.process = subprocess.Popen(
-            [*COMMAND, "local", "--port", str(self.port), "--executors", "2", "--slots", "2", "--folder",
-             str(folder), "--log", "json"], cwd=ROOT, stderr=subprocess.PIPE, text=True)
+            [*COMMAND, "local", "--port", str(self.port), "--executors", "2", "--slots", str(slots),
+             "--folder", str(folder), "--log", "json"], cwd=ROOT, stderr=subprocess.PIPE, text=True)
         assert self.process.stderr is not None
         self.lines: list[str] = []
         while not self.lines or '"serves"' not in self.lines[-1]:
