Advance reservations: a book of slots that the module keeps free for their jobs

- reserve/: a timeline a server (step function), and the book: windows that slide, extensions, drains that move or say what is lost, an end with the window or when unused.
- decision/: SlotsKept; kept slots count as taken for all but jobs that reserved them, and nobody waits behind them.
With nothing kept every decision is as before.
- drmaa/reserving: reservation sessions, reservationId, events; core: watchers of discovery's news.
- conformance: a clause for reservations, and a mutant for it; merlinbay reservation.

Seen on the way: a reserved job was offered 134 times where slots were not yet learned: its room is what is kept, not what is believed; the operator's slots now stand in until they are learned.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -140,6 +140,7 @@
     Mutant("ends waits that run out", "waits_and_times_out", after=every_time_out_is_an_end),
     Mutant("repeats its pages", "lists_jobs", asked_for("after=", "after=0")),
     Mutant("ignores filters", "shows_the_whole", asked_for("filter=", "")),
+    Mutant("reserves another window", "reserves_slots", without("startTime")),
     Mutant("tells events twice", "tells_events", after=twice)]
 
 
--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -67,6 +67,8 @@
                                       bool(config.settings.report_fields))
         balancer = Balancer(config.settings, config.seed, clock.now_us())
         owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
+        if parts is not None and parts.front is not None and parts.front.reserving is not None:
+            owner.watchers.append(parts.front.reserving)
         owner.turn([EntriesChanged("remembered", words.entries(config.known))])
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -52,11 +52,12 @@
     deadline_us: int = 0  # not to run after
     fits: tuple[int | None, tuple[str, ...]] = (None, ())  # the memory that it needs, KiB; its machines
     name: str = ""  # the client's own
+    reservation: str = ""  # whose slots it takes
 
     @property
     def shape(self) -> Hashable:
         """Return what decides where it fits."""
-        return self.job_class, self.slots, self.fits
+        return self.job_class, self.slots, self.fits, self.reservation
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/merlinbay/cli/jobs.py
+++ b/merlinbay/cli/jobs.py
@@ -61,6 +61,7 @@
     click.option("--env", "jobEnvironment", multiple=True, callback=pairs, help="NAME=VALUE; repeatable."),
     click.option("--limit", "resourceLimits", multiple=True, callback=pairs, help="NAME=NUMBER: CPU_TIME=9."),
     click.option("--machine", "candidateMachines", multiple=True, help="May run there; repeatable."),
+    click.option("--reservation", "reservationId", help="It takes slots of this reservation."),
     click.option("--memory", "minPhysMemory", type=int, help="Memory that it needs, in KiB."),
     click.option("--cwd", "workingDirectory", help="Its working directory, where it runs."),
     click.option("--input", "inputPath", help="A file there for its standard input."),
--- a/merlinbay/cli/local.py
+++ b/merlinbay/cli/local.py
@@ -38,6 +38,7 @@
 body_kib = 1024
 events.keep = 20_000
 events.to = ["127.0.0.0/8"]
+reservations.slots = {{ executor = {slots} }}
 
 [drmaa.default]
 backlog = true
@@ -91,7 +92,7 @@
         await sock.bind(("127.0.0.1", 0))
         sock.listen(16)
         files = Path(name)
-        (files / "operator.toml").write_text(OPERATOR.format(log_format=log_format))
+        (files / "operator.toml").write_text(OPERATOR.format(log_format=log_format, slots=slots))
         (files / "config.json").write_text(json.dumps({
             "name": "local", "listen": f"127.0.0.1:{port}", "seed": os.urandom(8).hex(),
             "discovery": f"127.0.0.1:{sock.getsockname()[1]}", "settings": SETTINGS,
--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -109,6 +109,7 @@
     from merlinbay.cli.conformance import conformance
     from merlinbay.cli.jobs import job
     from merlinbay.cli.looks import events, monitor
+    from merlinbay.cli.reservations import reservation
     from merlinbay.cli.sessions import session
     try:
         from merlinbay.cli.keys import keys, tls
@@ -122,6 +123,7 @@
     main.add_command(conformance)
     main.add_command(events)
     main.add_command(monitor)
+    main.add_command(reservation)
 
 
 attach()
--- a/merlinbay/conformance/clauses.py
+++ b/merlinbay/conformance/clauses.py
@@ -402,6 +402,29 @@
     p.raises("InvalidArgumentException", "GET", p.at("/events?after=nonsense.1"))
 
 
+@clause("ReservationSession, requestReservation; Reservation, terminate")
+def reserves_slots(p: Probe) -> None:
+    """Where ADVANCE_RESERVATION is supported, a window is granted as asked for, told of, and given back."""
+    if not p.can("ADVANCE_RESERVATION"):
+        raise Skip("ADVANCE_RESERVATION is not supported")
+    start = (datetime.now(UTC) + timedelta(hours=1)).replace(microsecond=0)
+    wish = {"reservationTemplate": {"startTime": start.isoformat(), "minSlots": 1,
+                                    "endTime": (start + timedelta(minutes=5)).isoformat()}}
+    made = p.good("POST", "/reservations", wish)
+    name = made["reservationId"]
+    expect(made.get("reservedSlots") == 1 and made.get("reservedMachines"), f"granted: {made}")
+    begins = datetime.fromisoformat(made["reservedStartTime"])
+    expect(begins == start, f"it starts at {begins}")
+    expect(name in p.good("GET", "/reservations?limit=1000")["reservationIds"], "it is not listed")
+    p.raises("InvalidArgumentException", "POST", "/reservations",
+             {"reservationTemplate": {"minSlots": 2, "maxSlots": 1, "duration": 60}})
+    p.raises("InvalidArgumentException", "POST", p.at("/jobs"),
+             {"jobTemplate": p.template("true", reservationId="no-such-reservation")})
+    p.good("POST", f"/reservations/{name}/terminate")
+    p.raises("InvalidStateException", "POST", f"/reservations/{name}/terminate")
+    p.raises("InvalidArgumentException", "GET", "/reservations/no-such-reservation")
+
+
 @clause("MonitoringSession, getAllJobs, getAllQueues, getAllMachines")
 def shows_the_whole(p: Probe) -> None:
     """The monitoring session lists jobs by filter, queues and machines; a bad filter raises."""
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -42,6 +42,7 @@
         self.servers, self.directory = servers, directory
         self.fields = balancer.settings.report_fields
         self.classes = {spec.name for spec in balancer.settings.classes}
+        self.watchers: list[ports.EntriesWatcher] = []
         self.flows: dict[int, Flow] = {}
         self.names: dict[str, Flow] = {}
         self.open: dict[tuple[str, str], ports.Scheduling] = {}
@@ -115,6 +116,8 @@
             case (ports.FlowRecalled() | ports.FlowControlled() | ports.SchedulingRecalled()
                   | ports.SchedulingControlled() | ports.SchedulingSuspended() | ports.SchedulingUnseen()):
                 self._control(message, now, events)
+            case ports.SlotsKept():
+                events.append(api.SlotsKept(message.server, message.slots, message.of))
             case ports.FleetAsked():
                 message.told([ports.MachineView(**view) for view in self.balancer.beliefs(now)])
             case ports.FlowWithdrawn():
@@ -130,6 +133,8 @@
             case ports.EntriesChanged():
                 self.counters.add(f"entries_{message.scope}")
                 self.servers.entries_changed(message.scope, message.entries)
+                for watcher in self.watchers:
+                    watcher.entries_changed(message.scope, message.entries)
                 events.append(api.ListChanged(message.scope, [
                     api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us)
                     for e in message.entries]))
@@ -160,7 +165,7 @@
         self._at(deadline, flow)
         events.append(api.JobArrived(
             flow.number, spec.job_class, max(deadline - now, 0), spec.slots, spec.memory, spec.key,
-            spec.tenant, spec.retried, spec.hint_us, spec.only, spec.room_only))
+            spec.tenant, spec.retried, spec.hint_us, spec.only, spec.room_only, spec.reserved))
 
     def _ended(self, scheduling: ports.Scheduling, outcome: api.Outcome, now: int, events: list[api.Event],
                result: bytes = b"", report: dict[str, float] | None = None) -> None:
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -58,6 +58,7 @@
     retried: bool = False
     only: tuple[str, ...] = ()  # the real servers that may run it; empty: any
     room_only: bool = False  # not into a server's queue
+    reserved: bool = False  # the slots kept there are for it
 
 
 class ServiceEntry(msgspec.Struct, frozen=True):
@@ -284,10 +285,26 @@
     told: Callable[[list[MachineView]], None]
 
 
+class SlotsKept(msgspec.Struct, frozen=True):
+    """So many slots of a real server are kept free, but for flows that they are reserved for."""
+
+    server: str
+    slots: float
+    of: float  # all that it has, as the operator says
+
+
+class EntriesWatcher(Protocol):
+    """Somebody beside the real servers who wants to know of them."""
+
+    def entries_changed(self, scope: str, entries: list[ServiceEntry]) -> None:
+        """Take discovery's news. Called by the owner's task; nothing here waits."""
+
+
 class Stopping(msgspec.Struct, frozen=True):
     """Refuse what is new, and end once the last flow is answered."""
 
 
 Message = (FlowArrived | FlowWithdrawn | FlowRecalled | FlowControlled | SchedulingRecalled
            | SchedulingControlled | SchedulingSuspended | SchedulingUnseen | SchedulingStarted
-           | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | FleetAsked | Stopping)
+           | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | FleetAsked | SlotsKept
+           | Stopping)
--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -190,6 +190,16 @@
     hint_us: int = 0  # expected work; 0: not told
     only: tuple[str, ...] = ()  # the workers that may run it; empty: any
     room_only: bool = False  # it takes free slots, and no place behind others
+    reserved: bool = False  # the slots that are kept are for it
+
+
+@dataclass(slots=True)
+class SlotsKept:
+    """So many slots of a worker are kept free from now on, but for jobs that they are reserved for."""
+
+    worker: str
+    slots: float
+    of: float = 0.0  # all that it has, as the operator says
 
 
 @dataclass(slots=True)
@@ -272,7 +282,7 @@
 
 
 Event = (ListChanged | JobArrived | JobWithdrawn | JobStarted | JobProgress | JobPaused | StreamStarted
-         | AttemptEnded | ProbeEnded | TimerFired | PeerMessage)
+         | AttemptEnded | ProbeEnded | TimerFired | PeerMessage | SlotsKept)
 
 
 # Actions: what the balancer wants done. A job with no action is held.
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Any
 
-from merlinbay.decision.api import JobClass, ListChanged, Outcome, Settings
+from merlinbay.decision.api import JobClass, ListChanged, Outcome, Settings, SlotsKept
 
 MARGIN = 1.25  # what reports of some twenty jobs show of the others' slots is off by about a fifth
 
@@ -42,6 +42,7 @@
     ready_at: int = 0
     held: float = 0.0  # our outstanding slots
     running: float = 0.0  # and of these, the started ones
+    kept: float = 0.0  # slots that are kept free for jobs that reserved them
     others: float = 0.0  # slots that the other schedulers held there when last observed,
     others_at: int = -1  # and when that was
     free_memory: float = math.inf  # as a report told it last,
@@ -100,6 +101,7 @@
     patience: float = 0.0  # how long an attempt waits unstarted before another goes out
     only: tuple[str, ...] = ()  # the workers that may run it; empty: any
     room_only: bool = False  # it takes free slots, and no place behind others
+    reserved: bool = False  # the slots that are kept are for it
     attempts: list[Attempt] = field(default_factory=list)
     pending: int = 0
     done: bool = False
@@ -132,6 +134,7 @@
     rate: Rate  # of offered jobs, refused included
     kinds: dict[str, Kind] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
+    kept: dict[str, float] = field(default_factory=dict)  # slots kept free, by worker
     usable: list[Worker] = field(default_factory=list)  # those that are up, shuffled
     colds: list[Worker] = field(default_factory=list)  # and of these, the ones started lately
     pools: dict[int, tuple[list[Worker], list[Worker]]] = field(default_factory=dict)  # by kind: near, far
@@ -215,6 +218,7 @@
         job.attempts.append(attempt)
         job.pending += 1
         attempt.worker.held += job.slots
+        attempt.worker.kept -= job.slots * job.reserved
         self.own_held += job.slots
 
     def release(self, job: Job, attempt: Attempt) -> None:
@@ -222,6 +226,7 @@
         attempt.open = False
         job.pending -= 1
         attempt.worker.held -= job.slots
+        attempt.worker.kept += job.slots * job.reserved
         self.own_held -= job.slots
         if attempt.started:
             attempt.worker.running -= job.slots
@@ -237,6 +242,7 @@
             kind = self.kinds.setdefault(entry.kind, Kind())
             worker = self.workers.setdefault(entry.worker, Worker(entry.worker, kind))
             worker.kind, worker.zone, worker.cell, worker.state = kind, entry.zone, entry.cell, entry.state
+            worker.kept = self.kept.get(entry.worker, 0.0)
             if entry.ready_at_us > worker.ready_at:
                 worker.ready_at = entry.ready_at_us
                 worker.fails, worker.bench_until, worker.asked_at, worker.cold_next = 0, 0, 0, 0
@@ -289,6 +295,18 @@
         past = math.sqrt(safety.cold_from ** 2 + 2 * grows * amount) - safety.cold_from
         return worker.ready_at + int(past / grows)
 
+    def keep(self, event: SlotsKept) -> None:
+        """Keep so many slots of a worker free from now on, also of one that is not listed at present."""
+        self.kept[event.worker] = event.slots
+        if not event.slots:
+            del self.kept[event.worker]
+        worker = self.workers.get(event.worker)
+        if worker is not None:
+            worker.kept = event.slots
+            if not worker.kind.told:  # Guards against slots not yet learned: what is kept looks like all.
+                worker.kind.most = max(worker.kind.most, event.of)
+                worker.kind.slots = max(worker.kind.slots, event.of)
+
     def beliefs(self, now_us: int) -> list[dict[str, Any]]:
         """Return what is believed of each worker, for people: slots, seconds and words."""
         found = []
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -94,7 +94,7 @@
             api.JobArrived: self._arrived, api.AttemptEnded: self._ended, api.JobStarted: self._noted,
             api.JobProgress: self._noted, api.StreamStarted: self._noted, api.JobWithdrawn: self._withdrawn,
             api.TimerFired: self._timer, api.ListChanged: self._list, api.ProbeEnded: self._probed,
-            api.JobPaused: self._paused, api.PeerMessage: lambda event: None}
+            api.JobPaused: self._paused, api.PeerMessage: lambda event: None, api.SlotsKept: self.keep}
         if settings.must_subscribe:
             self._subscribe(settings.balancers - 1)
 
@@ -146,7 +146,7 @@
         # some is not made good by room on others. So a share of the unseen part's spread is added.
         others = self._others(worker)
         spread = others * math.sqrt((1 - self._fade(worker)) / (1 + others))
-        return slots - worker.held - others - caution * spread
+        return slots - worker.held - worker.kept - others - caution * spread
 
     def _pace(self, worker: Worker) -> float:
         """Return the worker's run time over its kind's, as its jobs told it lately."""
@@ -237,12 +237,12 @@
         best, best_free, best_slow = None, -math.inf, True
         for batch in [job.asked] if job.asked or job.awaited else self._batches(job):
             for worker in batch:
-                free, slow = self._free(worker, caution), self._pace(worker) >= SLOW
-                if (slow, -free) >= (best_slow, -best_free) or not self._may(worker, job) or (
-                        self._lacks_memory(worker, job)):
+                free = worker.kept if job.reserved else self._free(worker, caution)
+                if (slow := self._pace(worker) >= SLOW, -free) >= (best_slow, -best_free) or (
+                        not self._may(worker, job) or self._lacks_memory(worker, job)):
                     continue
                 if free < job.slots:
-                    if room_only:
+                    if room_only or worker.kept or job.reserved:  # nobody waits for what is kept
                         continue
                     if id(worker.kind) not in gates:
                         gates[id(worker.kind)] = self._gate(worker.kind, job)
@@ -273,7 +273,7 @@
         worth *= run if self.settings.worth_by_work else 1
         job = Job(event.id, cls, max(event.slots, 0.0), max(event.memory, 0.0), event.key, run, worth,
                   self.now + event.budget_us, max(PATIENCE_MIN_US, PATIENCE * cls.spec.aim_us),
-                  event.only, event.room_only)
+                  event.only, event.room_only, event.reserved)
         self._count_offered(job)
         self._try(job)
 
--- a/merlinbay/drmaa/calls.py
+++ b/merlinbay/drmaa/calls.py
@@ -7,6 +7,8 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from merlinbay.access.grants import Grant, Scope
 from merlinbay.batch.arrays import JobArray
 from merlinbay.batch.engine import Engine
@@ -93,9 +95,9 @@
             case "GET", []:
                 return ok(info.about(self.machine))
             case "GET", ["supports"]:
-                return ok(info.capabilities(self.front.hub is not None))
+                return ok(self._capabilities())
             case "GET", ["supports", name]:
-                found = info.capabilities(self.front.hub is not None)
+                found = self._capabilities()
                 if name not in found:
                     raise invalid_argument(f"no capability {name!r}")
                 return ok({"capability": name, "supported": found[name]})
@@ -114,11 +116,18 @@
                 return self._about(ask, session)
             case _, ["sessions", name, *rest] if rest:
                 return self._in_session(ask, self._session(ask, name), rest)
+            case _, [("reservations" | "reservationSessions"), *_]:
+                if self.front.reserving is None:
+                    raise unsupported("nothing is reserved here")
+                return self.front.reserving.take(ask, parts)
             case "GET", ["monitor", *rest]:
                 ask.grant.need(Scope.MONITOR)
                 return self.monitoring.take(ask, rest)
         raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
 
+    def _capabilities(self) -> dict[str, bool]:
+        return info.capabilities(self.front.hub is not None, self.front.reserving is not None)
+
     # Sessions.
 
     def _session(self, ask: Ask, name: str, opened: bool = True) -> Session:
@@ -243,7 +252,14 @@
             raise DrmaaError("DeniedByDrmsException", f"accountingId: the token is for {account!r}")
         if account is not None:
             template.accountingId = account
-        return templates.submission(template, self.rules, ask.now)
+        what = templates.submission(template, self.rules, ask.now)
+        if what.reservation:
+            if self.front.reserving is None:
+                raise DrmaaError("UnsupportedAttributeException", "reservationId: nothing is reserved here")
+            start = self.front.reserving.start_us(what.reservation, ask.grant)
+            if start > max(what.start_us, ask.now):  # it waits for the window
+                what = msgspec.structs.replace(what, start_us=start)
+        return what
 
     def _run_job(self, ask: Ask, session: Session) -> Response | Call:
         ask.grant.need(Scope.SUBMIT)
--- a/merlinbay/drmaa/edges.py
+++ b/merlinbay/drmaa/edges.py
@@ -120,6 +120,7 @@
             front.engine.finished(job, answer.result, now, ending.exit_status or 0, ending.cpu_us)
         elif answer.verdict is Verdict.REFUSED:
             front.engine.refused(job, answer.retry_after_us, now)
+            front.back(job)
         else:
             exception, note = self._why_failed(ending, now)
             front.engine.failed(job, exception, note, now, ending.exit_status, ending.signal, ending.output)
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -8,6 +8,7 @@
 from random import Random
 from urllib.parse import parse_qs, unquote
 
+import msgspec
 import trio
 
 from merlinbay.access.grants import Gate, OpenGate
@@ -25,6 +26,7 @@
 from merlinbay.drmaa import listening, templates
 from merlinbay.drmaa.calls import DEFAULT, Ask, Calls
 from merlinbay.drmaa.edges import Call, JobEdge, failure
+from merlinbay.drmaa.reserving import Reserving
 from merlinbay.drmaa.settings import Drmaa
 from merlinbay.http.server import Connection, Request, Response
 from merlinbay.limits import Limits
@@ -33,6 +35,9 @@
 from merlinbay.notify.journal import Journal, News
 from merlinbay.notify.sender import Sender
 from merlinbay.notify.targets import Allowed
+from merlinbay.reserve.book import Reservation
+
+RESERVED_AGAIN_US = 100_000  # a job whose reservation is in use comes again after this
 
 
 class DrmaaFront:
@@ -55,6 +60,11 @@
         self.sender: Sender | None = None
         if settings.events.keep:
             self._keep_events(own)
+        self.reserving: Reserving | None = None
+        if settings.reservations.slots:
+            self.reserving = Reserving(settings.reservations, self.engine.timers, self.post,
+                                       self._reservation, clock.now_us)
+            self.engine.watcher = self
         self.calls = Calls(self)
         now = clock.now_us()
         self.engine.create(DEFAULT, "", settings.default.allowance(), settings.default.waits(), now)
@@ -72,16 +82,34 @@
 
     def changed(self, change: Change, job: Job) -> None:
         """Take it that a job has changed."""
-        assert self.hub is not None
+        if self.reserving is not None:
+            self.reserving.changed(job)
+        if self.hub is None:
+            return
         self.hub.tell(job.session.name, News(change.value), job.id, job.state.value, job.what.account,
                       self.clock.now_us(), job.server)
 
+    def back(self, job: Job) -> None:
+        """Take it that a job is not with the core any more, whatever its state."""
+        if self.reserving is not None:
+            self.reserving.changed(job)
+
     def unmade_ended(self, array: JobArray, number: int) -> None:
-        """Take it that members of an array have ended that were never made: one event for all of them."""
-        assert self.hub is not None
+        """Take it that members of an array have ended unmade: one event for all."""
+        if self.hub is None:
+            return
         self.hub.tell(array.session.name, News.NEW_STATE, array.id, State.FAILED.value, array.what.account,
                       self.clock.now_us(), members=number)
 
+    def _reservation(self, found: Reservation, what: str) -> None:
+        """Tell at once what became of a reservation: an event of the default session."""
+        self.log.event("reservation", id=found.id, what=what, slots=found.total, lost=found.lost,
+                       why=found.why)
+        self.counters.add("reservations_reduced", what == "REDUCED")
+        if self.hub is not None:
+            self.hub.tell(DEFAULT, News.ATTRIBUTE_CHANGE, f"reservation:{found.id}", what,
+                          found.account or "", self.clock.now_us())
+
     # The engine's side.
 
     async def run(self) -> None:
@@ -145,6 +173,16 @@
 
     def _offer(self, job: Job, now_us: int) -> None:
         spec = templates.job_spec(job, self.rules, now_us)
+        if job.what.reservation and self.reserving is not None:
+            try:
+                only = self.reserving.offer(job)
+            except DrmaaError as error:
+                self.engine.failed(job, error.name, str(error), now_us)
+                return
+            if only is None:
+                self.engine.refused(job, RESERVED_AGAIN_US, now_us)
+                return
+            spec = msgspec.structs.replace(spec, only=only, reserved=True)
         edge = self.edges[job] = JobEdge(self, job, spec)
         self.counters.add("drmaa_offers")
         self.post(ports.FlowArrived(spec, edge))
--- a/merlinbay/drmaa/info.py
+++ b/merlinbay/drmaa/info.py
@@ -17,9 +17,10 @@
                 "RT_MACHINEOS": False, "RT_MACHINEARCH": False}
 
 
-def capabilities(events: bool) -> dict[str, bool]:
-    """Return what is supported here; call-backs where events are kept."""
-    return {**CAPABILITIES, "CALLBACK": events}
+def capabilities(events: bool, reservations: bool) -> dict[str, bool]:
+    """Return what is supported here; call-backs where events are kept, reservations where they are on."""
+    return {**CAPABILITIES, "CALLBACK": events, **dict.fromkeys(
+        ("ADVANCE_RESERVATION", "RESERVE_SLOTS", "RT_DURATION"), reservations)}
 
 
 def job_brief(job: Job) -> dict[str, object]:
--- /dev/null
+++ b/merlinbay/drmaa/reserving.py
@@ -0,0 +1,272 @@
+"""Reservation sessions (GFD.194): the calls, and the slots of the book that the module keeps free."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from datetime import datetime
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import msgspec
+
+from merlinbay.access.grants import Grant, Scope
+from merlinbay.batch.errors import DrmaaError, invalid_argument, unsupported
+from merlinbay.batch.jobs import Job, Stage
+from merlinbay.batch.timers import Timers
+from merlinbay.core import ports
+from merlinbay.drmaa.edges import ok
+from merlinbay.drmaa.settings import NAME
+from merlinbay.drmaa.words import when
+from merlinbay.http.server import Response
+from merlinbay.reserve.book import Phase, Reservation, SlotBook, Wish
+from merlinbay.reserve.settings import Reservations
+
+if TYPE_CHECKING:
+    from merlinbay.drmaa.calls import Ask
+
+T = TypeVar("T")
+DEFAULT, SESSIONS = "default", 256
+
+
+class ReservationTemplate(msgspec.Struct, forbid_unknown_fields=True):
+    """The attributes of GFD.194's ReservationTemplate that are carried; the others raise by name."""
+
+    reservationName: str = ""  # noqa: N815
+    startTime: datetime | None = None  # noqa: N815
+    endTime: datetime | None = None  # noqa: N815
+    duration: float | None = None  # seconds
+    minSlots: int = 1  # noqa: N815
+    maxSlots: int | None = None  # noqa: N815
+    candidateMachines: list[str] = []  # noqa: N815
+    jobCategory: str = ""  # noqa: N815
+    usersACL: Any = None  # noqa: N815
+    minPhysMemory: Any = None  # noqa: N815
+    machineOS: Any = None  # noqa: N815
+    machineArch: Any = None  # noqa: N815
+
+
+class Request(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a requestReservation call."""
+
+    reservationTemplate: ReservationTemplate  # noqa: N815
+
+
+class Extend(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of an extend call, of this binding alone."""
+
+    endTime: datetime  # noqa: N815
+
+
+class Create(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a createReservationSession call."""
+
+    sessionName: str  # noqa: N815
+
+
+_request = msgspec.json.Decoder(Request).decode
+_extend = msgspec.json.Decoder(Extend).decode
+_create = msgspec.json.Decoder(Create).decode
+
+
+class Reserving:
+    """The book at work: told of real servers and jobs, it says what is to be kept free."""
+
+    def __init__(self, settings: Reservations, timers: Timers, post: Callable[[ports.Message], None],
+                 told: Callable[[Reservation, str], None], now_us: Callable[[], int]) -> None:
+        self.settings, self.post, self.told, self.now_us = settings, post, told, now_us
+        self.book = SlotBook(settings.bounds(), timers, lambda: secrets.token_hex(8), self._changed)
+        self.sessions: dict[str, str | None] = {DEFAULT: None}  # and whose each is
+        self.kept: dict[str, int] = {}  # as the module was told
+        self.sizes: dict[str, int] = {}  # slots of each real server, as the operator says
+        self.of: dict[Job, Reservation] = {}  # the jobs that use one
+
+    # What it is told.
+
+    def entries_changed(self, scope: str, entries: list[ports.ServiceEntry]) -> None:
+        """Learn of real servers. What is reserved at one that drains or goes is moved, or said to be lost."""
+        now = self.now_us()
+        if scope in ("all", "remembered"):
+            named = {entry.server for entry in entries}
+            for name in [name for name in self.book.servers if name not in named]:
+                self.book.server_gone(name, now)
+                del self.sizes[name]
+        for entry in entries:
+            if entry.state == "removed":
+                self.book.server_gone(entry.server, now)
+                self.sizes.pop(entry.server, None)
+            else:
+                self.sizes[entry.server] = self.settings.slots_of(entry.kind)
+                self.book.server(entry.server, self.sizes[entry.server], entry.state == "up", now)
+        self.sync()
+
+    def changed(self, job: Job) -> None:
+        """Learn where a job of a reservation is."""
+        found = self.of.get(job)
+        if found is None:
+            return
+        if job.stage is Stage.PLACED and not job.ended:
+            self.book.use(found, job, job.server, int(job.what.slots), self.now_us())
+        elif job.ended or job.stage in (Stage.PARKED, Stage.WAITING):
+            del self.of[job]
+            self.book.unuse(found, job, self.now_us())
+        self.sync()
+
+    def offer(self, job: Job) -> tuple[str, ...] | None:
+        """Return where a job may go by its reservation; None: its slots are all in use at present.
+
+        Raises ``DrmaaError`` where there is no such reservation any more.
+        """
+        found = self.book.all.get(job.what.reservation)
+        if found is None or found.phase is Phase.ENDED:
+            raise invalid_argument("its reservation has ended")
+        undecided = sum(slots for at, slots in found.used.values() if not at)
+        rooms = {name: found.free(name) for name in found.slots}
+        slots = int(job.what.slots)
+        if sum(max(room, 0) for room in rooms.values()) - undecided < slots:
+            return None
+        fits = tuple(name for name, room in rooms.items() if room >= slots)
+        if fits:
+            self.of[job] = found
+            self.book.use(found, job, "", slots, self.now_us())
+        return fits or None
+
+    def sync(self) -> None:
+        """Tell the module what has changed of the slots to keep free."""
+        kept = self.book.kept()
+        for server in self.kept.keys() | kept.keys():
+            if kept.get(server, 0) != self.kept.get(server, 0):
+                self.post(ports.SlotsKept(server, float(kept.get(server, 0)),
+                                          float(self.sizes.get(server, 0))))
+        self.kept = kept
+
+    def _changed(self, found: Reservation, what: str) -> None:
+        self.told(found, what)
+        self.sync()
+
+    # For templates.
+
+    def start_us(self, reservation: str, grant: Grant) -> int:
+        """Return when jobs of a reservation may start. Raises ``DrmaaError``."""
+        found = self.book.all.get(reservation)
+        if found is None or found.phase is Phase.ENDED or not grant.sees(found.account):
+            raise invalid_argument(f"reservationId: no reservation {reservation[:60]!r}")
+        return found.start_us
+
+    # Calls.
+
+    def take(self, ask: Ask, parts: list[str]) -> Response:
+        """Answer a call below ``/drmaa2/reservations`` or ``/drmaa2/reservationSessions``."""
+        if ask.request.method != "GET":
+            ask.grant.need(Scope.SUBMIT)
+        else:
+            ask.grant.need(Scope.MONITOR)
+        if parts[0] == "reservations":
+            return self._in_session(ask, DEFAULT, parts[1:])
+        match ask.request.method, parts[1:]:
+            case "GET", []:
+                return ok({"sessionNames": sorted(name for name, owner in self.sessions.items()
+                                                  if ask.grant.sees(owner))})
+            case "POST", []:
+                name = read(_create, ask.request.body).sessionName
+                if not NAME.fullmatch(name) or name in self.sessions:
+                    raise invalid_argument("sessionName: it exists, or has other than letters, digits, '._-'")
+                if len(self.sessions) >= SESSIONS:
+                    raise DrmaaError("OutOfResourceException", f"{SESSIONS} sessions exist")
+                self.sessions[name] = ask.grant.account
+                return ok({"sessionName": name}, 201)
+            case "DELETE", [name]:
+                self._owned(ask, name)
+                if name == DEFAULT:
+                    raise invalid_argument(f"session {name!r} is always there")
+                for found in [found for found in self.book.all.values() if found.session == name]:
+                    if found.phase is not Phase.ENDED:
+                        self.book.terminate(found, ask.now)
+                del self.sessions[name]
+                return ok({"sessionName": name})
+            case _, [name, "reservations", *rest]:
+                self._owned(ask, name)
+                return self._in_session(ask, name, rest)
+        raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
+
+    def _owned(self, ask: Ask, name: str) -> None:
+        if name not in self.sessions or not ask.grant.sees(self.sessions[name]):
+            raise invalid_argument(f"no session {name[:80]!r}", missing=True)
+
+    def _in_session(self, ask: Ask, session: str, parts: list[str]) -> Response:
+        match ask.request.method, parts:
+            case "POST", []:
+                wish = wish_of(read(_request, ask.request.body).reservationTemplate)
+                return ok(info(self.book.reserve(wish, ask.grant.account, session, ask.now)), 201)
+            case "GET", []:
+                names = [found.id for found in self.book.all.values()
+                         if found.session == session and ask.grant.sees(found.account)]
+                after, limit = ask.query.get("after", [""])[0], ask.page_limit()
+                start = names.index(after) + 1 if after in names else 0
+                more = {"next": names[start + limit - 1]} if len(names) > start + limit else {}
+                return ok({"reservationIds": names[start:start + limit], **more})
+            case "GET", [name]:
+                return ok(info(self._found(ask, session, name)))
+            case ("POST", [name, "terminate"]) | ("DELETE", [name]):
+                found = self._found(ask, session, name)
+                self.book.terminate(found, ask.now)
+                return ok(info(found))
+            case "POST", [name, "extend"]:
+                found = self._found(ask, session, name)
+                self.book.extend(found, moment("endTime", read(_extend, ask.request.body).endTime), ask.now)
+                return ok(info(found))
+        raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
+
+    def _found(self, ask: Ask, session: str, name: str) -> Reservation:
+        found = self.book.all.get(name)
+        if found is None or found.session != session or not ask.grant.sees(found.account):
+            raise invalid_argument(f"no reservation {name[:60]!r}", missing=True)
+        return found
+
+
+def read(decode: Callable[[bytes], T], body: bytes) -> T:
+    """Read a call's body. Raises ``DrmaaError``."""
+    try:
+        return decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise invalid_argument(str(error)) from None
+
+
+def moment(name: str, at: datetime | None) -> int:
+    """Return a time in microseconds, 0 for none. Raises ``DrmaaError``."""
+    if at is None:
+        return 0
+    if at.tzinfo is None:
+        raise invalid_argument(f"{name} names no time zone")
+    found = int(at.timestamp() * 1e6)
+    if not 0 < found < 2**62:
+        raise invalid_argument(name)
+    return found
+
+
+def wish_of(template: ReservationTemplate) -> Wish:
+    """Read a template. Raises ``DrmaaError``."""
+    for name in ("usersACL", "minPhysMemory", "machineOS", "machineArch"):
+        if getattr(template, name) is not None:
+            raise DrmaaError("UnsupportedAttributeException", name)
+    if template.duration is not None and not 0 < template.duration < 1e9:
+        raise invalid_argument("duration")
+    if len(template.candidateMachines) > 256 or len(template.reservationName) > 256:
+        raise invalid_argument("candidateMachines and reservationName: 256 at the most")
+    low = template.minSlots
+    high = low if template.maxSlots is None else template.maxSlots
+    if not 1 <= low <= high <= 1_000_000:
+        raise invalid_argument("minSlots and maxSlots")
+    return Wish(low, high, moment("startTime", template.startTime), moment("endTime", template.endTime),
+                int((template.duration or 0) * 1e6), tuple(template.candidateMachines),
+                template.reservationName)
+
+
+def info(found: Reservation) -> dict[str, object]:
+    """Return ReservationInfo, and (of this binding) its state and what became of its slots."""
+    return {"reservationId": found.id, "reservationName": found.wish.name,
+            "reservedStartTime": when(found.start_us), "reservedEndTime": when(found.end_us),
+            "reservedSlots": found.total,
+            "reservedMachines": [{"machineName": name, "slots": slots}
+                                 for name, slots in found.slots.items()],
+            "state": found.phase.value, "used": sum(slots for _, slots in found.used.values()),
+            "movedSlots": found.moved, "lostSlots": found.lost, "annotation": found.why}
--- a/merlinbay/drmaa/settings.py
+++ b/merlinbay/drmaa/settings.py
@@ -15,6 +15,7 @@
 from merlinbay.drmaa.words import SessionSettings
 from merlinbay.limits import Limits
 from merlinbay.notify.settings import Events
+from merlinbay.reserve.settings import Reservations
 
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Number = Annotated[int, msgspec.Meta(ge=0)]
@@ -99,6 +100,7 @@
     session: list[NamedSession] = []
     access: Access = msgspec.field(default_factory=Access)
     events: Events = msgspec.field(default_factory=Events)
+    reservations: Reservations = msgspec.field(default_factory=Reservations)
 
     def bounds(self, limits: Limits) -> Bounds:
         """Return what the front keeps at the most."""
--- a/merlinbay/drmaa/templates.py
+++ b/merlinbay/drmaa/templates.py
@@ -21,8 +21,8 @@
 PRIORITIES = range(-100, 101)
 
 # GFD.194's attributes that this binding knows but does not carry: they are refused, never dropped silently.
-UNSUPPORTED = ("email", "emailOnStarted", "emailOnTerminated", "reservationId", "machineOS", "machineArch",
-               "stageInFiles", "stageOutFiles")
+UNSUPPORTED = ("email", "emailOnStarted", "emailOnTerminated", "machineOS", "machineArch", "stageInFiles",
+               "stageOutFiles")
 RESOURCE_LIMITS = ("CORE_FILE_SIZE", "CPU_TIME", "DATA_SIZE", "FILE_SIZE", "OPEN_FILES", "STACK_SIZE",
                    "VIRTUAL_MEMORY", "WALLCLOCK_TIME")
 
@@ -71,7 +71,7 @@
     return Submission(body, job_class.name, float(low), len(body), template.accountingId,
                       template.priority, template.submitAsHold, start_us if start_us > now_us else 0,
                       deadline_us, (template.minPhysMemory, tuple(template.candidateMachines)),
-                      template.jobName)
+                      template.jobName, template.reservationId)
 
 
 def _class_of(template: JobTemplate, rules: Rules) -> api.JobClass:
@@ -134,7 +134,7 @@
     if spec.body_type == TEMPLATE_TYPE:
         template = _template(spec.body)
         template.submitAsHold, template.startTime, template.priority = False, None, 0
-        template.candidateMachines, template.queueName = [], ""
+        template.candidateMachines, template.queueName, template.reservationId = [], "", ""
     else:
         template = JobTemplate(remoteCommand=spec.target, payload=spec.body)
     template.jobCategory, template.jobName = spec.job_class, spec.name
--- a/merlinbay/drmaa/words.py
+++ b/merlinbay/drmaa/words.py
@@ -48,7 +48,7 @@
     email: Any = None
     emailOnStarted: Any = None  # noqa: N815
     emailOnTerminated: Any = None  # noqa: N815
-    reservationId: Any = None  # noqa: N815
+    reservationId: str = ""  # noqa: N815
     machineOS: Any = None  # noqa: N815
     machineArch: Any = None  # noqa: N815
     stageInFiles: Any = None  # noqa: N815
--- /dev/null
+++ b/merlinbay/reserve/__init__.py
@@ -0,0 +1,1 @@
+"""Advance reservations: slots of real servers, for a window of time. docs/RESERVATIONS.md."""
--- a/tests/net.py
+++ b/tests/net.py
@@ -146,6 +146,10 @@
                           "state": "SERVING", "weight": 1.0, "started_ms": 0, **row})
         return server
 
+    def stand(self, name: str) -> StandIn:
+        """Return a real server by its name."""
+        return next(server for server in self.servers if server.name == name)
+
     def change(self, name: str, **row: object) -> None:
         """Change a line of the list and tell the watch."""
         for line in self.rows:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -210,3 +210,26 @@
     done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True,
                           check=True, env={**os.environ})
     assert done.stdout == "[]\n"
+
+
+def test_reservations_events_and_monitoring_from_the_command_line(local: Local) -> None:
+    """What is reserved is shown and used; events are printed until one is DONE; machines as believed."""
+    made = json.loads(local("reservation", "request", "--slots", "1", "--duration", "60", "--json").output)
+    name = made["reservationId"]
+    assert name in local("reservation", "list").output
+    job = local.job("--reservation", name, "--", "echo", "mine")
+    assert "DONE" in local("job", "wait", job).output
+    assert local("reservation", "extend", name, "--end", "+90").exit_code == 0
+    assert "ENDED" in local("reservation", "terminate", name).output
+    assert local("reservation", "terminate", name).exit_code == 6
+    assert local("job", "submit", "--reservation", name, "--", "true").exit_code == 9
+    told = local("events", "watch", "--after", "", "--job", job, "--until", "DONE").output
+    assert told.index("NEW_STATE  " + job + "  QUEUED") < told.index("RUNNING") < told.index("DONE")
+    found = json.loads(local("monitor", "jobs", "--filter", f'jobId == "{job}"', "--json").output)
+    assert [row["jobState"] for row in found] == ["DONE"]
+    assert local("monitor", "jobs", "--filter", "nonsense").exit_code == 9
+    assert "local-1" in local("monitor", "machines").output and "batch" in local("monitor", "queues").output
+    listener = local("events", "register", f"http://127.0.0.1:{free_port()}/").output.split()[0]
+    assert local("events", "rotate", listener).output.split()[1].startswith("whsec_")
+    assert listener in local("events", "listeners").output
+    assert local("events", "remove", listener).exit_code == 0
