A rehearsal emulator, by virtual time and by the real program on sockets, with experiments

- emulator/: servers, racks, list, network, callers, thirteen kinds of trouble, the four rules checked at every event; 17 scripts. live: the same script by the real program, each node a process, on loopback sockets.
- experiment/: grids over all cores into SQLite, a row a transaction; bootstrap intervals, paired comparison; HTML reports, looked at in a browser (a partial last second and a legend over the curve were mended).
- merlinbay rehearse, experiment, report.

Nothing of it is imported by the node.

--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -109,6 +109,7 @@
     from merlinbay.cli.conformance import conformance
     from merlinbay.cli.jobs import job
     from merlinbay.cli.looks import events, monitor
+    from merlinbay.cli.rehearse import experiment, rehearse, report_page
     from merlinbay.cli.reservations import reservation
     from merlinbay.cli.sessions import session
     try:
@@ -124,6 +125,9 @@
     main.add_command(events)
     main.add_command(monitor)
     main.add_command(reservation)
+    main.add_command(rehearse)
+    main.add_command(experiment)
+    main.add_command(report_page)
 
 
 attach()
--- /dev/null
+++ b/merlinbay/cli/rehearse.py
@@ -0,0 +1,298 @@
+"""``merlinbay rehearse``: play a hall's worst evenings in seconds; ``merlinbay experiment``: many of them."""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import asdict
+from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn
+
+import click
+
+from merlinbay.cli.caller import JOB_FAILED, table
+
+if TYPE_CHECKING:
+    from merlinbay.emulator.play import Result
+    from merlinbay.emulator.spec import Script
+
+HEADS = [
+    "SCRIPT",
+    "POLICY",
+    "SEED",
+    "IN TIME",
+    "WORST 10 S",
+    "REQUESTS",
+    "REFUSED",
+    "FAILED",
+    "MEDIAN",
+    "99 %",
+]
+
+
+def bad(error: Exception) -> NoReturn:
+    """Say what is wrong with a script in one line."""
+    click.echo(f"merlinbay: {error}", err=True)
+    sys.exit(2)
+
+
+def script_named(name: str) -> Script:
+    """Read a script, or end."""
+    from merlinbay.emulator import spec
+
+    try:
+        return spec.load(name)
+    except spec.BadScript as error:
+        bad(error)
+
+
+def row(result: Result) -> list[object]:
+    """Return a day's line."""
+    return [
+        result.script,
+        result.policy,
+        result.seed,
+        f"{result.in_time:.3f}",
+        f"{result.worst:.3f}",
+        result.requests,
+        result.refused,
+        result.failed,
+        f"{result.half_ms:.0f} ms",
+        f"{result.late_ms:.0f} ms",
+    ]
+
+
+def told(results: list[Result], as_json: bool) -> None:
+    """Print days; end with 3 if a rule was broken on one."""
+    if as_json:
+        click.echo(json.dumps([{**asdict(result), "figure": result.figure} for result in results], indent=2))
+    else:
+        click.echo(table(map(row, results), HEADS))
+    broken = [result for result in results if result.broken]
+    for result in broken:
+        click.echo(
+            f"BROKEN: {result.broken}\n  again: merlinbay rehearse replay {result.script} "
+            f"--seed {result.seed} --policy {result.policy}",
+            err=True,
+        )
+    if broken:
+        sys.exit(JOB_FAILED)
+
+
+def verdict(results: list[Result]) -> str:
+    """Say in a sentence how the module did beside chance and beside what sees everything."""
+    by = {result.policy: result.in_time for result in results}
+    span = by["oracle"] - by["random"]
+    part = (by["module"] - by["random"]) / span if span > 0 else 1.0
+    return (
+        f"{by['module']:.1%} of the callers were seated in time; chance would seat {by['random']:.1%}, and "
+        f"one who sees every server's true state {by['oracle']:.1%}: the module has {part:.0%} of that way."
+    )
+
+
+@click.group(invoke_without_command=True)
+@click.pass_context
+def rehearse(ctx: click.Context) -> None:
+    """Play a day in virtual time. Without a command: Monday, with a verdict."""
+    if ctx.invoked_subcommand is not None:
+        return
+    from merlinbay.emulator.play import play
+
+    script = script_named("monday")
+    results = [play(script, 1, name) for name in ("module", "random", "oracle")]
+    click.echo(f"{script.name}: {script.about}\n")
+    told(results, False)
+    click.echo(
+        f"\n{verdict(results)}\nMore: merlinbay rehearse list; merlinbay rehearse play NAME --report day.html"
+    )
+
+
+@rehearse.command("list")
+def list_scripts() -> None:
+    """List the scripts of the library."""
+    from merlinbay.emulator import spec
+
+    click.echo(
+        table(
+            [(name, spec.read(text, name).about) for name, text in spec.library().items()],
+            ["SCRIPT", "WHAT HAPPENS"],
+        )
+    )
+
+
+@rehearse.command("play")
+@click.argument("names", nargs=-1, required=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--seeds", default=1, show_default=True, type=click.IntRange(1), help="That many, from --seed on."
+)
+@click.option("--policy", "names_of", multiple=True, default=["module"], help="Repeatable; all: every one.")
+@click.option(
+    "--report", type=click.Path(dir_okay=False, path_type=Path), help="An HTML page of the first day."
+)
+@click.option("--json", "as_json", is_flag=True)
+def play_scripts(
+    names: tuple[str, ...],
+    seed: int,
+    seeds: int,
+    names_of: tuple[str, ...],
+    report: Path | None,
+    as_json: bool,
+) -> None:
+    """Play scripts of the library, or files."""
+    from merlinbay.emulator import policies
+    from merlinbay.emulator.play import Day
+    from merlinbay.emulator.record import watch
+
+    wanted = policies.NAMES if "all" in names_of else list(names_of)
+    for name in wanted:
+        if name not in policies.NAMES:
+            raise click.BadParameter(f"one of {', '.join(policies.NAMES)}", param_hint="--policy")
+    results: list[Result] = []
+    for name in names:
+        script = script_named(name)
+        for number in range(seed, seed + seeds):
+            for policy in wanted:
+                day = Day(script, number, policy)
+                record = watch(day) if report is not None and not results else None
+                results.append(day.play())
+                if record is not None and report is not None:
+                    from merlinbay.experiment.report import day_page
+
+                    report.write_text(day_page(day, record, results[-1]))
+    told(results, as_json)
+
+
+@rehearse.command()
+@click.argument("names", nargs=-1, required=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def sockets(names: tuple[str, ...], seed: int, as_json: bool) -> None:
+    """Play scripts twice, side by side: in virtual time, and by the real program on loopback sockets.
+
+    The second takes as long as the day does. Nodes are processes of this program.
+    """
+    from merlinbay.emulator.live import play_live
+    from merlinbay.emulator.play import play
+    results = []
+    for name in names:
+        script = script_named(name)
+        results += [play(script, seed), play_live(script, seed)]
+    told(results, as_json)
+
+
+@rehearse.command()
+@click.argument("name")
+@click.option("--seed", required=True, type=int)
+@click.option("--policy", default="module", show_default=True)
+def replay(name: str, seed: int, policy: str) -> None:
+    """Play a day twice and say whether it was the same; a broken rule is shown with its seed and event."""
+    from merlinbay.emulator.play import play
+
+    script = script_named(name)
+    one, two = play(script, seed, policy), play(script, seed, policy)
+    click.echo("the same twice" if one == two else "NOT the same twice", err=True)
+    told([one], False)
+    if one != two:
+        sys.exit(JOB_FAILED)
+
+
+@click.group()
+def experiment() -> None:
+    """Play grids of days over all cores, and compare."""
+
+
+@experiment.command("run")
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+@click.option("--results", type=click.Path(dir_okay=False, path_type=Path), help="FILE.sqlite by default.")
+@click.option("--workers", default=0, type=click.IntRange(0), help="Processes; all cores by default.")
+def run_grid(file: Path, results: Path | None, workers: int) -> None:
+    """Play what FILE asks for; a run that was interrupted goes on where it was."""
+    from merlinbay.emulator.spec import BadScript
+    from merlinbay.experiment import grid
+    from merlinbay.experiment.run import run
+    from merlinbay.experiment.store import Store
+
+    try:
+        asked = grid.read(file)
+    except BadScript as error:
+        bad(error)
+    store = Store(results or file.with_suffix(".sqlite"))
+    total = sum(1 for _ in grid.cells(asked))
+    there = total - len([cell for cell in grid.cells(asked) if cell.key not in store.done()])
+    with click.progressbar(length=total, label=asked.name, file=sys.stderr) as bar:
+        bar.update(there)
+        before = [0]
+
+        def tell(done: int, todo: int) -> None:
+            bar.update(done - before[0])
+            before[0] = done
+
+        run(asked, store, workers, tell)
+    summary(store)
+
+
+def summary(store: object) -> None:
+    """Print means with their intervals; end with 3 where a rule was broken."""
+    from merlinbay.experiment import stats
+    from merlinbay.experiment.store import Store
+
+    assert isinstance(store, Store)
+    rows = []
+    for script, settings, policy in store.groups():
+        found = [
+            stats.mean_of(list(store.column(name, script, settings, policy).values()))
+            for name in ("in_time", "worst", "figure")
+        ]
+        rows.append([script, policy, settings if settings != "{}" else "", *found])
+    click.echo(table(rows, ["SCRIPT", "POLICY", "SETTINGS", "IN TIME", "WORST 10 S", "FIGURE"]))
+    for broken in store.broken():
+        click.echo("BROKEN: " + " ".join(map(str, broken)), err=True)
+    if store.broken():
+        sys.exit(JOB_FAILED)
+
+
+@experiment.command()
+@click.argument("results", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def show(results: Path) -> None:
+    """Print means with their intervals (bootstrap, 95 %)."""
+    from merlinbay.experiment.store import Store
+
+    summary(Store(results))
+
+
+@experiment.command()
+@click.argument("results", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.argument("other", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--column", default="in_time", show_default=True)
+def compare(results: Path, other: Path, column: str) -> None:
+    """Compare two files of results (two commits, say), seed by seed."""
+    from merlinbay.experiment import stats
+    from merlinbay.experiment.store import COLUMNS, Store
+
+    if column not in (*COLUMNS, "figure"):
+        raise click.BadParameter(f"one of {', '.join(COLUMNS)}", param_hint="--column")
+    one, two = Store(results), Store(other)
+    rows = []
+    for group in one.groups():
+        mine, theirs = one.column(column, *group), two.column(column, *group)
+        if mine.keys() & theirs.keys():
+            rows.append([*group, stats.difference(mine, theirs)])
+    click.echo(table(rows, ["SCRIPT", "SETTINGS", "POLICY", f"{column}: first - second"]))
+
+
+@click.command("report")
+@click.argument("results", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option(
+    "--output",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=Path("report.html"),
+    show_default=True,
+)
+def report_page(results: Path, output: Path) -> None:
+    """Make one HTML page, with plots, of an experiment's results."""
+    from merlinbay.experiment.report import grid_page
+    from merlinbay.experiment.store import Store
+
+    output.write_text(grid_page(Store(results), results.name))
+    click.echo(f"{output}")
--- /dev/null
+++ b/merlinbay/emulator/checker.py
@@ -0,0 +1,177 @@
+"""The four rules (WIRE, 13), checked at every event. The first that is broken stops the run.
+
+Written apart from the module: it knows what was sent, answered and told, and nothing of how that was decided.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from merlinbay.decision.api import NEVER_RAN, Outcome
+from merlinbay.emulator.loop import Loop
+from merlinbay.emulator.servers import Server, Work
+from merlinbay.emulator.spec import Script
+
+
+class Broken(Exception):
+    """A rule is broken; the text says which, when and by what."""
+
+
+@dataclass(slots=True)
+class Try:
+    """One attempt as the checker saw it."""
+
+    server: str
+    cell: int
+    zone: str
+    at: int
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class Asked:
+    """One request at a node."""
+
+    deadline_us: int
+    tries: list[Try] = field(default_factory=list)
+    answered: bool = False
+
+
+class Checker:
+    """Sees everything, and raises ``Broken``."""
+
+    def __init__(self, script: Script, loop: Loop) -> None:
+        self.script, self.loop = script, loop
+        self.grace_us = int(script.limits.drain_grace * 1e6)
+        self.slack_us = int(script.limits.answer_slack_ms * 1000)
+        self.asked: dict[tuple[int, int], Asked] = {}
+        self.gone: dict[tuple[int, str], int] = {}  # by node and server: since when it is known to be gone
+        self.told_start: dict[tuple[int, str], int] = {}  # the start that a node was told of
+        self.pushes: dict[str, deque[tuple[int, float, bool]]] = {}  # work that came to a cold server
+        self.events = 0
+        self.tipped: list[str] = []
+
+    def _fail(self, rule: int, text: str) -> None:
+        raise Broken(f"rule {rule} at {self.loop.now / 1e6:.6f} s, event {self.events}: {text}")
+
+    # What nodes are told and do.
+
+    def arrived(self, node: int, job: int, deadline_us: int) -> None:
+        """Take it that a node has a request."""
+        self.events += 1
+        self.asked[node, job] = Asked(deadline_us)
+
+    def listed(self, node: int, server: str, state: str, start_us: int) -> None:
+        """Take it that a node was told of a server's state."""
+        self.events += 1
+        if state == "up":
+            self.gone.pop((node, server), None)
+            self.told_start[node, server] = start_us
+        else:
+            self.gone.setdefault((node, server), self.loop.now)
+
+    def sent(self, node: int, job: int, server: Server) -> None:
+        """Take it that a node sends an attempt."""
+        self.events += 1
+        now, asked = self.loop.now, self.asked.get((node, job))
+        if asked is None or asked.answered:
+            self._fail(1, f"node {node} sends job {job} to {server.name} after its answer")
+            return
+        since = self.gone.get((node, server.name))
+        if since is not None and now - since > self.grace_us:
+            past = (now - since) / 1000
+            self._fail(3, f"node {node} sends to {server.name}, {past:.0f} ms after it was told")
+        self._repeat(node, job, asked, server)
+        asked.tries.append(Try(server.name, server.cell, server.zone, now))
+
+    def _repeat(self, node: int, job: int, asked: Asked, server: Server) -> None:
+        spec, now = self.script.job, self.loop.now
+        open_ones = [found for found in asked.tries if found.outcome is None]
+        if len(asked.tries) >= self.script.limits.send_cap:
+            self._fail(2, f"node {node} sends job {job} more than {len(asked.tries)} times")
+        if open_ones and not self.script.limits.second_copies:
+            self._fail(2, f"node {node} has two attempts of job {job} out")
+        first = next(
+            (found for found in asked.tries if found.outcome is None or found.outcome not in NEVER_RAN), None
+        )
+        if first is None or spec.effect == "repeatable":
+            return
+        if spec.effect == "once":
+            self._fail(2, f"node {node} sends job {job} again, which may have run")
+        same = {"all": True, "zone": first.zone == server.zone, "cell": first.cell == server.cell}[spec.group]
+        if not same or now - first.at > spec.window * 1e6:
+            self._fail(2, f"node {node} sends job {job} to {server.name} beyond what its class allows")
+
+    def ended(self, node: int, job: int, number: int, outcome: Outcome) -> None:
+        """Take it that an attempt has ended, as its node learns."""
+        self.events += 1
+        asked = self.asked.get((node, job))
+        if asked is not None and asked.tries[number].outcome is None:
+            asked.tries[number].outcome = outcome
+
+    def answered(self, node: int, job: int, verdict: str) -> None:
+        """Take it that a node gives a final answer."""
+        self.events += 1
+        asked = self.asked.pop((node, job), None)
+        if asked is None:
+            self._fail(1, f"node {node} answers job {job} twice")
+            return
+        if self.loop.now > asked.deadline_us + self.slack_us:
+            late = (self.loop.now - asked.deadline_us) / 1000
+            self._fail(1, f"node {node} answers job {job} {late:.0f} ms late")
+        if verdict == "refused" and self.script.job.effect != "repeatable":
+            ran = [found for found in asked.tries if found.outcome is None or found.outcome not in NEVER_RAN]
+            if ran and (self.script.job.effect == "once" or self.script.job.group != "all"):
+                self._fail(2, f"node {node} refuses job {job}, which may have run at {ran[0].server}")
+        asked.answered = True
+
+    def withdrawn(self, node: int, job: int) -> None:
+        """Take it that a client has left."""
+        self.asked.pop((node, job), None)
+
+    def overdue(self, node: int, job: int) -> None:
+        """Look whether a request was answered in its time."""
+        if (node, job) in self.asked:
+            self._fail(1, f"node {node} has not answered job {job}")
+
+    def node_died(self, node: int) -> None:
+        """Take it that a node has died: it owes nothing."""
+        for key in [key for key in self.asked if key[0] == node]:
+            del self.asked[key]
+        for told in (self.gone, self.told_start):
+            for link in [link for link in told if link[0] == node]:
+                del told[link]
+
+    # What servers see.
+
+    def reached(self, server: Server, node: int, work_us: float) -> None:
+        """Take it that work has come to a server: a cold one may fall over."""
+        self.events += 1
+        if not server.cold:
+            return
+        now, span = self.loop.now, int(self.script.hall.tip_for * 1e6)
+        pushes = self.pushes.setdefault(f"{server.name}@{server.ready_us}", deque())
+        knew = self.told_start.get((node, server.name), -1) == server.ready_us
+        pushes.append((now, work_us / server.base, knew))
+        while pushes[0][0] <= now - span:
+            pushes.popleft()
+        done = sum(push[1] for push in pushes)
+        # What it can do in the span, at the capacity that it has now (it only grows), from its start on.
+        can = server.kind.slots * server.capacity() * span * self.script.hall.tip
+        if done <= can:
+            return
+        by_told = sum(push[1] for push in pushes if push[2])
+        self.tipped.append(server.name)
+        server.crash()
+        if by_told * 3 >= done * 2:
+            up = server.ready_us / 1e6
+            self._fail(
+                4,
+                f"{server.name}, up since {up:.3f} s, fell over: {done / 1e6:.2f} s of work in "
+                f"{span / 1e6:g} s, where {can / 1e6:.2f} s is the most",
+            )
+
+    def ran(self, work: Work, server: Server) -> None:
+        """Take it that a job has started."""
+        self.events += 1
--- /dev/null
+++ b/merlinbay/emulator/live.py
@@ -0,0 +1,427 @@
+"""The second way to play: the real program on loopback sockets, against the same model in real time.
+
+The model's loop runs by the clock. Servers and discovery listen on 127.0.0.2 and speak the platform's
+protocol; each node is a process of its own; the callers are the load tool: an open loop that waits for none,
+so that a node that stands still is counted with all that would have come meanwhile.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from merlinbay.counters import Counters
+from merlinbay.decision.api import Outcome
+from merlinbay.emulator.host import Request as Asked
+from merlinbay.emulator.loop import Loop, Order
+from merlinbay.emulator.play import Day, Result
+from merlinbay.emulator.servers import Server, Work
+from merlinbay.emulator.spec import Script
+from merlinbay.http.client import Broken, ClientConnection, NotSent
+from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+
+HOST = "127.0.0.2"
+LIMITS = replace(Limits(), edge_connections=4000, dial=0.5, edge_idle=60.0, read_request=60.0)
+STATES = {"up": "SERVING", "draining": "DRAINING", "removed": "DELETED"}
+TRIES, AGAIN = 10, 0.05  # of a call-back
+KEPT = 24  # of a node's call-back connections, for each server
+
+
+def settings_json(script: Script, me: int) -> dict[str, Any]:
+    """Return the settings of a node's configuration file (WIRE, 12)."""
+    job, hall, limits = script.job, script.hall, script.limits
+    return {
+        "az": hall.zones[0], "zones": hall.zones, "balancers": hall.nodes, "me": me, "discovery": "subscribe",
+        "kinds": [kind.name for kind in hall.kinds],
+        "classes": [{"name": job.name, "aimUs": int(job.aim * 1e6), "deadlineUs": int(job.deadline * 1e6),
+                     "worth": 1.0, "effect": job.effect, "group": job.group,
+                     "windowUs": int(job.window * 1e6)}],
+        "limits": {"cancelling": limits.cancelling, "secondCopies": limits.second_copies, "probes": False,
+                   "sendCap": limits.send_cap, "retryAfter": limits.max_retry_after > 0,
+                   "maxRetryAfterUs": int(limits.max_retry_after * 1e6),
+                   "dialTimeoutUs": int(script.net.dial_ms * 1000),
+                   "keepaliveUs": int(hall.keep_alive * 1e6), "mostHeld": 4000},
+        "report": {"how": "inline" if script.reports.on else "off",
+                   "fields": ["err_rps", "active", "x0", "x1"] if script.reports.on else []},
+        "extra": {"tellsStart": True, "queueOrder": hall.order, "classStretch": [job.stretch],
+                  "reportX0": "free slots", "reportX1": "free memory"},
+        "safety": {"drainGraceUs": int(limits.drain_grace * 1e6), "coldFrom": hall.cold_from,
+                   "coldUs": int(hall.cold * 1e6), "tipMultiple": hall.tip,
+                   "overloadForUs": int(hall.tip_for * 1e6),
+                   "answerSlackUs": int(limits.answer_slack_ms * 1000), "mustAskInUs": 10_000_000}}
+
+
+class LiveLoop(Loop):
+    """The loop, run by the clock."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.began = 0.0
+        self.wake = trio.Event()
+
+    def at(self, due_us: int, order: Order, call: Any, *args: Any) -> None:
+        """Have something called at a time."""
+        if not self.heap or due_us < self.heap[0][0]:
+            self.wake.set()
+        super().at(due_us, order, call, *args)
+
+    def catch_up(self) -> None:
+        """Run what is due by now."""
+        self.run(int((trio.current_time() - self.began) * 1e6))
+
+    async def drive(self) -> None:
+        """Run for ever."""
+        while True:
+            self.catch_up()
+            self.wake = trio.Event()
+            with trio.move_on_at(self.began + self.heap[0][0] / 1e6 if self.heap else float("inf")):
+                await self.wake.wait()
+
+
+class LiveServer:
+    """One real server of the model, on a socket."""
+
+    def __init__(self, live: Live, model: Server) -> None:
+        self.live, self.model = live, model
+        self.works: dict[str, Work] = {}
+        self.listener: Listener | None = None
+        self.scope = trio.CancelScope()
+        self.addr = ""
+        self.idle: dict[str, list[ClientConnection]] = {}
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Take a job, or a cancel."""
+        model = self.model
+        self.live.catch_up()
+        connection.proven = True
+        name = request.headers.get("x-request-id", "")
+        if request.method == "DELETE":
+            work = self.works.pop(request.target.rpartition("/")[2], None)
+            if work is not None:
+                model.cancel(work)
+            return Response(200)
+        found = self.live.requests.get(name)
+        if found is None:
+            return Response(400)
+        node, asked = found
+        checker = self.live.checker
+        checker.sent(node, self.live.jobs[name], model)
+        number = len(checker.asked[node, self.live.jobs[name]].tries) - 1
+        work = Work(node, self.live.jobs[name], number, asked.work_us, asked.slots, asked.memory, asked.key,
+                    self._told(name, node))
+        self.works[name] = work
+        outcome = model.take(work)
+        if outcome is None or work.ended:
+            return Response(202)
+        work.ended = True
+        self.works.pop(name, None)
+        checker.ended(node, work.job, number, outcome)
+        headers = self._load()
+        if outcome is Outcome.FULL:
+            return Response(503, b"", [(b"x-not-processed", b"1"), *headers])
+        return Response(500, b"", headers) if outcome is Outcome.ERROR else None
+
+    def gone(self, connection: Connection) -> None:
+        """Owe nothing."""
+
+    def _load(self) -> list[tuple[bytes, bytes]]:
+        report = self.model.report()
+        if report is None:
+            return []
+        names = ("eps", "inflight", "x0", "x1")
+        return [(b"x-server-load", ",".join(
+            f"{name}={value:g}" for name, value in zip(names, report, strict=True) if isinstance(
+                value, float)).encode())]
+
+    def _told(self, name: str, node: int) -> Any:
+        def told(work: Work, what: str, outcome: Outcome | None) -> None:
+            event: dict[str, Any] = {"id": name, "from": self.model.name, "state": what}
+            if outcome is not None:
+                self.works.pop(name, None)
+                self.live.checker.ended(node, work.job, work.attempt, outcome)
+                event["state"] = {Outcome.OK: "done", Outcome.FULL: "returned", Outcome.RESET: "lost"}.get(
+                    outcome, "failed")
+                if outcome is Outcome.OK:
+                    event["result"] = "seated"
+                report = None if self.model.state == "down" else self.model.report()
+                if report is not None:
+                    event["load"] = dict(zip(("eps", "inflight", "x0", "x1"), report, strict=True))
+            self.live.nursery.start_soon(self._call_back, node, json.dumps(event).encode())
+        return told
+
+    async def _call_back(self, node: int, body: bytes) -> None:
+        """Tell a node, ten times at most."""
+        addr = self.live.addresses[node]
+        idle = self.idle.setdefault(addr, [])
+        for _ in range(TRIES):
+            connection = None
+            try:
+                while idle and connection is None:
+                    kept = idle.pop()
+                    connection = kept if kept.usable() else None
+                connection = connection or await ClientConnection.dial(addr, LIMITS)
+                reply = await connection.exchange("POST", "/v1/job-events", [], body)
+                if connection.reusable and len(idle) < KEPT:
+                    idle.append(connection)
+                else:
+                    connection.close()
+                if reply.status in (200, 204):
+                    return
+            except (NotSent, Broken):
+                if connection is not None:
+                    connection.close()
+            await trio.sleep(AGAIN)
+
+    async def serve(self) -> None:
+        """Listen whenever the model is not down, on one port for good."""
+        sock = None
+        while True:
+            if self.model.state != "down":
+                self.listener = Listener(self, LIMITS, Counters(), Log(1))
+                sock = await self.listener.bind(HOST, int(self.addr.rpartition(":")[2] or 0))
+                self.addr = f"{HOST}:{sock.getsockname()[1]}"
+                with trio.CancelScope() as self.scope, sock:
+                    await self.listener.serve(sock)
+            await trio.sleep(0.005)
+
+    def look(self) -> None:
+        """Close the door of a server that has died: its connections are reset, new ones refused."""
+        if self.model.state == "down":
+            self.scope.cancel()
+            self.works.clear()
+
+
+class LiveDirectory:
+    """Discovery on a socket: the model's list, with watches."""
+
+    def __init__(self, live: Live) -> None:
+        self.live = live
+        self.version, self.changed = 1, trio.Event()
+        self.rows: dict[str, tuple[int, dict[str, Any]]] = {}
+
+    def told(self, news: Any) -> None:
+        """Take the model's list, or a change of it."""
+        for row in news.entries:
+            self.version += 1
+            started = int((self.live.unix + row.ready_at_us / 1e6) * 1000) if row.ready_at_us else 0
+            self.rows[row.worker] = (self.version, {
+                "id": row.worker, "addr": self.live.servers_live[row.worker].addr, "zone": row.zone,
+                "kind": row.kind, "cell": row.cell, "state": STATES[row.state], "weight": 1.0,
+                "started_ms": started})
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Answer with the list, or with what has changed."""
+        connection.proven = True
+        after, wait, node = 0, 0.0, request.headers.get("host", "")
+        for part in request.target.partition("?")[2].split("&"):
+            name, _, value = part.partition("=")
+            if name == "after":
+                after = int(value)
+            elif name == "wait_ms":
+                wait = min(int(value) / 1000, 60.0)
+        if self.live.directory.out:
+            return Response(503)
+        with trio.move_on_after(wait):
+            while after >= self.version and not self.live.directory.out:
+                await self.changed.wait()
+        if self.live.directory.out:
+            return Response(503)
+        rows = [row for version, row in self.rows.values() if version > after and (
+            after or row["state"] != "DELETED")]
+        for row in rows:
+            self.live.listed(node, row)
+        answer = {"version": self.version, "full": after == 0, "servers": rows}
+        return Response(200, json.dumps(answer).encode())
+
+    def gone(self, connection: Connection) -> None:
+        """Owe nothing."""
+
+
+class LiveNode:
+    """A node that is a process, as callers see it."""
+
+    def __init__(self, live: Live, number: int) -> None:
+        self.live, self.number = live, number
+        self.alive, self.life, self.shift_us, self.sends, self.dials = True, 0, 0, 0, 0
+        self.handshake_us = 0.0
+        self.idle: list[ClientConnection] = []
+
+    def start(self, policy: object) -> None:
+        """Start: the process does so by itself."""
+
+    def take(self, asked: Asked) -> None:
+        """Have a request made; nobody waits for it."""
+        live = self.live
+        live.count += 1
+        name = f"{live.count:016x}"
+        live.requests[name], live.jobs[name] = (self.number, asked), live.count
+        live.checker.arrived(self.number, live.count, asked.deadline_us + 50_000)
+        live.nursery.start_soon(self._make, name, asked)
+
+    async def _make(self, name: str, asked: Asked) -> None:
+        live, job = self.live, self.live.jobs[name]
+        left_ms = max((asked.deadline_us - live.loop.now) // 1000, 1)
+        heads = [("x-request-id", name), ("x-priority-class", live.script.job.name),
+                 ("x-timeout-ms", str(left_ms)), ("idempotency-key", asked.key or name),
+                 ("x-attrs", f"slots={asked.slots},memory={asked.memory:.3f}")]
+        verdict, retry_us = "lost", 0
+        connection = None
+        with trio.move_on_after(left_ms / 1000 + 0.1):
+            try:
+                while self.idle and connection is None:
+                    kept = self.idle.pop()
+                    connection = kept if kept.usable() else None
+                if connection is None:
+                    self.dials += 1
+                    connection = await ClientConnection.dial(live.addresses[self.number], LIMITS)
+                reply = await connection.exchange("POST", f"/{live.script.job.name}", heads, b"seat")
+                verdict = {200: "served", 429: "refused", 503: "refused"}.get(reply.status, "failed")
+                retry_us = int(float(reply.headers.get("retry-after", "0")) * 1e6)
+            except (NotSent, Broken):
+                verdict = "lost"
+        live.catch_up()
+        if connection is not None:
+            if connection.reusable and verdict != "lost":
+                self.idle.append(connection)
+            else:
+                connection.close()
+        if (self.number, job) in live.checker.asked:
+            if verdict == "lost":
+                live.checker.withdrawn(self.number, job)
+            else:
+                live.checker.answered(self.number, job, verdict)
+        del live.requests[name], live.jobs[name]
+        if asked.done is not None:
+            asked.done(asked, verdict, retry_us)
+
+
+class Live(Day):
+    """A day played by the real program."""
+
+    def __init__(self, script: Script, seed: int, command: list[str] | None = None) -> None:
+        self.command = command or [sys.executable, "-B", "-m", "merlinbay"]
+        self.requests: dict[str, tuple[int, Asked]] = {}
+        self.jobs: dict[str, int] = {}
+        self.count = 0
+        self.addresses: dict[int, str] = {}
+        self.unix = 0.0
+        super().__init__(script, seed, "module")
+
+    def make_loop(self) -> Loop:
+        """Return the loop that the clock runs."""
+        return LiveLoop()
+
+    def catch_up(self) -> None:
+        """Run what is due by now."""
+        assert isinstance(self.loop, LiveLoop)
+        self.loop.catch_up()
+
+    def make_nodes(self) -> list[Any]:
+        """Return the nodes as callers see them."""
+        return [LiveNode(self, number) for number in range(self.script.hall.nodes)]
+
+    def listed(self, node: str, row: dict[str, Any]) -> None:
+        """Take it that a node is told of a server; which one does not show, so all of them count as told."""
+        state = {"SERVING": "up", "DRAINING": "draining", "DELETED": "removed"}[row["state"]]
+        for number in range(self.script.hall.nodes):
+            self.checker.listed(number, row["id"], state, self.servers[row["id"]].ready_us)
+
+    async def live(self) -> Result:
+        """Play it."""
+        assert isinstance(self.loop, LiveLoop)
+        broken = ""
+        with tempfile.TemporaryDirectory(prefix="merlinbay-live-") as folder:
+            async with trio.open_nursery() as self.nursery:
+                self.servers_live = {name: LiveServer(self, model) for name, model in self.servers.items()}
+                for server in self.servers_live.values():
+                    self.nursery.start_soon(server.serve)
+                directory = LiveDirectory(self)
+                listener = Listener(directory, LIMITS, Counters(), Log(1))
+                sock = await listener.bind(HOST, 0)
+                self.nursery.start_soon(listener.serve, sock)
+                while not all(server.addr for server in self.servers_live.values()):
+                    await trio.sleep(0.01)
+                processes = [await self._node(number, Path(folder), f"{HOST}:{sock.getsockname()[1]}")
+                             for number in range(self.script.hall.nodes)]
+                try:
+                    broken = await self._play(directory)
+                finally:
+                    for process in processes:
+                        process.send_signal(signal.SIGKILL)
+                        await process.wait()
+                self.nursery.cancel_scope.cancel()
+        return replace(self._result(broken), policy="program")
+
+    async def _node(self, number: int, folder: Path, discovery: str) -> trio.Process:
+        """Start a node, and wait until it is ready."""
+        with trio.socket.socket() as probe:
+            await probe.bind((HOST, 0))
+            port = probe.getsockname()[1]
+        addr = self.addresses[number] = f"{HOST}:{port}"
+        path = folder / f"n{number}.json"
+        path.write_text(json.dumps({
+            "name": f"n{number}", "listen": addr, "discovery": discovery, "seed": f"{self.seed + number:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": settings_json(self.script, number)}))
+        process = await trio.lowlevel.open_process(
+            self.command, env={**os.environ, "LB_CONFIG": str(path), "LB_OPERATOR": ""},
+            stderr=subprocess.DEVNULL)
+        with trio.fail_after(20):
+            while True:
+                try:
+                    connection = await ClientConnection.dial(addr, LIMITS)
+                    try:
+                        if (await connection.exchange("GET", "/-/ready", [])).status == 200:
+                            return process
+                    finally:
+                        connection.close()
+                except (NotSent, Broken):
+                    pass
+                await trio.sleep(0.05)
+
+    async def _play(self, directory: LiveDirectory) -> str:
+        """Run the day by the clock; return the rule that was broken, if one was."""
+        from merlinbay.emulator.checker import Broken as RuleBroken
+        loop = self.loop
+        assert isinstance(loop, LiveLoop)
+        import time
+        loop.began, self.unix = trio.current_time(), time.time()
+        directory.told(self.directory.remembered())
+        self.directory.watchers[0] = directory.told
+        self.callers.start()
+        end, broken = self.script.seconds, ""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(loop.drive)
+                while trio.current_time() < loop.began + end:
+                    await trio.sleep(0.005)
+                    for server in self.servers_live.values():
+                        server.look()
+                self.callers.rate = 1e-9
+                with trio.move_on_after(2.5 * self.script.job.deadline):
+                    while self.requests:
+                        await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+            for node, job in list(self.checker.asked):
+                self.checker.overdue(node, job)
+        except* RuleBroken as group:
+            broken = str(group.exceptions[0])
+        return broken
+
+
+def play_live(script: Script, seed: int) -> Result:
+    """Play a day by the real program."""
+    return trio.run(Live(script, seed).live)
--- /dev/null
+++ b/merlinbay/emulator/play.py
@@ -0,0 +1,209 @@
+"""A day put together and played: the same result from the same script, seed and policy, in any process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import numpy as np
+
+from merlinbay.emulator import policies, troubles
+from merlinbay.emulator.callers import Callers
+from merlinbay.emulator.checker import Broken, Checker
+from merlinbay.emulator.directory import Directory
+from merlinbay.emulator.host import Node, Policy
+from merlinbay.emulator.loop import Loop, Order
+from merlinbay.emulator.network import Network
+from merlinbay.emulator.servers import Rack, Server
+from merlinbay.emulator.spec import Kind, Script, drawn
+from merlinbay.emulator.troubles import Mark
+
+WHOLE, WORST = 0.85, 0.15  # parts of a day's figure
+
+
+@dataclass(frozen=True)
+class Result:
+    """How a day went."""
+
+    script: str
+    seed: int
+    policy: str
+    requests: int
+    in_time: float  # the share of first tries that were answered in time,
+    worst: float  # and the least over ten seconds
+    refused: int
+    failed: int
+    lost: int
+    retries: int
+    sends: int
+    dials: int
+    half_ms: float  # of those served: median, and 99th percentile
+    late_ms: float
+    busy: float  # share of the slots' time that was used
+    events: int
+    broken: str = ""  # the rule that was
+
+    @property
+    def figure(self) -> float:
+        """Return the day's figure."""
+        return 0.0 if self.broken else WHOLE * self.in_time + WORST * self.worst
+
+
+class Day:
+    """A hall, its nodes and callers, and what goes wrong."""
+
+    def __init__(self, script: Script, seed: int, policy: str = "module") -> None:
+        self.script, self.seed, self.policy = script, seed, policy
+        self.loop = self.make_loop()
+        rng = Random(f"{seed}/day")
+        self.checker = Checker(script, self.loop)
+        self.net = Network(script.net, self.loop, Random(f"{seed}/net"))
+        self.directory = Directory(script.discovery, self.loop, Random(f"{seed}/discovery"))
+        self.servers: dict[str, Server] = {}
+        hall = script.hall
+        for number, kind in enumerate(self._kinds(rng)):
+            cell = number // hall.rack
+            if number % hall.rack == 0:
+                rack = Rack(int(script.job.window * 1e6))
+            server = Server(
+                f"s{number}",
+                kind,
+                drawn(rng, kind.speed),
+                cell,
+                hall.zones[cell % len(hall.zones)],
+                hall,
+                script.reports,
+                rack,
+                self.loop,
+                Random(f"{seed}/s{number}"),
+                self.checker,
+            )
+            self.servers[server.name] = server
+            self.directory.publish(server, "up", late=False)
+        self.nodes = self.make_nodes()
+        mean_us = drawn(rng, script.job.run) * 1e6
+        self.power = sum(server.kind.slots * server.base for server in self.servers.values())
+        wide = script.job.slots * (1 - script.job.wide) + 2 * script.job.wide
+        rate = drawn(rng, script.load.share) * self.power / (mean_us / 1e6 * wide)
+        self.callers = Callers(script, self.loop, self.nodes, rate, mean_us, seed)
+        for node in self.nodes:
+            node.handshake_us = drawn(rng, hall.handshake_ms) * 1000
+            node.start(self._policy(node))
+        self.marks: list[Mark] = [
+            troubles.set_up(self, trouble, Random(f"{seed}/trouble{number}"))
+            for number, trouble in enumerate(script.trouble)
+        ]
+
+    def make_loop(self) -> Loop:
+        """Return the loop; the second way to play has another."""
+        return Loop()
+
+    def make_nodes(self) -> list[Any]:
+        """Return the nodes; the second way to play has others."""
+        return [
+            Node(number, self.script, self.loop, self.net, self.directory, self.servers, self.checker)
+            for number in range(self.script.hall.nodes)
+        ]
+
+    def _kinds(self, rng: Random) -> list[Kind]:
+        """Return each server's kind: shares as even as they come, in a drawn order."""
+        hall = self.script.hall
+        total, found = sum(kind.share for kind in hall.kinds), list[Kind]()
+        owed = {kind.name: 0.0 for kind in hall.kinds}
+        for _ in range(hall.servers):
+            for kind in hall.kinds:
+                owed[kind.name] += kind.share / total
+            chosen = max(hall.kinds, key=lambda kind: owed[kind.name])
+            owed[chosen.name] -= 1
+            found.append(chosen)
+        rng.shuffle(found)
+        return found
+
+    def _policy(self, node: Node) -> Policy:
+        seed = Random(f"{self.seed}/node{node.number}/{node.life}").getrandbits(32)
+        return policies.make(self.policy, self.script, node.number, seed, self.loop.now, self.servers)
+
+    # What troubles do.
+
+    def crash(self, server: Server) -> None:
+        """Have a server die; discovery learns of it late."""
+        if server.state != "down":
+            server.crash()
+            self.directory.publish(server, "removed")
+
+    def bring_back(self, server: Server) -> None:
+        """Have a server start, cold."""
+        if server.state == "down":
+            server.start()
+            self.directory.publish(server, "up")
+
+    def replace(self, server: Server, drain_us: int) -> None:
+        """Have a server drain, end, and a successor start in its place."""
+        if server.state != "up":
+            return
+        server.drain()
+        self.directory.publish(server, "draining")
+        self.loop.at(self.loop.now + drain_us, Order.TROUBLE, self._successor, server)
+
+    def _successor(self, server: Server) -> None:
+        if server.state == "draining":
+            server.crash()
+            server.start()
+            self.directory.publish(server, "up")
+
+    def node_dies(self, number: int) -> None:
+        """Have a node die."""
+        if self.nodes[number].alive:
+            self.nodes[number].die()
+            self.callers.node_died(self.nodes[number])
+
+    def node_starts(self, number: int) -> None:
+        """Have a node start again."""
+        node = self.nodes[number]
+        if not node.alive:
+            node.start(self._policy(node))
+            self.callers.node_started(node)
+
+    def play(self) -> Result:
+        """Play it, and let the last requests end."""
+        broken, end = "", int(self.script.seconds * 1e6)
+        try:
+            self.callers.start()
+            self.loop.run(end)
+            self.callers.rate = 1e-9  # nobody asks any more
+            self.loop.run(end + int(2.5 * self.script.job.deadline * 1e6))
+            for node, job in list(self.checker.asked):
+                self.checker.overdue(node, job)
+        except Broken as error:
+            broken = str(error)
+        return self._result(broken)
+
+    def _result(self, broken: str) -> Result:
+        account = self.callers.account
+        served = np.array([took for took in account.took_us if took >= 0] or [0]) / 1000
+        slots = sum(server.kind.slots for server in self.servers.values())
+        return Result(
+            self.script.name,
+            self.seed,
+            self.policy,
+            len(account.first_us),
+            account.share(),
+            account.worst(self.script.seconds),
+            account.refused,
+            account.failed,
+            account.lost,
+            account.retries,
+            sum(node.sends for node in self.nodes),
+            sum(node.dials for node in self.nodes),
+            float(np.median(served)),
+            float(np.percentile(served, 99)),
+            sum(server.busy_us for server in self.servers.values()) / (slots * self.script.seconds * 1e6),
+            self.checker.events,
+            broken,
+        )
+
+
+def play(script: Script, seed: int, policy: str = "module") -> Result:
+    """Play a day."""
+    return Day(script, seed, policy).play()
--- /dev/null
+++ b/merlinbay/emulator/policies.py
@@ -0,0 +1,194 @@
+"""What the module is compared with: baselines that use the same events and actions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from merlinbay.decision import Balancer, api
+from merlinbay.emulator.host import Policy
+from merlinbay.emulator.servers import Server
+from merlinbay.emulator.spec import Script
+
+
+def settings_of(script: Script, me: int = 0) -> api.Settings:
+    """Return what a node is told at its start."""
+    job, hall, limits = script.job, script.hall, script.limits
+    fields = ["err_rps", "active", "x0", "x1"] if script.reports.on else []
+    return api.Settings(
+        [
+            api.JobClass(
+                job.name,
+                int(job.aim * 1e6),
+                int(job.deadline * 1e6),
+                effect=job.effect,
+                group=job.group,
+                window_us=int(job.window * 1e6),
+                stretch=job.stretch,
+            )
+        ],
+        balancers=hall.nodes,
+        me=me,
+        zone=hall.zones[0],
+        kinds=[kind.name for kind in hall.kinds],
+        report_fields=fields,
+        free_slots_field="x0" if fields else "",
+        free_memory_field="x1" if fields else "",
+        held_field="active" if fields else "",
+        errors_field="err_rps" if fields else "",
+        tells_start=True,
+        must_subscribe=True,
+        queue_order=hall.order,
+        limits=api.Limits(
+            cancelling=limits.cancelling,
+            second_copies=limits.second_copies,
+            send_cap=limits.send_cap,
+            retry_after=limits.max_retry_after > 0,
+            max_retry_after_us=int(limits.max_retry_after * 1e6),
+        ),
+        safety=api.Safety(
+            drain_grace_us=int(limits.drain_grace * 1e6),
+            cold_from=max(hall.cold_from, 0.01),
+            cold_us=int(hall.cold * 1e6),
+            tip_multiple=hall.tip,
+            overload_for_us=int(hall.tip_for * 1e6),
+            answer_slack_us=int(limits.answer_slack_ms * 1000),
+            must_ask_in_us=10_000_000,
+        ),
+    )
+
+
+class Simple:
+    """One attempt at a server that ``choose`` picks; what never ran goes elsewhere, the rest fails."""
+
+    def __init__(self, script: Script, rng: Random, servers: dict[str, Server]) -> None:
+        self.script, self.rng, self.servers = script, rng, servers
+        self.up: list[str] = []
+        self.held: dict[str, int] = {}
+        self.tries: dict[int, int] = {}
+        self.idle: dict[str, None] = {}
+
+    def choose(self) -> str | None:
+        """Return a server, or None: refuse."""
+        raise NotImplementedError
+
+    def handle(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
+        """Take events of one instant; return what to do."""
+        out: list[api.Action] = []
+        for event in events:
+            if isinstance(event, api.JobArrived):
+                self.tries[event.id] = 0
+                self._send(event.id, out)
+            elif isinstance(event, api.AttemptEnded):
+                self.held[event.worker] = self.held.get(event.worker, 0) - 1
+                if event.report is not None and isinstance(event.report[2], float) and event.report[2] >= 1:
+                    self.idle[event.worker] = None
+                if event.final or event.outcome == api.Outcome.OK:
+                    self.tries.pop(event.id, None)
+                elif event.outcome in api.NEVER_RAN and self.tries[event.id] < self.script.limits.send_cap:
+                    self._send(event.id, out)
+                else:
+                    self.tries.pop(event.id, None)
+                    out.append(api.Fail(event.id))
+            elif isinstance(event, api.ListChanged):
+                self._list(event)
+        return out
+
+    def _send(self, job: int, out: list[api.Action]) -> None:
+        name = self.choose() if self.up else None
+        if name is None:
+            self.tries.pop(job, None)
+            out.append(api.Refuse(job))
+            return
+        self.tries[job] += 1
+        self.held[name] = self.held.get(name, 0) + 1
+        out.append(api.Place(job, name))
+
+    def _list(self, event: api.ListChanged) -> None:
+        states = {} if event.scope in ("all", "remembered") else dict.fromkeys(self.up, "up")
+        if event.scope != "refused":
+            for row in event.entries:
+                states[row.worker] = row.state
+            self.up = [name for name, state in states.items() if state == "up"]
+
+
+class RandomChoice(Simple):
+    """Any server."""
+
+    def choose(self) -> str | None:
+        """Return any."""
+        return self.rng.choice(self.up)
+
+
+class LeastOutstanding(Simple):
+    """The one with the fewest of our own."""
+
+    def choose(self) -> str | None:
+        """Return the least loaded, ties drawn."""
+        least = min(self.held.get(name, 0) for name in self.up)
+        return self.rng.choice([name for name in self.up if self.held.get(name, 0) == least])
+
+
+class TwoChoices(Simple):
+    """The less loaded of two drawn ones, by true counts: the textbook's."""
+
+    def choose(self) -> str | None:
+        """Return the better of two."""
+        one, two = self.rng.choice(self.up), self.rng.choice(self.up)
+        return min(
+            (one, two), key=lambda name: len(self.servers[name].running) + len(self.servers[name].waiting)
+        )
+
+
+class JoinIdleQueue(Simple):
+    """One that has told of a free slot, else any."""
+
+    def choose(self) -> str | None:
+        """Return one that is idle as far as it has said."""
+        while self.idle:
+            name = next(iter(self.idle))
+            del self.idle[name]
+            if name in self.up:
+                return name
+        return self.rng.choice(self.up)
+
+
+class Oracle(Simple):
+    """Sees the true state of every server at once: where the job would start soonest; the top of a day."""
+
+    def choose(self) -> str | None:
+        """Return the server with the shortest wait by its true state; refuse if all would be late."""
+        best, best_key = None, (float("inf"), 0.0)
+        for name in self.up:
+            server = self.servers[name]
+            if server.state != "up" or server.failing:
+                continue
+            now, rate = server.loop.now, server.rate
+            ahead = sum(work.work_us * work.slots for work in server.waiting) + sum(
+                max(work.left - (now - work.since_us) * rate, 0.0) for work in server.running
+            )
+            room = server.free >= 1 and not server.waiting and server.memory >= 1
+            wait = 0.0 if room else ahead / server.kind.slots / max(server.rate, 0.01)
+            key = (wait, -server.rate)
+            if key < best_key:
+                best, best_key = name, key
+        aim = self.script.job.aim * 1e6 + self.script.job.stretch * 150_000
+        return best if best_key[0] <= aim else None
+
+
+Maker = Callable[[Script, int, int, int, dict[str, Server]], Policy]
+SIMPLE: dict[str, type[Simple]] = {
+    "random": RandomChoice,
+    "least": LeastOutstanding,
+    "two": TwoChoices,
+    "idle": JoinIdleQueue,
+    "oracle": Oracle,
+}
+NAMES = ["module", *SIMPLE]
+
+
+def make(name: str, script: Script, node: int, seed: int, now_us: int, servers: dict[str, Server]) -> Policy:
+    """Make a node's policy."""
+    if name == "module":
+        return Balancer(settings_of(script, node), seed, now_us)
+    return SIMPLE[name](script, Random(f"{seed}/{name}"), servers)
--- /dev/null
+++ b/merlinbay/emulator/record.py
@@ -0,0 +1,53 @@
+"""What a day looked like, moment by moment: for reports. Looking changes nothing and draws nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from merlinbay.emulator.loop import Order
+from merlinbay.emulator.play import Day
+
+STEP_US = 250_000
+
+
+@dataclass
+class Record:
+    """Samples of a day."""
+
+    at_s: list[float] = field(default_factory=list)
+    load: list[list[float]] = field(
+        default_factory=list
+    )  # of each server: held jobs over its slots; -1: it is down
+    refused: list[int] = field(default_factory=list)  # tries, in all so far
+    lost: list[int] = field(default_factory=list)
+    sends: list[int] = field(default_factory=list)
+    free: list[float] = field(default_factory=list)  # share of the slots that are free
+
+
+def watch(day: Day) -> Record:
+    """Have a day recorded while it is played."""
+    record = Record()
+
+    def look() -> None:
+        record.at_s.append(day.loop.now / 1e6)
+        record.load.append(
+            [
+                -1.0
+                if server.state == "down"
+                else (len(server.running) + len(server.waiting)) / server.kind.slots
+                for server in day.servers.values()
+            ]
+        )
+        account = day.callers.account
+        record.refused.append(account.refused)
+        record.lost.append(account.lost)
+        record.sends.append(sum(node.sends for node in day.nodes))
+        slots = sum(server.kind.slots for server in day.servers.values())
+        record.free.append(
+            sum(server.free for server in day.servers.values() if server.state == "up") / slots
+        )
+        if day.loop.now < day.script.seconds * 1e6:
+            day.loop.at(day.loop.now + STEP_US, Order.TIMER, look)
+
+    day.loop.at(0, Order.TIMER, look)
+    return record
