--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -84,6 +84,7 @@
         day.loop.at(day.loop.now + 20_000, Order.TIMER, look)
 
     day.loop.at(4_000_000, Order.TIMER, look)
+    day.callers.start()
     day.loop.run(12_000_000)
     rows = [
         f"two choices at {share}: {found:.4f} of 500 servers hold {jobs} or more, fixed point "
--- a/merlinbay/cli/rehearse.py
+++ b/merlinbay/cli/rehearse.py
@@ -68,6 +68,9 @@
         click.echo(json.dumps([{**asdict(result), "figure": result.figure} for result in results], indent=2))
     else:
         click.echo(table(map(row, results), HEADS))
+    for result in results:
+        if result.bad:
+            click.echo(f"{result.bad} bad clients; {result.bad_open} got neither an error nor an end in time")
     broken = [result for result in results if result.broken]
     for result in broken:
         click.echo(
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -307,6 +307,10 @@
                 worker.kind.most = max(worker.kind.most, event.of)
                 worker.kind.slots = max(worker.kind.slots, event.of)
 
+    def _others(self, worker: Worker) -> float:
+        """Return the slots that the other schedulers hold there: an estimate, so ``rules.py`` makes it."""
+        raise NotImplementedError
+
     def beliefs(self, now_us: int) -> list[dict[str, Any]]:
         """Return what is believed of each worker, for people: slots, seconds and words."""
         found = []
@@ -315,7 +319,7 @@
             found.append({
                 "name": worker.name, "zone": worker.zone, "kind": self.kind_names().get(worker.kind, ""),
                 "state": worker.state, "slots": worker.kind.slots, "held": worker.held,
-                "others": worker.others if worker.others_at >= 0 else 0.0, "pace": worker.pace,
+                "others": self._others(worker), "pace": worker.pace,
                 "failures": worker.fails, "cold": self.cold(worker),
                 "out_since_us": worker.fault_at if out else 0,
                 "out_until_us": worker.bench_until if out else 0,
--- a/merlinbay/drmaa/reserving.py
+++ b/merlinbay/drmaa/reserving.py
@@ -16,6 +16,7 @@
 from merlinbay.core import ports
 from merlinbay.drmaa.edges import ok
 from merlinbay.drmaa.settings import NAME
+from merlinbay.drmaa.templates import moment
 from merlinbay.drmaa.words import when
 from merlinbay.http.server import Response
 from merlinbay.reserve.book import Phase, Reservation, SlotBook, Wish
@@ -207,15 +208,22 @@
             case "GET", [name]:
                 return ok(info(self._found(ask, session, name)))
             case ("POST", [name, "terminate"]) | ("DELETE", [name]):
-                found = self._found(ask, session, name)
+                found = self._changeable(ask, session, name)
                 self.book.terminate(found, ask.now)
                 return ok(info(found))
             case "POST", [name, "extend"]:
-                found = self._found(ask, session, name)
+                found = self._changeable(ask, session, name)
                 self.book.extend(found, moment("endTime", read(_extend, ask.request.body).endTime), ask.now)
                 return ok(info(found))
         raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
 
+    def _changeable(self, ask: Ask, session: str, name: str) -> Reservation:
+        """Return a reservation that the caller may change: the operator's are everybody's to use alone."""
+        found = self._found(ask, session, name)
+        if found.account is None:
+            ask.grant.need_all()
+        return found
+
     def _found(self, ask: Ask, session: str, name: str) -> Reservation:
         found = self.book.all.get(name)
         if found is None or found.session != session or not ask.grant.sees(found.account):
@@ -231,18 +239,6 @@
         raise invalid_argument(str(error)) from None
 
 
-def moment(name: str, at: datetime | None) -> int:
-    """Return a time in microseconds, 0 for none. Raises ``DrmaaError``."""
-    if at is None:
-        return 0
-    if at.tzinfo is None:
-        raise invalid_argument(f"{name} names no time zone")
-    found = int(at.timestamp() * 1e6)
-    if not 0 < found < 2**62:
-        raise invalid_argument(name)
-    return found
-
-
 def wish_of(template: ReservationTemplate) -> Wish:
     """Read a template. Raises ``DrmaaError``."""
     for name in ("jobCategory", "usersACL", "minPhysMemory", "machineOS", "machineArch"):
@@ -256,7 +252,9 @@
     high = low if template.maxSlots is None else template.maxSlots
     if not 1 <= low <= high <= 1_000_000:
         raise invalid_argument("minSlots and maxSlots")
-    return Wish(low, high, moment("startTime", template.startTime), moment("endTime", template.endTime),
+    start, end = template.startTime, template.endTime
+    return Wish(low, high, 0 if start is None else moment("startTime", start),
+                0 if end is None else moment("endTime", end),
                 int((template.duration or 0) * 1e6), tuple(template.candidateMachines),
                 template.reservationName)
 
--- a/merlinbay/drmaa/templates.py
+++ b/merlinbay/drmaa/templates.py
@@ -61,8 +61,8 @@
             raise DrmaaError("UnsupportedAttributeException", "minPhysMemory: no memory_unit_kib is set")
         if not 0 <= template.minPhysMemory < 2**53:
             raise invalid_argument("minPhysMemory")
-    start_us = 0 if template.startTime is None else _moment("startTime", template.startTime)
-    deadline_us = 0 if template.deadlineTime is None else _moment("deadlineTime", template.deadlineTime)
+    start_us = 0 if template.startTime is None else moment("startTime", template.startTime)
+    deadline_us = 0 if template.deadlineTime is None else moment("deadlineTime", template.deadlineTime)
     if template.deadlineTime is not None and deadline_us <= now_us:
         raise invalid_argument("deadlineTime has passed")
     if deadline_us and start_us >= deadline_us:
@@ -87,7 +87,8 @@
     return job_class
 
 
-def _moment(name: str, at: datetime) -> int:
+def moment(name: str, at: datetime) -> int:
+    """Return a time of the wire in microseconds. Raises ``DrmaaError``."""
     if at.tzinfo is None:
         raise invalid_argument(f"{name} names no time zone")
     moment = int(at.timestamp() * 1e6)
--- a/merlinbay/emulator/callers.py
+++ b/merlinbay/emulator/callers.py
@@ -5,13 +5,15 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from random import Random
 
 import numpy as np
+from hdrh.histogram import HdrHistogram
 
 from merlinbay.emulator.host import Node, Request
 from merlinbay.emulator.loop import Loop, Order
-from merlinbay.emulator.spec import Script, drawn
+from merlinbay.emulator.spec import BadScript, Script, drawn
 
 BATCH = 2048
 
@@ -48,6 +50,14 @@
     lost: int = 0  # tries at nodes that died
     retries: int = 0
 
+    def took(self) -> HdrHistogram:
+        """Return how long requests that were served took, in us, from when they were first wanted."""
+        found = HdrHistogram(1, 3_600_000_000, 3)
+        for took in self.took_us:
+            if took >= 0:
+                found.record_value(max(took, 1))
+        return found
+
     def share(self) -> float:
         """Return the share that was answered in time."""
         return sum(self.in_time) / len(self.in_time) if self.in_time else 1.0
@@ -66,6 +76,26 @@
         return float(np.min(good / np.maximum(asked, 1)))
 
 
+def trace_of(path: Path) -> list[tuple[float, float]]:
+    """Read a recorded trace: seconds, and the work in ms (0: drawn). Raises ``BadScript``."""
+    found = []
+    try:
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            parts = line.replace(",", " ").split()
+            if not parts or parts[0].startswith("#"):
+                continue
+            try:
+                at, work = float(parts[0]), float(parts[1]) if len(parts) > 1 else 0.0
+            except ValueError:
+                at = -1.0
+            if not 0 <= at < 1e6 or not 0 <= work < 1e9:
+                raise BadScript(f"{path}: line {number}: a second, and the ms of work")
+            found.append((at, work))
+    except OSError as error:
+        raise BadScript(f"{path}: {error.strerror}") from None
+    return found
+
+
 class Callers:
     """Makes requests, and asks again where that is allowed."""
 
@@ -83,6 +113,8 @@
         self.peak = 1.0  # the most that these will be, together
         gaps, sizes, picks = stream(seed, "gaps"), stream(seed, "sizes"), stream(seed, "picks")
         ways = stream(seed, "ways")  # its own: how often one asks again must not move the arrivals
+        bad = stream(seed, "bad")
+        self.gaps_bad = Batches(lambda count: bad.exponential(size=count))
         self.ways = Batches(lambda count: ways.random(size=count))
         self.gaps = Batches(lambda count: gaps.exponential(size=count))
         sigma = job.spread
@@ -97,7 +129,11 @@
 
     def start(self) -> None:
         """Begin."""
-        self._next()
+        if not self.script.load.trace:
+            self._next()
+            return
+        for at_s, work_ms in trace_of(Path(self.script.load.trace)):
+            self.loop.at(int(at_s * 1e6), Order.CLIENT, self._make, work_ms * 1000)
 
     def _level(self) -> float:
         """Return the traffic of this moment, over the day's mean."""
@@ -114,7 +150,7 @@
 
     def _next(self) -> None:
         most = self.rate * (1 + self.script.load.swing) * self.peak
-        wait = max(int(self.gaps.next() / most * 1e6), 1)
+        wait = max(round(self.gaps.next() / most * 1e6), 1)
         self.loop.at(self.loop.now + wait, Order.CLIENT, self._maybe, most)
 
     def _maybe(self, most: float) -> None:
@@ -123,7 +159,7 @@
             self._make()
         self._next()
 
-    def _make(self) -> None:
+    def _make(self, work_us: float = 0.0) -> None:
         self.number += 1
         job, now = self.script.job, self.loop.now
         slots = 2 if job.wide and self.picks.next() < job.wide else job.slots
@@ -132,7 +168,7 @@
             key = f"k{int(self.keys.zipf(1 + zipf))}" if zipf else f"r{self.number}"
         request = Request(
             self.number,
-            max(self.sizes.next() * self.mean_us, 100.0),
+            max(work_us or self.sizes.next() * self.mean_us, 100.0),
             slots,
             drawn(self.rng, job.memory),
             key,
--- a/merlinbay/emulator/checker.py
+++ b/merlinbay/emulator/checker.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from merlinbay.decision.api import NEVER_RAN, Outcome
@@ -13,6 +13,8 @@
 from merlinbay.emulator.servers import Server, Work
 from merlinbay.emulator.spec import Script
 
+PUSH_US = 100_000
+
 
 class Broken(Exception):
     """A rule is broken; the text says which, when and by what."""
@@ -51,6 +53,8 @@
         self.pushes: dict[str, deque[tuple[int, float, bool]]] = {}  # work that came to a cold server
         self.events = 0
         self.tipped: list[str] = []
+        self.pushed: dict[str, tuple[int, int]] = {}  # by server: the tenth of a second, and what came in it
+        self.push_counts: Counter[int] = Counter()
 
     def _fail(self, rule: int, text: str) -> None:
         raise Broken(f"rule {rule} at {self.loop.now / 1e6:.6f} s, event {self.events}: {text}")
@@ -148,6 +152,7 @@
     def reached(self, server: Server, node: int, work_us: float) -> None:
         """Take it that work has come to a server: a cold one may fall over."""
         self.events += 1
+        self._push(server.name)
         if not server.cold:
             return
         now, span = self.loop.now, int(self.script.hall.tip_for * 1e6)
@@ -172,6 +177,24 @@
                 f"{span / 1e6:g} s, where {can / 1e6:.2f} s is the most",
             )
 
+    def _push(self, server: str) -> None:
+        """Count what comes to one server within a tenth of a second, by all nodes."""
+        span, count = self.pushed.get(server, (-1, 0))
+        if span != self.loop.now // PUSH_US:
+            if count:
+                self.push_counts[count] += 1
+            span, count = self.loop.now // PUSH_US, 0
+        self.pushed[server] = span, count + 1
+
+    def push(self, share: float) -> int:
+        """Return the number of jobs that this share of such tenths of a second did not exceed."""
+        left = share * sum(self.push_counts.values())
+        for count in sorted(self.push_counts):
+            left -= self.push_counts[count]
+            if left <= 0:
+                return count
+        return 0
+
     def ran(self, work: Work, server: Server) -> None:
         """Take it that a job has started."""
         self.events += 1
--- a/merlinbay/emulator/live.py
+++ b/merlinbay/emulator/live.py
@@ -250,6 +250,32 @@
         """Owe nothing."""
 
 
+BAD = [  # what clients send that cannot be served; each is owed an error, or the end of its connection
+    b"", b"GET", b"nonsense\r\n\r\n", b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
+    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n\r\n",
+    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\nseat",
+    b"POST /nothing HTTP/1.1\r\nhost: x\r\nx-request-id: b\r\nx-timeout-ms: 9\r\ncontent-length: 0\r\n\r\n",
+    b"POST /admit HTTP/1.1\r\nhost: x\r\nx-timeout-ms: soon\r\ncontent-length: 0\r\n\r\n",
+    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nse", b"X" * 40_000]
+OWED = 3.0  # seconds from the connect
+
+
+async def bad_client(addr: str, said: bytes) -> bool:
+    """Be one; tell whether it got what it is owed."""
+    host, _, port = addr.rpartition(":")
+    with trio.move_on_after(OWED):
+        try:
+            stream = await trio.open_tcp_stream(host, int(port))
+            async with stream:
+                if said:
+                    await stream.send_all(said)
+                got = await stream.receive_some(64)
+                return not got or got[9:10] in (b"4", b"5")
+        except (OSError, trio.BrokenResourceError):
+            return True  # refused, or reset
+    return False
+
+
 class LiveNode:
     """A node that is a process, as callers see it."""
 
@@ -315,7 +341,7 @@
         self.command = command or [sys.executable, "-B", "-m", "merlinbay"]
         self.requests: dict[str, tuple[int, Asked]] = {}
         self.jobs: dict[str, int] = {}
-        self.count = 0
+        self.count = self.bad = self.bad_open = 0
         self.addresses: dict[int, str] = {}
         self.unix = 0.0
         super().__init__(script, seed, "module")
@@ -324,6 +350,18 @@
         """Return the loop that the clock runs."""
         return LiveLoop()
 
+    async def annoy(self) -> None:
+        """Send bad clients, so many a second."""
+        rate = self.script.callers.bad
+        while rate:
+            await trio.sleep(float(self.callers.gaps_bad.next()) / rate)
+            self.bad += 1
+            node = self.bad % len(self.addresses)
+            self.nursery.start_soon(self._bad, self.addresses[node], BAD[self.bad % len(BAD)])
+
+    async def _bad(self, addr: str, said: bytes) -> None:
+        self.bad_open += not await bad_client(addr, said)
+
     def catch_up(self) -> None:
         """Run what is due by now."""
         assert isinstance(self.loop, LiveLoop)
@@ -363,7 +401,7 @@
                         process.send_signal(signal.SIGKILL)
                         await process.wait()
                 self.nursery.cancel_scope.cancel()
-        return replace(self._result(broken), policy="program")
+        return replace(self._result(broken), policy="program", bad=self.bad, bad_open=self.bad_open)
 
     async def _node(self, number: int, folder: Path, discovery: str) -> trio.Process:
         """Start a node, and wait until it is ready."""
@@ -406,6 +444,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(loop.drive)
+                nursery.start_soon(self.annoy)
                 while trio.current_time() < loop.began + end:
                     await trio.sleep(0.005)
                     for server in self.servers_live.values():
--- a/merlinbay/emulator/servers.py
+++ b/merlinbay/emulator/servers.py
@@ -150,7 +150,7 @@
             work.since_us = now
 
     def _foresee(self, work: Work, now: int) -> None:
-        self.loop.at(now + max(int(work.left / self.rate), 1), Order.SERVER, self._done, work, work.version)
+        self.loop.at(now + max(round(work.left / self.rate), 1), Order.SERVER, self._done, work, work.version)
 
     def with_speed(self, change: Callable[[], None]) -> None:
         """Have its speed changed."""
--- a/merlinbay/emulator/spec.py
+++ b/merlinbay/emulator/spec.py
@@ -103,6 +103,7 @@
     share: Draw = 0.5  # of what the warm fleet can do
     shape: Literal["steady", "bursty", "daily"] = "steady"
     swing: Part = 0.0
+    trace: str = ""  # a file of arrivals in place of these: a line each, the second and maybe the ms of work
     zipf: Not = 0.0  # keys: 0: each its own; else some come again and again
 
 
@@ -140,6 +141,7 @@
     backoff_ms: Draw = (11.0, 86.0)
     honour: Part = 0.9  # share that waits as long as a refusal says
     notice: Draw = (0.84, 3.6)  # until the front layer sees that a node has died
+    bad: Not = 0.0  # clients a second that send what cannot be read, or nothing; on sockets only
 
 
 class Trouble(Strict):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -12,7 +12,7 @@
 
 import pytest
 import trio
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from merlinbay.client import AsyncClient, Client, DrmaaRemote, JobTemplate, MayHaveRun, Policy, Unreachable
@@ -92,6 +92,7 @@
     assert 17 < world.now < 20 and max(world.slept) <= Policy().most
 
 
+@settings(derandomize=True, deadline=None)
 @given(st.lists(st.sampled_from([LATER, LOST, UNSENT, TAKEN, Reply(500, b"{}")]), max_size=12),
        st.one_of(st.none(), st.floats(0, 30)))
 def test_whatever_the_network_does_a_lost_submission_is_the_last(
