--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -15,7 +15,7 @@
 from merlinbay.clock import Clock
 from merlinbay.config import BadConfig, Config, address, load, reload
 from merlinbay.core.owner import Owner
-from merlinbay.core.ports import EntriesChanged, Message, ServerSide, Stopping
+from merlinbay.core.ports import DirectoryMoved, EntriesChanged, Message, ServerSide, Stopping
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
 from merlinbay.http.pool import ConnectionPool
@@ -100,15 +100,19 @@
             if number == signal.SIGUSR1:
                 counters.print()
             elif number == signal.SIGHUP:
-                follow(config, discovery, counters, log, parts)
+                if follow(config, discovery, counters, log, parts):
+                    await inbox.send(DirectoryMoved(config.limits.reload_told_us))
             elif not stopping:
                 stopping = True
                 nursery.start_soon(stop, config, listener, inbox, nursery, parts)
 
 
 def follow(config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log,
-           parts: DrmaaParts | None) -> None:
-    """Move the watch to where the configuration now says; one that cannot be used changes nothing."""
+           parts: DrmaaParts | None) -> bool:
+    """Move the watch to where the configuration now says; one that cannot be used changes nothing.
+
+    Returns whether the module is to say when the watch goes there.
+    """
     try:
         new = reload(config)
         if parts is not None:
@@ -116,13 +120,15 @@
     except BadConfig as error:
         counters.add("reloads_bad")
         log.event("reload_failed", level="warning", error=str(error), kept="the old configuration")
-        return
+        return False
+    moved = False
     if isinstance(discovery, Discovery):
-        discovery.move(new.discovery)
+        moved = discovery.move(new.discovery)
     elif new.operator is not None and new.operator.dnssd is not None:
         discovery.move(address(new.operator.dnssd.nameserver), new.operator.dnssd.service)
     counters.add("reloads")
     log.event("reloaded", discovery=new.discovery)
+    return moved
 
 
 async def stop(config: Config, listener: Listener, inbox: trio.MemorySendChannel[Message],
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -138,6 +138,8 @@
                 events.append(api.ListChanged(message.scope, [
                     api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us)
                     for e in message.entries]))
+            case ports.DirectoryMoved():
+                events.append(api.ListMoved(message.told_us))
             case ports.Stopping():
                 self.stopping = True
                 # Guards against flows that outlast the process: what it has taken is answered before.
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -150,7 +150,7 @@
     """Discovery."""
 
     def subscribe(self) -> None:
-        """Begin to watch the list, or do so again after a failure."""
+        """Begin to watch the list, or do so again after a failure or a move."""
 
 
 # Messages to the owner, by any number of tasks.
@@ -261,6 +261,12 @@
     entries: list[ServiceEntry] = []
 
 
+class DirectoryMoved(msgspec.Struct, frozen=True):
+    """Discovery is somewhere else, and counts as having told all that it has after ``told_us``."""
+
+    told_us: int
+
+
 class MachineView(msgspec.Struct, frozen=True):
     """What the module believes of one real server."""
 
@@ -306,5 +312,5 @@
 
 Message = (FlowArrived | FlowWithdrawn | FlowRecalled | FlowControlled | SchedulingRecalled
            | SchedulingControlled | SchedulingSuspended | SchedulingUnseen | SchedulingStarted
-           | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | FleetAsked | SlotsKept
-           | Stopping)
+           | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | DirectoryMoved
+           | FleetAsked | SlotsKept | Stopping)
--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -175,6 +175,13 @@
     entries: list[WorkerEntry]
 
 
+@dataclass(slots=True)
+class ListMoved:
+    """Discovery is somewhere else from now on; all that it has counts as told after ``told_us``."""
+
+    told_us: int
+
+
 @dataclass(slots=True)
 class JobArrived:
     """A client's request; one final answer is owed within ``budget_us``."""
@@ -281,8 +288,8 @@
     body: bytes
 
 
-Event = (ListChanged | JobArrived | JobWithdrawn | JobStarted | JobProgress | JobPaused | StreamStarted
-         | AttemptEnded | ProbeEnded | TimerFired | PeerMessage | SlotsKept)
+Event = (ListChanged | ListMoved | JobArrived | JobWithdrawn | JobStarted | JobProgress | JobPaused
+         | StreamStarted | AttemptEnded | ProbeEnded | TimerFired | PeerMessage | SlotsKept)
 
 
 # Actions: what the balancer wants done. A job with no action is held.
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -145,7 +145,6 @@
     asking: dict[str, list[Job]] = field(default_factory=dict)  # by worker: the jobs whose probes are out
     watches: list[tuple[int, int, int]] = field(default_factory=list)  # heap: due, job, attempt
     timer_at: int = 0
-    refusals: int = 0  # calls of discovery that failed in a row
     trust: float = 1.0  # how often a worker that seemed to have room took the job
     offered: int = 0
     own_held: float = 0.0  # our outstanding slots, now
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from merlinbay.decision import api
+from merlinbay.decision.calls import Calls
 from merlinbay.decision.lambert import lambertw
 from merlinbay.decision.records import Attempt, Class, Job, Kind, Memory, Rate, Worker
 
@@ -47,8 +48,6 @@
 LET_PASS = {api.Outcome.ERROR: 1, api.Outcome.RESET: 2}  # failures in a row that tell nothing yet of a worker
 ERRING = 0.1  # errors reported, over the jobs that a full worker ends, from which one error leaves it out
 MOST_SUMMED = 10_000  # beyond so many waiting jobs the threshold's fraction decides nothing
-CALL_US = 150_000  # discovery's work on one call, as a guess: the balancers' calls are spread to it
-CALL_DOUBLINGS = 3  # and spread twice as far after each failure in a row, so often at the most
 KEYS_KEPT = 4096  # keys whose preferred workers are remembered, to save hashing the zone anew
 
 
@@ -94,9 +93,11 @@
             api.JobArrived: self._arrived, api.AttemptEnded: self._ended, api.JobStarted: self._noted,
             api.JobProgress: self._noted, api.StreamStarted: self._noted, api.JobWithdrawn: self._withdrawn,
             api.TimerFired: self._timer, api.ListChanged: self._list, api.ProbeEnded: self._probed,
-            api.JobPaused: self._paused, api.PeerMessage: lambda event: None, api.SlotsKept: self.keep}
+            api.JobPaused: self._paused, api.PeerMessage: lambda event: None, api.SlotsKept: self.keep,
+            api.ListMoved: self._moved}
+        self.calls = Calls(settings.me, settings.balancers, self.safety.must_ask_in_us, self.rng, now_us)
         if settings.must_subscribe:
-            self._subscribe(settings.balancers - 1)
+            self.out += self.calls.start(now_us)
 
     def handle(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
         """Take events of one instant; return what to do, in order. A clock that goes back stands still."""
@@ -337,7 +338,7 @@
 
     def _timer(self, event: api.TimerFired) -> None:
         if event.token == "subscribe":
-            self.out.append(api.Subscribe())
+            self.out += self.calls.due(self.now)
         for waiting, number in self.due():
             if number < 0 and waiting.awaited:  # a probe's answer is lost or late
                 waiting.awaited = 0
@@ -534,19 +535,17 @@
 
     # The list.
 
-    def _subscribe(self, calls: int) -> None:
-        """Subscribe at some moment of the time that discovery needs for so many calls."""
-        # Guards against a herd: discovery works through what has timed out too, and tells nobody anything.
-        wait = int(self.rng.random() * calls * CALL_US)
-        self.out.append(api.SetTimer(wait, "subscribe") if wait else api.Subscribe())
+    def _moved(self, event: api.ListMoved) -> None:
+        if self.settings.must_subscribe:
+            self.out += self.calls.moved(self.now, event.told_us)
 
     def _list(self, event: api.ListChanged) -> None:
         if event.scope == "refused":
-            self.refusals = min(self.refusals + 1, CALL_DOUBLINGS)
             if self.settings.must_subscribe:
-                self._subscribe(self.settings.balancers << self.refusals)
+                self.out += self.calls.broken(self.now)
             return
-        self.refusals = 0
+        if event.scope != "remembered":
+            self.calls.answered(self.now)
         for worker in self.relist(event):  # those that have just started, empty
             worker.observe(self.now, 0.0)
             # Guards against a joint push: the schedulers' first jobs come at spread moments.
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -35,6 +35,7 @@
     probe_exchange: float = 1.0
     watch_wait: float = 3.0  # how long discovery may hold a watch call
     watch_slack: float = 1.5  # and how long after that its answer is waited for
+    reload_told_us: int = 4_000_000  # after SIGHUP, what the new discovery has counts as told
     recheck_us: int = 5_000  # after its deadline, a flow that the module left unanswered fails
     answer_margin_us: int = 20_000  # a flow is given up so long before its client gives it up
     late_answer: float = 1.0  # a 202 is waited for so long after the flow's deadline
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -28,26 +28,32 @@
         self.addr = addr
         self.version: int | None = version  # the list's, as told last; None: the whole list is wanted
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
+        self.next_addr = addr  # where to watch from the next subscription on
         self.asked = trio.Event()
         self.watch = trio.CancelScope()
 
     def subscribe(self) -> None:
-        """Begin to watch, or go on after a failure."""
+        """Begin to watch, or go on after a failure or at another address."""
         self.asked.set()
-
-    def move(self, addr: str) -> None:
-        """Watch at another address from now on. What is known of the list stays until that one answers."""
-        if addr != self.addr:
-            # Guards against versions that differ between the two: the first call asks for the whole list.
-            self.addr, self.version = addr, None
-            self.asked.set()
+        if self.next_addr != self.addr:
             self.watch.cancel()
 
+    def move(self, addr: str) -> bool:
+        """Watch at another address from the next subscription on; until then the watch at the old one stays.
+
+        Returns whether there is anything to move. Guards against a herd: all nodes are sent there at once.
+        """
+        self.next_addr = addr
+        return addr != self.addr
+
     async def run(self) -> None:
         """Watch for ever."""
         while True:
             await self.asked.wait()
             self.asked = trio.Event()
+            if self.next_addr != self.addr:
+                # Guards against versions that differ between the two: the first call asks for the whole list.
+                self.addr, self.version = self.next_addr, None
             with trio.CancelScope() as self.watch:
                 try:
                     await self._watch()
@@ -60,7 +66,8 @@
         """Tell what the watch tells, call after call on one connection."""
         connection = await ClientConnection.dial(self.addr, self.limits, self.limits.listing_bytes)
         try:
-            wait_ms, first = int(self.limits.watch_wait * 1000), True
+            # The first call waits for nothing: the module learns from it what a call takes discovery.
+            wait_ms, first = 0, True
             while True:
                 query = "" if self.version is None else f"?after={self.version}&wait_ms={wait_ms}"
                 with trio.fail_after(self.limits.watch_wait + self.limits.watch_slack):
@@ -76,7 +83,7 @@
                 if listing.servers or listing.full or first:  # the first answer also tells that it works
                     await self.inbox.send(ports.EntriesChanged("all" if listing.full else "changes",
                                                                words.entries(listing)))
-                first = False
+                wait_ms, first = int(self.limits.watch_wait * 1000), False
                 if not connection.reusable:
                     connection.close()
                     connection = await ClientConnection.dial(self.addr, self.limits,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,59 +13,141 @@
 SECOND = 1_000_000
 
 
-def discovery_plays(count: int, call_us: int, until_us: int,
-                    closes_us: int = 0) -> tuple[dict[int, int], int]:
-    """Have a fleet start at once and subscribe at one discovery.
+class Discovery:
+    """A fleet that starts at once, and the one discovery that it subscribes at.
 
     It works on one call after the other, ``call_us`` each, also on those that have timed out meanwhile (after
-    2 s); once it may close on everybody. Returns when each was subscribed last, and the number of calls.
+    2 s). At a told moment something may happen to all nodes: it closes on everybody, or moves.
     """
-    fleet = [Balancer(settings(balancers=count, must_subscribe=True), seed, 0) for seed in range(count)]
-    due: list[tuple[int, int, str]] = []
-    free, calls, told = 0, 0, dict[int, int]()
 
-    def act(now: int, who: int, events: list[api.Event]) -> None:
-        nonlocal free, calls
-        for action in fleet[who].handle(now, events):
+    def __init__(self, count: int, call_us: int, at_us: int = 0, event: api.Event | None = None) -> None:
+        safety = api.Safety(must_ask_in_us=10 * SECOND)
+        self.fleet = [Balancer(settings(balancers=count, me=me, must_subscribe=True, safety=safety),
+                               me + 1, 0) for me in range(count)]
+        self.call_us, self.free, self.calls, self.failed, self.queue_us = call_us, 0, 0, 0, 0
+        self.due: list[tuple[int, int, str]] = []
+        self.told = dict[int, int]()  # when each was subscribed last,
+        self.asked = dict[int, list[int]]()  # and when it called
+        self.event = event
+        for who in range(count):
+            self._act(0, who, api.ListChanged("remembered", [entry(0)]))
+            if event is not None:
+                heapq.heappush(self.due, (at_us, who, "event"))
+
+    def play(self, until_us: int) -> None:
+        """Go on until then."""
+        while self.due and self.due[0][0] < until_us:
+            now, who, what = heapq.heappop(self.due)
+            if what == "told":
+                self.told[who] = now
+                self._act(now, who, api.ListChanged("changes", []))
+            elif what == "event":
+                assert self.event is not None
+                self._act(now, who, self.event)
+            else:
+                self._act(now, who, api.ListChanged("refused", []) if what == "refused"
+                          else api.TimerFired(what))
+
+    def _act(self, now: int, who: int, event: api.Event) -> None:
+        for action in self.fleet[who].handle(now, [event]):
             if isinstance(action, api.SetTimer):
-                heapq.heappush(due, (now + action.in_us, who, action.token))
+                heapq.heappush(self.due, (now + action.in_us, who, action.token))
             elif isinstance(action, api.Subscribe):
-                calls += 1
-                free = max(free, now) + call_us
-                if free - now < 2 * SECOND:
-                    heapq.heappush(due, (free, who, "told"))
-                else:
-                    heapq.heappush(due, (now + 2 * SECOND, who, "refused"))
-
-    for who in range(count):
-        act(0, who, [api.ListChanged("remembered", [entry(0)])])
-        if closes_us:
-            heapq.heappush(due, (closes_us, who, "refused"))
-    while due and due[0][0] < until_us:
-        now, who, what = heapq.heappop(due)
-        if what == "told":
-            told[who] = now
-            act(now, who, [api.ListChanged("changes", [])])
-        else:
-            act(now, who, [api.ListChanged("refused", []) if what == "refused" else api.TimerFired(what)])
-    return told, calls
-
-
-@pytest.mark.parametrize(("count", "call_us"), [(1, 200_000), (3, 200_000), (40, 125_000), (40, 160_000)])
+                self.calls += 1
+                self.asked.setdefault(who, []).append(now)
+                self.queue_us = max(self.queue_us, self.free - now)
+                self.free = max(self.free, now) + self.call_us
+                late = self.free - now >= 2 * SECOND
+                self.failed += late
+                heapq.heappush(self.due, (now + 2 * SECOND, who, "refused") if late
+                               else (self.free, who, "told"))
+
+
+@pytest.mark.parametrize(("count", "call_us"), [
+    (1, 200_000), (3, 200_000), (40, 125_000), (40, 160_000), (200, 25_000), (200, 30_000)])
 def test_a_fleet_that_starts_at_once_is_subscribed(count: int, call_us: int) -> None:
     """All of it within twice the time that its calls take, and hardly a call is made twice."""
-    told, calls = discovery_plays(count, call_us, 60 * SECOND)
-    assert len(told) == count
-    assert max(told.values()) <= max(2.2 * count * call_us, SECOND)
-    assert calls <= 1.5 * count
+    played = Discovery(count, call_us)
+    played.play(60 * SECOND)
+    assert len(played.told) == count
+    assert max(played.told.values()) <= max(2.2 * count * call_us, SECOND)
+    assert played.calls <= 1.1 * count
+
+
+@pytest.mark.parametrize("call_us", [2_000, 30_000, 400_000])
+def test_nobody_asks_later_than_the_rules_allow(call_us: int) -> None:
+    """Of two hundred, also where their calls do not fit into the time to ask, and most fail."""
+    played = Discovery(200, call_us)
+    played.play(100 * SECOND)
+    assert len(played.asked) == 200
+    for asked in played.asked.values():
+        assert asked[0] < 0.8 * 10 * SECOND
+        assert all(late - soon < 0.8 * 40 * SECOND for soon, late in zip(asked, asked[1:], strict=False))
+    assert (played.failed > 0) == (call_us == 400_000)
+
+
+@pytest.mark.parametrize(("call_us", "last"), [(2_000, 2 * SECOND), (20_000, 4 * SECOND)])
+def test_a_discovery_that_moves_is_asked_before_its_news_count_as_told(call_us: int, last: int) -> None:
+    """All two hundred are sent there in one instant; it is neither stormed nor asked too late."""
+    played = Discovery(200, call_us, 30 * SECOND, api.ListMoved(4 * SECOND))
+    played.play(29 * SECOND)
+    before = played.calls
+    played.play(100 * SECOND)
+    assert played.failed == 0 and played.calls - before == 200
+    assert all(30 * SECOND <= asked[-1] <= 30 * SECOND + 0.61 * 4 * SECOND for asked in played.asked.values())
+    assert max(played.told.values()) - 30 * SECOND <= 1.4 * last
+
+
+def test_what_a_call_takes_is_learned_from_the_first_answers() -> None:
+    """A discovery that is quick is asked again within a second by all; one that is slow is left its time."""
+    back = []
+    for call_us in (2_000, 125_000):
+        played = Discovery(40, call_us, 30 * SECOND, api.ListChanged("refused", []))
+        played.play(120 * SECOND)
+        back.append(max(played.told.values()) - 30 * SECOND)
+        assert played.failed == 0 and played.calls == 80
+    assert back[0] < SECOND < 40 * 125_000 < back[1]
+
+
+@pytest.mark.parametrize("part", [slice(0, 200), slice(40, 60), slice(0, 200, 7)])
+def test_turns_leave_no_clumps(part: slice) -> None:
+    """All, a tenth in a row or every seventh: hardly a call finds more than a few others before it."""
+    played = Discovery(200, 28_000)
+    if part != slice(0, 200):
+        played.due = [plan for plan in played.due if plan[1] in range(200)[part]]
+        heapq.heapify(played.due)
+    played.play(60 * SECOND)
+    assert 0 < len(played.asked) and played.queue_us <= 6 * 28_000
+
+
+def test_a_discovery_that_is_down_is_asked_less_and_less() -> None:
+    """Each failure in a row doubles the spread: forty nodes ask a third less later than in their first 20 s."""
+    played = Discovery(40, 10 * SECOND)
+    calls = []
+    for until in (20, 40, 60, 80):
+        played.play(until * SECOND)
+        calls.append(played.calls)
+    assert calls[0] > 60 and calls[3] - calls[1] < 0.7 * 2 * calls[0]
+
+
+def test_a_planned_call_is_not_put_off_by_a_watch_that_ends() -> None:
+    """The old discovery closes while the call to the new one is planned: whichever is sooner counts."""
+    made = Balancer(settings(balancers=200, me=100, must_subscribe=True,
+                             safety=api.Safety(must_ask_in_us=10 * SECOND)), 1, 0)
+    wait = [a.in_us for a in made.handle(0, [api.ListMoved(SECOND)]) if isinstance(a, api.SetTimer)]
+    assert len(wait) == 2 and wait[1] < 0.61 * SECOND < wait[0]  # the start's, and the move's
+    assert made.handle(SECOND // 10, [api.ListChanged("refused", [])]) == []
+    asked = [a for when in wait[::-1] for a in made.handle(when, [api.TimerFired("subscribe")])]
+    assert asked == [api.Subscribe()]
 
 
 def test_a_discovery_that_closes_on_everybody_is_not_stormed() -> None:
     """All lose their watch in one instant: all are back, with hardly a call twice, and place meanwhile."""
-    told, calls = discovery_plays(40, 125_000, 120 * SECOND, closes_us=30 * SECOND)
-    assert len(told) == 40
-    assert 30 * SECOND < min(told.values()) < max(told.values()) <= 30 * SECOND + 2.2 * 80 * 125_000
-    assert calls <= 1.5 * 80
+    played = Discovery(40, 125_000, 30 * SECOND, api.ListChanged("refused", []))
+    played.play(120 * SECOND)
+    assert len(played.told) == 40
+    assert 30 * SECOND < min(played.told.values()) < max(played.told.values()) <= 52 * SECOND
+    assert played.calls <= 1.1 * 80
     made = Balancer(settings(balancers=40, must_subscribe=True), 1, 0)
     made.handle(0, [api.ListChanged("all", [entry(0)])])
     made.handle(SECOND, [api.ListChanged("refused", [])])
