Untie the imports that went round or up, and give each feature its section and its wire function

Need: five circles (drmaa's calls, front, edges, listening, monitoring, reserving; config with operator_file; __main__ with cli; batch's jobs with arrays; the emulator's troubles with play) and three imports that ran back up (drmaa/wiring and operator_file to config, config to simhost). New subsystems would have been threaded through them. Change: node.py is what __main__ and cli both start; problems.py has BadConfig and address; site_settings.py reads the settings, so run no longer imports the simulator's wire; drmaa/asks, answers and hall stand below the parts of the front, which know the protocol Hall and not the front; DnsSd has its own settings and wiring, drmaa a wire function; both are told core.ports.NodeFacts in place of the whole Config. JobArray stands beside the Job that it is made of. tests/test_layers.py reads the imports, those for types included: layers, and nothing that goes round; with an upward import put in it fails.

--- a/merlinbay/batch/book.py
+++ b/merlinbay/batch/book.py
@@ -9,9 +9,8 @@
 
 import msgspec
 
-from merlinbay.batch.arrays import JobArray
 from merlinbay.batch.errors import DrmaaError, invalid_argument, invalid_state, try_later
-from merlinbay.batch.jobs import Backlog, Job, Session, Wait
+from merlinbay.batch.jobs import Backlog, Job, JobArray, Session, Wait
 from merlinbay.batch.pace import Pace
 from merlinbay.batch.quota import Allowance, Quota
 from merlinbay.batch.shares import Branch
--- a/merlinbay/batch/engine.py
+++ b/merlinbay/batch/engine.py
@@ -16,10 +16,9 @@
 from collections import Counter
 from collections.abc import Callable
 
-from merlinbay.batch.arrays import JobArray, indices
 from merlinbay.batch.book import NO_BACKLOG, ROOM, Bounds, Change, Control, Gathered, Recall, Withdraw
 from merlinbay.batch.errors import DrmaaError, invalid_argument, invalid_state, try_later, unsupported
-from merlinbay.batch.jobs import Job, Session, Stage, Submission
+from merlinbay.batch.jobs import Job, JobArray, Session, Stage, Submission, indices
 from merlinbay.batch.states import Event, State
 from merlinbay.batch.turns import Turns
 
--- a/merlinbay/batch/turns.py
+++ b/merlinbay/batch/turns.py
@@ -5,10 +5,9 @@
 from collections import Counter
 from collections.abc import Hashable
 
-from merlinbay.batch.arrays import JobArray
 from merlinbay.batch.book import Book, Change, Effect, Offer
 from merlinbay.batch.errors import DrmaaError, invalid_state
-from merlinbay.batch.jobs import Job, Session, Stage, Submission
+from merlinbay.batch.jobs import Job, JobArray, Session, Stage, Submission
 from merlinbay.batch.shares import Lane
 from merlinbay.batch.states import HELD, Event, State
 
--- a/merlinbay/cli/local.py
+++ b/merlinbay/cli/local.py
@@ -12,13 +12,14 @@
 
 import trio
 
-from merlinbay.__main__ import log_for, run
 from merlinbay.clock import Clock
-from merlinbay.config import BadConfig, Config, load
+from merlinbay.config import Config, load
 from merlinbay.counters import Counters
 from merlinbay.executor.server import Executor
 from merlinbay.executor.slots import Slots
 from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.node import log_for, run
+from merlinbay.problems import BadConfig
 
 SETTINGS: dict[str, Any] = {
     "balancers": 1, "me": 0, "az": "local", "kinds": ["executor"], "discovery": "subscribe",
--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -47,7 +47,7 @@
 @click.option("--operator", type=click.Path(dir_okay=False), help="The operator's file, as LB_OPERATOR.")
 def serve(config: str | None, operator: str | None) -> None:
     """Run one node until SIGTERM."""
-    from merlinbay.__main__ import serve as run_node
+    from merlinbay.node import serve as run_node
     for name, value in (("LB_CONFIG", config), ("LB_OPERATOR", operator)):
         if value is not None:
             os.environ[name] = value
@@ -63,8 +63,8 @@
 @click.argument("file", type=click.Path())
 def check(file: str) -> None:
     """Read an operator's FILE as a node would, and say what is wrong with it in one line."""
-    from merlinbay.config import BadConfig
     from merlinbay.operator_file import read
+    from merlinbay.problems import BadConfig
     try:
         operator = read(file)
     except BadConfig as error:
--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -10,19 +10,17 @@
 
 import msgspec
 
+from merlinbay.core.ports import NodeFacts
 from merlinbay.decision import api
 from merlinbay.limits import Limits, limits_from
 from merlinbay.platform import words
-from merlinbay.simhost import settings_from
+from merlinbay.problems import BadConfig, address
+from merlinbay.site_settings import settings_from
 
 if TYPE_CHECKING:
     from merlinbay.operator_file import Operator
 
 
-class BadConfig(Exception):
-    """The configuration cannot be used; the text is one plain line."""
-
-
 class Bounds(msgspec.Struct):
     """The ``limits`` of the file."""
 
@@ -56,6 +54,10 @@
     limits: Limits
     operator: Operator | None = None  # without one, everything beside the platform's protocol is off
 
+    def facts(self) -> NodeFacts:
+        """Return what the parts of an operator's file are told."""
+        return NodeFacts(self.name, self.listen, self.settings, self.limits)
+
 
 def operator_file(path: str) -> Operator | None:
     """Read the operator's file, if there is one."""
@@ -67,14 +69,6 @@
     return read(path)
 
 
-def address(text: str) -> tuple[str, int]:
-    """Read ``host:port``."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise BadConfig(f"not an address: {text!r}")
-    return host, int(port)
-
-
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """Read the configuration. Raises ``BadConfig``."""
     path = environ.get("LB_CONFIG", "")
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
+from merlinbay.decision import api
 from merlinbay.decision.api import Outcome
+from merlinbay.limits import Limits
 
 
 class Verdict(Enum):
@@ -61,6 +63,16 @@
     reserved: bool = False  # the slots kept there are for it
 
 
+@dataclass(frozen=True, slots=True)
+class NodeFacts:
+    """What a node is, to those parts that an operator's file turns on."""
+
+    name: str
+    listen: tuple[str, int]
+    settings: api.Settings
+    limits: Limits
+
+
 class ServiceEntry(msgspec.Struct, frozen=True):
     """One line of discovery's list."""
 
--- a/merlinbay/drmaa/calls.py
+++ b/merlinbay/drmaa/calls.py
@@ -3,84 +3,34 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from itertools import islice
-from typing import TYPE_CHECKING
 
 import msgspec
 
-from merlinbay.access.grants import Grant, Scope
-from merlinbay.batch.arrays import JobArray
+from merlinbay.access.grants import Scope
 from merlinbay.batch.engine import Engine
 from merlinbay.batch.errors import DrmaaError, invalid_argument, unsupported
-from merlinbay.batch.jobs import Job, Session, Submission
+from merlinbay.batch.jobs import Job, JobArray, Session, Submission
 from merlinbay.batch.states import State
-from merlinbay.batch.timers import NEVER
 from merlinbay.drmaa import info, templates, words
-from merlinbay.drmaa.edges import Call, ok
+from merlinbay.drmaa.answers import Call, ok
+from merlinbay.drmaa.asks import Ask
+from merlinbay.drmaa.hall import Hall
 from merlinbay.drmaa.listening import ListeningCalls
 from merlinbay.drmaa.monitoring import MonitorCalls
 from merlinbay.drmaa.settings import NAME, session_section
-from merlinbay.http.server import Connection, Request, Response
-
-if TYPE_CHECKING:
-    from merlinbay.drmaa.front import DrmaaFront
+from merlinbay.http.server import Response
 
 DEFAULT = "default"  # the session of the paths that name none
 ACTIONS = ("hold", "release", "suspend", "resume", "terminate", "reap")
-PAGE, PAGE_MOST = 100, 1000
 PLAIN = ("jobs", "arrays", "waitAnyStarted", "waitAnyTerminated", "events",
          "listeners")  # in the session that need not be named
 
 
-@dataclass(slots=True)
-class Ask:
-    """One call: who makes it, on what connection, when."""
-
-    connection: Connection
-    request: Request
-    grant: Grant
-    query: dict[str, list[str]]
-    now: int
-
-    def page(self) -> tuple[int, int]:
-        """Return ``after`` and ``limit``. Raises ``DrmaaError``."""
-        try:
-            return int(self.query.get("after", ["0"])[0]), self.page_limit()
-        except ValueError:
-            raise invalid_argument("after is a number") from None
-
-    def page_limit(self) -> int:
-        """Return ``limit``. Raises ``DrmaaError``."""
-        text = self.query.get("limit", [str(PAGE)])[0]
-        if not (text.isdigit() and 1 <= int(text[:9]) <= PAGE_MOST):
-            raise invalid_argument(f"limit: 1 to {PAGE_MOST}")
-        return int(text)
-
-    def timeout(self) -> float | None:
-        """Return a wait's timeout in seconds; None: for as long as it takes. Raises ``DrmaaError``."""
-        text = self.query.get("timeout", [""])[0]
-        if not text:
-            return None
-        try:
-            timeout = float(text)
-        except ValueError:
-            timeout = -1.0
-        if not timeout >= 0:
-            raise invalid_argument("timeout")
-        return timeout
-
-    def until_us(self, timeout: float | None) -> int:
-        """Return when a wait of so many seconds ends, with the token at the latest; 0: never."""
-        until = NEVER if timeout is None or timeout > 1e9 else max(self.now + int(timeout * 1e6), 1)
-        until = min(until, self.grant.until_us)
-        return until if until < NEVER else 0
-
-
 class Calls:
     """The calls of the binding."""
 
-    def __init__(self, front: DrmaaFront) -> None:
+    def __init__(self, front: Hall) -> None:
         self.front, self.engine, self.settings = front, front.engine, front.settings
         self.counters, self.rules, self.machine = front.counters, front.rules, front.machine
         self.listening = ListeningCalls(front)
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -12,11 +12,10 @@
 import trio
 
 from merlinbay.access.grants import Gate, OpenGate
-from merlinbay.batch.arrays import JobArray
 from merlinbay.batch.book import Change, Control, Offer, Recall, Reply, Withdraw
 from merlinbay.batch.engine import Engine
 from merlinbay.batch.errors import DrmaaError
-from merlinbay.batch.jobs import Job
+from merlinbay.batch.jobs import Job, JobArray
 from merlinbay.batch.states import State
 from merlinbay.batch.timers import NEVER
 from merlinbay.clock import Clock
@@ -24,8 +23,10 @@
 from merlinbay.counters import Counters
 from merlinbay.decision import api
 from merlinbay.drmaa import listening, templates
-from merlinbay.drmaa.calls import DEFAULT, Ask, Calls
-from merlinbay.drmaa.edges import Call, JobEdge, failure
+from merlinbay.drmaa.answers import Call, failure
+from merlinbay.drmaa.asks import Ask
+from merlinbay.drmaa.calls import DEFAULT, Calls
+from merlinbay.drmaa.edges import JobEdge
 from merlinbay.drmaa.reserving import Reserving
 from merlinbay.drmaa.settings import Drmaa
 from merlinbay.http.server import Connection, Request, Response
@@ -101,6 +102,10 @@
         self.hub.tell(array.session.name, News.NEW_STATE, array.id, State.FAILED.value, array.what.account,
                       self.clock.now_us(), members=number)
 
+    def forget_edge(self, job: Job) -> None:
+        """Take it that a job's flow is over."""
+        self.edges.pop(job, None)
+
     def _reservation(self, found: Reservation, what: str) -> None:
         """Tell at once what became of a reservation: an event of the default session."""
         self.log.event("reservation", id=found.id, what=what, slots=found.total, lost=found.lost,
--- /dev/null
+++ b/merlinbay/drmaa/hall.py
@@ -0,0 +1,44 @@
+"""What the front shares with the parts that it is made of: they know this, and not the front."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from merlinbay.batch.engine import Engine
+from merlinbay.batch.jobs import Job
+from merlinbay.clock import Clock
+from merlinbay.core import ports
+from merlinbay.counters import Counters
+from merlinbay.drmaa.reserving import Reserving
+from merlinbay.drmaa.settings import Drmaa
+from merlinbay.drmaa.templates import Rules
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+from merlinbay.notify.hub import Hub
+
+
+class Hall(Protocol):
+    """The front, to its parts."""
+
+    clock: Clock
+    limits: Limits
+    counters: Counters
+    log: Log
+    settings: Drmaa
+    machine: str
+    rules: Rules
+    engine: Engine
+    hub: Hub | None
+    reserving: Reserving | None
+
+    def post(self, message: ports.Message) -> None:
+        """Send the owner a message, after those that wait already."""
+
+    def flush(self, now_us: int) -> None:
+        """Carry out what the engine wants done."""
+
+    def back(self, job: Job) -> None:
+        """Take it that a job is not with the core any more."""
+
+    def forget_edge(self, job: Job) -> None:
+        """Take it that a job's flow is over."""
--- a/merlinbay/drmaa/info.py
+++ b/merlinbay/drmaa/info.py
@@ -5,8 +5,7 @@
 import msgspec
 
 from merlinbay import __version__
-from merlinbay.batch.arrays import JobArray
-from merlinbay.batch.jobs import Job, Session
+from merlinbay.batch.jobs import Job, JobArray, Session
 from merlinbay.drmaa.words import JobInfo, when
 
 VERSION = dict(zip(("major", "minor"), __version__.split("."), strict=False))
--- a/merlinbay/drmaa/listening.py
+++ b/merlinbay/drmaa/listening.py
@@ -3,24 +3,21 @@
 from __future__ import annotations
 
 import secrets
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from merlinbay.batch.errors import invalid_argument, unsupported
 from merlinbay.batch.jobs import Session
 from merlinbay.drmaa import words
-from merlinbay.drmaa.edges import Call, ok
+from merlinbay.drmaa.answers import Call, ok
+from merlinbay.drmaa.asks import Ask
+from merlinbay.drmaa.hall import Hall
 from merlinbay.http.server import Response
 from merlinbay.notify import signing
 from merlinbay.notify.hub import Hub, wanted_of
 from merlinbay.notify.journal import Entry, Page, Stream
 from merlinbay.notify.listeners import Batch, Listener
 
-if TYPE_CHECKING:
-    from merlinbay.drmaa.calls import Ask
-    from merlinbay.drmaa.front import DrmaaFront
-
 KEY = 32
 WAIT_MOST = 60.0  # seconds that a poll without a timeout may wait
 
@@ -40,7 +37,7 @@
 class ListeningCalls:
     """The calls below ``S/events`` and ``S/listeners``."""
 
-    def __init__(self, front: DrmaaFront) -> None:
+    def __init__(self, front: Hall) -> None:
         self.front = front
 
     def take(self, ask: Ask, session: Session, parts: list[str]) -> Response | Call:
@@ -73,7 +70,7 @@
     def _poll(self, ask: Ask, hub: Hub, session: Session) -> Call:
         limit, timeout = ask.page_limit(), ask.timeout()
         wanted = wanted_of(ask.query.get("event", []), ask.grant.account, ask.query.get("job", [""])[0])
-        call = self.front.calls.later(ask)
+        call = ask.later(self.front.clock)
         hub.poll(call, session.name, ask.query.get("after", [""])[0], limit, wanted,
                  ask.until_us(min(WAIT_MOST if timeout is None else timeout, 3600.0)), ask.now)
         return call
--- a/merlinbay/drmaa/monitoring.py
+++ b/merlinbay/drmaa/monitoring.py
@@ -2,26 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from merlinbay.batch.errors import invalid_argument, unsupported
 from merlinbay.batch.jobs import Job
 from merlinbay.core import ports
 from merlinbay.drmaa import info
-from merlinbay.drmaa.edges import Call, ok
+from merlinbay.drmaa.answers import Call, ok
+from merlinbay.drmaa.asks import Ask
+from merlinbay.drmaa.hall import Hall
 from merlinbay.drmaa.reserving import info as reservation_info
 from merlinbay.drmaa.words import when
 from merlinbay.http.server import Response
 
-if TYPE_CHECKING:
-    from merlinbay.drmaa.calls import Ask
-    from merlinbay.drmaa.front import DrmaaFront
-
 
 class MonitorCalls:
     """The calls below ``/drmaa2/monitor``."""
 
-    def __init__(self, front: DrmaaFront) -> None:
+    def __init__(self, front: Hall) -> None:
         self.front = front
 
     def take(self, ask: Ask, parts: list[str]) -> Response | Call:
@@ -82,7 +78,7 @@
     def _machines(self, ask: Ask) -> Call:
         names = set(ask.query.get("name", []))
         after, limit = ask.query.get("after", [""])[0], ask.page_limit()
-        call = self.front.calls.later(ask)
+        call = ask.later(self.front.clock)
 
         def told(machines: list[ports.MachineView]) -> None:
             found = sorted((row for row in machines if row.name > after and (not names or row.name in names)),
--- a/merlinbay/drmaa/reserving.py
+++ b/merlinbay/drmaa/reserving.py
@@ -5,7 +5,7 @@
 import secrets
 from collections.abc import Callable
 from datetime import datetime
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -14,7 +14,8 @@
 from merlinbay.batch.jobs import Job, Stage
 from merlinbay.batch.timers import Timers
 from merlinbay.core import ports
-from merlinbay.drmaa.edges import ok
+from merlinbay.drmaa.answers import ok
+from merlinbay.drmaa.asks import Ask
 from merlinbay.drmaa.settings import NAME
 from merlinbay.drmaa.templates import moment
 from merlinbay.drmaa.words import when
@@ -22,9 +23,6 @@
 from merlinbay.reserve.book import Phase, Reservation, SlotBook, Wish
 from merlinbay.reserve.settings import Reservations
 
-if TYPE_CHECKING:
-    from merlinbay.drmaa.calls import Ask
-
 T = TypeVar("T")
 DEFAULT, SESSIONS = "default", 256
 
--- a/merlinbay/drmaa/wiring.py
+++ b/merlinbay/drmaa/wiring.py
@@ -8,7 +8,6 @@
 import trio
 
 from merlinbay.clock import Clock
-from merlinbay.config import BadConfig, Config, address
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.drmaa.front import DrmaaFront
@@ -19,6 +18,7 @@
 from merlinbay.http.server import Handler, Listener
 from merlinbay.limits import Limits
 from merlinbay.log import Log
+from merlinbay.problems import BadConfig, address
 
 if TYPE_CHECKING:
     from merlinbay.access.tls import Handshakes
@@ -30,12 +30,12 @@
 class DrmaaParts:
     """The front, the schedulers' notifications and the schedulers' side, as far as they are on."""
 
-    def __init__(self, settings: Drmaa, config: Config, inbox: trio.MemorySendChannel[ports.Message],
+    def __init__(self, settings: Drmaa, facts: ports.NodeFacts, inbox: trio.MemorySendChannel[ports.Message],
                  clock: Clock, counters: Counters, log: Log) -> None:
-        self.settings, self.config, self.inbox = settings, config, inbox
+        self.settings, self.facts, self.inbox = settings, facts, inbox
         self.clock, self.counters, self.log = clock, counters, log
         self.listeners: list[Listener] = []
-        self.at = f"{config.listen[0]}:{config.listen[1]}"
+        self.at = f"{facts.listen[0]}:{facts.listen[1]}"
         self.tokens: TokenGate | None = None
         self.handshakes: Handshakes | None = None
         access = settings.access
@@ -46,9 +46,9 @@
             log.event("front_open", level="warning", says="everybody may do everything on the front")
         if settings.front and access.tls:
             self.handshakes = self._certificates()
-        own = (config.listen, address(access.tls)) if access.tls else (config.listen,)
-        self.front = DrmaaFront(inbox, clock, config.limits, counters, log, config.settings.classes, settings,
-                                config.name, self.tokens, own) if settings.front else None
+        own = (facts.listen, address(access.tls)) if access.tls else (facts.listen,)
+        self.front = DrmaaFront(inbox, clock, facts.limits, counters, log, facts.settings.classes, settings,
+                                facts.name, self.tokens, own) if settings.front else None
         self.notifications = NotificationHandler(inbox, counters) if settings.servers else None
 
     def routes(self, platform: Handler) -> Handler:
@@ -115,7 +115,13 @@
         if self.notifications is None:
             return None
         servers = self.notifications.servers = DrmaaServers(
-            nursery, pool, self.inbox, self.clock, self.config.limits, self.counters, self.log,
+            nursery, pool, self.inbox, self.clock, self.facts.limits, self.counters, self.log,
             f"http://{self.at}{NOTIFICATIONS}", self.settings.asking())
         nursery.start_soon(servers.run)
         return servers
+
+
+def wire(settings: Drmaa, facts: ports.NodeFacts, inbox: trio.MemorySendChannel[ports.Message], clock: Clock,
+         counters: Counters, log: Log) -> DrmaaParts:
+    """Make the parts that the section turns on. Raises ``BadConfig``."""
+    return DrmaaParts(settings, facts, inbox, clock, counters, log)
--- a/merlinbay/emulator/troubles.py
+++ b/merlinbay/emulator/troubles.py
@@ -7,20 +7,46 @@
 from dataclasses import dataclass
 from functools import partial
 from random import Random
-from typing import TYPE_CHECKING, TypeVar
+from typing import Protocol, TypeVar
 
+from merlinbay.emulator.callers import Callers
+from merlinbay.emulator.directory import Directory
 from merlinbay.emulator.host import Node
-from merlinbay.emulator.loop import Order
+from merlinbay.emulator.loop import Loop, Order
+from merlinbay.emulator.network import Network
 from merlinbay.emulator.servers import Server
 from merlinbay.emulator.spec import Trouble, drawn
 
-if TYPE_CHECKING:
-    from merlinbay.emulator.play import Day
-
 T = TypeVar("T")
 DRAIN_S = 1.5  # of a deploy: a drain, and then the process goes
 
 
+class Stage(Protocol):
+    """What troubles may touch of a day."""
+
+    loop: Loop
+    net: Network
+    directory: Directory
+    servers: dict[str, Server]
+    nodes: list[Node]
+    callers: Callers
+
+    def crash(self, server: Server) -> None:
+        """Have a server die."""
+
+    def bring_back(self, server: Server) -> None:
+        """Have it start again, cold."""
+
+    def replace(self, server: Server, drain_us: int) -> None:
+        """Have it drain, and another come in its place."""
+
+    def node_dies(self, number: int) -> None:
+        """Have a node die."""
+
+    def node_starts(self, number: int) -> None:
+        """Have it start again."""
+
+
 @dataclass(frozen=True)
 class Mark:
     """One thing that goes wrong, for reports."""
@@ -31,7 +57,7 @@
     about: str
 
 
-def set_up(day: Day, trouble: Trouble, rng: Random) -> Mark:
+def set_up(day: Stage, trouble: Trouble, rng: Random) -> Mark:
     """Have a trouble come over a day; return what and when."""
     loop = day.loop
     start, lasts = int(drawn(rng, trouble.at) * 1e6), int(drawn(rng, trouble.lasts) * 1e6)
--- a/merlinbay/executor/server.py
+++ b/merlinbay/executor/server.py
@@ -13,7 +13,7 @@
 from merlinbay.core.ports import ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.drmaa import words
-from merlinbay.drmaa.edges import JSON, failure, ok
+from merlinbay.drmaa.answers import JSON, failure, ok
 from merlinbay.executor.child import Child, NotStarted
 from merlinbay.executor.slots import Job, Slots
 from merlinbay.http.client import Broken, NotSent
--- /dev/null
+++ b/merlinbay/node.py
@@ -0,0 +1,176 @@
+"""One node: reads its configuration, wires the parts and runs until SIGTERM."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import trio
+
+from merlinbay.clock import Clock
+from merlinbay.config import Config, load, reload
+from merlinbay.core.owner import Owner
+from merlinbay.core.ports import DirectoryMoved, EntriesChanged, Message, ServerSide, Stopping
+from merlinbay.counters import Counters
+from merlinbay.decision import Balancer
+from merlinbay.http.pool import ConnectionPool
+from merlinbay.http.server import Handler, Listener
+from merlinbay.log import Log
+from merlinbay.platform import words
+from merlinbay.platform.discovery import Discovery
+from merlinbay.platform.edge import PlatformEdge
+from merlinbay.platform.servers import PlatformServers
+from merlinbay.problems import BadConfig, address
+
+if TYPE_CHECKING:
+    from merlinbay.dnssd.directory import DnsSdDirectory
+    from merlinbay.drmaa.wiring import DrmaaParts
+
+
+async def run(config: Config, counters: Counters) -> None:
+    """Run one node until it is told to stop and its last flow is answered."""
+    limits, clock, operator = config.limits, Clock(), config.operator
+    log = log_for(config)
+    send: trio.MemorySendChannel[Message]
+    send, receive = trio.open_memory_channel[Message](limits.inbox)
+    edge = PlatformEdge(send, clock, limits, counters, {spec.name for spec in config.settings.classes})
+    handler: Handler = edge
+    parts: DrmaaParts | None = None
+    if operator is not None:
+        # Guards against a slow start: without an operator's file, nothing of this is waited for.
+        from merlinbay.drmaa.wiring import wire as wire_drmaa
+        parts = wire_drmaa(operator.drmaa, config.facts(), send, clock, counters, log)
+        handler = parts.routes(handler)
+    listener = Listener(handler, limits, counters, log)
+    if config.settings.balancers == 1:  # else clients find another node by a new connection
+        edge.scarce = listener.scarce
+    try:
+        sock = await listener.bind(*config.listen)
+    except OSError as error:
+        raise BadConfig(f"cannot listen at {config.listen[0]}:{config.listen[1]}: {error.strerror}") from None
+    discovery: Discovery | DnsSdDirectory
+    if operator is None or operator.dnssd is None:
+        discovery = Discovery(config.discovery, config.known.version, send, limits, counters, log)
+    else:
+        from merlinbay.dnssd.wiring import wire as wire_dnssd
+        discovery = wire_dnssd(operator.dnssd, send, limits, counters, log)
+    async with trio.open_nursery() as nursery:
+        pool = ConnectionPool(limits, counters)
+        servers: ServerSide | None = parts.start(nursery, pool) if parts is not None else None
+        if servers is None:
+            servers = PlatformServers(nursery, pool, send, clock, limits, counters, log,
+                                      bool(config.settings.report_fields))
+        balancer = Balancer(config.settings, config.seed, clock.now_us())
+        owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
+        if parts is not None and parts.front is not None and parts.front.reserving is not None:
+            owner.watchers.append(parts.front.reserving)
+        owner.turn([EntriesChanged("remembered", words.entries(config.known))])
+        nursery.start_soon(pool.sweep)
+        nursery.start_soon(discovery.run)
+        nursery.start_soon(listener.serve, sock)
+        if parts is not None:
+            await parts.listen(nursery, limits)
+        nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, parts)
+        log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
+        await owner.run(receive)
+        nursery.cancel_scope.cancel()
+
+
+def log_for(config: Config) -> Log:
+    """Return the log that the operator's file asks for."""
+    section = config.operator.log if config.operator is not None else None
+    if section is None or section.format == "plain":
+        return Log(config.limits.log_lines)
+    from merlinbay.events import EventLog
+    return EventLog(section.lines, section.format, section.level, config.name)
+
+
+async def signals(config: Config, listener: Listener, discovery: Discovery | DnsSdDirectory,
+                  inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery, counters: Counters,
+                  log: Log, parts: DrmaaParts | None) -> None:
+    """SIGHUP reads the configuration again, SIGUSR1 prints the counters, SIGTERM and SIGINT end the node."""
+    with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
+        stopping = False
+        async for number in received:
+            if number == signal.SIGUSR1:
+                counters.print()
+            elif number == signal.SIGHUP:
+                if follow(config, discovery, counters, log, parts):
+                    await inbox.send(DirectoryMoved(config.limits.reload_told_us))
+            elif not stopping:
+                stopping = True
+                nursery.start_soon(stop, config, listener, inbox, nursery, parts)
+
+
+def follow(config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log,
+           parts: DrmaaParts | None) -> bool:
+    """Move the watch to where the configuration now says; one that cannot be used changes nothing.
+
+    Returns whether the module is to say when the watch goes there.
+    """
+    try:
+        new = reload(config)
+        if parts is not None:
+            parts.reload()
+    except BadConfig as error:
+        counters.add("reloads_bad")
+        log.event("reload_failed", level="warning", error=str(error), kept="the old configuration")
+        return False
+    moved = False
+    if isinstance(discovery, Discovery):
+        moved = discovery.move(new.discovery)
+    elif new.operator is not None and new.operator.dnssd is not None:
+        discovery.move(address(new.operator.dnssd.nameserver), new.operator.dnssd.service)
+    counters.add("reloads")
+    log.event("reloaded", discovery=new.discovery)
+    return moved
+
+
+async def stop(config: Config, listener: Listener, inbox: trio.MemorySendChannel[Message],
+               nursery: trio.Nursery, parts: DrmaaParts | None) -> None:
+    """Serve on for a moment, then end in good order."""
+    limits = config.limits
+    began = trio.current_time()
+    nursery.cancel_scope.deadline = began + limits.stop_most
+    await trio.sleep(limits.stop_arrivals)
+    listener.leaving = True
+    if config.settings.balancers > 1:
+        # Guards against refusing clients that another node could serve: their connections end unrefused,
+        # and they open new ones, which lead there.
+        await trio.sleep_until(began + limits.stop_serving - limits.stop_retiring)
+        listener.close_idle()
+    await trio.sleep_until(began + limits.stop_serving)
+    if parts is not None:  # before connections close: calls that wait are answered on theirs
+        parts.stop()
+        parts.close_idle()
+    listener.close_idle()
+    await inbox.send(Stopping())
+
+
+def serve() -> int:
+    """Start; a bad configuration ends with one plain line."""
+    try:
+        config = load()
+    except BadConfig as error:
+        print(f"merlinbay: {error}", file=sys.stderr)
+        return 2
+    counters = Counters()
+    # Guards against a signal just before trio takes them, and during the last steps, when it has put these
+    # handlers back: SIGHUP never ends the node, and what ends in good order ends with 0.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    # Guards against pauses: a full collection would walk all that the imports have made, again and again.
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    try:
+        trio.run(run, config, counters)
+    except BadConfig as error:
+        print(f"merlinbay: {error}", file=sys.stderr)
+        return 2
+    except BaseException:
+        counters.print()
+        raise
+    counters.print()
+    return 0
--- a/merlinbay/operator_file.py
+++ b/merlinbay/operator_file.py
@@ -8,16 +8,10 @@
 
 import msgspec
 
-from merlinbay.config import BadConfig, address
+from merlinbay.dnssd.settings import DnsSd
 from merlinbay.drmaa.settings import Drmaa
 from merlinbay.notify.targets import Allowed
-
-
-class DnsSd(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """Where service entries come from in place of the platform's discovery."""
-
-    nameserver: str
-    service: str
+from merlinbay.problems import BadConfig, address
 
 
 class LogSection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
--- a/merlinbay/simhost.py
+++ b/merlinbay/simhost.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import sys
 import traceback
 from collections.abc import Callable, Iterator
@@ -16,6 +15,7 @@
 
 from merlinbay.decision import api
 from merlinbay.decision.rules import Balancer
+from merlinbay.site_settings import int_of, num_of, settings_from, str_of
 
 
 class Wire(msgspec.Struct, gc=False):
@@ -54,130 +54,23 @@
     """The input is not a sequence of closed batches."""
 
 
-def _int(value: object, default: int = 0) -> int:
-    return int(value) if isinstance(value, (int, float)) and math.isfinite(value) else default
-
-
-def _num(value: object, default: float = 0.0) -> float:
-    return float(value) if isinstance(value, (int, float)) and math.isfinite(value) else default
-
-
-def _str(value: object) -> str:
-    return value if isinstance(value, str) else ""
-
-
-_REQUIRED: Any = object()
-
-
-def _get(table: object, path: str, kind: type | tuple[type, ...], default: Any = _REQUIRED) -> Any:
-    """Read one setting, raising ``ValueError`` with its path where it is missing or of a wrong type."""
-    name = path.rsplit(".", 1)[-1]
-    value = table.get(name) if isinstance(table, dict) else None
-    if value is None and default is not _REQUIRED:
-        return default
-    wrong_bool = isinstance(value, bool) and kind is not bool
-    if not isinstance(value, kind) or wrong_bool:
-        raise ValueError(f"{path}: {'missing' if value is None else 'malformed'}")
-    return value
-
-
-NUMBER = (int, float)
-
-
-def settings_from(conf: object) -> api.Settings:
-    """Translate the ``conf`` of a ``Create``."""
-    extra = _get(conf, "extra", dict, {})
-    limits = _get(conf, "limits", dict)
-    safety = _get(conf, "safety", dict)
-    report = _get(conf, "report", dict, {})
-    prices = _get(conf, "prices", dict, {})
-    rows = _get(conf, "classes", list)
-
-    def per_class(name: str, at: int, default: float) -> float:
-        values = _get(extra, f"extra.{name}", list, [])
-        return _num(values[at], default) if at < len(values) else default
-
-    classes = []
-    for i, row in enumerate(rows):
-        at = f"classes[{i}]"
-        classes.append(api.JobClass(
-            name=_get(row, f"{at}.name", str),
-            aim_us=int(_get(row, f"{at}.aimUs", NUMBER)),
-            deadline_us=int(_get(row, f"{at}.deadlineUs", NUMBER)),
-            worth=float(_get(row, f"{at}.worth", NUMBER)),
-            effect=_get(row, f"{at}.effect", str),
-            group=_get(row, f"{at}.group", str, "all"),
-            window_us=int(_get(row, f"{at}.windowUs", NUMBER, 0)),
-            late_worth=float(_get(row, f"{at}.lateWorth", NUMBER, 0.0)),
-            stretch=per_class("classStretch", i, _num(_get(row, f"{at}.aimStretch", NUMBER, 0.0))),
-            kind=int(per_class("classKind", i, -1)),
-            priority=int(per_class("classPriority", i, 0)),
-            stream=_get(row, f"{at}.stream", bool, False)))
-    fields = [_str(name) for name in _get(report, "report.fields", list, [])]
-
-    def meaning(text: str) -> str:
-        return next((x for x in ("x0", "x1") if x in fields
-                     and extra.get(f"reportX{x[1]}") == text), "")
-
-    return api.Settings(
-        classes=classes,
-        balancers=max(_get(conf, "balancers", int), 1),  # Guards against a count of 0, by which shares divide
-        me=_get(conf, "me", int),
-        zone=_get(conf, "az", str, ""),
-        limits=api.Limits(
-            cancelling=_get(limits, "limits.cancelling", bool, False),
-            probes=_get(limits, "limits.probes", bool, False),
-            peers=_get(limits, "limits.peers", bool, False),
-            retry_after=_get(limits, "limits.retryAfter", bool, False),
-            second_copies=_get(limits, "limits.secondCopies", bool, False),
-            send_cap=_get(limits, "limits.sendCap", int),
-            max_retry_after_us=int(_get(limits, "limits.maxRetryAfterUs", NUMBER, 0))),
-        safety=api.Safety(
-            drain_grace_us=int(_get(safety, "safety.drainGraceUs", NUMBER)),
-            cold_from=float(_get(safety, "safety.coldFrom", NUMBER)),
-            cold_us=int(_get(safety, "safety.coldUs", NUMBER)),
-            tip_multiple=float(_get(safety, "safety.tipMultiple", NUMBER)),
-            overload_for_us=int(_get(safety, "safety.overloadForUs", NUMBER)),
-            answer_slack_us=int(_get(safety, "safety.answerSlackUs", NUMBER, 0)),
-            must_ask_in_us=int(_get(safety, "safety.mustAskInUs", NUMBER, 0))),
-        kinds=[_str(name) for name in _get(conf, "kinds", list, [])],
-        tenants=[api.Tenant(_get(row, "tenants[].name", str),
-                            float(_get(row, "tenants[].quotaPerS", NUMBER)),
-                            float(_get(row, "tenants[].share", NUMBER, 1.0)))
-                 for row in _get(conf, "tenants", list, [])],
-        over_share_worth=float(_get(conf, "overShareWorth", NUMBER, 1.0)),
-        report_fields=fields if report.get("how") != "off" else [],
-        errors_field="err_rps" if "err_rps" in fields else "",
-        held_field="active" if "active" in fields else "",
-        free_slots_field=meaning("free slots"),
-        free_memory_field=meaning("free memory"),
-        tells_start=_get(extra, "extra.tellsStart", bool, False),
-        progress_us=int(_get(extra, "extra.progressUs", NUMBER, 0)),
-        queue_order=_get(extra, "extra.queueOrder", str, "fifo"),
-        must_subscribe=_get(conf, "discovery", str, "automatic") == "subscribe",
-        asks_first=_get(report, "report.how", str, "") == "on_probe",
-        probe_price=float(_get(prices, "prices.probe", NUMBER, 0.0)),
-        worth_by_work=_get(conf, "worthBy", str, "") == "work",
-        cross_zone_price=float(_get(prices, "prices.crossZone", NUMBER, 0.0)))
-
-
 def _list_changed(line: Wire) -> api.ListChanged:
     entries = []
     for row in line.rows if isinstance(line.rows, list) else []:
         if isinstance(row, dict) and isinstance(row.get("worker"), str):
             entries.append(api.WorkerEntry(
-                worker=row["worker"], zone=_str(row.get("locality")), kind=_str(row.get("hw")),
-                cell=_int(row.get("pack")), state=_str(row.get("state")) or "up",
-                share=_num(row.get("share"), 1.0), ready_at_us=_int(row.get("readyAtUs"))))
-    return api.ListChanged(_str(line.scope), entries)
+                worker=row["worker"], zone=str_of(row.get("locality")), kind=str_of(row.get("hw")),
+                cell=int_of(row.get("pack")), state=str_of(row.get("state")) or "up",
+                share=num_of(row.get("share"), 1.0), ready_at_us=int_of(row.get("readyAtUs"))))
+    return api.ListChanged(str_of(line.scope), entries)
 
 
 def _job_arrived(line: Wire) -> api.JobArrived:
     attrs = line.attrs or 0
     return api.JobArrived(
-        line.msgId, line.tierClass, _int(line.timeBudgetUs), _num(line.needs, 1.0), _num(line.ramUnits),
+        line.msgId, line.tierClass, int_of(line.timeBudgetUs), num_of(line.needs, 1.0), num_of(line.ramUnits),
         line.key or "", line.team if isinstance(line.team, str) else "", bool(attrs & 2),
-        _int(line.costUs) if attrs & 1 else 0)
+        int_of(line.costUs) if attrs & 1 else 0)
 
 
 def _ended(line: Wire) -> api.AttemptEnded:
@@ -188,7 +81,7 @@
 def _update(line: Wire) -> api.Event | None:
     if line.kind == 1:
         return api.JobStarted(line.msgId, line.attempt)
-    return api.JobProgress(line.msgId, line.attempt, _num(line.value)) if line.kind == 2 else None
+    return api.JobProgress(line.msgId, line.attempt, num_of(line.value)) if line.kind == 2 else None
 
 
 DECODERS: dict[str, Callable[[Wire], api.Event | None]] = {
@@ -199,10 +92,10 @@
     "Withdrawn": lambda line: api.JobWithdrawn(line.msgId),
     "Flowing": lambda line: api.StreamStarted(line.msgId, line.attempt),
     "PingResult": lambda line: api.ProbeEnded(
-        _str(line.worker), _int(line.status), _int(line.costTimeUs),
+        str_of(line.worker), int_of(line.status), int_of(line.costTimeUs),
         line.gauge if isinstance(line.gauge, list) else None),
-    "Reminder": lambda line: api.TimerFired(_str(line.ref)),
-    "Mail": lambda line: api.PeerMessage(_int(line.sender), bytes.fromhex(_str(line.body))),
+    "Reminder": lambda line: api.TimerFired(str_of(line.ref)),
+    "Mail": lambda line: api.PeerMessage(int_of(line.sender), bytes.fromhex(str_of(line.body))),
 }
 
 _dump = msgspec.json.encode
@@ -255,7 +148,7 @@
                 self.balancers.pop(instance, None)
             elif line.what == "Create":
                 try:
-                    self.balancers[instance] = Balancer(settings_from(line.conf), _int(line.salt), now_us)
+                    self.balancers[instance] = Balancer(settings_from(line.conf), int_of(line.salt), now_us)
                 except Exception as error:
                     self._fault(instance, error, out)
             elif line.what in DECODERS and self.balancers.get(instance) is not None:
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -26,9 +26,9 @@
 from merlinbay.access.tokens import BadKeys, Key, Ring, TokenGate
 from merlinbay.batch.errors import DrmaaError
 from merlinbay.cli.main import main
-from merlinbay.config import BadConfig
 from merlinbay.http.client import Reply
 from merlinbay.operator_file import read
+from merlinbay.problems import BadConfig
 from tests.net import Stage, free_port, play, stage
 from tests.test_front import Scheduler
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -12,7 +12,8 @@
 import pytest
 
 from merlinbay.decision.rules import Balancer
-from merlinbay.simhost import Host, Wire, settings_from
+from merlinbay.simhost import Host, Wire
+from merlinbay.site_settings import settings_from
 
 CONF: dict[str, Any] = {
     "az": "a", "balancers": 2, "me": 0, "kinds": ["k"], "zones": ["a"], "unknown": 1,
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -9,15 +9,16 @@
 import pytest
 
 from merlinbay.access.settings import Access
-from merlinbay.config import BadConfig, address, operator_file
+from merlinbay.config import operator_file
 from merlinbay.core.ports import ServiceEntry
 from merlinbay.decision.api import JobClass, Outcome, Safety, Settings
+from merlinbay.dnssd.settings import DnsSd
 from merlinbay.drmaa.settings import Drmaa
 from merlinbay.http.client import Reply
 from merlinbay.limits import limits_from
-from merlinbay.operator_file import DnsSd
 from merlinbay.platform import words
 from merlinbay.platform.servers import outcome_of
+from merlinbay.problems import BadConfig, address
 from tests.net import ROOT
 
 HEADERS = {"x-request-id": "9b1f", "x-priority-class": "admit", "x-timeout-ms": "4998",
