Untried kinds get slots, uneven nodes count by reports, and waiting copies go elsewhere

Change: what a kind's reports tell holds for kinds that were never tried; a full worker's report says nothing. The count of peers is told, or less by the median of the reports of the last 2 s, by slots as they are known now; the gate's load is bounded by the same. A copy that waits as well is called off for one elsewhere in the cell where there seems to be room, after 15, 30, 45 ms; the first keeps its place, never more than two are out.

--- /dev/null
+++ b/merlinbay/decision/beliefs.py
@@ -0,0 +1,143 @@
+"""What a balancer believes of workers and of the other balancers: estimates, and no decision.
+
+Times are microseconds, counts are slots. ``rules.py`` decides on these.
+"""
+
+from __future__ import annotations
+
+import math
+import statistics
+from typing import Any
+
+from merlinbay.decision.api import Outcome
+from merlinbay.decision.records import Kind, Memory, Worker
+
+PACE_WEIGHT = 0.15  # weight of one job in its worker's pace: a few jobs tell a slowed machine
+PACE_TAU_US = 20_000_000  # and how long that lasts without news, for one that is passed over gets no jobs
+SLOT_STEP = 0.01  # weight of one start in the learned slots of a kind: the count of running ones is noise
+LATE_LEAST = 0.1  # the least share of late starts that is told from none
+COLD_SAFE = 0.5  # share of the cold budget that is used: the jobs' true sizes are not known
+RUN_WEIGHT = 0.03  # weight of one run time, start delay or count of slots: against long tails
+SPARE = 0.75  # reported free slots that are at least one: reports are a little off
+HEARD_MOST = 64  # reports that the median of what the others hold rests on, at the most
+HEARD_US = 2_000_000  # and how old the oldest of them may be: a queue is gone within a second
+HEARD_HALF = 4  # so many count as much as the count of balancers that was told
+
+
+class Beliefs(Memory):
+    """Estimates over what is remembered."""
+
+    # Peers.
+
+    def hear(self, worker: Worker, held: float) -> None:
+        """Note what a report shows of the others' slots, over the worker's present ones."""
+        # A count made up from free slots ends where a worker is full; of unknown slots there is no share.
+        if not self.settings.held_field or not worker.kind.told:
+            return
+        others, part = max(0.0, held - worker.held), max(self.capacity(worker), 0.1)
+        self.heard.append((self.now, others / part, worker.kind))
+
+    def weigh_reports(self) -> None:
+        """Take the median of what was heard lately, by slots as they are known now."""
+        # Guards against a first verdict that stands for ever: who refuses all hears nothing more.
+        while self.heard and (len(self.heard) > HEARD_MOST or self.heard[0][0] < self.now - HEARD_US):
+            self.heard.popleft()
+        if self.heard:
+            self.shown = statistics.median(others / kind.slots for _, others, kind in self.heard)
+
+    def peers(self) -> float:
+        """Return how many of our size the other balancers are: those told, or fewer where reports show less.
+
+        Guards against traffic that is dealt unevenly, and against most of them dying at once: own counts
+        times the count that was told are too much by as much as we have more than our share. The median of
+        reports is used since a few workers with long queues say nothing of the room that the others have.
+        Reports lower the count and never raise it: they are seconds old, and who refuses all by them hears no
+        newer ones, while the servers stand idle.
+        """
+        told = self.settings.balancers - 1
+        if not told or not self.heard or self.mean_held <= 0:
+            return told
+        count = len(self.heard)
+        shown = min(self.shown * self.slots_total / self.mean_held, told)
+        return told + (shown - told) * count / (count + HEARD_HALF)
+
+    def _fade(self, worker: Worker) -> float:
+        """Return what part of the last observation of a worker still holds."""
+        return 0.0 if worker.others_at < 0 else math.exp((worker.others_at - self.now) / self.mean_run)
+
+    def _others(self, worker: Worker) -> float:
+        """Return the slots that the other schedulers hold there."""
+        # Guards against coarse counts: scaled by the balancers, our one job there would shut a gate. So
+        # the mean of our counts is scaled, an unheard worker holds it too, and news fade back to it.
+        mean = self.peers() * self.mean_held * worker.kind.slots * self.capacity(worker) / self.slots_total
+        return mean + (worker.others - mean) * self._fade(worker)
+
+    def _pace(self, worker: Worker) -> float:
+        """Return the worker's run time over its kind's, as its jobs told it lately."""
+        return 1 + (worker.pace - 1) * math.exp((worker.paced_at - self.now) / PACE_TAU_US)
+
+    def _learn_pace(self, worker: Worker, ratio: float, least: bool = False) -> None:
+        """Learn a worker's pace from a run time over its kind's mean, or from the least that it will be."""
+        # Guards against machines that slow down: they look no fuller than others for a while, yet what
+        # is sent there is late. A job that runs on is known to be long before it ends.
+        pace = self._pace(worker)
+        if ratio > pace or not least:
+            worker.pace, worker.paced_at = pace + (min(ratio, 10.0) - pace) * PACE_WEIGHT, self.now
+
+    def _told_slots(self, kind: Kind, free: float, held: float | None) -> None:
+        """Learn a kind's slots from a report."""
+        if held is not None and free >= max(held, 1.0):  # half empty: none waits; the two make up all
+            kind.counts += 1  # Guards against few slots believed, where none is ever seen empty.
+            kind.slots += (free + held - kind.slots) * max(RUN_WEIGHT, 1 / kind.counts)
+        elif held is not None and not kind.counts:  # with room for one, some wait only where jobs are larger
+            if free >= SPARE:
+                kind.slots = min(kind.slots, free + held) if kind.told else free + held
+        elif not kind.counts:
+            kind.slots = max(float(round(free)), kind.slots if kind.told else 1.0)
+        # Guards against a full worker's report: that nothing is free says nothing of how much there is.
+        kind.told = kind.told or held is None or free >= SPARE
+        if not kind.told:
+            return
+        # Guards against a kind never tried: held to have one slot, it would get no job, and so no report.
+        for other in self.kinds.values():
+            other.slots = other.slots if other.told else max(other.most, kind.slots)
+
+    def _learn_slots(self, worker: Worker, late: bool) -> None:
+        """Learn a kind's slots where no report tells them: from what we see running, and starting late."""
+        # Guards against a small share: where schedulers are many, ours alone never fill a worker. So the
+        # running ones are scaled like n, and starts that were late tell what part of the slots they fill
+        # (a queue's waiting probability, by Sakasegawa). The count itself can't tell: a queue is in it.
+        self.starts += 1
+        weight = max(SLOT_STEP, 1 / self.starts)
+        self.late += (late - self.late) * weight
+        busy = max(self.late, LATE_LEAST) ** (1 / (math.sqrt(2 * (self.slots + 1)) - 1))
+        shown = self.own_running * self.settings.balancers / max(len(self.usable), 1) / busy
+        self.slots = max(1.0, self.slots + (shown - self.slots) * weight)
+        # Kinds differ: one whose starts are late more often than the others' has fewer slots.
+        kind = worker.kind
+        kind.most = max(kind.most, worker.running)
+        kind.part = min(max(kind.part * (1 + SLOT_STEP * (self.late - late)), 0.1), 10.0)
+        for kind in self.kinds.values():
+            if not kind.told:
+                kind.slots = max(kind.most, self.slots * kind.part)
+
+    def _cold_until(self, work: float, worker: Worker) -> int:
+        """Return when our share of what the worker takes while it warms has grown by ``work``."""
+        share = self.settings.safety.tip_multiple * worker.kind.slots * COLD_SAFE / self.settings.balancers
+        return self.warmed(worker, max(self.now, worker.cold_next), work / share)
+
+    def beliefs(self, now_us: int) -> list[dict[str, Any]]:
+        """Return what is believed of each worker, for people: slots, seconds and words."""
+        found = []
+        for worker in self.workers.values():
+            out = worker.bench_until > now_us
+            found.append({
+                "name": worker.name, "zone": worker.zone, "kind": self.kind_names().get(worker.kind, ""),
+                "state": worker.state, "slots": worker.kind.slots, "held": worker.held,
+                "others": self._others(worker), "pace": worker.pace,
+                "failures": worker.fails, "cold": self.cold(worker),
+                "out_since_us": worker.fault_at if out else 0,
+                "out_until_us": worker.bench_until if out else 0,
+                "why": f"{Outcome(worker.fault).name.lower().replace('_', ' ')}, {worker.fails} in a row"
+                       if out else ""})
+        return found
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -7,14 +7,12 @@
 
 import heapq
 import math
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any
 
-from merlinbay.decision.api import JobClass, ListChanged, Outcome, Settings, SlotsKept
-
-MARGIN = 1.25  # what reports of some twenty jobs show of the others' slots is off by about a fifth
+from merlinbay.decision.api import JobClass, ListChanged, Settings, SlotsKept
 
 
 @dataclass(slots=True, eq=False)
@@ -155,7 +153,8 @@
     mean_held: float = 0.0  # and smoothed
     slots_total: float = 1.0
     slots_at: int = 0  # when to count them again
-    heard: float = math.inf  # what reports show of the others' slots, over the fleet's; unknown: no bound
+    heard: deque[tuple[int, float, Kind]] = field(default_factory=deque)  # when, what others held, where,
+    shown: float = 0.0  # and the median share of a worker's slots
     mean_run: float = 1000.0  # slots x run time of the mean job offered
     mean_worth: float = 1.0
 
@@ -271,21 +270,6 @@
             return 1.0
         return safety.cold_from + (1 - safety.cold_from) * age / safety.cold_us
 
-    def hear(self, worker: Worker, held: float, weight: float) -> None:
-        """Smooth what a report shows of the others' slots over the worker's present ones."""
-        if not self.settings.held_field:  # a count made up from free slots ends where a worker is full
-            return
-        share = max(0.0, held - worker.held) / max(worker.kind.slots * self.capacity(worker), 0.1)
-        self.heard = share if self.heard == math.inf else self.heard + (share - self.heard) * weight
-
-    def peers(self) -> float:
-        """Return how many of our size the other schedulers are: those told, or fewer where reports show less.
-
-        Guards against most of them dying at once: whoever is left sends more, and is told of it late.
-        """
-        told, shown = self.settings.balancers - 1, MARGIN * self.heard * self.slots_total
-        return min(told, shown / self.mean_held) if self.mean_held > 0 else told
-
     def warmed(self, worker: Worker, since: int, amount: float) -> int:
         """Return when the worker's share of its capacity, summed over time since then, reaches an amount."""
         safety, age = self.settings.safety, max(0, since - worker.ready_at)
@@ -306,26 +290,6 @@
                 worker.kind.most = max(worker.kind.most, event.of)
                 worker.kind.slots = max(worker.kind.slots, event.of)
 
-    def _others(self, worker: Worker) -> float:
-        """Return the slots that the other schedulers hold there: an estimate, so ``rules.py`` makes it."""
-        raise NotImplementedError
-
-    def beliefs(self, now_us: int) -> list[dict[str, Any]]:
-        """Return what is believed of each worker, for people: slots, seconds and words."""
-        found = []
-        for worker in self.workers.values():
-            out = worker.bench_until > now_us
-            found.append({
-                "name": worker.name, "zone": worker.zone, "kind": self.kind_names().get(worker.kind, ""),
-                "state": worker.state, "slots": worker.kind.slots, "held": worker.held,
-                "others": self._others(worker), "pace": worker.pace,
-                "failures": worker.fails, "cold": self.cold(worker),
-                "out_since_us": worker.fault_at if out else 0,
-                "out_until_us": worker.bench_until if out else 0,
-                "why": f"{Outcome(worker.fault).name.lower().replace('_', ' ')}, {worker.fails} in a row"
-                       if out else ""})
-        return found
-
     def kind_names(self) -> dict[Kind, str]:
         """Return the kinds' names."""
         return {kind: name for name, kind in self.kinds.items()}
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -1,7 +1,8 @@
 """Every decision of the balancer. Its interface (settings, events, actions) is ``merlinbay/decision/api.py``.
 
 Top to bottom: threshold, estimators, pick, a request's life, worker health, list. Records are in
-``merlinbay/decision/records.py``. Departures from the design say "Guards against". Times are microseconds.
+``records.py``, beliefs about workers and peers in ``beliefs.py``, calls for the list in ``calls.py``.
+Departures from the design say "Guards against". Times are microseconds.
 """
 
 from __future__ import annotations
@@ -14,9 +15,10 @@
 from typing import Any
 
 from merlinbay.decision import api
+from merlinbay.decision.beliefs import RUN_WEIGHT, Beliefs
 from merlinbay.decision.calls import Calls
 from merlinbay.decision.lambert import lambertw
-from merlinbay.decision.records import Attempt, Class, Job, Kind, Memory, Rate, Worker
+from merlinbay.decision.records import Attempt, Class, Job, Kind, Rate, Worker
 
 SCAN = 8  # workers sampled for one request: bounds its cost at any fleet size
 ASK = 3  # workers probed for one request of those nearby, and as many of those away
@@ -25,10 +27,7 @@
 AFFINE = 2  # workers over all zones that a key prefers after its first in the own zone
 RATE_TAU_US = 2_000_000  # memory of the offered load: longer than a stall, shorter than a burst
 FEW = 20  # jobs that a mean rests on: with fewer, one job would shut gates, or make its worker look slow
-RUN_WEIGHT = 0.03  # weight of one run time or start delay: some tens of jobs against long tails
 CAUTION = 0.65  # share of the spread (square root, less for a few) of an unseen count that counts as held
-PACE_WEIGHT = 0.15  # weight of one job in its worker's pace: a few jobs tell a slowed machine
-PACE_TAU_US = 20_000_000  # and how long that lasts without news, for one that is passed over gets no jobs
 SLOW = 1.9  # a worker of this pace and more comes after all others, and its jobs get a second copy
 LATE_RUN = 1.0  # share of a mean run time that a job may run there before the copy goes out,
 LONG_RUN = 2.5  # and elsewhere before it tells of its worker's pace
@@ -37,11 +36,8 @@
 MEMORY_RUNS = 1.0  # mean run times for which a told free memory counts: by then other jobs hold it
 PROMPT = 0.05  # share of a mean run time within which a start means that there was room
 DENSE_MOST = 4.0  # the most that worth for each slot and second, over the mean job's, counts
-SLOT_STEP = 0.01  # weight of one start in the learned slots of a kind: the count of running ones is noise
-LATE_LEAST = 0.1  # the least share of late starts that is told from none
 PATIENCE = 0.1  # share of a job's slack that it waits unstarted before a second copy goes out
 PATIENCE_MIN_US = 15_000  # and the least: a few round trips
-COLD_SAFE = 0.5  # share of the cold budget that is used: the jobs' true sizes are not known
 SILENT_US = 1_500_000  # a worker not heard for so long after a send is taken to hang
 BENCH_US = 1_000_000  # how long a failing worker is left out; doubles with each failure in a row,
 BENCH_DOUBLINGS = 3  # so often at the most: none is shut out for good
@@ -79,7 +75,7 @@
     return float(top), min(1.0, max(0.0, sums[top] / (top + 1 - k)))
 
 
-class Balancer(Memory):
+class Balancer(Beliefs):
     """The decisions of one scheduler."""
 
     def __init__(self, settings: api.Settings, seed: int, now_us: int) -> None:
@@ -116,6 +112,7 @@
         decay = left ** (RATE_TAU_US / max(self.mean_run, min(RATE_TAU_US, FEW / self.rate.value)))
         self.mean_held = self.mean_held * decay + self.own_held * (1 - decay)
         self.offered += 1
+        self.weigh_reports()
         if self.now >= self.slots_at:  # slots are learned on the way, so now and then they are counted anew
             # Guards against cold workers that get nothing: they would count as holding what the warm ones do.
             self.slots_total = max(1.0, sum(w.kind.slots * self.capacity(w) for w in self.usable))
@@ -129,17 +126,6 @@
         rate = self.tenant_rate(tenant, RATE_TAU_US) * self.settings.balancers * 1e6
         return any(t.name == tenant and rate > t.quota_per_s for t in self.settings.tenants)
 
-    def _fade(self, worker: Worker) -> float:
-        """Return what part of the last observation of a worker still holds."""
-        return 0.0 if worker.others_at < 0 else math.exp((worker.others_at - self.now) / self.mean_run)
-
-    def _others(self, worker: Worker) -> float:
-        """Return the slots that the other schedulers hold there."""
-        # Guards against coarse counts: scaled by the balancers, our one job there would shut a gate. So
-        # the mean of our counts is scaled, an unheard worker holds it too, and news fade back to it.
-        mean = self.peers() * self.mean_held * worker.kind.slots * self.capacity(worker) / self.slots_total
-        return mean + (worker.others - mean) * self._fade(worker)
-
     def _free(self, worker: Worker, caution: float = CAUTION) -> float:
         """Return the estimated free slots; below 0, the waiting count. A cold worker has a part of them."""
         slots = worker.kind.slots * self.capacity(worker)
@@ -149,44 +135,17 @@
         spread = others * math.sqrt((1 - self._fade(worker)) / (1 + others))
         return slots - worker.held - worker.kept - others - caution * spread
 
-    def _pace(self, worker: Worker) -> float:
-        """Return the worker's run time over its kind's, as its jobs told it lately."""
-        return 1 + (worker.pace - 1) * math.exp((worker.paced_at - self.now) / PACE_TAU_US)
-
-    def _learn_pace(self, worker: Worker, ratio: float, least: bool = False) -> None:
-        """Learn a worker's pace from a run time over its kind's mean, or from the least that it will be."""
-        # Guards against machines that slow down: they look no fuller than others for a while, yet what
-        # is sent there is late. A job that runs on is known to be long before it ends.
-        pace = self._pace(worker)
-        if ratio > pace or not least:
-            worker.pace, worker.paced_at = pace + (min(ratio, 10.0) - pace) * PACE_WEIGHT, self.now
-
-    def _learn_slots(self, worker: Worker, late: bool) -> None:
-        """Learn a kind's slots where no report tells them: from what we see running, and starting late."""
-        # Guards against a small share: where schedulers are many, ours alone never fill a worker. So the
-        # running ones are scaled like n, and starts that were late tell what part of the slots they fill
-        # (a queue's waiting probability, by Sakasegawa). The count itself can't tell: a queue is in it.
-        self.starts += 1
-        weight = max(SLOT_STEP, 1 / self.starts)
-        self.late += (late - self.late) * weight
-        busy = max(self.late, LATE_LEAST) ** (1 / (math.sqrt(2 * (self.slots + 1)) - 1))
-        shown = self.own_running * self.settings.balancers / max(len(self.usable), 1) / busy
-        self.slots = max(1.0, self.slots + (shown - self.slots) * weight)
-        # Kinds differ: one whose starts are late more often than the others' has fewer slots.
-        kind = worker.kind
-        kind.most = max(kind.most, worker.running)
-        kind.part = min(max(kind.part * (1 + SLOT_STEP * (self.late - late)), 0.1), 10.0)
-        for kind in self.kinds.values():
-            if not kind.told:
-                kind.slots = max(kind.most, self.slots * kind.part)
-
     def _density(self, job: Job) -> float:
         """Return the job's worth for each slot and second, over the mean job's."""
         return job.worth / (job.run * max(job.slots, 0.01)) * self.mean_run / max(self.mean_worth, 1e-9)
 
     def _gate(self, kind: Kind, job: Job) -> float:
         """Return O2A's N, and one more with probability q; where jobs wait r has been 1 at the least."""
-        load = self.rate.value * (1 + self.peers()) * self.mean_run / self.slots_total * kind.pace
+        # Guards against gates that shut on who has more than his share: his peers offer less than he does.
+        own = self.rate.value * self.mean_run
+        all_of_us = own * self.settings.balancers
+        load = min(all_of_us, own + self.peers() * self.mean_held) if self.heard else all_of_us
+        load *= kind.pace / self.slots_total
         # Worth, for each slot and second, counts as far as others want the slots.
         scarce = 1 - min(1.0, load) * (1 - min(DENSE_MOST, self._density(job)))
         turn = self.mean_run * kind.pace / kind.slots
@@ -330,7 +289,7 @@
         if self.cold(worker):
             worker.cold_next = self._cold_until(job.run * job.slots, worker)
         if self.settings.tells_start and self.limits.second_copies and job.cls.spec.effect != "once":
-            self._watch(job, len(job.attempts) - 1, job.patience)
+            self._watch(job, len(job.attempts) - 1, job.patience * len(job.attempts))
 
     def _watch(self, job: Job, attempt: int, wait: float) -> None:
         """Look at the attempt (-1: at the probes) again after a while; one timer serves all watches."""
@@ -344,7 +303,8 @@
                 waiting.awaited = 0
                 self._settle(waiting)
             job, attempt = self.find(waiting.id, number)
-            if job is None or attempt is None or job.done or job.pending > 1:
+            if job is None or attempt is None or job.done or (
+                    job.pending > 1 and any(a.open and a.started for a in job.attempts)):
                 continue
             if attempt.started:
                 if self.now >= attempt.look_at and not attempt.paused_at:  # else it was watched to start
@@ -358,13 +318,22 @@
                 continue
             job.maybe = job.maybe or (attempt if job.cls.spec.effect == "by_key" else None)
             # Guards against copies that never go out: where schedulers are many, the others are unheard.
-            target = self._pick(job, self._density(job) < 1, 0.0) if self._repeatable(job) else None
-            if target is not None:
+            room_only = self._density(job) < 1 or job.pending > 1
+            target = self._pick(job, room_only, 0.0) if self._repeatable(job) else None
+            if target is not None and (job.pending == 1 or self._swap(job, number)):
                 self._place(job, target)
-            else:
+            elif job.pending == 1:
                 self._watch(job, number, job.patience)
         self.out += [api.SetTimer(us, "watch") for us in self.remind_next()]
 
+    def _swap(self, job: Job, number: int) -> bool:
+        """Give a copy that waits as well up for another; the first attempt keeps its place in a queue."""
+        # Guards against two queues that a job has met by chance, while most workers of its cell have room.
+        if not self.limits.cancelling or job.attempts[number].started:
+            return False
+        self.out.append(api.Cancel(job.id, number))
+        return True
+
     def _look(self, job: Job, attempt: Attempt, number: int, runs: float) -> None:
         """See after so many mean run times whether the attempt still runs."""
         wait = int(max(job.cls.run * attempt.worker.kind.pace * runs, 1000.0))
@@ -515,24 +484,14 @@
         worker.free_memory = readings.get(self.settings.free_memory_field, worker.free_memory)
         worker.memory_at = self.now
         if free is not None:
-            kind = worker.kind
-            if held is not None and free >= max(held, 1.0):  # half empty: none waits; the two make up all
-                kind.counts += 1  # Guards against few slots believed, where none is ever seen empty.
-                kind.slots += (free + held - kind.slots) * max(RUN_WEIGHT, 1 / kind.counts)
-            elif not kind.counts:
-                kind.slots = max(float(round(free)), kind.slots if kind.told else 1.0)
-            kind.told, held = True, held if self.settings.held_field else kind.slots - free
+            self._told_slots(worker.kind, free, held)
+            held = held if self.settings.held_field else worker.kind.slots - free
         if held is not None:
-            self.hear(worker, held, 1 / FEW)
+            self.hear(worker, held)
             before = self._others(worker)
             trust = self.trust * (1.0 if fresh else REPORT_TRUST)
             worker.observe(self.now, before + (held - worker.held - before) * trust)
 
-    def _cold_until(self, work: float, worker: Worker) -> int:
-        """Return when our share of what the worker takes while it warms has grown by ``work``."""
-        share = self.safety.tip_multiple * worker.kind.slots * COLD_SAFE / self.settings.balancers
-        return self.warmed(worker, max(self.now, worker.cold_next), work / share)
-
     # The list.
 
     def _moved(self, event: api.ListMoved) -> None:
