A view of the fleet that the nodes keep, epochs by majority, and a rig of processes with faults between

Need: nodes of installations that may talk believed a count from a file; copies, shared choices and planned change need to know who is there, and a rig that shows it with real processes. Change: merlinbay/fleet is SWIM with Lifeguard's local health and confirmed suspicion, without I/O (members, ledger, view, news, wire), sockets thin beside it; epochs are chosen by Paxos among the members of the last one (epochs, agreeing), promises on disk before they are said; merlinbay fleet members, watch, explain, join, leave; the core hears of the count of balancers by ports.BalancersCounted. merlinbay/rig starts processes, proxies between every pair, and plays cuts, loss, stops, kills, lost disks, clocks and keys by TOML scripts, with one history a run. Off without [fleet] in the operator's file: run imports none of it (tests/test_cli.py; that test had been empty since node.py was split off, and reads node.py now).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -15,7 +15,10 @@
 JOBS = 4000
 CHILD = """
 import sys, time
-import merlinbay.__main__
+try:
+    import merlinbay.node
+except ModuleNotFoundError:  # a tree from before it
+    import merlinbay.__main__
 from merlinbay.decision import Balancer, api
 entries, jobs, balancers = (int(word) for word in sys.argv[1:])
 admit = api.JobClass("admit", 120_000, 5_000_000, effect="by_key", group="cell", window_us=7_500_000)
--- /dev/null
+++ b/bench/view.py
@@ -0,0 +1,359 @@
+"""The view of the fleet, measured in virtual time: ``python -m bench.view seeds|mutants|curves``.
+
+``seeds N``: N seeds of joins, crashes, partitions, loss and pauses, the invariants after each. ``mutants``:
+the same with faults put into the code, each of which has to be found. ``curves [--write]``: detection, false
+suspicions and traffic by size and loss, beside all-to-all heartbeats.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import math
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from statistics import median
+
+ROOT = Path(__file__).parent.parent
+MUTANTS = [
+    (
+        "half is a majority",
+        "epochs.py",
+        "if self.epoch.number else self.expect) // 2 + 1",
+        "if self.epoch.number else self.expect) // 2",
+    ),
+    (
+        "a value that was accepted before is passed over",
+        "epochs.py",
+        "            if before > found.found:",
+        "            if False:",
+    ),
+    ("promises are not kept to", "epochs.py", "or ballot < self.kept.promised", ""),
+    (
+        "promises are not stored",
+        "epochs.py",
+        "        self.store(kept)\n",
+        "        self.store(kept) if kept.epoch != self.kept.epoch else None\n",
+    ),
+    (
+        "one that lost its disk votes",
+        "epochs.py",
+        'return f"{name}/{disk}"',
+        'return f"{name}/"',
+    ),
+    (
+        "never refutes",
+        "ledger.py",
+        "        self.me = replace(me, incarnation=claim.incarnation + 1)\n",
+        "        return\n",
+    ),
+    (
+        "refutes at the same incarnation",
+        "ledger.py",
+        "incarnation=claim.incarnation + 1)",
+        "incarnation=claim.incarnation)",
+    ),
+    (
+        "a lower incarnation holds",
+        "members.py",
+        "        return new.incarnation > old.incarnation\n",
+        "        return True\n",
+    ),
+    (
+        "suspects never die",
+        "ledger.py",
+        "        self.apply(replace(member.claim, health=Health.DEAD, by=self.me.name))",
+        "        pass",
+    ),
+    (
+        "a suspicion is a death",
+        "view.py",
+        "self.apply(replace(claim, health=Health.SUSPECT, by=self.me.name))",
+        "self.apply(replace(claim, health=Health.DEAD, by=self.me.name))",
+    ),
+    (
+        "nobody else is asked to probe",
+        "view.py",
+        "            probe.asked.append(helper.name)\n",
+        "            continue\n",
+    ),
+    ("a dead member is forgotten at once", "ledger.py", "self.now - since > self.section.keep_dead", "True"),
+    (
+        "nobody talks to the dead",
+        "view.py",
+        "if away and (not alive or self.rng.random() < AWAY):",
+        "if False:",
+    ),
+    (
+        "no exchange of the whole state",
+        "view.py",
+        "        self._swap_any()\n\n    def _swap_any",
+        "\n    def _swap_any",
+    ),
+    (
+        "news are told once",
+        "settings.py",
+        "section.repeat * math.ceil(math.log10(members + 1)) if members else section.repeat",
+        "1",
+    ),
+    (
+        "packets grow with the news",
+        "view.py",
+        "room = wire.DATAGRAM - HEADROOM - len(self.section.name)",
+        "room = 10 * wire.DATAGRAM",
+    ),
+    (
+        "one who leaves is probed on",
+        "members.py",
+        "self.claim.health in (Health.ALIVE, Health.SUSPECT)",
+        "self.claim.health is not Health.DEAD",
+    ),
+    (
+        "a stopped process accuses the others",
+        "view.py",
+        "        if late > self.section.probe:\n",
+        "        if False:\n",
+    ),
+]
+
+
+def seeds(asked: tuple[int, int]) -> list[str]:
+    """Play seeds; return what broke."""
+    from merlinbay.fleet import simulate, walk
+
+    found = []
+    for seed in range(*asked):
+        try:
+            walk.walk(seed)
+            simulate.story(seed)
+        except (simulate.Broken, walk.Broken) as error:
+            found.append(f"seed {seed}: {error}")
+    return found
+
+
+def many(count: int, first: int = 0) -> None:
+    """Play many seeds over all cores; print what broke."""
+    began = time.perf_counter()
+    parts = [(at, min(at + 50, first + count)) for at in range(first, first + count, 50)]
+    with ProcessPoolExecutor() as pool:
+        broken = [text for found in pool.map(seeds, parts) for text in found]
+    print(f"{count} seeds in {time.perf_counter() - began:.0f} s, {len(broken)} broken")
+    for text in broken[:10]:
+        print(" ", text)
+    if broken:
+        sys.exit(1)
+
+
+def mutant(asked: tuple[str, str, str, str]) -> tuple[str, str]:
+    """Play seeds with a fault put in, until it is found; return its name and what found it."""
+    name, file, old, new = asked
+    with tempfile.TemporaryDirectory() as folder:
+        shutil.copytree(ROOT / "merlinbay", Path(folder) / "merlinbay")
+        path = Path(folder) / "merlinbay" / "fleet" / file
+        text = path.read_text()
+        if old not in text:
+            return name, "NOT THERE: the code has changed"
+        path.write_text(text.replace(old, new, 1))
+        code = (
+            "from merlinbay.fleet import simulate, walk\n"
+            "for seed in range(400):\n"
+            "    try: walk.walk(seed)\n"
+            "    except walk.Broken as error: print('walk', seed, error); raise SystemExit\n"
+            "for seed in range(150):\n"
+            "    try: simulate.story(seed)\n"
+            "    except simulate.Broken as error: print(seed, error); break\n"
+            "    except Exception as error: print(seed, repr(error)); break\n"
+        )
+        done = subprocess.run([sys.executable, "-B", "-c", code], cwd=folder, capture_output=True, text=True)
+        return name, done.stdout.strip()
+
+
+def mutants() -> None:
+    """Print each mutant and what found it."""
+    with ProcessPoolExecutor() as pool:
+        rows = list(pool.map(mutant, MUTANTS))
+    for name, found in rows:
+        print(f"{'found ' if found else 'MISSED'} {name}: {found[:150]}")
+    print(f"{sum(bool(found) for _, found in rows)} of {len(rows)} found")
+
+
+@dataclass(frozen=True)
+class Curve:
+    """What one size and loss gave."""
+
+    protocol: str
+    members: int
+    loss: float
+    first: float  # seconds from a death until the first member says so, median over the deaths,
+    last: float  # and the last one
+    wrong: float  # deaths that were none, a member and hour,
+    suspected: float  # and suspicions
+    bytes: float  # a second and member, sent
+
+
+def swim(members: int, loss: float, seed: int = 1) -> Curve:
+    """Measure the view: a fleet that has come up, then quiet, then deaths."""
+    from merlinbay.fleet import simulate
+    from merlinbay.fleet.members import Member
+    from merlinbay.fleet.settings import Fleet
+
+    sim = simulate.Simulation(seed, members, Fleet(name="sim", listen="x", keys="x"))
+    claims = {}
+    for node in sim.nodes.values():
+        node.start()
+        assert node.view is not None
+        claims[node.name] = node.view.me
+    for node in sim.nodes.values():  # all know each other: coming up is not measured here
+        view = node.view
+        assert view is not None
+        view.news.items.clear()
+        view.joined = True
+        view.members.update({name: Member(claim, 0.0) for name, claim in claims.items() if name != node.name})
+    sim.queue = [entry for entry in sim.queue if entry[2].__name__ == "_tick"]
+    heapq.heapify(sim.queue)
+    sim.net.loss = loss
+    quiet = 30.0 if members >= 1000 else 60.0
+    sim.run(5.0)
+    sent, began = sim.bytes, sim.now
+    sim.run(began + quiet)
+    rate = (sim.bytes - sent) / quiet / members
+    logs = [event for node in sim.nodes.values() for event in node.log if began <= event.at]
+    hours = members * quiet / 3600
+    wrong = sum(event.what == "died" and event.name in claims for event in logs) / hours
+    suspected = len({(e.name, round(e.at / 20)) for e in logs if e.what == "suspected"}) / hours
+    victims = list(sim.nodes.values())[:: max(members // 5, 1)][:5]
+    at = sim.now
+    for node in victims:
+        node.kill()
+    sim.run(at + 60.0)
+    gone = {node.name for node in victims}
+    firsts, lasts = [], []
+    for name in gone:
+        times = [
+            e.at - at
+            for node in sim.live()
+            for e in node.log
+            if e.what == "died" and e.name == name and e.at > at
+        ]
+        if times:
+            firsts.append(min(times))
+            lasts.append(max(times) if len(times) >= members - len(gone) else 60.0)
+    return Curve("view", members, loss, median(firsts), median(lasts), wrong, suspected, rate)
+
+
+def heartbeats(members: int, loss: float, seed: int = 1) -> Curve:
+    """Measure the baseline: everybody tells everybody each second; five in a row missing are a death."""
+    rng, period, missing, size = Random(f"{seed}/{members}/{loss}"), 1.0, 5, 60
+    quiet = 60.0
+    pairs = members * (members - 1)
+    rounds = int(quiet / period)
+    # A link is taken for dead when its last five beats were all lost; links are alike, so a sample does.
+    sample, wrong = min(pairs, 20_000), 0
+    for _ in range(sample):
+        run = 0
+        for _ in range(rounds):
+            run = run + 1 if rng.random() < loss else 0
+            wrong += run == missing
+    deaths = [max(missing * period - rng.random() * period, 0.0) for _ in range(min(5 * (members - 1), 5000))]
+    per = max(members - 1, 1)
+    groups = [deaths[at : at + per] for at in range(0, len(deaths), per)]
+    return Curve(
+        "heartbeats",
+        members,
+        loss,
+        median([min(group) for group in groups]),
+        median([max(group) for group in groups]),
+        wrong / sample * pairs / (members * quiet / 3600),
+        0.0,
+        (members - 1) * size / period,
+    )
+
+
+def curve(asked: tuple[str, int, float]) -> Curve:
+    """Measure one point."""
+    name, members, loss = asked
+    return swim(members, loss) if name == "view" else heartbeats(members, loss)
+
+
+def curves(most: int, write: bool) -> None:
+    """Print, and draw, all sizes and losses."""
+    sizes = [size for size in (10, 100, 1000, 10_000) if size <= most]
+    asked = [
+        ("view", size, loss)
+        for size in sizes
+        if size <= 1000
+        for loss in (0.0, 0.05, 0.3)
+        if size * loss <= 100
+    ]  # a thousand members with a third lost take a quarter of an hour
+    asked += [("heartbeats", size, loss) for size in sizes for loss in (0.0, 0.05, 0.3)]
+    with ProcessPoolExecutor() as pool:
+        rows = list(pool.map(curve, sorted(asked, key=lambda one: -one[1])))
+    rows.sort(key=lambda row: (row.protocol, row.members, row.loss), reverse=False)
+    print("| protocol | members | loss | first s | last s | false deaths | suspicions | bytes/s |")
+    print("|" + " --- |" * 8)
+    for row in rows:
+        print(
+            f"| {row.protocol} | {row.members} | {row.loss:.2f} | {row.first:.1f} | {row.last:.1f} | "
+            f"{row.wrong:.2f} | {row.suspected:.1f} | {row.bytes:,.0f} |"
+        )
+    if write:
+        plot(rows, ROOT / "docs" / "membership.svg")
+
+
+def plot(rows: list[Curve], path: Path) -> None:
+    """Draw detection and traffic by size, with what the papers say beside them."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    matplotlib.rcParams.update({"svg.hashsalt": "merlinbay", "font.size": 9})
+    import matplotlib.pyplot as plt
+
+    figure, axes = plt.subplots(1, 2, figsize=(8.5, 3))
+    for protocol, line in (("view", "-"), ("heartbeats", "--")):
+        for loss, colour in ((0.0, "#2f6fde"), (0.05, "#2a9d5c"), (0.3, "#c4432b")):
+            mine = [row for row in rows if (row.protocol, row.loss) == (protocol, loss)]
+            sizes, label = [row.members for row in mine], f"{protocol}, loss {loss:g}"
+            axes[0].plot(
+                sizes, [row.last for row in mine], ls=line, color=colour, marker="o", ms=3, label=label
+            )
+            axes[1].plot(sizes, [row.bytes for row in mine], ls=line, color=colour, marker="o", ms=3)
+    sizes = sorted({row.members for row in rows})
+    axes[0].plot(
+        sizes,
+        [1.582 + 4 * max(1.0, math.log10(size)) for size in sizes],
+        color="grey",
+        ls=":",
+        label="e/(e-1) periods + 4 log10 n (SWIM, confirmed)",
+    )
+    axes[0].set(xscale="log", xlabel="members", ylabel="last to know of a death, s")
+    axes[1].set(xscale="log", yscale="log", xlabel="members", ylabel="bytes a second and member")
+    axes[0].legend(frameon=False, fontsize=6)
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+
+
+def main() -> None:
+    """Do what is asked."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("what", choices=["seeds", "mutants", "curves"])
+    parser.add_argument("count", nargs="?", type=int, default=1000)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--write", action="store_true", help="curves: draw docs/membership.svg")
+    args = parser.parse_args()
+    if args.what == "seeds":
+        many(args.count, args.first)
+    elif args.what == "curves":
+        curves(args.count, args.write)
+    else:
+        mutants()
+
+
+if __name__ == "__main__":
+    main()
--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -107,10 +107,12 @@
 def attach() -> None:
     """Add the commands that call a front."""
     from merlinbay.cli.conformance import conformance
+    from merlinbay.cli.fleet import fleet
     from merlinbay.cli.jobs import job
     from merlinbay.cli.looks import events, monitor
     from merlinbay.cli.rehearse import experiment, rehearse, report_page
     from merlinbay.cli.reservations import reservation
+    from merlinbay.cli.rig import rig
     from merlinbay.cli.sessions import session
     try:
         from merlinbay.cli.keys import keys, tls
@@ -119,6 +121,7 @@
     else:
         main.add_command(keys)
         main.add_command(tls)
+    main.add_command(fleet)
     main.add_command(job)
     main.add_command(session)
     main.add_command(conformance)
@@ -126,6 +129,7 @@
     main.add_command(monitor)
     main.add_command(reservation)
     main.add_command(rehearse)
+    main.add_command(rig)
     main.add_command(experiment)
     main.add_command(report_page)
 
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -138,6 +138,8 @@
                 events.append(api.ListChanged(message.scope, [
                     api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us)
                     for e in message.entries]))
+            case ports.BalancersCounted():
+                events.append(api.BalancersCounted(message.count))
             case ports.DirectoryMoved():
                 events.append(api.ListMoved(message.told_us))
             case ports.Stopping():
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -279,6 +279,12 @@
     told_us: int
 
 
+class BalancersCounted(msgspec.Struct, frozen=True):
+    """So many balancers share the work by now, this one included."""
+
+    count: int
+
+
 class MachineView(msgspec.Struct, frozen=True):
     """What the module believes of one real server."""
 
@@ -325,4 +331,4 @@
 Message = (FlowArrived | FlowWithdrawn | FlowRecalled | FlowControlled | SchedulingRecalled
            | SchedulingControlled | SchedulingSuspended | SchedulingUnseen | SchedulingStarted
            | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | DirectoryMoved
-           | FleetAsked | SlotsKept | Stopping)
+           | BalancersCounted | FleetAsked | SlotsKept | Stopping)
--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -182,6 +182,13 @@
     told_us: int
 
 
+@dataclass(slots=True)
+class BalancersCounted:
+    """So many balancers share the work from now on, this one included: news beside what was told."""
+
+    count: int
+
+
 @dataclass(slots=True)
 class JobArrived:
     """A client's request; one final answer is owed within ``budget_us``."""
@@ -288,8 +295,8 @@
     body: bytes
 
 
-Event = (ListChanged | ListMoved | JobArrived | JobWithdrawn | JobStarted | JobProgress | JobPaused
-         | StreamStarted | AttemptEnded | ProbeEnded | TimerFired | PeerMessage | SlotsKept)
+Event = (ListChanged | ListMoved | BalancersCounted | JobArrived | JobWithdrawn | JobStarted | JobProgress
+         | JobPaused | StreamStarted | AttemptEnded | ProbeEnded | TimerFired | PeerMessage | SlotsKept)
 
 
 # Actions: what the balancer wants done. A job with no action is held.
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import heapq
 import math
 from collections import deque
@@ -12,7 +13,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from merlinbay.decision.api import JobClass, ListChanged, Settings, SlotsKept
+from merlinbay.decision.api import BalancersCounted, JobClass, ListChanged, Settings, SlotsKept
 
 
 @dataclass(slots=True, eq=False)
@@ -278,6 +279,10 @@
         past = math.sqrt(safety.cold_from ** 2 + 2 * grows * amount) - safety.cold_from
         return worker.ready_at + int(past / grows)
 
+    def recount(self, event: BalancersCounted) -> None:
+        """Take it that so many balancers share the work by now."""
+        self.settings = dataclasses.replace(self.settings, balancers=max(event.count, 1))
+
     def keep(self, event: SlotsKept) -> None:
         """Keep so many slots of a worker free from now on, also of one that is not listed at present."""
         self.kept[event.worker] = event.slots
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -90,7 +90,8 @@
             api.JobProgress: self._noted, api.StreamStarted: self._noted, api.JobWithdrawn: self._withdrawn,
             api.TimerFired: self._timer, api.ListChanged: self._list, api.ProbeEnded: self._probed,
             api.JobPaused: self._paused, api.PeerMessage: lambda event: None, api.SlotsKept: self.keep,
-            api.ListMoved: self._moved}
+            api.ListMoved: self._moved,
+            api.BalancersCounted: self.recount}
         self.calls = Calls(settings.me, settings.balancers, self.safety.must_ask_in_us, self.rng, now_us)
         if settings.must_subscribe:
             self.out += self.calls.start(now_us)
--- /dev/null
+++ b/merlinbay/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A view of the fleet that the nodes keep themselves: membership by gossip, and epochs by majority."""
--- /dev/null
+++ b/merlinbay/fleet/simulate.py
@@ -0,0 +1,364 @@
+"""A fleet in virtual time: joins, crashes, partitions, loss and pauses by a seed, and what must hold after.
+
+One seed gives one history, in any process. Sockets and clocks are played; the rest is the code that runs.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from merlinbay.fleet import wire
+from merlinbay.fleet.agreeing import AgreeingView
+from merlinbay.fleet.effects import Event, Exchange, Send
+from merlinbay.fleet.epochs import Epoch, Epochs, Kept, identity
+from merlinbay.fleet.members import Health
+from merlinbay.fleet.settings import Fleet
+from merlinbay.fleet.view import fresh
+
+KEYS = wire.Keys((b"k" * 32,))
+
+
+class Broken(Exception):
+    """Something does not hold that must; the text says what, when and at which node."""
+
+
+@dataclass
+class Net:
+    """What the network does to packets."""
+
+    delay: float = 0.002  # seconds, half of it at the least
+    loss: float = 0.0
+    twice: float = 0.0  # share that comes a second time
+    late: float = 0.0  # share that is overtaken: up to half a second later
+    cut: set[tuple[str, str]] = field(default_factory=set)  # from, to: nothing comes through
+
+
+class Node:
+    """One process: its view and its place."""
+
+    def __init__(self, sim: Simulation, name: str, addr: str) -> None:
+        self.sim, self.name, self.addr = sim, name, addr
+        self.boots = 0
+        self.view: AgreeingView | None = None
+        self.kept: Kept | None = None  # on its disk,
+        self.disk = 0  # which is so many-th
+        self.stopped = False  # by a signal, not by an end
+        self.wake = math.inf
+        self.held: list[tuple[Callable[..., None], tuple[Any, ...]]] = []  # came while it was stopped
+        self.seen: dict[str, int] = {}  # the highest incarnation it has held of each
+        self.log: list[Event] = []
+
+    def start(self) -> None:
+        """Start, or start again."""
+        self.boots += 1
+        self.seen = {}
+        sim = self.sim
+        seeds = [node.addr for node in list(sim.nodes.values())[:3]]
+        section = sim.section
+        me = fresh(self.name, self.addr, "", self.boots << 16, sim.rng.getrandbits(62), {})
+        me.disk = str(self.disk)
+        rng = Random(sim.rng.getrandbits(64))
+        epochs = Epochs(
+            identity(self.name, str(self.disk)), section.expect, self.kept, self._store, rng.random
+        )
+        self.view = AgreeingView(section, KEYS, me, rng, sim.now, epochs)
+        self.view.seeds = seeds
+        self.view.start()
+        self.after()
+
+    def _store(self, kept: Kept) -> None:
+        if kept.epoch.number:
+            self.sim.agreed(self.name, kept.epoch)
+        self.kept = kept
+
+    def lose_disk(self) -> None:
+        """End, and start with nothing."""
+        self.kill()
+        self.kept, self.boots, self.disk = None, 0, self.disk + 1
+        self.start()
+
+    def kill(self) -> None:
+        """End at once."""
+        self.view, self.stopped, self.held = None, False, []
+
+    def come_back(self) -> None:
+        """Start, if it does not run."""
+        if self.view is None:
+            self.start()
+
+    def leave(self) -> None:
+        """Leave on purpose."""
+        if self.view is not None:
+            self.view.leave()
+            self.after()
+
+    def resume(self) -> None:
+        """Go on after a stop; what came meanwhile is read first."""
+        self.stopped, held, self.held = False, self.held, []
+        if self.view is not None:
+            self.view.tick(self.sim.now)
+        for call, args in held[-200:]:
+            call(*args)
+        self.after()
+
+    def after(self) -> None:
+        """Carry out what the view wants, and see to its next tick."""
+        view, sim = self.view, self.sim
+        if view is None:
+            return
+        for effect in view.take():
+            sim.carry(self, effect)
+        self.log += view.told()
+        if len(self.log) > 4000:
+            del self.log[:2000]
+        due = view.next_at()
+        if due < self.wake:
+            self.wake = due
+            sim.at(due, self._tick, self.boots, due)
+
+    def _tick(self, boots: int, due: float) -> None:
+        if self.wake == due:
+            self.wake = math.inf
+        if self.view is None or boots != self.boots:
+            return
+        if self.stopped:
+            return
+        self.view.tick(self.sim.now)
+        self.after()
+
+
+class Simulation:
+    """Nodes, a network, and the time."""
+
+    def __init__(self, seed: int, count: int, section: Fleet | None = None) -> None:
+        self.rng, self.now = Random(seed), 0.0
+        self.section = section or Fleet(name="sim", listen="x", keys="x", exchange=5.0)
+        self.queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.number = 0
+        self.net = Net()
+        self.nodes: dict[str, Node] = {}
+        self.by_addr: dict[str, Node] = {}
+        self.packets = self.bytes = 0
+        self.epochs: dict[int, Epoch] = {}  # every one that any node has taken for chosen
+        for number in range(count):
+            self.add(f"n{number}")
+
+    def add(self, name: str) -> Node:
+        """Add a node that has not started."""
+        addr = f"10.0.{len(self.nodes) // 250}.{len(self.nodes) % 250}:7000"
+        node = self.nodes[name] = self.by_addr[addr] = Node(self, name, addr)
+        return node
+
+    def at(self, when: float, call: Callable[..., None], *args: Any) -> None:
+        """Have something done at a time."""
+        self.number += 1
+        heapq.heappush(self.queue, (when, self.number, call, args))
+
+    def run(self, until: float) -> None:
+        """Go on until then."""
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, call, args = heapq.heappop(self.queue)
+            call(*args)
+        self.now = until
+
+    def agreed(self, node: str, epoch: Epoch) -> None:
+        """Take it that a node takes an epoch for chosen. Raises ``Broken`` where another has it otherwise."""
+        known = self.epochs.setdefault(epoch.number, epoch)
+        if known != epoch:
+            raise Broken(
+                f"{self.now:.3f}: {node} has epoch {epoch.number} as {epoch.members}, not {known.members}"
+            )
+
+    # The network.
+
+    def carry(self, node: Node, effect: Send | Exchange) -> None:
+        """Carry a datagram or a frame."""
+        net, other = self.net, self.by_addr.get(effect.addr)
+        wait = net.delay * self.rng.uniform(0.5, 1.5)
+        if isinstance(effect, Send):
+            if len(effect.data) > wire.DATAGRAM:
+                raise Broken(f"{self.now:.3f}: {node.name} sends a datagram of {len(effect.data)} bytes")
+            self.packets, self.bytes = self.packets + 1, self.bytes + len(effect.data)
+            if other is None or (node.addr, effect.addr) in net.cut or self.rng.random() < net.loss:
+                return
+            if net.late and self.rng.random() < net.late:
+                wait += self.rng.random() * 0.5
+            self.at(self.now + wait, self._datagram, other, node.addr, effect.data)
+            if net.twice and self.rng.random() < net.twice:
+                self.at(self.now + wait * 3, self._datagram, other, node.addr, effect.data)
+            return
+        self.bytes += len(effect.data)
+        blocked = {(node.addr, effect.addr), (effect.addr, node.addr)} & net.cut
+        if other is None or other.view is None or other.stopped or blocked:
+            self.at(self.now + 1.0, self._answer, node, node.boots, effect.token, None)
+            return
+        self.at(self.now + wait, self._frame, other, node, node.boots, effect)
+
+    def _datagram(self, node: Node, source: str, data: bytes) -> None:
+        if node.view is None:
+            return
+        if node.stopped:
+            node.held.append((self._datagram, (node, source, data)))
+            return
+        node.view.datagram(self.now, source, data)
+        node.after()
+
+    def _frame(self, node: Node, back: Node, boots: int, effect: Exchange) -> None:
+        answer = None
+        if node.view is not None and not node.stopped:
+            try:
+                answer = node.view.frame(self.now, back.addr, effect.data)
+            except wire.Refused:
+                answer = None
+            node.after()
+            self.bytes += len(answer or b"")
+        self.at(self.now + self.net.delay, self._answer, back, boots, effect.token, answer)
+
+    def _answer(self, node: Node, boots: int, token: int, data: bytes | None) -> None:
+        if node.view is None or node.boots != boots:
+            return
+        if node.stopped:
+            node.held.append((self._answer, (node, boots, token, data)))
+            return
+        node.view.exchanged(self.now, token, data)
+        node.after()
+
+    # What must hold.
+
+    def live(self) -> list[Node]:
+        """Return the nodes that run."""
+        return [node for node in self.nodes.values() if node.view is not None and not node.stopped]
+
+    def check(self) -> None:
+        """Check what holds at any time. Raises ``Broken``."""
+        most = 64 + 3 * len(self.nodes) + 8
+        for node in self.live():
+            assert node.view is not None
+            if len(node.view.members) > most or len(node.view.timers) > 60 + 40 * len(node.view.members):
+                raise Broken(
+                    f"{self.now:.3f}: {node.name} keeps {len(node.view.members)} members and "
+                    f"{len(node.view.timers)} timers"
+                )
+            for member in node.view.members.values():
+                if member.claim.incarnation < node.seen.get(member.name, 0):
+                    raise Broken(f"{self.now:.3f}: {member.name} went back at {node.name}")
+                node.seen[member.name] = member.claim.incarnation
+
+    def settled(self) -> str:
+        """Return where the views differ from what is; empty: nowhere."""
+        true = {node.name for node in self.live() if node.view is not None and not node.view.leaving}
+        for node in self.live():
+            assert node.view is not None
+            if node.view.leaving:
+                continue
+            seen = {m.name for m in node.view.here()}
+            if seen != true:
+                return f"{node.name} sees {sorted(seen - true)} too many and lacks {sorted(true - seen)}"
+            ill = [m.name for m in node.view.here() if m.health is not Health.ALIVE]
+            if ill:
+                return f"{node.name} still suspects {sorted(ill)}"
+        return ""
+
+    def agrees(self) -> str:
+        """Return where the last epoch is not what is there, though a majority of it is; empty: nowhere."""
+        if not self.section.expect:
+            return ""
+        true = tuple(
+            sorted(
+                identity(n.name, str(n.disk))
+                for n in self.live()
+                if n.view is not None and not n.view.leaving
+            )
+        )
+        last = self.epochs[max(self.epochs)] if self.epochs else Epoch()
+        voters = [one for one in true if not last.number or one in last.members]
+        if len(voters) < (len(last.members) if last.number else self.section.expect) // 2 + 1:
+            return ""
+        for node in self.live():
+            if node.view is not None and not node.view.leaving and node.view.epochs.epoch.members != true:
+                epoch = node.view.epochs.epoch
+                return f"{node.name} is at epoch {epoch.number}, {epoch.members}; there are {true}"
+        return ""
+
+
+CLEAN = 35.0  # and of these, the last ones without any loss
+QUIET = 75.0  # seconds after the last trouble by which all views of up to nine nodes are the same
+
+
+def story(seed: int, check: bool = True) -> Simulation:
+    """Play one seed: troubles for a minute, then quiet. Raises ``Broken``."""
+    rng = Random(f"{seed}/story")
+    count = rng.randint(3, 9)
+    expect = rng.choice([0, count])
+    sim = Simulation(
+        seed, count, Fleet(name="sim", listen="x", keys="x", data="x", exchange=5.0, expect=expect)
+    )
+    names = list(sim.nodes)
+    sim.net.loss = rng.choice([0.0, 0.0, 0.05, 0.3])
+    sim.net.twice, sim.net.late = rng.choice([0.0, 0.1]), rng.choice([0.0, 0.2])
+    for node in sim.nodes.values():
+        sim.at(rng.random() * rng.choice([0.1, 5.0]), node.start)
+
+    def cut(pairs: list[tuple[str, str]], until: float) -> None:
+        found = {(sim.nodes[a].addr, sim.nodes[b].addr) for a, b in pairs}
+        sim.net.cut |= found
+        sim.at(until, sim.net.cut.difference_update, found)
+
+    def restart(node: Node) -> None:
+        node.kill()
+        node.start()
+
+    for _ in range(rng.randint(1, 6)):
+        at, lasts = rng.uniform(8, 45), rng.uniform(1, 25)
+        node = sim.nodes[rng.choice(names)]
+        what = ["kill", "away", "restart", "leave", "part", "one way", "pair", "stop", "loop", "disk"]
+        match rng.choice(what if expect else what[:-1]):
+            case "kill":
+                sim.at(at, node.kill)
+            case "away":
+                sim.at(at, node.kill)
+                sim.at(at + lasts, node.come_back)
+            case "restart":
+                sim.at(at, restart, node)
+            case "loop":
+                for turn in range(8):
+                    sim.at(at + turn * 1.5, restart, node)
+            case "disk":  # before the first epoch, a second vote could not be told from a first
+                sim.at(max(at, 30.0), node.lose_disk)
+            case "leave":
+                sim.at(at, node.leave)
+                sim.at(at + 3, node.kill)
+            case "part":
+                side = set(rng.sample(names, rng.randint(1, len(names) - 1)))
+                pairs = [(a, b) for a in names for b in names if (a in side) != (b in side)]
+                sim.at(at, cut, pairs, at + lasts)
+            case "one way":
+                pairs = [(node.name, other) for other in rng.sample(names, rng.randint(1, len(names)))]
+                sim.at(at, cut, pairs, at + lasts)
+            case "pair":
+                other = rng.choice(names)
+                sim.at(at, cut, [(node.name, other), (other, node.name)], at + lasts)
+            case "stop":
+                sim.at(at, setattr, node, "stopped", True)
+                sim.at(at + lasts, node.resume)
+    end = 72.0
+    step = 1.0
+    while sim.now < end:
+        sim.run(sim.now + step)
+        if check:
+            sim.check()
+    sim.net.loss = min(sim.net.loss, 0.05)
+    while sim.now < end + QUIET:
+        if sim.now > end + QUIET - CLEAN:
+            sim.net.loss = 0.0  # guards against a suspicion that a lost packet made just before the look
+        sim.run(sim.now + 5 * step)
+        if check:
+            sim.check()
+    if check and (wrong := sim.settled() or sim.agrees()):
+        raise Broken(f"seed {seed}: {QUIET:g} s after the last trouble {wrong}")
+    return sim
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -5,6 +5,7 @@
 import gc
 import signal
 import sys
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import trio
@@ -27,6 +28,29 @@
 if TYPE_CHECKING:
     from merlinbay.dnssd.directory import DnsSdDirectory
     from merlinbay.drmaa.wiring import DrmaaParts
+    from merlinbay.fleet.wiring import FleetParts
+
+
+@dataclass
+class Sides:
+    """What an operator's file has turned on beside the platform's protocol."""
+
+    drmaa: DrmaaParts | None = None
+    fleet: FleetParts | None = None
+
+    def reload(self) -> None:
+        """Read keys and certificates again. Raises ``BadConfig``."""
+        for part in (self.drmaa, self.fleet):
+            if part is not None:
+                part.reload()
+
+    def stop(self) -> None:
+        """Tell clients and the fleet that the node goes."""
+        if self.drmaa is not None:
+            self.drmaa.stop()
+            self.drmaa.close_idle()
+        if self.fleet is not None:
+            self.fleet.stop()
 
 
 async def run(config: Config, counters: Counters) -> None:
@@ -37,12 +61,15 @@
     send, receive = trio.open_memory_channel[Message](limits.inbox)
     edge = PlatformEdge(send, clock, limits, counters, {spec.name for spec in config.settings.classes})
     handler: Handler = edge
-    parts: DrmaaParts | None = None
+    sides = Sides()
     if operator is not None:
         # Guards against a slow start: without an operator's file, nothing of this is waited for.
         from merlinbay.drmaa.wiring import wire as wire_drmaa
-        parts = wire_drmaa(operator.drmaa, config.facts(), send, clock, counters, log)
+        parts = sides.drmaa = wire_drmaa(operator.drmaa, config.facts(), send, clock, counters, log)
         handler = parts.routes(handler)
+        if operator.fleet.listen:
+            from merlinbay.fleet.wiring import wire as wire_fleet
+            sides.fleet = wire_fleet(operator.fleet, config.facts(), send, counters, log)
     listener = Listener(handler, limits, counters, log)
     if config.settings.balancers == 1:  # else clients find another node by a new connection
         edge.scarce = listener.scarce
@@ -58,21 +85,24 @@
         discovery = wire_dnssd(operator.dnssd, send, limits, counters, log)
     async with trio.open_nursery() as nursery:
         pool = ConnectionPool(limits, counters)
-        servers: ServerSide | None = parts.start(nursery, pool) if parts is not None else None
+        drmaa = sides.drmaa
+        servers: ServerSide | None = drmaa.start(nursery, pool) if drmaa is not None else None
         if servers is None:
             servers = PlatformServers(nursery, pool, send, clock, limits, counters, log,
                                       bool(config.settings.report_fields))
         balancer = Balancer(config.settings, config.seed, clock.now_us())
         owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
-        if parts is not None and parts.front is not None and parts.front.reserving is not None:
-            owner.watchers.append(parts.front.reserving)
+        if drmaa is not None and drmaa.front is not None and drmaa.front.reserving is not None:
+            owner.watchers.append(drmaa.front.reserving)
         owner.turn([EntriesChanged("remembered", words.entries(config.known))])
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
         nursery.start_soon(listener.serve, sock)
-        if parts is not None:
-            await parts.listen(nursery, limits)
-        nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, parts)
+        if drmaa is not None:
+            await drmaa.listen(nursery, limits)
+        if sides.fleet is not None:
+            await sides.fleet.listen(nursery)
+        nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, sides)
         log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
         await owner.run(receive)
         nursery.cancel_scope.cancel()
@@ -89,7 +119,7 @@
 
 async def signals(config: Config, listener: Listener, discovery: Discovery | DnsSdDirectory,
                   inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery, counters: Counters,
-                  log: Log, parts: DrmaaParts | None) -> None:
+                  log: Log, sides: Sides) -> None:
     """SIGHUP reads the configuration again, SIGUSR1 prints the counters, SIGTERM and SIGINT end the node."""
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
         stopping = False
@@ -97,23 +127,22 @@
             if number == signal.SIGUSR1:
                 counters.print()
             elif number == signal.SIGHUP:
-                if follow(config, discovery, counters, log, parts):
+                if follow(config, discovery, counters, log, sides):
                     await inbox.send(DirectoryMoved(config.limits.reload_told_us))
             elif not stopping:
                 stopping = True
-                nursery.start_soon(stop, config, listener, inbox, nursery, parts)
+                nursery.start_soon(stop, config, listener, inbox, nursery, sides)
 
 
 def follow(config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log,
-           parts: DrmaaParts | None) -> bool:
+           sides: Sides) -> bool:
     """Move the watch to where the configuration now says; one that cannot be used changes nothing.
 
     Returns whether the module is to say when the watch goes there.
     """
     try:
         new = reload(config)
-        if parts is not None:
-            parts.reload()
+        sides.reload()
     except BadConfig as error:
         counters.add("reloads_bad")
         log.event("reload_failed", level="warning", error=str(error), kept="the old configuration")
@@ -129,7 +158,7 @@
 
 
 async def stop(config: Config, listener: Listener, inbox: trio.MemorySendChannel[Message],
-               nursery: trio.Nursery, parts: DrmaaParts | None) -> None:
+               nursery: trio.Nursery, sides: Sides) -> None:
     """Serve on for a moment, then end in good order."""
     limits = config.limits
     began = trio.current_time()
@@ -142,9 +171,7 @@
         await trio.sleep_until(began + limits.stop_serving - limits.stop_retiring)
         listener.close_idle()
     await trio.sleep_until(began + limits.stop_serving)
-    if parts is not None:  # before connections close: calls that wait are answered on theirs
-        parts.stop()
-        parts.close_idle()
+    sides.stop()  # before connections close: calls that wait are answered on theirs
     listener.close_idle()
     await inbox.send(Stopping())
 
--- a/merlinbay/operator_file.py
+++ b/merlinbay/operator_file.py
@@ -10,6 +10,7 @@
 
 from merlinbay.dnssd.settings import DnsSd
 from merlinbay.drmaa.settings import Drmaa
+from merlinbay.fleet.settings import Fleet
 from merlinbay.notify.targets import Allowed
 from merlinbay.problems import BadConfig, address
 
@@ -27,6 +28,7 @@
 
     drmaa: Drmaa = msgspec.field(default_factory=Drmaa)
     dnssd: DnsSd | None = None
+    fleet: Fleet = msgspec.field(default_factory=Fleet)
     log: LogSection = msgspec.field(default_factory=LogSection)
 
 
@@ -44,6 +46,14 @@
         raise BadConfig(f"{path}: dnssd.nameserver: {error}") from None
     if operator.drmaa.front and (wrong := operator.drmaa.access.wrong()):
         raise BadConfig(f"{path}: drmaa.{wrong}")
+    if wrong := operator.fleet.wrong():
+        raise BadConfig(f"{path}: fleet.{wrong}")
+    for key in ("listen", "advertise", "control"):
+        try:
+            if text := getattr(operator.fleet, key):
+                address(text)
+        except BadConfig as error:
+            raise BadConfig(f"{path}: fleet.{key}: {error}") from None
     try:
         if operator.drmaa.access.tls:
             address(operator.drmaa.access.tls)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -204,9 +204,10 @@
 
 def test_the_platform_s_start_imports_none_of_it() -> None:
     """Neither the command line nor the batch side, nor what they use."""
-    code = ("import sys; import merlinbay.__main__; "
+    code = ("import sys; import merlinbay.__main__, merlinbay.node; "
             "print([name for name in sys.modules if name.startswith(('click', 'structlog', 'merlinbay.cli', "
-            "'merlinbay.batch', 'merlinbay.drmaa', 'merlinbay.executor', 'merlinbay.dnssd', 'dns.'))])")
+            "'merlinbay.batch', 'merlinbay.drmaa', 'merlinbay.executor', 'merlinbay.dnssd', 'dns.', "
+            "'merlinbay.fleet', 'merlinbay.rig', 'merlinbay.simhost', 'merlinbay.operator_file'))])")
     done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True,
                           check=True, env={**os.environ})
     assert done.stdout == "[]\n"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,11 +8,11 @@
 
 ROOT = Path(__file__).parent.parent
 LAYERS = [  # from the top; a package may import from its own layer and from those below
-    {"__main__", "cli", "conformance", "experiment", "client", "executor", "emulator"},
+    {"__main__", "cli", "conformance", "experiment", "client", "executor", "emulator", "rig"},
     {"node", "simhost"},
     {"config"},
     {"operator_file"},
-    {"platform", "drmaa"},
+    {"platform", "drmaa", "fleet"},
     {"http", "dnssd", "batch", "notify", "access", "reserve", "monitor"},
     {"core", "log", "events", "site_settings"},
     {"decision", "limits", "counters", "clock", "problems", ""},
