The count of balancers is looked at when something happened, and a test sees it reach the core

Cause: FleetNet.after looked at all members for every packet that came. Now with events, and with the view's own ticks. tests/test_view.py has the whole way from a claim to the owner's inbox, with the boot counter and the disk's name; with draining members counted it fails. bench.fleet has 200 entries and 200 balancers as well.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,4 +1,4 @@
-"""What a node of a fleet pays for the decisions on a job, and for its start, at 14 and at 60 entries.
+"""What a node of a fleet pays for the decisions on a job, and for its start, at 14, 60 and 200 entries.
 
 ``python -m bench.fleet [--against DIR] [--rounds N]``: processor time, trees in turn in one run.
 """
@@ -56,7 +56,7 @@
     parser.add_argument("--rounds", type=int, default=7)
     args = parser.parse_args()
     trees = {"this tree": ROOT} | ({"against": args.against} if args.against else {})
-    for entries, balancers in ((14, 2), (60, 40)):
+    for entries, balancers in ((14, 2), (60, 40), (200, 200)):
         seen: dict[str, list[tuple[float, float]]] = {name: [] for name in trees}
         for _ in range(args.rounds):
             for name, tree in trees.items():
--- a/merlinbay/fleet/net.py
+++ b/merlinbay/fleet/net.py
@@ -60,10 +60,10 @@
                 with trio.CancelScope(deadline=self.view.next_at()) as self.nap:
                     await trio.sleep_forever()
                 self.view.tick(trio.current_time())
-                self.after()
+                self.after(look=True)
 
-    def after(self) -> None:
-        """Carry out what the view wants, and tell what has happened."""
+    def after(self, look: bool = False) -> None:
+        """Carry out what the view wants, and tell what has happened; ``look``: also where nothing has."""
         view, nursery = self.view, self.nursery
         assert nursery is not None
         for effect in view.take():
@@ -71,15 +71,17 @@
                 nursery.start_soon(self._exchange, effect)
             else:
                 nursery.start_soon(self._send, effect.addr, effect.data)
-        for event in view.told():
+        told = view.told()
+        for event in told:
             self.counters.add(f"fleet_{event.what}")
             self.log.event(f"fleet_{event.what}", member=event.name, text=repr(event.text))
             self.events.append(event)
         if len(self.events) > EVENTS_KEPT:
             self.first += len(self.events) - EVENTS_KEPT
             del self.events[:-EVENTS_KEPT]
-        for call in self.changed:
-            call()
+        if look or told:  # guards against a look at all members for every packet
+            for call in self.changed:
+                call()
         self.nap.deadline = view.next_at()
 
     async def _send(self, addr: str, data: bytes) -> None:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from random import Random
 
 import pytest
+import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from bench import view as bench
+from merlinbay.core import ports
+from merlinbay.counters import Counters
 from merlinbay.decision import Balancer, api
-from merlinbay.fleet import simulate, walk, wire
+from merlinbay.fleet import simulate, walk, wire, wiring
 from merlinbay.fleet.effects import Send
 from merlinbay.fleet.epochs import Epochs, Kept
 from merlinbay.fleet.members import FOLLOWS, Claim, Health, holds, read, write
@@ -18,6 +22,8 @@
 from merlinbay.fleet.settings import Fleet, times
 from merlinbay.fleet.simulate import KEYS, Node, Simulation
 from merlinbay.fleet.view import View, fresh
+from merlinbay.limits import Limits
+from merlinbay.log import Log
 from tests import support
 
 ALIVE, SUSPECT, DEAD, LEFT = Health
@@ -353,3 +359,31 @@
     assert made.peers() == 39
     made.handle(1, [api.BalancersCounted(10)])
     assert made.peers() == 9
+
+
+def test_the_core_is_told_how_many_share_the_work(tmp_path: Path) -> None:
+    """Itself, two that came, one less when it drains, one less when it is dead; each change once."""
+    (tmp_path / "keys").write_text("a2V5a2V5a2V5a2V5a2V5a2V5a2V5\n")
+    section = Fleet(name="f", listen="127.0.0.1:1", keys=str(tmp_path / "keys"), data=str(tmp_path / "data"))
+    facts = ports.NodeFacts("a", ("127.0.0.1", 2), support.settings(), Limits())
+
+    async def scene() -> list[int]:
+        send, receive = trio.open_memory_channel[ports.Message](9)
+        parts = wiring.wire(section, facts, send, Counters(), Log(1))
+        assert parts is not None and parts.view.me.incarnation == 1 << 16 and parts.view.me.disk
+        news = [claim(), claim(draining=True, revision=1), Claim("c", ALIVE, 1), Claim("c", DEAD, 1)]
+        for one in [None, *news, None]:
+            if one is not None:
+                parts.view.apply(one)
+            for call in parts.net.changed:
+                call()
+        counts = []
+        while receive.statistics().current_buffer_used:
+            message = receive.receive_nowait()
+            assert isinstance(message, ports.BalancersCounted)
+            counts.append(message.count)
+        again = wiring.FleetParts(section, facts, send, Counters(), Log(1))
+        assert again.view.me.incarnation == 2 << 16 and again.view.me.disk == parts.view.me.disk
+        return counts
+
+    assert trio.run(scene) == [1, 2, 1, 2, 1]
