--- a/merlinbay/cli/rehearse.py
+++ b/merlinbay/cli/rehearse.py
@@ -123,6 +123,47 @@
     )
 
 
+@rehearse.command("fleet")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--day", "days", multiple=True, help="calm, roll, herd, zone, split or join; repeatable; all.")
+@click.option("--nodes", default=0, help="In place of the scripts' number.", type=click.IntRange(0))
+@click.option("--servers", default=0, type=click.IntRange(0))
+@click.option("--seconds", default=0.0, type=click.FloatRange(0))
+@click.option("--processes", default=0, type=click.IntRange(0), help="At once; as many as there are cores.")
+@click.option("--json", "as_json", is_flag=True)
+def fleet(seed: int, days: tuple[str, ...], nodes: int, servers: int, seconds: float, processes: int,
+          as_json: bool) -> None:
+    """Play the fleet's days, and say whether this version may pass."""
+    from concurrent.futures import ProcessPoolExecutor
+    from multiprocessing import get_context
+
+    from merlinbay.emulator import gate, spec
+
+    names = [f"fleet-{day}" for day in days] or gate.DAYS
+    try:
+        for name in names:
+            gate.script(name, nodes, servers, seconds)
+    except spec.BadScript as error:
+        bad(error)
+    asked = [(name, policy, seed, nodes, servers, seconds) for name in names for policy in gate.POLICIES]
+    with ProcessPoolExecutor(processes or None, mp_context=get_context("spawn")) as pool:
+        played = gate.together(list(pool.map(gate.one, asked)))
+    if as_json:
+        click.echo(json.dumps([{"day": day.name, "score": day.score, "wanted": day.wanted,
+                                "failure": day.failure, **asdict(day.module)} for day in played], indent=2))
+    else:
+        rows = [(day.name, f"{day.score:.2f}", f"{day.module.in_time:.3f}", f"{day.wanted:.3f}",
+                 f"{day.random.in_time:.3f}", f"{day.late.in_time:.3f}", f"{day.oracle.in_time:.3f}",
+                 day.module.refused, f"{day.module.sends / max(day.module.requests, 1):.2f}",
+                 day.failure) for day in played]
+        click.echo(table(rows, ["DAY", "SCORE", "IN TIME", "WANTED", "CHANCE", "LATE", "TRUE", "REFUSED",
+                                "SENDS", "FAILS BY"]))
+    failed = [day.name for day in played if day.failure]
+    click.echo(f"GATE failed: {', '.join(failed)}" if failed else "GATE passed", err=as_json)
+    if failed:
+        sys.exit(JOB_FAILED)
+
+
 @rehearse.command("play")
 @click.argument("names", nargs=-1, required=True)
 @click.option("--seed", default=1, show_default=True)
--- a/merlinbay/emulator/callers.py
+++ b/merlinbay/emulator/callers.py
@@ -109,6 +109,9 @@
         self.retries = drawn(self.rng, spec.retries)
         self.aim_us, self.deadline_us = job.aim * 1e6, int(job.deadline * 1e6)
         self.up = list(nodes)  # as the front layer believes
+        parts = Random(f"{seed}/parts")
+        uneven = nodes if spec.uneven else []
+        self.parts = {id(node): parts.lognormvariate(0.0, spec.uneven) for node in uneven}
         self.factors: dict[object, float] = {}  # on the traffic, by trouble
         self.peak = 1.0  # the most that these will be, together
         gaps, sizes, picks = stream(seed, "gaps"), stream(seed, "sizes"), stream(seed, "picks")
@@ -186,12 +189,23 @@
         if not self.up:
             self._done(request, "lost", 0)
             return
-        node = self.up[int(self.ways.next() * len(self.up))]
+        node = self._front(self.ways.next())
         if node.alive:
             node.take(request)
         else:
             self.loop.at(self.loop.now + 1000, Order.NETWORK, self._done, request, "lost", 0)
 
+    def _front(self, draw: float) -> Node:
+        """Return the node that the front layer leads to."""
+        if not self.parts:
+            return self.up[int(draw * len(self.up))]
+        left = draw * sum(self.parts[id(node)] for node in self.up)
+        for node in self.up:
+            left -= self.parts[id(node)]
+            if left <= 0:
+                return node
+        return self.up[-1]
+
     def _done(self, request: Request, verdict: str, retry_us: int) -> None:
         account, now = self.account, self.loop.now
         if verdict == "served":
--- a/merlinbay/emulator/checker.py
+++ b/merlinbay/emulator/checker.py
@@ -40,6 +40,16 @@
     answered: bool = False
 
 
+@dataclass(slots=True)
+class Asking:
+    """How a node stands with discovery."""
+
+    asked_us: int  # when it called last, or started
+    window_us: int  # how much later it counts as told what was listed since
+    heard_us: int  # and when it knew all that the list said
+    watching: bool = False
+
+
 class Checker:
     """Sees everything, and raises ``Broken``."""
 
@@ -49,6 +59,9 @@
         self.slack_us = int(script.limits.answer_slack_ms * 1000)
         self.asked: dict[tuple[int, int], Asked] = {}
         self.gone: dict[tuple[int, str], int] = {}  # by node and server: since when it is known to be gone
+        self.listings: dict[str, list[tuple[int, bool]]] = {}  # by server: when, and whether it is gone
+        self.asking: dict[int, Asking] = {}
+        self.ask_us = int(script.discovery.ask_in * 1e6)
         self.told_start: dict[tuple[int, str], int] = {}  # the start that a node was told of
         self.pushes: dict[str, deque[tuple[int, float, bool]]] = {}  # work that came to a cold server
         self.events = 0
@@ -82,13 +95,56 @@
         if asked is None or asked.answered:
             self._fail(1, f"node {node} sends job {job} to {server.name} after its answer")
             return
-        since = self.gone.get((node, server.name))
+        since = self.gone.get((node, server.name), self._unasked(node, server.name))
         if since is not None and now - since > self.grace_us:
             past = (now - since) / 1000
             self._fail(3, f"node {node} sends to {server.name}, {past:.0f} ms after it was told")
         self._repeat(node, job, asked, server)
         asked.tries.append(Try(server.name, server.cell, server.zone, now))
 
+    # How nodes stand with discovery: who has not asked counts as told all the same.
+
+    def node_started(self, node: int) -> None:
+        """Take it that a node starts, with the list as it remembers it."""
+        self.asking[node] = Asking(self.loop.now, self.ask_us, self.loop.now)
+
+    def list_asked(self, node: int, moved_us: int = 0) -> None:
+        """Take it that a node calls discovery, or is sent to another."""
+        asking = self.asking[node]
+        asking.asked_us, asking.window_us = self.loop.now, moved_us or self.ask_us
+        if moved_us and asking.watching:
+            asking.watching, asking.heard_us = False, self.loop.now
+
+    def list_answered(self, node: int, failed: bool) -> None:
+        """Take it that its call was answered, or failed."""
+        asking = self.asking[node]
+        asking.watching = not failed
+        asking.heard_us = asking.heard_us if failed else self.loop.now
+        asking.window_us = self.ask_us * (4 if failed else 1)
+
+    def list_closed(self, node: int) -> None:
+        """Take it that its watch was closed."""
+        asking = self.asking[node]
+        if asking.watching:
+            asking.watching = False
+            asking.asked_us = asking.heard_us = self.loop.now
+            asking.window_us = self.ask_us
+
+    def list_published(self, server: str, state: str) -> None:
+        """Take it that the list says something new of a server."""
+        self.listings.setdefault(server, []).append((self.loop.now, state != "up"))
+
+    def _unasked(self, node: int, server: str) -> int | None:
+        """Return since when a node that does not watch counts as told that a server is gone."""
+        asking, found = self.asking.get(node), None
+        if asking is None or asking.watching or server not in self.listings:
+            return None
+        until = self.loop.now - asking.window_us
+        for at, gone in self.listings[server]:
+            if asking.heard_us < at <= until and asking.asked_us <= until:
+                found = None if not gone else max(at, asking.asked_us) if found is None else found
+        return None if found is None else found + asking.window_us
+
     def _repeat(self, node: int, job: int, asked: Asked, server: Server) -> None:
         spec, now = self.script.job, self.loop.now
         open_ones = [found for found in asked.tries if found.outcome is None]
--- a/merlinbay/emulator/directory.py
+++ b/merlinbay/emulator/directory.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Protocol
 
 from merlinbay.decision import api
 from merlinbay.emulator.loop import Loop, Order
@@ -13,6 +14,25 @@
 Told = Callable[[api.ListChanged], None]
 
 
+MOVED_US, CLOSES_US = 4_000_000, 1_500_000  # told after a move; the old one closes
+
+
+class Watcher(Protocol):
+    """Who wants to know when nodes ask, and what is listed."""
+
+    def list_asked(self, node: int, moved_us: int = 0) -> None:
+        """Take it that a node calls, or is sent to another discovery that counts as told after so long."""
+
+    def list_answered(self, node: int, failed: bool) -> None:
+        """Take it that its call was answered, or failed."""
+
+    def list_closed(self, node: int) -> None:
+        """Take it that its watch was closed."""
+
+    def list_published(self, server: str, state: str) -> None:
+        """Take it that the list says something new of a server."""
+
+
 class Directory:
     """The list, as it is published."""
 
@@ -21,6 +41,9 @@
         self.rows: dict[str, api.WorkerEntry] = {}
         self.watchers: dict[int, Told] = {}
         self.out = 0  # troubles that have it down
+        self.free_us = 0  # when it has worked on all calls so far
+        self.calls = self.failed = 0
+        self.watcher: Watcher | None = None
 
     def publish(self, server: Server, state: str, late: bool = True) -> None:
         """Publish a server's state after a while."""
@@ -38,6 +61,8 @@
         if known is not None and entry.ready_at_us < known.ready_at_us:
             return  # Guards against news that overtake each other: those of an earlier start count no more.
         self.rows[entry.worker] = entry
+        if self.watcher is not None:
+            self.watcher.list_published(entry.worker, entry.state)
         for node, told in list(self.watchers.items()):
             self.loop.at(
                 self.loop.now + 1000,
@@ -59,10 +84,21 @@
     def subscribe(self, node: int, told: Told) -> None:
         """Take a node's call: it is answered after a while, or fails."""
         wait = int(drawn(self.rng, self.spec.call_ms) * 1000)
-        self.loop.at(self.loop.now + wait, Order.DISCOVERY, self._answer, node, told)
-
-    def _answer(self, node: int, told: Told) -> None:
-        if self.out:
+        self.calls += 1
+        if self.watcher is not None:
+            self.watcher.list_asked(node)
+        if self.spec.work_ms:  # one after the other, those that have been given up meanwhile included
+            self.free_us = max(self.free_us, self.loop.now) + int(drawn(self.rng, self.spec.work_ms) * 1000)
+            wait += self.free_us - self.loop.now
+        late = wait >= self.spec.fails_after * 1e6
+        wait = min(wait, int(self.spec.fails_after * 1e6))
+        self.loop.at(self.loop.now + wait, Order.DISCOVERY, self._answer, node, told, late)
+
+    def _answer(self, node: int, told: Told, late: bool) -> None:
+        if self.watcher is not None:
+            self.watcher.list_answered(node, bool(self.out or late))
+        if self.out or late:
+            self.failed += 1
             told(api.ListChanged("refused", []))
             return
         self.watchers[node] = told
@@ -72,11 +108,28 @@
         """Take it that a node has died."""
         self.watchers.pop(node, None)
 
+    def move(self, told: Callable[[int], None]) -> None:
+        """Move: who watches here is told so, and loses his watch a while later."""
+        for node, watch in list(self.watchers.items()):
+            if self.watcher is not None:
+                self.watcher.list_asked(node, MOVED_US)
+            told(node)
+            self.loop.at(self.loop.now + CLOSES_US, Order.DISCOVERY, self._close, node, watch)
+
+    def _close(self, node: int, watch: Told) -> None:
+        if self.watchers.get(node) is watch:
+            del self.watchers[node]
+            if self.watcher is not None:
+                self.watcher.list_closed(node)
+            watch(api.ListChanged("refused", []))
+
     def fail(self) -> None:
         """Go down: every watch ends."""
         self.out += 1
         ended, self.watchers = self.watchers, {}
-        for told in ended.values():
+        for node, told in ended.items():
+            if self.watcher is not None:
+                self.watcher.list_closed(node)
             told(api.ListChanged("refused", []))
 
     def recover(self) -> None:
--- a/merlinbay/emulator/host.py
+++ b/merlinbay/emulator/host.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from merlinbay.decision import api
+from merlinbay.decision import Balancer, api
 from merlinbay.decision.api import Outcome
 from merlinbay.emulator.checker import Checker
 from merlinbay.emulator.directory import Directory
@@ -78,6 +78,7 @@
         self.dials = self.sends = 0
         self.shift_us = 0  # its clock is off by so much
         self.handshake_us = 0.0
+        self.known: dict[str, api.WorkerEntry] = {}  # the list as it had it last
 
     @property
     def alive(self) -> bool:
@@ -88,8 +89,12 @@
         """Start, with the list as it remembers it."""
         self.life += 1
         self.policy, self.flights, self.connections = policy, {}, {}
-        self._listed(self.directory.remembered())
-        self._subscribe(self.life)
+        self.checker.node_started(self.number)
+        stale = self.script.hall.renames and self.known
+        self._listed(api.ListChanged("remembered", list(self.known.values())) if stale
+                     else self.directory.remembered())
+        if not isinstance(policy, Balancer):  # the module says itself when to ask
+            self._subscribe(self.life)
 
     def die(self) -> None:
         """Die: what it had is its clients' to ask for again."""
@@ -123,8 +128,10 @@
             for name in self.servers:
                 if name not in named:
                     self.checker.listed(self.number, name, "removed", 0)
+            self.known = {}
         for row in news.entries:
             self.checker.listed(self.number, row.worker, row.state, row.ready_at_us)
+            self.known[row.worker] = row
         self._handle([news])
 
     def _subscribe(self, life: int) -> None:
@@ -140,6 +147,11 @@
         if life == self.life:
             self._handle([api.TimerFired(token)])
 
+    def moved(self, told_us: int) -> None:
+        """Take it that discovery is somewhere else."""
+        if self.alive:
+            self._handle([api.ListMoved(told_us)])
+
     def take(self, request: Request) -> None:
         """Take a request."""
         self.jobs += 1
--- a/merlinbay/emulator/policies.py
+++ b/merlinbay/emulator/policies.py
@@ -53,7 +53,7 @@
             tip_multiple=hall.tip,
             overload_for_us=int(hall.tip_for * 1e6),
             answer_slack_us=int(limits.answer_slack_ms * 1000),
-            must_ask_in_us=10_000_000,
+            must_ask_in_us=int(script.discovery.ask_in * 1e6),
         ),
     )
 
@@ -176,6 +176,35 @@
         return best if best_key[0] <= aim else None
 
 
+class LateView(Simple):
+    """Sees the true state of every server, but up to a second late: what a fleet's days are held against."""
+
+    STALE_US = 1_000_000
+
+    def __init__(self, script: Script, rng: Random, servers: dict[str, Server]) -> None:
+        super().__init__(script, rng, servers)
+        self.seen_us, self.room = -self.STALE_US, dict[str, float]()
+
+    def choose(self) -> str | None:
+        """Return one that had room, by how much it had; refuse where none had any and all had long queues."""
+        now = next(iter(self.servers.values())).loop.now
+        if now - self.seen_us >= self.STALE_US:
+            self.seen_us = now - int(self.rng.random() * self.STALE_US / 4)
+            self.room = {
+                name: (s.free - len(s.waiting)) * s.rate if s.state == "up" and not s.failing else -9.0
+                for name, s in self.servers.items()
+            }
+        free = [name for name in self.up if self.room.get(name, 0.0) >= 1]
+        if free:
+            name = self.rng.choices(free, [self.room[one] for one in free])[0]
+        else:
+            name = max(self.rng.choices(self.up, k=3), key=lambda one: self.room.get(one, 0.0))
+            if self.room.get(name, 0.0) < -2 * self.servers[name].kind.slots:
+                return None
+        self.room[name] = self.room.get(name, 0.0) - 1
+        return name
+
+
 Maker = Callable[[Script, int, int, int, dict[str, Server]], Policy]
 SIMPLE: dict[str, type[Simple]] = {
     "random": RandomChoice,
@@ -183,6 +212,7 @@
     "two": TwoChoices,
     "idle": JoinIdleQueue,
     "oracle": Oracle,
+    "late": LateView,
 }
 NAMES = ["module", *SIMPLE]
 
--- a/merlinbay/emulator/spec.py
+++ b/merlinbay/emulator/spec.py
@@ -32,6 +32,8 @@
     "discovery_outage",
     "clock_off",
     "node_crash",
+    "node_roll",
+    "discovery_moves",
 ]
 
 
@@ -72,6 +74,7 @@
     cold: Not = 7.0  # and warm after this
     tip: Positive = 3.0  # times what it can do, for so long:
     tip_for: Positive = 2.0  # then a cold one falls over
+    renames: bool = False  # a successor has a new name; nodes that start know what they knew
     crowd: Part = 0.0  # of its speed, lost when every slot is busy
     handshake_ms: Draw = 3.0  # of work for a new connection
     connections: Count = 3000  # that one server accepts
@@ -123,6 +126,9 @@
     add: Draw = (0.7, 2.9)  # seconds until a start is listed,
     notice: Draw = (1.4, 5.8)  # and a drain or an end
     call_ms: Draw = (5.0, 30.0)
+    work_ms: Draw = 0.0  # on each call, one after the other; 0: calls do not wait for each other,
+    fails_after: Positive = 2.0  # seconds; what it has begun to work on by then is worked on all the same
+    ask_in: Positive = 10.0  # who has not asked for so long counts as told; a failed call: four times that
 
 
 class Reports(Strict):
@@ -141,6 +147,7 @@
     backoff_ms: Draw = (11.0, 86.0)
     honour: Part = 0.9  # share that waits as long as a refusal says
     notice: Draw = (0.84, 3.6)  # until the front layer sees that a node has died
+    uneven: Not = 0.0  # spread of the logarithm of each node's part of the traffic; 0: all alike
     bad: Not = 0.0  # clients a second that send what cannot be read, or nothing; on sockets only
 
 
@@ -164,6 +171,7 @@
     cancelling: bool = True
     send_cap: Count = 5
     max_retry_after: Not = 2.0
+    reload_told: Not = 4.0  # after a move of discovery, what it has counts as told
     drain_grace: Not = 0.5
     answer_slack_ms: Not = 8.0
 
--- a/merlinbay/emulator/troubles.py
+++ b/merlinbay/emulator/troubles.py
@@ -46,6 +46,9 @@
     def node_starts(self, number: int) -> None:
         """Have it start again."""
 
+    def discovery_moves(self) -> None:
+        """Have discovery move."""
+
 
 @dataclass(frozen=True)
 class Mark:
@@ -133,6 +136,18 @@
             for number in numbers:
                 loop.at(start, Order.TROUBLE, day.node_dies, number)
                 loop.at(end, Order.TROUBLE, day.node_starts, number)
+        case "node_roll":
+            numbers = [node.number for node in day.nodes]
+            away, step = int(drawn(rng, trouble.by) * 1e6), max(1, round(len(numbers) / 10))
+            about = f"{len(numbers)} nodes, {step} at a time"
+            for place in range(0, len(numbers), step):
+                begin = start + lasts * place // len(numbers)
+                for number in numbers[place : place + step]:
+                    loop.at(begin, Order.TROUBLE, day.node_dies, number)
+                    loop.at(begin + away, Order.TROUBLE, day.node_starts, number)
+        case "discovery_moves":
+            about = "discovery"
+            loop.at(start, Order.TROUBLE, day.discovery_moves)
     return Mark(start, end, trouble.what, about)
 
 
--- /dev/null
+++ b/tests/test_fleet_days.py
@@ -0,0 +1,98 @@
+"""The fleet's days in virtual time: what the gate lets pass, and worse builds that have to fall behind."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from click.testing import CliRunner
+
+from merlinbay.cli.main import main
+from merlinbay.decision import api
+from merlinbay.decision.beliefs import Beliefs
+from merlinbay.decision.calls import Calls
+from merlinbay.emulator import gate
+from merlinbay.emulator.play import Result
+
+PLAN = Calls._plan
+
+
+def played(name: str) -> Result:
+    """Play a day as its script says."""
+    return gate.one((f"fleet-{name}", "module", 1, 0, 0, 0))
+
+
+@pytest.fixture(scope="module")
+def true() -> dict[str, Result]:
+    """Play this build."""
+    return {name: played(name) for name in ("calm", "roll", "herd", "zone")}
+
+
+@pytest.mark.parametrize("name", ["calm", "roll", "zone"])
+def test_this_build_passes_the_gate(true: dict[str, Result], name: str) -> None:
+    """Two hundred nodes and thirty servers, 22 s: no rule broken, and the share that the terms want."""
+    others = [gate.one((f"fleet-{name}", policy, 1, 0, 0, 0)) for policy in gate.POLICIES[1:]]
+    day = gate.Played(f"fleet-{name}", true[name], *others)
+    assert day.failure == ""
+    assert day.score > 0.5 and day.module.in_time > day.random.in_time
+
+
+def no_spread(self: Calls, now: int, width: float, left: int) -> list[api.Action]:
+    """Call discovery at once, always."""
+    self.due_at = now
+    return self.due(now)
+
+
+def unbounded(self: Calls, now: int, width: float, left: int) -> list[api.Action]:
+    """Spread the calls by their number alone, as it was before the rules' time to ask was kept to."""
+    return PLAN(self, now, width, 10**12)
+
+
+def test_calls_spread_beyond_the_time_to_ask_break_the_rule_on_drains(
+        monkeypatch: pytest.MonkeyPatch, true: dict[str, Result]) -> None:
+    """The fault that the bench found at full size: nodes that have not asked count as told."""
+    monkeypatch.setattr(Calls, "_plan", unbounded)
+    worse = played("zone")
+    assert worse.broken.startswith("rule 3") and true["zone"].broken == ""
+    day = gate.Played("fleet-zone", worse, true["zone"], true["zone"], true["zone"])
+    assert day.score == 0 and day.failure == worse.broken
+
+
+@pytest.mark.parametrize("name", ["roll", "herd"])
+def test_calls_without_a_spread_rank_below(monkeypatch: pytest.MonkeyPatch, true: dict[str, Result],
+                                           name: str) -> None:
+    """All nodes ask at once, again and again: those that restart stay with an old list."""
+    monkeypatch.setattr(Calls, "_plan", no_spread)
+    assert played(name).figure < true[name].figure - 0.03
+
+
+@pytest.mark.parametrize("name", ["herd", "zone"])
+def test_gates_by_own_counts_alone_rank_below(monkeypatch: pytest.MonkeyPatch, true: dict[str, Result],
+                                              name: str) -> None:
+    """Scaled by all balancers, whatever reports show: nodes with more than their share refuse."""
+    monkeypatch.setattr(Beliefs, "peers", lambda self: self.settings.balancers - 1)
+    worse = played(name)
+    assert worse.figure < true[name].figure - 0.01 and worse.refused > 1.5 * true[name].refused
+
+
+def test_the_terms(true: dict[str, Result]) -> None:
+    """Half of what sees late; on the calm day nearly what chance or that reaches, whichever is lower."""
+    one = true["calm"]
+
+    def day(name: str, module: float, chance: float, late: float) -> gate.Played:
+        return gate.Played(name, replace(one, in_time=module), replace(one, in_time=chance),
+                           replace(one, in_time=late), one)
+
+    assert day("fleet-roll", 0.5, 0.9, 0.98).failure == ""
+    assert day("fleet-roll", 0.48, 0.9, 0.98).failure == "0.480 in time, 0.490 wanted"
+    assert day("fleet-calm", 0.79, 0.85, 0.98).failure == "0.790 in time, 0.800 wanted"
+    assert day("fleet-calm", 0.79, 0.95, 0.88).failure == ""
+
+
+def test_the_command_says_whether_a_version_passes() -> None:
+    """A table, a line, and 0; a day that there is not: one line, and 2."""
+    small = ["rehearse", "fleet", "--nodes", "12", "--servers", "8", "--seconds", "14", "--processes", "2"]
+    found = CliRunner().invoke(main, [*small, "--day", "split"])
+    assert found.exit_code == 0, found.output
+    assert "fleet-split" in found.output and "GATE passed" in found.output
+    assert CliRunner().invoke(main, ["rehearse", "fleet", "--day", "nothing"]).exit_code == 2
