Operators call at their own address: maintenance, clients sent away and back

Change: platform/desk.py answers one line a connection; silent callers make room for new ones. api.Maintained stands above discovery's lists in the module; a server put back counts as restarted and gets one job before idle ones. http/attendance.py: readiness says no at once, from 0.5 s answers close connections, from 1.4 s idle ones close; servers' call-back connections stay. LB_ACCEPT_FD is taken as the listening socket.

--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import stat
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -39,6 +40,7 @@
     seed: str = "0"
     limits: Bounds = msgspec.field(default_factory=Bounds)
     known: words.Listing = msgspec.field(default_factory=lambda: words.Listing(0, True, []))
+    admin_addr: str = ""
 
 
 @dataclass(frozen=True)
@@ -53,6 +55,7 @@
     settings: api.Settings
     limits: Limits
     operator: Operator | None = None  # without one, everything beside the platform's protocol is off
+    desk: tuple[str, int] | None = None  # where operators call
 
     def facts(self) -> NodeFacts:
         """Return what the parts of an operator's file are told."""
@@ -89,6 +92,9 @@
                              int(extra.get("mostHeld") or Limits.most_held))
     except (ValueError, TypeError, OverflowError) as error:
         raise BadConfig(f"{path}: {error}") from None
+    admin = environ.get("LB_ADMIN_ADDR") or file.admin_addr
+    desk = address(admin) if admin else None
+    limits = replace(limits, accept_fd=accept_fd(environ.get("LB_ACCEPT_FD", "")))
     listen = address(environ.get("LB_LISTEN", file.listen))
     discovery = environ.get("LB_DISCOVERY", file.discovery)
     address(discovery)
@@ -100,7 +106,20 @@
                              most_held=min(limits.most_held, limits.edge_connections * 3 // 8),
                              waits=max(limits.waits // 2, 1))
     return Config(environ.get("LB_NAME", file.name), listen, discovery, seed, file.known, settings, limits,
-                  operator)
+                  operator, desk)
+
+
+def accept_fd(text: str) -> int:
+    """Read which descriptor listens for clients, -1 for none. Raises ``BadConfig``."""
+    if not text:
+        return -1
+    try:
+        number = int(text)
+        if not stat.S_ISSOCK(os.fstat(number).st_mode):
+            raise OSError
+    except (ValueError, OSError, OverflowError):
+        raise BadConfig(f"LB_ACCEPT_FD: no socket: {text!r}") from None
+    return number
 
 
 def reload(old: Config, environ: Mapping[str, str] = os.environ) -> Config:
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -120,6 +120,11 @@
                 events.append(api.SlotsKept(message.server, message.slots, message.of))
             case ports.FleetAsked():
                 message.told([ports.MachineView(**view) for view in self.balancer.beliefs(now)])
+            case ports.MaintenanceAsked():
+                known = self.balancer.knows(message.server)
+                if known:
+                    events.append(api.Maintained(message.server, message.on))
+                message.told(known)  # heard after this turn, in which the module learns it
             case ports.FlowWithdrawn():
                 flow = self.names.get(message.name)
                 if flow is not None and flow.edge is message.edge and not flow.done:
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -309,6 +309,14 @@
     told: Callable[[list[MachineView]], None]
 
 
+class MaintenanceAsked(msgspec.Struct, frozen=True):
+    """Operators take a real server out (``on``) or put it back; ``told`` hears whether the name is known."""
+
+    server: str
+    on: bool
+    told: Callable[[bool], None]
+
+
 class SlotsKept(msgspec.Struct, frozen=True):
     """So many slots of a real server are kept free, but for flows that they are reserved for."""
 
@@ -331,4 +339,4 @@
 Message = (FlowArrived | FlowWithdrawn | FlowRecalled | FlowControlled | SchedulingRecalled
            | SchedulingControlled | SchedulingSuspended | SchedulingUnseen | SchedulingStarted
            | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | DirectoryMoved
-           | BalancersCounted | FleetAsked | SlotsKept | Stopping)
+           | BalancersCounted | FleetAsked | MaintenanceAsked | SlotsKept | Stopping)
--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -189,6 +189,14 @@
     count: int
 
 
+@dataclass(slots=True)
+class Maintained:
+    """Operators take a worker out (``on``), above whatever is listed, or put it back, restarted."""
+
+    worker: str
+    on: bool
+
+
 @dataclass(slots=True)
 class JobArrived:
     """A client's request; one final answer is owed within ``budget_us``."""
@@ -295,8 +303,9 @@
     body: bytes
 
 
-Event = (ListChanged | ListMoved | BalancersCounted | JobArrived | JobWithdrawn | JobStarted | JobProgress
-         | JobPaused | StreamStarted | AttemptEnded | ProbeEnded | TimerFired | PeerMessage | SlotsKept)
+Event = (ListChanged | ListMoved | BalancersCounted | Maintained | JobArrived | JobWithdrawn | JobStarted
+         | JobProgress | JobPaused | StreamStarted | AttemptEnded | ProbeEnded | TimerFired | PeerMessage
+         | SlotsKept)
 
 
 # Actions: what the balancer wants done. A job with no action is held.
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -13,7 +13,14 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from merlinbay.decision.api import BalancersCounted, JobClass, ListChanged, Settings, SlotsKept
+from merlinbay.decision.api import (
+    BalancersCounted,
+    JobClass,
+    ListChanged,
+    Maintained,
+    Settings,
+    SlotsKept,
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -38,6 +45,7 @@
     zone: str = ""
     cell: int = 0
     state: str = "up"
+    listed: str = "up"  # its state as the list has it, whatever operators say
     ready_at: int = 0
     held: float = 0.0  # our outstanding slots
     running: float = 0.0  # and of these, the started ones
@@ -57,6 +65,11 @@
     cold_next: int = 0  # before this a cold worker gets nothing more from us
     last_report: list[object] | None = None
 
+    def restart(self, at: int) -> None:
+        """Take it that it started anew: what was known of its health is of another process."""
+        self.ready_at, self.pace = at, 1.0
+        self.fails, self.bench_until, self.asked_at, self.cold_next = 0, 0, 0, 0
+
     def observe(self, now: int, others: float) -> None:
         """Note how many slots the others hold there."""
         self.others, self.others_at = max(0.0, others), now
@@ -134,6 +147,8 @@
     kinds: dict[str, Kind] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     kept: dict[str, float] = field(default_factory=dict)  # slots kept free, by worker
+    banned: dict[str, int] = field(default_factory=dict)  # workers that operators took out, and since when
+    returned: list[Worker] = field(default_factory=list)  # put back, and not sent anything since
     usable: list[Worker] = field(default_factory=list)  # those that are up, shuffled
     colds: list[Worker] = field(default_factory=list)  # and of these, the ones started lately
     pools: dict[int, tuple[list[Worker], list[Worker]]] = field(default_factory=dict)  # by kind: near, far
@@ -235,22 +250,49 @@
         """Take a list of workers; return those that have started since they were last listed."""
         if event.scope != "changes":  # a worker that a complete list does not name is gone
             for worker in self.workers.values():
-                worker.state = "removed"
+                worker.state = worker.listed = "removed"
         started = []
         for entry in event.entries:
             kind = self.kinds.setdefault(entry.kind, Kind())
             worker = self.workers.setdefault(entry.worker, Worker(entry.worker, kind))
-            worker.kind, worker.zone, worker.cell, worker.state = kind, entry.zone, entry.cell, entry.state
+            worker.kind, worker.zone, worker.cell, worker.listed = kind, entry.zone, entry.cell, entry.state
+            worker.state = self.standing(worker)
             worker.kept = self.kept.get(entry.worker, 0.0)
             if entry.ready_at_us > worker.ready_at:
-                worker.ready_at = entry.ready_at_us
-                worker.fails, worker.bench_until, worker.asked_at, worker.cold_next = 0, 0, 0, 0
-                worker.pace = 1.0
+                worker.restart(entry.ready_at_us)
                 started.append(worker)
         self.workers = {w.name: w for w in self.workers.values() if w.state != "removed" or w.held > 0}
         self.reindex()
         return started
 
+    def knows(self, name: str) -> bool:
+        """Tell whether a worker is listed, or was taken out by operators."""
+        worker = self.workers.get(name)
+        return name in self.banned or (worker is not None and worker.listed != "removed")
+
+    def standing(self, worker: Worker) -> str:
+        """Return a worker's state: as listed, but draining while operators have it out."""
+        return "draining" if worker.name in self.banned and worker.listed == "up" else worker.listed
+
+    def maintain(self, event: Maintained) -> Worker | None:
+        """Take a worker out or put it back; return one that is back in use.
+
+        Guards against a server that is cold for having been restarted meanwhile, of which nothing was listed
+        yet: it counts as started when it is put back.
+        """
+        worker = self.workers.get(event.worker)
+        if event.on:
+            self.banned.setdefault(event.worker, self.now)
+        since = 0 if event.on else self.banned.pop(event.worker, None)
+        if worker is None or since is None:
+            return None
+        worker.state = self.standing(worker)
+        if not event.on and worker.ready_at < since:
+            worker.restart(self.now)
+        self.reindex()
+        self.returned = [w for w in self.returned if w is not worker] + [worker] * (not event.on)
+        return None if event.on else worker
+
     def sample(self, pool: list[Worker], most: int) -> list[Worker]:
         """Return a few workers at a random place of the shuffled pool."""
         at = self.rng.randrange(len(pool)) if len(pool) > most else 0
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -91,7 +91,7 @@
             api.TimerFired: self._timer, api.ListChanged: self._list, api.ProbeEnded: self._probed,
             api.JobPaused: self._paused, api.PeerMessage: lambda event: None, api.SlotsKept: self.keep,
             api.ListMoved: self._moved,
-            api.BalancersCounted: self.recount}
+            api.BalancersCounted: self.recount, api.Maintained: self._maintained}
         self.calls = Calls(settings.me, settings.balancers, self.safety.must_ask_in_us, self.rng, now_us)
         if settings.must_subscribe:
             self.out += self.calls.start(now_us)
@@ -190,7 +190,8 @@
             some = [w for w in self._affine(job.key, near, far) if self._may(w, job)]
             if some:
                 return [[w] for w in some]
-        return [self.starting(SCAN) + self.sample(near, SCAN), self.sample(far, SCAN)]
+        # Guards against one put back that nobody tries: idle ones have more room than a cold one.
+        return [self.returned, self.starting(SCAN) + self.sample(near, SCAN), self.sample(far, SCAN)]
 
     def _pick(self, job: Job, room_only: bool = False, caution: float = CAUTION) -> Worker | None:
         """Choose a worker with room for the job's slots, else one under its gate; nearer ones first."""
@@ -287,6 +288,7 @@
         self.out.append(api.Place(job.id, worker.name))
         self.hold(job, Attempt(worker, self.now, self._free(worker) >= job.slots))
         worker.asked_at = worker.asked_at or self.now
+        self.returned = [w for w in self.returned if w is not worker] if self.returned else []
         if self.cold(worker):
             worker.cold_next = self._cold_until(job.run * job.slots, worker)
         if self.settings.tells_start and self.limits.second_copies and job.cls.spec.effect != "once":
@@ -507,6 +509,14 @@
         if event.scope != "remembered":
             self.calls.answered(self.now)
         for worker in self.relist(event):  # those that have just started, empty
-            worker.observe(self.now, 0.0)
-            # Guards against a joint push: the schedulers' first jobs come at spread moments.
-            worker.cold_next = self._cold_until(self.mean_run * self.rng.random(), worker)
+            self._starts(worker)
+
+    def _starts(self, worker: Worker) -> None:
+        worker.observe(self.now, 0.0)
+        # Guards against a joint push: the schedulers' first jobs come at spread moments.
+        worker.cold_next = self._cold_until(self.mean_run * self.rng.random(), worker)
+
+    def _maintained(self, event: api.Maintained) -> None:
+        worker = self.maintain(event)
+        if worker is not None and self.cold(worker):
+            self._starts(worker)
--- /dev/null
+++ b/merlinbay/http/attendance.py
@@ -0,0 +1,54 @@
+"""Whether clients are wanted here, and how they are sent away without losing what they ask for."""
+
+from __future__ import annotations
+
+import trio
+
+from merlinbay.http.server import Listener
+from merlinbay.limits import Limits
+
+
+class Attendance:
+    """Sends clients away and takes them back. No connection of a real server is touched."""
+
+    def __init__(self, listener: Listener, limits: Limits) -> None:
+        self.listener, self.limits = listener, limits
+        self.away = False  # clients are to go elsewhere
+        self.changed = trio.Event()
+
+    def wanted(self) -> bool:
+        """Tell whether new clients are wanted."""
+        return not self.away
+
+    def turn(self, away: bool) -> None:
+        """Send clients away, or take them back. Asked twice, it stays as it is."""
+        if away == self.away:
+            return
+        self.away = away
+        if not away:
+            self.listener.retire(False)
+        self.changed.set()
+
+    async def run(self) -> None:
+        """Carry it out."""
+        while True:
+            await self.changed.wait()
+            self.changed = trio.Event()
+            if not self.away:
+                continue
+            began = trio.current_time()
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._until_changed, scope)
+                    # Guards against clients met by a closed door: new ones come until the front has looked.
+                    await trio.sleep(self.limits.away_arrivals)
+                    self.listener.retire(True)
+                    # Guards against requests that cross the closing: most connections end with an answer.
+                    await trio.sleep_until(began + self.limits.away_idle)
+                    while True:
+                        self.listener.close_idle(self.limits.away_quiet)
+                        await trio.sleep(self.limits.away_look)
+
+    async def _until_changed(self, scope: trio.CancelScope) -> None:
+        await self.changed.wait()
+        scope.cancel()
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -4,6 +4,7 @@
 
 import errno
 import select
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -88,6 +89,7 @@
         self.ended = False
         self.head_only = False  # the request is a HEAD: its answer has no body
         self.close_after = False  # no further request is wanted on this connection
+        self.calls_back = False  # set by a front: a real server uses it, which is never sent away
         self.scope = trio.CancelScope()
         self.idle_since = trio.current_time()
         self.proven = False  # set by a front: a job was served on it, so it is worth keeping
@@ -210,7 +212,7 @@
         """Write an answer, and make ready for the next request or end the connection."""
         self.expires = trio.current_time() + self.limits.write_answer
         # Guards against clients that ask for what there is not, and stay: each would hold a descriptor.
-        await self._send(response, self.close_after or 400 <= response.status < 500)
+        await self._send(response, (self.close_after and not self.calls_back) or 400 <= response.status < 500)
         self.waiting = False
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
@@ -259,6 +261,16 @@
     return bool(poll.poll(0))
 
 
+async def bound(host: str, port: int, backlog: int) -> trio.socket.SocketType:
+    """Return a socket that listens at an address."""
+    sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+    sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)  # accepted ones inherit it
+    await sock.bind((host, port))
+    sock.listen(backlog)
+    return sock
+
+
 class Listener:
     """Accepts connections, so many at the most."""
 
@@ -270,13 +282,14 @@
         self.closing = False
 
     async def bind(self, host: str, port: int) -> trio.socket.SocketType:
-        """Return a socket that listens."""
-        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
-        sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
-        sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)  # accepted ones inherit it
-        await sock.bind((host, port))
-        sock.listen(self.limits.backlog)
-        return sock
+        """Return a socket that listens, be it the one that the platform keeps."""
+        if self.limits.accept_fd >= 0:
+            kept = socket.socket(fileno=self.limits.accept_fd)
+            kept.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if not kept.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                kept.listen(self.limits.backlog)
+            return trio.socket.from_stdlib_socket(kept)
+        return await bound(host, port, self.limits.backlog)
 
     async def serve(self, sock: trio.socket.SocketType) -> None:
         """Accept until cancelled."""
@@ -349,10 +362,20 @@
         free = sum(connection.proven and connection.idle for connection in self.connections)
         return free < self.limits.spare_connections
 
-    def close_idle(self) -> None:
-        """Close idle connections and have the others close after their answer. Goes on accepting."""
-        self.closing = True
+    def retire(self, closing: bool) -> None:
+        """Have connections close after their next answer, those to come included, or no longer."""
+        self.closing = closing
+        for connection in self.connections:
+            connection.close_after = closing
+
+    def close_idle(self, quiet: float = 0.0) -> None:
+        """Close connections idle for so many seconds, the others after their answer. Goes on accepting.
+
+        With ``quiet``, those of real servers stay.
+        """
+        self.retire(True)
+        before = trio.current_time() - quiet
         for connection in self.connections:
-            connection.close_after = True
-            if connection.idle and not readable(connection.sock):
+            if (connection.idle and connection.idle_since <= before and not (quiet and connection.calls_back)
+                    and not readable(connection.sock)):
                 connection.scope.cancel()
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -47,6 +47,14 @@
     stop_tail: float = 0.1  # refuse for so long after the last answer, for what crossed the closing
     stop_most: float = 3.6  # and leave after so long at the latest, before SIGKILL
     retry_when_stopping_us: int = 100_000
+    desk_connections: int = 16  # operators' calls that wait for their line
+    desk_line: int = 1024  # bytes of one
+    desk_call: float = 5.0  # and so long it may take
+    away_arrivals: float = 0.5  # after clients are sent away, new ones still come for so long;
+    away_idle: float = 1.4  # so long after the call, connections that stand idle are closed,
+    away_quiet: float = 0.2  # if they have done so for a while,
+    away_look: float = 0.1  # which is looked at so often
+    accept_fd: int = -1  # a listening socket that the platform keeps and hands down; -1: none
     finished_bytes: int = 16 * 1024 * 1024  # of the outputs of DRMAA jobs kept after their end
     waits: int = 100  # DRMAA waits under way, each of which holds an edge connection
     dns_query: float = 1.0
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -5,6 +5,7 @@
 import gc
 import signal
 import sys
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,10 +17,12 @@
 from merlinbay.core.ports import DirectoryMoved, EntriesChanged, Message, ServerSide, Stopping
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
+from merlinbay.http.attendance import Attendance
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.server import Handler, Listener
+from merlinbay.http.server import Handler, Listener, bound
 from merlinbay.log import Log
 from merlinbay.platform import words
+from merlinbay.platform.desk import Desk
 from merlinbay.platform.discovery import Discovery
 from merlinbay.platform.edge import PlatformEdge
 from merlinbay.platform.servers import PlatformServers
@@ -73,10 +76,11 @@
     listener = Listener(handler, limits, counters, log)
     if config.settings.balancers == 1:  # else clients find another node by a new connection
         edge.scarce = listener.scarce
-    try:
-        sock = await listener.bind(*config.listen)
-    except OSError as error:
-        raise BadConfig(f"cannot listen at {config.listen[0]}:{config.listen[1]}: {error.strerror}") from None
+    attendance = Attendance(listener, limits)
+    edge.wanted = attendance.wanted
+    desk = Desk(send, attendance, limits, counters, log)
+    sock = await listening(listener.bind(*config.listen), config.listen)
+    desk_sock = await listening(bound(*config.desk, limits.backlog), config.desk) if config.desk else None
     discovery: Discovery | DnsSdDirectory
     if operator is None or operator.dnssd is None:
         discovery = Discovery(config.discovery, config.known.version, send, limits, counters, log)
@@ -98,16 +102,29 @@
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
         nursery.start_soon(listener.serve, sock)
+        nursery.start_soon(attendance.run)
+        if desk_sock is not None:
+            nursery.start_soon(desk.serve, desk_sock)
         if drmaa is not None:
             await drmaa.listen(nursery, limits)
         if sides.fleet is not None:
             await sides.fleet.listen(nursery)
         nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, sides)
+        desk.serving = True
         log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
         await owner.run(receive)
         nursery.cancel_scope.cancel()
 
 
+async def listening(binding: Awaitable[trio.socket.SocketType],
+                    at: tuple[str, int]) -> trio.socket.SocketType:
+    """Return the socket that listens. Raises ``BadConfig``."""
+    try:
+        return await binding
+    except OSError as error:
+        raise BadConfig(f"cannot listen at {at[0]}:{at[1]}: {error.strerror}") from None
+
+
 def log_for(config: Config) -> Log:
     """Return the log that the operator's file asks for."""
     section = config.operator.log if config.operator is not None else None
--- a/merlinbay/platform/edge.py
+++ b/merlinbay/platform/edge.py
@@ -52,14 +52,18 @@
         self.inbox, self.clock, self.limits = inbox, clock, limits
         self.counters, self.classes = counters, classes
         self.scarce: Callable[[], bool] = lambda: False  # whether kept edge connections run out
+        self.wanted: Callable[[], bool] = lambda: True  # whether new clients are
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Take a call-back, a job or a check."""
         path = request.target.partition("?")[0]
         if path == "/v1/job-events":
+            connection.calls_back = True
             return await self._call_back(request)
         if path == "/-/ready":
-            return Response(200, b"ready\n") if request.method in ("GET", "HEAD") else Response(405)
+            if request.method not in ("GET", "HEAD"):
+                return Response(405)
+            return Response(200, b"ready\n") if self.wanted() else Response(503, b"standby\n")
         if path.strip("/").partition("/")[0] not in self.classes:
             return Response(404)
         if request.method != "POST":
--- a/tests/net.py
+++ b/tests/net.py
@@ -147,6 +147,7 @@
     sockets: int = 256
     settings: dict[str, Any] = field(default_factory=dict)
     operator: str = ""  # the text of the operator's file; none by default
+    desk: int = 0  # the port where operators call; none by default
 
     def add(self, name: str, play: Play = serves, cell: int = 0, **row: object) -> StandIn:
         """Add a real server to the list, before the node starts or while it runs."""
@@ -193,7 +194,8 @@
             "name": "n0", "listen": f"127.0.0.2:{self.port}", "discovery": discovery, "seed": "2a",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": {"version": 0, "full": True, "servers": self.rows}, "settings": self.settings}))
-        return {"LB_CONFIG": str(path), "LB_OPERATOR": str(operator) if self.operator else ""}
+        return {"LB_CONFIG": str(path), "LB_OPERATOR": str(operator) if self.operator else "",
+                "LB_ADMIN_ADDR": f"127.0.0.2:{self.desk}" if self.desk else ""}
 
     async def start(self, program: bool = False, **conf: object) -> None:
         """Start the node, in this process or as the program, and wait until it is ready."""
@@ -220,6 +222,13 @@
         finally:
             connection.close()
 
+    async def operate(self, line: str, port: int = 0) -> str:
+        """Make one operator's call; return the line that answers it."""
+        stream = await trio.open_tcp_stream("127.0.0.2", port or self.desk)
+        async with stream:
+            await stream.send_all(line.encode() + b"\n")
+            return b"".join([part async for part in stream]).decode()
+
     async def admit(self, job: str, timeout_ms: int = 2000) -> Reply:
         """Hand in one job and return its answer."""
         return await self.call("POST", "/admit?x=1", admission(job, timeout_ms), b"seat")
