A process is replaced by the next: descriptors, call-backs and bans go over

Change: merlinbay/handover, imported only where the platform keeps the listening socket. The new process asks the old one over a Unix socket in TMPDIR (packets in msgpack, peer's user checked) for the list, bans, standby and decision/learned.py; call-backs for no flow here are passed to the other process; after SIGTERM the old one stops accepting and gives each edge connection over, as a descriptor, once no request is under way, then leaves.

--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -13,6 +13,7 @@
 from merlinbay.core.ports import Answer, Verdict
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer, api
+from merlinbay.decision.learned import learned
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
@@ -43,6 +44,7 @@
         self.fields = balancer.settings.report_fields
         self.classes = {spec.name for spec in balancer.settings.classes}
         self.watchers: list[ports.EntriesWatcher] = []
+        self.other: ports.OtherProcess | None = None
         self.flows: dict[int, Flow] = {}
         self.names: dict[str, Flow] = {}
         self.open: dict[tuple[str, str], ports.Scheduling] = {}
@@ -96,7 +98,7 @@
             case ports.SchedulingEnded():
                 scheduling = self.open.get((message.name, message.server))
                 if scheduling is None:  # Guards against call-backs that repeat, or cross a cancel.
-                    self.counters.add("schedulings_stale")
+                    self._unclaimed(message)
                 elif message.unfit:
                     self._unfit(scheduling, now, events, message)
                 else:
@@ -110,9 +112,16 @@
                     found.paused = False
                     if not self.flows[found.flow].done:
                         self.flows[found.flow].edge.started(found.server)
+                else:
+                    self._unclaimed(message)
             case ports.SchedulingProgress():
                 if (found := self.open.get((message.name, message.server))) is not None:
                     events.append(api.JobProgress(found.flow, found.number, message.share))
+                else:
+                    self._unclaimed(message)
+            case ports.Relayed():
+                if (message.message.name, message.message.server) in self.open:
+                    self._take(message.message, now, events)
             case (ports.FlowRecalled() | ports.FlowControlled() | ports.SchedulingRecalled()
                   | ports.SchedulingControlled() | ports.SchedulingSuspended() | ports.SchedulingUnseen()):
                 self._control(message, now, events)
@@ -124,7 +133,12 @@
                 known = self.balancer.knows(message.server)
                 if known:
                     events.append(api.Maintained(message.server, message.on))
-                message.told(known)  # heard after this turn, in which the module learns it
+                if message.told is not None:
+                    message.told(known)  # heard after this turn, in which the module learns it
+                    if known and self.other is not None:
+                        self.other.maintained(message.server, message.on)
+            case ports.LearnedAsked():
+                message.told(learned(self.balancer, self.balancer.classes))
             case ports.FlowWithdrawn():
                 flow = self.names.get(message.name)
                 if flow is not None and flow.edge is message.edge and not flow.done:
@@ -156,6 +170,11 @@
                         flow.deadline_us = last
                         self._at(last, flow)
 
+    def _unclaimed(self, message: ports.CallBack) -> None:
+        """Take it that nothing here waits for a call-back; the node's other process may."""
+        if self.other is None or not self.other.unclaimed(message):
+            self.counters.add("schedulings_stale")
+
     def _arrived(self, message: ports.FlowArrived, now: int, events: list[api.Event]) -> None:
         spec = message.spec
         self.counters.add("flows_taken")
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -11,6 +11,7 @@
 
 from merlinbay.decision import api
 from merlinbay.decision.api import Outcome
+from merlinbay.decision.learned import Learned
 from merlinbay.limits import Limits
 
 
@@ -230,14 +231,14 @@
     found: bool
 
 
-class SchedulingStarted(msgspec.Struct, frozen=True):
+class SchedulingStarted(msgspec.Struct, tag=True, frozen=True):
     """The real server has started the job."""
 
     name: str
     server: str
 
 
-class SchedulingProgress(msgspec.Struct, frozen=True):
+class SchedulingProgress(msgspec.Struct, tag=True, frozen=True):
     """The job runs."""
 
     name: str
@@ -245,7 +246,7 @@
     share: float
 
 
-class SchedulingEnded(msgspec.Struct, frozen=True):
+class SchedulingEnded(msgspec.Struct, tag=True, frozen=True):
     """How an attempt ended. A flow has one at a time on a real server, so the two names match it."""
 
     name: str
@@ -314,7 +315,32 @@
 
     server: str
     on: bool
-    told: Callable[[bool], None]
+    told: Callable[[bool], None] | None  # None: the node's other process was asked, which has answered
+
+
+class LearnedAsked(msgspec.Struct, frozen=True):
+    """The process that is to take this one's place asks what the module has learned."""
+
+    told: Callable[[Learned], None]
+
+
+class Relayed(msgspec.Struct, frozen=True):
+    """A call-back that reached the node's other process; it is passed on no further."""
+
+    message: SchedulingStarted | SchedulingProgress | SchedulingEnded
+
+
+CallBack = SchedulingStarted | SchedulingProgress | SchedulingEnded
+
+
+class OtherProcess(Protocol):
+    """The process that this one replaces, or that replaces it. Nothing here waits."""
+
+    def unclaimed(self, message: CallBack) -> bool:
+        """Pass a call-back on that is for no flow here; tell whether there is anybody to pass it to."""
+
+    def maintained(self, server: str, on: bool) -> None:
+        """Pass on what operators did with a real server."""
 
 
 class SlotsKept(msgspec.Struct, frozen=True):
@@ -339,4 +365,5 @@
 Message = (FlowArrived | FlowWithdrawn | FlowRecalled | FlowControlled | SchedulingRecalled
            | SchedulingControlled | SchedulingSuspended | SchedulingUnseen | SchedulingStarted
            | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | DirectoryMoved
-           | BalancersCounted | FleetAsked | MaintenanceAsked | SlotsKept | Stopping)
+           | BalancersCounted | FleetAsked | MaintenanceAsked
+           | LearnedAsked | Relayed | SlotsKept | Stopping)
--- /dev/null
+++ b/merlinbay/handover/twin.py
@@ -0,0 +1,184 @@
+"""One of the two processes that are a node while the second takes the first one's place.
+
+A process listens for its successor, and at its start asks its predecessor for what it has. Each may be gone
+at any moment: then the other one is the node alone, as without a hand-over.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+from merlinbay.core import ports
+from merlinbay.counters import Counters
+from merlinbay.decision.learned import Learned
+from merlinbay.handover import link, words
+from merlinbay.handover.link import Link
+from merlinbay.http.attendance import Attendance
+from merlinbay.http.server import Connection, Listener
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+
+Listing = Callable[[], tuple[int | None, list[ports.ServiceEntry]]]
+
+
+@dataclass
+class Inherited:
+    """What the predecessor has told."""
+
+    version: int | None
+    away: bool
+    learned: Learned
+    entries: list[ports.ServiceEntry] = field(default_factory=list)
+
+
+class Twin:
+    """A process's side of both links."""
+
+    def __init__(self, path: Path, inbox: trio.MemorySendChannel[ports.Message], listener: Listener,
+                 attendance: Attendance, limits: Limits, counters: Counters, log: Log) -> None:
+        self.path, self.inbox, self.listener, self.attendance = path, inbox, listener, attendance
+        self.limits, self.counters, self.log = limits, counters, log
+        self.predecessor: Link | None = None
+        self.successor: Link | None = None
+        self.succeeded = False  # the successor takes clients
+        attendance.told = self._away
+
+    # Core's port.
+
+    def unclaimed(self, message: ports.CallBack) -> bool:
+        """Pass a call-back on that is for no flow here; tell whether there is anybody to pass it to."""
+        return self._post(words.Unclaimed(message))
+
+    def maintained(self, server: str, on: bool) -> None:
+        """Pass a ban on."""
+        self._post(words.Banned(server, on))
+
+    def _away(self, away: bool) -> None:
+        self._post(words.Away(away))
+
+    def _post(self, word: words.Word) -> bool:
+        return any([end.post(word) for end in (self.predecessor, self.successor) if end is not None])
+
+    # The new process.
+
+    async def inherit(self) -> Inherited | None:
+        """Ask the predecessor for what it has; None where there is none, or none that speaks as we do."""
+        sock = await link.dial(self.path)
+        if sock is None:
+            return None
+        end, parts = Link(sock, self.limits), words.Part([], [])
+        with trio.move_on_after(self.limits.inherit):
+            await sock.send(words.encode(words.Hello(words.SPEAKS)))
+            while (heard := await end.read()) is not None:
+                word, _ = heard
+                if isinstance(word, words.Part):
+                    parts.entries.extend(word.entries)
+                    parts.workers.extend(word.workers)
+                elif isinstance(word, words.Whole):
+                    self.predecessor = end
+                    word.learned.workers = parts.workers
+                    self.log.event("inherited", entries=len(parts.entries), banned=len(word.learned.banned))
+                    return Inherited(word.version, word.away, word.learned, parts.entries)
+        # Guards against a start that hangs on an old process: without its word the new one starts alone.
+        self.log.event("not_inherited", level="warning", path=self.path)
+        sock.close()
+        return None
+
+    async def follow(self) -> None:
+        """Tell the predecessor that clients are taken, and hear it to its end."""
+        end = self.predecessor
+        if end is None:
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end.write)
+            end.post(words.Serves())
+            await self._hear(end)
+            self.predecessor = None
+            nursery.cancel_scope.cancel()
+        end.sock.close()
+        self.log.event("predecessor_gone")
+
+    # The old one.
+
+    async def await_successors(self, listing: Listing) -> None:
+        """Listen for the process that is to take this one's place, again where one came and went."""
+        while True:
+            try:
+                with await link.listen(self.path) as listening:
+                    sock, _ = await listening.accept()
+            except OSError as error:
+                self.log.event("no_hand_over", level="warning", error=error.strerror)
+                return
+            with sock:
+                if link.same_user(sock):
+                    await self._succeed(Link(sock, self.limits), listing)
+
+    async def _succeed(self, end: Link, listing: Listing) -> None:
+        heard = await end.read()
+        if heard is None or heard[0] != words.Hello(words.SPEAKS):
+            self.log.event("successor_refused", level="warning", said=ascii(heard)[:80])
+            return
+
+        def told(learned: Learned) -> None:
+            # Called in the owner's turn: bans after it are passed on behind what is told here.
+            for word in words.told(*listing(), learned, self.attendance.away):
+                end.post(word)
+            self.successor = end
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end.write)
+            await self.inbox.send(ports.LearnedAsked(told))
+            await self._hear(end)
+            self.successor, self.succeeded = None, False
+            nursery.cancel_scope.cancel()
+        self.log.event("successor_gone")
+
+    async def leave(self) -> bool:
+        """Give everything to the successor; tell whether there is one, and all went there in time."""
+        if not self.succeeded:
+            return False
+        self.log.event("hands_over", connections=len(self.listener.connections))
+        self.listener.hand_over(self._give)
+        with trio.move_on_after(self.limits.stop_serving):
+            while self.listener.connections and self.succeeded:
+                await trio.sleep(self.limits.hand_look)
+        return self.succeeded
+
+    def _give(self, connection: Connection) -> bool:
+        """Give one connection away; tell whether it went."""
+        if self.successor is None:
+            return False
+        try:
+            descriptor = os.dup(connection.raw.fileno())
+        except OSError:
+            return False
+        self.counters.add("edge_connections_given")
+        return self.successor.post(words.EdgeGiven(connection.proven, connection.calls_back), descriptor)
+
+    # Both.
+
+    async def _hear(self, end: Link) -> None:
+        """Take what the other process says, until it is gone."""
+        while (heard := await end.read()) is not None:
+            word, descriptor = heard
+            if isinstance(word, words.EdgeGiven) and descriptor >= 0:
+                self.counters.add("edge_connections_taken_over")
+                self.listener.adopt(trio.socket.from_stdlib_socket(socket.socket(fileno=descriptor)),
+                                    word.proven, word.calls_back)
+                continue
+            if descriptor >= 0:
+                os.close(descriptor)
+            if isinstance(word, words.Unclaimed):
+                await self.inbox.send(ports.Relayed(word.message))
+            elif isinstance(word, words.Banned):
+                await self.inbox.send(ports.MaintenanceAsked(word.server, word.on, None))
+            elif isinstance(word, words.Away):
+                self.attendance.turn(word.away, relayed=True)
+            elif isinstance(word, words.Serves):
+                self.succeeded = True
--- /dev/null
+++ b/merlinbay/handover/wiring.py
@@ -0,0 +1,25 @@
+"""Where the two processes of a node meet."""
+
+from __future__ import annotations
+
+import tempfile
+import zlib
+from pathlib import Path
+
+import trio
+
+from merlinbay.core import ports
+from merlinbay.counters import Counters
+from merlinbay.handover.twin import Twin
+from merlinbay.http.attendance import Attendance
+from merlinbay.http.server import Listener
+from merlinbay.limits import Limits
+from merlinbay.log import Log
+
+
+def wire(name: str, listen: tuple[str, int], inbox: trio.MemorySendChannel[ports.Message], listener: Listener,
+         attendance: Attendance, limits: Limits, counters: Counters, log: Log) -> Twin:
+    """Return this process's side. Nodes that share a ``$TMPDIR`` are told apart by name and address."""
+    key = zlib.crc32(f"{name} {listen[0]}:{listen[1]}".encode())
+    path = Path(tempfile.gettempdir()) / f"merlinbay-{key:08x}.sock"
+    return Twin(path, inbox, listener, attendance, limits, counters, log)
--- /dev/null
+++ b/merlinbay/handover/words.py
@@ -0,0 +1,77 @@
+"""What the two processes of a node tell each other: one packet each, in msgpack."""
+
+from __future__ import annotations
+
+import msgspec
+
+from merlinbay.core.ports import SchedulingEnded, SchedulingProgress, SchedulingStarted, ServiceEntry
+from merlinbay.decision.learned import Learned, LearnedWorker
+
+SPEAKS = 1  # raised when words change their meaning; another number's process is not replaced but stopped
+PART = 200  # entries, or workers, in one packet
+
+
+class Hello(msgspec.Struct, tag=True, frozen=True):
+    """The new process asks for what the old one has."""
+
+    speaks: int
+
+
+class Part(msgspec.Struct, tag=True, frozen=True):
+    """Some of what is known of real servers."""
+
+    entries: list[ServiceEntry] = []
+    workers: list[LearnedWorker] = []
+
+
+class Whole(msgspec.Struct, tag=True, frozen=True):
+    """The rest of it; with it the old process has told all."""
+
+    version: int | None  # of discovery's list
+    learned: Learned  # without the workers, which came in parts
+    away: bool  # whether clients are sent away
+
+
+class Serves(msgspec.Struct, tag=True, frozen=True):
+    """The new process takes clients."""
+
+
+class Unclaimed(msgspec.Struct, tag=True, frozen=True):
+    """A call-back for no flow of ours."""
+
+    message: SchedulingStarted | SchedulingProgress | SchedulingEnded
+
+
+class Banned(msgspec.Struct, tag=True, frozen=True):
+    """Operators took a real server out, or put it back."""
+
+    server: str
+    on: bool
+
+
+class Away(msgspec.Struct, tag=True, frozen=True):
+    """Operators send clients away, or take them back."""
+
+    away: bool
+
+
+class EdgeGiven(msgspec.Struct, tag=True, frozen=True):
+    """An edge connection without a request under way; its descriptor comes along."""
+
+    proven: bool
+    calls_back: bool
+
+
+Word = Hello | Part | Whole | Serves | Unclaimed | Banned | Away | EdgeGiven
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Word).decode
+
+
+def told(version: int | None, entries: list[ServiceEntry], learned: Learned, away: bool) -> list[Word]:
+    """Return the words that tell all, in packets of a bounded size."""
+    workers = learned.workers
+    words: list[Word] = [Part(entries=entries[at:at + PART]) for at in range(0, len(entries), PART)]
+    words += [Part(workers=workers[at:at + PART]) for at in range(0, len(workers), PART)]
+    bare = Learned(learned.load, learned.kinds, learned.classes, learned.banned)
+    return [*words, Whole(version, bare, away)]
--- a/merlinbay/http/attendance.py
+++ b/merlinbay/http/attendance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from merlinbay.http.server import Listener
@@ -15,13 +17,16 @@
         self.listener, self.limits = listener, limits
         self.away = False  # clients are to go elsewhere
         self.changed = trio.Event()
+        self.told: Callable[[bool], None] = lambda away: None  # hears what operators say
 
     def wanted(self) -> bool:
         """Tell whether new clients are wanted."""
         return not self.away
 
-    def turn(self, away: bool) -> None:
+    def turn(self, away: bool, relayed: bool = False) -> None:
         """Send clients away, or take them back. Asked twice, it stays as it is."""
+        if not relayed:
+            self.told(away)
         if away == self.away:
             return
         self.away = away
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -71,6 +71,9 @@
         """Take it that the client hung up before its answer."""
 
 
+Give = Callable[["Connection"], bool]  # tells whether it took the connection
+
+
 class Connection:
     """One accepted connection: a task that reads, and one that writes answers that come later."""
 
@@ -89,6 +92,8 @@
         self.ended = False
         self.head_only = False  # the request is a HEAD: its answer has no body
         self.close_after = False  # no further request is wanted on this connection
+        self.give: Give | None = None  # takes the connection away as soon as no request is under way
+        self.reading = trio.CancelScope()
         self.calls_back = False  # set by a front: a real server uses it, which is never sent away
         self.scope = trio.CancelScope()
         self.idle_since = trio.current_time()
@@ -100,6 +105,13 @@
         """Tell whether no request is under way."""
         return not self.waiting and self.h11.their_state is h11.IDLE and not self.h11.trailing_data[0]
 
+    def hand_over(self, give: Give) -> None:
+        """Have the connection given away once no request is under way on it."""
+        if self.prepare is None:  # what TLS knows of it cannot be given
+            self.give = give
+            if self.idle:
+                self.reading.cancel()
+
     def respond(self, response: Response) -> None:
         """Have an answer written. Does not wait."""
         self.response = response
@@ -131,7 +143,14 @@
                 return
             if event is h11.NEED_DATA:
                 was_idle = self.idle
-                self.h11.receive_data(await self.sock.recv(self.limits.receive_bytes))
+                if was_idle and self.give is not None and self.give(self):
+                    return
+                # Guards against bytes read and thrown away: cancelled by itself, this has read none.
+                with trio.CancelScope() as self.reading:
+                    data = await self.sock.recv(self.limits.receive_bytes)
+                if self.reading.cancelled_caught:
+                    continue
+                self.h11.receive_data(data)
                 if was_idle:  # Guards against a request that dribbles in: all of it has so long.
                     self.expires = min(self.expires, trio.current_time() + self.limits.read_request)
             elif type(event) is h11.Request:
@@ -221,6 +240,8 @@
             self.expires = self.idle_since + (self.limits.edge_idle if self.proven
                                               else self.limits.read_request)
             self.next.set()
+            if self.give is not None:  # the reader may be waiting for the client to hang up
+                self.reading.cancel()
         else:
             self.scope.cancel()
 
@@ -280,6 +301,9 @@
         self.prepare: Prepare | None = None  # what makes TLS of what is accepted
         self.leaving = False  # no new connection is to be expected, but the kept ones serve on
         self.closing = False
+        self.give: Give | None = None  # takes connections over; no new ones are accepted then
+        self.accepting = trio.CancelScope()
+        self.nursery: trio.Nursery | None = None  # of the connections, while it serves
 
     async def bind(self, host: str, port: int) -> trio.socket.SocketType:
         """Return a socket that listens, be it the one that the platform keeps."""
@@ -291,18 +315,23 @@
             return trio.socket.from_stdlib_socket(kept)
         return await bound(host, port, self.limits.backlog)
 
-    async def serve(self, sock: trio.socket.SocketType) -> None:
-        """Accept until cancelled."""
+    async def serve(self, sock: trio.socket.SocketType,
+                    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Accept until connections are handed over, and serve them until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sweep)
-            while True:
+            self.nursery = nursery
+            task_status.started()
+            while self.give is None:
                 if len(self.connections) >= self.limits.edge_connections and not self._make_room():
                     # Guards against losing a request: one that is accepted and closed may have been written.
                     self.counters.add("accepts_put_off")
                     await trio.sleep(self.limits.accept_pause)
                     continue
+                accepted = None
                 try:
-                    accepted, _ = await sock.accept()
+                    with trio.CancelScope() as self.accepting:
+                        accepted, _ = await sock.accept()
                 except OSError as error:
                     # Guards against running out of descriptors: the listener must outlive it.
                     self.counters.add("accepts_failed")
@@ -310,11 +339,30 @@
                         self._make_room()
                         await trio.sleep(self.limits.accept_pause)
                     continue
-                self.counters.add("edge_connections")
-                connection = Connection(accepted, self.limits, self.handler, nursery, self.prepare)
-                connection.close_after = self.closing
-                self.connections.add(connection)
-                nursery.start_soon(self._serve, connection)
+                if accepted is not None:
+                    self.counters.add("edge_connections")
+                    self.adopt(accepted)
+            sock.close()
+
+    def adopt(self, sock: trio.socket.SocketType, proven: bool = False, calls_back: bool = False) -> None:
+        """Serve a connection that was accepted, here or by the process before."""
+        if self.nursery is None:
+            sock.close()
+            return
+        connection = Connection(sock, self.limits, self.handler, self.nursery, self.prepare)
+        connection.close_after, connection.give = self.closing, self.give
+        connection.proven, connection.calls_back = proven, calls_back
+        if proven:
+            connection.expires = connection.idle_since + self.limits.edge_idle
+        self.connections.add(connection)
+        self.nursery.start_soon(self._serve, connection)
+
+    def hand_over(self, give: Give) -> None:
+        """Accept no more, and have each connection given away once no request is under way on it."""
+        self.give = give
+        self.accepting.cancel()
+        for connection in list(self.connections):
+            connection.hand_over(give)
 
     async def _serve(self, connection: Connection) -> None:
         try:
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -55,6 +55,10 @@
     away_quiet: float = 0.2  # if they have done so for a while,
     away_look: float = 0.1  # which is looked at so often
     accept_fd: int = -1  # a listening socket that the platform keeps and hands down; -1: none
+    inherit: float = 1.0  # the old process is waited for so long
+    link_bytes: int = 192 * 1024  # of a packet between the two, below what Linux lets a socket hold (212,992)
+    inherit_told_us: int = 1_500_000  # what discovery has counts as told so long after a hand-over
+    hand_look: float = 0.02  # between looks for connections not yet handed over
     finished_bytes: int = 16 * 1024 * 1024  # of the outputs of DRMAA jobs kept after their end
     waits: int = 100  # DRMAA waits under way, each of which holds an edge connection
     dns_query: float = 1.0
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -17,6 +17,7 @@
 from merlinbay.core.ports import DirectoryMoved, EntriesChanged, Message, ServerSide, Stopping
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
+from merlinbay.decision.learned import adopt
 from merlinbay.http.attendance import Attendance
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.server import Handler, Listener, bound
@@ -32,6 +33,7 @@
     from merlinbay.dnssd.directory import DnsSdDirectory
     from merlinbay.drmaa.wiring import DrmaaParts
     from merlinbay.fleet.wiring import FleetParts
+    from merlinbay.handover.twin import Twin
 
 
 @dataclass
@@ -40,6 +42,7 @@
 
     drmaa: DrmaaParts | None = None
     fleet: FleetParts | None = None
+    twin: Twin | None = None  # the process before or after this one
 
     def reload(self) -> None:
         """Read keys and certificates again. Raises ``BadConfig``."""
@@ -81,9 +84,17 @@
     desk = Desk(send, attendance, limits, counters, log)
     sock = await listening(listener.bind(*config.listen), config.listen)
     desk_sock = await listening(bound(*config.desk, limits.backlog), config.desk) if config.desk else None
+    inherited = None
+    if limits.accept_fd >= 0 and operator is None:  # what fronts hold is not handed over
+        from merlinbay.handover.wiring import wire as wire_handover
+        sides.twin = wire_handover(config.name, config.listen, send, listener, attendance, limits, counters,
+                                   log)
+        inherited = await sides.twin.inherit()
     discovery: Discovery | DnsSdDirectory
     if operator is None or operator.dnssd is None:
-        discovery = Discovery(config.discovery, config.known.version, send, limits, counters, log)
+        version, entries = (inherited.version, inherited.entries) if inherited is not None else (
+            config.known.version, words.entries(config.known))
+        discovery = Discovery(config.discovery, version, entries, send, limits, counters, log)
     else:
         from merlinbay.dnssd.wiring import wire as wire_dnssd
         discovery = wire_dnssd(operator.dnssd, send, limits, counters, log)
@@ -98,10 +109,20 @@
         owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
         if drmaa is not None and drmaa.front is not None and drmaa.front.reserving is not None:
             owner.watchers.append(drmaa.front.reserving)
-        owner.turn([EntriesChanged("remembered", words.entries(config.known))])
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
-        nursery.start_soon(listener.serve, sock)
+        owner.other = sides.twin
+        if inherited is not None:
+            attendance.turn(inherited.away, relayed=True)
+            owner.turn([EntriesChanged("remembered", inherited.entries),
+                        DirectoryMoved(limits.inherit_told_us)])
+            adopt(balancer, balancer.classes, inherited.learned)
+        else:
+            owner.turn([EntriesChanged("remembered", words.entries(config.known))])
+        await nursery.start(listener.serve, sock)
+        if sides.twin is not None and isinstance(discovery, Discovery):
+            nursery.start_soon(sides.twin.follow)
+            nursery.start_soon(sides.twin.await_successors, discovery.listing)
         nursery.start_soon(attendance.run)
         if desk_sock is not None:
             nursery.start_soon(desk.serve, desk_sock)
@@ -180,6 +201,9 @@
     limits = config.limits
     began = trio.current_time()
     nursery.cancel_scope.deadline = began + limits.stop_most
+    if sides.twin is not None and await sides.twin.leave():
+        await inbox.send(Stopping())
+        return
     await trio.sleep(limits.stop_arrivals)
     listener.leaving = True
     if config.settings.balancers > 1:
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -23,12 +23,14 @@
     When to call again is the module's to say.
     """
 
-    def __init__(self, addr: str, version: int, inbox: trio.MemorySendChannel[ports.Message], limits: Limits,
+    def __init__(self, addr: str, version: int | None, entries: list[ports.ServiceEntry],
+                 inbox: trio.MemorySendChannel[ports.Message], limits: Limits,
                  counters: Counters, log: Log) -> None:
         self.addr = addr
         self.version: int | None = version  # the list's, as told last; None: the whole list is wanted
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
         self.next_addr = addr  # where to watch from the next subscription on
+        self.entries = {entry.server: entry for entry in entries}  # as told up to that version
         self.asked = trio.Event()
         self.watch = trio.CancelScope()
 
@@ -62,6 +64,18 @@
                     self.log.event("discovery_failed", level="warning", error=repr(error))
                     await self.inbox.send(ports.EntriesChanged("refused"))
 
+    def listing(self) -> tuple[int | None, list[ports.ServiceEntry]]:
+        """Return the list's version and its entries."""
+        return self.version, list(self.entries.values())
+
+    def _learn(self, version: int, full: bool, entries: list[ports.ServiceEntry]) -> None:
+        if full:
+            self.entries = {}
+        self.entries.update((entry.server, entry) for entry in entries)
+        for name in [name for name, entry in self.entries.items() if entry.state == "removed"]:
+            del self.entries[name]
+        self.version = version
+
     async def _watch(self) -> None:
         """Tell what the watch tells, call after call on one connection."""
         connection = await ClientConnection.dial(self.addr, self.limits, self.limits.listing_bytes)
@@ -75,7 +89,7 @@
                 if reply.status != 200:
                     raise Unexpected(f"status {reply.status}")
                 listing = words.read_listing(reply.body)
-                self.version = listing.version
+                self._learn(listing.version, listing.full, words.entries(listing))
                 self.counters.add("watch_answers")
                 if wrong := words.odd(listing):
                     self.counters.add("entries_odd", len(wrong))
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,229 @@
+"""A process replaced by the next one: several processes of the program on one listening socket."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+import trio
+
+from merlinbay.decision import Balancer, api
+from merlinbay.decision.learned import adopt, learned
+from merlinbay.handover import words
+from merlinbay.http.client import ClientConnection
+from merlinbay.http.server import Request, Response
+from tests.net import LIMITS, LOAD, ROOT, Play, Stage, StandIn, admission, free_port, play, serves, stage
+from tests.support import entry, settings
+
+
+@dataclass
+class House:
+    """The platform's part: the socket it keeps, and the processes it starts on it."""
+
+    stage: Stage
+    environ: dict[str, str]
+    sock: socket.socket
+    processes: list[trio.Process] = field(default_factory=list)
+    desks: list[int] = field(default_factory=list)  # where operators call each
+
+    async def start(self, wait: bool = True) -> tuple[trio.Process, int]:
+        """Start a further process; return it, and where operators call it, once it has said yes."""
+        port = free_port()
+        environ = {**os.environ, **self.environ, "LB_ACCEPT_FD": str(self.sock.fileno()),
+                   "LB_ADMIN_ADDR": f"127.0.0.2:{port}", "TMPDIR": str(self.stage.folder)}
+        process = await trio.lowlevel.open_process([sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT,
+                                                   env=environ, pass_fds=[self.sock.fileno()])
+        self.processes.append(process)
+        self.desks.append(port)
+        while wait:
+            try:
+                if (await self.stage.operate("status", port)).startswith("SUCCESS"):
+                    break
+            except OSError:
+                pass
+            await trio.sleep(0.02)
+        return process, port
+
+
+Scene = Callable[[House], Awaitable[None]]
+
+
+def by_house(folder: Path, scene: Scene, **servers: Play) -> None:
+    """Play a scene with a kept socket and these servers; processes are ended by their ids."""
+    async def whole() -> None:
+        async with stage(folder) as s:
+            for name, one in servers.items():
+                s.add(name, one)
+            with socket.create_server(("127.0.0.2", s.port)) as sock:
+                found = House(s, s.configure(), sock)
+                try:
+                    await scene(found)
+                finally:
+                    for process in found.processes:
+                        if process.poll() is None:
+                            process.kill()
+
+    play(whole)
+
+
+async def job(connection: ClientConnection, name: str) -> int:
+    """Hand in a job on a kept connection; return the status of its answer."""
+    return (await connection.exchange("POST", "/admit", admission(name, 3000), b"seat")).status
+
+
+async def holds(server: StandIn, request: Request) -> Response | None:
+    """Serve all jobs but the one that is held: that one starts, and a test says when it is done."""
+    name = request.headers.get("x-request-id", "")
+    if request.method != "POST" or name != "held":
+        return await serves(server, request)
+    server.stage.nursery.start_soon(server.tell, name, "started")
+    return Response(202)
+
+
+def test_clients_jobs_and_call_backs_outlive_the_process(tmp_path: Path) -> None:
+    """Kept connections go over unnoticed, also one whose job runs on; its call-backs reach either process."""
+    async def scene(h: House) -> None:
+        s = h.stage
+        old, _ = await h.start()
+        kept, busy = [await ClientConnection.dial(f"127.0.0.2:{s.port}", LIMITS) for _ in range(2)]
+        assert await job(kept, "first") == 200
+        ends: list[int] = []
+
+        async def held() -> None:
+            ends.append(await job(busy, "held"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(held)
+            while not (holders := [server for server in s.servers if any(
+                    request.headers.get("x-request-id") == "held" for _, request in server.seen)]):
+                await trio.sleep(0.01)
+            await h.start()
+            old.send_signal(signal.SIGTERM)
+            for number in range(30):  # while one process leaves: no request lost, none refused
+                assert await job(kept, f"kept-{number}") == 200
+                assert (await s.admit(f"new-{number}", 3000)).status == 200
+            assert old.poll() is None and not ends  # it still waits for its job
+            for _ in range(3):  # each on a connection of its own, all to the new process
+                await holders[0].tell("held", "running", share=0.5)
+            await holders[0].tell("held", "done", result="x", load=LOAD)
+        assert ends == [200]
+        with trio.fail_after(2):
+            assert await old.wait() == 0
+        assert await job(busy, "after") == 200 and await job(kept, "end") == 200
+
+    by_house(tmp_path, scene, a=holds, b=holds)
+
+
+def test_bans_the_list_and_standby_pass_to_the_next_process(tmp_path: Path) -> None:
+    """Made before it starts or while both run; the configuration file's list is older than the node."""
+    async def scene(h: House) -> None:
+        s = h.stage
+        old, _ = await h.start()
+        assert (await s.operate("maint-on a", h.desks[0])).startswith("SUCCESS")
+        s.change("c", state="DELETED")
+        await trio.sleep(0.3)
+        _, desk = await h.start()
+        assert (await s.operate("maint-on b", h.desks[0])).startswith("SUCCESS")
+        await trio.sleep(0.1)
+        before = [len(s.stand(name).targets()) for name in "abc"]
+        for number in range(20):  # by both processes
+            assert (await s.admit(f"both-{number}")).status == 200
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        for number in range(20):
+            assert (await s.admit(f"new-{number}")).status == 200
+        assert [len(s.stand(name).targets()) for name in "abc"] == before
+        assert (await s.operate("standby", desk)).startswith("SUCCESS")
+        await h.start()
+        assert (await s.call("GET", "/-/ready")).status == 503
+        assert (await s.operate("active", h.desks[-1])).startswith("SUCCESS")
+        assert (await s.operate("maint-off a", h.desks[-1])).startswith("SUCCESS")
+        await trio.sleep(0.1)
+        assert [(await s.call("GET", "/-/ready")).status for _ in range(6)] == [200] * 6  # either one
+
+    by_house(tmp_path, scene, a=serves, b=serves, c=serves, d=serves)
+
+
+def test_a_successor_that_dies_leaves_the_node_as_it_was(tmp_path: Path) -> None:
+    """It serves on, and the next successor is met as the first one was."""
+    async def scene(h: House) -> None:
+        s = h.stage
+        old, _ = await h.start()
+        kept = await ClientConnection.dial(f"127.0.0.2:{s.port}", LIMITS)
+        assert await job(kept, "first") == 200
+        dead, _ = await h.start()
+        dead.kill()
+        await dead.wait()
+        await trio.sleep(0.1)
+        assert await job(kept, "second") == 200 and (await s.admit("third")).status == 200
+        assert (await s.operate("maint-on a", h.desks[0])).startswith("SUCCESS")
+        _, desk = await h.start()
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        assert await job(kept, "fourth") == 200
+        assert s.stand("b").seen[-1][1].headers["x-request-id"] == "fourth"
+
+    by_house(tmp_path, scene, a=serves, b=serves)
+
+
+@pytest.mark.parametrize("what", ["stopped", "garbage", "nobody"])
+def test_a_process_starts_alone_where_nothing_can_be_taken_over(tmp_path: Path, what: str) -> None:
+    """An old process that hangs, a file in the socket's place, one that was left behind by a dead process."""
+    async def scene(h: House) -> None:
+        s = h.stage
+        old, _ = await h.start()
+        assert (await s.operate("maint-on a", h.desks[0])).startswith("SUCCESS")
+        if what == "stopped":
+            old.send_signal(signal.SIGSTOP)
+        else:
+            old.kill()
+            await old.wait()
+        meeting = next(tmp_path.glob("merlinbay-*.sock"))
+        if what == "garbage":
+            meeting.unlink()
+            meeting.write_text("nothing")
+        with trio.fail_after(5):
+            await h.start()
+        if what == "stopped":
+            old.kill()
+            await old.wait()
+        for number in range(5):
+            assert (await s.admit(f"job-{number}")).status == 200
+
+    by_house(tmp_path, scene, a=serves, b=serves)
+
+
+def test_what_was_learned_is_taken_over_as_it_was() -> None:
+    """Through the words on the wire: health, pace, slots, cold turns, bans; not of a server started since."""
+    conf = settings(balancers=1)
+    one, two = Balancer(conf, 1, 1_000_000), Balancer(conf, 2, 1_000_000)
+    rows = [entry(0), entry(2), entry(4, ready=900_000)]
+    one.handle(1_000_000, [api.ListChanged("all", rows)])
+    for number in range(60):
+        for action in one.handle(1_000_000 + number * 50_000, [api.JobArrived(number, "safe", 5_000_000)]):
+            if isinstance(action, api.Place):
+                outcome = api.Outcome.CONNECT_FAILED if action.worker == "w2" else api.Outcome.OK
+                one.handle(one.now, [api.AttemptEnded(number, 0, outcome, 30_000, False, [1.0, 7.0],
+                                                      action.worker)])
+    one.handle(one.now, [api.Maintained("w4", True)])
+    assert one.workers["w2"].bench_until > one.now and one.kinds["k1"].slots > 4
+    parts = [words.decode(words.encode(word)) for word in words.told(5, [], learned(one, one.classes), False)]
+    whole = parts[-1]
+    assert isinstance(whole, words.Whole)
+    whole.learned.workers = [w for part in parts[:-1] if isinstance(part, words.Part) for w in part.workers]
+    two.handle(one.now, [api.ListChanged("remembered", [entry(0, ready=3_000_000), *rows[1:]])])
+    adopt(two, two.classes, whole.learned)
+    assert learned(two, two.classes).load == learned(one, one.classes).load
+    for name in ("w2", "w4"):
+        mine, theirs = two.workers[name], one.workers[name]
+        assert (mine.bench_until, mine.cold_next, mine.pace, mine.state) == (
+            theirs.bench_until, theirs.cold_next, theirs.pace, theirs.state)
+    assert two.workers["w0"].ready_at == 3_000_000 and two.workers["w0"].pace == 1.0
+    assert two.workers["w4"].state == "draining" and two.kinds["k1"].slots == one.kinds["k1"].slots
+    assert {w.name for w in two.usable} == {"w0", "w2"}
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,7 @@
     {"node", "simhost"},
     {"config"},
     {"operator_file"},
-    {"platform", "drmaa", "fleet"},
+    {"platform", "drmaa", "fleet", "handover"},
     {"http", "dnssd", "batch", "notify", "access", "reserve", "monitor"},
     {"core", "log", "events", "site_settings"},
     {"decision", "limits", "counters", "clock", "problems", ""},
