--- a/merlinbay/handover/twin.py
+++ b/merlinbay/handover/twin.py
@@ -106,14 +106,24 @@
 
     # The old one.
 
-    async def await_successors(self, listing: Listing) -> None:
-        """Listen for the process that is to take this one's place, again where one came and went."""
+    async def await_successors(self, listing: Listing,
+                               task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Listen for the process that is to take this one's place, again where one came and went.
+
+        Started once it listens. Guards against a successor that comes at once and finds nobody.
+        """
+        met = False
         while True:
             try:
                 with await link.listen(self.path) as listening:
+                    if not met:
+                        met = True
+                        task_status.started()
                     sock, _ = await listening.accept()
             except OSError as error:
                 self.log.event("no_hand_over", level="warning", error=error.strerror)
+                if not met:
+                    task_status.started()
                 return
             with sock:
                 if link.same_user(sock):
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -122,7 +122,7 @@
         await nursery.start(listener.serve, sock)
         if sides.twin is not None and isinstance(discovery, Discovery):
             nursery.start_soon(sides.twin.follow)
-            nursery.start_soon(sides.twin.await_successors, discovery.listing)
+            await nursery.start(sides.twin.await_successors, discovery.listing)
         nursery.start_soon(attendance.run)
         if desk_sock is not None:
             nursery.start_soon(desk.serve, desk_sock)
