--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -110,6 +110,7 @@
     from merlinbay.cli.fleet import fleet
     from merlinbay.cli.jobs import job
     from merlinbay.cli.looks import events, monitor
+    from merlinbay.cli.operate import operate
     from merlinbay.cli.rehearse import experiment, rehearse, report_page
     from merlinbay.cli.reservations import reservation
     from merlinbay.cli.rig import rig
@@ -122,6 +123,7 @@
         main.add_command(keys)
         main.add_command(tls)
     main.add_command(fleet)
+    main.add_command(operate)
     main.add_command(job)
     main.add_command(session)
     main.add_command(conformance)
--- a/tests/test_in_service.py
+++ b/tests/test_in_service.py
@@ -57,6 +57,21 @@
     in_service(tmp_path, scene)
 
 
+def test_the_command_line_makes_calls(tmp_path: Path) -> None:
+    """The answer's line, and an exit status that scripts can use."""
+    async def scene(s: Stage) -> None:
+        for at, words, status, line in [
+                (s.desk, ["maint-on", "s-1"], 0, "SUCCESS"),
+                (s.desk, ["maint-off", "x"], 9, "FAILURE nobody"),
+                (free_port(), ["status"], 8, "merlinbay: cannot reach the node")]:
+            done = await trio.run_process([sys.executable, "-m", "merlinbay", "operate", "--at",
+                                           f"127.0.0.2:{at}", *words], cwd=ROOT, check=False,
+                                          capture_stdout=True, capture_stderr=True)
+            assert (done.returncode, (done.stdout + done.stderr).decode()[:len(line)]) == (status, line)
+
+    in_service(tmp_path, scene)
+
+
 def test_nothing_goes_to_a_server_in_maintenance_whatever_is_listed(tmp_path: Path) -> None:
     """From the yes on, also when discovery lists it anew; after the call that ends it it is used again."""
     async def scene(s: Stage) -> None:
