--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -77,7 +77,9 @@
     longest = max(job_class.deadline_us for job_class in settings.classes) / 1e6
     ask_in = settings.safety.must_ask_in_us / 1e6
     return Limits(
-        edge_connections=usable * 55 // 100,
+        # Guards against a door shut for want of places while descriptors lie idle: clients that write slowly,
+        # or stay without a word, hold most of them while a node takes its neighbour's clients as well.
+        edge_connections=usable * 65 // 100,
         server_connections=usable * 35 // 100,
         # Guards against flows that hold every edge connection, so that no call-back could end them.
         most_held=min(most_held, usable * 55 // 100 * 3 // 4),
