--- a/merlinbay/rig/run.py
+++ b/merlinbay/rig/run.py
@@ -79,7 +79,7 @@
         ]
         self.proxies = Proxies(self.real, self.shown, self.rng, script.net)
         self.began = 0.0
-        self.history: TextIO = open(folder / "history.jsonl", "w")  # noqa: SIM115
+        self.history: TextIO = open(folder / "history.jsonl", "w", buffering=1)  # noqa: SIM115
         self.wanted = {process.name for process in self.processes}  # who should be there
         self.gauges: dict[str, dict[str, float]] = {}  # of each node, as one of them told it last
 
@@ -341,6 +341,8 @@
     With ``former``, every second node is that folder's program.
     """
     rig = Rig(script, folder, former)
+    # Guards against nodes that outlive a run that is told to end: SIGTERM ends it as Ctrl-C does.
+    before = signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         trio.run(rig.play)
     except BaseExceptionGroup as group:
@@ -350,6 +352,8 @@
         return str(first(found))
     except Failed as error:
         return str(error)
+    finally:
+        signal.signal(signal.SIGTERM, before)
     return ""
 
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -74,6 +75,28 @@
         ("jobs", "slots")}
 
 
+def test_a_run_that_is_told_to_end_ends_its_nodes(tmp_path: Path) -> None:
+    """No process of it is left."""
+    process = subprocess.Popen([sys.executable, "-B", "-m", "merlinbay", "rig", "run", "pair", "--folder",
+                                str(tmp_path / "run")], cwd=ROOT, stdout=subprocess.DEVNULL,
+                               stderr=subprocess.DEVNULL)
+    history = tmp_path / "run" / "history.jsonl"
+    while process.poll() is None and not (history.exists() and '"up"' in history.read_text()):
+        time.sleep(0.1)
+    process.terminate()
+    process.wait(timeout=20)
+    left = [path for path in Path("/proc").glob("[0-9]*/environ") if str(tmp_path) in environment(path)]
+    assert left == []
+
+
+def environment(path: Path) -> str:
+    """Return a process's environment, nothing where it may not be read or is gone."""
+    try:
+        return path.read_bytes().decode(errors="replace")
+    except OSError:
+        return ""
+
+
 def test_a_run_in_which_something_does_not_hold_fails(runs: dict[str, subprocess.Popen[str]]) -> None:
     """One is cut off, and all are said to be there: the rig says who lacks whom, and exits with 3."""
     said, _ = runs["wrong"].communicate(timeout=120)
