A store: a log of chained records in SQLite, commits in groups, and its tools

No node writes to it yet. Change: merlinbay/store (records and health without I/O, the file in SQLite with synchronous=FULL, appends gathered into commits off the event loop); a failed write refuses all in the group and all after, until the file was opened anew, ends at the last promised record and takes 256 KiB; merlinbay store check|dump|backup|restore|compact. docs/STORE.md weighs SQLite, a file of our own, LMDB and apsw.

--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -115,6 +115,7 @@
     from merlinbay.cli.reservations import reservation
     from merlinbay.cli.rig import rig
     from merlinbay.cli.sessions import session
+    from merlinbay.cli.store import store
     try:
         from merlinbay.cli.keys import keys, tls
     except ModuleNotFoundError:  # without the libraries of the front, there is nothing to make keys for
@@ -124,6 +125,7 @@
         main.add_command(tls)
     main.add_command(fleet)
     main.add_command(operate)
+    main.add_command(store)
     main.add_command(job)
     main.add_command(session)
     main.add_command(conformance)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
     {"config"},
     {"operator_file"},
     {"platform", "drmaa", "fleet", "handover"},
-    {"http", "dnssd", "batch", "notify", "access", "reserve", "monitor"},
+    {"http", "dnssd", "batch", "notify", "access", "reserve", "monitor", "store"},
     {"core", "log", "events", "site_settings"},
     {"decision", "limits", "counters", "clock", "problems", ""},
 ]
