--- a/merlinbay/handover/link.py
+++ b/merlinbay/handover/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import array
+import errno
 import os
 import socket
 import struct
@@ -41,9 +42,11 @@
         with self.waiting:
             try:
                 async for word, descriptor in self.waiting:
-                    await self._send(word, descriptor)
-            except OSError:
-                pass
+                    try:
+                        await self._send(word, descriptor)
+                    except OSError as error:
+                        if error.errno != errno.EMSGSIZE:  # one word too long for a packet ends nothing else
+                            break
             finally:
                 self._drop()
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -173,6 +173,12 @@
     trio.run(whole)
 
 
+async def until(log: StoreLog, state: State) -> None:
+    """Wait until the log is so."""
+    while log.health.state is not state:
+        await trio.sleep(0.05)
+
+
 async def many(log: StoreLog, count: int, size: int = 20) -> list[int | Refused]:
     """Append side by side; return each one's number, or why not."""
     found: list[int | Refused] = []
@@ -218,8 +224,7 @@
         await trio.sleep(FIRST_US / 1e6 + 0.2)
         assert log.health.state is not State.OPEN  # it was looked at, and there is no room yet
         room[0] = 100_000
-        while log.health.state is not State.OPEN:
-            await trio.sleep(0.05)
+        await until(log, State.OPEN)
         assert await log.append(b"after") == 6
         assert bodies(log.engine) == [b"r" * 3000] * 5 + [b"after"]
 
@@ -241,8 +246,7 @@
         await many(log, 3)
         broken[0] = True
         assert isinstance((await many(log, 1))[0], Refused)
-        while log.health.state is not State.CORRUPT:
-            await trio.sleep(0.05)
+        await until(log, State.CORRUPT)
         with pytest.raises(Refused, match="corrupt: it ends at record 2; 3 were promised"):
             await log.append(b"more")
 
@@ -269,8 +273,7 @@
         assert await log.append(b"one") == 1
         broken[0] = True
         assert all(isinstance(one, Refused) for one in await many(log, 4))
-        while log.health.state is not State.OPEN:
-            await trio.sleep(0.05)
+        await until(log, State.OPEN)
         assert await log.append(b"two") == 2
         assert bodies(log.engine) == [b"one", b"two"]
 
