--- a/merlinbay/store/log.py
+++ b/merlinbay/store/log.py
@@ -49,7 +49,7 @@
         self.engine = make(path)
         self.health = Health()
         self.send, self.receive = trio.open_memory_channel[Waiting](math.inf)
-        self.commits = self.records = 0
+        self.commits = 0
 
     async def append(self, body: bytes) -> int:
         """Write a record; return its number once it is on the disk. Raises ``Refused``."""
@@ -92,7 +92,7 @@
             self.log.event("store_failed", level="error", path=self.path, error=error)
             self._refuse(group)
             return
-        self.commits, self.records = self.commits + 1, self.records + len(group)
+        self.commits += 1
         for number, one in enumerate(group, first):
             one.number = number
             one.done.set()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,9 +13,11 @@
 import pytest
 import trio
 
+from merlinbay.core.ports import SchedulingEnded
 from merlinbay.decision import Balancer, api
 from merlinbay.decision.learned import adopt, learned
 from merlinbay.handover import words
+from merlinbay.handover.link import Link
 from merlinbay.http.client import ClientConnection
 from merlinbay.http.server import Request, Response
 from tests.net import LIMITS, LOAD, ROOT, Play, Stage, StandIn, admission, free_port, play, serves, stage
@@ -229,6 +231,26 @@
     by_house(tmp_path, scene, a=serves, b=serves)
 
 
+def test_a_word_too_long_for_a_packet_ends_nothing_else() -> None:
+    """It alone is not sent: what is posted after it, and a descriptor with it, come through."""
+    async def scene() -> None:
+        pair = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        ours, theirs = (Link(trio.socket.from_stdlib_socket(one), LIMITS) for one in pair)
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ours.write)
+                ours.post(words.Unclaimed(SchedulingEnded("a", "s", api.Outcome.OK, b"x" * 4_000_000)))
+                ours.post(words.EdgeGiven(True, False), os.dup(0))
+                heard = await theirs.read()
+                assert heard is not None and heard[0] == words.EdgeGiven(True, False) and heard[1] >= 0
+                os.close(heard[1])
+                nursery.cancel_scope.cancel()
+        for one in (ours, theirs):
+            one.sock.close()
+
+    trio.run(scene)
+
+
 def test_what_was_learned_is_taken_over_as_it_was() -> None:
     """Through the words on the wire: health, pace, slots, cold turns, bans; not of a server started since."""
     conf = settings(balancers=1)
