Pushed lists are watched, and a silent watch is opened anew before its silence counts

Checked: node.py starts Discovery.run, which waits for Discovery.subscribe; only the module's Subscribe calls that, and rules.Balancer makes one only where settings say "subscribe" (rules.py 96, 501, 506). Where they say "automatic" no node ever called the agent: the list stayed what "known" said. Ruled out: a late answer, a slow dial (no watch_answers at all, no discovery_failed). By reading beside it: Calls.broken gave a whole new time to ask from the moment a break was noticed (10 s, up to 6 s of it drawn), where a watch that fell silent counts as told 6 s after it did, 4.5 s of which had gone; a planned call was held too late or brought forward without need; nothing looked at the list between placing and the first byte. Change: the platform's Discovery watches a pushed list from the start, again 50 ms after any break and at once after SIGHUP, and the node is ready once it has the list (2 s at the most); Calls has one moment, by, by when the list is had, and plans each call inside what is left; a watch call waits 1.5 s instead of 3, so that silence shows after 2.25 s; a spoilt answer is asked for once more on the same watch; a job whose server has left since it was chosen is withheld before its first byte. The rig's nodes have no discovery and say "subscribe".

--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -272,6 +272,7 @@
 
     scope: str
     entries: list[ServiceEntry] = []
+    heard_us: int = -1  # of a watch that broke: when its last answer came
 
 
 class DirectoryMoved(msgspec.Struct, frozen=True):
--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -29,6 +29,7 @@
                  limits: Limits, counters: Counters, log: Log) -> None:
         self.server, self.service = server, dns.name.from_text(service)
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
+        self.last: dict[str, ServiceEntry] | None = None  # what was told
         self.asked = trio.Event()
         self.watch = trio.CancelScope()
 
@@ -43,9 +44,13 @@
             self.asked.set()
             self.watch.cancel()
 
+    def serves(self, server: str) -> bool:
+        """Tell whether a real server is up by what was heard last; all are, until something was."""
+        entry = self.last.get(server) if self.last is not None else None
+        return self.last is None or (entry is not None and entry.state == "up")
+
     async def run(self) -> None:
         """Ask for ever."""
-        last: dict[str, ServiceEntry] | None = None
         while True:
             await self.asked.wait()
             self.asked = trio.Event()
@@ -53,9 +58,9 @@
                 try:
                     while True:
                         listed, ttl = await self.look()
-                        if listed != last:
+                        if listed != self.last:
+                            self.last = listed
                             await self.inbox.send(ports.EntriesChanged("all", list(listed.values())))
-                            last = listed
                         self.counters.add("dns_listings")
                         await trio.sleep(min(max(ttl, self.limits.dns_least), self.limits.dns_most))
                 except (Failed, OSError, dns.exception.DNSException, trio.TooSlowError) as error:
--- a/merlinbay/drmaa/servers.py
+++ b/merlinbay/drmaa/servers.py
@@ -127,7 +127,7 @@
         reply: Reply | Outcome = Outcome.TIMEOUT
         with trio.move_on_at(self.clock.to_trio(scheduling.deadline_us) + self.limits.late_answer):
             reply = await self.attempt(scheduling.server, "POST", JOBS,
-                                       [("content-type", "application/json")], words.write(call))
+                                       [("content-type", "application/json")], words.write(call), places=True)
         outcome, job_id = outcome_of(reply) if isinstance(reply, Reply) else (reply, "")
         self.sending.discard(scheduling)
         gave_up, recall = scheduling in self.given_up, scheduling in self.recalls
--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -24,8 +25,10 @@
 class ConnectionPool:
     """Connections by real server, newest used first, so many over all."""
 
-    def __init__(self, limits: Limits, counters: Counters) -> None:
+    def __init__(self, limits: Limits, counters: Counters,
+                 serves: Callable[[str], bool] = lambda name: True) -> None:
         self.limits, self.counters = limits, counters
+        self.serves = serves  # whether a real server is up by the newest list, heard but not yet taken in
         self.servers: dict[str, RealServer] = {}
         self.connections = 0
 
@@ -45,22 +48,26 @@
                 self.servers[entry.server] = RealServer(entry.addr, entry.started_us)
 
     async def exchange(self, name: str, method: str, target: str, headers: list[tuple[str, str]],
-                       body: bytes = b"") -> Reply:
-        """Have one exchange, and keep the connection if it can carry another."""
+                       body: bytes = b"", places: bool = False) -> Reply:
+        """Have one exchange, and keep the connection if it can carry another.
+
+        One that ``places`` a job goes to no server that has left since the module chose it.
+        """
         server = self.servers.get(name)
         if server is None:
             raise NotSent("not listed")
         connection = await self._connection(server)
+        # Guards against a drain told between placing and the first byte: a dial, or a long turn, lay between.
+        if places and not (self.serves(name) and self.servers.get(name) is server):
+            self.counters.add("sends_withheld")
+            self._keep(name, server, connection)
+            raise NotSent("it has left since it was chosen")
         try:
             reply = await connection.exchange(method, target, headers, body)
         except BaseException:
             self._close(connection)
             raise
-        connection.idle_since = trio.current_time()
-        if connection.reusable and self.servers.get(name) is server:
-            server.idle.append(connection)
-        else:
-            self._close(connection)
+        self._keep(name, server, connection)
         return reply
 
     async def sweep(self) -> None:
@@ -96,6 +103,13 @@
         self.counters.add("server_connections")
         return connection
 
+    def _keep(self, name: str, server: RealServer, connection: ClientConnection) -> None:
+        connection.idle_since = trio.current_time()
+        if connection.reusable and self.servers.get(name) is server:
+            server.idle.append(connection)
+        else:
+            self._close(connection)
+
     def _close(self, connection: ClientConnection) -> None:
         connection.close()
         self.connections -= 1
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -33,8 +33,13 @@
     accept_pause: float = 0.02  # after an accept that failed for want of descriptors
     cancel_exchange: float = 2.0  # for a DELETE and its answer
     probe_exchange: float = 1.0
-    watch_wait: float = 3.0  # how long discovery may hold a watch call
-    watch_slack: float = 1.5  # and how long after that its answer is waited for
+    watch_first: float = 4.5  # a first call waits in turn, behind those of all other nodes
+    watch_wait: float = 1.5  # discovery may hold a call so long: a shorter one shows a silent watch sooner,
+    watch_slack: float = 0.75  # as its answer is waited for so long after that
+    watch_spoilt: float = 0.1  # after an answer that makes no sense, below the 0.2 s that continue a watch
+    push_first: float = 0.25  # the machine's own agent answers a call that waits for nothing within so long,
+    push_retry: float = 0.05  # or is called again after so long
+    push_start: float = 2.0  # and a process that starts waits so long for its list
     reload_told_us: int = 4_000_000  # after SIGHUP, what the new discovery has counts as told
     recheck_us: int = 5_000  # after its deadline, a flow that the module left unanswered fails
     answer_margin_us: int = 20_000  # a flow is given up so long before its client gives it up
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -94,12 +94,13 @@
     if operator is None or operator.dnssd is None:
         version, entries = (inherited.version, inherited.entries) if inherited is not None else (
             config.known.version, words.entries(config.known))
-        discovery = Discovery(config.discovery, version, entries, send, limits, counters, log)
+        discovery = Discovery(config.discovery, version, entries, not config.settings.must_subscribe, send,
+                              clock, limits, counters, log)
     else:
         from merlinbay.dnssd.wiring import wire as wire_dnssd
         discovery = wire_dnssd(operator.dnssd, send, limits, counters, log)
     async with trio.open_nursery() as nursery:
-        pool = ConnectionPool(limits, counters)
+        pool = ConnectionPool(limits, counters, discovery.serves)
         drmaa = sides.drmaa
         servers: ServerSide | None = drmaa.start(nursery, pool) if drmaa is not None else None
         if servers is None:
@@ -121,6 +122,10 @@
             adopt(balancer, balancer.classes, inherited.learned)
         else:
             owner.turn([EntriesChanged("remembered", words.entries(config.known))])
+        if isinstance(discovery, Discovery) and discovery.pushed:
+            # Guards against a send by the old list: what the agent has counts as told from the first moment.
+            with trio.move_on_after(limits.push_start):
+                await discovery.had.wait()
         await nursery.start(listener.serve, sock)
         if sides.twin is not None and isinstance(discovery, Discovery):
             nursery.start_soon(sides.twin.follow)
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from merlinbay.clock import Clock
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.http.client import Broken, ClientConnection, NotSent
@@ -20,18 +21,22 @@
 class Discovery:
     """Watches the list while subscribed; a failed call ends the watch and is told as ``refused``.
 
-    When to call again is the module's to say.
+    Where lists are asked for, when to call again is the module's to say. Where they are pushed, the machine's
+    own agent has them, and what it has counts as told at once: this calls it from the start, and again at
+    once, whatever became of the watch.
     """
 
-    def __init__(self, addr: str, version: int | None, entries: list[ports.ServiceEntry],
-                 inbox: trio.MemorySendChannel[ports.Message], limits: Limits,
+    def __init__(self, addr: str, version: int | None, entries: list[ports.ServiceEntry], pushed: bool,
+                 inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
                  counters: Counters, log: Log) -> None:
-        self.addr = addr
+        self.addr, self.pushed, self.clock = addr, pushed, clock
         self.version: int | None = version  # the list's, as told last; None: the whole list is wanted
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
         self.next_addr = addr  # where to watch from the next subscription on
         self.entries = {entry.server: entry for entry in entries}  # as told up to that version
         self.asked = trio.Event()
+        self.had = trio.Event()  # the list has come, for the first time
+        self.heard_us = -1  # when the last answer on this watch came; -1: none yet
         self.watch = trio.CancelScope()
 
     def subscribe(self) -> None:
@@ -46,23 +51,34 @@
         Returns whether there is anything to move. Guards against a herd: all nodes are sent there at once.
         """
         self.next_addr = addr
+        if self.pushed:  # Guards against the list of an agent that nobody calls any more.
+            self.subscribe()
         return addr != self.addr
 
     async def run(self) -> None:
         """Watch for ever."""
         while True:
-            await self.asked.wait()
+            if not self.pushed:
+                await self.asked.wait()
             self.asked = trio.Event()
             if self.next_addr != self.addr:
                 # Guards against versions that differ between the two: the first call asks for the whole list.
                 self.addr, self.version = self.next_addr, None
+            self.heard_us = -1
             with trio.CancelScope() as self.watch:
                 try:
                     await self._watch()
                 except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
                     self.counters.add("watches_failed")
                     self.log.event("discovery_failed", level="warning", error=repr(error))
-                    await self.inbox.send(ports.EntriesChanged("refused"))
+                    await self.inbox.send(ports.EntriesChanged("refused", heard_us=self.heard_us))
+                    if self.pushed:
+                        await trio.sleep(self.limits.push_retry)
+
+    def serves(self, server: str) -> bool:
+        """Tell whether a real server is up by what was heard last, which the owner may not know yet."""
+        entry = self.entries.get(server)
+        return entry is not None and entry.state == "up"
 
     def listing(self) -> tuple[int | None, list[ports.ServiceEntry]]:
         """Return the list's version and its entries."""
@@ -81,26 +97,45 @@
         connection = await ClientConnection.dial(self.addr, self.limits, self.limits.listing_bytes)
         try:
             # The first call waits for nothing: the module learns from it what a call takes discovery.
-            wait_ms, first = 0, True
+            wait_ms, most = 0, self.limits.push_first if self.pushed else self.limits.watch_first
+            spoilt = False
             while True:
                 query = "" if self.version is None else f"?after={self.version}&wait_ms={wait_ms}"
-                with trio.fail_after(self.limits.watch_wait + self.limits.watch_slack):
+                with trio.fail_after(most):
                     reply = await connection.exchange("GET", f"/api/targets{query}", [])
                 if reply.status != 200:
                     raise Unexpected(f"status {reply.status}")
-                listing = words.read_listing(reply.body)
-                self._learn(listing.version, listing.full, words.entries(listing))
-                self.counters.add("watch_answers")
-                if wrong := words.odd(listing):
-                    self.counters.add("entries_odd", len(wrong))
-                    self.log.event("entries_odd", level="warning", number=len(wrong), first=wrong[0])
-                if listing.servers or listing.full or first:  # the first answer also tells that it works
-                    await self.inbox.send(ports.EntriesChanged("all" if listing.full else "changes",
-                                                               words.entries(listing)))
-                wait_ms, first = int(self.limits.watch_wait * 1000), False
+                try:
+                    listing = words.read_listing(reply.body)
+                except msgspec.DecodeError as error:
+                    # Guards against one spoilt answer that ends a watch: the same is asked once more.
+                    self.counters.add("lists_spoilt")
+                    self.log.event("list_spoilt", level="warning", error=repr(error), kept="the old list")
+                    if spoilt:
+                        raise
+                    spoilt = True
+                    await trio.sleep(self.limits.watch_spoilt)
+                else:
+                    await self._hear(listing, first=self.heard_us < 0)
+                    wait_ms, most = int(self.limits.watch_wait * 1000), (self.limits.watch_wait
+                                                                         + self.limits.watch_slack)
+                    spoilt = False
                 if not connection.reusable:
                     connection.close()
                     connection = await ClientConnection.dial(self.addr, self.limits,
                                                              self.limits.listing_bytes)
         finally:
             connection.close()
+
+    async def _hear(self, listing: words.Listing, first: bool) -> None:
+        """Take an answer, and tell what it says."""
+        self.heard_us = self.clock.now_us()
+        self._learn(listing.version, listing.full, words.entries(listing))
+        self.counters.add("watch_answers")
+        if wrong := words.odd(listing):
+            self.counters.add("entries_odd", len(wrong))
+            self.log.event("entries_odd", level="warning", number=len(wrong), first=wrong[0])
+        if listing.servers or listing.full or first:  # the first answer also tells that it works
+            await self.inbox.send(ports.EntriesChanged("all" if listing.full else "changes",
+                                                       words.entries(listing)))
+        self.had.set()
--- a/merlinbay/platform/servers.py
+++ b/merlinbay/platform/servers.py
@@ -70,7 +70,8 @@
             headers.append(("idempotency-key", spec.repeat_key))
         reply: Reply | Outcome | None = None
         with scope:
-            reply = await self.attempt(scheduling.server, "POST", spec.target, headers, spec.body)
+            reply = await self.attempt(scheduling.server, "POST", spec.target, headers, spec.body,
+                                       places=True)
         self.sending.pop(scheduling, None)
         if isinstance(reply, Outcome):
             await self.ended(scheduling, reply)
--- a/merlinbay/rig/processes.py
+++ b/merlinbay/rig/processes.py
@@ -16,7 +16,7 @@
     "me": 0,
     "az": "",
     "kinds": ["k"],
-    "discovery": "automatic",
+    "discovery": "subscribe",
     "classes": [
         {"name": "admit", "aimUs": 120000, "deadlineUs": 5000000, "effect": "repeatable", "worth": 1.0}
     ],
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -37,15 +38,18 @@
     assert day.score > 0.5 and day.module.in_time > day.random.in_time
 
 
-def no_spread(self: Calls, now: int, width: float, left: int) -> list[api.Action]:
+def no_spread(self: Calls, now: int, width: float) -> list[api.Action]:
     """Call discovery at once, always."""
     self.due_at = now
     return self.due(now)
 
 
-def unbounded(self: Calls, now: int, width: float, left: int) -> list[api.Action]:
+def unbounded(self: Calls, now: int, width: float) -> list[api.Action]:
     """Spread the calls by their number alone, as it was before the rules' time to ask was kept to."""
-    return PLAN(self, now, width, 10**12)
+    by, self.by = self.by, math.inf
+    actions = PLAN(self, now, width)
+    self.by = by
+    return actions
 
 
 def test_calls_spread_beyond_the_time_to_ask_break_the_rule_on_drains(
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,278 @@
+"""Nothing new to servers that leave: by when a node has the list, whatever happened to its watch."""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import pytest
+import trio
+
+from merlinbay.clock import Clock
+from merlinbay.core.ports import EntriesChanged, Message, ServiceEntry
+from merlinbay.counters import Counters
+from merlinbay.decision import api
+from merlinbay.decision.calls import SILENT_US, Calls
+from merlinbay.http.client import NotSent
+from merlinbay.http.pool import ConnectionPool
+from merlinbay.http.server import Request, Response
+from merlinbay.log import Log
+from merlinbay.platform.discovery import Discovery
+from tests.net import LIMITS, Stage, StandIn, play, stage
+
+SECOND = 1_000_000
+QUICK = replace(LIMITS, watch_wait=0.05, watch_slack=0.05, watch_first=0.1, push_first=0.1, watch_spoilt=0.01)
+
+
+# The module: when the next call goes out.
+
+def calls(me: int = 0, fleet: int = 230, ask_us: int = 10 * SECOND, start: int = 0) -> Calls:
+    """Return the calls of one node that started then."""
+    return Calls(me, fleet, ask_us, Random(me), start)
+
+
+def watching(made: Calls, now: int, took: int = 5_000) -> None:
+    """Have it call, and be answered."""
+    made.due_at = now
+    made.due(now)
+    made.answered(now + took)
+
+
+@pytest.mark.parametrize("ask_us", [0, 2 * SECOND, 10 * SECOND, 60 * SECOND])
+@pytest.mark.parametrize("noticed", [100_000, 2_250_000, 4_500_000])
+def test_a_broken_watch_is_opened_anew_before_its_silence_counts(ask_us: int, noticed: int) -> None:
+    """All of 230 nodes, however late the silence is noticed, and with any time to ask."""
+    allowed = min(ask_us or math.inf, SILENT_US)
+    for me in range(230):
+        made = calls(me, ask_us=ask_us)
+        watching(made, 20 * SECOND, took=200_000)  # where a call takes long, they would be spread far
+        heard = 40 * SECOND
+        made.broken(heard + noticed, heard)
+        assert noticed >= allowed or made.due_at < heard + allowed - (1 - 0.61) * (allowed - noticed)
+
+
+def test_230_nodes_that_lose_their_watch_at_once_do_not_overrun_discovery() -> None:
+    """Their calls lie apart as far as the time allows: never more than a few in ten milliseconds."""
+    due = []
+    for me in range(230):
+        made = calls(me)
+        watching(made, SECOND, took=5_000)
+        made.broken(30 * SECOND, 28 * SECOND)
+        due.append(made.due_at // 10_000)
+    assert max(due.count(at) for at in due) <= 4
+
+
+def test_calls_that_fail_after_a_silent_watch_give_no_more_time() -> None:
+    """Who is cut off is overdue when the silence counts, and stays so until he is answered."""
+    made = calls()
+    watching(made, SECOND)
+    made.broken(32 * SECOND, 30 * SECOND)
+    for _ in range(3):
+        at = made.due_at
+        made.due(at)
+        made.broken(at + 120_000)
+    assert not made.overdue(36 * SECOND - 1) and made.overdue(36 * SECOND)
+    watching(made, 50 * SECOND)
+    assert not made.overdue(60 * SECOND)
+
+
+def test_a_first_call_that_fails_allows_four_times_the_time() -> None:
+    """As the wire page says; another call goes out long before."""
+    made = calls()
+    made.start(0)
+    at = made.due_at
+    made.due(at)
+    made.broken(at + SECOND)
+    assert made.due_at <= at + SECOND + 24 * SECOND
+    assert not made.overdue(at + 39 * SECOND) and made.overdue(at + 40 * SECOND)
+
+
+def test_a_late_planned_call_is_brought_forward_by_worse_news() -> None:
+    """The start leaves ten seconds, another discovery four."""
+    made = calls(me=100, ask_us=10 * SECOND)
+    made.start(0)
+    assert made.due_at > 3 * SECOND
+    made.moved(0, 4 * SECOND)
+    assert made.due_at <= 2.4 * SECOND
+
+
+# Discovery on sockets.
+
+class Told:
+    """A stand-in discovery, and what a node's watch of it tells."""
+
+    def __init__(self, scene: Stage, pushed: bool, plays: list[str]) -> None:
+        self.plays, self.lists = plays, 0
+        self.asked = StandIn(scene, "discovery", self.answer)
+        self.asked.sock.listen(8)  # Guards against a first call that finds nobody.
+        scene.nursery.start_soon(self.asked.listen)
+        send, self.inbox = trio.open_memory_channel[Message](100)
+        self.counters = Counters()
+        self.discovery = Discovery(self.asked.addr, None, [ServiceEntry("s", "127.0.0.2:1")], pushed, send,
+                                   Clock(), QUICK, self.counters, Log(100))
+        scene.nursery.start_soon(self.discovery.run)
+
+    async def answer(self, server: StandIn, request: Request) -> Response | None:
+        """Play the next of the plays, then a list in which the server drains."""
+        what = self.plays.pop(0) if self.plays else "draining"
+        rows = [{"id": "s", "addr": "127.0.0.2:1", "state": "SERVING" if what == "up" else "DRAINING"}]
+        if what == "silent":
+            await trio.sleep_forever()
+        if what == "down":
+            return Response(503)
+        if what in ("cut", "odd"):
+            return Response(200, b'{"version":2,"full":true,"servers":[{"id"' if what == "cut" else
+                            b'{"version":"x","full":true,"servers":[]}')
+        if what == "empty":
+            rows = []
+        self.lists += 1
+        return Response(200, json.dumps({"version": self.lists, "full": True, "servers": rows},
+                                        indent=2 if what == "indented" else None).encode())
+
+    async def news(self) -> EntriesChanged:
+        """Return what the watch tells next."""
+        message = await self.inbox.receive()
+        assert isinstance(message, EntriesChanged)
+        return message
+
+
+@pytest.mark.parametrize("trouble", ["silent", "down", "cut cut", "silent silent down"])
+@pytest.mark.parametrize("pushed", [True, False])
+def test_whatever_ends_a_watch_the_list_is_had_again(tmp_path: Path, trouble: str, pushed: bool) -> None:
+    """Where lists are pushed by itself; where they are asked for as soon as the module says so."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            told = Told(at, pushed, ["up", *trouble.split()])
+            told.discovery.subscribe()
+            assert (await told.news()).entries[0].state == "up" and told.discovery.serves("s")
+            refused = []
+            while (news := await told.news()).scope == "refused":
+                refused.append(news.heard_us > 0)
+                if not pushed:
+                    told.discovery.subscribe()
+            assert refused == [True] + [False] * (len(refused) - 1) and refused
+            assert news.entries[0].state == "draining" and not told.discovery.serves("s")
+    play(scene)
+
+
+@pytest.mark.parametrize("what", ["cut", "odd"])
+def test_a_spoilt_list_leaves_the_old_one_and_ends_no_watch(tmp_path: Path, what: str) -> None:
+    """It is asked for once more on the same watch, and the next one counts."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            told = Told(at, False, ["up", what, "indented"])
+            told.discovery.subscribe()
+            assert (await told.news()).entries[0].state == "up"
+            news = await told.news()
+            assert (news.scope, news.entries[0].state) == ("all", "draining")
+            assert told.counters.counts["lists_spoilt"] == 1 and not told.counters.counts["watches_failed"]
+            assert len(told.asked.connections) == 1
+    play(scene)
+
+
+def test_a_whole_list_that_no_longer_names_a_server_ends_it(tmp_path: Path) -> None:
+    """Gone without a word of its own."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            told = Told(at, True, ["up", "empty"])
+            await told.news()
+            assert (await told.news()).entries == [] and not told.discovery.serves("s")
+    play(scene)
+
+
+# The whole node where lists are pushed.
+
+def test_a_node_to_which_lists_are_pushed_watches(tmp_path: Path) -> None:
+    """Nothing new to a server that drains; the next goes to the one that is left."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            left = at.add("left")
+            await at.start(discovery="automatic")
+            assert (await at.admit("j")).status == 200 and left.targets()
+            at.add("stays")
+            at.change("left", state="DRAINING")
+            heard = at.counters.counts["entries_all"]
+            while at.counters.counts["entries_all"] < heard + 2:
+                await trio.sleep(0.01)
+            before = len(left.targets())
+            assert {(await at.admit(f"k{n}")).status for n in range(8)} == {200}
+            assert len(left.targets()) == before
+    play(scene)
+
+
+def test_a_node_that_starts_sends_nothing_by_the_old_list_it_knew(tmp_path: Path) -> None:
+    """What the agent has counts as told from the first moment: the node is ready once it has heard it."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            left = at.add("left", cell=1)
+            at.add("stays")
+            environ = at.configure(discovery="automatic")
+            at.rows[0]["state"] = "DRAINING"  # after the node's file was written
+            at.configure = lambda **conf: environ  # type: ignore[method-assign]
+            await at.start()
+            assert {(await at.admit(f"j{n}")).status for n in range(8)} == {200}
+            assert not left.targets()
+    play(scene)
+
+
+# Between placing and the first byte.
+
+async def takes(server: StandIn, request: Request) -> Response:
+    """Take whatever comes."""
+    return Response(202)
+
+
+def test_a_drain_told_during_the_dial_withholds_the_job(tmp_path: Path) -> None:
+    """The connection is kept for what else is to be said to that server."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            server, leaves = at.add("s", play=takes), False
+            server.sock.listen(8)
+            counters = Counters()
+            pool = ConnectionPool(LIMITS, counters, lambda name: not leaves)
+            pool.entries_changed("all", [ServiceEntry("s", server.addr)])
+            assert (await pool.exchange("s", "POST", "/", [], b"x", places=True)).status == 202
+            leaves = True
+            with pytest.raises(NotSent):
+                await pool.exchange("s", "POST", "/", [], b"x", places=True)
+            assert (await pool.exchange("s", "DELETE", "/jobs/x", [])).status == 202
+            assert server.targets() == ["/"] and len(server.connections) == 1
+            assert counters.counts["sends_withheld"] == 1
+    play(scene)
+
+
+def test_a_server_under_another_address_gets_no_job_that_was_chosen_before(tmp_path: Path) -> None:
+    """It is another process: what was known of it at the choice is void."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            server = at.add("s")
+            server.sock.listen(8)
+            pool = ConnectionPool(LIMITS, Counters(), lambda name: True)
+            pool.entries_changed("all", [ServiceEntry("s", server.addr)])
+            dial = pool._connection
+
+            async def moved(known: object) -> object:
+                made = await dial(known)  # type: ignore[arg-type]
+                pool.entries_changed("changes", [ServiceEntry("s", "127.0.0.2:1")])
+                return made
+
+            pool._connection = moved  # type: ignore[method-assign,assignment]
+            with pytest.raises(NotSent):
+                await pool.exchange("s", "POST", "/", [], b"x", places=True)
+            assert not server.targets()
+    play(scene)
+
+
+def test_the_module_takes_the_watch_s_last_answer(tmp_path: Path) -> None:
+    """The time that discovery tells of reaches the plan of the next call."""
+    from merlinbay.decision import Balancer
+    from tests.support import settings
+    made = Balancer(settings(balancers=1, must_subscribe=True, safety=api.Safety(must_ask_in_us=10 * SECOND)),
+                    1, 0)
+    made.handle(0, [api.ListChanged("remembered", [])])
+    made.handle(SECOND, [api.ListChanged("all", [])])
+    made.handle(20 * SECOND, [api.ListChanged("refused", [], heard_us=18 * SECOND)])
+    assert made.calls.by == 18 * SECOND + SILENT_US
