--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -272,7 +272,8 @@
 
     scope: str
     entries: list[ServiceEntry] = []
-    heard_us: int = -1  # of a watch that broke: when its last answer came
+    heard_us: int = -1  # of a watch that broke: when its last answer came,
+    silent: bool = False  # and whether it ended without a word
 
 
 class DirectoryMoved(msgspec.Struct, frozen=True):
--- a/merlinbay/decision/calls.py
+++ b/merlinbay/decision/calls.py
@@ -7,7 +7,8 @@
 the start, with a known list   ``ask_us`` after it
 a watch that broke             ``ask_us`` after the last answer on it, but ``SILENT_US`` at the most:
                                one that is reset may have been silent before
-a call that failed             four times ``ask_us`` after it (the wire page); after a watch, nothing
+a call that failed             four times ``ask_us`` after it (the wire page); nothing more after a watch
+                               that fell silent, or another discovery: what they have counts all the same
 another discovery              what it takes to count as having told all
 an answer                      no time any more: the watch tells
 =============================  ====================================================================
@@ -48,32 +49,32 @@
     failures: int = 0  # calls that failed in a row
     plans: int = 0  # made so far
     by: float = math.inf  # when it must have the list
-    silent: bool = False  # the watch may have been silent before it broke: calls that fail allow no more time
+    firm: bool = False  # what counts as told by then does so whatever calls fail
 
     def start(self, now: int) -> list[api.Action]:
         """Plan the first call. This and all plans return what is to be done now."""
         self.by = self.asked_at + (self.ask_us or math.inf)
         return self._plan(now, (self.fleet - 1) * self.cost_us)
 
-    def broken(self, now: int, heard_at: int = -1) -> list[api.Action]:
-        """Plan the next call after one that failed, or after a watch that ended; it told something last then.
+    def broken(self, now: int, heard_at: int = -1, silent: bool = False) -> list[api.Action]:
+        """Plan the next call after one that failed, or after a watch that ended or fell silent.
 
         Guards against a whole new time to ask after a watch that fell silent: it began with the silence.
         """
         if self.out:
             self.failures = min(self.failures + 1, DOUBLINGS)
-            if not self.silent:
+            if not self.firm:
                 self.by = self.asked_at + (AFTER_FAILURE * self.ask_us or math.inf)
         else:
-            self.silent = heard_at >= 0
-            allowed = min(self.ask_us or math.inf, SILENT_US if self.silent else math.inf)
-            self.by = min(self.by, (heard_at if self.silent else now) + allowed)
+            self.firm |= silent
+            since, allowed = (heard_at, SILENT_US) if heard_at >= 0 else (now, math.inf)
+            self.by = min(self.by, since + min(self.ask_us or math.inf, allowed))
         self.out = False
         return self._plan(now, self.fleet * self.cost_us * 2 ** max(self.failures, 1))
 
     def moved(self, now: int, told_us: int) -> list[api.Action]:
         """Plan the call to another discovery, which counts as having told us all after so long."""
-        self.by = min(self.by, now + told_us)
+        self.by, self.firm = min(self.by, now + told_us), True
         return self._plan(now, self.fleet * self.cost_us)
 
     def due(self, now: int) -> list[api.Action]:
@@ -87,11 +88,7 @@
         """Learn from the answer to our call what one takes discovery, those before it in turn included."""
         if self.out:
             self.cost_us = max(float(now - self.asked_at), LEAST_US)
-            self.out, self.silent, self.failures, self.by = False, False, 0, math.inf
-
-    def overdue(self, now: int) -> bool:
-        """Tell whether the list counts as told to be another by now, and has not been had."""
-        return now >= self.by
+            self.out, self.firm, self.failures, self.by = False, False, 0, math.inf
 
     def _plan(self, now: int, width: float) -> list[api.Action]:
         # Guards against a herd: discovery works through what has timed out too, and tells nobody anything.
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -504,7 +504,7 @@
     def _list(self, event: api.ListChanged) -> None:
         if event.scope == "refused":
             if self.settings.must_subscribe:
-                self.out += self.calls.broken(self.now, event.heard_us)
+                self.out += self.calls.broken(self.now, event.heard_us, event.silent)
             return
         if event.scope != "remembered":
             self.calls.answered(self.now)
--- a/merlinbay/emulator/checker.py
+++ b/merlinbay/emulator/checker.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from merlinbay.decision.api import NEVER_RAN, Outcome
+from merlinbay.emulator.directory import SILENT_TOLD_US
 from merlinbay.emulator.loop import Loop
 from merlinbay.emulator.servers import Server, Work
 from merlinbay.emulator.spec import Script
@@ -48,6 +49,7 @@
     window_us: int  # how much later it counts as told what was listed since
     heard_us: int  # and when it knew all that the list said
     watching: bool = False
+    silent_us: int = -1  # when its watch fell silent, unless it was answered since
 
 
 class Checker:
@@ -119,6 +121,7 @@
         """Take it that its call was answered, or failed."""
         asking = self.asking[node]
         asking.watching = not failed
+        asking.silent_us = asking.silent_us if failed else -1
         asking.heard_us = asking.heard_us if failed else self.loop.now
         asking.window_us = self.ask_us * (4 if failed else 1)
 
@@ -130,6 +133,13 @@
             asking.asked_us = asking.heard_us = self.loop.now
             asking.window_us = self.ask_us
 
+    def list_silent(self, node: int) -> None:
+        """Take it that its watch fell silent."""
+        asking = self.asking[node]
+        asking.watching, asking.silent_us = False, self.loop.now
+        asking.asked_us = asking.heard_us = self.loop.now
+        asking.window_us = self.ask_us
+
     def list_published(self, server: str, state: str) -> None:
         """Take it that the list says something new of a server."""
         self.listings.setdefault(server, []).append((self.loop.now, state != "up"))
@@ -139,6 +149,12 @@
         asking, found = self.asking.get(node), None
         if asking is None or asking.watching or server not in self.listings:
             return None
+        silent = asking.silent_us + SILENT_TOLD_US if asking.silent_us >= 0 else None
+        if silent is not None and self.loop.now >= silent:
+            for at, gone in self.listings[server]:
+                if asking.silent_us < at <= self.loop.now:
+                    found = None if not gone else max(at, silent) if found is None else found
+            return found
         until = self.loop.now - asking.window_us
         for at, gone in self.listings[server]:
             if asking.heard_us < at <= until and asking.asked_us <= until:
--- a/merlinbay/emulator/directory.py
+++ b/merlinbay/emulator/directory.py
@@ -15,6 +15,7 @@
 
 
 MOVED_US, CLOSES_US = 4_000_000, 1_500_000  # told after a move; the old one closes
+SILENT_TOLD_US = 6_000_000  # what a silent watch has missed counts as told so long after it fell silent
 
 
 class Watcher(Protocol):
@@ -29,6 +30,9 @@
     def list_closed(self, node: int) -> None:
         """Take it that its watch was closed."""
 
+    def list_silent(self, node: int) -> None:
+        """Take it that its watch tells nothing any more, without a word."""
+
     def list_published(self, server: str, state: str) -> None:
         """Take it that the list says something new of a server."""
 
@@ -123,6 +127,18 @@
                 self.watcher.list_closed(node)
             watch(api.ListChanged("refused", []))
 
+    def silence(self, nodes: list[int]) -> None:
+        """Have these nodes' watches fall silent: each is noticed when the call under way is overdue."""
+        for node in nodes:
+            told = self.watchers.pop(node, None)
+            if told is None:
+                continue
+            if self.watcher is not None:
+                self.watcher.list_silent(node)
+            heard_us = self.loop.now - int(self.rng.uniform(0, self.spec.watch) * 1e6)
+            self.loop.at(heard_us + int(self.spec.notice_silent * 1e6), Order.DISCOVERY, told,
+                         api.ListChanged("refused", [], heard_us, True))
+
     def fail(self) -> None:
         """Go down: every watch ends."""
         self.out += 1
--- a/merlinbay/emulator/gate.py
+++ b/merlinbay/emulator/gate.py
@@ -14,7 +14,7 @@
 from merlinbay.emulator import spec
 from merlinbay.emulator.play import Result, play
 
-DAYS = ["fleet-calm", "fleet-roll", "fleet-herd", "fleet-zone", "fleet-split", "fleet-join"]
+DAYS = ["fleet-calm", "fleet-roll", "fleet-herd", "fleet-zone", "fleet-split", "fleet-join", "fleet-silent"]
 CALM = "fleet-calm"
 HALF, PLAIN_LESS, LATE_LESS = 0.5, 0.05, 0.1
 POLICIES = ("module", "random", "late", "oracle")
--- a/merlinbay/emulator/host.py
+++ b/merlinbay/emulator/host.py
@@ -15,6 +15,7 @@
 from merlinbay.emulator.servers import Server, Work
 from merlinbay.emulator.spec import Script
 
+AGAIN_US = 100_000  # after a call that failed, what is compared with the module calls again
 MARGIN_US = 20_000  # a request is given up so long before its client gives it up
 
 
@@ -140,6 +141,8 @@
             def told(news: api.ListChanged) -> None:
                 if life == self.life:
                     self._listed(news)
+                    if news.scope == "refused" and not isinstance(self.policy, Balancer):
+                        self.loop.at(self.loop.now + AGAIN_US, Order.DISCOVERY, self._subscribe, life)
 
             self.directory.subscribe(self.number, told)
 
--- a/merlinbay/emulator/spec.py
+++ b/merlinbay/emulator/spec.py
@@ -30,6 +30,7 @@
     "rack_loss",
     "partition",
     "discovery_outage",
+    "watches_silent",
     "clock_off",
     "node_crash",
     "node_roll",
@@ -128,6 +129,8 @@
     call_ms: Draw = (5.0, 30.0)
     work_ms: Draw = 0.0  # on each call, one after the other; 0: calls do not wait for each other,
     fails_after: Positive = 2.0  # seconds; what it has begun to work on by then is worked on all the same
+    watch: Positive = 1.0  # a watch call waits so long,
+    notice_silent: Positive = 1.75  # and one that is not answered so long after it is taken to be silent
     ask_in: Positive = 10.0  # who has not asked for so long counts as told; a failed call: four times that
 
 
--- a/merlinbay/emulator/troubles.py
+++ b/merlinbay/emulator/troubles.py
@@ -125,6 +125,11 @@
         case "discovery_outage":
             about = "discovery"
             during(day.directory.fail, day.directory.recover)
+        case "watches_silent":
+            silent = some(day.nodes, drawn(rng, trouble.share), rng)
+            numbers = trouble.nodes or [node.number for node in silent]
+            about = f"the watches of {len(numbers)} nodes"
+            loop.at(start, Order.TROUBLE, day.directory.silence, numbers)
         case "clock_off":
             by, about = int(drawn(rng, trouble.by) * 1e6), "clock"
             for number in trouble.nodes or [rng.randrange(len(day.nodes))]:
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -34,7 +34,7 @@
     cancel_exchange: float = 2.0  # for a DELETE and its answer
     probe_exchange: float = 1.0
     watch_first: float = 4.5  # a first call waits in turn, behind those of all other nodes
-    watch_wait: float = 1.5  # discovery may hold a call so long: a shorter one shows a silent watch sooner,
+    watch_wait: float = 1.0  # discovery may hold a call so long: a shorter one shows a silent watch sooner,
     watch_slack: float = 0.75  # as its answer is waited for so long after that
     watch_spoilt: float = 0.1  # after an answer that makes no sense, below the 0.2 s that continue a watch
     push_first: float = 0.25  # the machine's own agent answers a call that waits for nothing within so long,
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -71,7 +71,8 @@
                 except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
                     self.counters.add("watches_failed")
                     self.log.event("discovery_failed", level="warning", error=repr(error))
-                    await self.inbox.send(ports.EntriesChanged("refused", heard_us=self.heard_us))
+                    silent = self.heard_us >= 0 and isinstance(error, trio.TooSlowError)
+                    await self.inbox.send(ports.EntriesChanged("refused", [], self.heard_us, silent))
                     if self.pushed:
                         await trio.sleep(self.limits.push_retry)
 
