The hard cases of leaving servers, each a test; who is late already calls on steadily

Change: after a silent watch or a move, failed calls no longer double the spread; tests of a fleet of 230 that loses its watches (silent, closed, discovery down for 8 s, a zone cut off for 18 s), of 1,024 entries, of news behind a full inbox, of an agent that moves, of attempts withheld before the first byte.

--- a/merlinbay/decision/calls.py
+++ b/merlinbay/decision/calls.py
@@ -70,7 +70,8 @@
             since, allowed = (heard_at, SILENT_US) if heard_at >= 0 else (now, math.inf)
             self.by = min(self.by, since + min(self.ask_us or math.inf, allowed))
         self.out = False
-        return self._plan(now, self.fleet * self.cost_us * 2 ** max(self.failures, 1))
+        # Guards against news that are overdue and come later still: who is late already calls on steadily.
+        return self._plan(now, self.fleet * self.cost_us * 2 ** (1 if self.firm else max(self.failures, 1)))
 
     def moved(self, now: int, told_us: int) -> list[api.Action]:
         """Plan the call to another discovery, which counts as having told us all after so long."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,26 +2,34 @@
 
 from __future__ import annotations
 
+import heapq
 import json
 import math
 from dataclasses import replace
 from pathlib import Path
 from random import Random
+from unittest.mock import Mock
 
 import pytest
 import trio
 
 from merlinbay.clock import Clock
-from merlinbay.core.ports import EntriesChanged, Message, ServiceEntry
+from merlinbay.core.owner import Owner
+from merlinbay.core.ports import EntriesChanged, JobSpec, Message, Scheduling, SchedulingEnded, ServiceEntry
 from merlinbay.counters import Counters
-from merlinbay.decision import api
+from merlinbay.decision import Balancer, api
 from merlinbay.decision.calls import SILENT_US, Calls
+from merlinbay.decision.learned import learned
+from merlinbay.handover import words as handed
 from merlinbay.http.client import NotSent
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.server import Request, Response
 from merlinbay.log import Log
+from merlinbay.platform import words
 from merlinbay.platform.discovery import Discovery
+from merlinbay.platform.servers import PlatformServers
 from tests.net import LIMITS, Stage, StandIn, play, stage
+from tests.support import entry, settings
 
 SECOND = 1_000_000
 QUICK = replace(LIMITS, watch_wait=0.05, watch_slack=0.05, watch_first=0.1, push_first=0.1, watch_spoilt=0.01)
@@ -99,17 +107,104 @@
     assert made.due_at <= 2.4 * SECOND
 
 
+class Fleet:
+    """230 nodes that watch, and the one discovery that works on their calls, 5 ms each, one by one."""
+
+    def __init__(self, broke_us: int, until_us: int, who: range, silent: bool) -> None:
+        """Have some watches break then; calls fail, after 1 s, until discovery is back for those nodes."""
+        self.had, self.queue_us, self.calls = dict[int, int](), 0, 0
+        nodes, due, free = [calls(me) for me in range(230)], list[tuple[int, int, str]](), 0
+        for me in who:
+            watching(nodes[me], SECOND)
+            noticed = broke_us + (1_750_000 - me * 1000 if silent else 1000)
+            nodes[me].broken(noticed, broke_us - me * 1000, silent)
+            heapq.heappush(due, (nodes[me].due_at, me, "call"))
+        while due:
+            now, me, what = heapq.heappop(due)
+            if what == "answer":
+                nodes[me].answered(now)
+                self.had[me] = now
+            elif what == "fail":
+                nodes[me].broken(now)
+                heapq.heappush(due, (nodes[me].due_at, me, "call"))
+            elif nodes[me].due(now):
+                self.calls += 1
+                if now < until_us:
+                    heapq.heappush(due, (now + SECOND, me, "fail"))
+                    continue
+                free = max(free, now) + 5_000
+                self.queue_us = max(self.queue_us, free - now)
+                heapq.heappush(due, (free, me, "answer"))
+
+
+@pytest.mark.parametrize(("what", "down_us", "who", "silent", "within_us"), [
+    ("all watches fall silent", 0, range(230), True, SILENT_US),
+    ("all watches are closed", 0, range(230), False, SILENT_US),
+    ("down for 8 s, and back with news", 8 * SECOND, range(230), False, 18 * SECOND),
+    ("a zone is cut off for 18 s", 18 * SECOND, range(0, 230, 3), True, 23 * SECOND)])
+def test_a_fleet_has_the_list_again_in_time(what: str, down_us: int, who: range, silent: bool,
+                                            within_us: int) -> None:
+    """Within the silence's time, or the time to ask from discovery's return; and discovery is not overrun."""
+    began = 40 * SECOND
+    fleet = Fleet(began, began + down_us, who, silent)
+    assert len(fleet.had) == len(who) and max(fleet.had.values()) < began + within_us, what
+    assert fleet.queue_us < SECOND, what
+    assert fleet.calls <= len(who) * (1 + down_us / SECOND / 2), what
+
+
+def test_a_move_while_the_old_watch_is_silent_keeps_to_what_comes_first() -> None:
+    """The silence counts two seconds after it is noticed, the move four: the call goes out before both."""
+    made = calls(me=100)
+    watching(made, SECOND)
+    made.moved(30 * SECOND, 4 * SECOND)
+    made.broken(31 * SECOND, 27 * SECOND, True)
+    assert made.by == 33 * SECOND and made.due_at < 33 * SECOND
+
+
+@pytest.mark.parametrize("state", ["draining", "removed"])
+def test_retries_and_copies_keep_clear_of_who_leaves(state: str) -> None:
+    """Whatever has them sent again: an outcome, or the look at a job that has not started."""
+    for fails in (True, False):
+        made = Balancer(settings(balancers=1), 1, 0)
+        made.handle(0, [api.ListChanged("all", [entry(0), entry(2)])])
+        first = made.handle(SECOND, [api.JobArrived(1, "safe", 5 * SECOND)])
+        at = next(a.worker for a in first if isinstance(a, api.Place))
+        other = {"w0": 2, "w2": 0}[at]
+        made.handle(SECOND, [api.ListChanged("changes", [entry(other, state)])])
+        then = made.handle(SECOND + 1, [api.AttemptEnded(1, 0, api.Outcome.FULL, 1, False, None, at)]) \
+            if fails else made.handle(2 * SECOND, [api.TimerFired("watch")])
+        assert f"w{other}" not in [a.worker for a in then if isinstance(a, api.Place)]
+
+
+def test_1024_entries_of_one_list_are_all_used() -> None:
+    """Decoded, indented, in one answer below the bound on its size; and handed over to the next process."""
+    rows = [{"id": f"s-{n:08x}", "addr": f"10.1.{n // 250}.{n % 250}:8081", "zone": "hall-a", "kind": "k1",
+             "cell": n // 6, "state": "SERVING", "weight": 1.0, "started_ms": 1796169600000}
+            for n in range(1024)]
+    text = json.dumps({"version": 1, "full": True, "servers": rows}, indent=4).encode()
+    assert len(text) < LIMITS.listing_bytes / 4
+    found = words.entries(words.read_listing(text))
+    made = Balancer(settings(balancers=230), 1, 0)
+    made.handle(0, [api.ListChanged("all", [api.WorkerEntry(
+        e.server, e.zone, e.kind, e.cell, e.state, e.weight, 0) for e in found])])
+    assert len(made.usable) == 1024
+    told = handed.told(1, found, learned(made, made.classes), False)
+    assert sum(len(word.entries) for word in told if isinstance(word, handed.Part)) == 1024
+    assert sum(len(word.workers) for word in told if isinstance(word, handed.Part)) == 1024
+    assert max(len(handed.encode(word)) for word in told) < LIMITS.link_bytes
+
+
 # Discovery on sockets.
 
 class Told:
     """A stand-in discovery, and what a node's watch of it tells."""
 
-    def __init__(self, scene: Stage, pushed: bool, plays: list[str]) -> None:
+    def __init__(self, scene: Stage, pushed: bool, plays: list[str], room: int = 100) -> None:
         self.plays, self.lists = plays, 0
         self.asked = StandIn(scene, "discovery", self.answer)
         self.asked.sock.listen(8)  # Guards against a first call that finds nobody.
         scene.nursery.start_soon(self.asked.listen)
-        send, self.inbox = trio.open_memory_channel[Message](100)
+        send, self.inbox = trio.open_memory_channel[Message](room)
         self.counters = Counters()
         self.discovery = Discovery(self.asked.addr, None, [ServiceEntry("s", "127.0.0.2:1")], pushed, send,
                                    Clock(), QUICK, self.counters, Log(100))
@@ -148,12 +243,14 @@
             told = Told(at, pushed, ["up", *trouble.split()])
             told.discovery.subscribe()
             assert (await told.news()).entries[0].state == "up" and told.discovery.serves("s")
-            refused = []
+            refused, silences = [], []
             while (news := await told.news()).scope == "refused":
                 refused.append(news.heard_us > 0)
+                silences.append(news.silent)
                 if not pushed:
                     told.discovery.subscribe()
             assert refused == [True] + [False] * (len(refused) - 1) and refused
+            assert silences == [trouble.startswith("silent")] + [False] * (len(refused) - 1)
             assert news.entries[0].state == "draining" and not told.discovery.serves("s")
     play(scene)
 
@@ -183,6 +280,32 @@
     play(scene)
 
 
+def test_a_pushed_list_is_watched_at_the_new_agent_at_once(tmp_path: Path) -> None:
+    """The old one still holds the call; it may tell nothing any more."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            old, new = Told(at, True, ["up", "silent"]), Told(at, True, ["empty"] * 99)
+            assert (await old.news()).entries[0].state == "up"
+            assert old.discovery.move(new.asked.addr)
+            news = await old.news()
+            assert (news.scope, news.entries) == ("all", [])
+    play(scene)
+
+
+def test_news_that_wait_for_a_full_inbox_count_already(tmp_path: Path) -> None:
+    """The owner is behind by a hundred messages; what is sent meanwhile looks at what was heard."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            told = Told(at, True, ["up"], room=1)
+            while told.lists < 2:
+                await trio.sleep(0.01)
+            with trio.move_on_after(0.05):
+                await trio.sleep_forever()
+            assert told.inbox.statistics().current_buffer_used == 1
+            assert not told.discovery.serves("s")
+    play(scene)
+
+
 # The whole node where lists are pushed.
 
 def test_a_node_to_which_lists_are_pushed_watches(tmp_path: Path) -> None:
@@ -207,14 +330,19 @@
     """What the agent has counts as told from the first moment: the node is ready once it has heard it."""
     async def scene() -> None:
         async with stage(tmp_path) as at:
-            left = at.add("left", cell=1)
-            at.add("stays")
+            left = at.add("left")
+            listed = at.discovery
+
+            async def late(server: StandIn, request: Request) -> Response | None:
+                await trio.sleep(0.1)
+                return await listed(server, request)
+
+            at.discovery = late  # type: ignore[method-assign]
             environ = at.configure(discovery="automatic")
             at.rows[0]["state"] = "DRAINING"  # after the node's file was written
             at.configure = lambda **conf: environ  # type: ignore[method-assign]
             await at.start()
-            assert {(await at.admit(f"j{n}")).status for n in range(8)} == {200}
-            assert not left.targets()
+            assert (await at.admit("j")).status == 503 and not left.targets()
     play(scene)
 
 
@@ -244,6 +372,24 @@
     play(scene)
 
 
+def test_an_attempt_withheld_ends_as_never_sent(tmp_path: Path) -> None:
+    """The module may send it elsewhere, whatever the job's class."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            server, counters, clock = at.add("s", play=takes), Counters(), Clock()
+            server.sock.listen(8)
+            pool = ConnectionPool(LIMITS, counters, lambda name: False)
+            pool.entries_changed("all", [ServiceEntry("s", server.addr)])
+            send, inbox = trio.open_memory_channel[Message](9)
+            servers = PlatformServers(at.nursery, pool, send, clock, LIMITS, counters, Log(9), False)
+            now = clock.now_us()
+            servers.start(Scheduling(JobSpec("j", "admit", now, SECOND), 1, 0, "s", now, now + SECOND))
+            ended = await inbox.receive()
+            assert isinstance(ended, SchedulingEnded) and ended.outcome is api.Outcome.CONNECT_FAILED
+            assert not server.seen
+    play(scene)
+
+
 def test_a_server_under_another_address_gets_no_job_that_was_chosen_before(tmp_path: Path) -> None:
     """It is another process: what was known of it at the choice is void."""
     async def scene() -> None:
@@ -266,13 +412,14 @@
     play(scene)
 
 
-def test_the_module_takes_the_watch_s_last_answer(tmp_path: Path) -> None:
-    """The time that discovery tells of reaches the plan of the next call."""
-    from merlinbay.decision import Balancer
-    from tests.support import settings
+def test_the_module_takes_the_watch_s_last_answer() -> None:
+    """What discovery's side tells of a watch that broke reaches the plan of the next call."""
     made = Balancer(settings(balancers=1, must_subscribe=True, safety=api.Safety(must_ask_in_us=10 * SECOND)),
                     1, 0)
-    made.handle(0, [api.ListChanged("remembered", [])])
-    made.handle(SECOND, [api.ListChanged("all", [])])
-    made.handle(20 * SECOND, [api.ListChanged("refused", [], heard_us=18 * SECOND)])
-    assert made.calls.by == 18 * SECOND + SILENT_US
+    clock, servers = Mock(), Mock()
+    owner = Owner(made, clock, LIMITS, Counters(), Log(9), servers, Mock())
+    for now, news in ((0, EntriesChanged("remembered")), (SECOND, EntriesChanged("all")),
+                      (20 * SECOND, EntriesChanged("refused", [], 18 * SECOND, True))):
+        clock.now_us.return_value = now
+        owner.turn([news])
+    assert made.calls.by == 18 * SECOND + SILENT_US and made.calls.firm
