Jobs stuck at lost servers no longer count as held at those that are left

Cause: rules._count_offered smoothed all of a node's own jobs (42 and 36 at 13.9 s) into mean_held, also those at the lost zone's servers, which never end before their deadline; times 59 nodes they counted as held at the 48 servers that were left. Change: what is held at servers that are gone, leave, or have answered nothing for 1.5 s is counted apart (Memory.own_stuck, five times a second) and left out of the mean.

--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -163,6 +163,7 @@
     offered: int = 0
     own_held: float = 0.0  # our outstanding slots, now
     own_running: float = 0.0  # and of these, the started ones
+    own_stuck: float = 0.0  # held at workers that are gone or answer nothing, when last counted
     slots: float = 1.0  # learned slots of a worker, where no report tells them,
     late: float = 0.0  # from the smoothed share of starts that were late
     starts: int = 0
@@ -298,6 +299,17 @@
         at = self.rng.randrange(len(pool)) if len(pool) > most else 0
         return pool[at:at + most] + pool[:max(0, at + most - len(pool))] if at else pool[:most]
 
+    def hangs(self, worker: Worker, silent_us: int) -> bool:
+        """Tell whether a worker has taken jobs and answered none for so long."""
+        return worker.asked_at > 0 and worker.held > 0 and self.now - worker.asked_at > silent_us
+
+    def count_slots(self, silent_us: int) -> None:
+        """Count the slots of the workers in use, and our jobs at those that are gone or hang."""
+        # Guards against cold workers that get nothing: they would count as holding what the warm ones do.
+        self.slots_total = max(1.0, sum(w.kind.slots * self.capacity(w) for w in self.usable))
+        self.own_stuck = sum(w.held for w in self.workers.values()
+                             if w.held and (w.state != "up" or self.hangs(w, silent_us)))
+
     def cold(self, worker: Worker) -> bool:
         """Tell whether a worker has started too lately to have its full capacity."""
         return worker.ready_at > 0 and self.now - worker.ready_at < self.settings.safety.cold_us
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -111,12 +111,13 @@
         # Guards against swings: a mean older than the jobs it counts keeps gates shut, or open, too long.
         left = self.rate.add(self.now, RATE_TAU_US)
         decay = left ** (RATE_TAU_US / max(self.mean_run, min(RATE_TAU_US, FEW / self.rate.value)))
-        self.mean_held = self.mean_held * decay + self.own_held * (1 - decay)
+        # Guards against a fleet that refuses all for seconds: jobs that are stuck at lost workers, times the
+        # balancers, would count as held at those that are left.
+        self.mean_held = self.mean_held * decay + max(self.own_held - self.own_stuck, 0.0) * (1 - decay)
         self.offered += 1
         self.weigh_reports()
         if self.now >= self.slots_at:  # slots are learned on the way, so now and then they are counted anew
-            # Guards against cold workers that get nothing: they would count as holding what the warm ones do.
-            self.slots_total = max(1.0, sum(w.kind.slots * self.capacity(w) for w in self.usable))
+            self.count_slots(SILENT_US)
             self.slots_at = self.now + RATE_TAU_US // 10
         weight = max(0.01, 1 / self.offered)
         self.mean_run += (job.run * max(job.slots, 0.01) - self.mean_run) * weight
@@ -162,7 +163,7 @@
         if worker.state != "up" or worker.bench_until > self.now or (
                 job.only and worker.name not in job.only):
             return False
-        if worker.asked_at and worker.held > 0 and self.now - worker.asked_at > SILENT_US:
+        if self.hangs(worker, SILENT_US):
             return False  # Guards against a hung worker, which takes jobs and answers none.
         if worker.cold_next > self.now and self.cold(worker):
             return False
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -373,3 +373,25 @@
     made, turns = swapping(limits=limits)
     assert len(made.jobs[1].attempts) == 2
     assert not [a for turn in turns for a in turn if isinstance(a, api.Cancel)]
+
+
+@pytest.mark.parametrize("state", ["removed", "silent"])
+def test_jobs_stuck_at_a_lost_worker_do_not_count_as_held_at_the_others(state: str) -> None:
+    """One of 200 with three jobs out: they never end, and it goes on using the workers that are left."""
+    made = Balancer(settings(balancers=200), 1, 0)
+    made.handle(0, [api.ListChanged("all", [entry(n) for n in range(0, 40, 2)])])
+    made.kinds["k1"].slots, made.kinds["k1"].told = 4.0, True
+    for number in range(3):
+        made.handle(SECOND + number, [api.JobArrived(number, "unsafe", 8 * SECOND, only=("w0",))])
+    assert made.workers["w0"].held == 3
+    if state == "removed":
+        made.handle(SECOND + 9, [api.ListChanged("changes", [entry(0, state)])])
+    placed = 0
+    for number in range(10, 60):
+        now = SECOND + number * SECOND // 10
+        sent = [a for a in made.handle(now, [api.JobArrived(number, "safe", SECOND)])
+                if isinstance(a, api.Place)]
+        placed += now > 4 * SECOND and bool(sent)
+        made.handle(now + 50_000, [api.AttemptEnded(number, n, api.Outcome.OK, 50_000, True, None, a.worker)
+                                   for n, a in enumerate(sent)])
+    assert made.own_held == 3 and placed >= 20
