A hand-over with pushed lists, and 1,024 entries within 256 descriptors, each a test

Need: two hard cases of the issue on leaving servers that had none. Change: the hand-over of bans, list and standby is played with lists asked for and pushed; a node as the program with 1,024 entries and 256 descriptors hands 60 jobs from server to server: over 80 connections, never more descriptors than 35 % and 32.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -56,14 +56,14 @@
 Scene = Callable[[House], Awaitable[None]]
 
 
-def by_house(folder: Path, scene: Scene, **servers: Play) -> None:
+def by_house(folder: Path, scene: Scene, discovery: str = "subscribe", **servers: Play) -> None:
     """Play a scene with a kept socket and these servers; processes are ended by their ids."""
     async def whole() -> None:
         async with stage(folder) as s:
             for name, one in servers.items():
                 s.add(name, one)
             with socket.create_server(("127.0.0.2", s.port)) as sock:
-                found = House(s, s.configure(), sock)
+                found = House(s, s.configure(discovery=discovery), sock)
                 try:
                     await scene(found)
                 finally:
@@ -136,7 +136,8 @@
     by_house(tmp_path, scene, a=holds, b=holds)
 
 
-def test_bans_the_list_and_standby_pass_to_the_next_process(tmp_path: Path) -> None:
+@pytest.mark.parametrize("discovery", ["subscribe", "automatic"])
+def test_bans_the_list_and_standby_pass_to_the_next_process(tmp_path: Path, discovery: str) -> None:
     """Made before it starts or while both run; the configuration file's list is older than the node."""
     async def scene(h: House) -> None:
         s = h.stage
@@ -161,7 +162,7 @@
         await trio.sleep(0.1)
         assert [(await s.call("GET", "/-/ready")).status for _ in range(6)] == [200] * 6  # either one
 
-    by_house(tmp_path, scene, a=serves, b=serves, c=serves, d=serves)
+    by_house(tmp_path, scene, discovery, a=serves, b=serves, c=serves, d=serves)
 
 
 def test_a_node_whose_successor_died_leaves_as_one_without(tmp_path: Path) -> None:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,6 +5,7 @@
 import heapq
 import json
 import math
+import os
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -194,6 +195,25 @@
     assert max(len(handed.encode(word)) for word in told) < LIMITS.link_bytes
 
 
+def test_a_node_with_1024_entries_keeps_to_its_descriptors(tmp_path: Path) -> None:
+    """Every job is turned away and goes to one server after the other: old connections make room."""
+    async def turns_away(server: StandIn, request: Request) -> Response:
+        return Response(503, b"", [(b"x-not-processed", b"1")])
+
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            server = at.add("s-0", play=turns_away)
+            at.rows += [{**at.rows[0], "id": f"s-{n}", "cell": n // 6} for n in range(1, 1024)]
+            await at.start(program=True, discovery="automatic")
+            assert at.process is not None
+            most = 0
+            for number in range(60):
+                assert (await at.admit(f"j{number}", 1000)).status == 503
+                most = max(most, len(os.listdir(f"/proc/{at.process.pid}/fd")))
+            assert 80 < len(server.connections) and most < at.sockets * 35 // 100 + 32
+    play(scene)
+
+
 # Discovery on sockets.
 
 class Told:
