A test waits until the node has heard of the server that a lost job goes to

Cause: the job was lost before the node had heard of the second server, so it had nowhere to go. Change: the test waits for two lists after the change. 5 tests of the file pass; no change of the program.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -209,7 +209,10 @@
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         other_scheduler = Scheduler()
         other = s.add("s-2", other_scheduler)
+        heard = s.counters.counts["entries_all"]
         s.change("s-2")
+        while s.counters.counts["entries_all"] < heard + 2:  # Guards against a loss with nowhere to go yet.
+            await trio.sleep(0.01)
         job = await queue(s)
         while not (first := [(one, two) for one, two in ((server, other), (other, server))
                              if job in (scheduler if one is server else other_scheduler).jobs]):
