--- a/bench/events.py
+++ b/bench/events.py
@@ -33,7 +33,8 @@
 from merlinbay.drmaa import listening
 from merlinbay.drmaa.front import DrmaaFront
 from merlinbay.drmaa.settings import Drmaa, NamedSession
-from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.http.connection import Connection, Request, Response
+from merlinbay.http.server import Listener
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.monitor import filters, view
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -10,8 +10,9 @@
 
 from merlinbay.core.ports import ServiceEntry
 from merlinbay.counters import Counters
+from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.http.server import Listener
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
--- a/merlinbay/cli/local.py
+++ b/merlinbay/cli/local.py
@@ -17,7 +17,8 @@
 from merlinbay.counters import Counters
 from merlinbay.executor.server import Executor
 from merlinbay.executor.slots import Slots
-from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.http.connection import Connection, Request, Response
+from merlinbay.http.server import Listener
 from merlinbay.node import log_for, run
 from merlinbay.problems import BadConfig
 
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -147,10 +147,7 @@
             case ports.FlowWithdrawn():
                 flow = self.names.get(message.name)
                 if flow is not None and flow.edge is message.edge and not flow.done:
-                    self.counters.add("flows_withdrawn")
-                    flow.done = True
-                    events.append(api.JobWithdrawn(flow.number))
-                    self._forget(flow)
+                    self._withdraw(flow, events)
             case ports.ServerProbed():
                 events.append(api.ProbeEnded(message.server, message.outcome, message.took_us,
                                              self._row(message.report)))
@@ -358,7 +355,11 @@
             return
         number, flow.sent = flow.sent, flow.sent + 1
         until = min(flow.deadline_us, now + action.timeout_us) if action.timeout_us else flow.deadline_us
-        scheduling = ports.Scheduling(flow.spec, flow.number, number, action.worker, now, until)
+        scheduling = ports.Scheduling(flow.spec, flow.number, number, action.worker, now, until,
+                                      edge=flow.edge)
+        if not flow.done and flow.edge.left():
+            # Guards against an attempt for a client that has left, while the word of it is still on its way.
+            self._withdraw(flow, events)
         if flow.done or now >= flow.deadline_us or (flow.spec.name, action.worker) in self.open:
             self.counters.add("schedulings_moot")
             events.append(api.AttemptEnded(flow.number, number, api.Outcome.MOOT, 0, flow.done, None,
@@ -373,6 +374,13 @@
             self.servers.recall(scheduling)
         flow.edge.sent(scheduling.server)
 
+    def _withdraw(self, flow: Flow, events: list[api.Event]) -> None:
+        """Take it that a flow's client has left: nothing is owed any more."""
+        self.counters.add("flows_withdrawn")
+        flow.done = True
+        events.append(api.JobWithdrawn(flow.number))
+        self._forget(flow)
+
     def _answer(self, flow: Flow, answer: Answer) -> None:
         """Give a flow its one final answer."""
         flow.done = True
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -94,6 +94,10 @@
         """Take the flow's one answer."""
         raise NotImplementedError
 
+    def left(self) -> bool:
+        """Tell whether the client has left, be it that nobody has said so yet."""
+        return False
+
     def sent(self, server: str) -> None:
         """Take it that a real server has been chosen. May come more than once."""
 
@@ -132,6 +136,11 @@
     ended: bool = False
     started: bool = False
     paused: bool = False  # suspended by its real server
+    edge: Edge | None = None  # of its flow
+
+    def wanted(self) -> bool:
+        """Tell whether it is still to be begun."""
+        return not self.ended and (self.edge is None or not self.edge.left())
 
 
 class ServerSide(Protocol):
--- a/merlinbay/drmaa/answers.py
+++ b/merlinbay/drmaa/answers.py
@@ -11,7 +11,7 @@
 from merlinbay.batch.timers import NEVER
 from merlinbay.clock import Clock
 from merlinbay.drmaa import words
-from merlinbay.http.server import Connection, Response
+from merlinbay.http.connection import Connection, Response
 
 JSON = (b"content-type", b"application/json")
 
--- a/merlinbay/drmaa/asks.py
+++ b/merlinbay/drmaa/asks.py
@@ -10,7 +10,7 @@
 from merlinbay.batch.timers import NEVER
 from merlinbay.clock import Clock
 from merlinbay.drmaa.answers import Call, ok
-from merlinbay.http.server import Connection, Request, Response
+from merlinbay.http.connection import Connection, Request, Response
 
 PAGE, PAGE_MOST = 100, 1000
 
--- a/merlinbay/drmaa/calls.py
+++ b/merlinbay/drmaa/calls.py
@@ -19,7 +19,7 @@
 from merlinbay.drmaa.listening import ListeningCalls
 from merlinbay.drmaa.monitoring import MonitorCalls
 from merlinbay.drmaa.settings import NAME, session_section
-from merlinbay.http.server import Response
+from merlinbay.http.connection import Response
 
 DEFAULT = "default"  # the session of the paths that name none
 ACTIONS = ("hold", "release", "suspend", "resume", "terminate", "reap")
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -29,7 +29,7 @@
 from merlinbay.drmaa.edges import JobEdge
 from merlinbay.drmaa.reserving import Reserving
 from merlinbay.drmaa.settings import Drmaa
-from merlinbay.http.server import Connection, Request, Response
+from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.notify.hub import Answer, Hub
--- a/merlinbay/drmaa/listening.py
+++ b/merlinbay/drmaa/listening.py
@@ -12,7 +12,7 @@
 from merlinbay.drmaa.answers import Call, ok
 from merlinbay.drmaa.asks import Ask
 from merlinbay.drmaa.hall import Hall
-from merlinbay.http.server import Response
+from merlinbay.http.connection import Response
 from merlinbay.notify import signing
 from merlinbay.notify.hub import Hub, wanted_of
 from merlinbay.notify.journal import Entry, Page, Stream
--- a/merlinbay/drmaa/monitoring.py
+++ b/merlinbay/drmaa/monitoring.py
@@ -11,7 +11,7 @@
 from merlinbay.drmaa.hall import Hall
 from merlinbay.drmaa.reserving import info as reservation_info
 from merlinbay.drmaa.words import when
-from merlinbay.http.server import Response
+from merlinbay.http.connection import Response
 
 
 class MonitorCalls:
--- a/merlinbay/drmaa/reserving.py
+++ b/merlinbay/drmaa/reserving.py
@@ -19,7 +19,7 @@
 from merlinbay.drmaa.settings import NAME
 from merlinbay.drmaa.templates import moment
 from merlinbay.drmaa.words import when
-from merlinbay.http.server import Response
+from merlinbay.http.connection import Response
 from merlinbay.reserve.book import Phase, Reservation, SlotBook, Wish
 from merlinbay.reserve.settings import Reservations
 
--- a/merlinbay/drmaa/servers.py
+++ b/merlinbay/drmaa/servers.py
@@ -13,8 +13,8 @@
 from merlinbay.drmaa import templates, words
 from merlinbay.drmaa.asking import Asking, AskLimits
 from merlinbay.http.client import Reply
+from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.server import Connection, Request, Response
 from merlinbay.http.servers import PooledServers
 from merlinbay.limits import Limits
 from merlinbay.log import Log
@@ -127,7 +127,8 @@
         reply: Reply | Outcome = Outcome.TIMEOUT
         with trio.move_on_at(self.clock.to_trio(scheduling.deadline_us) + self.limits.late_answer):
             reply = await self.attempt(scheduling.server, "POST", JOBS,
-                                       [("content-type", "application/json")], words.write(call), places=True)
+                                       [("content-type", "application/json")], words.write(call),
+                                       scheduling.wanted)
         outcome, job_id = outcome_of(reply) if isinstance(reply, Reply) else (reply, "")
         self.sending.discard(scheduling)
         gave_up, recall = scheduling in self.given_up, scheduling in self.recalls
--- a/merlinbay/drmaa/wiring.py
+++ b/merlinbay/drmaa/wiring.py
@@ -13,9 +13,10 @@
 from merlinbay.drmaa.front import DrmaaFront
 from merlinbay.drmaa.servers import DrmaaServers, NotificationHandler
 from merlinbay.drmaa.settings import Drmaa
+from merlinbay.http.connection import Handler
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.routes import Routes
-from merlinbay.http.server import Handler, Listener
+from merlinbay.http.server import Listener
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.problems import BadConfig, address
--- a/merlinbay/emulator/live.py
+++ b/merlinbay/emulator/live.py
@@ -27,7 +27,8 @@
 from merlinbay.emulator.servers import Server, Work
 from merlinbay.emulator.spec import Script
 from merlinbay.http.client import Broken, ClientConnection, NotSent
-from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.http.connection import Connection, Request, Response
+from merlinbay.http.server import Listener
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
--- a/merlinbay/executor/server.py
+++ b/merlinbay/executor/server.py
@@ -17,8 +17,8 @@
 from merlinbay.executor.child import Child, NotStarted
 from merlinbay.executor.slots import Job, Slots
 from merlinbay.http.client import Broken, NotSent
+from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.server import Connection, Request, Response
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
--- a/merlinbay/fleet/control.py
+++ b/merlinbay/fleet/control.py
@@ -11,7 +11,7 @@
 from merlinbay.fleet.epochs import Epoch, name_of
 from merlinbay.fleet.members import Member
 from merlinbay.fleet.net import FleetNet
-from merlinbay.http.server import Connection, Request, Response
+from merlinbay.http.connection import Connection, Request, Response
 
 JSON = (b"content-type", b"application/json")
 WAIT_S = 30.0  # a call for events waits so long for the next one
--- a/merlinbay/handover/twin.py
+++ b/merlinbay/handover/twin.py
@@ -20,7 +20,8 @@
 from merlinbay.handover import link, words
 from merlinbay.handover.link import Link
 from merlinbay.http.attendance import Attendance
-from merlinbay.http.server import Connection, Listener
+from merlinbay.http.connection import Connection
+from merlinbay.http.server import Listener
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from merlinbay.http.server import readable, send_all
+from merlinbay.http.connection import readable, send_all
 from merlinbay.limits import Limits
 
 
@@ -39,6 +39,7 @@
         self.sock, self.host, self.limits, self.body_bytes = sock, host, limits, body_bytes
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.head_bytes)
         self.idle_since = 0.0
+        self.rests_until = 0.0  # before this it is not used again
 
     @classmethod
     async def dial(cls, addr: str, limits: Limits, body_bytes: int = 0) -> ClientConnection:
@@ -66,7 +67,8 @@
     @property
     def reusable(self) -> bool:
         """Tell whether the last exchange leaves it open."""
-        return self.h11.our_state is h11.IDLE
+        # Guards against a second answer that came with the first: it would pass for that of the next request.
+        return self.h11.our_state is h11.IDLE and not self.h11.trailing_data[0]
 
     def usable(self) -> bool:
         """Tell whether it can carry another request: nothing is to be read, not even its end."""
--- /dev/null
+++ b/merlinbay/http/connection.py
@@ -0,0 +1,364 @@
+"""One accepted connection: one request at a time, answered now or later, and one way to end it."""
+
+from __future__ import annotations
+
+import select
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import h11
+import trio
+
+from merlinbay.limits import Limits
+
+REASONS = {200: b"OK", 201: b"Created", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
+           403: b"Forbidden", 404: b"Not Found",
+           405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict",
+           413: b"Content Too Large", 500: b"Internal Server Error", 503: b"Service Unavailable",
+           504: b"Gateway Timeout"}
+
+
+@dataclass(slots=True)
+class Request:
+    """A whole request. Header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    body: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+
+
+class Sock(Protocol):
+    """What a connection needs of a socket."""
+
+    def recv(self, most: int, /) -> Awaitable[bytes]:
+        """Read some; nothing at the end."""
+
+    def send(self, data: bytes, /) -> Awaitable[int]:
+        """Write some; return how much."""
+
+    def shutdown(self, how: int, /) -> None:
+        """Write no more."""
+
+    def fileno(self) -> int:
+        """Return the descriptor."""
+
+
+Prepare = Callable[[trio.socket.SocketType], Awaitable[Sock]]
+
+
+class Handler(Protocol):
+    """What stands behind a listener."""
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Answer a request, or return None and call ``connection.respond`` later."""
+
+    def gone(self, connection: Connection) -> None:
+        """Take it that the client hung up before its answer."""
+
+
+Give = Callable[["Connection"], bool]  # tells whether it took the connection
+
+
+class Connection:
+    """One accepted connection: a task that reads, and one that writes answers that come later."""
+
+    def __init__(self, sock: trio.socket.SocketType, limits: Limits, handler: Handler,
+                 nursery: trio.Nursery, prepare: Prepare | None = None) -> None:
+        self.raw, self.limits, self.handler, self.nursery = sock, limits, handler, nursery
+        self.sock: Sock = sock
+        self.prepare = prepare
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        self.wake = trio.Event()  # there is something to write
+        self.response: Response | None = None
+        self.context: object = None  # the handler's own
+        self.has_writer = False  # most connections carry one call-back and need none
+        self.waiting = False  # a request is with the handler
+        self.ended = False
+        self.ending = False  # it is to be shut, and what still comes is not begun
+        self.writing = False
+        self.attending = False  # the reader reads on behind a request that is not answered yet
+        self.head_only = False  # the request is a HEAD: its answer has no body
+        self.close_after = False  # no further request is wanted on this connection
+        self.give: Give | None = None  # takes the connection away as soon as no request is under way
+        self.reading = trio.CancelScope()
+        self.calls_back = False  # set by a front: a real server uses it, which is never sent away
+        self.scope = trio.CancelScope()
+        self.idle_since = trio.current_time()
+        self.proven = False  # set by a front: a job was served on it, so it is worth keeping
+        self.expires = self.idle_since + limits.read_request  # watched by the listener's sweep
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is under way."""
+        return not self.waiting and self.h11.their_state is h11.IDLE and not self.h11.trailing_data[0]
+
+    def hand_over(self, give: Give) -> None:
+        """Have the connection given away once no request is under way on it."""
+        if self.prepare is None:  # what TLS knows of it cannot be given
+            self.give = give
+            if self.idle:
+                self.reading.cancel()
+
+    def end(self) -> None:
+        """Have it ended in good order by its own task. Does not wait."""
+        self.ending = True
+        self.reading.cancel()
+
+    def end_idle(self) -> bool:
+        """End it unless a request is under way or has come; tell whether it ends."""
+        if not self.idle or readable(self.sock):
+            return False
+        self.end()
+        return True
+
+    def evict(self) -> bool:
+        """Close it here and now unless a request is under way or has come; tell whether it did."""
+        # Guards against a request that comes between the look and the close: no task runs in between.
+        if not self.idle or readable(self.sock):
+            return False
+        self.raw.close()
+        self.scope.cancel()
+        return True
+
+    def expire(self) -> None:
+        """End it for having stood idle, dribbled or been stuck for too long."""
+        if self.writing or (self.prepare is not None and self.sock is self.raw):
+            self.scope.cancel()  # its client takes nothing, and nobody reads: there is no good order left
+        else:
+            self.end()
+
+    def respond(self, response: Response) -> None:
+        """Have an answer written. Does not wait."""
+        self.response = response
+        self.wake.set()
+
+    async def serve(self) -> None:
+        """Serve the connection to its end. Its errors end it alone."""
+        with self.scope, self.raw:
+            try:
+                if self.prepare is not None:
+                    self.sock = await self.prepare(self.raw)
+                await self._read()
+            except (OSError, h11.ProtocolError, trio.ClosedResourceError):
+                pass
+        self.ended = True
+        self.wake.set()
+        if self.waiting:
+            self.waiting = False
+            self.handler.gone(self)
+
+    async def _read(self) -> None:
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            if self.ending:
+                if self.idle and readable(self.sock):
+                    # Guards against a request that crosses the end: it is answered, and the end comes after.
+                    self.ending, self.close_after = False, True
+                    self.expires = trio.current_time() + self.limits.read_request
+                else:
+                    await self._part()
+                    return
+            if self.h11.our_state is h11.MUST_CLOSE:
+                # Guards against a close over the last answer, which is being written: what comes behind it
+                # is no request any more.
+                if not await self._attend():
+                    return
+                continue
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                await self._last_words(error.error_status_hint if error.error_status_hint >= 400 else 400)
+                return
+            if event is h11.NEED_DATA:
+                was_idle = self.idle
+                if was_idle and self.give is not None and self.give(self):
+                    return
+                # Guards against bytes read and thrown away: cancelled by itself, this has read none.
+                with trio.CancelScope() as self.reading:
+                    data = await self.sock.recv(self.limits.receive_bytes)
+                if self.reading.cancelled_caught:
+                    continue
+                self.h11.receive_data(data)
+                if was_idle:  # Guards against a request that dribbles in: all of it has so long.
+                    self.expires = min(self.expires, trio.current_time() + self.limits.read_request)
+            elif type(event) is h11.Request:
+                head, body = event, bytearray()
+                if status := self._unwanted(event):
+                    await self._last_words(status)
+                    return
+                if self.h11.they_are_waiting_for_100_continue:
+                    await self._write_out(self.h11.send(
+                        h11.InformationalResponse(status_code=100, headers=[])) or b"")
+            elif type(event) is h11.Data:
+                body += event.data
+                if len(body) > self.limits.body_bytes:
+                    await self._last_words(413)
+                    return
+            elif type(event) is h11.EndOfMessage and head is not None:
+                await self._handle(Request(head.method.decode(), head.target.decode("latin-1"),
+                                           header_table(head), bytes(body)))
+            elif event is h11.PAUSED:
+                if not await self._attend():
+                    return
+            elif type(event) is h11.ConnectionClosed:
+                return
+
+    async def _attend(self) -> bool:
+        """Read on while an answer is awaited; tell whether the client is still there."""
+        # Guards against a client whose going is not seen: bytes behind its request would hide it.
+        ahead = len(self.h11.trailing_data[0])
+        self.attending = True
+        await trio.lowlevel.checkpoint()
+        while self.waiting and not self.ending:
+            if ahead > self.limits.ahead_bytes:
+                # Guards against what has no end: no usual client sends a second request before its answer.
+                self.handler.gone(self)
+                await self._last_words(400)
+                return False
+            with trio.CancelScope() as self.reading:
+                data = await self.sock.recv(self.limits.receive_bytes)
+            if self.reading.cancelled_caught:
+                continue
+            if not data:
+                return False
+            ahead += len(data)
+            self.h11.receive_data(data)
+        self.attending = False
+        return True
+
+    def _unwanted(self, head: h11.Request) -> int:
+        """Return the status that a request's head earns already, 0 if its body may come."""
+        headers = dict(head.headers)
+        length = headers.get(b"content-length")
+        if length is not None and b"transfer-encoding" in headers:
+            return 400  # Guards against a request hidden in the body: the two say different ends.
+        if length is not None and int(length) > self.limits.body_bytes:
+            return 413  # Guards against megabytes read for nothing.
+        return 0
+
+    async def _handle(self, request: Request) -> None:
+        """Hand a request on; write its answer if it has come at once, else leave it to the writer."""
+        self.expires = float("inf")
+        self.waiting, self.head_only = True, request.method == "HEAD"
+        response = await self.handler.request(self, request)
+        if response is not None:
+            await self._answer(response)
+        elif not self.has_writer:
+            self.has_writer = True
+            self.nursery.start_soon(self._write)
+
+    async def _last_words(self, status: int) -> None:
+        """Answer what can't be served, then let the connection end."""
+        self.waiting = False
+        if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.expires = trio.current_time() + self.limits.write_answer
+            await self._send(Response(status), close=True)
+            await self._part()
+
+    async def _part(self) -> None:
+        """Say that no more is sent, and let the client close: the way in which every connection ends."""
+        # Guards against a reset that overtakes the last answer, as a close over unread bytes would send one:
+        # what still comes is read and not begun, for a moment, and not much of it, since a client that sends
+        # at full speed would take the CPU from the others.
+        self.ending, self.expires = True, float("inf")
+        self.sock.shutdown(trio.socket.SHUT_WR)
+        left = self.limits.linger_bytes
+        with trio.move_on_after(self.limits.linger):
+            while left > 0 and (data := await self.sock.recv(self.limits.receive_bytes)):
+                left -= len(data)
+
+    async def _write(self) -> None:
+        """Write the answers that come later, until the connection ends."""
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            response, self.response = self.response, None
+            if self.ended:
+                return
+            if response is not None:
+                try:
+                    await self._answer(response)
+                except (OSError, h11.ProtocolError, trio.ClosedResourceError):
+                    self.scope.cancel()
+                    return
+
+    async def _answer(self, response: Response) -> None:
+        """Write an answer, and make ready for the next request or end the connection."""
+        self.expires = trio.current_time() + self.limits.write_answer
+        # Guards against clients that ask for what there is not, and stay: each would hold a descriptor.
+        await self._send(response, (self.close_after and not self.calls_back) or 400 <= response.status < 500)
+        self.waiting = False
+        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+            self.h11.start_next_cycle()
+            self.idle_since = trio.current_time()
+            # Guards against clients that ask for little and stay: each would hold a descriptor.
+            self.expires = self.idle_since + (self.limits.edge_idle if self.proven
+                                              else self.limits.read_request)
+            if self.attending or self.give is not None:
+                self.reading.cancel()
+        else:
+            self.end()
+
+    async def _send(self, response: Response, close: bool) -> None:
+        headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
+        if close:
+            headers.append((b"connection", b"close"))
+        send = self.h11.send
+        data = send(h11.Response(status_code=response.status, headers=headers,
+                                 reason=REASONS.get(response.status, b""))) or b""
+        if response.body and not self.head_only:
+            data += send(h11.Data(data=response.body)) or b""
+        data += send(h11.EndOfMessage()) or b""
+        await self._write_out(data)
+
+    async def _write_out(self, data: bytes) -> None:
+        self.writing = True
+        await send_all(self.sock, data)
+        self.writing = False
+
+
+def header_table(head: h11.Request) -> dict[str, str]:
+    """Return the headers by name; those that come more than once are joined, so none hides another."""
+    table: dict[str, str] = {}
+    for name, value in head.headers:
+        key, text = name.decode(), value.decode("latin-1")
+        table[key] = f"{table[key]}, {text}" if key in table else text
+    return table
+
+
+async def send_all(sock: Sock, data: bytes) -> None:
+    """Write all of it."""
+    sent = await sock.send(data)
+    while sent < len(data):
+        sent += await sock.send(data[sent:])
+
+
+def readable(sock: Sock) -> bool:
+    """Tell whether there is something to read, be it the end."""
+    # Guards against closing on a request that is written but not yet read: it would be lost.
+    if sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def hung_up(sock: Sock) -> bool:
+    """Tell whether the other side sends no more, whatever of it is still unread."""
+    if sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -25,9 +25,10 @@
 class ConnectionPool:
     """Connections by real server, newest used first, so many over all."""
 
-    def __init__(self, limits: Limits, counters: Counters,
-                 serves: Callable[[str], bool] = lambda name: True) -> None:
+    def __init__(self, limits: Limits, counters: Counters, serves: Callable[[str], bool] = lambda name: True,
+                 refuses: Callable[[Reply], bool] = lambda reply: False) -> None:
         self.limits, self.counters = limits, counters
+        self.refuses = refuses  # whether an answer proves that a job never ran
         self.serves = serves  # whether a real server is up by the newest list, heard but not yet taken in
         self.servers: dict[str, RealServer] = {}
         self.connections = 0
@@ -48,26 +49,30 @@
                 self.servers[entry.server] = RealServer(entry.addr, entry.started_us)
 
     async def exchange(self, name: str, method: str, target: str, headers: list[tuple[str, str]],
-                       body: bytes = b"", places: bool = False) -> Reply:
+                       body: bytes = b"", wanted: Callable[[], bool] | None = None) -> Reply:
         """Have one exchange, and keep the connection if it can carry another.
 
-        One that ``places`` a job goes to no server that has left since the module chose it.
+        One that places a job tells by ``wanted`` whether it still is: it goes to no server that has left
+        since it was chosen, and for no client that has.
         """
         server = self.servers.get(name)
         if server is None:
             raise NotSent("not listed")
         connection = await self._connection(server)
         # Guards against a drain told between placing and the first byte: a dial, or a long turn, lay between.
-        if places and not (self.serves(name) and self.servers.get(name) is server):
+        if wanted is not None and not (self.serves(name) and self.servers.get(name) is server and wanted()):
             self.counters.add("sends_withheld")
-            self._keep(name, server, connection)
-            raise NotSent("it has left since it was chosen")
+            self._keep(name, server, connection, connection.rests_until)
+            raise NotSent("its server or its client has left since it was chosen")
         try:
             reply = await connection.exchange(method, target, headers, body)
         except BaseException:
             self._close(connection)
             raise
-        self._keep(name, server, connection)
+        # Guards against a refusal that comes twice, the second time some milliseconds late: it would pass for
+        # the answer to the next request on the connection, and a job that was taken for one that never ran.
+        rest = self.limits.pool_rest if self.refuses(reply) else 0.0
+        self._keep(name, server, connection, trio.current_time() + rest)
         return reply
 
     async def sweep(self) -> None:
@@ -80,10 +85,11 @@
                     self._close(server.idle.pop(0))
 
     async def _connection(self, server: RealServer) -> ClientConnection:
-        """Return the connection that was used last, or a new one."""
-        while server.idle:
-            connection = server.idle.pop()
-            fresh = trio.current_time() - connection.idle_since < self.limits.pool_idle
+        """Return the connection that was used last but has rested, or a new one."""
+        now = trio.current_time()
+        for connection in [kept for kept in reversed(server.idle) if kept.rests_until <= now]:
+            server.idle.remove(connection)
+            fresh = now - connection.idle_since < self.limits.pool_idle
             if fresh and connection.usable():
                 return connection
             # Guards against a write that crosses the server's keep-alive: it would end as a reset.
@@ -103,8 +109,8 @@
         self.counters.add("server_connections")
         return connection
 
-    def _keep(self, name: str, server: RealServer, connection: ClientConnection) -> None:
-        connection.idle_since = trio.current_time()
+    def _keep(self, name: str, server: RealServer, connection: ClientConnection, rests_until: float) -> None:
+        connection.idle_since, connection.rests_until = trio.current_time(), rests_until
         if connection.reusable and self.servers.get(name) is server:
             server.idle.append(connection)
         else:
--- a/merlinbay/http/routes.py
+++ b/merlinbay/http/routes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from merlinbay.http.server import Connection, Handler, Request, Response
+from merlinbay.http.connection import Connection, Handler, Request, Response
 
 
 class Routes:
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -45,10 +45,10 @@
         self.nursery.start_soon(self.ended, scheduling, Outcome.CONNECT_FAILED)
 
     async def attempt(self, server: str, method: str, target: str, headers: list[tuple[str, str]],
-                      body: bytes = b"", places: bool = False) -> Reply | Outcome:
+                      body: bytes = b"", wanted: Callable[[], bool] | None = None) -> Reply | Outcome:
         """Have one exchange; return its answer, or the outcome where none came."""
         try:
-            return await self.pool.exchange(server, method, target, headers, body, places)
+            return await self.pool.exchange(server, method, target, headers, body, wanted)
         except NotSent:
             return Outcome.CONNECT_FAILED
         except Broken:
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -22,12 +22,14 @@
     most_held: int = 300  # flows
     linger: float = 0.3  # after an answer to what can't be read,
     linger_bytes: int = 256 * 1024  # and so much more is taken in
+    ahead_bytes: int = 96 * 1024  # read behind a request that is not answered yet: over one whole request
     sweep: float = 0.25  # between looks for connections that have expired
     edge_idle: float = 75.0  # an edge connection that stands idle is closed
     read_request: float = 2.0  # from the accept, or a later request's first byte, to a request's last byte
     write_answer: float = 5.0
     dial: float = 0.12
     pool_idle: float = 8.0  # below the real servers' keep-alive
+    pool_rest: float = 0.05  # one that has brought a refusal is not used again for so long
     evict_after: float = 0.1  # a connection has stood idle so long before it may be closed for another
     evict_at_once: int = 16  # connections never served that are closed for others at one look
     accept_pause: float = 0.02  # after an accept that failed for want of descriptors
@@ -50,6 +52,7 @@
     spare_connections: int = 3  # and so many of the kept ones stay free, where no other balancer serves
     stop_answers_us: int = 400_000  # and then have the flows under way end within so long
     stop_tail: float = 0.1  # refuse for so long after the last answer, for what crossed the closing
+    stop_part: float = 0.2  # then wait so long for connections to end in good order,
     stop_most: float = 3.6  # and leave after so long at the latest, before SIGKILL
     retry_when_stopping_us: int = 100_000
     desk_connections: int = 16  # operators' calls that wait for their line
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -19,14 +19,15 @@
 from merlinbay.decision import Balancer
 from merlinbay.decision.learned import adopt
 from merlinbay.http.attendance import Attendance
+from merlinbay.http.connection import Handler
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.server import Handler, Listener, bound
+from merlinbay.http.server import Listener, bound
 from merlinbay.log import Log
 from merlinbay.platform import words
 from merlinbay.platform.desk import Desk
 from merlinbay.platform.discovery import Discovery
 from merlinbay.platform.edge import PlatformEdge
-from merlinbay.platform.servers import PlatformServers
+from merlinbay.platform.servers import PlatformServers, refuses
 from merlinbay.problems import BadConfig, address
 
 if TYPE_CHECKING:
@@ -59,6 +60,9 @@
             self.fleet.stop()
 
 
+early: list[int] = []  # the SIGTERMs that came before trio took signals, or after
+
+
 async def run(config: Config, counters: Counters) -> None:
     """Run one node until it is told to stop and its last flow is answered."""
     limits, clock, operator = config.limits, Clock(), config.operator
@@ -100,7 +104,7 @@
         from merlinbay.dnssd.wiring import wire as wire_dnssd
         discovery = wire_dnssd(operator.dnssd, send, limits, counters, log)
     async with trio.open_nursery() as nursery:
-        pool = ConnectionPool(limits, counters, discovery.serves)
+        pool = ConnectionPool(limits, counters, discovery.serves, refuses)
         drmaa = sides.drmaa
         servers: ServerSide | None = drmaa.start(nursery, pool) if drmaa is not None else None
         if servers is None:
@@ -141,6 +145,8 @@
         desk.serving = True
         log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
         await owner.run(receive)
+        edge.over = True
+        await listener.finish(limits.stop_part)
         nursery.cancel_scope.cancel()
 
 
@@ -167,7 +173,9 @@
                   log: Log, sides: Sides) -> None:
     """SIGHUP reads the configuration again, SIGUSR1 prints the counters, SIGTERM and SIGINT end the node."""
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
-        stopping = False
+        stopping = bool(early)
+        if stopping:  # Guards against a node that was told to end while it started, and serves until SIGKILL.
+            nursery.start_soon(stop, config, listener, inbox, nursery, sides)
         async for number in received:
             if number == signal.SIGUSR1:
                 counters.print()
@@ -237,7 +245,7 @@
     # Guards against a signal just before trio takes them, and during the last steps, when it has put these
     # handlers back: SIGHUP never ends the node, and what ends in good order ends with 0.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, lambda number, frame: early.append(number))
     # Guards against pauses: a full collection would walk all that the imports have made, again and again.
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
--- a/merlinbay/notify/sender.py
+++ b/merlinbay/notify/sender.py
@@ -23,7 +23,7 @@
     """Connections by address, to whom they may be."""
 
     async def exchange(self, name: str, method: str, target: str, headers: list[tuple[str, str]],
-                       body: bytes = b"", places: bool = False) -> Reply:
+                       body: bytes = b"", wanted: Callable[[], bool] | None = None) -> Reply:
         """Have one exchange with the address ``name``."""
         if name not in self.servers:
             for addr in [addr for addr, server in self.servers.items() if not server.idle][:8]:
@@ -31,7 +31,7 @@
             if len(self.servers) >= KEPT_MOST:
                 self._drop_idle(self.servers.pop(next(iter(self.servers))))
             self.servers[name] = RealServer(name)
-        return await super().exchange(name, method, target, headers, body, places)
+        return await super().exchange(name, method, target, headers, body, wanted)
 
 
 class Sender:
--- a/merlinbay/platform/edge.py
+++ b/merlinbay/platform/edge.py
@@ -12,7 +12,7 @@
 from merlinbay.core.ports import Answer, Verdict
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.http.server import Connection, Request, Response
+from merlinbay.http.connection import Connection, Request, Response, hung_up
 from merlinbay.limits import Limits
 from merlinbay.platform import words
 
@@ -32,6 +32,10 @@
     def __init__(self, connection: Connection, name: str) -> None:
         self.connection, self.name = connection, name
 
+    def left(self) -> bool:
+        """Tell whether the client has left, as its connection looks now."""
+        return hung_up(self.connection.sock)
+
     def answer(self, answer: Answer) -> None:
         """Write the flow's answer to its edge connection."""
         self.connection.context = None
@@ -53,10 +57,14 @@
         self.counters, self.classes = counters, classes
         self.scarce: Callable[[], bool] = lambda: False  # whether kept edge connections run out
         self.wanted: Callable[[], bool] = lambda: True  # whether new clients are
+        self.over = False  # the owner has ended: there is nobody behind the inbox any more
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Take a call-back, a job or a check."""
         path = request.target.partition("?")[0]
+        if self.over:
+            # Guards against what crosses the exit: it is answered, and not begun.
+            return TAKEN if path == "/v1/job-events" else refusal(self.limits.retry_when_stopping_us)
         if path == "/v1/job-events":
             connection.calls_back = True
             return await self._call_back(request)
@@ -88,10 +96,14 @@
         """Withdraw the flow of a client that hung up."""
         flow = connection.context
         if isinstance(flow, EdgeFlow):
-            try:
-                self.inbox.send_nowait(ports.FlowWithdrawn(flow.name, flow))
-            except (trio.WouldBlock, trio.BrokenResourceError):  # its deadline will end it
-                self.counters.add("withdrawals_lost")
+            # Guards against a word that is lost where the inbox is full: it waits, as all else does.
+            connection.nursery.start_soon(self._withdraw, flow)
+
+    async def _withdraw(self, flow: EdgeFlow) -> None:
+        try:
+            await self.inbox.send(ports.FlowWithdrawn(flow.name, flow))
+        except trio.BrokenResourceError:  # the owner has ended, and with it every flow
+            pass
 
     async def _call_back(self, request: Request) -> Response:
         if request.method != "POST":
--- a/merlinbay/platform/servers.py
+++ b/merlinbay/platform/servers.py
@@ -69,11 +69,20 @@
         if spec.repeat_key:
             headers.append(("idempotency-key", spec.repeat_key))
         reply: Reply | Outcome | None = None
+        begun = False
+
+        def wanted() -> bool:
+            nonlocal begun
+            begun = scheduling.wanted()
+            return begun
+
         with scope:
-            reply = await self.attempt(scheduling.server, "POST", spec.target, headers, spec.body,
-                                       places=True)
-        self.sending.pop(scheduling, None)
-        if isinstance(reply, Outcome):
+            reply = await self.attempt(scheduling.server, "POST", spec.target, headers, spec.body, wanted)
+        given_up = self.sending.pop(scheduling, None) is None
+        if given_up and begun and reply is None:
+            # Guards against a 202 that crosses the close: the job was taken then, and would run on.
+            await self._delete(scheduling)
+        elif isinstance(reply, Outcome):
             await self.ended(scheduling, reply)
         elif reply is not None and (outcome := outcome_of(reply)) is not None:
             await self.ended(scheduling, outcome, words.load_from(reply.headers.get("x-server-load", "")),
@@ -96,6 +105,11 @@
         await self.post(ports.ServerProbed(name, outcome, self.clock.now_us() - began, report))
 
 
+def refuses(reply: Reply) -> bool:
+    """Tell whether an answer proves that its job never ran."""
+    return outcome_of(reply) is Outcome.FULL
+
+
 def outcome_of(reply: Reply) -> Outcome | None:
     """Return what an answer says of its attempt; None: the job is taken, call-backs tell the rest."""
     if reply.status == 202:
--- a/tests/net.py
+++ b/tests/net.py
@@ -18,7 +18,8 @@
 from merlinbay.config import load
 from merlinbay.counters import Counters
 from merlinbay.http.client import ClientConnection, Reply
-from merlinbay.http.server import Connection, Listener, Request, Response
+from merlinbay.http.connection import Connection, Request, Response
+from merlinbay.http.server import Listener
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.node import run
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,413 @@
+"""Two events that meet: closes, departures and second answers at the wrong instant (docs/CROSSINGS.md)."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from unittest.mock import Mock
+
+import pytest
+import trio
+import trio.testing
+
+from merlinbay import node
+from merlinbay.clock import Clock
+from merlinbay.config import load
+from merlinbay.core.owner import Owner
+from merlinbay.core.ports import Answer, Edge, FlowArrived, JobSpec, ServiceEntry
+from merlinbay.counters import Counters
+from merlinbay.decision import api
+from merlinbay.http.client import NotSent
+from merlinbay.http.connection import Connection, Request, Response
+from merlinbay.http.pool import ConnectionPool
+from merlinbay.http.server import Listener
+from merlinbay.log import Log
+from merlinbay.platform.edge import EdgeFlow
+from merlinbay.platform.servers import refuses
+from tests.net import CONF, LIMITS, StandIn, admission, bound, play, stage
+from tests.support import settings
+
+ASK = b"POST /admit HTTP/1.1\r\nhost: n\r\ncontent-length: 2\r\n\r\nhi"
+
+
+# The listener alone: one client, one connection.
+
+@dataclass
+class Door:
+    """A listener whose requests are answered when the test says so, and one client of it."""
+
+    nursery: trio.Nursery
+    limits: object = LIMITS
+    asked: list[Connection] = field(default_factory=list)
+    left: list[Connection] = field(default_factory=list)
+    heard: trio.Event = field(default_factory=trio.Event)
+    answer: Response | None = None  # given at once; None: the test answers
+
+    async def open(self, **limits: object) -> None:
+        """Let the client in."""
+        sock = bound()
+        sock.listen(8)
+        self.listener = Listener(self, replace(LIMITS, **limits), Counters(), Log(9))  # type: ignore[arg-type]
+        await self.nursery.start(self.listener.serve, trio.socket.from_stdlib_socket(sock))
+        self.client = trio.socket.socket()
+        await self.client.connect(sock.getsockname())
+        await until(lambda: bool(self.listener.connections))
+        self.connection = next(iter(self.listener.connections))
+
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Note it."""
+        self.asked.append(connection)
+        self.heard.set()
+        return self.answer
+
+    def gone(self, connection: Connection) -> None:
+        """Note it."""
+        self.left.append(connection)
+
+    async def answered(self) -> bytes:
+        """Return all that the client gets, to the end; a reset raises."""
+        got = b""
+        while data := await self.client.recv(4096):
+            got += data
+        return got
+
+
+@asynccontextmanager
+async def door(**limits: object) -> AsyncIterator[Door]:
+    """Open a door, and close all of it at the end."""
+    with trio.fail_after(10):
+        async with trio.open_nursery() as nursery:
+            at = Door(nursery)
+            await at.open(**limits)
+            yield at
+            nursery.cancel_scope.cancel()
+
+
+async def until(true: Callable[[], bool]) -> None:
+    """Wait until something is true."""
+    while not true():
+        await trio.sleep(0.005)
+
+
+@pytest.mark.parametrize("behind", [b"", b"POST /admit HTTP/1.1\r\n", ASK, ASK * 100])
+def test_a_client_that_closes_while_it_waits_is_seen_to_go_whatever_it_sent_before(behind: bytes) -> None:
+    """Bytes behind the request do not hide the end of its connection."""
+    async def scene() -> None:
+        async with door() as at:
+            await at.client.send(ASK + behind)
+            await at.heard.wait()
+            at.client.close()
+            await until(lambda: bool(at.left))
+            await until(lambda: not at.listener.connections)
+            assert len(at.asked) == 1
+    play(scene)
+
+
+def test_what_is_read_behind_an_open_request_has_a_bound() -> None:
+    """A client that floods is told so, its request is withdrawn, and its connection ends."""
+    async def scene() -> None:
+        async with door(ahead_bytes=1000) as at:
+            await at.client.send(ASK + b"x" * 2000)
+            got = await at.answered()
+            assert got.startswith(b"HTTP/1.1 400") and at.left == at.asked == [at.connection]
+    play(scene)
+
+
+def test_bytes_behind_a_request_are_the_next_one(tmp_path: Path) -> None:
+    """Read early, it is begun after the first one's answer, and both are answered."""
+    async def scene() -> None:
+        async with door() as at:
+            await at.client.send(ASK)
+            await at.heard.wait()
+            await at.client.send(ASK)
+            await until(lambda: bool(at.connection.h11.trailing_data[0]))
+            assert len(at.asked) == 1
+            at.connection.respond(Response(200, b"one"))
+            await until(lambda: len(at.asked) == 2)
+            at.connection.close_after = True
+            at.connection.respond(Response(200, b"two"))
+            got = await at.answered()
+            assert got.count(b"HTTP/1.1 200") == 2 and got.endswith(b"two")
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ["end_idle", "expire"])
+def test_a_request_that_crosses_the_end_of_an_idle_connection_is_answered(how: str) -> None:
+    """It comes after the look and before the shutdown; the connection ends with its answer."""
+    async def scene() -> None:
+        async with door() as at:
+            if how == "end_idle":
+                assert at.connection.end_idle()
+            else:
+                at.connection.expires = 0.0
+                at.connection.expire()
+            at.client._sock.send(ASK[:10])  # type: ignore[attr-defined]  # no task runs in between
+            await until(lambda: at.connection.h11.trailing_data[0] == ASK[:10])
+            assert at.connection.expires > trio.current_time()  # it has its own time from now on
+            await at.client.send(ASK[10:])
+            await at.heard.wait()
+            at.connection.close_after = True
+            at.connection.respond(Response(200, b"served"))
+            assert (await at.answered()).endswith(b"served")
+    play(scene)
+
+
+def test_a_request_read_after_the_shutdown_is_not_begun() -> None:
+    """The client has seen the end of the connection and asks elsewhere."""
+    async def scene() -> None:
+        async with door() as at:
+            at.connection.end()
+            assert await at.client.recv(10) == b""
+            await at.client.send(ASK)
+            at.client.shutdown(trio.socket.SHUT_WR)
+            await until(lambda: not at.listener.connections)
+            assert not at.asked
+    play(scene)
+
+
+def test_no_close_over_unread_bytes_after_the_last_answer() -> None:
+    """A close over them would be a reset, and may overtake the answer."""
+    async def scene() -> None:
+        async with door(linger=5.0) as at:
+            await at.client.send(ASK)
+            await at.heard.wait()
+            at.connection.close_after = True
+            at.connection.respond(Response(200, b"last"))
+            at.client._sock.send(b"x" * 60_000)  # type: ignore[attr-defined]
+            await until(lambda: at.connection.ending)
+            for _ in range(4):  # a reset would show at the second
+                await at.client.send(b"x" * 20_000)
+                await trio.testing.wait_all_tasks_blocked(0.01)
+            assert (await at.answered()).endswith(b"last")
+    play(scene)
+
+
+def test_bytes_that_come_while_the_last_answer_is_written_do_not_cut_it_off() -> None:
+    """They are no request any more, and no fault either."""
+    async def scene() -> None:
+        async with door() as at:
+            await at.client.send(ASK)
+            await at.heard.wait()
+            at.connection.close_after = True
+            at.connection.respond(Response(200, b"x" * 20_000_000))  # more than the system takes at once
+            await until(lambda: at.connection.writing)
+            await at.client.send(b"x" * 1000)
+            await until(lambda: bool(at.connection.h11.trailing_data[0]))
+            assert len(await at.answered()) > 20_000_000
+    play(scene)
+
+
+def test_one_that_is_to_make_room_stays_where_a_request_has_come() -> None:
+    """Looked at and closed in one step."""
+    async def scene() -> None:
+        async with door() as at:
+            at.client._sock.send(ASK)  # type: ignore[attr-defined]
+            assert not at.connection.evict()
+            await at.heard.wait()
+            at.connection.respond(Response(200))
+            await at.client.recv(1000)
+            await until(lambda: at.connection.idle)
+            assert at.connection.evict() and at.connection.raw.fileno() < 0
+            await until(lambda: not at.listener.connections)
+    play(scene)
+
+
+@pytest.mark.parametrize("at_once", [False, True])
+def test_a_client_that_takes_no_answer_is_cut_off(at_once: bool) -> None:
+    """There is no good order left for it; others wait for its place."""
+    async def scene() -> None:
+        async with door(write_answer=0.05, sweep=0.02) as at:
+            if at_once:
+                at.answer = Response(200, b"x" * 50_000_000)
+            await at.client.send(ASK)
+            await at.heard.wait()
+            at.connection.respond(Response(200, b"x" * 50_000_000))
+            await until(lambda: not at.listener.connections)
+    play(scene)
+
+
+def test_accepted_connections_hold_nothing_back() -> None:
+    """Small writes go out at once, or a reset would take them with it."""
+    async def scene() -> None:
+        async with door() as at:
+            assert at.connection.raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    play(scene)
+
+
+def test_a_process_that_ends_closes_its_connections_in_good_order() -> None:
+    """Those that rest are shut, one whose answer is due gets it."""
+    async def scene() -> None:
+        async with door() as at:
+            await at.client.send(ASK)
+            await at.heard.wait()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(at.listener.finish, 5.0)
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                at.connection.respond(Response(503))
+                got = await at.answered()
+                at.client.close()
+            assert b"connection: close" in got and not at.listener.connections
+    play(scene)
+
+
+# A client that has gone, and the attempts that its request would still get.
+
+class Leaver(Edge):
+    """A client that has left though nobody has said so."""
+
+    def __init__(self, left: bool) -> None:
+        self.is_left, self.answers = left, 0
+
+    def answer(self, answer: Answer) -> None:
+        """Count it."""
+        self.answers += 1
+
+    def left(self) -> bool:
+        """Tell what the test says."""
+        return self.is_left
+
+
+@pytest.mark.parametrize("left", [False, True])
+def test_no_attempt_begins_for_a_client_that_has_left(left: bool) -> None:
+    """The word of it may still wait behind others; the look before the attempt counts."""
+    servers, clock, counters = Mock(), Mock(), Counters()
+    clock.now_us.return_value = 1_000_000
+    from merlinbay.decision import Balancer
+    made = Balancer(settings(balancers=1), 1, 0)
+    made.handle(0, [api.ListChanged("all", [api.WorkerEntry("w", "a", "k1")])])
+    owner, edge = Owner(made, clock, LIMITS, counters, Log(9), servers, Mock()), Leaver(left)
+    owner.turn([FlowArrived(JobSpec("j", "safe", 1_000_000, 2_000_000), edge)])
+    assert servers.start.call_count == (not left) and edge.answers == 0
+    assert (len(owner.flows), counters.counts["flows_withdrawn"]) == ((0, 1) if left else (1, 0))
+
+
+@pytest.mark.parametrize("unread", [b"", b"x"])
+def test_a_connection_shows_that_its_client_has_left(unread: bytes) -> None:
+    """Whatever of it is still unread."""
+    async def scene() -> None:
+        ours, theirs = trio.socket.socketpair()
+        flow = EdgeFlow(Mock(sock=ours), "j")
+        with ours, theirs:
+            await theirs.send(b"y" + unread)
+            assert not flow.left()
+            theirs.close()
+            assert flow.left()
+    play(scene)
+
+
+async def nothing(server: StandIn, request: Request) -> Response | None:
+    """Say nothing to a job until the stand-in's stage ends; take all else."""
+    if request.method == "POST":
+        await trio.sleep_forever()
+    return Response(200)
+
+
+def test_a_client_that_leaves_during_the_dial_has_nothing_sent(tmp_path: Path) -> None:
+    """The connection that came up too late is kept for others."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            server, wanted = at.add("s"), True
+            server.sock.listen(8)
+            pool = ConnectionPool(LIMITS, Counters())
+            pool.entries_changed("all", [ServiceEntry("s", server.addr)])
+            dial = pool._connection
+
+            async def left(known: object) -> object:
+                nonlocal wanted
+                made = await dial(known)  # type: ignore[arg-type]
+                wanted = False
+                return made
+
+            pool._connection = left  # type: ignore[method-assign,assignment]
+            with pytest.raises(NotSent):
+                await pool.exchange("s", "POST", "/", [], b"x", lambda: wanted)
+            assert not server.seen and len(pool.servers["s"].idle) == 1
+    play(scene)
+
+
+def test_an_attempt_given_up_before_its_202_is_deleted_too(tmp_path: Path) -> None:
+    """The 202 may have crossed the close: the job was taken then, and would run on."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            server = at.add("s", play=nothing)
+            await at.start()
+            client = trio.socket.socket()
+            await client.connect(("127.0.0.2", at.port))
+            head = "".join(f"{name}: {value}\r\n" for name, value in admission("j"))
+            await client.send(f"POST /admit HTTP/1.1\r\nhost: n\r\n{head}content-length: 0\r\n\r\n".encode())
+            await until(lambda: bool(server.targets()))
+            client.close()
+            await until(lambda: server.targets("DELETE") == ["/jobs/j"])
+    play(scene)
+
+
+# Answers that come twice.
+
+def twice(answer: bytes, late: float) -> Callable[[trio.SocketStream], object]:
+    """Return a server that gives each answer twice."""
+    async def serve(stream: trio.SocketStream) -> None:
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await stream.receive_some(4096):
+                await stream.send_all(answer + (b"" if late else answer))
+                if late:
+                    await trio.sleep(late)
+                    await stream.send_all(answer)
+    return serve
+
+
+REFUSED = b"HTTP/1.1 503 No\r\nx-not-processed: 1\r\ncontent-length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("late", [0.0, 0.01])
+def test_a_second_answer_never_passes_for_that_of_the_next_request(late: float) -> None:
+    """A job that was taken would be held for one that never ran, and be sent again."""
+    async def scene() -> None:
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, twice(REFUSED, late), 0)
+                host, port = listeners[0].socket.getsockname()[:2]
+                counters = Counters()
+                pool = ConnectionPool(LIMITS, counters, refuses=refuses)
+                pool.entries_changed("all", [ServiceEntry("s", f"127.0.0.1:{port}")])
+                assert refuses(await pool.exchange("s", "POST", "/", [], b"x"))
+                if not late:  # both are read at once
+                    await trio.sleep(2 * LIMITS.pool_rest)
+                assert refuses(await pool.exchange("s", "POST", "/", [], b"x"))
+                assert counters.counts["server_connections"] == 2  # on a connection of its own
+                nursery.cancel_scope.cancel()
+    play(scene)
+
+
+# Signals.
+
+def test_a_node_told_to_end_while_it_starts_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It would serve until it is killed, with requests under way."""
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            at.add("s")
+            quick = [{**CONF["classes"][0], "deadlineUs": 200_000}]
+            monkeypatch.setattr(node, "early", [signal.SIGTERM])
+            await node.run(load(at.configure(classes=quick)), Counters())
+    play(scene)
+
+
+def test_what_crosses_the_exit_is_answered_and_not_begun(tmp_path: Path) -> None:
+    """The owner has ended; nobody reads its inbox any more."""
+    async def scene() -> None:
+        from merlinbay.platform.edge import PlatformEdge
+        send, inbox = trio.open_memory_channel[object](9)
+        edge = PlatformEdge(send, Clock(), LIMITS, Counters(), {"admit"})
+        edge.over = True
+        head = {name.lower(): value for name, value in admission("j")}
+        refused = await edge.request(Mock(proven=False), Request("POST", "/admit", head, b""))
+        told = json.dumps({"id": "j", "from": "s", "state": "done"}).encode()
+        taken = await edge.request(Mock(), Request("POST", "/v1/job-events", {}, told))
+        assert refused is not None and refused.status == 503 and refused.headers[0][0] == b"retry-after"
+        assert taken is not None and taken.status == 200 and inbox.statistics().current_buffer_used == 0
+    play(scene)
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -21,7 +21,7 @@
 from merlinbay.drmaa import templates, words
 from merlinbay.drmaa.servers import message_of, outcome_of
 from merlinbay.http.client import Reply
-from merlinbay.http.server import Request, Response
+from merlinbay.http.connection import Request, Response
 from merlinbay.limits import Limits
 from tests.net import Stage, StandIn, play, serves, stage
 from tests.test_node import full
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from merlinbay.http.server import Request, Response
+from merlinbay.http.connection import Request, Response
 from merlinbay.notify import signing
 from tests.net import Play, Stage, StandIn
 from tests.test_drmaa import CALL, FRONT
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -19,7 +19,7 @@
 from merlinbay.executor.child import Child, NotStarted
 from merlinbay.executor.server import Executor
 from merlinbay.executor.slots import Job, Slots
-from merlinbay.http.server import Request
+from merlinbay.http.connection import Request
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from tests.net import play
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,7 +13,7 @@
 
 from merlinbay import __version__
 from merlinbay.http.client import ClientConnection
-from merlinbay.http.server import Request, Response
+from merlinbay.http.connection import Request, Response
 from tests.net import LIMITS, Play, Stage, StandIn, play, stage
 from tests.test_drmaa import BOTH, CALL, schedules, submit, taken, takes
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -20,7 +20,7 @@
 from merlinbay.drmaa.front import DrmaaFront
 from merlinbay.drmaa.listening import Register
 from merlinbay.drmaa.settings import Drmaa, NamedSession
-from merlinbay.http.server import Request, Response
+from merlinbay.http.connection import Request, Response
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.notify.settings import Events
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -19,7 +19,7 @@
 from merlinbay.handover import words
 from merlinbay.handover.link import Link
 from merlinbay.http.client import ClientConnection
-from merlinbay.http.server import Request, Response
+from merlinbay.http.connection import Request, Response
 from tests.net import LIMITS, LOAD, ROOT, Play, Stage, StandIn, admission, free_port, play, serves, stage
 from tests.support import entry, settings
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -23,8 +23,8 @@
 from merlinbay.decision.learned import learned
 from merlinbay.handover import words as handed
 from merlinbay.http.client import NotSent
+from merlinbay.http.connection import Request, Response
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.server import Request, Response
 from merlinbay.log import Log
 from merlinbay.platform import words
 from merlinbay.platform.discovery import Discovery
@@ -382,10 +382,10 @@
             counters = Counters()
             pool = ConnectionPool(LIMITS, counters, lambda name: not leaves)
             pool.entries_changed("all", [ServiceEntry("s", server.addr)])
-            assert (await pool.exchange("s", "POST", "/", [], b"x", places=True)).status == 202
+            assert (await pool.exchange("s", "POST", "/", [], b"x", wanted=lambda: True)).status == 202
             leaves = True
             with pytest.raises(NotSent):
-                await pool.exchange("s", "POST", "/", [], b"x", places=True)
+                await pool.exchange("s", "POST", "/", [], b"x", wanted=lambda: True)
             assert (await pool.exchange("s", "DELETE", "/jobs/x", [])).status == 202
             assert server.targets() == ["/"] and len(server.connections) == 1
             assert counters.counts["sends_withheld"] == 1
@@ -427,7 +427,7 @@
 
             pool._connection = moved  # type: ignore[method-assign,assignment]
             with pytest.raises(NotSent):
-                await pool.exchange("s", "POST", "/", [], b"x", places=True)
+                await pool.exchange("s", "POST", "/", [], b"x", wanted=lambda: True)
             assert not server.targets()
     play(scene)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,7 +11,7 @@
 
 from merlinbay.decision import Balancer, api
 from merlinbay.http.client import ClientConnection
-from merlinbay.http.server import Request, Response
+from merlinbay.http.connection import Request, Response
 from merlinbay.platform.words import load_from, named
 from tests.net import LIMITS, LOAD, StandIn, admission, play, serves, stage
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,7 +15,7 @@
 import trio
 
 from merlinbay.http.client import ClientConnection
-from merlinbay.http.server import Request, Response
+from merlinbay.http.connection import Request, Response
 from tests.net import LIMITS, LOAD, ROOT, Play, StandIn, admission, play, serves, stage
 from tests.test_drmaa import schedules, submit
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -19,7 +19,7 @@
 from merlinbay.decision.api import NEVER_RAN, Outcome
 from merlinbay.drmaa.front import DrmaaFront
 from merlinbay.drmaa.settings import Drmaa, NamedSession
-from merlinbay.http.server import Request, Response
+from merlinbay.http.connection import Request, Response
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from tests.test_fuzz import FakeConnection, documented
