One deadline for the list, which no failed call extends, and rehearsals held to it

Lines at fault at: decision/calls.py gave four times the time to ask after a failed call (AFTER_FAILURE: 40 s), the whole time to ask (10 s) at a start, and none at all where the settings name none (`ask_us` 0).

Change: one `deadline` (was `by`): the start, the last answer on a watch that broke, or a move, plus the least of 6 s and the time to ask; only an answer lifts it. What is overdue is called for on and on within the same time; after calls that waited in turn in vain (answered by a failure after 1 s and more, told apart from our own time-outs) twice as long each, up to eight times. Where all calls hardly fit they use up to 0.9 of what is left. A list that comes late is noted in the log.

Tried and left: spreading over 0.9 always (a single call that fails has no second in time), backing off after time-outs too (a cut-off zone then had the list 6.3 s after the cut's end).

What is compared with the module is not held to the list's deadline: it sees true states.

--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -158,7 +158,7 @@
                     watcher.entries_changed(message.scope, message.entries)
                 events.append(api.ListChanged(message.scope, [
                     api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us)
-                    for e in message.entries], message.heard_us, message.silent))
+                    for e in message.entries], message.heard_us, message.answered))
             case ports.BalancersCounted():
                 events.append(api.BalancersCounted(message.count, message.me))
             case ports.DirectoryMoved():
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -281,8 +281,8 @@
 
     scope: str
     entries: list[ServiceEntry] = []
-    heard_us: int = -1  # of a watch that broke: when its last answer came,
-    silent: bool = False  # and whether it ended without a word
+    heard_us: int = -1  # of a watch that broke: when its last answer came
+    answered: bool = True  # the failure was discovery's own word, not one of our time-outs
 
 
 class DirectoryMoved(msgspec.Struct, frozen=True):
--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -174,7 +174,7 @@
     scope: str
     entries: list[WorkerEntry]
     heard_us: int = -1  # of a watch that broke: when its last answer came; -1: when it broke
-    silent: bool = False  # and whether it ended without a word
+    answered: bool = True  # the failure was discovery's own word, not one of our time-outs
 
 
 @dataclass(slots=True)
--- a/merlinbay/decision/calls.py
+++ b/merlinbay/decision/calls.py
@@ -1,16 +1,16 @@
-"""By when this scheduler must have the list, and when to call discovery for it: spread over the fleet.
+"""By which deadline this scheduler must have the list, and when to call discovery: spread over the fleet.
 
-No I/O, no clock: times are microseconds and come from the caller. The rule, whatever happened to the watch:
-**the list is had by ``by``**, and each call is planned inside what is left until then. What sets ``by``:
+No I/O, no clock: times are microseconds and come from the caller. What discovery has, and can be reached for,
+counts as told ``TOLD_US`` later (or the rules' time to ask, where that is shorter), whatever became of
+watches and calls. So there is one deadline, and each call is planned inside what is left until then. It is:
 
 =============================  ====================================================================
-the start, with a known list   ``ask_us`` after it
-a watch that broke             ``ask_us`` after the last answer on it, but ``SILENT_US`` at the most:
-                               one that is reset may have been silent before
-a call that failed             four times ``ask_us`` after it (the wire page); nothing more after a watch
-                               that fell silent, or another discovery: what they have counts all the same
+the start, with a known list   so long after it
+a watch that broke             so long after the last answer on it: one that is reset may have been
+                               silent before
 another discovery              what it takes to count as having told all
-an answer                      no time any more: the watch tells
+a call that failed             nothing: it gives no more time
+an answer                      lifts it: the watch tells
 =============================  ====================================================================
 
 Many schedulers start, lose their watch or are sent to another discovery in one instant, and it answers one
@@ -29,9 +29,11 @@
 GUESS_US = 150_000  # what a call takes discovery, until one of ours was answered
 LEAST_US = 1_000  # and the least that is believed
 ASK_SHARE = 0.6  # of what is left; the rest is for the node's own start, its turns, and a call that fails
-AFTER_FAILURE = 4  # times to ask that a failed call allows
+GUESS_SHARE = 0.75  # and of what is left while nothing is known of what a call takes,
+FULL_SHARE = 0.9  # or where they hardly fit: the longer they wait in turn, the more of them fail
 DOUBLINGS = 3  # calls are spread twice as far after each failure in a row, so often at the most
-SILENT_US = 6_000_000  # so long after a watch fell silent, what it missed counts as told
+WAIT_US = 1_000_000  # so long calls may wait in turn; one answered by a failure after it did so in vain
+TOLD_US = 6_000_000  # so long after discovery has it and can be reached, news count as told
 
 
 @dataclass(slots=True)
@@ -40,42 +42,45 @@
 
     me: int
     fleet: int
-    ask_us: int  # the rules' time to ask; 0: none
+    ask_us: int  # the rules' time to ask; 0: none is stated
     rng: Random
     asked_at: int  # when it called last; before the first call, its start
     cost_us: float = GUESS_US
     due_at: int = -1  # when the next call is planned
     out: bool = False  # a call has not been answered yet
-    failures: int = 0  # calls that failed in a row
+    failures: int = 0  # calls that failed in a row,
+    overrun: int = 0  # and of these, how many had waited in turn in vain
     plans: int = 0  # made so far
-    by: float = math.inf  # when it must have the list
-    firm: bool = False  # what counts as told by then does so whatever calls fail
+    deadline: float = math.inf  # when it must have the list
+
+    @property
+    def told_us(self) -> int:
+        """Return how long after discovery has them news count as told."""
+        return min(self.ask_us or TOLD_US, TOLD_US)
 
     def start(self, now: int) -> list[api.Action]:
         """Plan the first call. This and all plans return what is to be done now."""
-        self.by = self.asked_at + (self.ask_us or math.inf)
+        self.deadline = self.asked_at + self.told_us
         return self._plan(now, (self.fleet - 1) * self.cost_us)
 
-    def broken(self, now: int, heard_at: int = -1, silent: bool = False) -> list[api.Action]:
+    def broken(self, now: int, heard_at: int = -1, answered: bool = True) -> list[api.Action]:
         """Plan the next call after one that failed, or after a watch that ended or fell silent.
 
-        Guards against a whole new time to ask after a watch that fell silent: it began with the silence.
+        Guards against a whole new time after each of them: it began with the last answer. A call that was not
+        answered at all tells nothing of how many there are.
         """
         if self.out:
             self.failures = min(self.failures + 1, DOUBLINGS)
-            if not self.firm:
-                self.by = self.asked_at + (AFTER_FAILURE * self.ask_us or math.inf)
+            waited = answered and now - self.asked_at >= WAIT_US
+            self.overrun = min(self.overrun + 1, DOUBLINGS) if waited else 0
         else:
-            self.firm |= silent
-            since, allowed = (heard_at, SILENT_US) if heard_at >= 0 else (now, math.inf)
-            self.by = min(self.by, since + min(self.ask_us or math.inf, allowed))
+            self.deadline = min(self.deadline, (heard_at if heard_at >= 0 else now) + self.told_us)
         self.out = False
-        # Guards against news that are overdue and come later still: who is late already calls on steadily.
-        return self._plan(now, self.fleet * self.cost_us * 2 ** (1 if self.firm else max(self.failures, 1)))
+        return self._plan(now, self.fleet * self.cost_us * 2 ** max(self.failures, 1))
 
     def moved(self, now: int, told_us: int) -> list[api.Action]:
         """Plan the call to another discovery, which counts as having told us all after so long."""
-        self.by, self.firm = min(self.by, now + told_us), True
+        self.deadline = min(self.deadline, now + told_us)
         return self._plan(now, self.fleet * self.cost_us)
 
     def due(self, now: int) -> list[api.Action]:
@@ -85,11 +90,16 @@
         self.due_at, self.asked_at, self.out = -1, now, True
         return [api.Subscribe()]
 
-    def answered(self, now: int) -> None:
-        """Learn from the answer to our call what one takes discovery, those before it in turn included."""
+    def answered(self, now: int) -> float:
+        """Learn from the answer to our call what one takes discovery, those before it in turn included.
+
+        Returns by how much the list has come late; nothing or less: it has not.
+        """
+        late = now - self.deadline
         if self.out:
             self.cost_us = max(float(now - self.asked_at), LEAST_US)
-            self.out, self.firm, self.failures, self.by = False, False, 0, math.inf
+            self.out, self.failures, self.overrun, self.deadline = False, 0, 0, math.inf
+        return late
 
     def _plan(self, now: int, width: float) -> list[api.Action]:
         # Guards against a herd: discovery works through what has timed out too, and tells nobody anything.
@@ -98,9 +108,14 @@
         turn = ((self.me + self.plans) * GOLDEN + self.rng.random() / self.fleet) % 1.0
         self.plans += 1
         # Guards against a turn that comes too late: who has not asked in time counts as told all the same.
-        # What is overdue leaves no less time than there was at first: no call is made in time any more.
-        left = self.by - now if now < self.by else self.ask_us or math.inf
-        most = min(width, ASK_SHARE * left)
+        # What is overdue leaves as much time as there was at first, and twice as much after each call that
+        # waited in turn in vain: where all do not fit into the time, some at least have to be answered.
+        overdue = self.overrun > 0 or now >= self.deadline
+        left = float(self.told_us << max(self.overrun - 1, 0)) if overdue else self.deadline - now
+        known, work = self.cost_us != GUESS_US, self.fleet * self.cost_us
+        most = min(width, (ASK_SHARE if known else GUESS_SHARE) * left)
+        if known and most < work:
+            most = min(max(most, work - WAIT_US), FULL_SHARE * left)
         if 0 <= self.due_at <= now + most:  # a call is planned already, and soon enough
             return []
         wait = int(turn * most)
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -505,10 +505,10 @@
     def _list(self, event: api.ListChanged) -> None:
         if event.scope == "refused":
             if self.settings.must_subscribe:
-                self.out += self.calls.broken(self.now, event.heard_us, event.silent)
+                self.out += self.calls.broken(self.now, event.heard_us, event.answered)
             return
-        if event.scope != "remembered":
-            self.calls.answered(self.now)
+        if event.scope != "remembered" and (late := self.calls.answered(self.now)) > 0:
+            self.out.append(api.Note(f"the list came {late / 1e6:.1f} s after its deadline"))
         for worker in self.relist(event):  # those that have just started, empty
             self._starts(worker)
 
--- a/merlinbay/emulator/checker.py
+++ b/merlinbay/emulator/checker.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from merlinbay.decision.api import NEVER_RAN, Outcome
-from merlinbay.emulator.directory import SILENT_TOLD_US
+from merlinbay.emulator.directory import TOLD_US
 from merlinbay.emulator.loop import Loop
 from merlinbay.emulator.servers import Server, Work
 from merlinbay.emulator.spec import Script
@@ -45,11 +46,10 @@
 class Asking:
     """How a node stands with discovery."""
 
-    asked_us: int  # when it called last, or started
-    window_us: int  # how much later it counts as told what was listed since
-    heard_us: int  # and when it knew all that the list said
+    heard_us: int  # when it knew all that the list said
+    started_us: int = 0
     watching: bool = False
-    silent_us: int = -1  # when its watch fell silent, unless it was answered since
+    moved_us: float = math.inf  # from when on all counts as told since it was sent to another discovery
 
 
 class Checker:
@@ -63,7 +63,8 @@
         self.gone: dict[tuple[int, str], int] = {}  # by node and server: since when it is known to be gone
         self.listings: dict[str, list[tuple[int, bool]]] = {}  # by server: when, and whether it is gone
         self.asking: dict[int, Asking] = {}
-        self.ask_us = int(script.discovery.ask_in * 1e6)
+        self.told_us = min(int(script.discovery.ask_in * 1e6) or TOLD_US, TOLD_US)
+        self.down_us: list[list[float]] = []  # when discovery was down, from and until
         self.told_start: dict[tuple[int, str], int] = {}  # the start that a node was told of
         self.pushes: dict[str, deque[tuple[int, float, bool]]] = {}  # work that came to a cold server
         self.events = 0
@@ -106,60 +107,58 @@
 
     # How nodes stand with discovery: who has not asked counts as told all the same.
 
-    def node_started(self, node: int) -> None:
-        """Take it that a node starts, with the list as it remembers it."""
-        self.asking[node] = Asking(self.loop.now, self.ask_us, self.loop.now)
+    def node_started(self, node: int, stale: bool) -> None:
+        """Take it that a node starts, with the list as it is or, ``stale``, as it remembers it."""
+        now, known = self.loop.now, self.asking.get(node)
+        self.asking[node] = Asking(known.heard_us if stale and known is not None else now, now)
 
-    def list_asked(self, node: int, moved_us: int = 0) -> None:
-        """Take it that a node calls discovery, or is sent to another."""
-        asking = self.asking[node]
-        asking.asked_us, asking.window_us = self.loop.now, moved_us or self.ask_us
-        if moved_us and asking.watching:
-            asking.watching, asking.heard_us = False, self.loop.now
+    def list_moved(self, node: int, told_us: int) -> None:
+        """Take it that a node is sent to another discovery, which counts as told after so long."""
+        asking = self.asking.get(node)
+        if asking is not None:
+            asking.moved_us = self.loop.now + told_us
+            self.list_closed(node)
 
     def list_answered(self, node: int, failed: bool) -> None:
-        """Take it that its call was answered, or failed."""
-        asking = self.asking[node]
-        asking.watching = not failed
-        asking.silent_us = asking.silent_us if failed else -1
-        asking.heard_us = asking.heard_us if failed else self.loop.now
-        asking.window_us = self.ask_us * (4 if failed else 1)
+        """Take it that its call was answered, or failed: that gives no more time."""
+        if not failed and node in self.asking:
+            self.asking[node] = Asking(self.loop.now, watching=True)
 
     def list_closed(self, node: int) -> None:
         """Take it that its watch was closed."""
-        asking = self.asking[node]
-        if asking.watching:
-            asking.watching = False
-            asking.asked_us = asking.heard_us = self.loop.now
-            asking.window_us = self.ask_us
+        asking = self.asking.get(node)
+        if asking is not None and asking.watching:
+            asking.watching, asking.heard_us = False, self.loop.now
 
     def list_silent(self, node: int) -> None:
         """Take it that its watch fell silent."""
-        asking = self.asking[node]
-        asking.watching, asking.silent_us = False, self.loop.now
-        asking.asked_us = asking.heard_us = self.loop.now
-        asking.window_us = self.ask_us
+        self.list_closed(node)
+
+    def list_down(self, down: bool) -> None:
+        """Take it that nobody can be answered from now on, or that all can again."""
+        if down:
+            self.down_us.append([self.loop.now, math.inf])
+        else:
+            self.down_us[-1][1] = self.loop.now
 
     def list_published(self, server: str, state: str) -> None:
         """Take it that the list says something new of a server."""
         self.listings.setdefault(server, []).append((self.loop.now, state != "up"))
 
+    def _reached(self, at: int) -> float:
+        """Return from when on a change of that time could be asked for."""
+        return next((until for since, until in self.down_us if since <= at < until), at)
+
     def _unasked(self, node: int, server: str) -> int | None:
         """Return since when a node that does not watch counts as told that a server is gone."""
         asking, found = self.asking.get(node), None
         if asking is None or asking.watching or server not in self.listings:
             return None
-        silent = asking.silent_us + SILENT_TOLD_US if asking.silent_us >= 0 else None
-        if silent is not None and self.loop.now >= silent:
-            for at, gone in self.listings[server]:
-                if asking.silent_us < at <= self.loop.now:
-                    found = None if not gone else max(at, silent) if found is None else found
-            return found
-        until = self.loop.now - asking.window_us
         for at, gone in self.listings[server]:
-            if asking.heard_us < at <= until and asking.asked_us <= until:
-                found = None if not gone else max(at, asking.asked_us) if found is None else found
-        return None if found is None else found + asking.window_us
+            told = min(self._reached(max(at, asking.started_us)) + self.told_us, max(at, asking.moved_us))
+            if asking.heard_us < at and told <= self.loop.now:
+                found = None if not gone else int(told) if found is None else found
+        return found
 
     def _repeat(self, node: int, job: int, asked: Asked, server: Server) -> None:
         spec, now = self.script.job, self.loop.now
@@ -213,6 +212,7 @@
 
     def node_died(self, node: int) -> None:
         """Take it that a node has died: it owes nothing."""
+        self.list_closed(node)
         for key in [key for key in self.asked if key[0] == node]:
             del self.asked[key]
         for told in (self.gone, self.told_start):
--- a/merlinbay/emulator/directory.py
+++ b/merlinbay/emulator/directory.py
@@ -15,14 +15,17 @@
 
 
 MOVED_US, CLOSES_US = 4_000_000, 1_500_000  # told after a move; the old one closes
-SILENT_TOLD_US = 6_000_000  # what a silent watch has missed counts as told so long after it fell silent
+TOLD_US = 6_000_000  # so long after it is listed and can be asked for, a change counts as told
 
 
 class Watcher(Protocol):
     """Who wants to know when nodes ask, and what is listed."""
 
-    def list_asked(self, node: int, moved_us: int = 0) -> None:
-        """Take it that a node calls, or is sent to another discovery that counts as told after so long."""
+    def list_moved(self, node: int, told_us: int) -> None:
+        """Take it that a node is sent to another discovery, which counts as told after so long."""
+
+    def list_down(self, down: bool) -> None:
+        """Take it that nobody can be answered from now on, or that all can again."""
 
     def list_answered(self, node: int, failed: bool) -> None:
         """Take it that its call was answered, or failed."""
@@ -89,8 +92,6 @@
         """Take a node's call: it is answered after a while, or fails."""
         wait = int(drawn(self.rng, self.spec.call_ms) * 1000)
         self.calls += 1
-        if self.watcher is not None:
-            self.watcher.list_asked(node)
         if self.spec.work_ms:  # one after the other, those that have been given up meanwhile included
             self.free_us = max(self.free_us, self.loop.now) + int(drawn(self.rng, self.spec.work_ms) * 1000)
             wait += self.free_us - self.loop.now
@@ -116,7 +117,7 @@
         """Move: who watches here is told so, and loses his watch a while later."""
         for node, watch in list(self.watchers.items()):
             if self.watcher is not None:
-                self.watcher.list_asked(node, MOVED_US)
+                self.watcher.list_moved(node, MOVED_US)
             told(node)
             self.loop.at(self.loop.now + CLOSES_US, Order.DISCOVERY, self._close, node, watch)
 
@@ -137,11 +138,13 @@
                 self.watcher.list_silent(node)
             heard_us = self.loop.now - int(self.rng.uniform(0, self.spec.watch) * 1e6)
             self.loop.at(heard_us + int(self.spec.notice_silent * 1e6), Order.DISCOVERY, told,
-                         api.ListChanged("refused", [], heard_us, True))
+                         api.ListChanged("refused", [], heard_us))
 
     def fail(self) -> None:
         """Go down: every watch ends."""
         self.out += 1
+        if self.watcher is not None:
+            self.watcher.list_down(True)
         ended, self.watchers = self.watchers, {}
         for node, told in ended.items():
             if self.watcher is not None:
@@ -151,3 +154,5 @@
     def recover(self) -> None:
         """Come back."""
         self.out -= 1
+        if self.watcher is not None and not self.out:
+            self.watcher.list_down(False)
--- a/merlinbay/emulator/host.py
+++ b/merlinbay/emulator/host.py
@@ -90,8 +90,10 @@
         """Start, with the list as it remembers it."""
         self.life += 1
         self.policy, self.flights, self.connections = policy, {}, {}
-        self.checker.node_started(self.number)
         stale = self.script.hall.renames and self.known
+        # What is compared with the module sees true states: how it asks is no part of the comparison.
+        if isinstance(policy, Balancer):
+            self.checker.node_started(self.number, bool(stale))
         self._listed(api.ListChanged("remembered", list(self.known.values())) if stale
                      else self.directory.remembered())
         if not isinstance(policy, Balancer):  # the module says itself when to ask
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -71,8 +71,8 @@
                 except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
                     self.counters.add("watches_failed")
                     self.log.event("discovery_failed", level="warning", error=repr(error))
-                    silent = self.heard_us >= 0 and isinstance(error, trio.TooSlowError)
-                    await self.inbox.send(ports.EntriesChanged("refused", [], self.heard_us, silent))
+                    await self.inbox.send(ports.EntriesChanged(
+                        "refused", [], self.heard_us, not isinstance(error, trio.TooSlowError)))
                     if self.pushed:
                         await trio.sleep(self.limits.push_retry)
 
