--- /dev/null
+++ b/tests/test_sites.py
@@ -0,0 +1,88 @@
+"""Other customers' settings: whatever a deployment says, the decisions keep the four rules under it."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from merlinbay.decision import Balancer, api
+from merlinbay.site_settings import settings_from
+from tests.support import Checker
+
+SITES = sorted((Path(__file__).parent.parent / "deploy" / "sites").glob("*.toml"))
+EFFECTS = {"safe": "repeatable", "keyed": "by_key", "unsafe": "once"}
+FIELDS = {"inflight": "active", "queue": "waiting", "eps": "err_rps", "util": "cpu"}
+
+
+def conf_of(path: Path, ask: bool) -> dict[str, Any]:
+    """Return what a node of a deployment is told: names as in the protocol, the worst of each range."""
+    site = tomllib.loads(path.read_text())
+    allow, rules, tier, kinds = site["allow"], site["rules"], site["tier"][0], site["tier"][0]["kind"]
+    return {
+        "balancers": 4, "me": 1, "az": site["net"]["zones"][0], "kinds": [kind["name"] for kind in kinds],
+        "discovery": "subscribe" if site["discovery"]["mode"] == "ask" else "automatic",
+        "classes": [{"name": row["name"], "aimUs": row["aim_ms"] * 1000,
+                     "deadlineUs": row["deadline_ms"] * 1000, "worth": float(row["worth"]),
+                     "lateWorth": row["late_worth"],
+                     "effect": EFFECTS[row["effect"]], "group": row.get("group", "all"),
+                     "windowUs": row.get("window_ms", 0) * 1000} for row in site["class"]],
+        "limits": {"cancelling": allow["cancel"], "secondCopies": allow["second_copies"],
+                   "sendCap": allow["max_attempts"], "retryAfter": allow["retry_after"],
+                   "maxRetryAfterUs": site["clients"]["max_retry_after_ms"] * 1000,
+                   "probes": allow["probes"]},
+        "report": {"how": "inline", "fields": [FIELDS.get(name, name) for name in tier["report"]["fields"]]},
+        "extra": {"tellsStart": site["fam"]["tells_start"], "reportX0": "free slots"},
+        "prices": {"crossZone": site["prices"]["cross_zone"], "probe": site["prices"]["probe"]},
+        "safety": {"drainGraceUs": rules["drain_grace_ms"] * 1000, "tipMultiple": rules["fall_multiple"],
+                   "overloadForUs": rules["fall_ms"] * 1000,
+                   "coldFrom": min(k["cold_from"][0] for k in kinds),
+                   "coldUs": int(max(k["cold_s"][1] for k in kinds) * 1e6)}
+        | ({"mustAskInUs": 10_000_000} if ask else {})}
+
+
+def test_there_are_deployments_of_others() -> None:
+    """The folder is found, and its files differ in what a class may do."""
+    assert len(SITES) >= 2
+    effects = {row["effect"] for path in SITES for row in tomllib.loads(path.read_text())["class"]}
+    assert effects == set(EFFECTS)
+
+
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+@pytest.mark.parametrize("ask", [True, False])
+@pytest.mark.parametrize("seed", range(4))
+def test_the_rules_are_kept_under_other_customers_settings(path: Path, ask: bool, seed: int) -> None:
+    """Jobs of all classes, any outcome in any order, lists that change, clients that leave."""
+    conf, rng = settings_from(conf_of(path, ask)), Random(seed)
+    check = Checker(conf, Balancer(conf, seed, 1_000_000))
+    rows = [api.WorkerEntry(f"w{n}", conf.zone, conf.kinds[n % len(conf.kinds)], n // 3) for n in range(9)]
+    check.give(api.ListChanged("all", rows))
+    outcomes = [outcome for outcome in api.Outcome if outcome is not api.Outcome.MOOT]
+    quick = (0.2, 0.01)[seed % 2]  # what is slow outlasts the windows of repeats
+    for number in range(400):
+        check.pass_time(rng.randrange(1, 60_000))
+        cls = rng.choice(conf.classes)
+        check.give(api.JobArrived(number, cls.name, rng.randrange(cls.deadline_us // 4, cls.deadline_us)))
+        for job, seen in list(check.jobs.items()):
+            for at, sent in enumerate(seen.attempts):
+                if not sent.outcome and rng.random() < quick:
+                    if rng.random() < 0.4:
+                        check.give(api.JobStarted(job, at))
+                    else:
+                        outcome = api.Outcome.OK if rng.random() < 0.6 else rng.choice(outcomes)
+                        final = seen.over or outcome == api.Outcome.OK
+                        check.give(api.AttemptEnded(job, at, outcome, 1000, final, None, sent.worker))
+            if not seen.over and rng.random() < 0.01:
+                check.give(api.JobWithdrawn(job))
+        if rng.random() < 0.1:
+            row = rng.choice(rows)
+            check.give(api.ListChanged("changes", [api.WorkerEntry(
+                row.worker, row.zone, row.kind, row.cell, rng.choice(["up", "draining", "removed"]), 1.0,
+                rng.choice([0, check.now]))]))
+        if rng.random() < 0.05:
+            check.give(api.ListChanged("refused", [], check.now - 1_000_000))
+    check.finish()
+    assert check.broken == []
