Turns at cold servers are worked out, not counted through; call-back connections stay to the end

Seen: tests/test_in_service.py stood still for 20 minutes at 100 % CPU; the trace shows Beliefs._cold_first. Turns are worked out from the share grown since the start (Memory.grown), in _cold_after, which the lapse of unused shares uses too. tests/test_cold.py has the case (without the mend it does not end). test_in_service passes in 5.5 s, test_cold (43), test_fleet, test_estimators, test_failures, test_rules, test_sites pass. A node that leaves closed the idle connections of real servers half a second before it refuses jobs, so each last call-back had to dial anew: Listener.close_idle leaves them now until the exit (test in tests/test_crossings.py).

--- a/merlinbay/decision/beliefs.py
+++ b/merlinbay/decision/beliefs.py
@@ -18,7 +18,6 @@
 PACE_TAU_US = 20_000_000  # and how long that lasts without news, for one that is passed over gets no jobs
 SLOT_STEP = 0.01  # weight of one start in the learned slots of a kind: the count of running ones is noise
 LATE_LEAST = 0.1  # the least share of late starts that is told from none
-TURN_LEAST_US = 1000  # between two turns to send to a cold worker
 COLD_SAFE = 0.5  # share of the cold budget that is used: the jobs' true sizes are not known
 RUN_WEIGHT = 0.03  # weight of one run time, start delay or count of slots: against long tails
 SPARE = 0.75  # reported free slots that are at least one: reports are a little off
@@ -132,26 +131,22 @@
         """Return when our share of what the worker takes while it warms has grown by ``work``."""
         return self.warmed(worker, max(self.now, worker.cold_next), work / self._cold_share(worker))
 
-    def _cold_first(self, worker: Worker) -> int:
-        """Return our first turn to send to a worker that has just started, or that we have just met."""
+    def _cold_after(self, worker: Worker, since: int) -> int:
+        """Return our first turn from then on to send to a worker that warms."""
         # Guards against a joint push: turns by number part the schedulers evenly, another way at each worker;
         # and against a process that starts anew and sends in the turn that its former self has used.
         turn = self.mean_run / self._cold_share(worker)
         phase = (self.settings.me * GOLDEN + zlib.crc32(worker.name.encode()) / 2**32) % 1
-        at = self.warmed(worker, worker.ready_at, turn * phase)
-        while at < self.now:
-            at = max(self.warmed(worker, at, turn), at + TURN_LEAST_US)
-        return at
+        turns = max(0, math.ceil(self.grown(worker, since) / turn - phase))
+        return self.warmed(worker, worker.ready_at, turn * (phase + turns))
 
     def cold_turn(self, worker: Worker) -> bool:
         """Tell whether it is our turn to send to a cold worker."""
         # Guards against a burst of shares that were not used for a while, by all schedulers at once: what is
         # not used within the span that the rules count lapses. So in any span there are the shares that grow
         # in it and those of the span before, each COLD_SAFE of the budget; chance has what is allowed beyond.
-        while worker.cold_next + self.settings.safety.overload_for_us < self.now:
-            turn = self.mean_run / self._cold_share(worker)
-            least = worker.cold_next + TURN_LEAST_US
-            worker.cold_next = max(self.warmed(worker, worker.cold_next, turn), least)
+        if worker.cold_next + self.settings.safety.overload_for_us < self.now:
+            worker.cold_next = self._cold_after(worker, self.now - self.settings.safety.overload_for_us)
         return worker.cold_next <= self.now
 
     def starting(self, most: int) -> list[Worker]:
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -323,12 +323,19 @@
 
     def warmed(self, worker: Worker, since: int, amount: float) -> int:
         """Return when the worker's share of its capacity, summed over time since then, reaches an amount."""
-        safety, age = self.settings.safety, max(0, since - worker.ready_at)
-        grows = (1 - safety.cold_from) / max(safety.cold_us, 1) + 1e-12
-        amount += safety.cold_from * age + grows * age * age / 2
+        safety, grows = self.settings.safety, self._grows()
+        amount += self.grown(worker, since)
         past = math.sqrt(safety.cold_from ** 2 + 2 * grows * amount) - safety.cold_from
         return worker.ready_at + int(past / grows)
 
+    def grown(self, worker: Worker, until: int) -> float:
+        """Return the worker's share of its capacity, summed over time from its start."""
+        age = max(0, until - worker.ready_at)
+        return self.settings.safety.cold_from * age + self._grows() * age * age / 2
+
+    def _grows(self) -> float:
+        return (1 - self.settings.safety.cold_from) / max(self.settings.safety.cold_us, 1) + 1e-12
+
     def recount(self, event: BalancersCounted) -> None:
         """Take it that so many balancers share the work by now."""
         self.settings = dataclasses.replace(self.settings, balancers=max(event.count, 1), me=event.me)
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -518,7 +518,7 @@
 
     def _starts(self, worker: Worker) -> None:
         worker.observe(self.now, 0.0)
-        worker.cold_next = self._cold_first(worker)
+        worker.cold_next = self._cold_after(worker, self.now)
 
     def _maintained(self, event: api.Maintained) -> None:
         worker = self.maintain(event)
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -144,7 +144,7 @@
         """End every connection in good order, within so many seconds: the process ends after this."""
         with trio.move_on_after(seconds):
             while self.connections:
-                self.close_idle()
+                self.close_idle(calls_back=True)
                 await trio.sleep(self.limits.hand_look)
 
     def scarce(self) -> bool:
@@ -160,13 +160,13 @@
         for connection in self.connections:
             connection.close_after = closing
 
-    def close_idle(self, quiet: float = 0.0) -> None:
+    def close_idle(self, quiet: float = 0.0, calls_back: bool = False) -> None:
         """Close connections idle for so many seconds, the others after their answer. Goes on accepting.
 
-        With ``quiet``, those of real servers stay.
+        Those of real servers stay unless ``calls_back`` is set: what ends a job still has to come in on them.
         """
         self.retire(True)
         before = trio.current_time() - quiet
         for connection in self.connections:
-            if connection.idle_since <= before and not (quiet and connection.calls_back):
+            if connection.idle_since <= before and (calls_back or not connection.calls_back):
                 connection.end_idle()
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -90,3 +90,15 @@
                 fleet.offer(at, fleet.nodes[me])
     assert fleet.worst <= 0, f"{fleet.most} jobs within two seconds"
     assert fleet.most >= 4  # and it is used
+
+
+@pytest.mark.parametrize("ready", [1, 1_000, 1_700_000_000 * SECOND])
+def test_a_server_that_started_long_ago_costs_no_time(ready: int) -> None:
+    """Its turns are worked out, not counted through: a node once stood still over this."""
+    now = 1_790_000_000 * SECOND
+    made = Balancer(settings(balancers=200, kinds=["k1"], safety=COLD), 1, now)
+    made.handle(now, [api.ListChanged("all", [api.WorkerEntry("w", "a", "k1", 0, "up", 1.0, ready)])])
+    made.workers["w"].cold_next = 0
+    assert made.cold_turn(made.workers["w"]) in (True, False)
+    out = made.handle(now, [api.JobArrived(1, "safe", SECOND)])
+    assert any(isinstance(action, api.Place) for action in out)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -256,6 +256,20 @@
     play(scene)
 
 
+@pytest.mark.parametrize("calls_back", [False, True])
+def test_a_node_that_leaves_keeps_the_connections_on_which_jobs_are_ended(calls_back: bool) -> None:
+    """Real servers would have to dial anew for each call-back of the last moments."""
+    async def scene() -> None:
+        async with door() as at:
+            at.connection.calls_back = calls_back
+            at.listener.close_idle()
+            assert at.connection.ending == (not calls_back)
+            if calls_back:
+                at.listener.close_idle(calls_back=True)
+                assert at.connection.ending
+    play(scene)
+
+
 # A client that has gone, and the attempts that its request would still get.
 
 class Leaver(Edge):
