A discovery that is down for seconds is called on within the time that news have

Node n134: calls ended in status 503 at 5.90, 9.88 and 12.37 s, the list came at 24.47 s. Line at fault: Calls._plan doubled the time within which the next call goes out after each call that failed after a second's wait, and used 0.9 of it. A discovery that is down lets calls wait too.

Change: what is overdue is called for within the six seconds that news have; only where calls wait in vain is it more, half of the time that the list is overdue, so that a fleet whose calls do not fit still gets through.

--- a/merlinbay/decision/calls.py
+++ b/merlinbay/decision/calls.py
@@ -49,7 +49,7 @@
     due_at: int = -1  # when the next call is planned
     out: bool = False  # a call has not been answered yet
     failures: int = 0  # calls that failed in a row,
-    overrun: int = 0  # and of these, how many had waited in turn in vain
+    overrun: bool = False  # the last call had waited in turn in vain
     plans: int = 0  # made so far
     deadline: float = math.inf  # when it must have the list
 
@@ -72,7 +72,7 @@
         if self.out:
             self.failures = min(self.failures + 1, DOUBLINGS)
             waited = answered and now - self.asked_at >= WAIT_US
-            self.overrun = min(self.overrun + 1, DOUBLINGS) if waited else 0
+            self.overrun = waited
         else:
             self.deadline = min(self.deadline, (heard_at if heard_at >= 0 else now) + self.told_us)
         self.out = False
@@ -98,7 +98,7 @@
         late = now - self.deadline
         if self.out:
             self.cost_us = max(float(now - self.asked_at), LEAST_US)
-            self.out, self.failures, self.overrun, self.deadline = False, 0, 0, math.inf
+            self.out, self.failures, self.overrun, self.deadline = False, 0, False, math.inf
         return late
 
     def _plan(self, now: int, width: float) -> list[api.Action]:
@@ -108,13 +108,15 @@
         turn = ((self.me + self.plans) * GOLDEN + self.rng.random() / self.fleet) % 1.0
         self.plans += 1
         # Guards against a turn that comes too late: who has not asked in time counts as told all the same.
-        # What is overdue leaves as much time as there was at first, and twice as much after each call that
-        # waited in turn in vain: where all do not fit into the time, some at least have to be answered.
-        overdue = self.overrun > 0 or now >= self.deadline
-        left = float(self.told_us << max(self.overrun - 1, 0)) if overdue else self.deadline - now
+        # What is overdue leaves as much time as there was at first: discovery may be back at any moment. It
+        # is more where calls wait in turn in vain for long: where all do not fit, some have to be answered.
+        left, overdue = self.deadline - now, now >= self.deadline
+        if overdue or self.overrun:
+            waited = min(max(self.told_us, -left / 2), self.told_us << DOUBLINGS)
+            left = waited if self.overrun else float(self.told_us)
         known, work = self.cost_us != GUESS_US, self.fleet * self.cost_us
         most = min(width, (ASK_SHARE if known else GUESS_SHARE) * left)
-        if known and most < work:
+        if known and most < work and not overdue:
             most = min(max(most, work - WAIT_US), FULL_SHARE * left)
         if 0 <= self.due_at <= now + most:  # a call is planned already, and soon enough
             return []
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -111,6 +111,23 @@
             assert made.due_at - at <= 0.76 * 6 * SECOND
 
 
+@pytest.mark.parametrize("waits", [1_500_000, 3 * SECOND])
+@pytest.mark.parametrize("cost", [5_000, 60_000])
+def test_a_discovery_down_for_eight_seconds_is_asked_in_time_when_it_is_back(waits: int, cost: int) -> None:
+    """Its failures come after a wait, as those of one that is overrun do; six seconds all the same."""
+    late = []
+    for me in range(230):
+        made = calls(me)
+        watching(made, SECOND, cost)
+        made.broken(30 * SECOND, 29 * SECOND)
+        while made.due_at < 38 * SECOND:
+            at = made.due_at
+            made.due(at)
+            made.broken(at + waits)
+        late.append(made.due_at > 44 * SECOND)
+    assert sum(late) <= 0.06 * len(late)
+
+
 @pytest.mark.parametrize(("at", "note"), [(5, []), (9, ["the list came 3.0 s after its deadline"])])
 def test_a_list_that_comes_late_is_noted(at: int, note: list[str]) -> None:
     """Operators see it, and how late."""
