--- a/merlinbay/emulator/live.py
+++ b/merlinbay/emulator/live.py
@@ -43,24 +43,55 @@
     """Return the settings of a node's configuration file (WIRE, 12)."""
     job, hall, limits = script.job, script.hall, script.limits
     return {
-        "az": hall.zones[0], "zones": hall.zones, "balancers": hall.nodes, "me": me, "discovery": "subscribe",
+        "az": hall.zones[0],
+        "zones": hall.zones,
+        "balancers": hall.nodes,
+        "me": me,
+        "discovery": "subscribe",
         "kinds": [kind.name for kind in hall.kinds],
-        "classes": [{"name": job.name, "aimUs": int(job.aim * 1e6), "deadlineUs": int(job.deadline * 1e6),
-                     "worth": 1.0, "effect": job.effect, "group": job.group,
-                     "windowUs": int(job.window * 1e6)}],
-        "limits": {"cancelling": limits.cancelling, "secondCopies": limits.second_copies, "probes": False,
-                   "sendCap": limits.send_cap, "retryAfter": limits.max_retry_after > 0,
-                   "maxRetryAfterUs": int(limits.max_retry_after * 1e6),
-                   "dialTimeoutUs": int(script.net.dial_ms * 1000),
-                   "keepaliveUs": int(hall.keep_alive * 1e6), "mostHeld": 4000},
-        "report": {"how": "inline" if script.reports.on else "off",
-                   "fields": ["err_rps", "active", "x0", "x1"] if script.reports.on else []},
-        "extra": {"tellsStart": True, "queueOrder": hall.order, "classStretch": [job.stretch],
-                  "reportX0": "free slots", "reportX1": "free memory"},
-        "safety": {"drainGraceUs": int(limits.drain_grace * 1e6), "coldFrom": hall.cold_from,
-                   "coldUs": int(hall.cold * 1e6), "tipMultiple": hall.tip,
-                   "overloadForUs": int(hall.tip_for * 1e6),
-                   "answerSlackUs": int(limits.answer_slack_ms * 1000), "mustAskInUs": 10_000_000}}
+        "classes": [
+            {
+                "name": job.name,
+                "aimUs": int(job.aim * 1e6),
+                "deadlineUs": int(job.deadline * 1e6),
+                "worth": 1.0,
+                "effect": job.effect,
+                "group": job.group,
+                "windowUs": int(job.window * 1e6),
+            }
+        ],
+        "limits": {
+            "cancelling": limits.cancelling,
+            "secondCopies": limits.second_copies,
+            "probes": False,
+            "sendCap": limits.send_cap,
+            "retryAfter": limits.max_retry_after > 0,
+            "maxRetryAfterUs": int(limits.max_retry_after * 1e6),
+            "dialTimeoutUs": int(script.net.dial_ms * 1000),
+            "keepaliveUs": int(hall.keep_alive * 1e6),
+            "mostHeld": 4000,
+        },
+        "report": {
+            "how": "inline" if script.reports.on else "off",
+            "fields": ["err_rps", "active", "x0", "x1"] if script.reports.on else [],
+        },
+        "extra": {
+            "tellsStart": True,
+            "queueOrder": hall.order,
+            "classStretch": [job.stretch],
+            "reportX0": "free slots",
+            "reportX1": "free memory",
+        },
+        "safety": {
+            "drainGraceUs": int(limits.drain_grace * 1e6),
+            "coldFrom": hall.cold_from,
+            "coldUs": int(hall.cold * 1e6),
+            "tipMultiple": hall.tip,
+            "overloadForUs": int(hall.tip_for * 1e6),
+            "answerSlackUs": int(limits.answer_slack_ms * 1000),
+            "mustAskInUs": 10_000_000,
+        },
+    }
 
 
 class LiveLoop(Loop):
@@ -119,8 +150,16 @@
         checker = self.live.checker
         checker.sent(node, self.live.jobs[name], model)
         number = len(checker.asked[node, self.live.jobs[name]].tries) - 1
-        work = Work(node, self.live.jobs[name], number, asked.work_us, asked.slots, asked.memory, asked.key,
-                    self._told(name, node))
+        work = Work(
+            node,
+            self.live.jobs[name],
+            number,
+            asked.work_us,
+            asked.slots,
+            asked.memory,
+            asked.key,
+            self._told(name, node),
+        )
         self.works[name] = work
         outcome = model.take(work)
         if outcome is None or work.ended:
@@ -141,9 +180,16 @@
         if report is None:
             return []
         names = ("eps", "inflight", "x0", "x1")
-        return [(b"x-server-load", ",".join(
-            f"{name}={value:g}" for name, value in zip(names, report, strict=True) if isinstance(
-                value, float)).encode())]
+        return [
+            (
+                b"x-server-load",
+                ",".join(
+                    f"{name}={value:g}"
+                    for name, value in zip(names, report, strict=True)
+                    if isinstance(value, float)
+                ).encode(),
+            )
+        ]
 
     def _told(self, name: str, node: int) -> Any:
         def told(work: Work, what: str, outcome: Outcome | None) -> None:
@@ -152,13 +198,15 @@
                 self.works.pop(name, None)
                 self.live.checker.ended(node, work.job, work.attempt, outcome)
                 event["state"] = {Outcome.OK: "done", Outcome.FULL: "returned", Outcome.RESET: "lost"}.get(
-                    outcome, "failed")
+                    outcome, "failed"
+                )
                 if outcome is Outcome.OK:
                     event["result"] = "seated"
                 report = None if self.model.state == "down" else self.model.report()
                 if report is not None:
                     event["load"] = dict(zip(("eps", "inflight", "x0", "x1"), report, strict=True))
             self.live.nursery.start_soon(self._call_back, node, json.dumps(event).encode())
+
         return told
 
     async def _call_back(self, node: int, body: bytes) -> None:
@@ -216,10 +264,19 @@
         for row in news.entries:
             self.version += 1
             started = int((self.live.unix + row.ready_at_us / 1e6) * 1000) if row.ready_at_us else 0
-            self.rows[row.worker] = (self.version, {
-                "id": row.worker, "addr": self.live.servers_live[row.worker].addr, "zone": row.zone,
-                "kind": row.kind, "cell": row.cell, "state": STATES[row.state], "weight": 1.0,
-                "started_ms": started})
+            self.rows[row.worker] = (
+                self.version,
+                {
+                    "id": row.worker,
+                    "addr": self.live.servers_live[row.worker].addr,
+                    "zone": row.zone,
+                    "kind": row.kind,
+                    "cell": row.cell,
+                    "state": STATES[row.state],
+                    "weight": 1.0,
+                    "started_ms": started,
+                },
+            )
         self.changed.set()
         self.changed = trio.Event()
 
@@ -240,8 +297,11 @@
                 await self.changed.wait()
         if self.live.directory.out:
             return Response(503)
-        rows = [row for version, row in self.rows.values() if version > after and (
-            after or row["state"] != "DELETED")]
+        rows = [
+            row
+            for version, row in self.rows.values()
+            if version > after and (after or row["state"] != "DELETED")
+        ]
         for row in rows:
             self.live.listed(node, row)
         answer = {"version": self.version, "full": after == 0, "servers": rows}
@@ -252,12 +312,17 @@
 
 
 BAD = [  # what clients send that cannot be served; each is owed an error, or the end of its connection
-    b"", b"GET", b"nonsense\r\n\r\n", b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
+    b"",
+    b"GET",
+    b"nonsense\r\n\r\n",
+    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
     b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n\r\n",
     b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\nseat",
     b"POST /nothing HTTP/1.1\r\nhost: x\r\nx-request-id: b\r\nx-timeout-ms: 9\r\ncontent-length: 0\r\n\r\n",
     b"POST /admit HTTP/1.1\r\nhost: x\r\nx-timeout-ms: soon\r\ncontent-length: 0\r\n\r\n",
-    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nse", b"X" * 40_000]
+    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nse",
+    b"X" * 40_000,
+]
 OWED = 3.0  # seconds from the connect
 
 
@@ -301,9 +366,13 @@
     async def _make(self, name: str, asked: Asked) -> None:
         live, job = self.live, self.live.jobs[name]
         left_ms = max((asked.deadline_us - live.loop.now) // 1000, 1)
-        heads = [("x-request-id", name), ("x-priority-class", live.script.job.name),
-                 ("x-timeout-ms", str(left_ms)), ("idempotency-key", asked.key or name),
-                 ("x-attrs", f"slots={asked.slots},memory={asked.memory:.3f}")]
+        heads = [
+            ("x-request-id", name),
+            ("x-priority-class", live.script.job.name),
+            ("x-timeout-ms", str(left_ms)),
+            ("idempotency-key", asked.key or name),
+            ("x-attrs", f"slots={asked.slots},memory={asked.memory:.3f}"),
+        ]
         verdict, retry_us = "lost", 0
         connection = None
         with trio.move_on_after(left_ms / 1000 + 0.1):
@@ -393,8 +462,10 @@
                 self.nursery.start_soon(listener.serve, sock)
                 while not all(server.addr for server in self.servers_live.values()):
                     await trio.sleep(0.01)
-                processes = [await self._node(number, Path(folder), f"{HOST}:{sock.getsockname()[1]}")
-                             for number in range(self.script.hall.nodes)]
+                processes = [
+                    await self._node(number, Path(folder), f"{HOST}:{sock.getsockname()[1]}")
+                    for number in range(self.script.hall.nodes)
+                ]
                 try:
                     broken = await self._play(directory)
                 finally:
@@ -411,13 +482,23 @@
             port = probe.getsockname()[1]
         addr = self.addresses[number] = f"{HOST}:{port}"
         path = folder / f"n{number}.json"
-        path.write_text(json.dumps({
-            "name": f"n{number}", "listen": addr, "discovery": discovery, "seed": f"{self.seed + number:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "settings": settings_json(self.script, number)}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": f"n{number}",
+                    "listen": addr,
+                    "discovery": discovery,
+                    "seed": f"{self.seed + number:x}",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    "settings": settings_json(self.script, number),
+                }
+            )
+        )
         process = await trio.lowlevel.open_process(
-            self.command, env={**os.environ, "LB_CONFIG": str(path), "LB_OPERATOR": ""},
-            stderr=subprocess.DEVNULL)
+            self.command,
+            env={**os.environ, "LB_CONFIG": str(path), "LB_OPERATOR": ""},
+            stderr=subprocess.DEVNULL,
+        )
         with trio.fail_after(20):
             while True:
                 try:
@@ -434,9 +515,11 @@
     async def _play(self, directory: LiveDirectory) -> str:
         """Run the day by the clock; return the rule that was broken, if one was."""
         from merlinbay.emulator.checker import Broken as RuleBroken
+
         loop = self.loop
         assert isinstance(loop, LiveLoop)
         import time
+
         loop.began, self.unix = trio.current_time(), time.time()
         directory.told(self.directory.remembered())
         self.directory.watchers[0] = directory.told
--- a/merlinbay/events.py
+++ b/merlinbay/events.py
@@ -19,12 +19,20 @@
         self.least = logging.getLevelNamesMapping()[level.upper()]
         self.debug = level == "debug"
         self.seen: dict[str, tuple[int, int, int]] = {}  # by event: the second, lines in it, lines dropped
-        renderer = (structlog.processors.JSONRenderer() if form == "json"
-                    else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()))
+        renderer = (
+            structlog.processors.JSONRenderer()
+            if form == "json"
+            else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+        )
         self.logger = structlog.wrap_logger(
-            structlog.PrintLogger(sys.stderr), wrapper_class=structlog.BoundLogger,
-            processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper("iso"),
-                        renderer]).bind(node=node)
+            structlog.PrintLogger(sys.stderr),
+            wrapper_class=structlog.BoundLogger,
+            processors=[
+                structlog.processors.add_log_level,
+                structlog.processors.TimeStamper("iso"),
+                renderer,
+            ],
+        ).bind(node=node)
 
     def event(self, name: str, **values: object) -> None:
         """Write an event; ``level`` among its values is its level."""
--- a/merlinbay/executor/child.py
+++ b/merlinbay/executor/child.py
@@ -19,10 +19,15 @@
 ERROR_TAIL = 400  # bytes of standard error that go into the annotation
 KIB = 1024
 # GFD.194, 5.7: what each limit is for the kernel, and in which unit the template has it.
-RLIMITS = {"CORE_FILE_SIZE": (resource.RLIMIT_CORE, KIB), "CPU_TIME": (resource.RLIMIT_CPU, 1),
-           "DATA_SIZE": (resource.RLIMIT_DATA, KIB), "FILE_SIZE": (resource.RLIMIT_FSIZE, KIB),
-           "OPEN_FILES": (resource.RLIMIT_NOFILE, 1), "STACK_SIZE": (resource.RLIMIT_STACK, KIB),
-           "VIRTUAL_MEMORY": (resource.RLIMIT_AS, KIB)}
+RLIMITS = {
+    "CORE_FILE_SIZE": (resource.RLIMIT_CORE, KIB),
+    "CPU_TIME": (resource.RLIMIT_CPU, 1),
+    "DATA_SIZE": (resource.RLIMIT_DATA, KIB),
+    "FILE_SIZE": (resource.RLIMIT_FSIZE, KIB),
+    "OPEN_FILES": (resource.RLIMIT_NOFILE, 1),
+    "STACK_SIZE": (resource.RLIMIT_STACK, KIB),
+    "VIRTUAL_MEMORY": (resource.RLIMIT_AS, KIB),
+}
 PASSED_ON = ("PATH", "HOME", "LANG", "TZ", "TMPDIR")
 
 
@@ -46,8 +51,9 @@
 
     def _path(self, text: str) -> Path:
         """Return a path of the template: relative ones lie in the job's folder."""
-        text = text.replace("$DRMAA2_HOME_DIR$", str(Path.home())).replace("$DRMAA2_WORKING_DIR$",
-                                                                          str(self.folder))
+        text = text.replace("$DRMAA2_HOME_DIR$", str(Path.home())).replace(
+            "$DRMAA2_WORKING_DIR$", str(self.folder)
+        )
         return self.folder / text
 
     async def run(self) -> int:
@@ -60,16 +66,24 @@
                 stdin = self._open(files, template.inputPath, "rb")
                 stdout = self._open(files, template.outputPath, "ab")
                 stderr = self._open(files, template.errorPath, "ab")
-                limits = [(RLIMITS[name], value) for name, value in template.resourceLimits.items()
-                          if name in RLIMITS]
+                limits = [
+                    (RLIMITS[name], value)
+                    for name, value in template.resourceLimits.items()
+                    if name in RLIMITS
+                ]
                 self.process = process = await trio.lowlevel.open_process(
-                    [template.remoteCommand, *template.args], cwd=self.folder, start_new_session=True,
-                    env={**{name: os.environ[name] for name in PASSED_ON if name in os.environ},
-                         **template.jobEnvironment},
+                    [template.remoteCommand, *template.args],
+                    cwd=self.folder,
+                    start_new_session=True,
+                    env={
+                        **{name: os.environ[name] for name in PASSED_ON if name in os.environ},
+                        **template.jobEnvironment,
+                    },
                     stdin=stdin or (subprocess.PIPE if template.payload else subprocess.DEVNULL),
                     stdout=stdout or subprocess.PIPE,
                     stderr=subprocess.STDOUT if template.joinFiles else stderr or subprocess.PIPE,
-                    preexec_fn=(lambda: set_limits(limits)) if limits else None)
+                    preexec_fn=(lambda: set_limits(limits)) if limits else None,
+                )
             except (OSError, ValueError, subprocess.SubprocessError) as error:
                 raise NotStarted(str(error)) from None
         wall = template.resourceLimits.get("WALLCLOCK_TIME")
--- a/merlinbay/executor/server.py
+++ b/merlinbay/executor/server.py
@@ -28,8 +28,16 @@
 class Executor:
     """Runs jobs in its slots, and notifies whoever handed them in."""
 
-    def __init__(self, name: str, slots: Slots, folder: Path, limits: Limits, counters: Counters,
-                 log: Log, clock: Clock) -> None:
+    def __init__(
+        self,
+        name: str,
+        slots: Slots,
+        folder: Path,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+        clock: Clock,
+    ) -> None:
         self.name, self.slots, self.folder = name, slots, folder
         self.limits, self.counters, self.log, self.clock = limits, counters, log, clock
         self.pool = ConnectionPool(limits, counters)
@@ -147,8 +155,16 @@
         job.info.jobState = job.state.value
         if not job.notify:
             return
-        body = words.write({"event": "NEW_STATE", "sessionName": job.session, "jobName": job.template.jobName,
-                            "jobId": job.id, "jobState": job.state.value, "jobInfo": job.info})
+        body = words.write(
+            {
+                "event": "NEW_STATE",
+                "sessionName": job.session,
+                "jobName": job.template.jobName,
+                "jobId": job.id,
+                "jobState": job.state.value,
+                "jobInfo": job.info,
+            }
+        )
         waiting = self.notes.get(job)
         if waiting is not None:
             waiting.append(body)
@@ -163,13 +179,14 @@
         waiting, tries = self.notes[job], 0
         while waiting:
             try:
-                reply = await self.pool.exchange(addr, "POST", f"/{path}",
-                                                 [("content-type", "application/json")], waiting[0])
+                reply = await self.pool.exchange(
+                    addr, "POST", f"/{path}", [("content-type", "application/json")], waiting[0]
+                )
                 done = reply.status < 300 or reply.status == 400
             except (NotSent, Broken):
                 done = False
             if not done and (tries := tries + 1) < NOTIFY_TRIES:
-                await trio.sleep(min(NOTIFY_WAIT * 2 ** tries, 2.0))
+                await trio.sleep(min(NOTIFY_WAIT * 2**tries, 2.0))
                 continue
             self.counters.add("executor_notified" if done else "executor_notes_lost")
             waiting.pop(0)  # Guards against one that is never taken: whoever wants to know asks.
--- a/merlinbay/fleet/stories.py
+++ b/merlinbay/fleet/stories.py
@@ -42,15 +42,19 @@
     harms: list[Harm] = field(default_factory=list)
     deaths: dict[str, list[float]] = field(default_factory=dict)  # when each node took another for dead
 
-    def harm(self, names: list[str], since: float, until: float, seen: bool = True,
-             sees: bool = True) -> None:
+    def harm(
+        self, names: list[str], since: float, until: float, seen: bool = True, sees: bool = True
+    ) -> None:
         """Note a trouble of some nodes."""
         self.harms += [Harm(name, since, until, seen, sees) for name in names]
 
     def excused(self, accuser: str, name: str, at: float) -> bool:
         """Tell whether a trouble explains that one takes another for dead."""
-        return any(harm.since <= at <= harm.until + SPENT and (
-            (harm.seen and harm.name == name) or (harm.sees and harm.name == accuser)) for harm in self.harms)
+        return any(
+            harm.since <= at <= harm.until + SPENT
+            and ((harm.seen and harm.name == name) or (harm.sees and harm.name == accuser))
+            for harm in self.harms
+        )
 
     def __call__(self, node: Node, event: Event) -> None:
         """Look at one event. Raises ``Broken``."""
@@ -63,8 +67,10 @@
             return
         accuser = node.view.members[event.name].claim.by or node.name
         if not self.excused(accuser, event.name, self.sim.now):
-            raise Broken(f"{self.sim.now:.3f}: {node.name} was told that {event.name} {event.what}, by "
-                         f"{accuser}; nothing was done to either")
+            raise Broken(
+                f"{self.sim.now:.3f}: {node.name} was told that {event.name} {event.what}, by "
+                f"{accuser}; nothing was done to either"
+            )
 
     def came_round(self) -> None:
         """Check how soon deaths came round. Raises ``Broken``."""
--- a/merlinbay/handover/link.py
+++ b/merlinbay/handover/link.py
@@ -55,8 +55,10 @@
             await self.sock.send(words.encode(word))
             return
         try:
-            await self.sock.sendmsg([words.encode(word)], [
-                (socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [descriptor]).tobytes())])
+            await self.sock.sendmsg(
+                [words.encode(word)],
+                [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [descriptor]).tobytes())],
+            )
         finally:
             os.close(descriptor)
 
@@ -74,7 +76,8 @@
         """Return the next word and its descriptor or -1; None: the other is gone, or talks nonsense."""
         try:
             data, extra, flags, _ = await self.sock.recvmsg(
-                self.limits.link_bytes, socket.CMSG_SPACE(4), socket.MSG_CMSG_CLOEXEC)
+                self.limits.link_bytes, socket.CMSG_SPACE(4), socket.MSG_CMSG_CLOEXEC
+            )
         except OSError:
             return None
         descriptor = -1
--- a/merlinbay/handover/twin.py
+++ b/merlinbay/handover/twin.py
@@ -41,8 +41,16 @@
 class Twin:
     """A process's side of both links."""
 
-    def __init__(self, path: Path, inbox: trio.MemorySendChannel[ports.Message], listener: Listener,
-                 attendance: Attendance, limits: Limits, counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        path: Path,
+        inbox: trio.MemorySendChannel[ports.Message],
+        listener: Listener,
+        attendance: Attendance,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self.path, self.inbox, self.listener, self.attendance = path, inbox, listener, attendance
         self.limits, self.counters, self.log = limits, counters, log
         self.predecessor: Link | None = None
@@ -107,8 +115,9 @@
 
     # The old one.
 
-    async def await_successors(self, listing: Listing,
-                               task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+    async def await_successors(
+        self, listing: Listing, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Listen for the process that is to take this one's place, again where one came and went.
 
         Started once it listens. Guards against a successor that comes at once and finds nobody.
@@ -180,8 +189,11 @@
             word, descriptor = heard
             if isinstance(word, words.EdgeGiven) and descriptor >= 0:
                 self.counters.add("edge_connections_taken_over")
-                self.listener.adopt(trio.socket.from_stdlib_socket(socket.socket(fileno=descriptor)),
-                                    word.proven, word.calls_back)
+                self.listener.adopt(
+                    trio.socket.from_stdlib_socket(socket.socket(fileno=descriptor)),
+                    word.proven,
+                    word.calls_back,
+                )
                 continue
             if descriptor >= 0:
                 os.close(descriptor)
--- a/merlinbay/handover/wiring.py
+++ b/merlinbay/handover/wiring.py
@@ -17,8 +17,16 @@
 from merlinbay.log import Log
 
 
-def wire(name: str, listen: tuple[str, int], inbox: trio.MemorySendChannel[ports.Message], listener: Listener,
-         attendance: Attendance, limits: Limits, counters: Counters, log: Log) -> Twin:
+def wire(
+    name: str,
+    listen: tuple[str, int],
+    inbox: trio.MemorySendChannel[ports.Message],
+    listener: Listener,
+    attendance: Attendance,
+    limits: Limits,
+    counters: Counters,
+    log: Log,
+) -> Twin:
     """Return this process's side. Nodes that share a ``$TMPDIR`` are told apart by name and address."""
     key = zlib.crc32(f"{name} {listen[0]}:{listen[1]}".encode())
     path = Path(tempfile.gettempdir()) / f"merlinbay-{key:08x}.sock"
--- a/merlinbay/handover/words.py
+++ b/merlinbay/handover/words.py
@@ -71,7 +71,7 @@
 def told(version: int | None, entries: list[ServiceEntry], learned: Learned, away: bool) -> list[Word]:
     """Return the words that tell all, in packets of a bounded size."""
     workers = learned.workers
-    words: list[Word] = [Part(entries=entries[at:at + PART]) for at in range(0, len(entries), PART)]
-    words += [Part(workers=workers[at:at + PART]) for at in range(0, len(workers), PART)]
+    words: list[Word] = [Part(entries=entries[at : at + PART]) for at in range(0, len(entries), PART)]
+    words += [Part(workers=workers[at : at + PART]) for at in range(0, len(workers), PART)]
     bare = Learned(learned.load, learned.kinds, learned.classes, learned.banned)
     return [*words, Whole(version, bare, away)]
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -78,17 +78,24 @@
         """Close it."""
         self.sock.close()
 
-    async def exchange(self, method: str, target: str, headers: list[tuple[str, str]],
-                       body: bytes = b"") -> Reply:
+    async def exchange(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes = b""
+    ) -> Reply:
         """Send a request and return its answer. Raises ``NotSent`` or ``Broken``."""
         # Guards against header bytes beyond ASCII, which pass on as they came.
-        everything = [(name.encode(), value.encode("latin-1", "replace"))
-                      for name, value in [("host", self.host), *headers]]
+        everything = [
+            (name.encode(), value.encode("latin-1", "replace"))
+            for name, value in [("host", self.host), *headers]
+        ]
         if body or method == "POST":
             everything.append((b"content-length", str(len(body)).encode()))
         try:
-            data = self.h11.send(h11.Request(method=method, target=target.encode("latin-1", "replace"),
-                                             headers=everything)) or b""
+            data = (
+                self.h11.send(
+                    h11.Request(method=method, target=target.encode("latin-1", "replace"), headers=everything)
+                )
+                or b""
+            )
             if body:
                 data += self.h11.send(h11.Data(data=body)) or b""
             data += self.h11.send(h11.EndOfMessage()) or b""
@@ -116,7 +123,10 @@
             elif type(event) is h11.EndOfMessage and head is not None:
                 if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
                     self.h11.start_next_cycle()
-                return Reply(head.status_code, {name.decode(): value.decode("latin-1")
-                                                for name, value in head.headers}, bytes(body))
+                return Reply(
+                    head.status_code,
+                    {name.decode(): value.decode("latin-1") for name, value in head.headers},
+                    bytes(body),
+                )
             elif type(event) is h11.ConnectionClosed:
                 raise Broken("the connection ended before the answer")
--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -12,11 +12,22 @@
 
 from merlinbay.limits import Limits
 
-REASONS = {200: b"OK", 201: b"Created", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
-           403: b"Forbidden", 404: b"Not Found",
-           405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict",
-           413: b"Content Too Large", 500: b"Internal Server Error", 503: b"Service Unavailable",
-           504: b"Gateway Timeout"}
+REASONS = {
+    200: b"OK",
+    201: b"Created",
+    204: b"No Content",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    403: b"Forbidden",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    500: b"Internal Server Error",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
 
 
 @dataclass(slots=True)
@@ -73,8 +84,14 @@
 class Connection:
     """One accepted connection: a task that reads, and one that writes answers that come later."""
 
-    def __init__(self, sock: trio.socket.SocketType, limits: Limits, handler: Handler,
-                 nursery: trio.Nursery, prepare: Prepare | None = None) -> None:
+    def __init__(
+        self,
+        sock: trio.socket.SocketType,
+        limits: Limits,
+        handler: Handler,
+        nursery: trio.Nursery,
+        prepare: Prepare | None = None,
+    ) -> None:
         self.raw, self.limits, self.handler, self.nursery = sock, limits, handler, nursery
         self.sock: Sock = sock
         self.prepare = prepare
@@ -205,16 +222,20 @@
                     await self._last_words(status)
                     return
                 if self.h11.they_are_waiting_for_100_continue:
-                    await self._write_out(self.h11.send(
-                        h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                    await self._write_out(
+                        self.h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+                    )
             elif type(event) is h11.Data:
                 body += event.data
                 if len(body) > self.limits.body_bytes:
                     await self._last_words(413)
                     return
             elif type(event) is h11.EndOfMessage and head is not None:
-                await self._handle(Request(head.method.decode(), head.target.decode("latin-1"),
-                                           header_table(head), bytes(body)))
+                await self._handle(
+                    Request(
+                        head.method.decode(), head.target.decode("latin-1"), header_table(head), bytes(body)
+                    )
+                )
             elif event is h11.PAUSED:
                 if not await self._attend():
                     return
@@ -310,8 +331,9 @@
             self.h11.start_next_cycle()
             self.idle_since = trio.current_time()
             # Guards against clients that ask for little and stay: each would hold a descriptor.
-            self.expires = self.idle_since + (self.limits.edge_idle if self.proven
-                                              else self.limits.read_request)
+            self.expires = self.idle_since + (
+                self.limits.edge_idle if self.proven else self.limits.read_request
+            )
             if self.attending or self.give is not None:
                 self.reading.cancel()
         else:
@@ -322,8 +344,14 @@
         if close:
             headers.append((b"connection", b"close"))
         send = self.h11.send
-        data = send(h11.Response(status_code=response.status, headers=headers,
-                                 reason=REASONS.get(response.status, b""))) or b""
+        data = (
+            send(
+                h11.Response(
+                    status_code=response.status, headers=headers, reason=REASONS.get(response.status, b"")
+                )
+            )
+            or b""
+        )
         if response.body and not self.head_only:
             data += send(h11.Data(data=response.body)) or b""
         data += send(h11.EndOfMessage()) or b""
--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -25,8 +25,13 @@
 class ConnectionPool:
     """Connections by real server, newest used first, so many over all."""
 
-    def __init__(self, limits: Limits, counters: Counters, serves: Callable[[str], bool] = lambda name: True,
-                 refuses: Callable[[Reply], bool] = lambda reply: False) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        counters: Counters,
+        serves: Callable[[str], bool] = lambda name: True,
+        refuses: Callable[[Reply], bool] = lambda reply: False,
+    ) -> None:
         self.limits, self.counters = limits, counters
         self.refuses = refuses  # whether an answer proves that a job never ran
         self.serves = serves  # whether a real server is up by the newest list, heard but not yet taken in
@@ -41,15 +46,23 @@
                 self._drop_idle(self.servers.pop(name))
         for entry in entries:
             known = self.servers.get(entry.server)
-            if known is not None and (entry.state == "removed" or known.addr != entry.addr
-                                      or known.started_us != entry.started_us):
+            if known is not None and (
+                entry.state == "removed" or known.addr != entry.addr or known.started_us != entry.started_us
+            ):
                 self._drop_idle(self.servers.pop(entry.server))
                 known = None
             if known is None and entry.state != "removed":
                 self.servers[entry.server] = RealServer(entry.addr, entry.started_us)
 
-    async def exchange(self, name: str, method: str, target: str, headers: list[tuple[str, str]],
-                       body: bytes = b"", wanted: Callable[[], bool] | None = None) -> Reply:
+    async def exchange(
+        self,
+        name: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+        wanted: Callable[[], bool] | None = None,
+    ) -> Reply:
         """Have one exchange, and keep the connection if it can carry another.
 
         One that places a job tells by ``wanted`` whether it still is: it goes to no server that has left
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -46,8 +46,9 @@
             return trio.socket.from_stdlib_socket(kept)
         return await bound(host, port, self.limits.backlog)
 
-    async def serve(self, sock: trio.socket.SocketType,
-                    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+    async def serve(
+        self, sock: trio.socket.SocketType, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Accept until connections are handed over, and serve them until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sweep)
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -20,9 +20,16 @@
 class PooledServers:
     """Tasks of one nursery, so many at the most, that have exchanges and post what came of them."""
 
-    def __init__(self, nursery: trio.Nursery, pool: ConnectionPool,
-                 inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
-                 counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        pool: ConnectionPool,
+        inbox: trio.MemorySendChannel[ports.Message],
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self.nursery, self.pool, self.inbox = nursery, pool, inbox
         self.clock, self.limits, self.counters = clock, limits, counters
         self.log, self.tasks = log, 0
@@ -44,8 +51,15 @@
         """Tell that an attempt never went out. The owner's own task must not wait for its inbox."""
         self.nursery.start_soon(self.ended, scheduling, Outcome.CONNECT_FAILED)
 
-    async def attempt(self, server: str, method: str, target: str, headers: list[tuple[str, str]],
-                      body: bytes = b"", wanted: Callable[[], bool] | None = None) -> Reply | Outcome:
+    async def attempt(
+        self,
+        server: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+        wanted: Callable[[], bool] | None = None,
+    ) -> Reply | Outcome:
         """Have one exchange; return its answer, or the outcome where none came."""
         try:
             return await self.pool.exchange(server, method, target, headers, body, wanted)
@@ -54,11 +68,17 @@
         except Broken:
             return Outcome.RESET
 
-    async def ended(self, scheduling: Scheduling, outcome: Outcome,
-                    report: dict[str, float] | None = None, unfit: bool = False) -> None:
+    async def ended(
+        self,
+        scheduling: Scheduling,
+        outcome: Outcome,
+        report: dict[str, float] | None = None,
+        unfit: bool = False,
+    ) -> None:
         """Tell how an attempt ended."""
-        await self.post(ports.SchedulingEnded(scheduling.spec.name, scheduling.server, outcome, b"", report,
-                                              unfit))
+        await self.post(
+            ports.SchedulingEnded(scheduling.spec.name, scheduling.server, outcome, b"", report, unfit)
+        )
 
     async def post(self, message: ports.Message) -> None:
         """Put a message into the owner's inbox."""
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -78,8 +78,9 @@
     listing_bytes: int = 4 * 1024 * 1024  # a list of service entries
 
 
-def limits_from(sockets: int, memory_mb: int, settings: api.Settings, dial_us: int, keepalive_us: int,
-                most_held: int) -> Limits:
+def limits_from(
+    sockets: int, memory_mb: int, settings: api.Settings, dial_us: int, keepalive_us: int, most_held: int
+) -> Limits:
     """Divide the descriptors between the edge, the real servers and the rest; take times from the site."""
     usable = max(sockets - 32, 16)  # the interpreter, trio, discovery and the listener hold the others
     longest = max(job_class.deadline_us for job_class in settings.classes) / 1e6
@@ -100,4 +101,5 @@
         dns_most=min(Limits.dns_most, ask_in / 3) if ask_in else Limits.dns_most,
         # Guards against SIGKILL, which comes 0.7 s after the longest deadline, counted as 3 s at the most.
         stop_serving=min(longest, 3.0) + 0.1,
-        stop_most=min(longest, 3.0) + 0.6)
+        stop_most=min(longest, 3.0) + 0.6,
+    )
--- a/merlinbay/monitor/filters.py
+++ b/merlinbay/monitor/filters.py
@@ -38,8 +38,13 @@
 """
 NESTING = re.compile(r'"(?:[^"\\\n]|\\.)*"|[()]|\bnot\b')  # strings are passed over whole
 COMPARES: dict[str, Callable[[Any, Any], bool]] = {
-    "==": operator.eq, "!=": operator.ne, "<": operator.lt, "<=": operator.le, ">": operator.gt,
-    ">=": operator.ge}
+    "==": operator.eq,
+    "!=": operator.ne,
+    "<": operator.lt,
+    "<=": operator.le,
+    ">": operator.gt,
+    ">=": operator.ge,
+}
 Getter = Callable[[str], Any]
 Test = Callable[[Getter], bool]
 
--- a/merlinbay/monitor/view.py
+++ b/merlinbay/monitor/view.py
@@ -42,7 +42,8 @@
     "submissionTime": (datetime, lambda job: _time(job.submitted_us)),
     "dispatchTime": (datetime, lambda job: _time(job.started_us)),
     "finishTime": (datetime, lambda job: _time(job.finished_us)),
-    "exception": (str, lambda job: job.exception or None)}
+    "exception": (str, lambda job: job.exception or None),
+}
 KINDS = {name: kind for name, (kind, _) in ATTRIBUTES.items()}
 
 
@@ -51,8 +52,9 @@
     return test is None or test(lambda name: ATTRIBUTES[name][1](job))
 
 
-def page(sessions: Iterable[Session], after: int, limit: int, wanted: Callable[[Job], bool],
-         scan: int = SCAN) -> tuple[list[Job], int]:
+def page(
+    sessions: Iterable[Session], after: int, limit: int, wanted: Callable[[Job], bool], scan: int = SCAN
+) -> tuple[list[Job], int]:
     """Return jobs in order of their submission, and the order from which the next page goes on; 0: none.
 
     At most ``scan`` jobs are looked at, so a page may be short and yet not the last.
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -75,10 +75,12 @@
     if operator is not None:
         # Guards against a slow start: without an operator's file, nothing of this is waited for.
         from merlinbay.drmaa.wiring import wire as wire_drmaa
+
         parts = sides.drmaa = wire_drmaa(operator.drmaa, config.facts(), send, clock, counters, log)
         handler = parts.routes(handler)
         if operator.fleet.listen:
             from merlinbay.fleet.wiring import wire as wire_fleet
+
             sides.fleet = wire_fleet(operator.fleet, config.facts(), send, counters, log)
     listener = Listener(handler, limits, counters, log)
     if config.settings.balancers == 1:  # else clients find another node by a new connection
@@ -91,25 +93,41 @@
     inherited = None
     if limits.accept_fd >= 0 and operator is None:  # what fronts hold is not handed over
         from merlinbay.handover.wiring import wire as wire_handover
-        sides.twin = wire_handover(config.name, config.listen, send, listener, attendance, limits, counters,
-                                   log)
+
+        sides.twin = wire_handover(
+            config.name, config.listen, send, listener, attendance, limits, counters, log
+        )
         inherited = await sides.twin.inherit()
     discovery: Discovery | DnsSdDirectory
     if operator is None or operator.dnssd is None:
-        version, entries = (inherited.version, inherited.entries) if inherited is not None else (
-            config.known.version, words.entries(config.known))
-        discovery = Discovery(config.discovery, version, entries, not config.settings.must_subscribe, send,
-                              clock, limits, counters, log)
+        version, entries = (
+            (inherited.version, inherited.entries)
+            if inherited is not None
+            else (config.known.version, words.entries(config.known))
+        )
+        discovery = Discovery(
+            config.discovery,
+            version,
+            entries,
+            not config.settings.must_subscribe,
+            send,
+            clock,
+            limits,
+            counters,
+            log,
+        )
     else:
         from merlinbay.dnssd.wiring import wire as wire_dnssd
+
         discovery = wire_dnssd(operator.dnssd, send, limits, counters, log)
     async with trio.open_nursery() as nursery:
         pool = ConnectionPool(limits, counters, discovery.serves, refuses)
         drmaa = sides.drmaa
         servers: ServerSide | None = drmaa.start(nursery, pool) if drmaa is not None else None
         if servers is None:
-            servers = PlatformServers(nursery, pool, send, clock, limits, counters, log,
-                                      bool(config.settings.report_fields))
+            servers = PlatformServers(
+                nursery, pool, send, clock, limits, counters, log, bool(config.settings.report_fields)
+            )
         balancer = Balancer(config.settings, config.seed, clock.now_us())
         owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
         if drmaa is not None and drmaa.front is not None and drmaa.front.reserving is not None:
@@ -121,8 +139,9 @@
             sides.fleet.gauges = owner.gauges
         if inherited is not None:
             attendance.turn(inherited.away, relayed=True)
-            owner.turn([EntriesChanged("remembered", inherited.entries),
-                        DirectoryMoved(limits.inherit_told_us)])
+            owner.turn(
+                [EntriesChanged("remembered", inherited.entries), DirectoryMoved(limits.inherit_told_us)]
+            )
             adopt(balancer, balancer.classes, inherited.learned)
         else:
             owner.turn([EntriesChanged("remembered", words.entries(config.known))])
@@ -150,8 +169,9 @@
         nursery.cancel_scope.cancel()
 
 
-async def listening(binding: Awaitable[trio.socket.SocketType],
-                    at: tuple[str, int]) -> trio.socket.SocketType:
+async def listening(
+    binding: Awaitable[trio.socket.SocketType], at: tuple[str, int]
+) -> trio.socket.SocketType:
     """Return the socket that listens. Raises ``BadConfig``."""
     try:
         return await binding
@@ -165,12 +185,20 @@
     if section is None or section.format == "plain":
         return Log(config.limits.log_lines)
     from merlinbay.events import EventLog
+
     return EventLog(section.lines, section.format, section.level, config.name)
 
 
-async def signals(config: Config, listener: Listener, discovery: Discovery | DnsSdDirectory,
-                  inbox: trio.MemorySendChannel[Message], nursery: trio.Nursery, counters: Counters,
-                  log: Log, sides: Sides) -> None:
+async def signals(
+    config: Config,
+    listener: Listener,
+    discovery: Discovery | DnsSdDirectory,
+    inbox: trio.MemorySendChannel[Message],
+    nursery: trio.Nursery,
+    counters: Counters,
+    log: Log,
+    sides: Sides,
+) -> None:
     """SIGHUP reads the configuration again, SIGUSR1 prints the counters, SIGTERM and SIGINT end the node."""
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
         stopping = bool(early)
@@ -187,8 +215,9 @@
                 nursery.start_soon(stop, config, listener, inbox, nursery, sides)
 
 
-def follow(config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log,
-           sides: Sides) -> bool:
+def follow(
+    config: Config, discovery: Discovery | DnsSdDirectory, counters: Counters, log: Log, sides: Sides
+) -> bool:
     """Move the watch to where the configuration now says; one that cannot be used changes nothing.
 
     Returns whether the module is to say when the watch goes there.
@@ -210,8 +239,13 @@
     return moved
 
 
-async def stop(config: Config, listener: Listener, inbox: trio.MemorySendChannel[Message],
-               nursery: trio.Nursery, sides: Sides) -> None:
+async def stop(
+    config: Config,
+    listener: Listener,
+    inbox: trio.MemorySendChannel[Message],
+    nursery: trio.Nursery,
+    sides: Sides,
+) -> None:
     """Serve on for a moment, then end in good order."""
     limits = config.limits
     began = trio.current_time()
--- a/merlinbay/notify/hub.py
+++ b/merlinbay/notify/hub.py
@@ -42,8 +42,16 @@
 class Hub:
     """The journal, the polls and the listeners of one front."""
 
-    def __init__(self, journal: Journal, bounds: Bounds, polls: int, allowed: Allowed, timers: Timers,
-                 new_id: Callable[[], str], rng: Random) -> None:
+    def __init__(
+        self,
+        journal: Journal,
+        bounds: Bounds,
+        polls: int,
+        allowed: Allowed,
+        timers: Timers,
+        new_id: Callable[[], str],
+        rng: Random,
+    ) -> None:
         self.journal, self.bounds, self.most_polls, self.allowed = journal, bounds, polls, allowed
         self.timers, self.new_id = timers, new_id
         self.listeners = Listeners(bounds, timers, rng)
@@ -52,8 +60,17 @@
         self.fresh: dict[Stream, None] = {}  # streams with something new
         self.answers: list[Answer] = []
 
-    def tell(self, session: str, news: News, job: str, state: str, account: str, at_us: int,
-             machine: str = "", members: int = 1) -> None:
+    def tell(
+        self,
+        session: str,
+        news: News,
+        job: str,
+        state: str,
+        account: str,
+        at_us: int,
+        machine: str = "",
+        members: int = 1,
+    ) -> None:
         """Note an event."""
         self.fresh[self.journal.add(session, news, job, state, account, at_us, machine, members)] = None
 
@@ -66,8 +83,9 @@
         for poll in list(self.waiting.get(stream, ())):
             self._end(poll, self._page(stream, poll.after, poll.limit, poll.wanted))
 
-    def poll(self, call: object, session: str, cursor: str, limit: int, wanted: Wanted, until_us: int,
-             now_us: int) -> None:
+    def poll(
+        self, call: object, session: str, cursor: str, limit: int, wanted: Wanted, until_us: int, now_us: int
+    ) -> None:
         """Answer the call with what came after the cursor, now or once something comes.
 
         Without a cursor all that is kept comes; ``now`` means only what comes from now on, and is answered
@@ -140,8 +158,9 @@
         answers, self.answers = self.answers, []
         return [*answers, *self.listeners.take(now_us)]
 
-    def register(self, session: str, url: str, wanted: Wanted, key: bytes, cursor: str,
-                 owner: str) -> Listener:
+    def register(
+        self, session: str, url: str, wanted: Wanted, key: bytes, cursor: str, owner: str
+    ) -> Listener:
         """Register a listener. It gets what comes after the cursor; without one, after this moment."""
         if len(self.listeners.all) >= self.bounds.listeners:
             raise DrmaaError("OutOfResourceException", f"{self.bounds.listeners} listeners are registered")
@@ -158,8 +177,12 @@
     def listener(self, session: str, listener_id: str, owner: str | None) -> Listener:
         """Return a listener of a session that the asker may know of. Raises ``DrmaaError``."""
         found = self.listeners.all.get(listener_id)
-        if found is None or found.stream.session != session or found.stream.ended or (
-                owner is not None and found.owner != owner):
+        if (
+            found is None
+            or found.stream.session != session
+            or found.stream.ended
+            or (owner is not None and found.owner != owner)
+        ):
             raise invalid_argument(f"no listener {listener_id[:60]!r}", missing=True)
         return found
 
--- a/merlinbay/notify/journal.py
+++ b/merlinbay/notify/journal.py
@@ -50,8 +50,11 @@
 
     def accepts(self, entry: Entry) -> bool:
         """Tell whether an event is among them."""
-        return (entry.news in self.news and (self.account is None or entry.account == self.account)
-                and (not self.job or entry.job == self.job or entry.job.startswith(self.job + ".")))
+        return (
+            entry.news in self.news
+            and (self.account is None or entry.account == self.account)
+            and (not self.job or entry.job == self.job or entry.job.startswith(self.job + "."))
+        )
 
 
 @dataclass(slots=True)
@@ -96,7 +99,7 @@
         at = self.start + max(after, self.first - 1) + 1 - self.first
         found: list[Entry] = []
         upto = max(after, self.first - 1)
-        for entry in self.entries[at:at + scan]:
+        for entry in self.entries[at : at + scan]:
             upto = entry.number
             if wanted.accepts(entry):
                 found.append(entry)
@@ -109,7 +112,7 @@
         entry = self.entries[self.start]
         self.start += 1
         if self.start > 64 and self.start * 2 > len(self.entries):
-            del self.entries[:self.start]
+            del self.entries[: self.start]
             self.start = 0
         return entry
 
@@ -137,8 +140,17 @@
         if stream is not None:
             stream.ended = True
 
-    def add(self, session: str, news: News, job: str, state: str, account: str, at_us: int,
-            machine: str = "", members: int = 1) -> Stream:
+    def add(
+        self,
+        session: str,
+        news: News,
+        job: str,
+        state: str,
+        account: str,
+        at_us: int,
+        machine: str = "",
+        members: int = 1,
+    ) -> Stream:
         """Note an event."""
         stream = self.open(session)
         stream.last += 1
--- a/merlinbay/notify/sender.py
+++ b/merlinbay/notify/sender.py
@@ -22,8 +22,15 @@
 class AddressPool(ConnectionPool):
     """Connections by address, to whom they may be."""
 
-    async def exchange(self, name: str, method: str, target: str, headers: list[tuple[str, str]],
-                       body: bytes = b"", wanted: Callable[[], bool] | None = None) -> Reply:
+    async def exchange(
+        self,
+        name: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+        wanted: Callable[[], bool] | None = None,
+    ) -> Reply:
         """Have one exchange with the address ``name``."""
         if name not in self.servers:
             for addr in [addr for addr, server in self.servers.items() if not server.idle][:8]:
@@ -37,8 +44,17 @@
 class Sender:
     """Carries call-backs out and tells the listeners' book what came of them."""
 
-    def __init__(self, listeners: Listeners, write: Callable[[Batch], bytes], flush: Callable[[int], None],
-                 clock: Clock, limits: Limits, counters: Counters, log: Log, timeout: float) -> None:
+    def __init__(
+        self,
+        listeners: Listeners,
+        write: Callable[[Batch], bytes],
+        flush: Callable[[int], None],
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+        timeout: float,
+    ) -> None:
         self.listeners, self.write, self.flush = listeners, write, flush
         self.clock, self.counters, self.log, self.timeout = clock, counters, log, timeout
         most = listeners.bounds.quick + listeners.bounds.trial
@@ -61,8 +77,10 @@
 
     async def _send(self, batch: Batch) -> None:
         body, began = self.write(batch), self.clock.now_us()
-        heads = [("content-type", "application/json"),
-                 *signing.headers(batch.keys, batch.name, began // 1_000_000, body)]
+        heads = [
+            ("content-type", "application/json"),
+            *signing.headers(batch.keys, batch.name, began // 1_000_000, body),
+        ]
         target, why, reply = batch.listener.target, "", None
         try:
             with trio.fail_after(self.timeout):
--- a/merlinbay/notify/settings.py
+++ b/merlinbay/notify/settings.py
@@ -32,6 +32,15 @@
     def bounds(self) -> Bounds:
         """Return what the listeners are bound by."""
         trial = max(1, self.connections // 3)
-        return Bounds(self.listeners, self.batch, 2000, self.connections - trial, trial, int(self.slow * 1e6),
-                      int(self.again * 1e6), int(self.again_most * 1e6), int(self.give_up * 1e6),
-                      int(self.overlap * 1e6))
+        return Bounds(
+            self.listeners,
+            self.batch,
+            2000,
+            self.connections - trial,
+            trial,
+            int(self.slow * 1e6),
+            int(self.again * 1e6),
+            int(self.again_most * 1e6),
+            int(self.give_up * 1e6),
+            int(self.overlap * 1e6),
+        )
--- a/merlinbay/notify/signing.py
+++ b/merlinbay/notify/signing.py
@@ -45,8 +45,11 @@
 
 def headers(keys: Iterable[bytes], name: str, at_s: int, body: bytes) -> list[tuple[str, str]]:
     """Return the headers of a call-back: one signature with each key that is valid now."""
-    return [("webhook-id", name), ("webhook-timestamp", str(at_s)),
-            ("webhook-signature", " ".join(signature(key, name, at_s, body) for key in keys))]
+    return [
+        ("webhook-id", name),
+        ("webhook-timestamp", str(at_s)),
+        ("webhook-signature", " ".join(signature(key, name, at_s, body) for key in keys)),
+    ]
 
 
 class Verifier:
@@ -69,12 +72,16 @@
             raise BadSignature("its time is too far off")
         good = [signature(key, name, int(stamp), body) for key in self.keys]
         # Guards against timing: every pair is compared, and each in constant time.
-        match = [hmac.compare_digest(one.encode(), other.encode("utf-8", "replace"))
-                 for one in good for other in given.split()[:8]]
+        match = [
+            hmac.compare_digest(one.encode(), other.encode("utf-8", "replace"))
+            for one in good
+            for other in given.split()[:8]
+        ]
         if not any(match):
             raise BadSignature("no key of ours made the signature")
-        while self.seen and (len(self.seen) >= self.most
-                             or next(iter(self.seen.values())) < now_s - 2 * self.tolerance_s):
+        while self.seen and (
+            len(self.seen) >= self.most or next(iter(self.seen.values())) < now_s - 2 * self.tolerance_s
+        ):
             self.seen.popitem(last=False)
         if name in self.seen:
             return False
--- a/merlinbay/platform/desk.py
+++ b/merlinbay/platform/desk.py
@@ -19,16 +19,25 @@
 class Desk:
     """Answers operators' calls."""
 
-    def __init__(self, inbox: trio.MemorySendChannel[ports.Message], attendance: Attendance, limits: Limits,
-                 counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        inbox: trio.MemorySendChannel[ports.Message],
+        attendance: Attendance,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self.inbox, self.attendance, self.limits = inbox, attendance, limits
         self.counters, self.log = counters, log
         self.serving = False  # set once clients are taken
         self.waiting: dict[trio.CancelScope, None] = {}  # connections without a whole line yet, oldest first
         self.calls: dict[str, tuple[bool, Call]] = {  # whether an id belongs to it, and what it does
             "status": (False, self._status),
-            "standby": (False, self._standby), "active": (False, self._active),
-            "maint-on": (True, self._maint_on), "maint-off": (True, self._maint_off)}
+            "standby": (False, self._standby),
+            "active": (False, self._active),
+            "maint-on": (True, self._maint_on),
+            "maint-off": (True, self._maint_off),
+        }
 
     async def serve(self, sock: trio.socket.SocketType) -> None:
         """Accept until cancelled."""
@@ -66,7 +75,7 @@
         while left > 0 and (more := await sock.recv(self.limits.receive_bytes)):
             left -= len(more)
             # Guards against a reset that overtakes the answer: a line that is too long is read to its end.
-            data = (data + more)[:self.limits.desk_line + 1]
+            data = (data + more)[: self.limits.desk_line + 1]
             if b"\n" in more:
                 return b"" if len(data) > self.limits.desk_line else data.partition(b"\n")[0]
         return data or None
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -26,9 +26,18 @@
     once, whatever became of the watch.
     """
 
-    def __init__(self, addr: str, version: int | None, entries: list[ports.ServiceEntry], pushed: bool,
-                 inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
-                 counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        addr: str,
+        version: int | None,
+        entries: list[ports.ServiceEntry],
+        pushed: bool,
+        inbox: trio.MemorySendChannel[ports.Message],
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self.addr, self.pushed, self.clock = addr, pushed, clock
         self.version: int | None = version  # the list's, as told last; None: the whole list is wanted
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
@@ -71,8 +80,11 @@
                 except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
                     self.counters.add("watches_failed")
                     self.log.event("discovery_failed", level="warning", error=repr(error))
-                    await self.inbox.send(ports.EntriesChanged(
-                        "refused", [], self.heard_us, not isinstance(error, trio.TooSlowError)))
+                    await self.inbox.send(
+                        ports.EntriesChanged(
+                            "refused", [], self.heard_us, not isinstance(error, trio.TooSlowError)
+                        )
+                    )
                     if self.pushed:
                         await trio.sleep(self.limits.push_retry)
 
@@ -118,13 +130,16 @@
                     await trio.sleep(self.limits.watch_spoilt)
                 else:
                     await self._hear(listing, first=self.heard_us < 0)
-                    wait_ms, most = int(self.limits.watch_wait * 1000), (self.limits.watch_wait
-                                                                         + self.limits.watch_slack)
+                    wait_ms, most = (
+                        int(self.limits.watch_wait * 1000),
+                        (self.limits.watch_wait + self.limits.watch_slack),
+                    )
                     spoilt = False
                 if not connection.reusable:
                     connection.close()
-                    connection = await ClientConnection.dial(self.addr, self.limits,
-                                                             self.limits.listing_bytes)
+                    connection = await ClientConnection.dial(
+                        self.addr, self.limits, self.limits.listing_bytes
+                    )
         finally:
             connection.close()
 
@@ -137,6 +152,7 @@
             self.counters.add("entries_odd", len(wrong))
             self.log.event("entries_odd", level="warning", number=len(wrong), first=wrong[0])
         if listing.servers or listing.full or first:  # the first answer also tells that it works
-            await self.inbox.send(ports.EntriesChanged("all" if listing.full else "changes",
-                                                       words.entries(listing)))
+            await self.inbox.send(
+                ports.EntriesChanged("all" if listing.full else "changes", words.entries(listing))
+            )
         self.had.set()
--- a/merlinbay/platform/edge.py
+++ b/merlinbay/platform/edge.py
@@ -51,8 +51,14 @@
 class PlatformEdge:
     """Handles every request at the node's address."""
 
-    def __init__(self, inbox: trio.MemorySendChannel[ports.Message], clock: Clock,
-                 limits: Limits, counters: Counters, classes: set[str]) -> None:
+    def __init__(
+        self,
+        inbox: trio.MemorySendChannel[ports.Message],
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        classes: set[str],
+    ) -> None:
         self.inbox, self.clock, self.limits = inbox, clock, limits
         self.counters, self.classes = counters, classes
         self.scarce: Callable[[], bool] = lambda: False  # whether kept edge connections run out
@@ -120,8 +126,11 @@
             await self.inbox.send(ports.SchedulingProgress(event.id, event.server, event.share))
         elif event.state in OUTCOMES:
             result = words.result_bytes(event.result) if event.state == "done" else b""
-            await self.inbox.send(ports.SchedulingEnded(event.id, event.server, OUTCOMES[event.state], result,
-                                                        words.named(event.load)))
+            await self.inbox.send(
+                ports.SchedulingEnded(
+                    event.id, event.server, OUTCOMES[event.state], result, words.named(event.load)
+                )
+            )
         else:
             self.counters.add("call_backs_unknown")
         return TAKEN
--- a/merlinbay/platform/servers.py
+++ b/merlinbay/platform/servers.py
@@ -20,9 +20,17 @@
 class PlatformServers(PooledServers):
     """Sends schedulings to executors."""
 
-    def __init__(self, nursery: trio.Nursery, pool: ConnectionPool,
-                 inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
-                 counters: Counters, log: Log, has_load: bool) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        pool: ConnectionPool,
+        inbox: trio.MemorySendChannel[ports.Message],
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+        has_load: bool,
+    ) -> None:
         super().__init__(nursery, pool, inbox, clock, limits, counters, log)
         self.has_load = has_load
         self.sending: dict[Scheduling, trio.CancelScope] = {}  # until their answer has come
@@ -30,7 +38,8 @@
     def start(self, scheduling: Scheduling) -> None:
         """Send an attempt."""
         scope = trio.CancelScope(
-            deadline=self.clock.to_trio(scheduling.deadline_us) + self.limits.late_answer)
+            deadline=self.clock.to_trio(scheduling.deadline_us) + self.limits.late_answer
+        )
         if self.spawn(self._send, scheduling, scope):
             self.sending[scheduling] = scope
         else:
@@ -49,14 +58,22 @@
 
     def recall(self, scheduling: Scheduling) -> None:
         """Tell at once that it can't be: this wire does not say whether a deleted job had started."""
-        self.nursery.start_soon(self.post, ports.SchedulingRecalled(
-            scheduling.spec.name, scheduling.server, False))
+        self.nursery.start_soon(
+            self.post, ports.SchedulingRecalled(scheduling.spec.name, scheduling.server, False)
+        )
 
     def control(self, scheduling: Scheduling, action: str) -> None:
         """Tell at once that this wire has no word for it."""
-        self.nursery.start_soon(self.post, ports.SchedulingControlled(
-            scheduling.spec.name, scheduling.server, action, "UnsupportedOperationException",
-            "the real server has no such operation"))
+        self.nursery.start_soon(
+            self.post,
+            ports.SchedulingControlled(
+                scheduling.spec.name,
+                scheduling.server,
+                action,
+                "UnsupportedOperationException",
+                "the real server has no such operation",
+            ),
+        )
 
     def probe(self, server: str) -> None:
         """Ask a real server for its load."""
@@ -85,8 +102,12 @@
         elif isinstance(reply, Outcome):
             await self.ended(scheduling, reply)
         elif reply is not None and (outcome := outcome_of(reply)) is not None:
-            await self.ended(scheduling, outcome, words.load_from(reply.headers.get("x-server-load", "")),
-                             unfit=400 <= reply.status < 500)
+            await self.ended(
+                scheduling,
+                outcome,
+                words.load_from(reply.headers.get("x-server-load", "")),
+                unfit=400 <= reply.status < 500,
+            )
 
     async def _delete(self, scheduling: Scheduling) -> None:
         with trio.move_on_after(self.limits.cancel_exchange):
--- a/merlinbay/platform/words.py
+++ b/merlinbay/platform/words.py
@@ -14,8 +14,14 @@
 NAME = re.compile(r"[A-Za-z0-9._~-]{1,64}")
 REPEAT_KEY = re.compile(r"[!-~]{0,255}")
 DIGITS = re.compile(r"[0-9]{1,7}")
-LOAD_NAMES = {"eps": "err_rps", "inflight": "active", "queue": "waiting", "util": "cpu", "qps": "rps",
-              "latency_ms": "avg_ms"}
+LOAD_NAMES = {
+    "eps": "err_rps",
+    "inflight": "active",
+    "queue": "waiting",
+    "util": "cpu",
+    "qps": "rps",
+    "latency_ms": "avg_ms",
+}
 
 
 class BadRequest(Exception):
@@ -63,8 +69,12 @@
 
     An unknown state counts as draining: nothing new goes there. So does an entry without an address.
     """
-    return [ServiceEntry(row.id, row.addr, row.zone, row.kind, row.cell, state(row), row.weight,
-                         row.started_ms * 1000) for row in listing.servers]
+    return [
+        ServiceEntry(
+            row.id, row.addr, row.zone, row.kind, row.cell, state(row), row.weight, row.started_ms * 1000
+        )
+        for row in listing.servers
+    ]
 
 
 def state(row: Row) -> str:
@@ -75,8 +85,11 @@
 
 def odd(listing: Listing) -> list[str]:
     """Return the entries with an unknown state or, while they are up, no address, one text each."""
-    return [f"{row.id}: state {row.state!r}, address {row.addr!r}" for row in listing.servers
-            if STATES.get(row.state) != state(row)]
+    return [
+        f"{row.id}: state {row.state!r}, address {row.addr!r}"
+        for row in listing.servers
+        if STATES.get(row.state) != state(row)
+    ]
 
 
 def result_bytes(result: Any) -> bytes:
@@ -131,8 +144,17 @@
     if not 0 <= slots < 1e6 or not 0 <= memory < 1e9:
         raise BadRequest("x-attrs")
     return JobSpec(
-        name=name, job_class=headers.get("x-priority-class") or path.strip("/").partition("/")[0],
-        arrived_us=now_us, budget_us=budget_ms * 1000, target=target, body=body,
-        repeat_key=headers.get("idempotency-key", ""), key=headers.get("x-route-key", ""),
-        tenant=headers.get("x-tenant-id", ""), slots=slots, memory=memory, hint_us=hint,
-        retried=headers.get("x-retried") == "1")
+        name=name,
+        job_class=headers.get("x-priority-class") or path.strip("/").partition("/")[0],
+        arrived_us=now_us,
+        budget_us=budget_ms * 1000,
+        target=target,
+        body=body,
+        repeat_key=headers.get("idempotency-key", ""),
+        key=headers.get("x-route-key", ""),
+        tenant=headers.get("x-tenant-id", ""),
+        slots=slots,
+        memory=memory,
+        hint_us=hint,
+        retried=headers.get("x-retried") == "1",
+    )
--- a/merlinbay/reserve/book.py
+++ b/merlinbay/reserve/book.py
@@ -94,8 +94,13 @@
 class SlotBook:
     """All reservations. ``changed`` is called with each one that something happens to, and what that is."""
 
-    def __init__(self, bounds: Bounds, timers: Timers, new_id: Callable[[], str],
-                 changed: Callable[[Reservation, str], None]) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        timers: Timers,
+        new_id: Callable[[], str],
+        changed: Callable[[Reservation, str], None],
+    ) -> None:
         self.bounds, self.timers, self.new_id, self.changed = bounds, timers, new_id, changed
         self.servers: dict[str, Server] = {}
         self.all: dict[str, Reservation] = {}
@@ -149,9 +154,13 @@
     def _rooms(self, start: int, end: int, machines: Iterable[str]) -> list[tuple[str, int]]:
         """Return servers with room for all of a window, the roomiest first."""
         wanted = set(machines)
-        found = [(name, room) for name, server in self.servers.items()
-                 if server.up and (not wanted or name in wanted)
-                 and (room := server.slots - server.line.most(start, end)) > 0]
+        found = [
+            (name, room)
+            for name, server in self.servers.items()
+            if server.up
+            and (not wanted or name in wanted)
+            and (room := server.slots - server.line.most(start, end)) > 0
+        ]
         return sorted(found, key=lambda pair: (-pair[1], pair[0]))
 
     def _some_rooms(self, start: int, end: int, machines: tuple[str, ...]) -> Iterator[tuple[str, int]]:
@@ -159,7 +168,8 @@
         # Guards against a server with thousands of reservations that drains: to look for the roomiest
         # place for each would hold up everything else for seconds.
         names = [name for name in machines if name in self.servers] or (
-            [] if machines else list(self.servers))
+            [] if machines else list(self.servers)
+        )
         self.turn += 1
         for place in range(len(names)):
             name = names[(self.turn + place) % len(names)]
@@ -195,8 +205,9 @@
                 left -= min(room, left)
         self.all[found.id] = found
         self.open += 1
-        found.timer = self.timers.at(max(start - self.bounds.lead_us, now_us),
-                                     lambda now: self._come(found, now))
+        found.timer = self.timers.at(
+            max(start - self.bounds.lead_us, now_us), lambda now: self._come(found, now)
+        )
         return found
 
     def _window(self, wish: Wish, now_us: int) -> tuple[int, int, int]:
@@ -215,8 +226,10 @@
         if length <= 0 or latest < begin:
             raise invalid_argument("startTime, endTime and duration leave no window")
         if length > self.bounds.length_us or begin > now_us + self.bounds.ahead_us:
-            raise invalid_argument(f"a window begins within {self.bounds.ahead_us // 1_000_000} s and lasts "
-                                   f"{self.bounds.length_us // 1_000_000} s at the most")
+            raise invalid_argument(
+                f"a window begins within {self.bounds.ahead_us // 1_000_000} s and lasts "
+                f"{self.bounds.length_us // 1_000_000} s at the most"
+            )
         return begin, min(latest, now_us + self.bounds.ahead_us), length
 
     def _starts(self, begin: int, latest: int, length: int, machines: Iterable[str]) -> list[int]:
@@ -224,8 +237,12 @@
         if latest == begin:
             return [begin]
         wanted = set(machines)
-        moments = {moment for name, server in self.servers.items() if not wanted or name in wanted
-                   for moment in server.line.ends(begin, latest + 1)}
+        moments = {
+            moment
+            for name, server in self.servers.items()
+            if not wanted or name in wanted
+            for moment in server.line.ends(begin, latest + 1)
+        }
         return [begin, *sorted(moments)[:TRIES]]
 
     def extend(self, found: Reservation, end_us: int, now_us: int) -> None:
--- a/merlinbay/reserve/settings.py
+++ b/merlinbay/reserve/settings.py
@@ -26,8 +26,14 @@
 
     def bounds(self) -> Bounds:
         """Return what the book is bound by."""
-        return Bounds(self.most, self.share, int(self.ahead * 1e6), int(self.length * 1e6),
-                      int(self.unused * 1e6), int(self.lead * 1e6))
+        return Bounds(
+            self.most,
+            self.share,
+            int(self.ahead * 1e6),
+            int(self.length * 1e6),
+            int(self.unused * 1e6),
+            int(self.lead * 1e6),
+        )
 
     def slots_of(self, kind: str) -> int:
         """Return the slots of a real server of a kind; 0: none may be reserved there."""
--- a/merlinbay/rig/run.py
+++ b/merlinbay/rig/run.py
@@ -262,8 +262,11 @@
     def _lie(self, names: list[str]) -> None:
         """Tell every node, under a good key, that some are dead: far ahead, and absurdly far."""
         keys = wire.Keys.load(str(self.keys))
-        claims = [{"n": name, "h": int(Health.DEAD), "i": number, "b": "n0"}
-                  for name in names for number in (1 << 50, MOST_INT)]
+        claims = [
+            {"n": name, "h": int(Health.DEAD), "i": number, "b": "n0"}
+            for name in names
+            for number in (1 << 50, MOST_INT)
+        ]
         data = wire.seal(keys, self.folder.name, {"k": "news", "c": claims})
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             for addr in self.real:
--- a/merlinbay/simhost.py
+++ b/merlinbay/simhost.py
@@ -58,24 +58,45 @@
     entries = []
     for row in line.rows if isinstance(line.rows, list) else []:
         if isinstance(row, dict) and isinstance(row.get("worker"), str):
-            entries.append(api.WorkerEntry(
-                worker=row["worker"], zone=str_of(row.get("locality")), kind=str_of(row.get("hw")),
-                cell=int_of(row.get("pack")), state=str_of(row.get("state")) or "up",
-                share=num_of(row.get("share"), 1.0), ready_at_us=int_of(row.get("readyAtUs"))))
+            entries.append(
+                api.WorkerEntry(
+                    worker=row["worker"],
+                    zone=str_of(row.get("locality")),
+                    kind=str_of(row.get("hw")),
+                    cell=int_of(row.get("pack")),
+                    state=str_of(row.get("state")) or "up",
+                    share=num_of(row.get("share"), 1.0),
+                    ready_at_us=int_of(row.get("readyAtUs")),
+                )
+            )
     return api.ListChanged(str_of(line.scope), entries)
 
 
 def _job_arrived(line: Wire) -> api.JobArrived:
     attrs = line.attrs or 0
     return api.JobArrived(
-        line.msgId, line.tierClass, int_of(line.timeBudgetUs), num_of(line.needs, 1.0), num_of(line.ramUnits),
-        line.key or "", line.team if isinstance(line.team, str) else "", bool(attrs & 2),
-        int_of(line.costUs) if attrs & 1 else 0)
+        line.msgId,
+        line.tierClass,
+        int_of(line.timeBudgetUs),
+        num_of(line.needs, 1.0),
+        num_of(line.ramUnits),
+        line.key or "",
+        line.team if isinstance(line.team, str) else "",
+        bool(attrs & 2),
+        int_of(line.costUs) if attrs & 1 else 0,
+    )
 
 
 def _ended(line: Wire) -> api.AttemptEnded:
-    return api.AttemptEnded(line.msgId, line.attempt, line.status, line.costTimeUs or 0, line.last is True,
-                            line.gauge if isinstance(line.gauge, list) else None, line.worker or "")
+    return api.AttemptEnded(
+        line.msgId,
+        line.attempt,
+        line.status,
+        line.costTimeUs or 0,
+        line.last is True,
+        line.gauge if isinstance(line.gauge, list) else None,
+        line.worker or "",
+    )
 
 
 def _update(line: Wire) -> api.Event | None:
@@ -92,8 +113,11 @@
     "Withdrawn": lambda line: api.JobWithdrawn(line.msgId),
     "Flowing": lambda line: api.StreamStarted(line.msgId, line.attempt),
     "PingResult": lambda line: api.ProbeEnded(
-        str_of(line.worker), int_of(line.status), int_of(line.costTimeUs),
-        line.gauge if isinstance(line.gauge, list) else None),
+        str_of(line.worker),
+        int_of(line.status),
+        int_of(line.costTimeUs),
+        line.gauge if isinstance(line.gauge, list) else None,
+    ),
     "Reminder": lambda line: api.TimerFired(str_of(line.ref)),
     "Mail": lambda line: api.PeerMessage(int_of(line.sender), bytes.fromhex(str_of(line.body))),
 }
--- a/merlinbay/site_settings.py
+++ b/merlinbay/site_settings.py
@@ -57,24 +57,26 @@
     classes = []
     for i, row in enumerate(rows):
         at = f"classes[{i}]"
-        classes.append(api.JobClass(
-            name=get_of(row, f"{at}.name", str),
-            aim_us=int(get_of(row, f"{at}.aimUs", NUMBER)),
-            deadline_us=int(get_of(row, f"{at}.deadlineUs", NUMBER)),
-            worth=float(get_of(row, f"{at}.worth", NUMBER)),
-            effect=get_of(row, f"{at}.effect", str),
-            group=get_of(row, f"{at}.group", str, "all"),
-            window_us=int(get_of(row, f"{at}.windowUs", NUMBER, 0)),
-            late_worth=float(get_of(row, f"{at}.lateWorth", NUMBER, 0.0)),
-            stretch=per_class("classStretch", i, num_of(get_of(row, f"{at}.aimStretch", NUMBER, 0.0))),
-            kind=int(per_class("classKind", i, -1)),
-            priority=int(per_class("classPriority", i, 0)),
-            stream=get_of(row, f"{at}.stream", bool, False)))
+        classes.append(
+            api.JobClass(
+                name=get_of(row, f"{at}.name", str),
+                aim_us=int(get_of(row, f"{at}.aimUs", NUMBER)),
+                deadline_us=int(get_of(row, f"{at}.deadlineUs", NUMBER)),
+                worth=float(get_of(row, f"{at}.worth", NUMBER)),
+                effect=get_of(row, f"{at}.effect", str),
+                group=get_of(row, f"{at}.group", str, "all"),
+                window_us=int(get_of(row, f"{at}.windowUs", NUMBER, 0)),
+                late_worth=float(get_of(row, f"{at}.lateWorth", NUMBER, 0.0)),
+                stretch=per_class("classStretch", i, num_of(get_of(row, f"{at}.aimStretch", NUMBER, 0.0))),
+                kind=int(per_class("classKind", i, -1)),
+                priority=int(per_class("classPriority", i, 0)),
+                stream=get_of(row, f"{at}.stream", bool, False),
+            )
+        )
     fields = [str_of(name) for name in get_of(report, "report.fields", list, [])]
 
     def meaning(text: str) -> str:
-        return next((x for x in ("x0", "x1") if x in fields
-                     and extra.get(f"reportX{x[1]}") == text), "")
+        return next((x for x in ("x0", "x1") if x in fields and extra.get(f"reportX{x[1]}") == text), "")
 
     return api.Settings(
         classes=classes,
@@ -88,7 +90,8 @@
             retry_after=get_of(limits, "limits.retryAfter", bool, False),
             second_copies=get_of(limits, "limits.secondCopies", bool, False),
             send_cap=get_of(limits, "limits.sendCap", int),
-            max_retry_after_us=int(get_of(limits, "limits.maxRetryAfterUs", NUMBER, 0))),
+            max_retry_after_us=int(get_of(limits, "limits.maxRetryAfterUs", NUMBER, 0)),
+        ),
         safety=api.Safety(
             drain_grace_us=int(get_of(safety, "safety.drainGraceUs", NUMBER)),
             cold_from=float(get_of(safety, "safety.coldFrom", NUMBER)),
@@ -96,12 +99,17 @@
             tip_multiple=float(get_of(safety, "safety.tipMultiple", NUMBER)),
             overload_for_us=int(get_of(safety, "safety.overloadForUs", NUMBER)),
             answer_slack_us=int(get_of(safety, "safety.answerSlackUs", NUMBER, 0)),
-            must_ask_in_us=int(get_of(safety, "safety.mustAskInUs", NUMBER, 0))),
+            must_ask_in_us=int(get_of(safety, "safety.mustAskInUs", NUMBER, 0)),
+        ),
         kinds=[str_of(name) for name in get_of(conf, "kinds", list, [])],
-        tenants=[api.Tenant(get_of(row, "tenants[].name", str),
-                            float(get_of(row, "tenants[].quotaPerS", NUMBER)),
-                            float(get_of(row, "tenants[].share", NUMBER, 1.0)))
-                 for row in get_of(conf, "tenants", list, [])],
+        tenants=[
+            api.Tenant(
+                get_of(row, "tenants[].name", str),
+                float(get_of(row, "tenants[].quotaPerS", NUMBER)),
+                float(get_of(row, "tenants[].share", NUMBER, 1.0)),
+            )
+            for row in get_of(conf, "tenants", list, [])
+        ],
         over_share_worth=float(get_of(conf, "overShareWorth", NUMBER, 1.0)),
         report_fields=fields if report.get("how") != "off" else [],
         errors_field="err_rps" if "err_rps" in fields else "",
@@ -115,4 +123,5 @@
         asks_first=get_of(report, "report.how", str, "") == "on_probe",
         probe_price=float(get_of(prices, "prices.probe", NUMBER, 0.0)),
         worth_by_work=get_of(conf, "worthBy", str, "") == "work",
-        cross_zone_price=float(get_of(prices, "prices.crossZone", NUMBER, 0.0)))
+        cross_zone_price=float(get_of(prices, "prices.crossZone", NUMBER, 0.0)),
+    )
--- a/merlinbay/store/engine.py
+++ b/merlinbay/store/engine.py
@@ -86,8 +86,12 @@
         if known == 0:
             self.db.executescript(f"BEGIN; {SCHEMA} PRAGMA user_version={FORMAT}; COMMIT;")
         row = self.db.execute("SELECT number, checksum FROM records ORDER BY number DESC LIMIT 1").fetchone()
-        found = row or self.db.execute(
-            "SELECT number, checksum FROM snapshots ORDER BY number DESC LIMIT 1").fetchone()
+        found = (
+            row
+            or self.db.execute(
+                "SELECT number, checksum FROM snapshots ORDER BY number DESC LIMIT 1"
+            ).fetchone()
+        )
         if found is not None:
             self.last, self.checksum = found[0], int.from_bytes(found[1], "big")
 
@@ -97,8 +101,10 @@
         try:
             self.db.execute("BEGIN IMMEDIATE")
             try:
-                self.db.executemany("INSERT INTO records VALUES (?, ?, ?, ?)", [
-                    (one.number, one.version, one.body, _bytes(one.checksum)) for one in made])
+                self.db.executemany(
+                    "INSERT INTO records VALUES (?, ?, ?, ?)",
+                    [(one.number, one.version, one.body, _bytes(one.checksum)) for one in made],
+                )
                 self.db.execute("COMMIT")
             except BaseException:
                 if self.db.in_transaction:
@@ -144,8 +150,11 @@
     def _rows(self, after: int) -> Iterator[Record]:
         while True:
             try:
-                rows = self.db.execute("SELECT number, version, body, checksum FROM records WHERE number > ?"
-                                       " ORDER BY number LIMIT ?", (after, PART)).fetchall()
+                rows = self.db.execute(
+                    "SELECT number, version, body, checksum FROM records WHERE number > ?"
+                    " ORDER BY number LIMIT ?",
+                    (after, PART),
+                ).fetchall()
             except sqlite3.OperationalError as error:
                 raise Unstored(str(error)) from None
             except sqlite3.DatabaseError as error:
@@ -159,15 +168,20 @@
     def snapshots(self) -> list[Snapshot]:
         """Return the snapshots that are as they were written, the latest first."""
         rows = self.db.execute("SELECT number, checksum, body, own FROM snapshots ORDER BY number DESC")
-        return [Snapshot(number, int.from_bytes(before, "big"), body) for number, before, body, own in rows
-                if own_of(int.from_bytes(before, "big"), number, 0, body) == int.from_bytes(own, "big")]
+        return [
+            Snapshot(number, int.from_bytes(before, "big"), body)
+            for number, before, body, own in rows
+            if own_of(int.from_bytes(before, "big"), number, 0, body) == int.from_bytes(own, "big")
+        ]
 
     def snapshot(self, body: bytes) -> None:
         """Keep the state after the last record; the one before the last stays too. Raises ``Unstored``."""
         own = own_of(self.checksum, self.last, 0, body)
         try:
-            self.db.execute("INSERT OR REPLACE INTO snapshots VALUES (?, ?, ?, ?)",
-                            (self.last, _bytes(self.checksum), body, _bytes(own)))
+            self.db.execute(
+                "INSERT OR REPLACE INTO snapshots VALUES (?, ?, ?, ?)",
+                (self.last, _bytes(self.checksum), body, _bytes(own)),
+            )
         except sqlite3.Error as error:
             raise Unstored(str(error)) from None
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -27,15 +27,41 @@
 LIMITS = Limits()
 ROOT = Path(__file__).parent.parent
 CONF: dict[str, Any] = {
-    "balancers": 1, "me": 0, "az": "hall-a", "kinds": ["k"], "discovery": "subscribe",
-    "classes": [{"name": "admit", "aimUs": 120000, "deadlineUs": 3000000, "worth": 1.0, "effect": "by_key",
-                 "group": "cell", "windowUs": 7500000}],
-    "limits": {"cancelling": True, "secondCopies": True, "sendCap": 5, "retryAfter": True,
-               "maxRetryAfterUs": 2000000, "probes": True},
+    "balancers": 1,
+    "me": 0,
+    "az": "hall-a",
+    "kinds": ["k"],
+    "discovery": "subscribe",
+    "classes": [
+        {
+            "name": "admit",
+            "aimUs": 120000,
+            "deadlineUs": 3000000,
+            "worth": 1.0,
+            "effect": "by_key",
+            "group": "cell",
+            "windowUs": 7500000,
+        }
+    ],
+    "limits": {
+        "cancelling": True,
+        "secondCopies": True,
+        "sendCap": 5,
+        "retryAfter": True,
+        "maxRetryAfterUs": 2000000,
+        "probes": True,
+    },
     "report": {"how": "inline", "fields": ["err_rps", "active", "x0", "x1"]},
     "extra": {"tellsStart": True, "reportX0": "free slots", "reportX1": "free memory"},
-    "safety": {"drainGraceUs": 500000, "coldFrom": 0.31, "coldUs": 9000000, "tipMultiple": 3.0,
-               "overloadForUs": 2000000, "mustAskInUs": 10000000}}
+    "safety": {
+        "drainGraceUs": 500000,
+        "coldFrom": 0.31,
+        "coldUs": 9000000,
+        "tipMultiple": 3.0,
+        "overloadForUs": 2000000,
+        "mustAskInUs": 10000000,
+    },
+}
 LOAD = {"inflight": 0, "x0": 4, "x1": 4, "eps": 0}
 
 
@@ -108,8 +134,14 @@
 
     async def notify(self, job: str, state: str, **info: object) -> int:
         """Make a DRMAA notification; return its status."""
-        note = {"event": "NEW_STATE", "sessionName": self.name, "jobId": f"id-{job}", "jobName": job,
-                "jobState": state, "jobInfo": {"jobId": f"id-{job}", "jobState": state, **info}}
+        note = {
+            "event": "NEW_STATE",
+            "sessionName": self.name,
+            "jobId": f"id-{job}",
+            "jobName": job,
+            "jobState": state,
+            "jobInfo": {"jobId": f"id-{job}", "jobState": state, **info},
+        }
         return (await self.stage.json("POST", "/drmaa2/notifications", note))[0]
 
     async def tell(self, job: str, state: str, **more: object) -> int:
@@ -155,8 +187,19 @@
         server = StandIn(self, name, play)
         self.servers.append(server)
         self.nursery.start_soon(server.listen)
-        self.rows.append({"id": name, "addr": server.addr, "zone": "hall-a", "kind": "k", "cell": cell,
-                          "state": "SERVING", "weight": 1.0, "started_ms": 0, **row})
+        self.rows.append(
+            {
+                "id": name,
+                "addr": server.addr,
+                "zone": "hall-a",
+                "kind": "k",
+                "cell": cell,
+                "state": "SERVING",
+                "weight": 1.0,
+                "started_ms": 0,
+                **row,
+            }
+        )
         return server
 
     def stand(self, name: str) -> StandIn:
@@ -177,8 +220,9 @@
         if f"after={self.version}&" in request.target:
             with trio.move_on_after(0.5):
                 await self.changed.wait()
-        return Response(200, json.dumps(
-            {"version": self.version, "full": True, "servers": self.rows}).encode())
+        return Response(
+            200, json.dumps({"version": self.version, "full": True, "servers": self.rows}).encode()
+        )
 
     def configure(self, **conf: object) -> dict[str, str]:
         """Write the node's configuration; return its environment."""
@@ -191,19 +235,32 @@
         """Write the configuration file, again where there is one; return the node's environment."""
         path, operator = self.folder / "config.json", self.folder / "operator.toml"
         operator.write_text(self.operator)
-        path.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.2:{self.port}", "discovery": discovery, "seed": "2a",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
-            "known": {"version": 0, "full": True, "servers": self.rows}, "settings": self.settings}))
-        return {"LB_CONFIG": str(path), "LB_OPERATOR": str(operator) if self.operator else "",
-                "LB_ADMIN_ADDR": f"127.0.0.2:{self.desk}" if self.desk else ""}
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"127.0.0.2:{self.port}",
+                    "discovery": discovery,
+                    "seed": "2a",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+                    "known": {"version": 0, "full": True, "servers": self.rows},
+                    "settings": self.settings,
+                }
+            )
+        )
+        return {
+            "LB_CONFIG": str(path),
+            "LB_OPERATOR": str(operator) if self.operator else "",
+            "LB_ADMIN_ADDR": f"127.0.0.2:{self.desk}" if self.desk else "",
+        }
 
     async def start(self, program: bool = False, **conf: object) -> None:
         """Start the node, in this process or as the program, and wait until it is ready."""
         environ = self.configure(**conf)
         if program:
             self.process = await trio.lowlevel.open_process(
-                [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, env={**os.environ, **environ})
+                [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, env={**os.environ, **environ}
+            )
         else:
             self.nursery.start_soon(run, load(environ), self.counters)
         with trio.fail_after(15):
@@ -214,8 +271,9 @@
                 except Exception:
                     await trio.sleep(0.02)
 
-    async def call(self, method: str, target: str, headers: list[tuple[str, str]] | None = None,
-                   body: bytes = b"") -> Reply:
+    async def call(
+        self, method: str, target: str, headers: list[tuple[str, str]] | None = None, body: bytes = b""
+    ) -> Reply:
         """Have one exchange with the node on a new connection."""
         connection = await ClientConnection.dial(f"127.0.0.2:{self.port}", LIMITS)
         try:
@@ -243,8 +301,12 @@
 
 def admission(job: str, timeout_ms: int = 2000) -> list[tuple[str, str]]:
     """Return a job's headers."""
-    return [("X-Request-ID", job), ("X-Priority-Class", "admit"), ("X-Timeout-Ms", str(timeout_ms)),
-            ("Idempotency-Key", f"key-{job}")]
+    return [
+        ("X-Request-ID", job),
+        ("X-Priority-Class", "admit"),
+        ("X-Timeout-Ms", str(timeout_ms)),
+        ("Idempotency-Key", f"key-{job}"),
+    ]
 
 
 @asynccontextmanager
--- a/tests/support.py
+++ b/tests/support.py
@@ -24,15 +24,30 @@
 def settings(**changes: object) -> api.Settings:
     """Return settings with one class of each kind of effect."""
     base: dict[str, object] = dict(
-        classes=[api.JobClass("safe", 100_000, 5_000_000, worth=5.0, stretch=2.0),
-                 api.JobClass("keyed", 250_000, 10_000_000, effect="by_key", group="cell",
-                              window_us=3_000_000, stretch=2.0),
-                 api.JobClass("unsafe", 400_000, 8_000_000, effect="once", stretch=2.0)],
-        balancers=4, zone="a", kinds=["k1", "k2"], tells_start=True, cross_zone_price=0.01,
-        report_fields=["active", "x0"], free_slots_field="x0",
+        classes=[
+            api.JobClass("safe", 100_000, 5_000_000, worth=5.0, stretch=2.0),
+            api.JobClass(
+                "keyed", 250_000, 10_000_000, effect="by_key", group="cell", window_us=3_000_000, stretch=2.0
+            ),
+            api.JobClass("unsafe", 400_000, 8_000_000, effect="once", stretch=2.0),
+        ],
+        balancers=4,
+        zone="a",
+        kinds=["k1", "k2"],
+        tells_start=True,
+        cross_zone_price=0.01,
+        report_fields=["active", "x0"],
+        free_slots_field="x0",
         limits=api.Limits(cancelling=True, second_copies=True, send_cap=4, retry_after=True),
-        safety=api.Safety(drain_grace_us=250_000, cold_from=0.3, cold_us=9_000_000, tip_multiple=3.0,
-                          overload_for_us=2_000_000, answer_slack_us=16_000))
+        safety=api.Safety(
+            drain_grace_us=250_000,
+            cold_from=0.3,
+            cold_us=9_000_000,
+            tip_multiple=3.0,
+            overload_for_us=2_000_000,
+            answer_slack_us=16_000,
+        ),
+    )
     return api.Settings(**{**base, **changes})  # type: ignore[arg-type]
 
 
@@ -133,8 +148,11 @@
                 return
             job.over = True
             unsure = any(sent.outcome not in NEVER for sent in job.attempts)
-            if isinstance(action, api.Refuse) and unsure and (
-                    job.cls.effect == "once" or (job.cls.effect == "by_key" and job.cls.group != "all")):
+            if (
+                isinstance(action, api.Refuse)
+                and unsure
+                and (job.cls.effect == "once" or (job.cls.effect == "by_key" and job.cls.group != "all"))
+            ):
                 self.broken.append("2: refused though it may have run")
         elif isinstance(action, api.Cancel):
             assert action.attempt < len(self.jobs[action.id].attempts), "cancelled an attempt never sent"
@@ -195,14 +213,22 @@
             self.timers = [(at, token) for at, token in self.timers if at > self.now]
             for number, job in self.jobs.items():
                 if job.at + job.event.budget_us <= self.now:
-                    events += [api.AttemptEnded(number, i, 4, self.now - sent.at, job.over, None, sent.worker)
-                               for i, sent in enumerate(job.attempts) if not sent.outcome]
+                    events += [
+                        api.AttemptEnded(number, i, 4, self.now - sent.at, job.over, None, sent.worker)
+                        for i, sent in enumerate(job.attempts)
+                        if not sent.outcome
+                    ]
             if not events:
                 break
             called_off = [(a.id, a.attempt) for a in self.give(*events) if isinstance(a, api.Cancel)]
             if called_off:  # as the owner does at once: they have ended as cancelled
-                self.give(*(api.AttemptEnded(job, attempt, 7, 1, self.jobs[job].over)
-                            for job, attempt in called_off if not self.jobs[job].attempts[attempt].outcome))
+                self.give(
+                    *(
+                        api.AttemptEnded(job, attempt, 7, 1, self.jobs[job].over)
+                        for job, attempt in called_off
+                        if not self.jobs[job].attempts[attempt].outcome
+                    )
+                )
         self.now = end
 
     def finish(self) -> None:
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -33,16 +33,24 @@
 from tests.test_front import Scheduler
 
 NOW_S = 1_800_000_000
-RING = Ring([Key("new", base64.b64encode(b"n" * 32).decode()),
-             Key("old", base64.b64encode(b"o" * 32).decode(), NOW_S + 100),
-             Key("ended", base64.b64encode(b"e" * 32).decode(), NOW_S - 1)])
+RING = Ring(
+    [
+        Key("new", base64.b64encode(b"n" * 32).decode()),
+        Key("old", base64.b64encode(b"o" * 32).decode(), NOW_S + 100),
+        Key("ended", base64.b64encode(b"e" * 32).decode(), NOW_S - 1),
+    ]
+)
 
 
 def made(key: int = 0, **changes: Any) -> str:
     """Return a token; a claim of None is left out."""
     claims = {"sub": "a", "aud": "merlinbay", "exp": NOW_S + 50, "scope": "submit monitor", **changes}
-    return jwt.encode({name: value for name, value in claims.items() if value is not None},
-                      RING.keys[key].raw(), algorithm="HS256", headers={"kid": RING.keys[key].kid})
+    return jwt.encode(
+        {name: value for name, value in claims.items() if value is not None},
+        RING.keys[key].raw(),
+        algorithm="HS256",
+        headers={"kid": RING.keys[key].kid},
+    )
 
 
 def ask(token: str, at_s: float = NOW_S, ring: Ring = RING) -> Grant:
@@ -58,18 +66,42 @@
     assert ask(tokens.issue(RING, "b", [Scope.CONTROL], 9, NOW_S)).scopes == {Scope.CONTROL}
 
 
-NONE_TOKEN = jwt.encode({"sub": "a", "aud": "merlinbay", "exp": NOW_S + 50, "scope": "submit"}, "",
-                        algorithm="none", headers={"kid": "new"})
-
-
-@pytest.mark.parametrize("token", [
-    made(exp=NOW_S), made(2), made(scope="root"), made(scope=None), made(exp=None), made(sub=""),
-    made(sub=3),
-    made(aud="other"), made(aud=None), made(exp="x"), made(exp=2**50), made(exp=True), NONE_TOKEN, "",
-    "a.b.c",
-    "x" * 5000, made()[:-3] + "AAA", made().rpartition(".")[0] + ".",
-    jwt.encode({"sub": "a", "aud": "merlinbay", "exp": NOW_S + 50, "scope": "submit"}, b"o" * 32,
-               headers={"kid": "new"})])
+NONE_TOKEN = jwt.encode(
+    {"sub": "a", "aud": "merlinbay", "exp": NOW_S + 50, "scope": "submit"},
+    "",
+    algorithm="none",
+    headers={"kid": "new"},
+)
+
+
+@pytest.mark.parametrize(
+    "token",
+    [
+        made(exp=NOW_S),
+        made(2),
+        made(scope="root"),
+        made(scope=None),
+        made(exp=None),
+        made(sub=""),
+        made(sub=3),
+        made(aud="other"),
+        made(aud=None),
+        made(exp="x"),
+        made(exp=2**50),
+        made(exp=True),
+        NONE_TOKEN,
+        "",
+        "a.b.c",
+        "x" * 5000,
+        made()[:-3] + "AAA",
+        made().rpartition(".")[0] + ".",
+        jwt.encode(
+            {"sub": "a", "aud": "merlinbay", "exp": NOW_S + 50, "scope": "submit"},
+            b"o" * 32,
+            headers={"kid": "new"},
+        ),
+    ],
+)
 def test_a_bad_token_grants_nothing_and_is_not_told_why(token: str) -> None:
     """Ended, of another key, unsigned, of another audience, without a claim: one answer for all."""
     with pytest.raises(DrmaaError) as found:
@@ -100,16 +132,24 @@
     with pytest.raises(DrmaaError):
         gate.grant(heads, NOW_S * 10**6)
     for number in range(tokens.CACHED + 9):
-        gate.grant({"authorization": "Bearer " + tokens.issue(gate.ring, f"a{number}", [], 9, NOW_S)},
-                   NOW_S * 10**6)
+        gate.grant(
+            {"authorization": "Bearer " + tokens.issue(gate.ring, f"a{number}", [], 9, NOW_S)}, NOW_S * 10**6
+        )
     assert len(gate.cache) == tokens.CACHED
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("", "truncated"), ("{}", "keys"), ('{"keys":[]}', "no key"),
-    ('{"keys":[{"kid":"a","secret":"!"}]}', "base64"),
-    ('{"keys":[{"kid":"a","secret":"YWJj"}]}', "less than"),
-    ('{"keys":[{"kid":"a"}]}', "secret"), ('{"keys":[],"more":1}', "more")])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("", "truncated"),
+        ("{}", "keys"),
+        ('{"keys":[]}', "no key"),
+        ('{"keys":[{"kid":"a","secret":"!"}]}', "base64"),
+        ('{"keys":[{"kid":"a","secret":"YWJj"}]}', "less than"),
+        ('{"keys":[{"kid":"a"}]}', "secret"),
+        ('{"keys":[],"more":1}', "more"),
+    ],
+)
 def test_a_ring_that_cannot_be_used_is_named_in_one_line(text: str, says: str, tmp_path: Path) -> None:
     """With the file's name."""
     path = tmp_path / "keys.json"
@@ -140,14 +180,21 @@
     assert run(main, ["keys", "list", str(path)]).exit_code == 2
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("", "access: name the token keys"), ("access.open = true\naccess.keys = 'k'", "access.open"),
-    ("access.open = true\naccess.tls = '127.0.0.1:1'", "access.tls"),
-    ("access.open = true\naccess.client_ca = 'x'", "access.client_ca"),
-    ("access.open = true\naccess.tls = 'x'\naccess.certificate = 'c'\naccess.certificate_key = 'k'",
-     "access"),
-    ("access.open = true\nevents.to = ['10.0.0.1/8']", "events.to"),
-    ("access.open = true\nevents.to = ['10.0.0.0/8:x']", "events.to")])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("", "access: name the token keys"),
+        ("access.open = true\naccess.keys = 'k'", "access.open"),
+        ("access.open = true\naccess.tls = '127.0.0.1:1'", "access.tls"),
+        ("access.open = true\naccess.client_ca = 'x'", "access.client_ca"),
+        (
+            "access.open = true\naccess.tls = 'x'\naccess.certificate = 'c'\naccess.certificate_key = 'k'",
+            "access",
+        ),
+        ("access.open = true\nevents.to = ['10.0.0.1/8']", "events.to"),
+        ("access.open = true\nevents.to = ['10.0.0.0/8:x']", "events.to"),
+    ],
+)
 def test_the_operators_file_says_who_may_call(text: str, says: str, tmp_path: Path) -> None:
     """A front that nobody was said to be kept from does not start."""
     path = tmp_path / "o.toml"
@@ -166,20 +213,27 @@
 
 def scene(tmp_path: Path, body: Body, more: str = "") -> None:
     """Play with a front that wants tokens; ``body`` gets a call that bears one."""
+
     async def whole() -> None:
         async with stage(tmp_path) as s:
             ring, path = Ring([tokens.new_key()]), tmp_path / "keys.json"
             tokens.save(path, ring)
-            s.operator = (f"[drmaa]\nfront = true\nservers = true\n"
-                          f"access.keys = '{path}'\nevents.keep = 100\n"
-                          f"reservations.slots = {{ k = 4 }}\n{more}\n"
-                          "[[drmaa.session]]\nname = 'q'\nbacklog = true\n")
+            s.operator = (
+                f"[drmaa]\nfront = true\nservers = true\n"
+                f"access.keys = '{path}'\nevents.keep = 100\n"
+                f"reservations.slots = {{ k = 4 }}\n{more}\n"
+                "[[drmaa.session]]\nname = 'q'\nbacklog = true\n"
+            )
             s.add("s-1", Scheduler())
             await s.start()
 
             async def call(token: str, method: str, target: str, value: object = None) -> Reply:
-                return await s.call(method, target, [("authorization", f"Bearer {token}")],
-                                    b"" if value is None else json.dumps(value).encode())
+                return await s.call(
+                    method,
+                    target,
+                    [("authorization", f"Bearer {token}")],
+                    b"" if value is None else json.dumps(value).encode(),
+                )
 
             await body(s, call, ring)
 
@@ -193,31 +247,48 @@
 
 def test_nothing_leaks_of_anothers_job_not_even_that_it_is_there(tmp_path: Path) -> None:
     """Every call on it gets the bytes that it gets on a job that never was; lists and events leave it out."""
+
     async def body(s: Stage, call: Callable[..., Awaitable[Reply]], ring: Ring) -> None:
         ann, bob, all_of_them = (token_of(ring, name) for name in ("ann", "bob", "*"))
         job = json.loads((await call(ann, "POST", "/drmaa2/sessions/q/jobs", TEMPLATE)).body)["jobId"]
-        array = json.loads((await call(ann, "POST", "/drmaa2/sessions/q/arrays", {
-            **TEMPLATE, "beginIndex": 1, "endIndex": 3})).body)["jobArrayId"]
+        array = json.loads(
+            (
+                await call(
+                    ann, "POST", "/drmaa2/sessions/q/arrays", {**TEMPLATE, "beginIndex": 1, "endIndex": 3}
+                )
+            ).body
+        )["jobArrayId"]
         await call(ann, "POST", "/drmaa2/sessions", {"sessionName": "anns"})
         base, asked = "/drmaa2/sessions/q", 0
         for real in (job, f"{array}.2", array):
-            never = "f" * len(array) + real[len(array):]
+            never = "f" * len(array) + real[len(array) :]
             kind = "arrays" if real == array else "jobs"
-            verbs = [("GET", ""), ("DELETE", ""), *(("POST", f"/{verb}") for verb in (
-                "hold", "release", "suspend", "resume", "terminate", "reap"))]
+            verbs = [
+                ("GET", ""),
+                ("DELETE", ""),
+                *(
+                    ("POST", f"/{verb}")
+                    for verb in ("hold", "release", "suspend", "resume", "terminate", "reap")
+                ),
+            ]
             if kind == "jobs":
                 verbs += [("GET", f"/{verb}?timeout=0") for verb in ("wait", "waitStarted")]
             for method, verb in verbs:
-                one, other = [await call(bob, method, f"{base}/{kind}/{name}{verb}")
-                              for name in (real, never)]
+                one, other = [
+                    await call(bob, method, f"{base}/{kind}/{name}{verb}") for name in (real, never)
+                ]
                 assert one.status == other.status == 404
                 assert one.body == other.body.replace(never.encode(), real.encode())
                 asked += 1
         assert asked == 28
         any_of = {"jobIds": [job], "timeout": 0}
         assert (await call(bob, "POST", f"{base}/waitAnyTerminated", any_of)).status == 404
-        for path, name in (("sessions/q/jobs", "jobs"), ("sessions/q/arrays", "jobArrayIds"),
-                           ("monitor/jobs", "jobs"), ("sessions/q/events?timeout=0", "events")):
+        for path, name in (
+            ("sessions/q/jobs", "jobs"),
+            ("sessions/q/arrays", "jobArrayIds"),
+            ("monitor/jobs", "jobs"),
+            ("sessions/q/events?timeout=0", "events"),
+        ):
             path = f"/drmaa2/{path}"
             assert json.loads((await call(bob, "GET", path)).body)[name] == [], path
             assert json.loads((await call(ann, "GET", path)).body)[name] != [], path
@@ -228,8 +299,10 @@
         assert (await call(bob, "DELETE", "/drmaa2/sessions/q")).status == 403
         wish = {"reservationTemplate": {"duration": 60}}
         path = "/drmaa2/reservations"
-        theirs, anns = [json.loads((await call(who, "POST", path, wish)).body)["reservationId"]
-                        for who in (all_of_them, ann)]
+        theirs, anns = [
+            json.loads((await call(who, "POST", path, wish)).body)["reservationId"]
+            for who in (all_of_them, ann)
+        ]
         for name, status in ((anns, 404), (theirs, 403)):
             assert (await call(bob, "POST", f"/drmaa2/reservations/{name}/terminate")).status == status
         assert json.loads((await call(bob, "GET", "/drmaa2/reservations")).body)["reservationIds"] == [theirs]
@@ -245,6 +318,7 @@
 
 def test_scopes_and_strangers(tmp_path: Path) -> None:
     """A call without a token is nobody's (401), one beyond its scopes is denied (403), and both say so."""
+
     async def body(s: Stage, call: Callable[..., Awaitable[Reply]], ring: Ring) -> None:
         taken = await call(token_of(ring, "a"), "POST", "/drmaa2/sessions/q/jobs", TEMPLATE)
         job = json.loads(taken.body)["jobId"]
@@ -263,6 +337,7 @@
 
 def test_a_token_that_ends_in_the_middle_of_a_wait_ends_the_wait(tmp_path: Path) -> None:
     """With 401 and no word of the job, though the job has not moved; so does a poll for events."""
+
     async def body(s: Stage, call: Callable[..., Awaitable[Reply]], ring: Ring) -> None:
         long = token_of(ring, "a")
         job = json.loads((await call(long, "POST", "/drmaa2/sessions/q/jobs", TEMPLATE)).body)["jobId"]
@@ -283,11 +358,13 @@
 
 def test_machines_are_shown_as_the_module_believes_them(tmp_path: Path) -> None:
     """Each with its state and pace, paged by name; queues and jobs beside them."""
+
     async def body(s: Stage, call: Callable[..., Awaitable[Reply]], ring: Ring) -> None:
         token = token_of(ring, "*")
         found = json.loads((await call(token, "GET", "/drmaa2/monitor/machines")).body)["machines"]
         assert [(row["name"], row["state"], row["available"], row["held"]) for row in found] == [
-            ("s-1", "up", True, 0)]
+            ("s-1", "up", True, 0)
+        ]
         after = json.loads((await call(token, "GET", "/drmaa2/monitor/machines?after=s-1")).body)
         assert after == {"machines": []}
         queues = json.loads((await call(token, "GET", "/drmaa2/monitor/queues")).body)["queues"]
@@ -314,8 +391,10 @@
     @property
     def section(self) -> str:
         """Return the operator's lines."""
-        return (f"access.tls = '127.0.0.2:{self.port}'\naccess.certificate = '{self.folder}/server.pem'\n"
-                f"access.certificate_key = '{self.folder}/server.key'\naccess.handshakes = 16\n")
+        return (
+            f"access.tls = '127.0.0.2:{self.port}'\naccess.certificate = '{self.folder}/server.pem'\n"
+            f"access.certificate_key = '{self.folder}/server.key'\naccess.handshakes = 16\n"
+        )
 
     async def connect(self, client: trustme.LeafCert | None = None) -> trio.SSLStream[trio.SocketStream]:
         """Open a connection."""
@@ -331,8 +410,11 @@
     @staticmethod
     async def ask(stream: trio.SSLStream[trio.SocketStream], token: str) -> bytes:
         """Have one exchange; return its first bytes."""
-        await stream.send_all(b"GET /drmaa2/sessions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer "
-                              + token.encode() + b"\r\n\r\n")
+        await stream.send_all(
+            b"GET /drmaa2/sessions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer "
+            + token.encode()
+            + b"\r\n\r\n"
+        )
         return bytes(await stream.receive_some(4096))
 
 
@@ -349,7 +431,8 @@
 
 
 def test_certificates_and_keys_are_read_anew_without_a_dropped_connection(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """At SIGHUP: the open connection goes on, the next sees the new certificate; a bad one is not used."""
     tls = Tls(tmp_path)
     monkeypatch.setenv("LB_CONFIG", str(tmp_path / "config.json"))
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -47,8 +47,11 @@
 
 def replies(effects: list[Effect]) -> dict[object, str]:
     """Return the exception's name, or the job's state, by call."""
-    return {effect.call: effect.error.name if effect.error else effect.job.state.value if effect.job else ""
-            for effect in effects if isinstance(effect, Reply)}
+    return {
+        effect.call: effect.error.name if effect.error else effect.job.state.value if effect.job else ""
+        for effect in effects
+        if isinstance(effect, Reply)
+    }
 
 
 @pytest.mark.parametrize("state", State)
@@ -339,8 +342,9 @@
 
 
 @pytest.mark.parametrize("usual, most", [(3.0, 1.1), (0.4, None)])
-def test_one_account_that_floods_leaves_the_others_their_waiting_times(usual: float,
-                                                                       most: float | None) -> None:
+def test_one_account_that_floods_leaves_the_others_their_waiting_times(
+    usual: float, most: float | None
+) -> None:
     """Where all servers are busy anyway: within 10 %. Where they are not: a small part of a run time."""
     calm, flooded = Counter[str](), Counter[str]()
     for seed in (1, 2, 3):
@@ -363,8 +367,17 @@
             e.finished(heapq.heappop(running)[2], b"", now)
         if step % 4 == 0:  # 25 a second, and 100 slots for 8 s: 12.5 a second
             try:
-                jobs.append(e.submit(session, what(account=rng.choice("ab"), priority=rng.randrange(-5, 6),
-                                                   slots=rng.choice((1.0, 1.0, 4.0))), now))
+                jobs.append(
+                    e.submit(
+                        session,
+                        what(
+                            account=rng.choice("ab"),
+                            priority=rng.randrange(-5, 6),
+                            slots=rng.choice((1.0, 1.0, 4.0)),
+                        ),
+                        now,
+                    )
+                )
             except DrmaaError as error:
                 refused += 1
                 assert error.name == "TryLaterException" and error.retry_after_us > 0
@@ -393,8 +406,9 @@
         super().__init__()
         self.now = T0
         self.e = engine(jobs=40, finished=5, waits=4, window=3, array=12)
-        self.queued = self.e.create("q", "", Allowance(jobs=30, size=1000),
-                                    Backlog(wait_most_us=9 * SECOND), T0)
+        self.queued = self.e.create(
+            "q", "", Allowance(jobs=30, size=1000), Backlog(wait_most_us=9 * SECOND), T0
+        )
         self.plain = self.e.create("p", "", Allowance(jobs=25, size=1000), None, T0)
         self.out: dict[Job, int] = {}  # what the core has, by offer
         self.finals: dict[Job, State] = {}
@@ -438,15 +452,30 @@
                     assert isinstance(effect.call, int)
                     self.calls.remove(effect.call)  # a second answer to a call fails here
 
-    @rule(held=st.booleans(), wait=st.integers(0, 4), priority=st.integers(-2, 2), end=st.integers(0, 12),
-          account=st.sampled_from("ab"), job_class=st.sampled_from("cd"))
+    @rule(
+        held=st.booleans(),
+        wait=st.integers(0, 4),
+        priority=st.integers(-2, 2),
+        end=st.integers(0, 12),
+        account=st.sampled_from("ab"),
+        job_class=st.sampled_from("cd"),
+    )
     def submit(self, held: bool, wait: int, priority: int, end: int, account: str, job_class: str) -> None:
         """Submit to the session with a backlog."""
         try:
-            job = self.e.submit(self.queued, what(
-                job_class, held=held, start_us=self.now + wait * SECOND if wait else 0, priority=priority,
-                deadline_us=self.now + (wait + end) * SECOND if end else 0, account=account, size=10),
-                self.now)
+            job = self.e.submit(
+                self.queued,
+                what(
+                    job_class,
+                    held=held,
+                    start_us=self.now + wait * SECOND if wait else 0,
+                    priority=priority,
+                    deadline_us=self.now + (wait + end) * SECOND if end else 0,
+                    account=account,
+                    size=10,
+                ),
+                self.now,
+            )
         except DrmaaError:
             return
         if isinstance(job, Job):
@@ -524,9 +553,26 @@
             self.calls.remove(call)
 
     @precondition(lambda self: self.out)
-    @rule(data=st.data(), news=st.sampled_from(
-        ["placed", "started", "finished", "refused", "failed", "unplaced", "suspended", "lost_sight",
-         "found_queued", "recalled", "not recalled", "controlled", "not controlled"]))
+    @rule(
+        data=st.data(),
+        news=st.sampled_from(
+            [
+                "placed",
+                "started",
+                "finished",
+                "refused",
+                "failed",
+                "unplaced",
+                "suspended",
+                "lost_sight",
+                "found_queued",
+                "recalled",
+                "not recalled",
+                "controlled",
+                "not controlled",
+            ]
+        ),
+    )
     def tell(self, data: st.DataObject, news: str) -> None:
         """Let the core tell something of a job that it has."""
         job = data.draw(st.sampled_from(sorted(self.out, key=lambda job: job.order)))
@@ -547,8 +593,12 @@
                     e.recalled(job, news == "recalled", now)
             case "controlled" | "not controlled":
                 if job in self.controls:
-                    e.controlled(job, self.controls.pop(job), None if news == "controlled" else DrmaaError(
-                        "UnsupportedOperationException", "no"), now)
+                    e.controlled(
+                        job,
+                        self.controls.pop(job),
+                        None if news == "controlled" else DrmaaError("UnsupportedOperationException", "no"),
+                        now,
+                    )
             case _:
                 getattr(e, news)(job, now)
         if job.stage not in (Stage.OFFERED, Stage.PLACED):
@@ -589,8 +639,9 @@
             assert len(waits) == array.queued <= 3
         waiting = Counter(job.shape for job in alive if job.stage is Stage.WAITING)
         assert waiting == e.waiting and e.root.waiting == waiting.total()
-        undecided = Counter(job.job_class for job in alive if job.stage is Stage.OFFERED
-                            and job.session is self.queued)
+        undecided = Counter(
+            job.job_class for job in alive if job.stage is Stage.OFFERED and job.session is self.queued
+        )
         assert {name: pace.undecided for name, pace in e.pace.classes.items() if pace.undecided} == undecided
 
     def teardown(self) -> None:
@@ -608,5 +659,10 @@
 
 
 TestPlay = Play.TestCase
-TestPlay.settings = settings(max_examples=150, stateful_step_count=50, deadline=None, derandomize=True,
-                             suppress_health_check=list(HealthCheck))
+TestPlay.settings = settings(
+    max_examples=150,
+    stateful_step_count=50,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -28,8 +28,24 @@
     def __init__(self, folder: Path, slots: int = 2) -> None:
         self.port, self.folder = free_port(), folder
         self.process = subprocess.Popen(
-            [*COMMAND, "local", "--port", str(self.port), "--executors", "2", "--slots", str(slots),
-             "--folder", str(folder), "--log", "json"], cwd=ROOT, stderr=subprocess.PIPE, text=True)
+            [
+                *COMMAND,
+                "local",
+                "--port",
+                str(self.port),
+                "--executors",
+                "2",
+                "--slots",
+                str(slots),
+                "--folder",
+                str(folder),
+                "--log",
+                "json",
+            ],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         assert self.process.stderr is not None
         self.lines: list[str] = []
         while not self.lines or '"serves"' not in self.lines[-1]:
@@ -93,9 +109,24 @@
     """An array runs with its index; a session of its own keeps its jobs apart."""
     assert local("session", "create", "mine", "--share", "0.5").exit_code == 0
     assert local("session", "list", "--json").output.split() == ["[", '"default",', '"mine"', "]"]
-    result = local("--session", "mine", "job", "array", "submit", "--json", "--end", "6",
-                   "--max-parallel", "2", "--output", "out.$DRMAA2_INDEX$", "--", "sh", "-c",
-                   "echo $DRMAA2_INDEX")
+    result = local(
+        "--session",
+        "mine",
+        "job",
+        "array",
+        "submit",
+        "--json",
+        "--end",
+        "6",
+        "--max-parallel",
+        "2",
+        "--output",
+        "out.$DRMAA2_INDEX$",
+        "--",
+        "sh",
+        "-c",
+        "echo $DRMAA2_INDEX",
+    )
     array = json.loads(result.output)["jobArrayId"]
     for member in range(1, 7):
         assert local("--session", "mine", "job", "wait", f"{array}.{member}").exit_code == 0
@@ -120,8 +151,12 @@
     result = local("job", "wait", late, soon)
     assert result.exit_code == 0 and soon in result.output
     assert local("job", "terminate", late).exit_code == 0
-    for bad in (["--start", "tomorrow"], ["--start", "2027-01-01T00:00:00"], ["--env", "A"],
-                ["--limit", "CPU_TIME=x"]):
+    for bad in (
+        ["--start", "tomorrow"],
+        ["--start", "2027-01-01T00:00:00"],
+        ["--env", "A"],
+        ["--limit", "CPU_TIME=x"],
+    ):
         assert local("job", "submit", *bad, "--", "true").exit_code == 2
 
 
@@ -134,8 +169,12 @@
     running = [job for job in jobs if local.info(job)["jobState"] == "RUNNING"]
     assert len(running) == 4 and local("job", "suspend", running[0]).exit_code == 0
     held = local.job("--hold", "--", "true")
-    wait = subprocess.Popen([*COMMAND, "--url", f"http://127.0.0.1:{local.port}", "job", "wait", held],
-                            cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    wait = subprocess.Popen(
+        [*COMMAND, "--url", f"http://127.0.0.1:{local.port}", "job", "wait", held],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     time.sleep(0.8)
     began = time.monotonic()
     local.process.send_signal(signal.SIGINT)
@@ -152,11 +191,19 @@
     assert result.exit_code == 8 and len(result.output.splitlines()) == 1
 
 
-@pytest.mark.parametrize("text, words", [
-    ("[drmaa]\nfront = 3\n", "drmaa.front"), ("[drmaa]\nfronts = true\n", "fronts"),
-    ("[[drmaa.session]]\nname = 'a b'\n", "session"), ("[drmaa.default]\nshare = 0\n", "drmaa.default.share"),
-    ("[[drmaa.session]]\nname = 'default'\n", "drmaa.session"), ("[log]\nformat = 'xml'\n", "log.format"),
-    ("[dnssd]\nnameserver = 'x'\nservice = 'y'\n", "dnssd.nameserver"), ("[drmaa\n", "line 1")])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("[drmaa]\nfront = 3\n", "drmaa.front"),
+        ("[drmaa]\nfronts = true\n", "fronts"),
+        ("[[drmaa.session]]\nname = 'a b'\n", "session"),
+        ("[drmaa.default]\nshare = 0\n", "drmaa.default.share"),
+        ("[[drmaa.session]]\nname = 'default'\n", "drmaa.session"),
+        ("[log]\nformat = 'xml'\n", "log.format"),
+        ("[dnssd]\nnameserver = 'x'\nservice = 'y'\n", "dnssd.nameserver"),
+        ("[drmaa\n", "line 1"),
+    ],
+)
 def test_config_check_names_file_key_and_cause(tmp_path: Path, text: str, words: str) -> None:
     """One line and exit code 2; a good file is said to be so."""
     path = tmp_path / "operator.toml"
@@ -180,16 +227,25 @@
     log.line("free text")
     lines = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
     assert [(line["event"], line.get("job"), line["level"]) for line in lines] == [
-        ("job_ended", "0", "info"), ("job_ended", "1", "info"), ("job_ended", "6", "warning"),
-        ("note", None, "info")]
+        ("job_ended", "0", "info"),
+        ("job_ended", "1", "info"),
+        ("job_ended", "6", "warning"),
+        ("note", None, "info"),
+    ]
     assert lines[2]["dropped_before"] == 3 and all(line["node"] == "n0" for line in lines)
 
 
 def test_serve_runs_a_node_by_the_files_it_is_given(tmp_path: Path) -> None:
     """A bad one ends it with one line and 2, as the bare program."""
     (tmp_path / "config.json").write_text("{")
-    done = subprocess.run([*COMMAND, "serve", "--config", str(tmp_path / "config.json")], cwd=ROOT,
-                          capture_output=True, text=True, check=False, timeout=30)
+    done = subprocess.run(
+        [*COMMAND, "serve", "--config", str(tmp_path / "config.json")],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=30,
+    )
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1
     assert str(tmp_path / "config.json") in done.stderr
 
@@ -204,12 +260,20 @@
 
 def test_the_platform_s_start_imports_none_of_it() -> None:
     """Neither the command line nor the batch side, nor what they use."""
-    code = ("import sys; import merlinbay.__main__, merlinbay.node; "
-            "print([name for name in sys.modules if name.startswith(('click', 'structlog', 'merlinbay.cli', "
-            "'merlinbay.batch', 'merlinbay.drmaa', 'merlinbay.executor', 'merlinbay.dnssd', 'dns.', "
-            "'merlinbay.fleet', 'merlinbay.rig', 'merlinbay.simhost', 'merlinbay.operator_file'))])")
-    done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True,
-                          check=True, env={**os.environ})
+    code = (
+        "import sys; import merlinbay.__main__, merlinbay.node; "
+        "print([name for name in sys.modules if name.startswith(('click', 'structlog', 'merlinbay.cli', "
+        "'merlinbay.batch', 'merlinbay.drmaa', 'merlinbay.executor', 'merlinbay.dnssd', 'dns.', "
+        "'merlinbay.fleet', 'merlinbay.rig', 'merlinbay.simhost', 'merlinbay.operator_file'))])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-B", "-c", code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ},
+    )
     assert done.stdout == "[]\n"
 
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -61,14 +61,24 @@
     assert world(world.operations.run_job(JOB, within=60, may_repeat=True)) == "j"
 
 
-@pytest.mark.parametrize(("reply", "within", "tries"), [
-    (LATER, None, 1), (LATER, 1.0, 1), (LATER, 9.0, 5),
-    (Reply(503, b'{"exception":"TryLaterException"}'), 9.0, 1),
-    (Reply(503, b'{"retryAfter":1000}'), 9999.0, 1), (Reply(409, b'{"retryAfter":1}'), 9.0, 1),
-    (Reply(500, b"<html>"), 9.0, 1), (Reply(503, b'{"retryAfter":"x"}'), 9.0, 1),
-    (Reply(503, b'{"retryAfter":-1}'), 9.0, 1), (Reply(200, b"not json"), 9.0, 0)])
+@pytest.mark.parametrize(
+    ("reply", "within", "tries"),
+    [
+        (LATER, None, 1),
+        (LATER, 1.0, 1),
+        (LATER, 9.0, 5),
+        (Reply(503, b'{"exception":"TryLaterException"}'), 9.0, 1),
+        (Reply(503, b'{"retryAfter":1000}'), 9999.0, 1),
+        (Reply(409, b'{"retryAfter":1}'), 9.0, 1),
+        (Reply(500, b"<html>"), 9.0, 1),
+        (Reply(503, b'{"retryAfter":"x"}'), 9.0, 1),
+        (Reply(503, b'{"retryAfter":-1}'), 9.0, 1),
+        (Reply(200, b"not json"), 9.0, 0),
+    ],
+)
 def test_refusals_are_waited_out_only_within_the_time_and_as_they_say(
-        reply: Reply, within: float | None, tries: int) -> None:
+    reply: Reply, within: float | None, tries: int
+) -> None:
     """And no other answer is."""
     world = World(*[reply] * 20)
     if tries == 0:
@@ -93,17 +103,20 @@
 
 
 @settings(derandomize=True, deadline=None)
-@given(st.lists(st.sampled_from([LATER, LOST, UNSENT, TAKEN, Reply(500, b"{}")]), max_size=12),
-       st.one_of(st.none(), st.floats(0, 30)))
+@given(
+    st.lists(st.sampled_from([LATER, LOST, UNSENT, TAKEN, Reply(500, b"{}")]), max_size=12),
+    st.one_of(st.none(), st.floats(0, 30)),
+)
 def test_whatever_the_network_does_a_lost_submission_is_the_last(
-        script: list[Reply | Failed], within: float | None) -> None:
+    script: list[Reply | Failed], within: float | None
+) -> None:
     """After a try that may have run nothing more is sent, and the call ends in its time."""
     world = World(*script)
     try:
         assert world(world.operations.run_job(JOB, within)) == "j"
     except (DrmaaRemote, MayHaveRun, Unreachable):
         pass
-    sent = script[:len(world.asked)]
+    sent = script[: len(world.asked)]
     assert LOST not in sent[:-1] and TAKEN not in sent[:-1]
     assert within is None or world.now <= within
 
@@ -131,6 +144,7 @@
     """Listen, and give each connection's first request the next answer, which may be none; then hang up."""
     seen: list[bytes] = []
     with socket.create_server(("127.0.0.1", 0)) as server:
+
         def serve() -> None:
             for answer in answers:
                 try:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -13,8 +13,14 @@
 
 SECOND, STEP = 1_000_000, 50_000
 SLOTS, RUN_US = 4.0, 270_000
-COLD = api.Safety(drain_grace_us=500_000, cold_from=0.31, cold_us=9 * SECOND, tip_multiple=3.0,
-                  overload_for_us=2 * SECOND, must_ask_in_us=10 * SECOND)
+COLD = api.Safety(
+    drain_grace_us=500_000,
+    cold_from=0.31,
+    cold_us=9 * SECOND,
+    tip_multiple=3.0,
+    overload_for_us=2 * SECOND,
+    must_ask_in_us=10 * SECOND,
+)
 
 
 class Fleet:
@@ -77,8 +83,9 @@
 @pytest.mark.parametrize("nodes", [1, 2, 20, 30, 200])
 @pytest.mark.parametrize("offered", [steady, early, late, uneven])
 @pytest.mark.parametrize("restarts", [False, True])
-def test_the_sum_of_all_nodes_keeps_to_a_cold_server_s_budget(nodes: int, offered: object,
-                                                              restarts: bool) -> None:
+def test_the_sum_of_all_nodes_keeps_to_a_cold_server_s_budget(
+    nodes: int, offered: object, restarts: bool
+) -> None:
     """In every span that the rules name, from its start until it is warm; a tenth of the nodes start anew."""
     fleet, rng = Fleet(nodes), Random(7)
     for at in range(STEP, COLD.cold_us, STEP):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -38,6 +38,7 @@
 
 # The listener alone: one client, one connection.
 
+
 @dataclass
 class Door:
     """A listener whose requests are answered when the test says so, and one client of it."""
@@ -98,6 +99,7 @@
 @pytest.mark.parametrize("behind", [b"", b"POST /admit HTTP/1.1\r\n", ASK, ASK * 100])
 def test_a_client_that_closes_while_it_waits_is_seen_to_go_whatever_it_sent_before(behind: bytes) -> None:
     """Bytes behind the request do not hide the end of its connection."""
+
     async def scene() -> None:
         async with door() as at:
             await at.client.send(ASK + behind)
@@ -106,21 +108,25 @@
             await until(lambda: bool(at.left))
             await until(lambda: not at.listener.connections)
             assert len(at.asked) == 1
+
     play(scene)
 
 
 def test_what_is_read_behind_an_open_request_has_a_bound() -> None:
     """A client that floods is told so, its request is withdrawn, and its connection ends."""
+
     async def scene() -> None:
         async with door(ahead_bytes=1000) as at:
             await at.client.send(ASK + b"x" * 2000)
             got = await at.answered()
             assert got.startswith(b"HTTP/1.1 400") and at.left == at.asked == [at.connection]
+
     play(scene)
 
 
 def test_bytes_behind_a_request_are_the_next_one(tmp_path: Path) -> None:
     """Read early, it is begun after the first one's answer, and both are answered."""
+
     async def scene() -> None:
         async with door() as at:
             await at.client.send(ASK)
@@ -134,12 +140,14 @@
             at.connection.respond(Response(200, b"two"))
             got = await at.answered()
             assert got.count(b"HTTP/1.1 200") == 2 and got.endswith(b"two")
+
     play(scene)
 
 
 @pytest.mark.parametrize("how", ["end_idle", "expire"])
 def test_a_request_that_crosses_the_end_of_an_idle_connection_is_answered(how: str) -> None:
     """It comes after the look and before the shutdown; the connection ends with its answer."""
+
     async def scene() -> None:
         async with door() as at:
             if how == "end_idle":
@@ -155,11 +163,13 @@
             at.connection.close_after = True
             at.connection.respond(Response(200, b"served"))
             assert (await at.answered()).endswith(b"served")
+
     play(scene)
 
 
 def test_a_request_read_after_the_shutdown_is_not_begun() -> None:
     """The client has seen the end of the connection and asks elsewhere."""
+
     async def scene() -> None:
         async with door() as at:
             at.connection.end()
@@ -168,11 +178,13 @@
             at.client.shutdown(trio.socket.SHUT_WR)
             await until(lambda: not at.listener.connections)
             assert not at.asked
+
     play(scene)
 
 
 def test_no_close_over_unread_bytes_after_the_last_answer() -> None:
     """A close over them would be a reset, and may overtake the answer."""
+
     async def scene() -> None:
         async with door(linger=5.0) as at:
             await at.client.send(ASK)
@@ -185,11 +197,13 @@
                 await at.client.send(b"x" * 20_000)
                 await trio.testing.wait_all_tasks_blocked(0.01)
             assert (await at.answered()).endswith(b"last")
+
     play(scene)
 
 
 def test_bytes_that_come_while_the_last_answer_is_written_do_not_cut_it_off() -> None:
     """They are no request any more, and no fault either."""
+
     async def scene() -> None:
         async with door() as at:
             await at.client.send(ASK)
@@ -200,11 +214,13 @@
             await at.client.send(b"x" * 1000)
             await until(lambda: bool(at.connection.h11.trailing_data[0]))
             assert len(await at.answered()) > 20_000_000
+
     play(scene)
 
 
 def test_one_that_is_to_make_room_stays_where_a_request_has_come() -> None:
     """Looked at and closed in one step."""
+
     async def scene() -> None:
         async with door() as at:
             at.client._sock.send(ASK)  # type: ignore[attr-defined]
@@ -215,12 +231,14 @@
             await until(lambda: at.connection.idle)
             assert at.connection.evict() and at.connection.raw.fileno() < 0
             await until(lambda: not at.listener.connections)
+
     play(scene)
 
 
 @pytest.mark.parametrize("at_once", [False, True])
 def test_a_client_that_takes_no_answer_is_cut_off(at_once: bool) -> None:
     """There is no good order left for it; others wait for its place."""
+
     async def scene() -> None:
         async with door(write_answer=0.05, sweep=0.02) as at:
             if at_once:
@@ -229,19 +247,23 @@
             await at.heard.wait()
             at.connection.respond(Response(200, b"x" * 50_000_000))
             await until(lambda: not at.listener.connections)
+
     play(scene)
 
 
 def test_accepted_connections_hold_nothing_back() -> None:
     """Small writes go out at once, or a reset would take them with it."""
+
     async def scene() -> None:
         async with door() as at:
             assert at.connection.raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
     play(scene)
 
 
 def test_a_process_that_ends_closes_its_connections_in_good_order() -> None:
     """Those that rest are shut, one whose answer is due gets it."""
+
     async def scene() -> None:
         async with door() as at:
             await at.client.send(ASK)
@@ -253,12 +275,14 @@
                 got = await at.answered()
                 at.client.close()
             assert b"connection: close" in got and not at.listener.connections
+
     play(scene)
 
 
 @pytest.mark.parametrize("calls_back", [False, True])
 def test_a_node_that_leaves_keeps_the_connections_on_which_jobs_are_ended(calls_back: bool) -> None:
     """Real servers would have to dial anew for each call-back of the last moments."""
+
     async def scene() -> None:
         async with door() as at:
             at.connection.calls_back = calls_back
@@ -267,11 +291,13 @@
             if calls_back:
                 at.listener.close_idle(calls_back=True)
                 assert at.connection.ending
+
     play(scene)
 
 
 # A client that has gone, and the attempts that its request would still get.
 
+
 class Leaver(Edge):
     """A client that has left though nobody has said so."""
 
@@ -293,6 +319,7 @@
     servers, clock, counters = Mock(), Mock(), Counters()
     clock.now_us.return_value = 1_000_000
     from merlinbay.decision import Balancer
+
     made = Balancer(settings(balancers=1), 1, 0)
     made.handle(0, [api.ListChanged("all", [api.WorkerEntry("w", "a", "k1")])])
     owner, edge = Owner(made, clock, LIMITS, counters, Log(9), servers, Mock()), Leaver(left)
@@ -304,6 +331,7 @@
 @pytest.mark.parametrize("unread", [b"", b"x"])
 def test_a_connection_shows_that_its_client_has_left(unread: bytes) -> None:
     """Whatever of it is still unread."""
+
     async def scene() -> None:
         ours, theirs = trio.socket.socketpair()
         flow = EdgeFlow(Mock(sock=ours), "j")
@@ -312,6 +340,7 @@
             assert not flow.left()
             theirs.close()
             assert flow.left()
+
     play(scene)
 
 
@@ -324,6 +353,7 @@
 
 def test_a_client_that_leaves_during_the_dial_has_nothing_sent(tmp_path: Path) -> None:
     """The connection that came up too late is kept for others."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             server, wanted = at.add("s"), True
@@ -342,11 +372,13 @@
             with pytest.raises(NotSent):
                 await pool.exchange("s", "POST", "/", [], b"x", lambda: wanted)
             assert not server.seen and len(pool.servers["s"].idle) == 1
+
     play(scene)
 
 
 def test_an_attempt_given_up_before_its_202_is_deleted_too(tmp_path: Path) -> None:
     """The 202 may have crossed the close: the job was taken then, and would run on."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             server = at.add("s", play=nothing)
@@ -358,13 +390,16 @@
             await until(lambda: bool(server.targets()))
             client.close()
             await until(lambda: server.targets("DELETE") == ["/jobs/j"])
+
     play(scene)
 
 
 # Answers that come twice.
 
+
 def twice(answer: bytes, late: float) -> Callable[[trio.SocketStream], object]:
     """Return a server that gives each answer twice."""
+
     async def serve(stream: trio.SocketStream) -> None:
         with contextlib.suppress(trio.BrokenResourceError):
             while await stream.receive_some(4096):
@@ -372,6 +407,7 @@
                 if late:
                     await trio.sleep(late)
                     await stream.send_all(answer)
+
     return serve
 
 
@@ -381,6 +417,7 @@
 @pytest.mark.parametrize("late", [0.0, 0.01])
 def test_a_second_answer_never_passes_for_that_of_the_next_request(late: float) -> None:
     """A job that was taken would be held for one that never ran, and be sent again."""
+
     async def scene() -> None:
         with trio.fail_after(10):
             async with trio.open_nursery() as nursery:
@@ -395,26 +432,32 @@
                 assert refuses(await pool.exchange("s", "POST", "/", [], b"x"))
                 assert counters.counts["server_connections"] == 2  # on a connection of its own
                 nursery.cancel_scope.cancel()
+
     play(scene)
 
 
 # Signals.
 
+
 def test_a_node_told_to_end_while_it_starts_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """It would serve until it is killed, with requests under way."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             at.add("s")
             quick = [{**CONF["classes"][0], "deadlineUs": 200_000}]
             monkeypatch.setattr(node, "early", [signal.SIGTERM])
             await node.run(load(at.configure(classes=quick)), Counters())
+
     play(scene)
 
 
 def test_what_crosses_the_exit_is_answered_and_not_begun(tmp_path: Path) -> None:
     """The owner has ended; nobody reads its inbox any more."""
+
     async def scene() -> None:
         from merlinbay.platform.edge import PlatformEdge
+
         send, inbox = trio.open_memory_channel[object](9)
         edge = PlatformEdge(send, Clock(), LIMITS, Counters(), {"admit"})
         edge.over = True
@@ -424,4 +467,5 @@
         taken = await edge.request(Mock(), Request("POST", "/v1/job-events", {}, told))
         assert refused is not None and refused.status == 503 and refused.headers[0][0] == b"retry-after"
         assert taken is not None and taken.status == 200 and inbox.statistics().current_buffer_used == 0
+
     play(scene)
--- a/tests/test_dnssd.py
+++ b/tests/test_dnssd.py
@@ -80,10 +80,13 @@
     return "127.0.0.1", sock.getsockname()[1]
 
 
-@pytest.mark.parametrize("text, expected", [
-    ("", {}), (ONE, {"s-1": S1}), (ONE + TWO, {"s-1": S1, "s-2": S2}), (ONE + BROKEN, {"s-1": S1})])
+@pytest.mark.parametrize(
+    "text, expected",
+    [("", {}), (ONE, {"s-1": S1}), (ONE + TWO, {"s-1": S1, "s-2": S2}), (ONE + BROKEN, {"s-1": S1})],
+)
 def test_records_become_entries(text: str, expected: dict[str, ServiceEntry]) -> None:
     """PTR, SRV, TXT and A together; a broken instance hides no other."""
+
     async def scene() -> None:
         async with trio.open_nursery() as nursery:
             send, _ = trio.open_memory_channel[Message](8)
@@ -96,8 +99,10 @@
     play(scene)
 
 
-@pytest.mark.parametrize("strings, expected", [
-    (("a=1", "A=2"), {"a": "1"}), (("a", "=x", ""), {"a": ""}), (("a=b=c", "é=ü"), {"a": "b=c", "é": "ü"})])
+@pytest.mark.parametrize(
+    "strings, expected",
+    [(("a=1", "A=2"), {"a": "1"}), (("a", "=x", ""), {"a": ""}), (("a=b=c", "é=ü"), {"a": "b=c", "é": "ü"})],
+)
 def test_txt_strings(strings: tuple[str, ...], expected: dict[str, str]) -> None:
     """Section 6: no case in keys, the first counts, missing keys are passed over."""
     data = " ".join('"' + "".join(f"\\{b:03d}" for b in s.encode()) + '"' for s in strings)
@@ -106,6 +111,7 @@
 
 def test_an_outage_keeps_the_list_and_a_gone_name_is_removed() -> None:
     """SERVFAIL is told as refused, with no entries; once a name is gone, the list lacks it."""
+
     async def scene() -> None:
         async with trio.open_nursery() as nursery:
             send, receive = trio.open_memory_channel[Message](8)
@@ -129,13 +135,15 @@
 
 def test_a_node_finds_its_servers_by_dns_sd(tmp_path: Path) -> None:
     """A job is served by a server that only the name server lists; once its name is gone, it is refused."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             real = s.add("s-1", serves)
             s.rows.clear()
             host, _, at = real.addr.partition(":")
-            server = NameServer(ONE.replace("8081", at).replace("127.0.0.9", host)
-                                .replace("started_ms=7", "started_ms=0"))
+            server = NameServer(
+                ONE.replace("8081", at).replace("127.0.0.9", host).replace("started_ms=7", "started_ms=0")
+            )
             host, port = await listen(s.nursery, server)
             s.operator = f'[dnssd]\nnameserver = "{host}:{port}"\nservice = "{SERVICE}"\n'
             await s.start()
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -87,20 +87,24 @@
 def one_end(s: Stage) -> int:
     """Return how many final states and answers the node gave."""
     counts = s.counters.counts
-    assert (counts["drmaa_jobs_done"] + counts["drmaa_jobs_failed"]
-            == counts["answers_served"] + counts["answers_failed"] + counts["flows_withdrawn"])
+    assert (
+        counts["drmaa_jobs_done"] + counts["drmaa_jobs_failed"]
+        == counts["answers_served"] + counts["answers_failed"] + counts["flows_withdrawn"]
+    )
     return counts["drmaa_jobs_done"] + counts["drmaa_jobs_failed"]
 
 
 def test_the_whole_path(tmp_path: Path) -> None:
     """From runJob through QUEUED and RUNNING to DONE, with the output, and a status query after it."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.operator = BOTH
             scheduler = s.add("s-1", takes)
             await s.start()
-            status, body = await submit(s, minSlots=1, deadlineTime=(
-                datetime.now(UTC) + timedelta(seconds=2)).isoformat())
+            status, body = await submit(
+                s, minSlots=1, deadlineTime=(datetime.now(UTC) + timedelta(seconds=2)).isoformat()
+            )
             assert (status, body["jobState"]) == (201, "QUEUED")
             job = body["jobId"]
             while not scheduler.seen:  # runJob is answered once a scheduler is chosen
@@ -110,8 +114,11 @@
             template = call["jobTemplate"]
             assert (template["remoteCommand"], template["args"]) == ("transcribe", ["--minutes"])
             assert (template["jobName"], template["jobCategory"]) == (job, "admit")
-            assert 1 < datetime.fromisoformat(template["deadlineTime"]).timestamp() - datetime.now(
-                UTC).timestamp() < 2
+            assert (
+                1
+                < datetime.fromisoformat(template["deadlineTime"]).timestamp() - datetime.now(UTC).timestamp()
+                < 2
+            )
             assert await scheduler.notify(job, "RUNNING") == 200
             assert (await s.json("GET", f"/drmaa2/jobs/{job}"))[1]["jobState"] == "RUNNING"
             assert (await s.json("GET", f"/drmaa2/jobs/{job}/wait?timeout=0.05"))[0] == 504
@@ -132,6 +139,7 @@
 @pytest.mark.parametrize("front", ["platform", "drmaa"])
 def test_any_front_works_with_any_real_server_side(tmp_path: Path, front: str, servers: str) -> None:
     """The same job through both fronts to both kinds of real server."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.operator = BOTH if servers == "drmaa" else FRONT
@@ -144,7 +152,9 @@
                 if servers == "drmaa":
                     sent = json.loads(server.seen[0][1].body)["jobTemplate"]
                     assert (sent["remoteCommand"], sent["payload"]) == (
-                        "/admit?x=1", base64.b64encode(b"seat").decode())
+                        "/admit?x=1",
+                        base64.b64encode(b"seat").decode(),
+                    )
                     assert sent["jobEnvironment"] == {"DRMAA2_REPEAT_KEY": "key-a1"}
             else:
                 job = (await submit(s))[1]["jobId"]
@@ -164,6 +174,7 @@
 @pytest.mark.parametrize("gave_up", ["terminate", "deadline"])
 def test_a_status_query_after_the_client_gave_up(tmp_path: Path, gave_up: str) -> None:
     """The job's late DONE changes nothing: every query finds the one FAILED."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.operator = BOTH
@@ -192,6 +203,7 @@
 @pytest.mark.parametrize("first", ["terminate", "notice", "together"])
 def test_a_cancel_that_crosses_a_start_notice(tmp_path: Path, first: str) -> None:
     """Whichever is first, the job ends FAILED once, and its scheduler is told once."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.operator = BOTH
@@ -199,8 +211,10 @@
             await s.start()
             job = (await submit(s))[1]["jobId"]
             async with trio.open_nursery() as nursery:
-                calls = [lambda: s.json("POST", f"/drmaa2/jobs/{job}/terminate"),
-                         lambda: scheduler.notify(job, "RUNNING")]
+                calls = [
+                    lambda: s.json("POST", f"/drmaa2/jobs/{job}/terminate"),
+                    lambda: scheduler.notify(job, "RUNNING"),
+                ]
                 for call in calls if first != "notice" else reversed(calls):
                     nursery.start_soon(call)
                     if first != "together":
@@ -217,6 +231,7 @@
 
 def test_a_cancel_that_crosses_run_job_ends_the_job_once_its_id_is_known(tmp_path: Path) -> None:
     """The client hangs up before the scheduler's 201: the job must not run on unknown."""
+
     async def slow(server: StandIn, request: Request) -> Response | None:
         if request.target == "/drmaa2/jobs":
             await trio.sleep(0.4)
@@ -238,6 +253,7 @@
 @pytest.mark.parametrize("operator, server", [(BOTH, later), (FRONT, full)])
 def test_a_refusal_is_try_later_with_when_to_come_back(tmp_path: Path, operator: str, server: Any) -> None:
     """Refused by all schedulers, unstarted: FAILED at once, with TryLaterException and a time."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.operator = operator
@@ -254,6 +270,7 @@
 
 def test_a_job_refused_unsent_is_no_job(tmp_path: Path) -> None:
     """With every gate shut, runJob itself raises TryLaterException, and nothing was sent."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.operator = BOTH
@@ -271,6 +288,7 @@
 
 def test_repeats_and_drains_are_kept_with_schedulers(tmp_path: Path) -> None:
     """A killed job goes out again in its cell only; a draining scheduler gets nothing new."""
+
     async def kills(server: StandIn, request: Request) -> Response | None:
         job, answer = taken(request)
         server.stage.nursery.start_soon(lambda: server.notify(job, "FAILED", terminatingSignal="SIGKILL"))
@@ -296,10 +314,12 @@
     play(scene)
 
 
-@pytest.mark.parametrize("operator, limits", [(BOTH + "finished = 2\n", Limits()),
-                                              (BOTH, Limits(finished_bytes=20))])
-def test_finished_jobs_are_kept_within_bounds(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
-                                              operator: str, limits: Limits) -> None:
+@pytest.mark.parametrize(
+    "operator, limits", [(BOTH + "finished = 2\n", Limits()), (BOTH, Limits(finished_bytes=20))]
+)
+def test_finished_jobs_are_kept_within_bounds(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, operator: str, limits: Limits
+) -> None:
     """Of many, or large ones, the oldest is forgotten: its id is no job any more."""
     monkeypatch.setattr("merlinbay.config.limits_from", lambda *_: limits)
 
@@ -320,13 +340,15 @@
 
 
 BAD = [
-    (b"{", "InvalidArgumentException"), (b"{}", "InvalidArgumentException"),
+    (b"{", "InvalidArgumentException"),
+    (b"{}", "InvalidArgumentException"),
     (b'{"jobTemplate":{}}', "InvalidArgumentException"),
     (b'{"jobTemplate":{"remoteCommand":"x","nonsense":1}}', "InvalidArgumentException"),
     (b'{"jobTemplate":{"remoteCommand":"x","minSlots":"2"}}', "InvalidArgumentException"),
     (b'{"jobTemplate":{"remoteCommand":"x","submitAsHold":true}}', "UnsupportedAttributeException"),
     (b'{"jobTemplate":{"remoteCommand":"x","queueName":"q"}}', "InvalidArgumentException"),
-    (b'{"jobTemplate":{"remoteCommand":"x"},"notify":"http://x"}', "UnsupportedOperationException")]
+    (b'{"jobTemplate":{"remoteCommand":"x"},"notify":"http://x"}', "UnsupportedOperationException"),
+]
 
 
 @pytest.mark.parametrize("body, name", BAD)
@@ -346,17 +368,27 @@
     ({"minSlots": 2, "maxSlots": 4, "accountingId": "t"}, {"slots": 2.0, "tenant": "t"}),
     ({"deadlineTime": words.when(NOW + 1_500_000)}, {"budget_us": 1_500_000}),
     ({"deadlineTime": words.when(NOW + 60_000_000)}, {"budget_us": 3_000_000}),
-    ({"deadlineTime": words.when(NOW - 1)}, None), ({"deadlineTime": datetime(2027, 1, 15)}, None),
-    ({"jobCategory": "nonsense"}, None), ({"rerunnable": False}, None), ({"remoteCommand": ""}, None),
-    ({"minSlots": 0}, None), ({"minSlots": 3, "maxSlots": 2}, None),
-    ({"queueName": "print"}, {"job_class": "print"}), ({"queueName": "print", "jobCategory": "admit"}, None),
-    ({"minPhysMemory": 2048}, {"memory": 2.0}), ({"minPhysMemory": -1}, None),
+    ({"deadlineTime": words.when(NOW - 1)}, None),
+    ({"deadlineTime": datetime(2027, 1, 15)}, None),
+    ({"jobCategory": "nonsense"}, None),
+    ({"rerunnable": False}, None),
+    ({"remoteCommand": ""}, None),
+    ({"minSlots": 0}, None),
+    ({"minSlots": 3, "maxSlots": 2}, None),
+    ({"queueName": "print"}, {"job_class": "print"}),
+    ({"queueName": "print", "jobCategory": "admit"}, None),
+    ({"minPhysMemory": 2048}, {"memory": 2.0}),
+    ({"minPhysMemory": -1}, None),
     ({"candidateMachines": ["s-1", "s-2"]}, {"only": ("s-1", "s-2")}),
-    ({"candidateMachines": ["m"] * 257}, None), ({"priority": 101}, None),
-    ({"resourceLimits": {"CPU_TIME": 5}}, {"slots": 1.0}), ({"resourceLimits": {"CPU_TIME": -5}}, None),
-    ({"resourceLimits": {"PATIENCE": 5}}, None), ({"payload": b"x", "inputPath": "/in"}, None),
+    ({"candidateMachines": ["m"] * 257}, None),
+    ({"priority": 101}, None),
+    ({"resourceLimits": {"CPU_TIME": 5}}, {"slots": 1.0}),
+    ({"resourceLimits": {"CPU_TIME": -5}}, None),
+    ({"resourceLimits": {"PATIENCE": 5}}, None),
+    ({"payload": b"x", "inputPath": "/in"}, None),
     ({"startTime": words.when(NOW + 9), "deadlineTime": words.when(NOW + 8)}, None),
-    *(({name: "x"}, "UnsupportedAttributeException") for name in templates.UNSUPPORTED)]
+    *(({name: "x"}, "UnsupportedAttributeException") for name in templates.UNSUPPORTED),
+]
 
 
 @pytest.mark.parametrize("attributes, expected", TEMPLATES)
@@ -374,8 +406,9 @@
 
 def test_an_array_member_knows_its_index() -> None:
     """In the paths where the standard lets it stand, and in the environment; other texts are left alone."""
-    template = words.JobTemplate("run $DRMAA2_INDEX$", inputPath="/in/$DRMAA2_INDEX$", outputPath="/out",
-                                 jobEnvironment={"A": "1"})
+    template = words.JobTemplate(
+        "run $DRMAA2_INDEX$", inputPath="/in/$DRMAA2_INDEX$", outputPath="/out", jobEnvironment={"A": "1"}
+    )
     spec = spec_of(template, 7)
     sent = templates.template_for(spec, NOW)
     assert (spec.name, sent.inputPath, sent.outputPath) == ("j.7", "/in/7", "/out")
@@ -384,19 +417,24 @@
 
 
 NOTES: list[tuple[str, str, dict[str, Any], Outcome | str | None]] = [
-    ("NEW_STATE", "RUNNING", {}, "started"), ("NEW_STATE", "QUEUED", {}, None),
-    ("MIGRATED", "RUNNING", {}, None), ("NEW_STATE", "DONE", {"output": b"x"}, Outcome.OK),
+    ("NEW_STATE", "RUNNING", {}, "started"),
+    ("NEW_STATE", "QUEUED", {}, None),
+    ("MIGRATED", "RUNNING", {}, None),
+    ("NEW_STATE", "DONE", {"output": b"x"}, Outcome.OK),
     ("NEW_STATE", "FAILED", {"exitStatus": 1}, Outcome.ERROR),
     ("NEW_STATE", "FAILED", {"exception": "TryLaterException"}, Outcome.FULL),
-    ("NEW_STATE", "FAILED", {"terminatingSignal": "SIGKILL"}, Outcome.RESET)]
+    ("NEW_STATE", "FAILED", {"terminatingSignal": "SIGKILL"}, Outcome.RESET),
+]
 
 
 @pytest.mark.parametrize("event, state, info, expected", NOTES)
-def test_a_notification_becomes_an_outcome(event: str, state: str, info: dict[str, Any],
-                                           expected: Outcome | str | None) -> None:
+def test_a_notification_becomes_an_outcome(
+    event: str, state: str, info: dict[str, Any], expected: Outcome | str | None
+) -> None:
     """State by state."""
-    message = message_of(words.Notification(event, "s-1", "j", state, "id",
-                                            words.JobInfo("id", state, **info)))
+    message = message_of(
+        words.Notification(event, "s-1", "j", state, "id", words.JobInfo("id", state, **info))
+    )
     if expected is None:
         assert message is None
     elif expected == "started":
@@ -407,11 +445,17 @@
         assert message.unfit == ("exitStatus" in info)  # it ran to its end: no other scheduler gets it
 
 
-@pytest.mark.parametrize("status, body, expected", [
-    (201, b'{"jobId":"7","jobState":"QUEUED"}', (Outcome.OK, "7")), (201, b"x", (Outcome.ERROR, "")),
-    (503, b'{"exception":"TryLaterException"}', (Outcome.FULL, "")),
-    (503, b'{"exception":"OutOfResourceException"}', (Outcome.FULL, "")),
-    (400, b'{"exception":"InvalidArgumentException"}', (Outcome.ERROR, "")), (500, b"", (Outcome.ERROR, ""))])
+@pytest.mark.parametrize(
+    "status, body, expected",
+    [
+        (201, b'{"jobId":"7","jobState":"QUEUED"}', (Outcome.OK, "7")),
+        (201, b"x", (Outcome.ERROR, "")),
+        (503, b'{"exception":"TryLaterException"}', (Outcome.FULL, "")),
+        (503, b'{"exception":"OutOfResourceException"}', (Outcome.FULL, "")),
+        (400, b'{"exception":"InvalidArgumentException"}', (Outcome.ERROR, "")),
+        (500, b"", (Outcome.ERROR, "")),
+    ],
+)
 def test_a_run_job_answer_becomes_an_outcome(status: int, body: bytes, expected: tuple[Outcome, str]) -> None:
     """Only what the scheduler says it refused counts as never run."""
     assert outcome_of(Reply(status, {}, body)) == expected
@@ -421,6 +465,9 @@
     """The core imports neither front, and its values are made without one."""
     core = Path(words.__file__).parent.parent / "core"
     text = "".join(path.read_text() for path in core.glob("*.py"))
-    assert not [name for name in ("http", "platform", "drmaa", "dnssd", "json") if f"merlinbay.{name}" in text
-                or f"import {name}" in text]
+    assert not [
+        name
+        for name in ("http", "platform", "drmaa", "dnssd", "json")
+        if f"merlinbay.{name}" in text or f"import {name}" in text
+    ]
     assert JobSpec("j", "c", 0, 1).budget_us == 1 and Answer(Verdict.FAILED).retry_after_us == 0
--- a/tests/test_estimators.py
+++ b/tests/test_estimators.py
@@ -96,11 +96,22 @@
         made._learn_slots(made.workers["w0"], False)
         made._learn_slots(made.workers["w1"], True)
     assert made.kinds["y"].slots < made.kinds["x"].slots / 1.5
-    assert made.slots == pytest.approx(5 / 0.5 ** 0.4, rel=0.2)
-
-
-@pytest.mark.parametrize("report", [None, [], [None, None], ["x", "y"], [-1, -2], [1e300, 1e300],
-                                    [True, True], [float("nan"), float("nan")]])
+    assert made.slots == pytest.approx(5 / 0.5**0.4, rel=0.2)
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        None,
+        [],
+        [None, None],
+        ["x", "y"],
+        [-1, -2],
+        [1e300, 1e300],
+        [True, True],
+        [float("nan"), float("nan")],
+    ],
+)
 def test_absurd_reports_are_ignored(report: list[object] | None) -> None:
     """A report that makes no sense changes nothing."""
     made = balancer()
@@ -186,8 +197,9 @@
     while worker.cold_next < 50_000_000 + safety.cold_us:
         worker.cold_next = made._cold_until(work, worker)
         sends.append(worker.cold_next - 50_000_000)
-    early, late = (sum(1 for at in sends if lo <= at < lo + safety.cold_us / 4)
-                   for lo in (0, safety.cold_us * 3 / 4))
+    early, late = (
+        sum(1 for at in sends if lo <= at < lo + safety.cold_us / 4) for lo in (0, safety.cold_us * 3 / 4)
+    )
     assert late > 1.8 * early
     mean = (1 + safety.cold_from) / 2 * safety.cold_us
     assert len(sends) * work == pytest.approx(safety.tip_multiple * 4.0 * 0.5 / 10 * mean, rel=0.05)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -16,7 +16,9 @@
 from tests.test_drmaa import CALL, FRONT
 from tests.test_front import Q, Scheduler, queue, scene, state
 
-OPERATOR = FRONT + """servers = true
+OPERATOR = (
+    FRONT
+    + """servers = true
 events.keep = {keep}
 events.to = ["127.0.0.2/32"]
 events.timeout = 0.3
@@ -28,6 +30,7 @@
 name = "q"
 backlog = true
 """
+)
 Body = Callable[[Stage, StandIn, Scheduler], Awaitable[None]]
 
 
@@ -85,6 +88,7 @@
 
 def test_a_jobs_life_is_told_in_order_by_poll_and_by_call_back(tmp_path: Path) -> None:
     """Signed, and once though the listener first fails; the poll has the same events, a filter some."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         listening = Listening(s)
         listening.refuse = 2
@@ -118,6 +122,7 @@
 
 def test_dead_slow_and_moved_listeners_cost_the_good_one_nothing(tmp_path: Path) -> None:
     """One never answers, one does so late, one sends elsewhere, one is gone for good: each alone suffers."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         async def never(stand: StandIn, request: Request) -> Response:
             await trio.sleep_forever()
@@ -160,8 +165,13 @@
 
 def test_our_own_address_and_others_are_refused(tmp_path: Path) -> None:
     """Whatever the way it is written; so are bad keys, events and cursors."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
-        for url in (f"http://127.0.0.2:{s.port}/drmaa2/jobs", f"http://0.0.0.0:{s.port}/", "http://10.0.0.1/"):
+        for url in (
+            f"http://127.0.0.2:{s.port}/drmaa2/jobs",
+            f"http://0.0.0.0:{s.port}/",
+            "http://10.0.0.1/",
+        ):
             assert (await s.json("POST", f"{Q}/listeners", {"url": url}))[0] == 403, url
         listening = Listening(s)
         url = f"http://{listening.stand.addr}/"
@@ -178,6 +188,7 @@
 
 def test_a_gap_is_said_and_a_key_rotates_under_load(tmp_path: Path) -> None:
     """Of a listener that was away, and of a poll with an old cursor; both keys verify meanwhile."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         listening = Listening(s)
         start = (await s.json("GET", f"{Q}/events?after=now"))[1]["cursor"]
@@ -195,8 +206,11 @@
         listening.verifier.keys = [signing.read_key(key)]
         await s.json("POST", f"{Q}/jobs/{job}/terminate")
         assert await listening.until("FAILED", job) == ["NEW_STATE QUEUED_HELD", "NEW_STATE FAILED"]
-        status, array = await s.json("POST", f"{Q}/arrays", {
-            "jobTemplate": {**CALL["jobTemplate"], "submitAsHold": True}, "beginIndex": 1, "endIndex": 500})
+        status, array = await s.json(
+            "POST",
+            f"{Q}/arrays",
+            {"jobTemplate": {**CALL["jobTemplate"], "submitAsHold": True}, "beginIndex": 1, "endIndex": 500},
+        )
         await s.json("POST", f"{Q}/arrays/{array['jobArrayId']}/terminate")
         await listening.until("FAILED", array["jobArrayId"])
         assert [e["members"] for e in listening.events if e["jobId"] == array["jobArrayId"]] == [500]
@@ -206,6 +220,7 @@
 
 def test_a_job_that_is_lost_and_starts_elsewhere_has_migrated(tmp_path: Path) -> None:
     """The event names the machine that it runs on now."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         other_scheduler = Scheduler()
         other = s.add("s-2", other_scheduler)
@@ -214,8 +229,13 @@
         while s.counters.counts["entries_all"] < heard + 2:  # Guards against a loss with nowhere to go yet.
             await trio.sleep(0.01)
         job = await queue(s)
-        while not (first := [(one, two) for one, two in ((server, other), (other, server))
-                             if job in (scheduler if one is server else other_scheduler).jobs]):
+        while not (
+            first := [
+                (one, two)
+                for one, two in ((server, other), (other, server))
+                if job in (scheduler if one is server else other_scheduler).jobs
+            ]
+        ):
             await trio.sleep(0.01)
         here, there = first[0]
         await here.notify(job, "RUNNING")
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -80,22 +80,36 @@
 
 def test_a_child_has_its_input_output_environment_and_folder(tmp_path: Path) -> None:
     """By payload and capture, and by files in a working directory of its own."""
-    status, child = run_child(tmp_path, args=["-c", 'cat; echo "$A" >&2'], payload=b"in",
-                              jobEnvironment={"A": "b"})
+    status, child = run_child(
+        tmp_path, args=["-c", 'cat; echo "$A" >&2'], payload=b"in", jobEnvironment={"A": "b"}
+    )
     assert (status, bytes(child.output), bytes(child.error)) == (0, b"in", b"b\n")
     (tmp_path / "sub").mkdir()
     (tmp_path / "sub" / "in").write_text("text")
-    status, child = run_child(tmp_path, args=["-c", "cat; pwd; echo no >&2; exit 3"], inputPath="in",
-                              outputPath="$DRMAA2_WORKING_DIR$/out", joinFiles=True, workingDirectory="sub")
+    status, child = run_child(
+        tmp_path,
+        args=["-c", "cat; pwd; echo no >&2; exit 3"],
+        inputPath="in",
+        outputPath="$DRMAA2_WORKING_DIR$/out",
+        joinFiles=True,
+        workingDirectory="sub",
+    )
     assert (status, bytes(child.output)) == (3, b"")
     assert (tmp_path / "sub" / "out").read_text() == f"text{tmp_path / 'sub'}\nno\n"
 
 
-@pytest.mark.parametrize("command, limits, expected", [
-    ("kill -SEGV $$", {}, -11), ("sleep 9", {"WALLCLOCK_TIME": 0}, -9), ("ulimit -n", {"OPEN_FILES": 33}, 0),
-    ("while :; do :; done", {"CPU_TIME": 1}, -9)])
-def test_a_child_ends_by_signals_and_limits(tmp_path: Path, command: str, limits: dict[str, int],
-                                            expected: int) -> None:
+@pytest.mark.parametrize(
+    "command, limits, expected",
+    [
+        ("kill -SEGV $$", {}, -11),
+        ("sleep 9", {"WALLCLOCK_TIME": 0}, -9),
+        ("ulimit -n", {"OPEN_FILES": 33}, 0),
+        ("while :; do :; done", {"CPU_TIME": 1}, -9),
+    ],
+)
+def test_a_child_ends_by_signals_and_limits(
+    tmp_path: Path, command: str, limits: dict[str, int], expected: int
+) -> None:
     """The status is the signal's; a limit is the child's own."""
     status, child = run_child(tmp_path, args=["-c", command], resourceLimits=limits)
     assert status == expected
@@ -112,8 +126,12 @@
 
 def test_what_cannot_be_started_says_why(tmp_path: Path) -> None:
     """A command, a folder or a file that is not there."""
-    for template in (JobTemplate("/nowhere"), JobTemplate("true", workingDirectory="/nowhere"),
-                     JobTemplate("true", inputPath="none")):
+    for template in (
+        JobTemplate("/nowhere"),
+        JobTemplate("true", workingDirectory="/nowhere"),
+        JobTemplate("true", inputPath="none"),
+    ):
+
         async def body(child: Child) -> None:
             with pytest.raises(NotStarted, match="No such file"):
                 await child.run()
@@ -123,6 +141,7 @@
 
 def test_an_executor_that_is_cancelled_leaves_no_process(tmp_path: Path) -> None:
     """Also where nobody has terminated the job before: running, or stopped by a suspend."""
+
     async def body() -> None:
         counters, limits = Counters(), Limits()
         executor = Executor("e", Slots(2), tmp_path, limits, counters, Log(5), Clock())
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -25,12 +25,16 @@
     return placed[0].worker if placed else ""
 
 
-def end(check: Checker, number: int, outcome: int = 1, attempt: int = 0,
-        report: list[object] | None = None) -> list[api.Action]:
+def end(
+    check: Checker, number: int, outcome: int = 1, attempt: int = 0, report: list[object] | None = None
+) -> list[api.Action]:
     """End an attempt."""
     sent, job = check.jobs[number].attempts[attempt], check.jobs[number]
-    return check.give(api.AttemptEnded(number, attempt, outcome, check.now - sent.at,
-                                       job.over or outcome == 1, report, sent.worker))
+    return check.give(
+        api.AttemptEnded(
+            number, attempt, outcome, check.now - sent.at, job.over or outcome == 1, report, sent.worker
+        )
+    )
 
 
 def serve(check: Checker, numbers: range, run_us: int = 50_000, cls: str = "safe") -> list[str]:
@@ -283,6 +287,7 @@
 
 def test_over_quota_is_worth_less() -> None:
     """What a tenant sends beyond its quota is refused first."""
+
     def served(quota: float) -> int:
         check = fleet(workers=2, balancers=1, over_share_worth=0.01, tenants=[api.Tenant("t", quota)])
         count = 0
@@ -292,6 +297,7 @@
             if number >= 30 and check.jobs[number - 30].attempts:
                 end(check, number - 30)
         return sum(bool(check.jobs[n].attempts) for n in range(1, 200, 2))
+
     assert served(0.001) < served(1e9)
 
 
@@ -314,11 +320,16 @@
     assert len(balancer.affine) <= 4096
 
 
-@pytest.mark.parametrize(("cls", "values", "name"), [
-    (api.Limits, {"send_cap": 0}, "limits.send_cap"), (api.Safety, {"cold_from": 0}, "safety.cold_from"),
-    (api.Settings, {"classes": []}, "classes"),
-    (api.JobClass, {"name": "c", "aim_us": 1, "deadline_us": 0}, "deadline_us"),
-    (api.JobClass, {"name": "c", "aim_us": 1, "deadline_us": 5, "effect": "maybe"}, "effect")])
+@pytest.mark.parametrize(
+    ("cls", "values", "name"),
+    [
+        (api.Limits, {"send_cap": 0}, "limits.send_cap"),
+        (api.Safety, {"cold_from": 0}, "safety.cold_from"),
+        (api.Settings, {"classes": []}, "classes"),
+        (api.JobClass, {"name": "c", "aim_us": 1, "deadline_us": 0}, "deadline_us"),
+        (api.JobClass, {"name": "c", "aim_us": 1, "deadline_us": 5, "effect": "maybe"}, "effect"),
+    ],
+)
 def test_invalid_settings_name_the_field(cls: type, values: dict[str, object], name: str) -> None:
     """Settings that make no sense raise ``ValueError`` with the field."""
     with pytest.raises(ValueError, match=name.replace(".", r"\.")):
@@ -464,8 +475,14 @@
 
 def test_a_share_of_a_cold_workers_budget_is_used() -> None:
     """Found as 25% refused under deploys: a share is rare, and a random look rarely meets its worker."""
-    check = fleet(workers=80, balancers=100, asks_first=True, tells_start=False,
-                  limits=api.Limits(probes=True, send_cap=3), held_field="active")
+    check = fleet(
+        workers=80,
+        balancers=100,
+        asks_first=True,
+        tells_start=False,
+        limits=api.Limits(probes=True, send_cap=3),
+        held_field="active",
+    )
     check.pass_time(5_000_000)
     check.give(api.ListChanged("changes", [entry(7, "up", check.now - 1_000_000)]))
     balancer = check.balancer
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,8 +23,10 @@
 
     def __init__(self, count: int, call_us: int, at_us: int = 0, event: api.Event | None = None) -> None:
         safety = api.Safety(must_ask_in_us=10 * SECOND)
-        self.fleet = [Balancer(settings(balancers=count, me=me, must_subscribe=True, safety=safety),
-                               me + 1, 0) for me in range(count)]
+        self.fleet = [
+            Balancer(settings(balancers=count, me=me, must_subscribe=True, safety=safety), me + 1, 0)
+            for me in range(count)
+        ]
         self.call_us, self.free, self.calls, self.failed, self.queue_us = call_us, 0, 0, 0, 0
         self.due: list[tuple[int, int, str]] = []
         self.told = dict[int, int]()  # when each was subscribed last,
@@ -46,8 +48,9 @@
                 assert self.event is not None
                 self._act(now, who, self.event)
             else:
-                self._act(now, who, api.ListChanged("refused", []) if what == "refused"
-                          else api.TimerFired(what))
+                self._act(
+                    now, who, api.ListChanged("refused", []) if what == "refused" else api.TimerFired(what)
+                )
 
     def _act(self, now: int, who: int, event: api.Event) -> None:
         for action in self.fleet[who].handle(now, [event]):
@@ -60,12 +63,15 @@
                 self.free = max(self.free, now) + self.call_us
                 late = self.free - now >= 2 * SECOND
                 self.failed += late
-                heapq.heappush(self.due, (now + 2 * SECOND, who, "refused") if late
-                               else (self.free, who, "told"))
+                heapq.heappush(
+                    self.due, (now + 2 * SECOND, who, "refused") if late else (self.free, who, "told")
+                )
 
 
-@pytest.mark.parametrize(("count", "call_us"), [
-    (1, 200_000), (3, 200_000), (40, 125_000), (40, 160_000), (200, 25_000), (200, 30_000)])
+@pytest.mark.parametrize(
+    ("count", "call_us"),
+    [(1, 200_000), (3, 200_000), (40, 125_000), (40, 160_000), (200, 25_000), (200, 30_000)],
+)
 def test_a_fleet_that_starts_at_once_is_subscribed(count: int, call_us: int) -> None:
     """All of it within twice the time that its calls take, and hardly a call is made twice."""
     played = Discovery(count, call_us)
@@ -134,8 +140,11 @@
 
 def test_a_planned_call_is_not_put_off_by_a_watch_that_ends() -> None:
     """The old discovery closes while the call to the new one is planned: whichever is sooner counts."""
-    made = Balancer(settings(balancers=200, me=100, must_subscribe=True,
-                             safety=api.Safety(must_ask_in_us=10 * SECOND)), 1, 0)
+    made = Balancer(
+        settings(balancers=200, me=100, must_subscribe=True, safety=api.Safety(must_ask_in_us=10 * SECOND)),
+        1,
+        0,
+    )
     wait = [a.in_us for a in made.handle(0, [api.ListMoved(SECOND)]) if isinstance(a, api.SetTimer)]
     assert len(wait) == 2 and wait[1] < 0.61 * SECOND < wait[0]  # the start's, and the move's
     assert made.handle(SECOND // 10, [api.ListChanged("refused", [])]) == []
@@ -181,14 +190,32 @@
         worker = next(a.worker for a in actions if isinstance(a, api.Place))
         bad = worker == "w0" and number % 5 > 0
         made.handle(now, [api.JobStarted(number, 0)])
-        later = made.handle(now + 100_000, [api.AttemptEnded(
-            number, 0, api.Outcome.ERROR if bad else api.Outcome.OK, 100_000, not bad,
-            [40.0 if worker == "w0" else 0.01], worker)])
+        later = made.handle(
+            now + 100_000,
+            [
+                api.AttemptEnded(
+                    number,
+                    0,
+                    api.Outcome.ERROR if bad else api.Outcome.OK,
+                    100_000,
+                    not bad,
+                    [40.0 if worker == "w0" else 0.01],
+                    worker,
+                )
+            ],
+        )
         lost += bad
         if bad:
-            made.handle(now + 150_000, [api.JobWithdrawn(number), *(
-                api.AttemptEnded(number, n + 1, api.Outcome.CANCELLED, 1, True, None, a.worker)
-                for n, a in enumerate(x for x in later if isinstance(x, api.Place)))])
+            made.handle(
+                now + 150_000,
+                [
+                    api.JobWithdrawn(number),
+                    *(
+                        api.AttemptEnded(number, n + 1, api.Outcome.CANCELLED, 1, True, None, a.worker)
+                        for n, a in enumerate(x for x in later if isinstance(x, api.Place))
+                    ),
+                ],
+            )
     assert 0 < lost <= (14 if field else 24)
 
 
@@ -210,9 +237,15 @@
     made = Balancer(settings(held_field="active"), 1, 0)
     made.handle(0, [api.ListChanged("all", [entry(0), entry(1), entry(2)])])
     told: list[tuple[list[object], float]] = [
-        ([0.0, 0.0], 1), ([0.0, 0.2], 1), ([5.0, 0.4], 1),  # full: nothing is known
-        ([6.0, 1.0], 7), ([4.0, 1.0], 5), ([6.0, 1.0], 5),  # room for one: the larger ones count who waits
-        ([2.0, 3.0], 5), ([1.0, 9.0], 7.5)]  # half empty
+        ([0.0, 0.0], 1),
+        ([0.0, 0.2], 1),
+        ([5.0, 0.4], 1),  # full: nothing is known
+        ([6.0, 1.0], 7),
+        ([4.0, 1.0], 5),
+        ([6.0, 1.0], 5),  # room for one: the larger ones count who waits
+        ([2.0, 3.0], 5),
+        ([1.0, 9.0], 7.5),
+    ]  # half empty
     for report, slots in told:
         made.handle(SECOND, [api.ProbeEnded("w0", 1, 9, report)])
         assert made.kinds["k1"].slots == pytest.approx(slots)
@@ -251,8 +284,9 @@
             for action in made.handle(now, [api.JobArrived(job, "safe", 10**7)]):
                 if isinstance(action, api.Place):
                     sent.setdefault(action.worker, []).append(now)
-                    made.handle(now, [api.AttemptEnded(job, 0, api.Outcome.OK, 150_000, True, None,
-                                                       action.worker)])
+                    made.handle(
+                        now, [api.AttemptEnded(job, 0, api.Outcome.OK, 150_000, True, None, action.worker)]
+                    )
     assert len(sent) == len(cold)
     for times in sent.values():
         assert len(times) > 40
@@ -361,7 +395,9 @@
     """The first keeps its place; at most two are out at once, waits grow, and the sends are capped."""
     made, turns = swapping()
     assert [action for turn in turns for action in turn if isinstance(action, api.Cancel)] == [
-        api.Cancel(1, 1), api.Cancel(1, 2)]
+        api.Cancel(1, 1),
+        api.Cancel(1, 2),
+    ]
     assert len({a.worker for turn in turns for a in turn if isinstance(a, api.Place)}) == 4
     assert made.jobs[1].attempts[0].open and made.jobs[1].pending == 2
     waits = [a.in_us for turn in turns for a in turn if isinstance(a, api.SetTimer)]
@@ -390,9 +426,15 @@
     placed = 0
     for number in range(10, 60):
         now = SECOND + number * SECOND // 10
-        sent = [a for a in made.handle(now, [api.JobArrived(number, "safe", SECOND)])
-                if isinstance(a, api.Place)]
+        sent = [
+            a for a in made.handle(now, [api.JobArrived(number, "safe", SECOND)]) if isinstance(a, api.Place)
+        ]
         placed += now > 4 * SECOND and bool(sent)
-        made.handle(now + 50_000, [api.AttemptEnded(number, n, api.Outcome.OK, 50_000, True, None, a.worker)
-                                   for n, a in enumerate(sent)])
+        made.handle(
+            now + 50_000,
+            [
+                api.AttemptEnded(number, n, api.Outcome.OK, 50_000, True, None, a.worker)
+                for n, a in enumerate(sent)
+            ],
+        )
     assert made.own_held == 3 and placed >= 20
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -53,7 +53,8 @@
 
 
 def test_calls_spread_beyond_the_time_to_ask_break_the_rule_on_drains(
-        monkeypatch: pytest.MonkeyPatch, true: dict[str, Result]) -> None:
+    monkeypatch: pytest.MonkeyPatch, true: dict[str, Result]
+) -> None:
     """The fault that the bench found at full size: nodes that have not asked count as told."""
     monkeypatch.setattr(Calls, "_plan", unbounded)
     worse = played("zone")
@@ -70,23 +71,26 @@
 
 
 def test_a_whole_new_time_to_ask_after_a_silent_watch_breaks_the_rule_on_drains(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The fault of the issue on leaving servers, of deployments whose lists are asked for."""
     monkeypatch.setattr(Calls, "broken", anew)
     assert played("silent").broken.startswith("rule 3")
 
 
 @pytest.mark.parametrize("name", ["roll", "herd"])
-def test_calls_without_a_spread_rank_below(monkeypatch: pytest.MonkeyPatch, true: dict[str, Result],
-                                           name: str) -> None:
+def test_calls_without_a_spread_rank_below(
+    monkeypatch: pytest.MonkeyPatch, true: dict[str, Result], name: str
+) -> None:
     """All nodes ask at once, again and again: those that restart stay with an old list."""
     monkeypatch.setattr(Calls, "_plan", no_spread)
     assert played(name).figure < true[name].figure - 0.03
 
 
 @pytest.mark.parametrize("name", ["herd", "zone"])
-def test_gates_by_own_counts_alone_rank_below(monkeypatch: pytest.MonkeyPatch, true: dict[str, Result],
-                                              name: str) -> None:
+def test_gates_by_own_counts_alone_rank_below(
+    monkeypatch: pytest.MonkeyPatch, true: dict[str, Result], name: str
+) -> None:
     """Scaled by all balancers, whatever reports show: nodes with more than their share refuse."""
     monkeypatch.setattr(Beliefs, "peers", lambda self: self.settings.balancers - 1)
     worse = played(name)
@@ -98,8 +102,9 @@
     one = true["calm"]
 
     def day(name: str, module: float, chance: float, late: float) -> gate.Played:
-        return gate.Played(name, replace(one, in_time=module), replace(one, in_time=chance),
-                           replace(one, in_time=late), one)
+        return gate.Played(
+            name, replace(one, in_time=module), replace(one, in_time=chance), replace(one, in_time=late), one
+        )
 
     assert day("fleet-roll", 0.5, 0.9, 0.98).failure == ""
     assert day("fleet-roll", 0.48, 0.9, 0.98).failure == "0.480 in time, 0.490 wanted"
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -18,15 +18,19 @@
 from tests.test_drmaa import BOTH, CALL, schedules, submit, taken, takes
 
 Q = "/drmaa2/sessions/q"
-QUEUE = BOTH + """ask_first = 0.2
+QUEUE = (
+    BOTH
+    + """ask_first = 0.2
 ask_gone = 1.0
 body_kib = 256
 [[drmaa.session]]
 name = "q"
 backlog = true
 """
-ONCE: list[dict[str, Any]] = [{"name": "admit", "aimUs": 120000, "deadlineUs": 3000000, "worth": 1.0,
-                               "effect": "once"}]
+)
+ONCE: list[dict[str, Any]] = [
+    {"name": "admit", "aimUs": 120000, "deadlineUs": 3000000, "worth": 1.0, "effect": "once"}
+]
 
 
 class Scheduler:
@@ -65,9 +69,16 @@
         return found[number - 1]
 
 
-def scene(tmp_path: Path, body: Callable[[Stage, StandIn, Scheduler], Awaitable[None]], slots: int = 100,
-          answers: dict[str, Response] | None = None, operator: str = QUEUE, **conf: Any) -> None:
+def scene(
+    tmp_path: Path,
+    body: Callable[[Stage, StandIn, Scheduler], Awaitable[None]],
+    slots: int = 100,
+    answers: dict[str, Response] | None = None,
+    operator: str = QUEUE,
+    **conf: Any,
+) -> None:
     """Play with one scheduler."""
+
     async def whole() -> None:
         async with stage(tmp_path) as s:
             s.operator = operator
@@ -98,6 +109,7 @@
 
 def test_sessions_are_objects(tmp_path: Path) -> None:
     """Created, listed, closed, opened and destroyed; each misuse raises its exception."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         async def call(method: str, target: str, value: object = None) -> tuple[int, Any]:
             status, answer = await s.json(method, target, value)
@@ -112,8 +124,11 @@
         assert (await call("GET", "/drmaa2/sessions"))[1] == {"sessionNames": ["default", "minutes", "q"]}
         path = "/drmaa2/sessions/minutes"
         status, job = await s.json("POST", f"{path}/jobs", CALL)
-        held = (await s.json("POST", f"{path}/jobs", {"jobTemplate": {
-            **CALL["jobTemplate"], "submitAsHold": True}}))[1]["jobId"]
+        held = (
+            await s.json(
+                "POST", f"{path}/jobs", {"jobTemplate": {**CALL["jobTemplate"], "submitAsHold": True}}
+            )
+        )[1]["jobId"]
         assert (await call("GET", f"/drmaa2/jobs/{job['jobId']}"))[0] == 404  # it is in another session
         assert (await call("POST", f"{path}/close"))[0] == 200
         assert await call("GET", f"{path}/jobs/{held}") == (409, "InvalidSessionException")
@@ -134,6 +149,7 @@
 
 def test_refused_jobs_wait_in_the_backlog_where_the_session_opted_in(tmp_path: Path) -> None:
     """One slot and five jobs: all are done, in order; without the opt-in, TryLaterException at once."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         jobs = [await queue(s, jobName=f"n{number}") for number in range(5)]
         await scheduler.heard("runJob")
@@ -186,6 +202,7 @@
 
 def test_a_copy_that_goes_out_during_a_hold_is_called_back_as_well(tmp_path: Path) -> None:
     """The first scheduler is slow to give back, so a copy goes out: held once neither has it."""
+
     async def whole() -> None:
         async with stage(tmp_path) as s:
             s.operator = QUEUE
@@ -202,8 +219,9 @@
             job = await queue(s)
             status, info = await s.json("POST", f"{Q}/jobs/{job}/hold")
             assert (status, info["jobState"]) == (200, "QUEUED_HELD")
-            calls = [verb for scheduler in schedulers.values() for verb, _ in scheduler.calls
-                     if verb != "state"]
+            calls = [
+                verb for scheduler in schedulers.values() for verb, _ in scheduler.calls if verb != "state"
+            ]
             assert sorted(calls) == ["recall", "recall", "runJob", "runJob"]
 
     play(whole)
@@ -212,6 +230,7 @@
 @pytest.mark.parametrize("able", [True, False])
 def test_suspend_and_resume_at_the_scheduler(tmp_path: Path, able: bool) -> None:
     """Done there, and shown; where the scheduler cannot, the state is unchanged and that is said."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         job = await queue(s)
         name = await scheduler.heard("runJob")
@@ -240,20 +259,25 @@
     ({"jobState": "DONE", "exitStatus": 0, "output": base64.b64encode(b"x").decode()}, "DONE", ""),
     ({"jobState": "FAILED", "exitStatus": 4, "annotation": "no"}, "FAILED", "no"),
     ({"jobState": "RUNNING"}, "RUNNING", ""),
-    ({}, "FAILED", "failed; it may have run")]  # restarted: it knows no job
+    ({}, "FAILED", "failed; it may have run"),
+]  # restarted: it knows no job
 
 
 @pytest.mark.parametrize("told, ends, note", LOST)
-def test_a_lost_notification_is_found_by_asking(tmp_path: Path, told: dict[str, object], ends: str,
-                                                note: str) -> None:
+def test_a_lost_notification_is_found_by_asking(
+    tmp_path: Path, told: dict[str, object], ends: str, note: str
+) -> None:
     """Well before the deadline of 3 s; a job that nobody knows any more may have run, and runs no more."""
     answer = Response(200, json.dumps({"jobId": "1", **told}).encode()) if told else Response(404, b"{}")
 
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         with trio.fail_after(1.5):
             job = await queue(s)
-            info = await state(s, job, ends) if ends == "RUNNING" else (
-                await s.json("GET", f"{Q}/jobs/{job}/wait"))[1]
+            info = (
+                await state(s, job, ends)
+                if ends == "RUNNING"
+                else (await s.json("GET", f"{Q}/jobs/{job}/wait"))[1]
+            )
         assert (info["jobState"], info.get("annotation", "")) == (ends, note)
         await trio.sleep(0.2)
         assert [verb for verb, _ in scheduler.calls].count("runJob") == 1
@@ -264,6 +288,7 @@
 
 def test_a_scheduler_that_cannot_be_asked_leaves_the_state_undetermined(tmp_path: Path) -> None:
     """UNDETERMINED while it is silent; what it says later counts; silent for too long, the job has failed."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         first, second = await queue(s), await queue(s)
         name = await scheduler.heard("runJob")
@@ -283,6 +308,7 @@
 @pytest.mark.parametrize("started", [False, True])
 def test_a_drain_hands_back_only_what_never_ran(tmp_path: Path, started: bool) -> None:
     """A queued job goes elsewhere; one that told of its start counts as one that may have run."""
+
     async def whole() -> None:
         async with stage(tmp_path) as s:
             s.operator = QUEUE
@@ -313,6 +339,7 @@
 
 def test_an_array_over_the_wire(tmp_path: Path) -> None:
     """No more than maxParallel are out; after its terminate none is sent, and all are taken back."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         call = {**CALL, "beginIndex": 1, "endIndex": 10_000, "maxParallel": 3}
         status, array = await s.json("POST", f"{Q}/arrays", call)
@@ -350,6 +377,7 @@
 
 def test_wait_any_over_5000_jobs_asked_again_after_its_connection_broke(tmp_path: Path) -> None:
     """One is reaped meanwhile; the broken wait leaves nothing behind, though waits are few."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         call = {**CALL, "beginIndex": 1, "endIndex": 5000, "maxParallel": 1}
         array = (await s.json("POST", f"{Q}/arrays", call))[1]["jobArrayId"]
@@ -383,6 +411,7 @@
 
 def test_jobs_are_listed_in_pages_by_state(tmp_path: Path) -> None:
     """In order of submission; reaped ones are gone; a bad page is refused."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         jobs = [await queue(s, submitAsHold=True) for _ in range(5)]
         page = (await s.json("GET", f"{Q}/jobs?limit=3"))[1]
@@ -402,6 +431,7 @@
 
 def test_candidate_machines_bind_a_job_to_them(tmp_path: Path) -> None:
     """Of 12 schedulers the named one gets it; where it drains, the job is refused, not sent elsewhere."""
+
     async def whole() -> None:
         async with stage(tmp_path) as s:
             s.operator = BOTH
@@ -421,6 +451,7 @@
 
 def test_plain_jobs_and_the_platform_go_on_beside_a_full_backlog(tmp_path: Path) -> None:
     """Offers are few while all is full; a client that has no backlog is served beside hundreds that wait."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         for _ in range(5):
             await s.json("POST", f"{Q}/arrays", {**CALL, "beginIndex": 1, "endIndex": 400})
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -26,8 +26,12 @@
 from merlinbay.notify.settings import Events
 
 CLASSES = [JobClass("admit", 1, 3_000_000), JobClass("print", 1, 9_000_000, effect="once")]
-SETTINGS = Drmaa(front=True, memory_unit_kib=1024, events=Events(keep=50, to=["0.0.0.0/0"]),
-                 session=[NamedSession(name="q", backlog=True, jobs=50)])
+SETTINGS = Drmaa(
+    front=True,
+    memory_unit_kib=1024,
+    events=Events(keep=50, to=["0.0.0.0/0"]),
+    session=[NamedSession(name="q", backlog=True, jobs=50)],
+)
 
 
 class FakeConnection:
@@ -43,10 +47,17 @@
         self.answers.append(response)
 
 
-SENSIBLE = st.fixed_dictionaries({"remoteCommand": st.just("x")}, optional={
-    "jobCategory": st.sampled_from(["admit", "print"]), "accountingId": st.sampled_from(["a", "b"]),
-    "submitAsHold": st.booleans(), "priority": st.integers(-9, 9), "minSlots": st.integers(1, 3),
-    "startTime": st.sampled_from(["2999-01-01T00:00:00Z", "1999-01-01T00:00:00Z"])})
+SENSIBLE = st.fixed_dictionaries(
+    {"remoteCommand": st.just("x")},
+    optional={
+        "jobCategory": st.sampled_from(["admit", "print"]),
+        "accountingId": st.sampled_from(["a", "b"]),
+        "submitAsHold": st.booleans(),
+        "priority": st.integers(-9, 9),
+        "minSlots": st.integers(1, 3),
+        "startTime": st.sampled_from(["2999-01-01T00:00:00Z", "1999-01-01T00:00:00Z"]),
+    },
+)
 
 
 def fits(kind: Any) -> st.SearchStrategy[Any]:
@@ -68,16 +79,20 @@
     if kind is Any:
         return st.none()
     if kind in (int, float, int | None):
-        return st.one_of(st.integers(-3, 12), st.integers(), st.floats(allow_nan=False) if kind is float
-                         else st.just(1) if kind is int else st.none())
+        return st.one_of(
+            st.integers(-3, 12),
+            st.integers(),
+            st.floats(allow_nan=False) if kind is float else st.just(1) if kind is int else st.none(),
+        )
     return st.from_type(kind)
 
 
 def bodies(kind: type) -> st.SearchStrategy[bytes]:
     """Return bodies of a call: by its type, by its type with a value exchanged, and any bytes."""
     good = fits(kind).map(msgspec.to_builtins)
-    odd: st.SearchStrategy[Any] = st.one_of(st.none(), st.integers(), st.floats(), st.text(max_size=9),
-                                            st.lists(st.integers(), max_size=2))
+    odd: st.SearchStrategy[Any] = st.one_of(
+        st.none(), st.integers(), st.floats(), st.text(max_size=9), st.lists(st.integers(), max_size=2)
+    )
 
     def mutate(pair: tuple[Any, list[int], Any]) -> Any:
         value, path, new = pair
@@ -97,35 +112,76 @@
 
 
 IDS = st.sampled_from(["x", "default", "q", "%2e%2e", "a.1", "a.99999999999", "job"])
-QUERIES = st.sampled_from(["", "?timeout=0", "?timeout=nan", "?timeout=-1", "?timeout=inf", "?state=DONE",
-                           "?state=X", "?limit=-1", "?after=x", "?limit=1e9", "?&&=", "?after=now",
-                           "?event=X",
-                           "?filter=slots%3E0", "?filter=(", "?name=x", "?full=true"])
+QUERIES = st.sampled_from(
+    [
+        "",
+        "?timeout=0",
+        "?timeout=nan",
+        "?timeout=-1",
+        "?timeout=inf",
+        "?state=DONE",
+        "?state=X",
+        "?limit=-1",
+        "?after=x",
+        "?limit=1e9",
+        "?&&=",
+        "?after=now",
+        "?event=X",
+        "?filter=slots%3E0",
+        "?filter=(",
+        "?name=x",
+        "?full=true",
+    ]
+)
 VERBS = ["", "/hold", "/release", "/suspend", "/resume", "/terminate", "/reap", "/wait", "/waitStarted"]
-KNOWN = st.tuples(st.sampled_from(["", "/sessions/q"]), st.sampled_from(["/jobs", "/arrays"]),
-                  st.sampled_from(["/job", ""]), st.sampled_from(VERBS)).map("".join)
-PATHS = st.lists(st.one_of(IDS, st.sampled_from(
-    ["jobs", "arrays", "sessions", "hold", "wait", "open", "close", "waitAnyStarted", "supports", "X"])),
-    max_size=6).map(lambda parts: "/" + "/".join(parts))
+KNOWN = st.tuples(
+    st.sampled_from(["", "/sessions/q"]),
+    st.sampled_from(["/jobs", "/arrays"]),
+    st.sampled_from(["/job", ""]),
+    st.sampled_from(VERBS),
+).map("".join)
+PATHS = st.lists(
+    st.one_of(
+        IDS,
+        st.sampled_from(
+            ["jobs", "arrays", "sessions", "hold", "wait", "open", "close", "waitAnyStarted", "supports", "X"]
+        ),
+    ),
+    max_size=6,
+).map(lambda parts: "/" + "/".join(parts))
 CALLS = st.one_of(
     st.tuples(st.just("POST"), st.sampled_from(["/jobs", "/sessions/q/jobs"]), bodies(words.RunJob)),
     st.tuples(st.just("POST"), st.sampled_from(["/arrays", "/sessions/q/arrays"]), bodies(words.RunBulkJobs)),
     st.tuples(st.just("POST"), st.just("/sessions"), bodies(words.CreateSession)),
     st.tuples(st.just("POST"), st.sampled_from(["/listeners", "/sessions/q/listeners"]), bodies(Register)),
-    st.tuples(st.just("GET"), st.tuples(st.sampled_from(
-        ["/events", "/sessions/q/events", "/monitor/jobs", "/monitor/queues", "/monitor/machines"]),
-        QUERIES).map("".join), st.just(b"")),
-    st.tuples(st.just("POST"), st.sampled_from(["/waitAnyStarted", "/sessions/q/waitAnyTerminated"]),
-              bodies(words.WaitAny)),
-    st.tuples(st.sampled_from(["GET", "POST", "DELETE", "PUT", "HEAD"]),
-              st.tuples(st.one_of(PATHS, KNOWN), QUERIES).map("".join), st.just(b"")))
-
-
-@settings(max_examples=250, deadline=None, derandomize=True,
-          suppress_health_check=list(HealthCheck))
+    st.tuples(
+        st.just("GET"),
+        st.tuples(
+            st.sampled_from(
+                ["/events", "/sessions/q/events", "/monitor/jobs", "/monitor/queues", "/monitor/machines"]
+            ),
+            QUERIES,
+        ).map("".join),
+        st.just(b""),
+    ),
+    st.tuples(
+        st.just("POST"),
+        st.sampled_from(["/waitAnyStarted", "/sessions/q/waitAnyTerminated"]),
+        bodies(words.WaitAny),
+    ),
+    st.tuples(
+        st.sampled_from(["GET", "POST", "DELETE", "PUT", "HEAD"]),
+        st.tuples(st.one_of(PATHS, KNOWN), QUERIES).map("".join),
+        st.just(b""),
+    ),
+)
+
+
+@settings(max_examples=250, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 @given(st.lists(CALLS, min_size=10, max_size=30), st.randoms(use_true_random=False))
 def test_only_documented_answers(calls: list[tuple[str, str, bytes]], rng: Any) -> None:
     """2xx with JSON, or one of the standard's exceptions with its own status; never a fault of ours."""
+
     async def scene() -> None:
         send, receive = trio.open_memory_channel[ports.Message](3)
         front = DrmaaFront(send, Clock(), Limits(), Counters(), Log(1), CLASSES, SETTINGS, "n")
@@ -154,8 +210,9 @@
             assert isinstance(message, ports.FlowArrived | ports.FlowWithdrawn | ports.FleetAsked)
         for session in front.engine.sessions.values():
             assert session.quota.jobs <= (50 if session.name == "q" else session.quota.allowance.jobs)
-        assert front.engine.jobs >= sum(not job.ended for session in front.engine.sessions.values()
-                                        for job in session.jobs.values())
+        assert front.engine.jobs >= sum(
+            not job.ended for session in front.engine.sessions.values() for job in session.jobs.values()
+        )
 
     trio.run(scene)
 
@@ -167,7 +224,8 @@
         assert answer.status in (200, 201) and isinstance(value, dict)
         return
     assert answer.status == words.STATUSES[value["exception"]] or (
-        answer.status == 404 and value["exception"] == "InvalidArgumentException")
+        answer.status == 404 and value["exception"] == "InvalidArgumentException"
+    )
     assert value["exception"] != "InternalException" and isinstance(value["message"], str)
     if value["exception"] == "TryLaterException":
         assert math.isfinite(value["retryAfter"]) and value["retryAfter"] > 0
