--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -37,10 +37,16 @@
     async def start(self, wait: bool = True) -> tuple[trio.Process, int]:
         """Start a further process; return it, and where operators call it, once it has said yes."""
         port = free_port()
-        environ = {**os.environ, **self.environ, "LB_ACCEPT_FD": str(self.sock.fileno()),
-                   "LB_ADMIN_ADDR": f"127.0.0.2:{port}", "TMPDIR": str(self.stage.folder)}
-        process = await trio.lowlevel.open_process([sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT,
-                                                   env=environ, pass_fds=[self.sock.fileno()])
+        environ = {
+            **os.environ,
+            **self.environ,
+            "LB_ACCEPT_FD": str(self.sock.fileno()),
+            "LB_ADMIN_ADDR": f"127.0.0.2:{port}",
+            "TMPDIR": str(self.stage.folder),
+        }
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, env=environ, pass_fds=[self.sock.fileno()]
+        )
         self.processes.append(process)
         self.desks.append(port)
         while wait:
@@ -58,6 +64,7 @@
 
 def by_house(folder: Path, scene: Scene, discovery: str = "subscribe", **servers: Play) -> None:
     """Play a scene with a kept socket and these servers; processes are ended by their ids."""
+
     async def whole() -> None:
         async with stage(folder) as s:
             for name, one in servers.items():
@@ -81,6 +88,7 @@
 
 async def at_once(s: Stage, name: str) -> None:
     """Hand in jobs side by side, so that more than one server is used, until all are served."""
+
     async def one(number: int) -> None:
         tries = 0
         while (await s.admit(f"{name}-{number}-{tries}", 3000)).status != 200:
@@ -104,6 +112,7 @@
 
 def test_clients_jobs_and_call_backs_outlive_the_process(tmp_path: Path) -> None:
     """Kept connections go over unnoticed, also one whose job runs on; its call-backs reach either process."""
+
     async def scene(h: House) -> None:
         s = h.stage
         old, _ = await h.start()
@@ -116,8 +125,13 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(held)
-            while not (holders := [server for server in s.servers if any(
-                    request.headers.get("x-request-id") == "held" for _, request in server.seen)]):
+            while not (
+                holders := [
+                    server
+                    for server in s.servers
+                    if any(request.headers.get("x-request-id") == "held" for _, request in server.seen)
+                ]
+            ):
                 await trio.sleep(0.01)
             await h.start()
             old.send_signal(signal.SIGTERM)
@@ -139,6 +153,7 @@
 @pytest.mark.parametrize("discovery", ["subscribe", "automatic"])
 def test_bans_the_list_and_standby_pass_to_the_next_process(tmp_path: Path, discovery: str) -> None:
     """Made before it starts or while both run; the configuration file's list is older than the node."""
+
     async def scene(h: House) -> None:
         s = h.stage
         old, _ = await h.start()
@@ -167,6 +182,7 @@
 
 def test_a_node_whose_successor_died_leaves_as_one_without(tmp_path: Path) -> None:
     """At SIGTERM its clients' connections are served on: there is nobody to take them."""
+
     async def scene(h: House) -> None:
         old, _ = await h.start()
         kept = await ClientConnection.dial(f"127.0.0.2:{h.stage.port}", LIMITS)
@@ -185,6 +201,7 @@
 
 def test_a_successor_that_dies_leaves_the_node_as_it_was(tmp_path: Path) -> None:
     """It serves on, and the next successor is met as the first one was."""
+
     async def scene(h: House) -> None:
         s = h.stage
         old, _ = await h.start()
@@ -208,6 +225,7 @@
 @pytest.mark.parametrize("what", ["stopped", "garbage", "nobody"])
 def test_a_process_starts_alone_where_nothing_can_be_taken_over(tmp_path: Path, what: str) -> None:
     """An old process that hangs, a file in the socket's place, one that was left behind by a dead process."""
+
     async def scene(h: House) -> None:
         s = h.stage
         old, _ = await h.start()
@@ -234,6 +252,7 @@
 
 def test_a_word_too_long_for_a_packet_ends_nothing_else() -> None:
     """It alone is not sent: what is posted after it, and a descriptor with it, come through."""
+
     async def scene() -> None:
         pair = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         ours, theirs = (Link(trio.socket.from_stdlib_socket(one), LIMITS) for one in pair)
@@ -262,8 +281,9 @@
         for action in one.handle(1_000_000 + number * 50_000, [api.JobArrived(number, "safe", 5_000_000)]):
             if isinstance(action, api.Place):
                 outcome = api.Outcome.CONNECT_FAILED if action.worker == "w2" else api.Outcome.OK
-                one.handle(one.now, [api.AttemptEnded(number, 0, outcome, 30_000, False, [1.0, 7.0],
-                                                      action.worker)])
+                one.handle(
+                    one.now, [api.AttemptEnded(number, 0, outcome, 30_000, False, [1.0, 7.0], action.worker)]
+                )
     one.handle(one.now, [api.Maintained("w4", True)])
     assert one.workers["w2"].bench_until > one.now and one.kinds["k1"].slots > 4
     parts = [words.decode(words.encode(word)) for word in words.told(5, [], learned(one, one.classes), False)]
@@ -276,7 +296,11 @@
     for name in ("w2", "w4"):
         mine, theirs = two.workers[name], one.workers[name]
         assert (mine.bench_until, mine.cold_next, mine.pace, mine.state) == (
-            theirs.bench_until, theirs.cold_next, theirs.pace, theirs.state)
+            theirs.bench_until,
+            theirs.cold_next,
+            theirs.pace,
+            theirs.state,
+        )
     assert two.workers["w0"].ready_at == 3_000_000 and two.workers["w0"].pace == 1.0
     assert two.workers["w4"].state == "draining" and two.kinds["k1"].slots == one.kinds["k1"].slots
     assert {w.name for w in two.usable} == {"w0", "w2"}
--- a/tests/test_in_service.py
+++ b/tests/test_in_service.py
@@ -22,6 +22,7 @@
 
 def in_service(folder: Path, scene: Scene, program: bool = False) -> None:
     """Play a scene with a node of two servers that operators can call."""
+
     async def whole() -> None:
         async with stage(folder) as s:
             s.desk = free_port()
@@ -33,16 +34,30 @@
     play(whole)
 
 
-CALLS = [("status", "SUCCESS"), ("status \r", "SUCCESS"), ("maint-on s-1", "SUCCESS"),
-         ("maint-on s-1", "SUCCESS"), ("maint-off s-1", "SUCCESS"), ("maint-off s-2", "SUCCESS"),
-         ("standby", "SUCCESS"), ("active", "SUCCESS"),
-         ("maint-on nobody", "FAILURE"), ("maint-off nobody", "FAILURE"), ("maint-on", "FAILURE"),
-         ("maint-on s-1 s-2", "FAILURE"), ("status s-1", "FAILURE"), ("", "FAILURE"), ("Status", "FAILURE"),
-         ("x" * 5000, "FAILURE"), ("\x00\xff", "FAILURE")]
+CALLS = [
+    ("status", "SUCCESS"),
+    ("status \r", "SUCCESS"),
+    ("maint-on s-1", "SUCCESS"),
+    ("maint-on s-1", "SUCCESS"),
+    ("maint-off s-1", "SUCCESS"),
+    ("maint-off s-2", "SUCCESS"),
+    ("standby", "SUCCESS"),
+    ("active", "SUCCESS"),
+    ("maint-on nobody", "FAILURE"),
+    ("maint-off nobody", "FAILURE"),
+    ("maint-on", "FAILURE"),
+    ("maint-on s-1 s-2", "FAILURE"),
+    ("status s-1", "FAILURE"),
+    ("", "FAILURE"),
+    ("Status", "FAILURE"),
+    ("x" * 5000, "FAILURE"),
+    ("\x00\xff", "FAILURE"),
+]
 
 
 def test_each_call_has_one_line_also_beside_callers_who_say_nothing(tmp_path: Path) -> None:
     """Forty connections without a word neither keep others out nor delay them."""
+
     async def scene(s: Stage) -> None:
         silent = [await trio.open_tcp_stream("127.0.0.2", s.desk) for _ in range(40)]
         for line, word in CALLS:
@@ -59,21 +74,28 @@
 
 def test_the_command_line_makes_calls(tmp_path: Path) -> None:
     """The answer's line, and an exit status that scripts can use."""
+
     async def scene(s: Stage) -> None:
         for at, words, status, line in [
-                (s.desk, ["maint-on", "s-1"], 0, "SUCCESS"),
-                (s.desk, ["maint-off", "x"], 9, "FAILURE nobody"),
-                (free_port(), ["status"], 8, "merlinbay: cannot reach the node")]:
-            done = await trio.run_process([sys.executable, "-m", "merlinbay", "operate", "--at",
-                                           f"127.0.0.2:{at}", *words], cwd=ROOT, check=False,
-                                          capture_stdout=True, capture_stderr=True)
-            assert (done.returncode, (done.stdout + done.stderr).decode()[:len(line)]) == (status, line)
+            (s.desk, ["maint-on", "s-1"], 0, "SUCCESS"),
+            (s.desk, ["maint-off", "x"], 9, "FAILURE nobody"),
+            (free_port(), ["status"], 8, "merlinbay: cannot reach the node"),
+        ]:
+            done = await trio.run_process(
+                [sys.executable, "-m", "merlinbay", "operate", "--at", f"127.0.0.2:{at}", *words],
+                cwd=ROOT,
+                check=False,
+                capture_stdout=True,
+                capture_stderr=True,
+            )
+            assert (done.returncode, (done.stdout + done.stderr).decode()[: len(line)]) == (status, line)
 
     in_service(tmp_path, scene)
 
 
 def test_nothing_goes_to_a_server_in_maintenance_whatever_is_listed(tmp_path: Path) -> None:
     """From the yes on, also when discovery lists it anew; after the call that ends it it is used again."""
+
     async def scene(s: Stage) -> None:
         assert (await s.operate("maint-on s-1")).startswith("SUCCESS")
         before = len(s.stand("s-1").targets())
@@ -112,8 +134,10 @@
             if isinstance(action, api.Place) and action.worker == "w0":
                 sent.append(now)
             if isinstance(action, api.Place):
-                balancer.handle(now, [api.AttemptEnded(number, 0, api.Outcome.OK, 50_000, False,
-                                                       [0.0, slots], action.worker)])
+                balancer.handle(
+                    now,
+                    [api.AttemptEnded(number, 0, api.Outcome.OK, 50_000, False, [0.0, slots], action.worker)],
+                )
     assert sent and sent[0] - back < 500_000
     most = conf.safety.tip_multiple * slots * (now - back) / 50_000  # the cold budget, all of it
     assert len(sent) < most * 0.5
@@ -125,13 +149,21 @@
     balancer.handle(0, [api.ListChanged("all", [entry(0), entry(2)])])
     balancer.handle(0, [api.Maintained("w0", True)])
     job = 0
-    for scope, rows in [("all", [entry(0), entry(2)]), ("changes", [entry(0, ready=5)]), ("all", [entry(2)]),
-                        ("all", [entry(0, "draining"), entry(2)]), ("changes", [entry(0)])]:
+    for scope, rows in [
+        ("all", [entry(0), entry(2)]),
+        ("changes", [entry(0, ready=5)]),
+        ("all", [entry(2)]),
+        ("all", [entry(0, "draining"), entry(2)]),
+        ("changes", [entry(0)]),
+    ]:
         balancer.handle(0, [api.ListChanged(scope, rows)])
         assert balancer.knows("w0") and balancer.workers["w2"].state == "up"
         job += 1
-        placed = [a.worker for a in balancer.handle(0, [api.JobArrived(job, "safe", 5_000_000)])
-                  if isinstance(a, api.Place)]
+        placed = [
+            a.worker
+            for a in balancer.handle(0, [api.JobArrived(job, "safe", 5_000_000)])
+            if isinstance(a, api.Place)
+        ]
         assert placed == ["w2"]
         balancer.handle(0, [api.AttemptEnded(job, 0, api.Outcome.OK, 50_000, False, None, "w2")])
     balancer.handle(0, [api.Maintained("w0", False)])
@@ -140,6 +172,7 @@
 
 def test_clients_are_sent_away_without_a_request_lost_and_taken_back(tmp_path: Path) -> None:
     """The check says no at once; connections end with an answer, idle ones soon; those of servers stay."""
+
     async def scene(s: Stage) -> None:
         address = f"127.0.0.2:{s.port}"
         busy, idle, server = [await ClientConnection.dial(address, LIMITS) for _ in range(3)]
@@ -171,15 +204,24 @@
     in_service(tmp_path, scene)
 
 
-@pytest.mark.parametrize(("name", "value"), [("LB_ACCEPT_FD", "x"), ("LB_ACCEPT_FD", "987"),
-                                             ("LB_ACCEPT_FD", "0"), ("LB_ADMIN_ADDR", "here")])
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("LB_ACCEPT_FD", "x"), ("LB_ACCEPT_FD", "987"), ("LB_ACCEPT_FD", "0"), ("LB_ADMIN_ADDR", "here")],
+)
 def test_bad_words_in_the_environment_end_with_one_line(tmp_path: Path, name: str, value: str) -> None:
     """Status 2, nothing bound."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             environ = {**os.environ, **s.configure(), name: value}
-            done = await trio.run_process([sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, check=False,
-                                          stdin=subprocess.DEVNULL, capture_stderr=True, env=environ)
+            done = await trio.run_process(
+                [sys.executable, "-B", "-m", "merlinbay"],
+                cwd=ROOT,
+                check=False,
+                stdin=subprocess.DEVNULL,
+                capture_stderr=True,
+                env=environ,
+            )
             assert done.returncode == 2
             assert len(done.stderr.splitlines()) == 1 and value in done.stderr.decode()
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -12,17 +12,22 @@
 RED = "tests/test_x.py::test_red | a fault | issue 1\n"
 
 
-@pytest.mark.parametrize(("listed", "code", "says"), [
-    (None, 1, "1 failed, 1 passed"),
-    (RED, 0, "known red: tests/test_x.py::test_red: a fault (issue 1)"),
-    (RED + RED.replace("red", "green"), 1, "XPASS(strict)"),
-    (RED + RED.replace("red", "gone"), 4, "there is no test tests/test_x.py::test_gone"),
-    (RED + RED.replace("_x", "_y"), 4, "there is no test tests/test_y.py::test_red"),
-    (RED * 4, 4, "more than 3 lines"),
-    (RED + "tests/test_x.py::test_green\n", 4, "KNOWN-RED.txt:2: not TEST | CAUSE | ISSUE"),
-    ("", 4, "lists nothing")])
-def test_the_list_hides_no_more_than_it_says(tmp_path: Path, listed: str | None, code: int,
-                                             says: str) -> None:
+@pytest.mark.parametrize(
+    ("listed", "code", "says"),
+    [
+        (None, 1, "1 failed, 1 passed"),
+        (RED, 0, "known red: tests/test_x.py::test_red: a fault (issue 1)"),
+        (RED + RED.replace("red", "green"), 1, "XPASS(strict)"),
+        (RED + RED.replace("red", "gone"), 4, "there is no test tests/test_x.py::test_gone"),
+        (RED + RED.replace("_x", "_y"), 4, "there is no test tests/test_y.py::test_red"),
+        (RED * 4, 4, "more than 3 lines"),
+        (RED + "tests/test_x.py::test_green\n", 4, "KNOWN-RED.txt:2: not TEST | CAUSE | ISSUE"),
+        ("", 4, "lists nothing"),
+    ],
+)
+def test_the_list_hides_no_more_than_it_says(
+    tmp_path: Path, listed: str | None, code: int, says: str
+) -> None:
     """A listed test that fails is printed and let pass; all else fails the run."""
     (tmp_path / "tests").mkdir()
     (tmp_path / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
@@ -30,6 +35,11 @@
     (tmp_path / "tests" / "test_x.py").write_text(TESTS)
     if listed is not None:
         (tmp_path / "KNOWN-RED.txt").write_text(listed)
-    ran = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=tmp_path,
-                         capture_output=True, text=True, timeout=60)
+    ran = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert ran.returncode == code and says in ran.stdout + ran.stderr, ran.stdout + ran.stderr
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -22,8 +22,10 @@
 
 def modules() -> dict[str, set[str]]:
     """Return each module's imports from the program, those for types included."""
-    files = {".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
-             for path in (ROOT / "merlinbay").rglob("*.py")}
+    files = {
+        ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
+        for path in (ROOT / "merlinbay").rglob("*.py")
+    }
     found: dict[str, set[str]] = {}
     for name, path in files.items():
         found[name] = set()
@@ -50,6 +52,10 @@
 
 def test_imports_point_down() -> None:
     """Every package has its layer, and none imports from one above."""
-    up = [f"{name} imports {other}" for name, others in modules().items() for other in others
-          if RANK[part(other)] < RANK[part(name)]]
+    up = [
+        f"{name} imports {other}"
+        for name, others in modules().items()
+        for other in others
+        if RANK[part(other)] < RANK[part(name)]
+    ]
     assert up == []
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -38,6 +38,7 @@
 
 # The module: when the next call goes out.
 
+
 def calls(me: int = 0, fleet: int = 230, ask_us: int = 10 * SECOND, start: int = 0) -> Calls:
     """Return the calls of one node that started then."""
     return Calls(me, fleet, ask_us, Random(me), start)
@@ -53,8 +54,9 @@
 @pytest.mark.parametrize("ask_us", [0, 2 * SECOND, 10 * SECOND, 60 * SECOND])
 @pytest.mark.parametrize("noticed", [100_000, 2_250_000, 4_500_000])
 @pytest.mark.parametrize(("took", "share"), [(2_000, 0.61), (200_000, 0.91)])
-def test_a_broken_watch_is_opened_anew_before_its_silence_counts(ask_us: int, noticed: int, took: int,
-                                                                 share: float) -> None:
+def test_a_broken_watch_is_opened_anew_before_its_silence_counts(
+    ask_us: int, noticed: int, took: int, share: float
+) -> None:
     """All of 230 nodes, however late the silence is noticed, and with any time to ask.
 
     Where all calls cannot fit into what is left, they use more of it: in turn they would wait, and fail.
@@ -187,13 +189,18 @@
                 heapq.heappush(due, (free, me, "answer"))
 
 
-@pytest.mark.parametrize(("what", "down_us", "who", "silent", "within_us"), [
-    ("all watches fall silent", 0, range(230), True, TOLD_US),
-    ("all watches are closed", 0, range(230), False, TOLD_US),
-    ("down for 8 s, and back with news", 8 * SECOND, range(230), False, 18 * SECOND),
-    ("a zone is cut off for 18 s", 18 * SECOND, range(0, 230, 3), True, 23 * SECOND)])
-def test_a_fleet_has_the_list_again_in_time(what: str, down_us: int, who: range, silent: bool,
-                                            within_us: int) -> None:
+@pytest.mark.parametrize(
+    ("what", "down_us", "who", "silent", "within_us"),
+    [
+        ("all watches fall silent", 0, range(230), True, TOLD_US),
+        ("all watches are closed", 0, range(230), False, TOLD_US),
+        ("down for 8 s, and back with news", 8 * SECOND, range(230), False, 18 * SECOND),
+        ("a zone is cut off for 18 s", 18 * SECOND, range(0, 230, 3), True, 23 * SECOND),
+    ],
+)
+def test_a_fleet_has_the_list_again_in_time(
+    what: str, down_us: int, who: range, silent: bool, within_us: int
+) -> None:
     """Within the silence's time, or the time to ask from discovery's return; and discovery is not overrun."""
     began = 40 * SECOND
     fleet = Fleet(began, began + down_us, who, silent)
@@ -221,22 +228,42 @@
         at = next(a.worker for a in first if isinstance(a, api.Place))
         other = {"w0": 2, "w2": 0}[at]
         made.handle(SECOND, [api.ListChanged("changes", [entry(other, state)])])
-        then = made.handle(SECOND + 1, [api.AttemptEnded(1, 0, api.Outcome.FULL, 1, False, None, at)]) \
-            if fails else made.handle(2 * SECOND, [api.TimerFired("watch")])
+        then = (
+            made.handle(SECOND + 1, [api.AttemptEnded(1, 0, api.Outcome.FULL, 1, False, None, at)])
+            if fails
+            else made.handle(2 * SECOND, [api.TimerFired("watch")])
+        )
         assert f"w{other}" not in [a.worker for a in then if isinstance(a, api.Place)]
 
 
 def test_1024_entries_of_one_list_are_all_used() -> None:
     """Decoded, indented, in one answer below the bound on its size; and handed over to the next process."""
-    rows = [{"id": f"s-{n:08x}", "addr": f"10.1.{n // 250}.{n % 250}:8081", "zone": "hall-a", "kind": "k1",
-             "cell": n // 6, "state": "SERVING", "weight": 1.0, "started_ms": 1796169600000}
-            for n in range(1024)]
+    rows = [
+        {
+            "id": f"s-{n:08x}",
+            "addr": f"10.1.{n // 250}.{n % 250}:8081",
+            "zone": "hall-a",
+            "kind": "k1",
+            "cell": n // 6,
+            "state": "SERVING",
+            "weight": 1.0,
+            "started_ms": 1796169600000,
+        }
+        for n in range(1024)
+    ]
     text = json.dumps({"version": 1, "full": True, "servers": rows}, indent=4).encode()
     assert len(text) < LIMITS.listing_bytes / 4
     found = words.entries(words.read_listing(text))
     made = Balancer(settings(balancers=230), 1, 0)
-    made.handle(0, [api.ListChanged("all", [api.WorkerEntry(
-        e.server, e.zone, e.kind, e.cell, e.state, e.weight, 0) for e in found])])
+    made.handle(
+        0,
+        [
+            api.ListChanged(
+                "all",
+                [api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, 0) for e in found],
+            )
+        ],
+    )
     assert len(made.usable) == 1024
     told = handed.told(1, found, learned(made, made.classes), False)
     assert sum(len(word.entries) for word in told if isinstance(word, handed.Part)) == 1024
@@ -246,6 +273,7 @@
 
 def test_a_node_with_1024_entries_keeps_to_its_descriptors(tmp_path: Path) -> None:
     """Every job is turned away and goes to one server after the other: old connections make room."""
+
     async def turns_away(server: StandIn, request: Request) -> Response:
         return Response(503, b"", [(b"x-not-processed", b"1")])
 
@@ -260,11 +288,13 @@
                 await at.admit(f"j{number}", 3000)  # refused, or failed where the machine is slow
                 most = max(most, len(os.listdir(f"/proc/{at.process.pid}/fd")))
             assert 80 < len(server.connections) and most < at.sockets * 35 // 100 + 32
+
     play(scene)
 
 
 # Discovery on sockets.
 
+
 class Told:
     """A stand-in discovery, and what a node's watch of it tells."""
 
@@ -275,8 +305,17 @@
         scene.nursery.start_soon(self.asked.listen)
         send, self.inbox = trio.open_memory_channel[Message](room)
         self.counters = Counters()
-        self.discovery = Discovery(self.asked.addr, None, [ServiceEntry("s", "127.0.0.2:1")], pushed, send,
-                                   Clock(), QUICK, self.counters, Log(100))
+        self.discovery = Discovery(
+            self.asked.addr,
+            None,
+            [ServiceEntry("s", "127.0.0.2:1")],
+            pushed,
+            send,
+            Clock(),
+            QUICK,
+            self.counters,
+            Log(100),
+        )
         scene.nursery.start_soon(self.discovery.run)
 
     async def answer(self, server: StandIn, request: Request) -> Response | None:
@@ -288,13 +327,22 @@
         if what == "down":
             return Response(503)
         if what in ("cut", "odd"):
-            return Response(200, b'{"version":2,"full":true,"servers":[{"id"' if what == "cut" else
-                            b'{"version":"x","full":true,"servers":[]}')
+            return Response(
+                200,
+                b'{"version":2,"full":true,"servers":[{"id"'
+                if what == "cut"
+                else b'{"version":"x","full":true,"servers":[]}',
+            )
         if what == "empty":
             rows = []
         self.lists += 1
-        return Response(200, json.dumps({"version": self.lists, "full": True, "servers": rows},
-                                        indent=2 if what == "indented" else None).encode())
+        return Response(
+            200,
+            json.dumps(
+                {"version": self.lists, "full": True, "servers": rows},
+                indent=2 if what == "indented" else None,
+            ).encode(),
+        )
 
     async def news(self) -> EntriesChanged:
         """Return what the watch tells next."""
@@ -307,6 +355,7 @@
 @pytest.mark.parametrize("pushed", [True, False])
 def test_whatever_ends_a_watch_the_list_is_had_again(tmp_path: Path, trouble: str, pushed: bool) -> None:
     """Where lists are pushed by itself; where they are asked for as soon as the module says so."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             told = Told(at, pushed, ["up", *trouble.split()])
@@ -319,12 +368,14 @@
                     told.discovery.subscribe()
             assert refused == [True] + [False] * (len(refused) - 1) and refused
             assert news.entries[0].state == "draining" and not told.discovery.serves("s")
+
     play(scene)
 
 
 @pytest.mark.parametrize("what", ["cut", "odd"])
 def test_a_spoilt_list_leaves_the_old_one_and_ends_no_watch(tmp_path: Path, what: str) -> None:
     """It is asked for once more on the same watch, and the next one counts."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             told = Told(at, False, ["up", what, "indented"])
@@ -334,21 +385,25 @@
             assert (news.scope, news.entries[0].state) == ("all", "draining")
             assert told.counters.counts["lists_spoilt"] == 1 and not told.counters.counts["watches_failed"]
             assert len(told.asked.connections) == 1
+
     play(scene)
 
 
 def test_a_whole_list_that_no_longer_names_a_server_ends_it(tmp_path: Path) -> None:
     """Gone without a word of its own."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             told = Told(at, True, ["up", "empty"])
             await told.news()
             assert (await told.news()).entries == [] and not told.discovery.serves("s")
+
     play(scene)
 
 
 def test_a_pushed_list_is_watched_at_the_new_agent_at_once(tmp_path: Path) -> None:
     """The old one still holds the call; it may tell nothing any more."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             old, new = Told(at, True, ["up", "silent"]), Told(at, True, ["empty"] * 99)
@@ -356,11 +411,13 @@
             assert old.discovery.move(new.asked.addr)
             news = await old.news()
             assert (news.scope, news.entries) == ("all", [])
+
     play(scene)
 
 
 def test_news_that_wait_for_a_full_inbox_count_already(tmp_path: Path) -> None:
     """The owner is behind by a hundred messages; what is sent meanwhile looks at what was heard."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             told = Told(at, True, ["up"], room=1)
@@ -370,13 +427,16 @@
                 await trio.sleep_forever()
             assert told.inbox.statistics().current_buffer_used == 1
             assert not told.discovery.serves("s")
+
     play(scene)
 
 
 # The whole node where lists are pushed.
 
+
 def test_a_node_to_which_lists_are_pushed_watches(tmp_path: Path) -> None:
     """Nothing new to a server that drains; the next goes to the one that is left."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             left = at.add("left")
@@ -390,11 +450,13 @@
             before = len(left.targets())
             assert {(await at.admit(f"k{n}")).status for n in range(8)} == {200}
             assert len(left.targets()) == before
+
     play(scene)
 
 
 def test_a_node_that_starts_sends_nothing_by_the_old_list_it_knew(tmp_path: Path) -> None:
     """What the agent has counts as told from the first moment: the node is ready once it has heard it."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             left = at.add("left")
@@ -410,11 +472,13 @@
             at.configure = lambda **conf: environ  # type: ignore[method-assign]
             await at.start()
             assert (await at.admit("j")).status == 503 and not left.targets()
+
     play(scene)
 
 
 # Between placing and the first byte.
 
+
 async def takes(server: StandIn, request: Request) -> Response:
     """Take whatever comes."""
     return Response(202)
@@ -422,6 +486,7 @@
 
 def test_a_drain_told_during_the_dial_withholds_the_job(tmp_path: Path) -> None:
     """The connection is kept for what else is to be said to that server."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             server, leaves = at.add("s", play=takes), False
@@ -436,11 +501,13 @@
             assert (await pool.exchange("s", "DELETE", "/jobs/x", [])).status == 202
             assert server.targets() == ["/"] and len(server.connections) == 1
             assert counters.counts["sends_withheld"] == 1
+
     play(scene)
 
 
 def test_an_attempt_withheld_ends_as_never_sent(tmp_path: Path) -> None:
     """The module may send it elsewhere, whatever the job's class."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             server, counters, clock = at.add("s", play=takes), Counters(), Clock()
@@ -454,11 +521,13 @@
             ended = await inbox.receive()
             assert isinstance(ended, SchedulingEnded) and ended.outcome is api.Outcome.CONNECT_FAILED
             assert not server.seen
+
     play(scene)
 
 
 def test_a_server_under_another_address_gets_no_job_that_was_chosen_before(tmp_path: Path) -> None:
     """It is another process: what was known of it at the choice is void."""
+
     async def scene() -> None:
         async with stage(tmp_path) as at:
             server = at.add("s")
@@ -476,17 +545,22 @@
             with pytest.raises(NotSent):
                 await pool.exchange("s", "POST", "/", [], b"x", wanted=lambda: True)
             assert not server.targets()
+
     play(scene)
 
 
 def test_the_module_takes_the_watch_s_last_answer() -> None:
     """What discovery's side tells of a watch that broke reaches the plan of the next call."""
-    made = Balancer(settings(balancers=1, must_subscribe=True, safety=api.Safety(must_ask_in_us=10 * SECOND)),
-                    1, 0)
+    made = Balancer(
+        settings(balancers=1, must_subscribe=True, safety=api.Safety(must_ask_in_us=10 * SECOND)), 1, 0
+    )
     clock, servers = Mock(), Mock()
     owner = Owner(made, clock, LIMITS, Counters(), Log(9), servers, Mock())
-    for now, news in ((0, EntriesChanged("remembered")), (SECOND, EntriesChanged("all")),
-                      (20 * SECOND, EntriesChanged("refused", [], 18 * SECOND))):
+    for now, news in (
+        (0, EntriesChanged("remembered")),
+        (SECOND, EntriesChanged("all")),
+        (20 * SECOND, EntriesChanged("refused", [], 18 * SECOND)),
+    ):
         clock.now_us.return_value = now
         owner.turn([news])
     assert made.calls.deadline == 18 * SECOND + TOLD_US
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -40,6 +40,7 @@
 
 def test_rule_1_one_answer_though_call_backs_repeat_and_precede_the_202(tmp_path: Path) -> None:
     """A ``done`` told ten times, the first before the 202, is one answer; the next job gets its own."""
+
     async def tells_early(server: StandIn, request: Request) -> Response | None:
         job = request.headers["x-request-id"]
         for _ in range(10):
@@ -66,6 +67,7 @@
 
 def test_rule_1_an_answer_comes_before_the_client_gives_up(tmp_path: Path) -> None:
     """A job that no real server ends fails in time, and is deleted there."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             servers = [s.add("s-1", starts_only), s.add("s-2", starts_only)]
@@ -81,6 +83,7 @@
 
 def test_rule_2_repeats_stay_in_the_cell_and_are_not_refused(tmp_path: Path) -> None:
     """After a reset it may have run: the second goes to the same cell, and the end is no refusal."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             cells = {0: [s.add("s-1", breaks), s.add("s-2", breaks)], 1: [s.add("s-3", breaks, cell=1)]}
@@ -95,6 +98,7 @@
 
 def test_rule_2_a_handed_back_job_goes_elsewhere_or_is_refused(tmp_path: Path) -> None:
     """What never ran may be refused, at once and with the time to come back."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             servers = [s.add("s-1", full), s.add("s-2", full, cell=1)]
@@ -110,6 +114,7 @@
 
 def test_a_job_that_servers_cannot_use_costs_others_nothing(tmp_path: Path) -> None:
     """It is sent once, fails at once, and leaves no server out: the next jobs find all of them."""
+
     async def picky(server: StandIn, request: Request) -> Response | None:
         bad = request.headers.get("x-request-id", "").startswith("bad")
         return Response(400) if bad else await serves(server, request)
@@ -126,8 +131,10 @@
                 for number in range(6):
                     nursery.start_soon(s.admit, f"a{number}")
             assert s.counters.counts["answers_served"] == 6
-            assert all(any(r.headers.get("x-request-id", "").startswith("a") for _, r in server.seen)
-                       for server in servers)
+            assert all(
+                any(r.headers.get("x-request-id", "").startswith("a") for _, r in server.seen)
+                for server in servers
+            )
 
     play(scene)
 
@@ -135,6 +142,7 @@
 @pytest.mark.parametrize("state", ["DRAINING", "DELETED"])
 def test_rule_3_nothing_new_to_a_draining_or_gone_server(tmp_path: Path, state: str) -> None:
     """500 ms after the node was told, all jobs go to the other server."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             leaving, staying = s.add("s-1"), s.add("s-2")
@@ -155,6 +163,7 @@
 
 def test_rule_4_a_cold_server_gets_no_burst(tmp_path: Path) -> None:
     """Of a burst in the second after its start, a server gets far fewer jobs than a warm one."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             warm = s.add("s-1", silent)
@@ -173,6 +182,7 @@
 
 def test_a_client_that_hangs_up_withdraws_its_job(tmp_path: Path) -> None:
     """The job is deleted where it runs, and the node serves on."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             server = s.add("s-1", starts_only)
@@ -188,6 +198,7 @@
 
 def test_a_server_that_refuses_connections_is_passed_over(tmp_path: Path) -> None:
     """A dial that fails never ran anywhere: the job goes to the next server."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1")
@@ -200,6 +211,7 @@
 
 def test_a_server_without_connections_left_costs_no_job_and_few_dials(tmp_path: Path) -> None:
     """Jobs in turn are served elsewhere; once a dial failed there, it is left out for a while."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1")
@@ -216,6 +228,7 @@
 @pytest.mark.parametrize("bad", [{"state": "NEW"}, {"addr": ""}])
 def test_an_odd_list_and_a_count_of_none_leave_the_node_serving(bad: dict[str, str], tmp_path: Path) -> None:
     """The entry gets nothing, the others do, and the counter tells; 0 balancers are read as one."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1")
@@ -233,6 +246,7 @@
 
 def test_connections_to_servers_are_used_again(tmp_path: Path) -> None:
     """The 202 frees the connection, so jobs in turn need one, though each runs on for a while."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             server = s.add("s-1")
@@ -246,6 +260,7 @@
 
 def test_a_pooled_connection_that_the_server_closed_is_not_written_to(tmp_path: Path) -> None:
     """A request on it would end as a reset, which may have run: a new connection is opened instead."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             server = s.add("s-1")
@@ -263,6 +278,7 @@
 
 def test_odd_reports_do_no_harm(tmp_path: Path) -> None:
     """A ``done`` counts though its report makes no sense."""
+
     async def odd(server: StandIn, request: Request) -> Response | None:
         assert await server.tell("a1", "done", result="x", load={"x0": None, "x1": "many"}) == 200
         return Response(202)
@@ -278,6 +294,7 @@
 
 def test_the_request_passes_on_unchanged(tmp_path: Path) -> None:
     """Target, body, id and key are as the client sent them; the time-out is what is left."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             server = s.add("s-1")
@@ -293,15 +310,25 @@
 
 def test_discovery_that_fails_is_asked_again(tmp_path: Path) -> None:
     """The remembered list serves meanwhile; the change is heard once discovery is back."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1")
             down = True
 
             async def flaky(server: StandIn, request: Request) -> Response | None:
-                return Response(503) if down else Response(200, (
-                    b'{"version":9,"full":true,"servers":[{"id":"s-9","addr":"' + other.addr.encode()
-                    + b'","zone":"hall-a","kind":"k"}]}'))
+                return (
+                    Response(503)
+                    if down
+                    else Response(
+                        200,
+                        (
+                            b'{"version":9,"full":true,"servers":[{"id":"s-9","addr":"'
+                            + other.addr.encode()
+                            + b'","zone":"hall-a","kind":"k"}]}'
+                        ),
+                    )
+                )
 
             s.discovery = flaky  # type: ignore[method-assign]
             await s.start()
@@ -319,7 +346,8 @@
 JOB = HEAD + b"X-Request-ID: 1\r\nX-Timeout-Ms: 900\r\nIdempotency-Key: k\r\n"
 HIDDEN = JOB.replace(b"ID: 1", b"ID: 2") + b"Content-Length: 0\r\n\r\n"
 RAW = [
-    (b"nonsense\r\n\r\n", 400), (HEAD + b"Content-Length: zz\r\n\r\n", 400),
+    (b"nonsense\r\n\r\n", 400),
+    (HEAD + b"Content-Length: zz\r\n\r\n", 400),
     (HEAD + b"Content-Length: -5\r\n\r\n", 400),
     (b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 70000 + b"\r\n\r\n", 431),
     (JOB + b"Content-Length: 60000000\r\n\r\n", 413),  # at once, though no byte of the body has come
@@ -332,13 +360,16 @@
     (b"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n{", 400),
     (b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", 404),
     (b"POST /nowhere HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 404),
-    (b"HEAD /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 200), (b"GET /admit HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+    (b"HEAD /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+    (b"GET /admit HTTP/1.1\r\nHost: x\r\n\r\n", 405),
     (b"GET /-/nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404),
-    (b"GET /drmaa2/jobs/x HTTP/1.1\r\nHost: x\r\n\r\n", 404)]
+    (b"GET /drmaa2/jobs/x HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+]
 
 
 def test_bad_input_ends_its_own_connection_alone(tmp_path: Path) -> None:
     """Each gets its status, no real server hears of it, and the node serves on."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             server = s.add("s-1")
@@ -361,6 +392,7 @@
 @pytest.mark.parametrize("said", [b"", b"POST /admit HTTP/1.1\r\nHost: x\r\nA: "])
 def test_silent_and_dribbling_clients_are_closed_in_time(tmp_path: Path, said: bytes) -> None:
     """Within 3 s of connecting, however often a further byte of an endless head comes."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             await s.start()
@@ -379,11 +411,18 @@
     play(scene)
 
 
-@pytest.mark.parametrize("said", [
-    b"", b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", b"POST /admit HTTP/1.1\r\n",
-    b"POST /admit HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n12"])
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"",
+        b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"POST /admit HTTP/1.1\r\n",
+        b"POST /admit HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n12",
+    ],
+)
 def test_clients_that_stay_crowd_out_no_usual_one(tmp_path: Path, said: bytes) -> None:
     """With more such connections than may stand, a usual client's kept connection and new ones serve."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.sockets = 64  # 17 edge connections
@@ -407,6 +446,7 @@
 
 def test_call_backs_come_in_though_flows_hold_what_they_may(tmp_path: Path) -> None:
     """With few descriptors, jobs beyond the limit are refused at once and the others still end."""
+
     async def slow(server: StandIn, request: Request) -> Response | None:
         async def work() -> None:
             await server.tell(request.headers["x-request-id"], "started")
--- a/tests/test_notify.py
+++ b/tests/test_notify.py
@@ -25,8 +25,15 @@
     """Return a hub whose ids count up."""
     count = iter(range(10**6))
     allowed = Allowed.read(["10.0.0.0/24", "10.9.0.0/16:9000"], OWN)
-    return Hub(Journal(most, 10**9, lambda: f"s{next(count)}"), bounds or Bounds(), polls, allowed, Timers(),
-               lambda: f"l{next(count)}", Random(7))
+    return Hub(
+        Journal(most, 10**9, lambda: f"s{next(count)}"),
+        bounds or Bounds(),
+        polls,
+        allowed,
+        Timers(),
+        lambda: f"l{next(count)}",
+        Random(7),
+    )
 
 
 def tell(hub: Hub, number: int, account: str = "a", session: str = "q") -> None:
@@ -46,10 +53,16 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(st.lists(st.sampled_from(["a", "b"]), max_size=60), st.integers(1, 30), st.integers(1, 7),
-       st.integers(0, 70), st.sampled_from(["a", None]))
+@given(
+    st.lists(st.sampled_from(["a", "b"]), max_size=60),
+    st.integers(1, 30),
+    st.integers(1, 7),
+    st.integers(0, 70),
+    st.sampled_from(["a", None]),
+)
 def test_a_reader_gets_every_kept_event_once_in_order_and_is_told_of_the_rest(
-        accounts: list[str], most: int, limit: int, after: int, account: str | None) -> None:
+    accounts: list[str], most: int, limit: int, after: int, account: str | None
+) -> None:
     """Against a plain list, whatever the bound, the page and the place to begin."""
     journal = Journal(most, 10**9, lambda: "s")
     stream = journal.open("q")
@@ -126,7 +139,9 @@
     late, early = listen(hub, 1), listen(hub, 2, cursor=hub.journal.open("q").cursor(1))
     hub.tell("q", News.MIGRATED, "j9", "RUNNING", "a", 0)
     assert {batch.listener: [e.number for e in batch.entries] for batch in batches(hub)} == {
-        late: [4], early: [2, 3, 4]}
+        late: [4],
+        early: [2, 3, 4],
+    }
 
 
 def test_a_repeat_is_the_same_call_back_and_order_holds() -> None:
@@ -255,13 +270,23 @@
     key = signing.read_key("whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw")
     body = b'{"test": 2432232314}'
     assert signing.signature(key, "msg_p5jXN8AQM9LWM0D4loKWxJek", 1614265330, body) == (
-        "v1,g0hM9SsE+OTPJTGt/tmIKtSyZlE3uFJELVlNIOLJ1OE=")
-
-
-@pytest.mark.parametrize("change", [
-    {"webhook-id": "other"}, {"webhook-timestamp": "101"}, {"webhook-timestamp": "99999"}, {"webhook-id": ""},
-    {"webhook-timestamp": "-1"}, {"webhook-signature": ""}, {"webhook-signature": "v1,AAAA"},
-    {"webhook-signature": "v1,\u00e9"}])
+        "v1,g0hM9SsE+OTPJTGt/tmIKtSyZlE3uFJELVlNIOLJ1OE="
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"webhook-id": "other"},
+        {"webhook-timestamp": "101"},
+        {"webhook-timestamp": "99999"},
+        {"webhook-id": ""},
+        {"webhook-timestamp": "-1"},
+        {"webhook-signature": ""},
+        {"webhook-signature": "v1,AAAA"},
+        {"webhook-signature": "v1,\u00e9"},
+    ],
+)
 def test_what_is_not_signed_by_us_is_not_believed(change: dict[str, str]) -> None:
     """Nor what was changed, is old, or comes twice."""
     verifier = signing.Verifier([b"k" * 24])
@@ -275,8 +300,10 @@
 
 
 @settings(derandomize=True, deadline=None)
-@given(st.dictionaries(st.sampled_from(["webhook-id", "webhook-timestamp", "webhook-signature"]), st.text()),
-       st.binary())
+@given(
+    st.dictionaries(st.sampled_from(["webhook-id", "webhook-timestamp", "webhook-signature"]), st.text()),
+    st.binary(),
+)
 def test_no_header_breaks_the_verifier(heads: dict[str, str], body: bytes) -> None:
     """Whatever comes, nothing but the one exception is raised, and nothing is believed."""
     with pytest.raises(signing.BadSignature):
@@ -292,14 +319,30 @@
     assert len(verifier.seen) <= 100
 
 
-@pytest.mark.parametrize(("url", "addr"), [
-    ("http://10.0.0.7:81/x?y=1", "10.0.0.7:81"), ("http://10.0.0.7", "10.0.0.7:80"),
-    ("http://10.9.3.3:9000/", "10.9.3.3:9000"),
-    ("http://10.9.3.3:9001/", ""), ("http://10.0.1.7/", ""), ("https://10.0.0.7/", ""), ("http://host/", ""),
-    ("http://10.0.0.1:8080/drmaa2", ""), ("http://0.0.0.0:8080/", ""), ("http://u:p@10.0.0.7/", ""),
-    ("http://10.0.0.7:99999/", ""), ("http://10.0.0.7/#a", ""), ("http://10.0.0.7/a b", ""), ("", ""),
-    ("http://10.0.0.7/\r\nx: y", ""), ("http://[::1]/", ""), ("http://012.0.0.7/", ""),
-    ("file:///etc/passwd", ""), ("http://10.0.0.7/" + "x" * 3000, "")])
+@pytest.mark.parametrize(
+    ("url", "addr"),
+    [
+        ("http://10.0.0.7:81/x?y=1", "10.0.0.7:81"),
+        ("http://10.0.0.7", "10.0.0.7:80"),
+        ("http://10.9.3.3:9000/", "10.9.3.3:9000"),
+        ("http://10.9.3.3:9001/", ""),
+        ("http://10.0.1.7/", ""),
+        ("https://10.0.0.7/", ""),
+        ("http://host/", ""),
+        ("http://10.0.0.1:8080/drmaa2", ""),
+        ("http://0.0.0.0:8080/", ""),
+        ("http://u:p@10.0.0.7/", ""),
+        ("http://10.0.0.7:99999/", ""),
+        ("http://10.0.0.7/#a", ""),
+        ("http://10.0.0.7/a b", ""),
+        ("", ""),
+        ("http://10.0.0.7/\r\nx: y", ""),
+        ("http://[::1]/", ""),
+        ("http://012.0.0.7/", ""),
+        ("file:///etc/passwd", ""),
+        ("http://10.0.0.7/" + "x" * 3000, ""),
+    ],
+)
 def test_call_backs_go_only_where_the_operator_allows(url: str, addr: str) -> None:
     """Never to the node's own address, never to a name."""
     allowed = Allowed.read(["10.0.0.0/24", "10.9.0.0/16:9000", "0.0.0.0/32"], OWN)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -19,10 +19,15 @@
 from tests.net import LIMITS, LOAD, ROOT, Play, StandIn, admission, play, serves, stage
 from tests.test_drmaa import schedules, submit
 
-BAD = {"missing": None, "not_json": "{", "no_settings": "{}",
-       "bad_settings": json.dumps({"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
-                                   "settings": {"limits": {}}}),
-       "bad_address": json.dumps({"name": "n", "listen": "here", "discovery": "x", "settings": {}})}
+BAD = {
+    "missing": None,
+    "not_json": "{",
+    "no_settings": "{}",
+    "bad_settings": json.dumps(
+        {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {"limits": {}}}
+    ),
+    "bad_address": json.dumps({"name": "n", "listen": "here", "discovery": "x", "settings": {}}),
+}
 
 
 @pytest.mark.parametrize("case", BAD)
@@ -31,14 +36,22 @@
     path, text = tmp_path / "config.json", BAD[case]
     if text is not None:
         path.write_text(text)
-    done = subprocess.run([sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, capture_output=True, text=True,
-                          env={**os.environ, "LB_CONFIG": str(path)}, check=False, timeout=30)
+    done = subprocess.run(
+        [sys.executable, "-B", "-m", "merlinbay"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env={**os.environ, "LB_CONFIG": str(path)},
+        check=False,
+        timeout=30,
+    )
     assert done.returncode != 0
     assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith("merlinbay: "), done.stderr
 
 
 def test_an_address_in_use_ends_with_one_plain_line(tmp_path: Path) -> None:
     """The listener cannot be bound: non-zero, one line, no traceback."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             environ = s.configure()
@@ -46,8 +59,12 @@
                 taken.bind(("127.0.0.2", s.port))
                 taken.listen()
                 done = await trio.run_process(
-                    [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, check=False, capture_stderr=True,
-                    env={**os.environ, **environ})
+                    [sys.executable, "-B", "-m", "merlinbay"],
+                    cwd=ROOT,
+                    check=False,
+                    capture_stderr=True,
+                    env={**os.environ, **environ},
+                )
             assert done.returncode == 2
             assert done.stderr.decode().startswith("merlinbay: cannot listen at 127.0.0.2:")
             assert len(done.stderr.splitlines()) == 1
@@ -57,6 +74,7 @@
 
 def runs(seconds: Callable[[str], float]) -> Play:
     """Return the play of a server whose jobs run so long, by their id; 0 is for ever."""
+
     async def play(server: StandIn, request: Request) -> Response | None:
         async def work(job: str) -> None:
             await server.tell(job, "started")
@@ -73,6 +91,7 @@
 
 def test_sigterm_serves_on_then_answers_all_and_exits_0(tmp_path: Path) -> None:
     """Kept connections serve until shortly before SIGKILL, 3.7 s on; what is left then fails in time."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1", runs(lambda job: 0 if job == "stuck" else 0.4))
@@ -91,14 +110,20 @@
                     for job, after in {"a1": 0, "a2": 1.5, "a3": 2.5, "stuck": 2.6, "new": 3.3}.items():
                         nursery.start_soon(one, job, after)
                 assert await s.process.wait() == 0
-            assert answers == {"a1": (200, b"x"), "a2": (200, b"x"), "a3": (200, b"x"),
-                               "stuck": (500, b"failed\n"), "new": (503, b"refused\n")}
+            assert answers == {
+                "a1": (200, b"x"),
+                "a2": (200, b"x"),
+                "a3": (200, b"x"),
+                "stuck": (500, b"failed\n"),
+                "new": (503, b"refused\n"),
+            }
 
     play(scene)
 
 
 def test_a_node_that_leaves_keeps_connections_free(tmp_path: Path) -> None:
     """Of six kept connections three may be busy after SIGTERM; on a fourth, a job is refused at once."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             for name in ("s-1", "s-2"):
@@ -128,6 +153,7 @@
 
 def test_a_node_that_leaves_others_sends_its_clients_there(tmp_path: Path) -> None:
     """Before jobs are refused, idle connections end and answers end theirs; what still comes is served."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1")
@@ -150,6 +176,7 @@
 
 def test_sighup_moves_the_watch_and_keeps_all_else(tmp_path: Path) -> None:
     """Twice, under a flow: the list comes from the new address at once; a broken file changes nothing."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1", runs(lambda job: 1.2))
@@ -166,8 +193,13 @@
                 for name in ("s-2", "s-3"):  # each move finds another list, at a lower version
                     server = StandIn(s, name, serves)
                     s.nursery.start_soon(server.listen)
-                    body = json.dumps({"version": 0, "full": True, "servers": [
-                        {**s.rows[0], "id": name, "addr": server.addr}]}).encode()
+                    body = json.dumps(
+                        {
+                            "version": 0,
+                            "full": True,
+                            "servers": [{**s.rows[0], "id": name, "addr": server.addr}],
+                        }
+                    ).encode()
 
                     async def listing(asked: StandIn, request: Request, body: bytes = body) -> Response:
                         await trio.sleep(3 if "wait_ms" in request.target else 0)
@@ -195,6 +227,7 @@
 
 def test_the_program_outlives_a_lack_of_descriptors(tmp_path: Path) -> None:
     """With fewer descriptors than connections, it goes on accepting once some are closed."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1", serves)
@@ -215,6 +248,7 @@
 
 def test_the_program_takes_drmaa_submissions(tmp_path: Path) -> None:
     """With an operator's file, a job goes from runJob to DONE at a stand-in scheduler."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.operator = "[drmaa]\nfront = true\naccess.open = true\nservers = true\n"
@@ -230,13 +264,17 @@
 
 def test_counters_are_printed_on_request_and_at_exit(tmp_path: Path) -> None:
     """SIGUSR1 and the exit each print one line that counts what was taken, sent and answered."""
+
     async def scene() -> None:
         async with stage(tmp_path) as s:
             s.add("s-1")
             environ = s.configure()
             s.process = await trio.lowlevel.open_process(
-                [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, env={**os.environ, **environ},
-                stderr=subprocess.PIPE)
+                [sys.executable, "-B", "-m", "merlinbay"],
+                cwd=ROOT,
+                env={**os.environ, **environ},
+                stderr=subprocess.PIPE,
+            )
             assert s.process.stderr is not None
             text = b""
             while b"serves at" not in text:
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -25,10 +25,15 @@
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(st.integers(0, 20), st.integers(0, 20), st.integers(1, 4)), max_size=15),
-       st.integers(0, 20), st.integers(0, 20), st.integers(0, 20))
-def test_a_timeline_is_the_sum_of_its_windows(windows: list[tuple[int, int, int]], a: int, b: int,
-                                              past: int) -> None:
+@given(
+    st.lists(st.tuples(st.integers(0, 20), st.integers(0, 20), st.integers(1, 4)), max_size=15),
+    st.integers(0, 20),
+    st.integers(0, 20),
+    st.integers(0, 20),
+)
+def test_a_timeline_is_the_sum_of_its_windows(
+    windows: list[tuple[int, int, int]], a: int, b: int, past: int
+) -> None:
     """Against plain counting; what is given back leaves nothing behind."""
     line, start, end = Timeline(), min(a, b), max(a, b)
     for first, last, slots in windows:
@@ -55,21 +60,27 @@
         self.words: list[tuple[str, str]] = []
         self.timers, count = Timers(), iter(range(10**6))
         wish: dict[str, Any] = dict(share=1.0, unused_us=0, lead_us=10 * S)
-        self.book = SlotBook(Bounds(**{**wish, **bounds}), self.timers, lambda: f"r{next(count)}",
-                             lambda found, what: self.words.append((found.id, what)))
+        self.book = SlotBook(
+            Bounds(**{**wish, **bounds}),
+            self.timers,
+            lambda: f"r{next(count)}",
+            lambda found, what: self.words.append((found.id, what)),
+        )
         for number in range(servers):
             self.book.server(f"s{number}", slots, True, 0)
 
-    def reserve(self, low: int, start: int, length: int, high: int = 0, now: int = 0,
-                **more: Any) -> Reservation:
+    def reserve(
+        self, low: int, start: int, length: int, high: int = 0, now: int = 0, **more: Any
+    ) -> Reservation:
         """Reserve; times in seconds."""
         wish = Wish(low, high or low, start * S, 0, length * S, **more)
         return self.book.reserve(wish, None, "d", now * S)
 
 
 WHAT = ["reserve", "reserve", "reserve", "terminate", "extend", "drain", "up", "gone", "time"]
-OPS = st.lists(st.tuples(st.sampled_from(WHAT), st.integers(0, 5), st.integers(1, 9), st.integers(0, 40)),
-               max_size=40)
+OPS = st.lists(
+    st.tuples(st.sampled_from(WHAT), st.integers(0, 5), st.integers(1, 9), st.integers(0, 40)), max_size=40
+)
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
@@ -101,8 +112,11 @@
         assert book.open == len(open_ones)
         for name, server in book.servers.items():
             for second in range(now, now + 90):
-                booked = sum(found.slots.get(name, 0) for found in open_ones
-                             if found.start_us <= second * S < found.end_us)
+                booked = sum(
+                    found.slots.get(name, 0)
+                    for found in open_ones
+                    if found.start_us <= second * S < found.end_us
+                )
                 assert server.line.at(second * S) == booked <= server.slots
             assert server.up or not server.holds
         for found in open_ones:
@@ -124,10 +138,20 @@
     assert (soon.start_us, soon.end_us) == (0, 10 * S)
 
 
-@pytest.mark.parametrize("wish", [
-    Wish(1, 1), Wish(2, 1, 0, 0, S), Wish(0, 1, 0, 0, S), Wish(1, 1, 10 * S, 5 * S), Wish(1, 1, 0, 0, 10**15),
-    Wish(1, 1, 10**15, 0, S), Wish(1, 1, 10 * S, 12 * S, 3 * S), Wish(1, 1, 0, 0, S, ("nobody",)),
-    Wish(1, 1, S, 2 * S)])
+@pytest.mark.parametrize(
+    "wish",
+    [
+        Wish(1, 1),
+        Wish(2, 1, 0, 0, S),
+        Wish(0, 1, 0, 0, S),
+        Wish(1, 1, 10 * S, 5 * S),
+        Wish(1, 1, 0, 0, 10**15),
+        Wish(1, 1, 10**15, 0, S),
+        Wish(1, 1, 10 * S, 12 * S, 3 * S),
+        Wish(1, 1, 0, 0, S, ("nobody",)),
+        Wish(1, 1, S, 2 * S),
+    ],
+)
 def test_a_window_that_cannot_be_is_refused(wish: Wish) -> None:
     """Nothing is booked then."""
     told = Told()
@@ -217,7 +241,9 @@
 
 # Over sockets.
 
-OPERATOR = FRONT + """servers = true
+OPERATOR = (
+    FRONT
+    + """servers = true
 events.keep = 1000
 reservations.slots = { k = 4 }
 reservations.share = 0.75
@@ -226,6 +252,7 @@
 name = "q"
 backlog = true
 """
+)
 
 
 async def run(s: Stage, count: int, **template: object) -> list[str]:
@@ -246,12 +273,19 @@
 
 def test_a_reservation_is_kept_for_its_jobs_and_its_drain_is_said(tmp_path: Path) -> None:
     """Jobs of it wait for its window and then run at its machines alone; a drain's loss is an event."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         other = Scheduler()
         s.add("s-2", other)
         s.change("s-2")
-        wish = {"reservationTemplate": {"startTime": at(0.5), "duration": 60, "minSlots": 3,
-                                        "candidateMachines": ["s-2"]}}
+        wish = {
+            "reservationTemplate": {
+                "startTime": at(0.5),
+                "duration": 60,
+                "minSlots": 3,
+                "candidateMachines": ["s-2"],
+            }
+        }
         while (found := await s.json("POST", "/drmaa2/reservations", wish))[0] != 201:
             await trio.sleep(0.05)  # until discovery's news of s-2 are in
         name = found[1]["reservationId"]
@@ -285,9 +319,13 @@
 
 def test_others_keep_out_of_what_is_reserved(tmp_path: Path) -> None:
     """Of four slots with three reserved one is left; where the reservation ends, all are there again."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
-        status, found = await s.json("POST", "/drmaa2/reservations", {
-            "reservationTemplate": {"duration": 60, "minSlots": 3, "reservationName": "council"}})
+        status, found = await s.json(
+            "POST",
+            "/drmaa2/reservations",
+            {"reservationTemplate": {"duration": 60, "minSlots": 3, "reservationName": "council"}},
+        )
         assert (status, found["reservedSlots"]) == (201, 3)
         await trio.sleep(0.1)
         await run(s, 5)
@@ -303,6 +341,7 @@
 
 def test_reservation_sessions_and_their_misuse(tmp_path: Path) -> None:
     """Created, listed, destroyed with what they hold; each wrong call raises its exception."""
+
     async def body(s: Stage, server: StandIn, scheduler: Scheduler) -> None:
         async def call(method: str, path: str, value: object = None) -> Any:
             status, answer = await s.json(method, f"/drmaa2/reservation{path}", value)
@@ -323,7 +362,8 @@
         for bad in ({"minSlots": 0}, {"duration": -1}, {"startTime": "2999-01-01T00:00:00"}, {"x": 1}, {}):
             assert await call("POST", "s", {"reservationTemplate": bad}) == "InvalidArgumentException", bad
         assert await call("POST", "s", {"reservationTemplate": {"usersACL": ["a"], "duration": 1}}) == (
-            "UnsupportedAttributeException")
+            "UnsupportedAttributeException"
+        )
         await call("DELETE", "Sessions/hall")
         assert await call("GET", path) == "InvalidArgumentException"
         assert await call("DELETE", "Sessions/default") == "InvalidArgumentException"
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -14,8 +14,19 @@
 from merlinbay.rig import checks, script
 
 ROOT = Path(__file__).parent.parent
-SCRIPTS = ["crash", "partition", "pair", "stopped", "lossy", "keys", "epochs", "forced",
-           "again", "liar", "parts"]
+SCRIPTS = [
+    "crash",
+    "partition",
+    "pair",
+    "stopped",
+    "lossy",
+    "keys",
+    "epochs",
+    "forced",
+    "again",
+    "liar",
+    "parts",
+]
 WRONG = """
 name = "wrong"
 nodes = 3
@@ -44,10 +55,16 @@
     """Start all runs side by side: each has addresses of its own."""
     (folder / "wrong.toml").write_text(WRONG)
     names = {**{name: name for name in SCRIPTS}, "wrong": str(folder / "wrong.toml")}
-    found = {name: subprocess.Popen(
-        [sys.executable, "-B", "-m", "merlinbay", "rig", "run", what, "--folder", str(folder / name)],
-        cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
-        for name, what in names.items()}
+    found = {
+        name: subprocess.Popen(
+            [sys.executable, "-B", "-m", "merlinbay", "rig", "run", what, "--folder", str(folder / name)],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        for name, what in names.items()
+    }
     yield found
     for process in found.values():
         if process.poll() is None:
@@ -63,8 +80,7 @@
     assert "all held" in said
 
 
-def test_who_is_told_to_end_drains_and_leaves(runs: dict[str, subprocess.Popen[str]],
-                                              folder: Path) -> None:
+def test_who_is_told_to_end_drains_and_leaves(runs: dict[str, subprocess.Popen[str]], folder: Path) -> None:
     """At SIGTERM the others hear that it takes nothing new, then that it left; and what each node holds."""
     assert runs["crash"].wait(timeout=120) == 0
     history = checks.read(folder / "crash" / "history.jsonl")
@@ -72,14 +88,18 @@
     assert ("changed", "draining") in told and any(event == "left" for event, _ in told)
     last = [line["gauges"] for line in history if line["what"] == "is settled"][-1]
     assert {tuple(sorted(gauges)) for name, gauges in last.items() if name in ("n0", "n1", "n2")} == {
-        ("jobs", "slots")}
+        ("jobs", "slots")
+    }
 
 
 def test_a_run_that_is_told_to_end_ends_its_nodes(tmp_path: Path) -> None:
     """No process of it is left."""
-    process = subprocess.Popen([sys.executable, "-B", "-m", "merlinbay", "rig", "run", "pair", "--folder",
-                                str(tmp_path / "run")], cwd=ROOT, stdout=subprocess.DEVNULL,
-                               stderr=subprocess.DEVNULL)
+    process = subprocess.Popen(
+        [sys.executable, "-B", "-m", "merlinbay", "rig", "run", "pair", "--folder", str(tmp_path / "run")],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
     history = tmp_path / "run" / "history.jsonl"
     while process.poll() is None and not (history.exists() and '"up"' in history.read_text()):
         time.sleep(0.1)
@@ -104,11 +124,16 @@
     assert "not settled within 1 s: n" in said and "lacks ['n" in said
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("nodes = 3", "missing required field `name`"), ('name = "x"\nnodes = 0', "`$.nodes`"),
-    ('name = "x"\n[[step]]\nat = 1\ndo = "explode"', "`$.step[0].do`"),
-    ('name = "x"\nnodes = 2\n[[step]]\nat = 1\ndo = "kill"\nnodes = [2]', "step[0].nodes: there are 2"),
-    ('name = "x"\n[[step]]\nat = 2\ndo = "heal"\n[[step]]\nat = 1\ndo = "heal"', "step[1].at: before")])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("nodes = 3", "missing required field `name`"),
+        ('name = "x"\nnodes = 0', "`$.nodes`"),
+        ('name = "x"\n[[step]]\nat = 1\ndo = "explode"', "`$.step[0].do`"),
+        ('name = "x"\nnodes = 2\n[[step]]\nat = 1\ndo = "kill"\nnodes = [2]', "step[0].nodes: there are 2"),
+        ('name = "x"\n[[step]]\nat = 2\ndo = "heal"\n[[step]]\nat = 1\ndo = "heal"', "step[1].at: before"),
+    ],
+)
 def test_a_bad_script_is_one_line(text: str, says: str) -> None:
     """It names the file, the key and the cause."""
     with pytest.raises(script.BadScript) as caught:
@@ -119,9 +144,13 @@
 
 def test_a_death_of_one_to_whom_nothing_was_done_is_found() -> None:
     """And one that was killed is not; how long each survivor took is read from the history."""
-    history = [json.loads(line) for line in (
-        '{"t": 1, "node": "rig", "what": "kill", "nodes": [2], "to": []}',
-        '{"t": 4, "node": "n0", "what": "told", "at": 3.5, "event": "died", "of": "n2", "text": ""}',
-        '{"t": 5, "node": "n0", "what": "told", "at": 4.5, "event": "died", "of": "n1", "text": "why"}')]
+    history = [
+        json.loads(line)
+        for line in (
+            '{"t": 1, "node": "rig", "what": "kill", "nodes": [2], "to": []}',
+            '{"t": 4, "node": "n0", "what": "told", "at": 3.5, "event": "died", "of": "n2", "text": ""}',
+            '{"t": 5, "node": "n0", "what": "told", "at": 4.5, "event": "died", "of": "n1", "text": "why"}',
+        )
+    ]
     assert checks.wrong(history) == ["5: n0 takes n1 for dead: why"]
     assert checks.detection(history) == {"n2": [2.5]}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,17 +13,48 @@
 from tests.support import Checker, Decides, Seen, Sent, entry, settings
 
 WORKERS = 8
-STEP = st.tuples(st.sampled_from(["job", "job", "job", "start", "end", "end", "progress", "time", "list",
-                                  "gone", "full_list", "twice", "probe"]),
-                 st.integers(0, 2**16), st.integers(0, 7))
-REPORTS: list[list[object] | None] = [None, [], [3, 1.0], [0, 0], ["x", None], [-1, -5], [1e300, 1e300],
-                                      [float("nan"), float("inf")], [2]]
+STEP = st.tuples(
+    st.sampled_from(
+        [
+            "job",
+            "job",
+            "job",
+            "start",
+            "end",
+            "end",
+            "progress",
+            "time",
+            "list",
+            "gone",
+            "full_list",
+            "twice",
+            "probe",
+        ]
+    ),
+    st.integers(0, 2**16),
+    st.integers(0, 7),
+)
+REPORTS: list[list[object] | None] = [
+    None,
+    [],
+    [3, 1.0],
+    [0, 0],
+    ["x", None],
+    [-1, -5],
+    [1e300, 1e300],
+    [float("nan"), float("inf")],
+    [2],
+]
 
 
 def choose_open(check: Checker, pick: int) -> tuple[int, Seen, int, Sent] | None:
     """Choose one pending attempt."""
-    pending = [(n, job, i, sent) for n, job in check.jobs.items()
-               for i, sent in enumerate(job.attempts) if not sent.outcome]
+    pending = [
+        (n, job, i, sent)
+        for n, job in check.jobs.items()
+        for i, sent in enumerate(job.attempts)
+        if not sent.outcome
+    ]
     return pending[pick % len(pending)] if pending else None
 
 
@@ -34,8 +65,15 @@
         if what == "job":
             cls = check.conf.classes[pick % len(check.conf.classes)]
             number = len(check.jobs) + 1
-            check.give(api.JobArrived(number, cls.name, cls.deadline_us >> (small % 3), 1.0 + small % 2,
-                                      key="key" if small == 7 else ""))
+            check.give(
+                api.JobArrived(
+                    number,
+                    cls.name,
+                    cls.deadline_us >> (small % 3),
+                    1.0 + small % 2,
+                    key="key" if small == 7 else "",
+                )
+            )
         elif what in ("start", "progress", "end"):
             found = choose_open(check, pick)
             if found is None:
@@ -47,14 +85,25 @@
                 check.give(api.JobProgress(number, i, 0.5))
             else:
                 outcome = (1, 1, 2, 3, 3, 5, 6, 7)[small]
-                check.give(api.AttemptEnded(number, i, outcome, check.now - sent.at, job.over or outcome == 1,
-                                            REPORTS[pick % len(REPORTS)], sent.worker))
+                check.give(
+                    api.AttemptEnded(
+                        number,
+                        i,
+                        outcome,
+                        check.now - sent.at,
+                        job.over or outcome == 1,
+                        REPORTS[pick % len(REPORTS)],
+                        sent.worker,
+                    )
+                )
         elif what == "twice":  # several outcomes in one batch, with a withdrawal among them
             found = choose_open(check, pick)
             if found is not None:
                 number, job, i, sent = found
-                check.give(api.AttemptEnded(number, i, 3, 1000, job.over, None, sent.worker),
-                           *([] if job.over else [api.JobWithdrawn(number)]))
+                check.give(
+                    api.AttemptEnded(number, i, 3, 1000, job.over, None, sent.worker),
+                    *([] if job.over else [api.JobWithdrawn(number)]),
+                )
         elif what == "probe":
             report: list[object] | None = REPORTS[small] if pick % 2 else [small, float(pick % 4)]
             check.give(api.ProbeEnded(f"w{pick % WORKERS}", (1, 1, 1, 4)[small % 4], 900, report))
@@ -68,19 +117,30 @@
             check.give(api.ListChanged("all", [entry(n) for n in range(WORKERS) if pick >> n & 1]))
         elif what == "gone":
             live = [n for n, job in check.jobs.items() if not job.over]
-            check.give(*([api.JobWithdrawn(live[pick % len(live)])] if live else []),
-                       api.JobWithdrawn(10**6), api.JobStarted(10**6, 0), api.AttemptEnded(10**6, 3, 1, 5),
-                       api.TimerFired("unknown"), api.PeerMessage(1, b"?"), api.ProbeEnded("nobody", 1, 5))
+            check.give(
+                *([api.JobWithdrawn(live[pick % len(live)])] if live else []),
+                api.JobWithdrawn(10**6),
+                api.JobStarted(10**6, 0),
+                api.AttemptEnded(10**6, 3, 1, 5),
+                api.TimerFired("unknown"),
+                api.PeerMessage(1, b"?"),
+                api.ProbeEnded("nobody", 1, 5),
+            )
     check.finish()
 
 
-@pytest.mark.parametrize("limits", [
-    api.Limits(cancelling=True, second_copies=True, send_cap=4, retry_after=True),
-    api.Limits(cancelling=False, second_copies=False, send_cap=2),
-    api.Limits(cancelling=True, second_copies=True, send_cap=3, probes=True)])
+@pytest.mark.parametrize(
+    "limits",
+    [
+        api.Limits(cancelling=True, second_copies=True, send_cap=4, retry_after=True),
+        api.Limits(cancelling=False, second_copies=False, send_cap=2),
+        api.Limits(cancelling=True, second_copies=True, send_cap=3, probes=True),
+    ],
+)
 @pytest.mark.parametrize("group", ["all", "zone", "cell"])
-@hypothesis_settings(derandomize=True, deadline=None, max_examples=60, database=None,
-                     suppress_health_check=list(HealthCheck))
+@hypothesis_settings(
+    derandomize=True, deadline=None, max_examples=60, database=None, suppress_health_check=list(HealthCheck)
+)
 @given(steps=st.lists(STEP, max_size=60))
 def test_rules_hold(limits: api.Limits, group: str, steps: list[tuple[str, int, int]]) -> None:
     """No drawn sequence of events makes the module break a rule."""
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -16,29 +16,61 @@
 from merlinbay.site_settings import settings_from
 
 CONF: dict[str, Any] = {
-    "az": "a", "balancers": 2, "me": 0, "kinds": ["k"], "zones": ["a"], "unknown": 1,
-    "classes": [{"name": "c", "aimUs": 100000, "deadlineUs": 1000000, "effect": "repeatable", "group": "all",
-                 "lateWorth": 0.0, "stream": False, "windowUs": 5000000, "worth": 2.0}],
+    "az": "a",
+    "balancers": 2,
+    "me": 0,
+    "kinds": ["k"],
+    "zones": ["a"],
+    "unknown": 1,
+    "classes": [
+        {
+            "name": "c",
+            "aimUs": 100000,
+            "deadlineUs": 1000000,
+            "effect": "repeatable",
+            "group": "all",
+            "lateWorth": 0.0,
+            "stream": False,
+            "windowUs": 5000000,
+            "worth": 2.0,
+        }
+    ],
     "discovery": "automatic",
     "extra": {"classStretch": [2.0], "classKind": [-1], "reportX0": "free slots", "tellsStart": True},
     "limits": {"cancelling": True, "sendCap": 3, "secondCopies": True},
     "report": {"fields": ["x0"], "how": "inline"},
-    "safety": {"drainGraceUs": 1, "coldFrom": 0.3, "coldUs": 5, "tipMultiple": 2, "overloadForUs": 9}}
-ROWS = [{"worker": f"w{i}", "locality": "a", "hw": "k", "pack": 0, "state": "up", "share": 1,
-         "readyAtUs": None} for i in range(4)]
+    "safety": {"drainGraceUs": 1, "coldFrom": 0.3, "coldUs": 5, "tipMultiple": 2, "overloadForUs": 9},
+}
+ROWS = [
+    {"worker": f"w{i}", "locality": "a", "hw": "k", "pack": 0, "state": "up", "share": 1, "readyAtUs": None}
+    for i in range(4)
+]
 
 
 def create(name: str = "scheduler_0", conf: object = None) -> list[dict[str, object]]:
     """Return the events of an instance's start."""
-    return [{"what": "Create", "scheduler": name, "salt": 5, "conf": CONF if conf is None else conf},
-            {"what": "View", "scheduler": name, "rev": 1, "scope": "remembered", "rows": ROWS}]
+    return [
+        {"what": "Create", "scheduler": name, "salt": 5, "conf": CONF if conf is None else conf},
+        {"what": "View", "scheduler": name, "rev": 1, "scope": "remembered", "rows": ROWS},
+    ]
 
 
 def request(number: int, name: str = "scheduler_0") -> dict[str, object]:
     """Return a request."""
-    return {"what": "Req", "scheduler": name, "msgId": number, "costUs": None, "attrs": 0, "needs": 1,
-            "timeBudgetUs": 1000000, "team": None, "key": None, "tierClass": "c", "ramUnits": None,
-            "new": [1]}
+    return {
+        "what": "Req",
+        "scheduler": name,
+        "msgId": number,
+        "costUs": None,
+        "attrs": 0,
+        "needs": 1,
+        "timeBudgetUs": 1000000,
+        "team": None,
+        "key": None,
+        "tierClass": "c",
+        "ramUnits": None,
+        "new": [1],
+    }
 
 
 def batch(at: int, events: list[dict[str, object]]) -> str:
@@ -49,8 +81,14 @@
 
 def run(text: str, seed: str = "0") -> subprocess.CompletedProcess[str]:
     """Run the adapter over a text."""
-    return subprocess.run([sys.executable, "-B", "-m", "merlinbay.simhost"], input=text, text=True,
-                          check=False, capture_output=True, env={**os.environ, "PYTHONHASHSEED": seed})
+    return subprocess.run(
+        [sys.executable, "-B", "-m", "merlinbay.simhost"],
+        input=text,
+        text=True,
+        check=False,
+        capture_output=True,
+        env={**os.environ, "PYTHONHASHSEED": seed},
+    )
 
 
 def replies(text: str, seed: str = "0") -> list[list[dict[str, Any]]]:
@@ -67,16 +105,34 @@
 def test_a_day_in_small() -> None:
     """Empty batches, a start, requests, all event names, an unknown one, a restart in one batch."""
     one = "scheduler_0"
-    text = (batch(1, []) + batch(2, create()) + batch(3, [request(1), {"what": "Novel", "scheduler": one}])
-            + batch(4, [{"what": "UpdateOf", "scheduler": one, "msgId": 1, "attempt": 0, "kind": 1},
-                        {"what": "PingResult", "scheduler": one, "worker": "w0", "status": 1, "gauge": ["?"]},
-                        {"what": "Mail", "scheduler": one, "sender": 1, "body": "zz"},
-                        {"what": "Flowing", "scheduler": one, "msgId": 9, "attempt": 0},
-                        {"what": "Reminder", "scheduler": one, "ref": "none"},
-                        {"what": "Withdrawn", "scheduler": one, "msgId": 77},
-                        {"what": "Ended", "scheduler": one, "msgId": 1, "attempt": 0, "worker": "w0",
-                         "status": 1, "costTimeUs": 5, "last": True, "gauge": [None, "x"]}])
-            + batch(5, [{"what": "PowerOff", "scheduler": one}, *create(), request(2)]))
+    text = (
+        batch(1, [])
+        + batch(2, create())
+        + batch(3, [request(1), {"what": "Novel", "scheduler": one}])
+        + batch(
+            4,
+            [
+                {"what": "UpdateOf", "scheduler": one, "msgId": 1, "attempt": 0, "kind": 1},
+                {"what": "PingResult", "scheduler": one, "worker": "w0", "status": 1, "gauge": ["?"]},
+                {"what": "Mail", "scheduler": one, "sender": 1, "body": "zz"},
+                {"what": "Flowing", "scheduler": one, "msgId": 9, "attempt": 0},
+                {"what": "Reminder", "scheduler": one, "ref": "none"},
+                {"what": "Withdrawn", "scheduler": one, "msgId": 77},
+                {
+                    "what": "Ended",
+                    "scheduler": one,
+                    "msgId": 1,
+                    "attempt": 0,
+                    "worker": "w0",
+                    "status": 1,
+                    "costTimeUs": 5,
+                    "last": True,
+                    "gauge": [None, "x"],
+                },
+            ],
+        )
+        + batch(5, [{"what": "PowerOff", "scheduler": one}, *create(), request(2)])
+    )
     got = replies(text)
     assert len(got) == 5
     assert [a["what"] for a in got[2]][0] == "Place"
@@ -89,7 +145,8 @@
 
     def day(which: list[str]) -> str:
         return batch(1, [e for n in which for e in create(n)]) + "".join(
-            batch(10 + i * 1000, [request(i, n) for n in which]) for i in range(60))
+            batch(10 + i * 1000, [request(i, n) for n in which]) for i in range(60)
+        )
 
     together = replies(day(names))
     assert together == replies(day(names), "77")
@@ -98,9 +155,15 @@
         assert alone == [[a for a in part if a["scheduler"] == name] for part in together]
 
 
-@pytest.mark.parametrize(("text", "line"), [
-    ("{nonsense\n", "line 1"), (batch(1, []) + '{"what":"Mark","wallUs":3}\n', "ends inside a batch"),
-    ('{"what":"Mark","wallUs":1}\n[]\n', "line 2"), ('{"what":"Commit"}\n', "line 1")])
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        ("{nonsense\n", "line 1"),
+        (batch(1, []) + '{"what":"Mark","wallUs":3}\n', "ends inside a batch"),
+        ('{"what":"Mark","wallUs":1}\n[]\n', "line 2"),
+        ('{"what":"Commit"}\n', "line 1"),
+    ],
+)
 def test_bad_input_ends_with_status_2(text: str, line: str) -> None:
     """One plain message with the line number, and no half reply."""
     done = run(text)
@@ -109,9 +172,18 @@
     assert done.stdout.count("\n") == text.count("Commit") - text.startswith('{"what":"Commit"')
 
 
-@pytest.mark.parametrize(("path", "value"), [
-    ("balancers", None), ("balancers", "four"), ("classes", []), ("limits.sendCap", None),
-    ("safety.coldFrom", "low"), ("safety", None), ("limits.sendCap", 0)])
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("balancers", None),
+        ("balancers", "four"),
+        ("classes", []),
+        ("limits.sendCap", None),
+        ("safety.coldFrom", "low"),
+        ("safety", None),
+        ("limits.sendCap", 0),
+    ],
+)
 def test_malformed_settings_fault_with_the_key(path: str, value: object) -> None:
     """The fault names the setting, and the other instances go on."""
     conf = json.loads(json.dumps(CONF))
@@ -133,8 +205,9 @@
     assert settings_from({**CONF, "report": {"fields": ["x0"], "how": "off"}}).report_fields == []
 
 
-def test_exception_becomes_a_fault(monkeypatch: pytest.MonkeyPatch,
-                                   capsys: pytest.CaptureFixture[str]) -> None:
+def test_exception_becomes_a_fault(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
     """No silent default: the traceback goes to standard error, the fault has one line."""
     lines = [msgspec.convert(line, Wire) for line in [*create(), request(1)]]
     host = Host()
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -23,25 +23,44 @@
     site = tomllib.loads(path.read_text())
     allow, rules, tier, kinds = site["allow"], site["rules"], site["tier"][0], site["tier"][0]["kind"]
     return {
-        "balancers": 4, "me": 1, "az": site["net"]["zones"][0], "kinds": [kind["name"] for kind in kinds],
+        "balancers": 4,
+        "me": 1,
+        "az": site["net"]["zones"][0],
+        "kinds": [kind["name"] for kind in kinds],
         "discovery": "subscribe" if site["discovery"]["mode"] == "ask" else "automatic",
-        "classes": [{"name": row["name"], "aimUs": row["aim_ms"] * 1000,
-                     "deadlineUs": row["deadline_ms"] * 1000, "worth": float(row["worth"]),
-                     "lateWorth": row["late_worth"],
-                     "effect": EFFECTS[row["effect"]], "group": row.get("group", "all"),
-                     "windowUs": row.get("window_ms", 0) * 1000} for row in site["class"]],
-        "limits": {"cancelling": allow["cancel"], "secondCopies": allow["second_copies"],
-                   "sendCap": allow["max_attempts"], "retryAfter": allow["retry_after"],
-                   "maxRetryAfterUs": site["clients"]["max_retry_after_ms"] * 1000,
-                   "probes": allow["probes"]},
+        "classes": [
+            {
+                "name": row["name"],
+                "aimUs": row["aim_ms"] * 1000,
+                "deadlineUs": row["deadline_ms"] * 1000,
+                "worth": float(row["worth"]),
+                "lateWorth": row["late_worth"],
+                "effect": EFFECTS[row["effect"]],
+                "group": row.get("group", "all"),
+                "windowUs": row.get("window_ms", 0) * 1000,
+            }
+            for row in site["class"]
+        ],
+        "limits": {
+            "cancelling": allow["cancel"],
+            "secondCopies": allow["second_copies"],
+            "sendCap": allow["max_attempts"],
+            "retryAfter": allow["retry_after"],
+            "maxRetryAfterUs": site["clients"]["max_retry_after_ms"] * 1000,
+            "probes": allow["probes"],
+        },
         "report": {"how": "inline", "fields": [FIELDS.get(name, name) for name in tier["report"]["fields"]]},
         "extra": {"tellsStart": site["fam"]["tells_start"], "reportX0": "free slots"},
         "prices": {"crossZone": site["prices"]["cross_zone"], "probe": site["prices"]["probe"]},
-        "safety": {"drainGraceUs": rules["drain_grace_ms"] * 1000, "tipMultiple": rules["fall_multiple"],
-                   "overloadForUs": rules["fall_ms"] * 1000,
-                   "coldFrom": min(k["cold_from"][0] for k in kinds),
-                   "coldUs": int(max(k["cold_s"][1] for k in kinds) * 1e6)}
-        | ({"mustAskInUs": 10_000_000} if ask else {})}
+        "safety": {
+            "drainGraceUs": rules["drain_grace_ms"] * 1000,
+            "tipMultiple": rules["fall_multiple"],
+            "overloadForUs": rules["fall_ms"] * 1000,
+            "coldFrom": min(k["cold_from"][0] for k in kinds),
+            "coldUs": int(max(k["cold_s"][1] for k in kinds) * 1e6),
+        }
+        | ({"mustAskInUs": 10_000_000} if ask else {}),
+    }
 
 
 def test_there_are_deployments_of_others() -> None:
@@ -79,9 +98,22 @@
                 check.give(api.JobWithdrawn(job))
         if rng.random() < 0.1:
             row = rng.choice(rows)
-            check.give(api.ListChanged("changes", [api.WorkerEntry(
-                row.worker, row.zone, row.kind, row.cell, rng.choice(["up", "draining", "removed"]), 1.0,
-                rng.choice([0, check.now]))]))
+            check.give(
+                api.ListChanged(
+                    "changes",
+                    [
+                        api.WorkerEntry(
+                            row.worker,
+                            row.zone,
+                            row.kind,
+                            row.cell,
+                            rng.choice(["up", "draining", "removed"]),
+                            1.0,
+                            rng.choice([0, check.now]),
+                        )
+                    ],
+                )
+            )
         if rng.random() < 0.05:
             check.give(api.ListChanged("refused", [], check.now - 1_000_000))
     check.finish()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -27,12 +27,17 @@
 OTHER = list(chain(START, 1, [b"else", b"two", b"two", b"four"]))
 
 
-@pytest.mark.parametrize(("records", "says"), [
-    ([LOG[0], *LOG[2:]], "record 2 is missing; 3"), ([*LOG[:2], LOG[1], *LOG[2:]], "record 3 is missing; 2"),
-    ([*LOG[:3], dataclasses.replace(LOG[3], body=b"Four")], "record 4 is not as"),
-    ([LOG[0], dataclasses.replace(LOG[2], number=2), *LOG[2:]], "record 2 is not as"),
-    ([LOG[0], *OTHER[1:]], "record 2 is not as"),
-    ([*LOG[:1], dataclasses.replace(LOG[1], version=2)], "version 2, which this program does not read")])
+@pytest.mark.parametrize(
+    ("records", "says"),
+    [
+        ([LOG[0], *LOG[2:]], "record 2 is missing; 3"),
+        ([*LOG[:2], LOG[1], *LOG[2:]], "record 3 is missing; 2"),
+        ([*LOG[:3], dataclasses.replace(LOG[3], body=b"Four")], "record 4 is not as"),
+        ([LOG[0], dataclasses.replace(LOG[2], number=2), *LOG[2:]], "record 2 is not as"),
+        ([LOG[0], *OTHER[1:]], "record 2 is not as"),
+        ([*LOG[:1], dataclasses.replace(LOG[1], version=2)], "version 2, which this program does not read"),
+    ],
+)
 def test_what_does_not_fit_is_found_at_its_record(records: list[Record], says: str) -> None:
     """Missing, doubled, altered, moved, of another log with the same bodies, of a version to come."""
     assert list(verify(START, 1, LOG)) == LOG
@@ -75,7 +80,9 @@
     engine.snapshot(b"state at 2500")
     assert engine.compact() == 1000 and engine.check() == (1001, 2500)
     assert [(one.number, one.body) for one in engine.snapshots()] == [
-        (2500, b"state at 2500"), (1000, b"state at 1000")]
+        (2500, b"state at 2500"),
+        (1000, b"state at 1000"),
+    ]
     base = engine.snapshots()[1]
     assert [one.body for one in engine.read(base.number, base.checksum)] == written[1000:]
     engine.close()
@@ -92,12 +99,16 @@
     db.close()
 
 
-@pytest.mark.parametrize(("sql", "says"), [
-    ("UPDATE records SET body = x'00' WHERE number = 7", "record 7 is not as it was written"),
-    ("DELETE FROM records WHERE number = 7", "record 7 is missing"),
-    ("DELETE FROM records WHERE number < 4", "begin at 4, and no snapshot"),
-    ("UPDATE snapshots SET body = x'00'", "1 of 1 snapshots are not"),
-    ("PRAGMA user_version = 5", "format 0x5")])
+@pytest.mark.parametrize(
+    ("sql", "says"),
+    [
+        ("UPDATE records SET body = x'00' WHERE number = 7", "record 7 is not as it was written"),
+        ("DELETE FROM records WHERE number = 7", "record 7 is missing"),
+        ("DELETE FROM records WHERE number < 4", "begin at 4, and no snapshot"),
+        ("UPDATE snapshots SET body = x'00'", "1 of 1 snapshots are not"),
+        ("PRAGMA user_version = 5", "format 0x5"),
+    ],
+)
 def test_a_check_finds_what_was_altered(tmp_path: Path, sql: str, says: str) -> None:
     """And the command says so in one line, with status 3."""
     path = tmp_path / "store"
@@ -106,8 +117,13 @@
     engine.snapshot(b"state")
     engine.close()
     alter(path, sql)
-    done = subprocess.run([sys.executable, "-m", "merlinbay", "store", "check", str(path)], cwd=ROOT,
-                          capture_output=True, text=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "merlinbay", "store", "check", str(path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     assert done.returncode == 3 and says in done.stderr and len(done.stderr.splitlines()) == 1
 
 
@@ -118,9 +134,9 @@
     engine.append([b"%06d" % number * 40 for number in range(200)])
     engine.close()
     whole, rng = path.read_bytes(), Random(3)
-    places = [at for at in range(len(whole)) if whole[at:at + 6].isdigit()]
+    places = [at for at in range(len(whole)) if whole[at : at + 6].isdigit()]
     for at in rng.sample(places, 10):
-        path.write_bytes(whole[:at] + bytes([whole[at] ^ 64]) + whole[at + 1:])
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 64]) + whole[at + 1 :])
         with pytest.raises(Corrupt):
             found = Engine(path)
             try:
@@ -159,9 +175,11 @@
     engine.close()
 
 
-def with_log(path: Path, scene: Callable[[StoreLog], Awaitable[None]],
-             make: Callable[[Path], Engine] = Engine) -> None:
+def with_log(
+    path: Path, scene: Callable[[StoreLog], Awaitable[None]], make: Callable[[Path], Engine] = Engine
+) -> None:
     """Play a scene with a log that is written."""
+
     async def whole() -> None:
         with trio.fail_after(20):
             async with trio.open_nursery() as nursery:
@@ -197,6 +215,7 @@
 
 def test_appends_side_by_side_share_commits(tmp_path: Path) -> None:
     """Each hears its own number; a commit holds many."""
+
     async def scene(log: StoreLog) -> None:
         numbers = [one for _ in range(4) for one in await many(log, 300)]
         assert numbers and sorted(map(str, numbers)) == sorted(map(str, range(1, 1201)))
@@ -303,15 +322,17 @@
     """Twelve lives of one file, each ended by SIGKILL at a drawn moment of writing."""
     path, rng, told = tmp_path / "store", Random(11), 0
     for _ in range(12):
-        with subprocess.Popen([sys.executable, "-c", WRITER, str(path)], cwd=ROOT,
-                              stdout=subprocess.PIPE) as process:
+        with subprocess.Popen(
+            [sys.executable, "-c", WRITER, str(path)], cwd=ROOT, stdout=subprocess.PIPE
+        ) as process:
             assert process.stdout is not None
             first = process.stdout.readline()
             time.sleep(rng.random() * 0.1)
             process.send_signal(signal.SIGKILL)
             rest = process.stdout.read()
-        numbers = [int(line) for line in (first + rest).decode().splitlines(keepends=True)
-                   if line.endswith("\n")]
+        numbers = [
+            int(line) for line in (first + rest).decode().splitlines(keepends=True) if line.endswith("\n")
+        ]
         engine = Engine(path)
         first_number, last = engine.check()
         engine.close()
@@ -324,11 +345,17 @@
     path, copy, back = tmp_path / "store", tmp_path / "copy", tmp_path / "back"
 
     def run(*words: object) -> subprocess.CompletedProcess[str]:
-        return subprocess.run([sys.executable, "-m", "merlinbay", "store", *map(str, words)], cwd=ROOT,
-                              capture_output=True, text=True, check=False)
-
-    with subprocess.Popen([sys.executable, "-c", WRITER, str(path)], cwd=ROOT,
-                          stdout=subprocess.PIPE) as process:
+        return subprocess.run(
+            [sys.executable, "-m", "merlinbay", "store", *map(str, words)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    with subprocess.Popen(
+        [sys.executable, "-c", WRITER, str(path)], cwd=ROOT, stdout=subprocess.PIPE
+    ) as process:
         assert process.stdout is not None
         before = int(process.stdout.readline())
         assert run("backup", path, copy).returncode == 0
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -3,9 +3,32 @@
 from pathlib import Path
 
 RULES = Path(__file__).parent.parent / "merlinbay" / "decision" / "rules.py"
-FOREIGN = ["jedalnicek", "teorica", "derwent", "tas-signing", "bratislava", "kosice", "bilbao", "hobart",
-           "allergen", "kitchen", "verify", "sign-release", "next-question", "practice-set", "menu-", "gen-a",
-           "PushBack", "CallOff", "EndFailed", "msgId", "scheduler_", "wallUs", "plaines", "lisboa"]
+FOREIGN = [
+    "jedalnicek",
+    "teorica",
+    "derwent",
+    "tas-signing",
+    "bratislava",
+    "kosice",
+    "bilbao",
+    "hobart",
+    "allergen",
+    "kitchen",
+    "verify",
+    "sign-release",
+    "next-question",
+    "practice-set",
+    "menu-",
+    "gen-a",
+    "PushBack",
+    "CallOff",
+    "EndFailed",
+    "msgId",
+    "scheduler_",
+    "wallUs",
+    "plaines",
+    "lisboa",
+]
 
 
 def test_length() -> None:
--- a/tests/test_threshold.py
+++ b/tests/test_threshold.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from merlinbay.decision.lambert import lambertw
-from merlinbay.decision.rules import threshold
+from merlinbay.decision.threshold import threshold
 
 
 def oracle(r: Fraction, k: Fraction, most: int = 400) -> tuple[float, float]:
@@ -25,8 +25,26 @@
     return float(n), float(total / (power * (n + 1 - k)))
 
 
-@pytest.mark.parametrize("r", ["0.29", "0.7", "0.9", "0.999", "0.9999", "0.99999", "1", "1.00001", "1.0001",
-                               "1.001", "1.1", "2", "50", "100000", "1000000000000"])
+@pytest.mark.parametrize(
+    "r",
+    [
+        "0.29",
+        "0.7",
+        "0.9",
+        "0.999",
+        "0.9999",
+        "0.99999",
+        "1",
+        "1.00001",
+        "1.0001",
+        "1.001",
+        "1.1",
+        "2",
+        "50",
+        "100000",
+        "1000000000000",
+    ],
+)
 @pytest.mark.parametrize("k", ["0", "0.5", "1", "1.2", "2", "3.5", "7", "12.3"])
 def test_matches_direct_summation(r: str, k: str) -> None:
     """N and q agree with exact summation on both sides of r = 1 and at r = 1."""
@@ -36,9 +54,13 @@
     assert 0 <= q <= 1
 
 
-@pytest.mark.parametrize("branch, values", [
-    (0, [-1 / math.e * part / 50 for part in range(50)] + [1e-9, 0.1, 1, 10, 1e9, 1e300]),
-    (-1, [-1 / math.e * part / 50 for part in range(1, 50)] + [-1e-9, -1e-300, 0])])
+@pytest.mark.parametrize(
+    "branch, values",
+    [
+        (0, [-1 / math.e * part / 50 for part in range(50)] + [1e-9, 0.1, 1, 10, 1e9, 1e300]),
+        (-1, [-1 / math.e * part / 50 for part in range(1, 50)] + [-1e-9, -1e-300, 0]),
+    ],
+)
 def test_lambert_w_matches_the_library(branch: int, values: list[float]) -> None:
     """Both branches, from the branch point to the ends."""
     for x in values:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -35,12 +35,21 @@
     return Claim("b", health, incarnation, addr="10.0.0.9:1", **more)  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize(("new", "old", "wins"), [
-    (claim(ALIVE, 6), claim(DEAD, 5), True), (claim(ALIVE, 5), claim(SUSPECT, 5), False),
-    (claim(SUSPECT, 5), claim(ALIVE, 5), True), (claim(DEAD, 5), claim(SUSPECT, 5), True),
-    (claim(DEAD, 4), claim(ALIVE, 5), False), (claim(LEFT, 5), claim(DEAD, 5), True),
-    (claim(DEAD, 5), claim(LEFT, 5), False), (claim(ALIVE, 5, revision=2), claim(ALIVE, 5), True),
-    (claim(ALIVE, 5), claim(ALIVE, 5, revision=2), False), (claim(ALIVE, 5), claim(ALIVE, 5), False)])
+@pytest.mark.parametrize(
+    ("new", "old", "wins"),
+    [
+        (claim(ALIVE, 6), claim(DEAD, 5), True),
+        (claim(ALIVE, 5), claim(SUSPECT, 5), False),
+        (claim(SUSPECT, 5), claim(ALIVE, 5), True),
+        (claim(DEAD, 5), claim(SUSPECT, 5), True),
+        (claim(DEAD, 4), claim(ALIVE, 5), False),
+        (claim(LEFT, 5), claim(DEAD, 5), True),
+        (claim(DEAD, 5), claim(LEFT, 5), False),
+        (claim(ALIVE, 5, revision=2), claim(ALIVE, 5), True),
+        (claim(ALIVE, 5), claim(ALIVE, 5, revision=2), False),
+        (claim(ALIVE, 5), claim(ALIVE, 5), False),
+    ],
+)
 def test_which_of_two_sayings_holds(new: Claim, old: Claim, wins: bool) -> None:
     """The higher incarnation; within one, what may follow by the table; then the later revision."""
     assert holds(new, old) is wins
@@ -61,11 +70,18 @@
 OTHER = wire.Keys((b"o" * 32,))
 
 
-@pytest.mark.parametrize(("data", "why"), [
-    (b"", "garbage"), (b"GET / HTTP/1.1\r\n\r\n" * 4, "garbage"),
-    (packet({"k": "news"}, fleet="old"), "of fleet 'old'"), (packet({"k": "news"}, OTHER), "key"),
-    (packet({"k": "news"})[:-1] + b"?", "key"), (packet({"q": 1}), "no message"),
-    (packet({"k": "news"})[:2] + b"\0" + packet({"k": "news"})[3:], "version 0")])
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"", "garbage"),
+        (b"GET / HTTP/1.1\r\n\r\n" * 4, "garbage"),
+        (packet({"k": "news"}, fleet="old"), "of fleet 'old'"),
+        (packet({"k": "news"}, OTHER), "key"),
+        (packet({"k": "news"})[:-1] + b"?", "key"),
+        (packet({"q": 1}), "no message"),
+        (packet({"k": "news"})[:2] + b"\0" + packet({"k": "news"})[3:], "version 0"),
+    ],
+)
 def test_what_is_not_ours_is_refused_and_named(data: bytes, why: str) -> None:
     """Garbage, another fleet's, another key's, an altered one, one of a version that is too old."""
     with pytest.raises(wire.Refused, match=why):
@@ -89,18 +105,22 @@
 
 
 TREE = st.recursive(
-    st.none() | st.booleans() | st.integers(-2**70, 2**70) | st.floats() | st.text(max_size=9),
+    st.none() | st.booleans() | st.integers(-(2**70), 2**70) | st.floats() | st.text(max_size=9),
     lambda kids: st.lists(kids, max_size=3) | st.dictionaries(st.text(max_size=3), kids, max_size=4),
-    max_leaves=8)
+    max_leaves=8,
+)
 FIELDS = st.sampled_from(["k", "q", "t", "ta", "s", "f", "j", "v", "a", "c", "n"])
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
-@given(st.dictionaries(FIELDS, TREE, max_size=7),
-       st.sampled_from(["ping", "ack", "ask", "nack", "news", "state", "no"]),
-       st.lists(st.dictionaries(st.sampled_from("nhisazvrdtgbx"), TREE, max_size=9), max_size=3))
+@given(
+    st.dictionaries(FIELDS, TREE, max_size=7),
+    st.sampled_from(["ping", "ack", "ask", "nack", "news", "state", "no"]),
+    st.lists(st.dictionaries(st.sampled_from("nhisazvrdtgbx"), TREE, max_size=9), max_size=3),
+)
 def test_no_message_of_a_member_that_has_gone_mad_breaks_the_view(
-        message: dict[str, object], kind: str, claims: list[dict[str, object]]) -> None:
+    message: dict[str, object], kind: str, claims: list[dict[str, object]]
+) -> None:
     """Under a good key, whatever the fields hold: nothing is raised, and this node stays in its own view."""
     view = View(FLEET, KEYS, fresh("a", "10.0.0.1:1", "", 5, 1, {}), Random(1), 0.0)
     view.start()
@@ -169,8 +189,9 @@
     assert "b" not in view.members
 
 
-@pytest.mark.parametrize(("members", "least"), [
-    (2, 4.0), (10, 4.0), (100, 8.0), (1000, 12.0), (10_000, 16.0)])
+@pytest.mark.parametrize(
+    ("members", "least"), [(2, 4.0), (10, 4.0), (100, 8.0), (1000, 12.0), (10_000, 16.0)]
+)
 def test_suspicion_grows_with_the_logarithm_of_the_fleet(members: int, least: float) -> None:
     """The least time, and six times that where nobody confirms."""
     assert times(Fleet(), members).suspect_least == pytest.approx(least)
@@ -211,13 +232,18 @@
     return Epochs(members[0], 5, Kept(Epoch(7, members)), lambda kept: None, lambda: 0.5)
 
 
-@pytest.mark.parametrize(("node", "there", "lost", "says"), [
-    (Epochs("a/", 3, None, lambda kept: None, lambda: 0.5), ("a/",), ("b",), "there is no epoch yet"),
-    (formed("a/", "b/", "c/"), ("a/", "b/"), ("c",), "a majority is there"),
-    (formed("a/", "b/", "c/"), ("a/",), ("c",), "not there are b, c"),
-    (formed("a/", "b/", "c/"), ("a/",), ("b", "c", "d"), "not there are b, c")])
-def test_an_epoch_is_forced_only_with_every_loss_named(node: Epochs, there: tuple[str, ...],
-                                                       lost: tuple[str, ...], says: str) -> None:
+@pytest.mark.parametrize(
+    ("node", "there", "lost", "says"),
+    [
+        (Epochs("a/", 3, None, lambda kept: None, lambda: 0.5), ("a/",), ("b",), "there is no epoch yet"),
+        (formed("a/", "b/", "c/"), ("a/", "b/"), ("c",), "a majority is there"),
+        (formed("a/", "b/", "c/"), ("a/",), ("c",), "not there are b, c"),
+        (formed("a/", "b/", "c/"), ("a/",), ("b", "c", "d"), "not there are b, c"),
+    ],
+)
+def test_an_epoch_is_forced_only_with_every_loss_named(
+    node: Epochs, there: tuple[str, ...], lost: tuple[str, ...], says: str
+) -> None:
     """And only where no majority is there to agree on it."""
     with pytest.raises(ValueError, match=says):
         node.force(there, lost)
@@ -254,8 +280,12 @@
     view.leave()
     told = [wire.open_sealed(KEYS, "sim", effect.data) for effect in view.take() if isinstance(effect, Send)]
     assert any(read(raw).health is LEFT for one in told for raw in one["c"])
-    for old, new, news in [({}, {"jobs": 0.0}, True), ({"jobs": 100.0}, {"jobs": 105.0}, False),
-                           ({"jobs": 100.0}, {"jobs": 120.0}, True), ({"jobs": 0.0}, {"jobs": 0.0}, False)]:
+    for old, new, news in [
+        ({}, {"jobs": 0.0}, True),
+        ({"jobs": 100.0}, {"jobs": 105.0}, False),
+        ({"jobs": 100.0}, {"jobs": 120.0}, True),
+        ({"jobs": 0.0}, {"jobs": 0.0}, False),
+    ]:
         assert wiring.telling(old, new) is news
 
 
@@ -327,8 +357,9 @@
 
 def logged(sim: Simulation, what: str) -> list[tuple[str, str]]:
     """Return who was told of it by whom."""
-    return [(node.name, event.name) for node in sim.nodes.values() for event in node.log
-            if event.what == what]
+    return [
+        (node.name, event.name) for node in sim.nodes.values() for event in node.log if event.what == what
+    ]
 
 
 def cut(sim: Simulation, pairs: list[tuple[str, str]]) -> None:
@@ -443,7 +474,8 @@
         answer = view.frame(1.0, "x", asks)
         assert wire.open_sealed(KEYS, "sim", answer)["k"] == kind
     assert [event.text for event in view.told() if event.what == "refused"] == [
-        "speaks versions [2, 3], this fleet 1 to 1"]
+        "speaks versions [2, 3], this fleet 1 to 1"
+    ]
 
 
 def test_the_module_scales_by_the_count_that_the_view_tells() -> None:
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -21,22 +21,49 @@
 from merlinbay.problems import BadConfig, address
 from tests.net import ROOT
 
-HEADERS = {"x-request-id": "9b1f", "x-priority-class": "admit", "x-timeout-ms": "4998",
-           "idempotency-key": "k", "x-attrs": "slots=1,memory=0.638"}
+HEADERS = {
+    "x-request-id": "9b1f",
+    "x-priority-class": "admit",
+    "x-timeout-ms": "4998",
+    "idempotency-key": "k",
+    "x-attrs": "slots=1,memory=0.638",
+}
 
 JOBS: list[tuple[str, dict[str, str], dict[str, Any] | None]] = [
-    ("/admit?x=1", {}, {"name": "9b1f", "job_class": "admit", "budget_us": 4_998_000, "slots": 1.0,
-                        "memory": 0.638, "repeat_key": "k", "target": "/admit?x=1", "retried": False}),
+    (
+        "/admit?x=1",
+        {},
+        {
+            "name": "9b1f",
+            "job_class": "admit",
+            "budget_us": 4_998_000,
+            "slots": 1.0,
+            "memory": 0.638,
+            "repeat_key": "k",
+            "target": "/admit?x=1",
+            "retried": False,
+        },
+    ),
     ("/admit", {"x-priority-class": ""}, {"job_class": "admit"}),
-    ("/admit", {"x-retried": "1", "x-route-key": "r", "x-cost": "1200.5"},
-     {"retried": True, "key": "r", "hint_us": 1200}),
+    (
+        "/admit",
+        {"x-retried": "1", "x-route-key": "r", "x-cost": "1200.5"},
+        {"retried": True, "key": "r", "hint_us": 1200},
+    ),
     ("/admit", {"x-attrs": "odd,slots = 2 ,new=x"}, {"slots": 2.0, "memory": 0.0}),
-    ("/admit", {"x-request-id": ""}, None), ("/admit", {"x-request-id": "a" * 65}, None),
-    ("/admit", {"x-request-id": "a/../b"}, None), ("/admit", {"x-request-id": "\xe9"}, None),
-    ("/admit", {"x-timeout-ms": ""}, None), ("/admit", {"x-timeout-ms": "0"}, None),
-    ("/admit", {"x-timeout-ms": "1e3"}, None), ("/admit", {"x-timeout-ms": "9" * 30}, None),
-    ("/admit", {"x-attrs": "slots=many"}, None), ("/admit", {"x-attrs": "slots=nan"}, None),
-    ("/admit", {"x-attrs": "memory=-1"}, None), ("/admit", {"x-cost": "inf"}, None)]
+    ("/admit", {"x-request-id": ""}, None),
+    ("/admit", {"x-request-id": "a" * 65}, None),
+    ("/admit", {"x-request-id": "a/../b"}, None),
+    ("/admit", {"x-request-id": "\xe9"}, None),
+    ("/admit", {"x-timeout-ms": ""}, None),
+    ("/admit", {"x-timeout-ms": "0"}, None),
+    ("/admit", {"x-timeout-ms": "1e3"}, None),
+    ("/admit", {"x-timeout-ms": "9" * 30}, None),
+    ("/admit", {"x-attrs": "slots=many"}, None),
+    ("/admit", {"x-attrs": "slots=nan"}, None),
+    ("/admit", {"x-attrs": "memory=-1"}, None),
+    ("/admit", {"x-cost": "inf"}, None),
+]
 
 
 @pytest.mark.parametrize("target, more, expected", JOBS)
@@ -51,33 +78,76 @@
         assert spec.arrived_us == 7
 
 
-@pytest.mark.parametrize("status, headers, expected", [
-    (202, {}, None), (503, {"x-not-processed": "1"}, Outcome.FULL),
-    (504, {"x-not-processed": "1"}, Outcome.FULL),
-    (503, {}, Outcome.ERROR), (500, {"x-not-processed": "1"}, Outcome.ERROR), (200, {}, Outcome.ERROR)])
+@pytest.mark.parametrize(
+    "status, headers, expected",
+    [
+        (202, {}, None),
+        (503, {"x-not-processed": "1"}, Outcome.FULL),
+        (504, {"x-not-processed": "1"}, Outcome.FULL),
+        (503, {}, Outcome.ERROR),
+        (500, {"x-not-processed": "1"}, Outcome.ERROR),
+        (200, {}, Outcome.ERROR),
+    ],
+)
 def test_an_answer_becomes_an_outcome(status: int, headers: dict[str, str], expected: Outcome | None) -> None:
     """Only 503 and 504 with the header prove that it never ran."""
     assert outcome_of(Reply(status, headers, b"")) is expected
 
 
-@pytest.mark.parametrize("state, expected", [
-    ("SERVING", "up"), ("DRAINING", "draining"), ("DELETED", "removed"), ("NEW", "draining")])
+@pytest.mark.parametrize(
+    "state, expected",
+    [("SERVING", "up"), ("DRAINING", "draining"), ("DELETED", "removed"), ("NEW", "draining")],
+)
 def test_a_listing_becomes_entries(state: str, expected: str) -> None:
     """Id and address stay apart; an unknown state gets nothing new."""
-    listing = words.read_listing(msgspec.json.encode({"version": 4, "full": False, "servers": [
-        {"id": "s-1", "addr": "127.0.0.9:1", "zone": "a", "kind": "k", "cell": 3, "state": state,
-         "weight": 2.5, "started_ms": 12, "new": 1}]}))
+    listing = words.read_listing(
+        msgspec.json.encode(
+            {
+                "version": 4,
+                "full": False,
+                "servers": [
+                    {
+                        "id": "s-1",
+                        "addr": "127.0.0.9:1",
+                        "zone": "a",
+                        "kind": "k",
+                        "cell": 3,
+                        "state": state,
+                        "weight": 2.5,
+                        "started_ms": 12,
+                        "new": 1,
+                    }
+                ],
+            }
+        )
+    )
     assert words.entries(listing) == [ServiceEntry("s-1", "127.0.0.9:1", "a", "k", 3, expected, 2.5, 12_000)]
 
 
-@pytest.mark.parametrize("row, state, named", [
-    ({"state": "NEW"}, "draining", ["s-1"]), ({"addr": ""}, "draining", ["s-1"]),
-    ({"state": "DELETED", "addr": ""}, "removed", []), ({"state": "DRAINING"}, "draining", []),
-    ({}, "up", [])])
+@pytest.mark.parametrize(
+    "row, state, named",
+    [
+        ({"state": "NEW"}, "draining", ["s-1"]),
+        ({"addr": ""}, "draining", ["s-1"]),
+        ({"state": "DELETED", "addr": ""}, "removed", []),
+        ({"state": "DRAINING"}, "draining", []),
+        ({}, "up", []),
+    ],
+)
 def test_an_odd_entry_is_named(row: dict[str, str], state: str, named: list[str]) -> None:
     """An unknown state or a missing address costs the one entry, not the list; what is gone needs none."""
-    listing = words.read_listing(msgspec.json.encode({"version": 4, "full": False, "servers": [
-        {"id": "s-1", "addr": "127.0.0.9:1", **row}, {"id": "s-2", "addr": "127.0.0.9:2"}]}))
+    listing = words.read_listing(
+        msgspec.json.encode(
+            {
+                "version": 4,
+                "full": False,
+                "servers": [
+                    {"id": "s-1", "addr": "127.0.0.9:1", **row},
+                    {"id": "s-2", "addr": "127.0.0.9:2"},
+                ],
+            }
+        )
+    )
     assert [text.partition(":")[0] for text in words.odd(listing)] == named
     assert [entry.state for entry in words.entries(listing)] == [state, "up"]
 
@@ -109,8 +179,17 @@
     assert operator_file("") is None and not Drmaa().front and not Drmaa().servers
 
 
-@pytest.mark.parametrize("text", ["[drmaa", "[drmaa]\nfront = 3\n", "[dnssd]\n", "[nonsense]\n",
-                                  '[dnssd]\nnameserver = "x"\nservice = "y"\n', None])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[drmaa",
+        "[drmaa]\nfront = 3\n",
+        "[dnssd]\n",
+        "[nonsense]\n",
+        '[dnssd]\nnameserver = "x"\nservice = "y"\n',
+        None,
+    ],
+)
 def test_a_bad_operators_file_is_one_plain_line(tmp_path: Path, text: str | None) -> None:
     """It names the file or the value."""
     path = tmp_path / "operator.toml"
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -28,8 +28,19 @@
 T0 = 1_800_000_000 * SECOND
 ENDS = ("DONE", "FAILED")
 CLASS = st.sampled_from(["keyed", "once"])
-NEWS = ["started", "started", "done", "done", "failed", "exit", "full", "lost", "suspended", "unseen",
-        "found"]
+NEWS = [
+    "started",
+    "started",
+    "done",
+    "done",
+    "failed",
+    "exit",
+    "full",
+    "lost",
+    "suspended",
+    "unseen",
+    "found",
+]
 
 
 class FakeClock:
@@ -105,13 +116,22 @@
     def __init__(self) -> None:
         super().__init__()
         self.clock, self.inbox, self.servers, counters = FakeClock(), Inbox(), Servers(), Counters()
-        classes = [api.JobClass("keyed", 300_000, 4 * SECOND, effect="by_key", group="cell",
-                                window_us=3 * SECOND),
-                   api.JobClass("once", 300_000, 4 * SECOND, effect="once")]
-        conf = api.Settings(classes=classes, kinds=["k"], tells_start=True, limits=api.Limits(
-            cancelling=True, second_copies=True, send_cap=4, retry_after=True))
-        drmaa = Drmaa(front=True, session=[NamedSession(name="q", backlog=True, jobs=60, wait_most=20)],
-                      finished=500, finished_keep=1000)
+        classes = [
+            api.JobClass("keyed", 300_000, 4 * SECOND, effect="by_key", group="cell", window_us=3 * SECOND),
+            api.JobClass("once", 300_000, 4 * SECOND, effect="once"),
+        ]
+        conf = api.Settings(
+            classes=classes,
+            kinds=["k"],
+            tells_start=True,
+            limits=api.Limits(cancelling=True, second_copies=True, send_cap=4, retry_after=True),
+        )
+        drmaa = Drmaa(
+            front=True,
+            session=[NamedSession(name="q", backlog=True, jobs=60, wait_most=20)],
+            finished=500,
+            finished_keep=1000,
+        )
         limits = Limits(most_held=12)
         clock: Any = self.clock
         inbox: Any = self.inbox
@@ -161,8 +181,13 @@
 
     # Clients.
 
-    @rule(session=st.sampled_from(["", "/sessions/q", "/sessions/q"]), job_class=CLASS,
-          held=st.booleans(), start=st.integers(0, 3), end=st.integers(0, 8))
+    @rule(
+        session=st.sampled_from(["", "/sessions/q", "/sessions/q"]),
+        job_class=CLASS,
+        held=st.booleans(),
+        start=st.integers(0, 3),
+        end=st.integers(0, 8),
+    )
     def submit(self, session: str, job_class: str, held: bool, start: int, end: int) -> None:
         """Submit a job."""
         template: dict[str, object] = {"remoteCommand": "x", "jobCategory": job_class}
@@ -177,19 +202,31 @@
     @rule(members=st.integers(1, 15), parallel=st.integers(0, 3), job_class=CLASS)
     def submit_array(self, members: int, parallel: int, job_class: str) -> None:
         """Submit an array."""
-        found = self.call("POST", "/sessions/q/arrays", {
-            "jobTemplate": {"remoteCommand": "x", "jobCategory": job_class}, "beginIndex": 1,
-            "endIndex": members, "maxParallel": parallel})
+        found = self.call(
+            "POST",
+            "/sessions/q/arrays",
+            {
+                "jobTemplate": {"remoteCommand": "x", "jobCategory": job_class},
+                "beginIndex": 1,
+                "endIndex": members,
+                "maxParallel": parallel,
+            },
+        )
         if "jobArrayId" in found:
             self.parallel[found["jobArrayId"]] = parallel
 
     def jobs(self) -> list[tuple[str, str]]:
         """Return paths and ids of all jobs that are known."""
-        return [(path, job_id) for name, path in (("default", ""), ("q", "/sessions/q"))
-                for job_id in self.front.engine.sessions[name].jobs]
-
-    @rule(data=st.data(), verb=st.sampled_from(["hold", "release", "suspend", "resume", "terminate", "wait",
-                                               "waitStarted"]))
+        return [
+            (path, job_id)
+            for name, path in (("default", ""), ("q", "/sessions/q"))
+            for job_id in self.front.engine.sessions[name].jobs
+        ]
+
+    @rule(
+        data=st.data(),
+        verb=st.sampled_from(["hold", "release", "suspend", "resume", "terminate", "wait", "waitStarted"]),
+    )
     def act(self, data: st.DataObject, verb: str) -> None:
         """Call something on a job."""
         if jobs := self.jobs():
@@ -229,17 +266,32 @@
                 case "started" | "suspended":
                     if (name, server) in self.servers.open:
                         self.ran(scheduling)
-                    self.tell(ports.SchedulingStarted(name, server) if news == "started"
-                              else ports.SchedulingSuspended(name, server))
+                    self.tell(
+                        ports.SchedulingStarted(name, server)
+                        if news == "started"
+                        else ports.SchedulingSuspended(name, server)
+                    )
                 case "unseen" | "found":
                     self.tell(ports.SchedulingUnseen(name, server, news == "found"))
                 case _:
-                    outcome = {"done": Outcome.OK, "failed": Outcome.ERROR, "exit": Outcome.ERROR,
-                               "full": Outcome.FULL, "lost": Outcome.RESET}[news]
+                    outcome = {
+                        "done": Outcome.OK,
+                        "failed": Outcome.ERROR,
+                        "exit": Outcome.ERROR,
+                        "full": Outcome.FULL,
+                        "lost": Outcome.RESET,
+                    }[news]
                     if outcome not in NEVER_RAN and (name, server) in self.servers.open:
                         self.ran(scheduling)
-                    self.tell(ports.SchedulingEnded(name, server, outcome, unfit=news == "exit",
-                                                    ending=Ending(3) if news == "exit" else None))
+                    self.tell(
+                        ports.SchedulingEnded(
+                            name,
+                            server,
+                            outcome,
+                            unfit=news == "exit",
+                            ending=Ending(3) if news == "exit" else None,
+                        )
+                    )
 
     def ran(self, scheduling: Scheduling) -> None:
         """Note that an attempt may have run; a held job never does."""
@@ -260,8 +312,15 @@
             self.tell(ports.SchedulingRecalled(scheduling.spec.name, scheduling.server, done))
         else:
             scheduling, action = self.servers.controls.pop(0)
-            self.tell(ports.SchedulingControlled(scheduling.spec.name, scheduling.server, action,
-                                                 "" if yes else "UnsupportedOperationException", "no"))
+            self.tell(
+                ports.SchedulingControlled(
+                    scheduling.spec.name,
+                    scheduling.server,
+                    action,
+                    "" if yes else "UnsupportedOperationException",
+                    "no",
+                )
+            )
 
     @rule(data=st.data(), state=st.sampled_from(["up", "draining"]))
     def change_list(self, data: st.DataObject, state: str) -> None:
@@ -327,8 +386,13 @@
 
 
 TestWorld = World.TestCase
-TestWorld.settings = settings(max_examples=120, stateful_step_count=40, deadline=None, derandomize=True,
-                              suppress_health_check=list(HealthCheck))
+TestWorld.settings = settings(
+    max_examples=120,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 
 
 def test_a_client_that_hangs_up_before_it_has_the_id_leaves_no_job() -> None:
