The write timeout counts from the last byte taken; two tests no longer depend on the machine

Seen: test_bytes_that_come_while_the_last_answer_is_written_do_not_cut_it_off got 17 of 20 MB after 12 s on a slower machine; test_every_mutant_is_found_by_its_clause missed 'ignores startTime' once under load. Cause: both sides of the first. The test's client appended to bytes 4 kB at a time, which copies some 50 GB for 20 MB; and Connection.expire counted 5 s from the first byte of the answer, so a client that takes its answer slowly was cut off (http/connection.py, _answer). send_all also copied what was left at each part. The second: the clause submitted a job due in 1 s and found nothing where the submission itself took longer. Change: each part that a client takes restarts the write timeout; TLS writes a record at a time, so that progress shows there too; send_all sends views. Two tests on trio's mock clock: one that takes 1000 bytes a second for 20 s gets all, one that stops is cut off 5 s after its last byte. The clause keeps its check and adds one on events: a job due in an hour has not started when a later one has ended, nor is its start told within a quarter of the patience.

--- a/merlinbay/access/tls.py
+++ b/merlinbay/access/tls.py
@@ -10,6 +10,8 @@
 
 from merlinbay.counters import Counters
 
+RECORD_BYTES = 16_384  # the most that one TLS record carries
+
 
 class BadCertificate(Exception):
     """Certificates that cannot be used; the text is one line."""
@@ -53,13 +55,14 @@
         except trio.BrokenResourceError as error:
             raise OSError(str(error)) from None
 
-    async def send(self, data: bytes) -> int:
-        """Write all of it."""
+    async def send(self, data: bytes | memoryview) -> int:
+        """Write one record; return how much that was, so that the caller sees progress."""
+        record = data[:RECORD_BYTES]
         try:
-            await self.stream.send_all(data)
+            await self.stream.send_all(record)
         except trio.BrokenResourceError as error:
             raise OSError(str(error)) from None
-        return len(data)
+        return len(record)
 
     def shutdown(self, how: int) -> None:
         """Write no more."""
--- a/merlinbay/conformance/clauses.py
+++ b/merlinbay/conformance/clauses.py
@@ -237,6 +237,13 @@
     info = p.end(p.run("true", startTime=start.isoformat()))
     begun = datetime.fromisoformat(str(info.get("dispatchTime")))
     expect(begun >= start - timedelta(milliseconds=50), f"it started {start - begun} too soon")
+    # The check above finds nothing where the submission took longer than the wait. This one rests on events:
+    # a job due in an hour still waits after a later submission has ended, and no start of it is reported.
+    due = datetime.now(UTC) + timedelta(hours=1.0)
+    waiting = p.run("true", startTime=due.isoformat())
+    p.end(p.run("true"))
+    p.raises("TimeoutException", "GET", p.at(f"/jobs/{waiting}/waitStarted?timeout={p.patience / 4}"))
+    p.good("POST", p.at(f"/jobs/{waiting}/terminate"))
 
 
 @clause("JobTemplate, deadlineTime")
--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -55,7 +55,7 @@
     def recv(self, most: int, /) -> Awaitable[bytes]:
         """Read some; nothing at the end."""
 
-    def send(self, data: bytes, /) -> Awaitable[int]:
+    def send(self, data: bytes | memoryview, /) -> Awaitable[int]:
         """Write some; return how much."""
 
     def shutdown(self, how: int, /) -> None:
@@ -359,9 +359,13 @@
 
     async def _write_out(self, data: bytes) -> None:
         self.writing = True
-        await send_all(self.sock, data)
+        await send_all(self.sock, data, self._count_write_progress)
         self.writing = False
 
+    def _count_write_progress(self) -> None:
+        """Restart the write timeout, which bounds how long a client may take no bytes at all."""
+        self.expires = trio.current_time() + self.limits.write_answer
+
 
 def header_table(head: h11.Request) -> dict[str, str]:
     """Return the headers by name; those that come more than once are joined, so none hides another."""
@@ -372,11 +376,16 @@
     return table
 
 
-async def send_all(sock: Sock, data: bytes) -> None:
-    """Write all of it."""
+async def send_all(sock: Sock, data: bytes, on_progress: Callable[[], None] | None = None) -> None:
+    """Write all of it, and call ``on_progress`` after each part that leaves more to write."""
     sent = await sock.send(data)
+    if sent == len(data):
+        return
+    rest = memoryview(data)
     while sent < len(data):
-        sent += await sock.send(data[sent:])
+        if on_progress is not None:
+            on_progress()
+        sent += await sock.send(rest[sent:])
 
 
 def readable(sock: Sock) -> bool:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -73,10 +73,10 @@
 
     async def answered(self) -> bytes:
         """Return all that the client gets, to the end; a reset raises."""
-        got = b""
+        got = bytearray()  # appending to bytes copies all of them each time: 50 GB for an answer of 20 MB
         while data := await self.client.recv(4096):
             got += data
-        return got
+        return bytes(got)
 
 
 @asynccontextmanager
@@ -251,6 +251,79 @@
     play(scene)
 
 
+class PacedSocket:
+    """A client's connection as the node sees it: one request, and then so many bytes taken a second."""
+
+    def __init__(self, bytes_a_second: int, bytes_in_all: int) -> None:
+        self.bytes_a_second, self.bytes_in_all = bytes_a_second, bytes_in_all
+        self.taken = 0
+        self.request = ASK
+
+    def __enter__(self) -> PacedSocket:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        """Close it."""
+
+    def setsockopt(self, *option: object) -> None:
+        """Take any option."""
+
+    def fileno(self) -> int:
+        """Return no descriptor, so that nothing polls it."""
+        return -1
+
+    def shutdown(self, how: int) -> None:
+        """Write no more."""
+
+    async def recv(self, most: int) -> bytes:
+        """Return the request once, and then nothing until the connection ends."""
+        request, self.request = self.request, b""
+        if not request:
+            await trio.sleep_forever()
+        return request
+
+    async def send(self, data: bytes | memoryview) -> int:
+        """Take what is left of this second's share."""
+        if self.taken >= self.bytes_in_all:
+            await trio.sleep_forever()
+        await trio.sleep(1.0)
+        count = min(len(data), self.bytes_a_second)
+        self.taken += count
+        return count
+
+
+async def serve_paced_client(client: PacedSocket, answer_bytes: int) -> float:
+    """Answer the client through a listener; return after how many seconds its connection has ended."""
+    async with trio.open_nursery() as nursery:
+        here = Door(nursery, answer=Response(200, b"x" * answer_bytes))
+        listener = Listener(here, LIMITS, Counters(), Log(9))
+        with bound() as sock:
+            sock.listen(1)
+            await nursery.start(listener.serve, trio.socket.from_stdlib_socket(sock))
+            began = trio.current_time()
+            listener.adopt(client)  # type: ignore[arg-type]
+            await until(lambda: bool(listener.connections))
+            await until(lambda: not listener.connections)
+            nursery.cancel_scope.cancel()
+    return trio.current_time() - began
+
+
+def test_a_client_that_takes_a_little_each_second_gets_its_whole_answer() -> None:
+    """The write timeout counts from the last byte taken, so an answer may take longer than it in all."""
+    client = PacedSocket(bytes_a_second=1000, bytes_in_all=1_000_000)
+    seconds = int(4 * LIMITS.write_answer)
+    trio.run(serve_paced_client, client, 1000 * seconds, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert client.taken > 1000 * seconds
+
+
+def test_a_client_that_stops_taking_its_answer_is_cut_off_after_the_write_timeout() -> None:
+    """Counted from the last byte that it took."""
+    client = PacedSocket(bytes_a_second=1000, bytes_in_all=3000)
+    ended = trio.run(serve_paced_client, client, 20_000, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert client.taken == 3000
+    assert 3.0 + LIMITS.write_answer <= ended <= 3.0 + LIMITS.write_answer + 2 * LIMITS.sweep
+
+
 def test_accepted_connections_hold_nothing_back() -> None:
     """Small writes go out at once, or a reset would take them with it."""
 
