--- /dev/null
+++ b/merlinbay/control/effects.py
@@ -0,0 +1,56 @@
+"""What the consensus core asks its host to do. The host carries effects out in the order of the list.
+
+The core does no I/O, reads no clock and draws no randomness of its own: time comes with each call, in
+seconds of a monotonic clock, and a ``random.Random`` comes with the constructor. A host calls ``receive``,
+``tick``, ``propose`` or ``read`` and then ``take_effects()``; ``next_deadline()`` tells when ``tick`` is due.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from merlinbay.control.entries import ChangeResult, KeyValue
+
+
+class Persist(msgspec.Struct, frozen=True):
+    """Append ``record`` to the durable log. All later effects of the list wait until it is on the disk.
+
+    At start the core is built from the durable records in order. Where ``replaces_all`` is set, the record is
+    a snapshot, and the records before it are no longer needed.
+    """
+
+    record: bytes
+    replaces_all: bool = False
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Send ``message`` to voter ``receiver``. It may get lost, come late, twice or out of order."""
+
+    receiver: str
+    message: bytes
+
+
+class ProposalDone(msgspec.Struct, frozen=True):
+    """What became of the change proposed with ``token``."""
+
+    token: int
+    result: ChangeResult
+
+
+class ReadDone(msgspec.Struct, frozen=True):
+    """The linearizable read asked for with ``token``; ``failed`` where this voter cannot answer now."""
+
+    token: int
+    value: KeyValue | None
+    revision: int
+    failed: bool = False
+    leader: str = ""
+
+
+class RevisionAdvanced(msgspec.Struct, frozen=True):
+    """The applied state has reached ``revision``: watches served from this voter can be continued."""
+
+    revision: int
+
+
+Effect = Persist | Send | ProposalDone | ReadDone | RevisionAdvanced
--- /dev/null
+++ b/merlinbay/control/entries.py
@@ -0,0 +1,65 @@
+"""Values of the replicated key-value configuration, as voters, relays and followers exchange them.
+
+Every accepted change gets the next revision, so that a revision names one state of all keys. Revisions start
+at 1; revision 0 is the empty state.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+
+class Change(msgspec.Struct, frozen=True, tag=True):
+    """One proposed write of one key. A repeat with the same ``change_id`` has no further effect."""
+
+    change_id: str
+    key: str
+    value: bytes | None  # None deletes the key
+    expected_revision: int | None = None  # compare-and-set: the key's last revision; 0: it must not exist
+
+
+class KeyValue(msgspec.Struct, frozen=True, tag=True):
+    """A key after the change that made ``revision``; ``value`` is None where that change deleted it."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class Delta(msgspec.Struct, frozen=True, tag=True):
+    """What changed after ``after_revision`` up to ``revision``: the last state of each key that did."""
+
+    after_revision: int
+    revision: int
+    entries: tuple[KeyValue, ...]
+
+
+class StateSnapshot(msgspec.Struct, frozen=True, tag=True):
+    """All keys that exist at ``revision``, sent where the deltas that a reader lacks were compacted."""
+
+    revision: int
+    entries: tuple[KeyValue, ...]
+
+
+class ChangeApplied(msgspec.Struct, frozen=True, tag=True):
+    """The change was committed; a repeat gets the revision of the first time."""
+
+    revision: int
+
+
+class ChangeRejected(msgspec.Struct, frozen=True, tag=True):
+    """The change was not applied and never will be under this ``change_id`` and leader."""
+
+    reason: Literal["conflict", "invalid", "not_leader", "no_quorum", "overloaded"]
+    detail: str = ""
+    leader: str = ""  # a hint for "not_leader"; empty where none is known
+    current_revision: int = 0  # the key's revision, for "conflict"
+
+
+class ChangeUncertain(msgspec.Struct, frozen=True, tag=True):
+    """Leadership was lost with the change in flight: it may or may not commit. Repeat it with its id."""
+
+
+ChangeResult = ChangeApplied | ChangeRejected | ChangeUncertain
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,12 +8,23 @@
 
 ROOT = Path(__file__).parent.parent
 LAYERS = [  # from the top; a package may import from its own layer and from those below
-    {"__main__", "cli", "conformance", "experiment", "client", "executor", "emulator", "rig"},
+    {
+        "__main__",
+        "cli",
+        "conformance",
+        "experiment",
+        "client",
+        "executor",
+        "emulator",
+        "rig",
+        "scale",
+        "capacity",
+    },
     {"node", "simhost"},
     {"config"},
     {"operator_file"},
-    {"platform", "drmaa", "fleet", "handover"},
-    {"http", "dnssd", "batch", "notify", "access", "reserve", "monitor", "store"},
+    {"platform", "drmaa", "fleet", "handover", "control_service"},
+    {"http", "dnssd", "batch", "notify", "access", "reserve", "monitor", "store", "control"},
     {"core", "log", "events", "site_settings"},
     {"decision", "limits", "counters", "clock", "problems", ""},
 ]
