--- a/merlinbay/batch/turns.py
+++ b/merlinbay/batch/turns.py
@@ -216,7 +216,7 @@
     def _late(self, job: Job, now_us: int) -> None:
         """Give up a job that was not placed in time, and say so at once."""
         if job.ended or job.stage in (Stage.OFFERED, Stage.PLACED):
-            return  # its flow has a deadline of its own
+            return  # its request has a deadline of its own
         if 0 < job.what.deadline_us <= now_us:
             self._end(job, Event.FAIL, now_us, "TimeoutException", "its deadline passed before it was placed")
         else:
--- a/merlinbay/core/__init__.py
+++ b/merlinbay/core/__init__.py
@@ -1,1 +1,1 @@
-"""Flows, schedulings and the task that owns the decision module. Knows no wire."""
+"""Requests, attempts and the task that owns the decision module. Knows no wire."""
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -19,8 +19,8 @@
 
 
 @dataclass(slots=True, eq=False)
-class Flow:
-    """A client's request, from its arrival until it is answered and its last scheduling has ended."""
+class OpenRequest:
+    """A client's request, from its arrival until it is answered and its last attempt has ended."""
 
     spec: ports.JobSpec
     number: int  # its id in the module
@@ -30,11 +30,11 @@
     sent: int = 0
     recalling: bool = False  # the client's side wants it back, if it has not started
     ending: ports.Ending | None = None
-    open: dict[int, ports.Scheduling] = field(default_factory=dict)
+    open: dict[int, ports.ServerAttempt] = field(default_factory=dict)
 
 
 class Owner:
-    """Owns flows, schedulings, timers and the module. Only its own task calls it."""
+    """Owns requests, attempts, timers and the module. Only its own task calls it."""
 
     def __init__(
         self,
@@ -53,18 +53,22 @@
         self.classes = {spec.name for spec in balancer.settings.classes}
         self.watchers: list[ports.EntriesWatcher] = []
         self.other: ports.OtherProcess | None = None
-        self.flows: dict[int, Flow] = {}
-        self.names: dict[str, Flow] = {}
-        self.open: dict[tuple[str, str], ports.Scheduling] = {}
-        self.due: list[tuple[int, int, str | Flow | ports.Scheduling]] = []
+        self.requests: dict[int, OpenRequest] = {}
+        self.names: dict[str, OpenRequest] = {}
+        self.open: dict[tuple[str, str], ports.ServerAttempt] = {}
+        self.due: list[tuple[int, int, str | OpenRequest | ports.ServerAttempt]] = []
         self.count = 0
         self.stopping = False
 
     async def run(self, inbox: trio.MemoryReceiveChannel[ports.Message]) -> None:
-        """Work until stopped, and for a moment after the last flow is answered."""
+        """Work until stopped, and for a moment after the last request is answered."""
         end = float("inf")
         while trio.current_time() < end:
-            if self.stopping and end == float("inf") and all(flow.done for flow in self.flows.values()):
+            if (
+                self.stopping
+                and end == float("inf")
+                and all(request.done for request in self.requests.values())
+            ):
                 end = trio.current_time() + self.limits.stop_tail
             messages: list[ports.Message] = []
             wake = min(end, self.clock.to_trio(self.due[0][0]) if self.due else float("inf"))
@@ -88,7 +92,7 @@
         while events:
             try:
                 actions = self.balancer.handle(now, events)
-            except Exception as error:  # Guards against one bad event that would end every other flow.
+            except Exception as error:  # Guards against one bad event that would end every other request.
                 self.counters.add("module_errors")
                 self.log.event(
                     "module_failed", level="error", error="".join(traceback.format_exception(error))
@@ -101,7 +105,7 @@
     def gauges(self) -> dict[str, float]:
         """Return what is held here: jobs not yet answered, and slots of real servers."""
         return {
-            "jobs": float(sum(not flow.done for flow in self.flows.values())),
+            "jobs": float(sum(not request.done for request in self.requests.values())),
             "slots": round(self.balancer.own_held, 1),
         }
 
@@ -109,45 +113,45 @@
 
     def _take(self, message: ports.Message, now: int, events: list[api.Event]) -> None:
         match message:
-            case ports.FlowArrived():
+            case ports.RequestArrived():
                 self._arrived(message, now, events)
-            case ports.SchedulingEnded():
-                scheduling = self.open.get((message.name, message.server))
-                if scheduling is None:  # Guards against call-backs that repeat, or cross a cancel.
+            case ports.AttemptFinished():
+                attempt = self.open.get((message.name, message.server))
+                if attempt is None:  # Guards against call-backs that repeat, or cross a cancel.
                     self._unclaimed(message)
                 elif message.unfit:
-                    self._unfit(scheduling, now, events, message)
+                    self._unfit(attempt, now, events, message)
                 else:
-                    self.flows[scheduling.flow].ending = message.ending
-                    self._ended(scheduling, message.outcome, now, events, message.result, message.report)
-            case ports.SchedulingStarted():
+                    self.requests[attempt.request_number].ending = message.ending
+                    self._ended(attempt, message.outcome, now, events, message.result, message.report)
+            case ports.AttemptStarted():
                 if (found := self.open.get((message.name, message.server))) is not None:
                     found.started = True
                     events.append(
-                        api.JobPaused(found.flow, found.number, False)
+                        api.JobPaused(found.request_number, found.number, False)
                         if found.paused
-                        else api.JobStarted(found.flow, found.number)
+                        else api.JobStarted(found.request_number, found.number)
                     )
                     found.paused = False
-                    if not self.flows[found.flow].done:
-                        self.flows[found.flow].edge.started(found.server)
+                    if not self.requests[found.request_number].done:
+                        self.requests[found.request_number].edge.started(found.server)
                 else:
                     self._unclaimed(message)
-            case ports.SchedulingProgress():
+            case ports.AttemptProgress():
                 if (found := self.open.get((message.name, message.server))) is not None:
-                    events.append(api.JobProgress(found.flow, found.number, message.share))
+                    events.append(api.JobProgress(found.request_number, found.number, message.share))
                 else:
                     self._unclaimed(message)
             case ports.Relayed():
                 if (message.message.name, message.message.server) in self.open:
                     self._take(message.message, now, events)
             case (
-                ports.FlowRecalled()
-                | ports.FlowControlled()
-                | ports.SchedulingRecalled()
-                | ports.SchedulingControlled()
-                | ports.SchedulingSuspended()
-                | ports.SchedulingUnseen()
+                ports.RequestRecalled()
+                | ports.RequestControlled()
+                | ports.AttemptRecalled()
+                | ports.AttemptControlled()
+                | ports.AttemptSuspended()
+                | ports.AttemptUnseen()
             ):
                 self._control(message, now, events)
             case ports.SlotsKept():
@@ -164,10 +168,10 @@
                         self.other.maintained(message.server, message.on)
             case ports.LearnedAsked():
                 message.told(learned(self.balancer, self.balancer.classes))
-            case ports.FlowWithdrawn():
-                flow = self.names.get(message.name)
-                if flow is not None and flow.edge is message.edge and not flow.done:
-                    self._withdraw(flow, events)
+            case ports.RequestWithdrawn():
+                request = self.names.get(message.name)
+                if request is not None and request.edge is message.edge and not request.done:
+                    self._withdraw(request, events)
             case ports.ServerProbed():
                 events.append(
                     api.ProbeEnded(
@@ -196,37 +200,37 @@
                 events.append(api.ListMoved(message.told_us))
             case ports.Stopping():
                 self.stopping = True
-                # Guards against flows that outlast the process: what it has taken is answered before.
+                # Guards against requests that outlast the process: what it has taken is answered before.
                 last = now + self.limits.stop_answers_us
-                for flow in self.flows.values():
-                    if not flow.done and flow.deadline_us > last:
-                        flow.deadline_us = last
-                        self._at(last, flow)
+                for request in self.requests.values():
+                    if not request.done and request.deadline_us > last:
+                        request.deadline_us = last
+                        self._at(last, request)
 
     def _unclaimed(self, message: ports.CallBack) -> None:
         """Take it that nothing here waits for a call-back; the node's other process may."""
         if self.other is None or not self.other.unclaimed(message):
-            self.counters.add("schedulings_stale")
+            self.counters.add("attempts_stale")
 
-    def _arrived(self, message: ports.FlowArrived, now: int, events: list[api.Event]) -> None:
+    def _arrived(self, message: ports.RequestArrived, now: int, events: list[api.Event]) -> None:
         spec = message.spec
-        self.counters.add("flows_taken")
+        self.counters.add("requests_taken")
         if spec.job_class not in self.classes or spec.name in self.names:
             self.counters.add("answers_failed")
             message.edge.answer(Answer(Verdict.FAILED))
             return
-        if self.stopping or len(self.flows) >= self.limits.most_held:
+        if self.stopping or len(self.requests) >= self.limits.most_held:
             self.counters.add("answers_refused")
             message.edge.answer(Answer(Verdict.REFUSED, retry_after_us=self.limits.retry_when_stopping_us))
             return
         self.count += 1
         deadline = spec.arrived_us + max(spec.budget_us - self.limits.answer_margin_us, 1000)
-        flow = Flow(spec, self.count, message.edge, deadline)
-        self.flows[flow.number] = self.names[spec.name] = flow
-        self._at(deadline, flow)
+        request = OpenRequest(spec, self.count, message.edge, deadline)
+        self.requests[request.number] = self.names[spec.name] = request
+        self._at(deadline, request)
         events.append(
             api.JobArrived(
-                flow.number,
+                request.number,
                 spec.job_class,
                 max(deadline - now, 0),
                 spec.slots,
@@ -243,140 +247,156 @@
 
     def _ended(
         self,
-        scheduling: ports.Scheduling,
+        attempt: ports.ServerAttempt,
         outcome: api.Outcome,
         now: int,
         events: list[api.Event],
         result: bytes = b"",
         report: dict[str, float] | None = None,
     ) -> None:
-        """End a scheduling, once; the first success answers its flow."""
-        if scheduling.started and outcome in api.NEVER_RAN:
+        """End an attempt, once; the first success answers its request."""
+        if attempt.started and outcome in api.NEVER_RAN:
             # Guards against a server that tells of a start and hands the job back: it may have run.
             outcome = api.Outcome.RESET
-        del self.open[scheduling.spec.name, scheduling.server]
-        scheduling.ended = True
-        self.servers.forget(scheduling)
-        self.counters.add(f"schedulings_{outcome.name.lower()}")
-        flow = self.flows[scheduling.flow]
-        del flow.open[scheduling.number]
-        if outcome is api.Outcome.OK and not flow.done:
-            self._answer(flow, Answer(Verdict.SERVED, result, ending=flow.ending))
-        elif scheduling.started and not flow.done and not any(s.started for s in flow.open.values()):
-            flow.edge.unplaced()
+        del self.open[attempt.spec.name, attempt.server]
+        attempt.ended = True
+        self.servers.forget(attempt)
+        self.counters.add(f"attempts_{outcome.name.lower()}")
+        request = self.requests[attempt.request_number]
+        del request.open[attempt.number]
+        if outcome is api.Outcome.OK and not request.done:
+            self._answer(request, Answer(Verdict.SERVED, result, ending=request.ending))
+        elif attempt.started and not request.done and not any(s.started for s in request.open.values()):
+            request.edge.unplaced()
         events.append(
             api.AttemptEnded(
-                scheduling.flow,
-                scheduling.number,
+                attempt.request_number,
+                attempt.number,
                 outcome,
-                now - scheduling.sent_us,
-                flow.done,
+                now - attempt.sent_us,
+                request.done,
                 self._row(report),
-                scheduling.server,
+                attempt.server,
             )
         )
-        self._forget(flow)
+        self._forget(request)
 
     def _unfit(
-        self, scheduling: ports.Scheduling, now: int, events: list[api.Event], message: ports.SchedulingEnded
+        self, attempt: ports.ServerAttempt, now: int, events: list[api.Event], message: ports.AttemptFinished
     ) -> None:
-        """Fail a flow whose job a real server cannot use."""
+        """Fail a request whose job a real server cannot use."""
         # Guards against one bad job that goes from server to server and has each left out as failing: it
         # is tried no more, and its attempt ends as one that was called off, which tells nothing of health.
-        flow = self.flows[scheduling.flow]
-        self.counters.add("flows_unfit")
-        if not flow.done:
-            self._answer(flow, Answer(Verdict.FAILED, ending=message.ending))
-        self._ended(scheduling, api.Outcome.CANCELLED, now, events, report=message.report)
+        request = self.requests[attempt.request_number]
+        self.counters.add("requests_unfit")
+        if not request.done:
+            self._answer(request, Answer(Verdict.FAILED, ending=message.ending))
+        self._ended(attempt, api.Outcome.CANCELLED, now, events, report=message.report)
 
     # What fronts with more words than the platform's ask for.
 
     def _control(self, message: ports.Message, now: int, events: list[api.Event]) -> None:
         match message:
-            case ports.FlowRecalled():
-                flow = self.names.get(message.name)
-                # A flow that is done has been answered: that, and nothing here, tells what became of it.
-                if flow is not None and flow.edge is message.edge and not flow.done and not flow.recalling:
-                    flow.recalling = True
-                    for scheduling in flow.open.values():
-                        self.servers.recall(scheduling)
-            case ports.FlowControlled():
-                flow = self.names.get(message.name)
-                if flow is None or flow.edge is not message.edge or flow.done:
+            case ports.RequestRecalled():
+                request = self.names.get(message.name)
+                # A request that is done has been answered: that, and nothing here, tells what became of it.
+                if (
+                    request is not None
+                    and request.edge is message.edge
+                    and not request.done
+                    and not request.recalling
+                ):
+                    request.recalling = True
+                    for attempt in request.open.values():
+                        self.servers.recall(attempt)
+            case ports.RequestControlled():
+                request = self.names.get(message.name)
+                if request is None or request.edge is not message.edge or request.done:
                     return
-                if len(flow.open) == 1:
-                    self.servers.control(next(iter(flow.open.values())), message.action)
+                if len(request.open) == 1:
+                    self.servers.control(next(iter(request.open.values())), message.action)
                 else:  # Guards against a copy that runs on while the other is suspended.
-                    flow.edge.controlled(
-                        message.action, "TryLaterException", f"{len(flow.open)} servers have the job"
+                    request.edge.controlled(
+                        message.action, "TryLaterException", f"{len(request.open)} servers have the job"
                     )
-            case ports.SchedulingRecalled():
+            case ports.AttemptRecalled():
                 found = self.open.get((message.name, message.server))
-                if found is not None and not self.flows[found.flow].done:
-                    self._recalled(self.flows[found.flow], found, message.done, now, events)
-            case ports.SchedulingControlled():
+                if found is not None and not self.requests[found.request_number].done:
+                    self._recalled(self.requests[found.request_number], found, message.done, now, events)
+            case ports.AttemptControlled():
                 found = self.open.get((message.name, message.server))
-                if found is not None and not self.flows[found.flow].done:
+                if found is not None and not self.requests[found.request_number].done:
                     if not message.error:
                         found.paused = message.action == "suspend"
-                        events.append(api.JobPaused(found.flow, found.number, found.paused))
-                    self.flows[found.flow].edge.controlled(message.action, message.error, message.message)
-            case ports.SchedulingSuspended():
+                        events.append(api.JobPaused(found.request_number, found.number, found.paused))
+                    self.requests[found.request_number].edge.controlled(
+                        message.action, message.error, message.message
+                    )
+            case ports.AttemptSuspended():
                 found = self.open.get((message.name, message.server))
                 if found is not None and not found.paused:
                     found.started = found.paused = True
-                    events.append(api.JobPaused(found.flow, found.number, True))
-                    if not self.flows[found.flow].done:
-                        self.flows[found.flow].edge.suspended()
-            case ports.SchedulingUnseen():
+                    events.append(api.JobPaused(found.request_number, found.number, True))
+                    if not self.requests[found.request_number].done:
+                        self.requests[found.request_number].edge.suspended()
+            case ports.AttemptUnseen():
                 found = self.open.get((message.name, message.server))
-                if found is not None and not self.flows[found.flow].done:
-                    edge = self.flows[found.flow].edge
+                if found is not None and not self.requests[found.request_number].done:
+                    edge = self.requests[found.request_number].edge
                     edge.found_queued() if message.found else edge.lost_sight()
 
     def _recalled(
-        self, flow: Flow, scheduling: ports.Scheduling, done: bool, now: int, events: list[api.Event]
+        self,
+        request: OpenRequest,
+        attempt: ports.ServerAttempt,
+        done: bool,
+        now: int,
+        events: list[api.Event],
     ) -> None:
         """Take a server's word on an attempt that is to come back unstarted."""
-        if flow.recalling and (not done or scheduling.started):
-            flow.recalling = False
-            flow.edge.recalled(False)
+        if request.recalling and (not done or attempt.started):
+            request.recalling = False
+            request.edge.recalled(False)
         if not done:
             return
         # Guards against a server that looks full for having given back what was asked for: that is CANCELLED.
-        if not flow.recalling:
-            self._ended(scheduling, api.Outcome.FULL, now, events)
-        elif len(flow.open) > 1:  # the others are asked too: the last one's word counts
-            self._ended(scheduling, api.Outcome.CANCELLED, now, events)
+        if not request.recalling:
+            self._ended(attempt, api.Outcome.FULL, now, events)
+        elif len(request.open) > 1:  # the others are asked too: the last one's word counts
+            self._ended(attempt, api.Outcome.CANCELLED, now, events)
         else:
-            flow.done = True  # Guards against a next attempt: the module hears that nothing is owed any more.
-            flow.edge.recalled(True)
-            self._ended(scheduling, api.Outcome.CANCELLED, now, events)
+            request.done = (
+                True  # Guards against a next attempt: the module hears that nothing is owed any more.
+            )
+            request.edge.recalled(True)
+            self._ended(attempt, api.Outcome.CANCELLED, now, events)
 
     def _row(self, report: dict[str, float] | None) -> list[object] | None:
         return None if report is None else [report.get(name) for name in self.fields]
 
     # Time.
 
-    def _at(self, due_us: int, what: str | Flow | ports.Scheduling) -> None:
+    def _at(self, due_us: int, what: str | OpenRequest | ports.ServerAttempt) -> None:
         self.count += 1
         heapq.heappush(self.due, (due_us, self.count, what))
 
-    def _expire(self, what: str | Flow | ports.Scheduling, now: int, events: list[api.Event]) -> None:
+    def _expire(
+        self, what: str | OpenRequest | ports.ServerAttempt, now: int, events: list[api.Event]
+    ) -> None:
         if isinstance(what, str):
             events.append(api.TimerFired(what))
-        elif isinstance(what, ports.Scheduling):
+        elif isinstance(what, ports.ServerAttempt):
             if self.open.get((what.spec.name, what.server)) is what:
                 self.servers.give_up(what)
                 self._ended(what, api.Outcome.TIMEOUT, now, events)
         elif not what.done and what.deadline_us <= now:
             ended = list(what.open.values())
-            for scheduling in ended:
-                self.servers.give_up(scheduling)
-                self._ended(scheduling, api.Outcome.TIMEOUT, now, events)
+            for attempt in ended:
+                self.servers.give_up(attempt)
+                self._ended(attempt, api.Outcome.TIMEOUT, now, events)
             if ended:
                 self._at(now + self.limits.recheck_us, what)
-            else:  # Guards against a flow that the module holds, or has failed on, past its time.
+            else:  # Guards against a request that the module holds, or has failed on, past its time.
                 self._answer(what, Answer(Verdict.FAILED))
                 events.append(api.JobWithdrawn(what.number))
                 self._forget(what)
@@ -388,21 +408,21 @@
             case api.Place():
                 self._place(action, now, events)
             case api.Cancel():
-                flow = self.flows.get(action.id)
-                scheduling = flow.open.get(action.attempt) if flow is not None else None
-                if scheduling is not None:
-                    self.servers.give_up(scheduling)
-                    self._ended(scheduling, api.Outcome.CANCELLED, now, events)
+                request = self.requests.get(action.id)
+                attempt = request.open.get(action.attempt) if request is not None else None
+                if attempt is not None:
+                    self.servers.give_up(attempt)
+                    self._ended(attempt, api.Outcome.CANCELLED, now, events)
             case api.Refuse() | api.Fail():
-                flow = self.flows.get(action.id)
-                if flow is not None and not flow.done:
+                request = self.requests.get(action.id)
+                if request is not None and not request.done:
                     self._answer(
-                        flow,
-                        Answer(Verdict.FAILED, ending=flow.ending)
+                        request,
+                        Answer(Verdict.FAILED, ending=request.ending)
                         if isinstance(action, api.Fail)
                         else Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us),
                     )
-                    self._forget(flow)
+                    self._forget(request)
             case api.SetTimer():
                 self._at(now + action.in_us, action.token)
             case api.Subscribe():
@@ -416,45 +436,49 @@
                 self.counters.add("tells_dropped")  # no settings of ours let balancers speak to each other
 
     def _place(self, action: api.Place, now: int, events: list[api.Event]) -> None:
-        flow = self.flows.get(action.id)
-        if flow is None:
+        request = self.requests.get(action.id)
+        if request is None:
             return
-        number, flow.sent = flow.sent, flow.sent + 1
-        until = min(flow.deadline_us, now + action.timeout_us) if action.timeout_us else flow.deadline_us
-        scheduling = ports.Scheduling(
-            flow.spec, flow.number, number, action.worker, now, until, edge=flow.edge
+        number, request.sent = request.sent, request.sent + 1
+        until = (
+            min(request.deadline_us, now + action.timeout_us) if action.timeout_us else request.deadline_us
         )
-        if not flow.done and flow.edge.left():
+        attempt = ports.ServerAttempt(
+            request.spec, request.number, number, action.worker, now, until, edge=request.edge
+        )
+        if not request.done and request.edge.left():
             # Guards against an attempt for a client that has left, while the word of it is still on its way.
-            self._withdraw(flow, events)
-        if flow.done or now >= flow.deadline_us or (flow.spec.name, action.worker) in self.open:
-            self.counters.add("schedulings_moot")
+            self._withdraw(request, events)
+        if request.done or now >= request.deadline_us or (request.spec.name, action.worker) in self.open:
+            self.counters.add("attempts_moot")
             events.append(
-                api.AttemptEnded(flow.number, number, api.Outcome.MOOT, 0, flow.done, None, action.worker)
+                api.AttemptEnded(
+                    request.number, number, api.Outcome.MOOT, 0, request.done, None, action.worker
+                )
             )
             return
-        self.counters.add("schedulings_sent")
-        flow.open[number] = self.open[flow.spec.name, action.worker] = scheduling
-        if until < flow.deadline_us:
-            self._at(until, scheduling)
-        self.servers.start(scheduling)
-        if flow.recalling:  # Guards against a copy that starts while the first attempt is called back.
-            self.servers.recall(scheduling)
-        flow.edge.sent(scheduling.server)
-
-    def _withdraw(self, flow: Flow, events: list[api.Event]) -> None:
-        """Take it that a flow's client has left: nothing is owed any more."""
-        self.counters.add("flows_withdrawn")
-        flow.done = True
-        events.append(api.JobWithdrawn(flow.number))
-        self._forget(flow)
-
-    def _answer(self, flow: Flow, answer: Answer) -> None:
-        """Give a flow its one final answer."""
-        flow.done = True
+        self.counters.add("attempts_sent")
+        request.open[number] = self.open[request.spec.name, action.worker] = attempt
+        if until < request.deadline_us:
+            self._at(until, attempt)
+        self.servers.start(attempt)
+        if request.recalling:  # Guards against a copy that starts while the first attempt is called back.
+            self.servers.recall(attempt)
+        request.edge.sent(attempt.server)
+
+    def _withdraw(self, request: OpenRequest, events: list[api.Event]) -> None:
+        """Take it that a request's client has left: nothing is owed any more."""
+        self.counters.add("requests_withdrawn")
+        request.done = True
+        events.append(api.JobWithdrawn(request.number))
+        self._forget(request)
+
+    def _answer(self, request: OpenRequest, answer: Answer) -> None:
+        """Give a request its one final answer."""
+        request.done = True
         self.counters.add(f"answers_{answer.verdict.value}")
-        flow.edge.answer(answer)
+        request.edge.answer(answer)
 
-    def _forget(self, flow: Flow) -> None:
-        if flow.done and not flow.open and self.flows.pop(flow.number, None) is not None:
-            del self.names[flow.spec.name]
+    def _forget(self, request: OpenRequest) -> None:
+        if request.done and not request.open and self.requests.pop(request.number, None) is not None:
+            del self.names[request.spec.name]
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -34,18 +34,18 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """A flow's one final answer."""
+    """A request's one final answer."""
 
     verdict: Verdict
     result: bytes = b""
     retry_after_us: int = 0
-    ending: Ending | None = None  # of the scheduling that ended last, where its server told one
+    ending: Ending | None = None  # of the attempt that ended last, where its server told one
 
 
 class JobSpec(msgspec.Struct, frozen=True):
     """What a client asks for, in no wire's words."""
 
-    name: str  # the flow's id, the same on both sides
+    name: str  # the request's id, the same on both sides
     job_class: str
     arrived_us: int  # when its last byte had come
     budget_us: int
@@ -88,10 +88,10 @@
 
 
 class Edge:
-    """The client's side of one flow. A front overrides what its wire has words for; nothing here waits."""
+    """The client's side of one request. A front overrides what its wire has words for; nothing here waits."""
 
     def answer(self, answer: Answer) -> None:
-        """Take the flow's one answer."""
+        """Take the request's one answer."""
         raise NotImplementedError
 
     def left(self) -> bool:
@@ -117,26 +117,26 @@
         """Take it that its real server was asked, and has not started the job."""
 
     def recalled(self, done: bool) -> None:
-        """Take it that the flow was called back unstarted and is over (``done``), or that it goes on."""
+        """Take it that the request was called back unstarted and is over (``done``), or that it goes on."""
 
     def controlled(self, action: str, error: str, message: str) -> None:
         """Take what came of ``suspend`` or ``resume``; ``error`` is empty where it was done."""
 
 
 @dataclass(slots=True, eq=False)
-class Scheduling:
-    """One attempt of a flow on a real server."""
+class ServerAttempt:
+    """One attempt of a request on a real server."""
 
     spec: JobSpec
-    flow: int
-    number: int
+    request_number: int  # the request's id in the module
+    number: int  # of this attempt, from 0
     server: str
     sent_us: int
     deadline_us: int
     ended: bool = False
     started: bool = False
     paused: bool = False  # suspended by its real server
-    edge: Edge | None = None  # of its flow
+    edge: Edge | None = None  # of its request
 
     def wanted(self) -> bool:
         """Tell whether it is still to be begun."""
@@ -146,20 +146,20 @@
 class ServerSide(Protocol):
     """The real servers. Nothing here waits; outcomes come back through the inbox."""
 
-    def start(self, scheduling: Scheduling) -> None:
+    def start(self, attempt: ServerAttempt) -> None:
         """Send an attempt."""
 
-    def give_up(self, scheduling: Scheduling) -> None:
+    def give_up(self, attempt: ServerAttempt) -> None:
         """Stop an attempt whose outcome is settled already."""
 
-    def forget(self, scheduling: Scheduling) -> None:
+    def forget(self, attempt: ServerAttempt) -> None:
         """Drop what is kept of an attempt: it has ended, by itself or given up."""
 
-    def recall(self, scheduling: Scheduling) -> None:
-        """Take an attempt back if it has not started; ``SchedulingRecalled`` tells."""
+    def recall(self, attempt: ServerAttempt) -> None:
+        """Take an attempt back if it has not started; ``AttemptRecalled`` tells."""
 
-    def control(self, scheduling: Scheduling, action: str) -> None:
-        """Have the real server ``suspend`` or ``resume`` a job; ``SchedulingControlled`` tells."""
+    def control(self, attempt: ServerAttempt, action: str) -> None:
+        """Have the real server ``suspend`` or ``resume`` a job; ``AttemptControlled`` tells."""
 
     def probe(self, server: str) -> None:
         """Test a real server."""
@@ -175,31 +175,32 @@
         """Begin to watch the list, or do so again after a failure or a move."""
 
 
-# Messages to the owner, by any number of tasks.
+# Messages to the owner, by any number of tasks. Tags that are given are those of the hand-over between two
+# processes of a node, which may be of different versions: they stay as they are.
 
 
-class FlowArrived(msgspec.Struct, frozen=True):
+class RequestArrived(msgspec.Struct, frozen=True):
     """A client hands in a job."""
 
     spec: JobSpec
     edge: Edge
 
 
-class FlowWithdrawn(msgspec.Struct, frozen=True):
+class RequestWithdrawn(msgspec.Struct, frozen=True):
     """The client has left."""
 
     name: str
     edge: Edge
 
 
-class FlowRecalled(msgspec.Struct, frozen=True):
-    """The client's side wants the flow back, if it has not started."""
+class RequestRecalled(msgspec.Struct, frozen=True):
+    """The client's side wants the request back, if it has not started."""
 
     name: str
     edge: Edge
 
 
-class FlowControlled(msgspec.Struct, frozen=True):
+class RequestControlled(msgspec.Struct, frozen=True):
     """The client's side wants the job ``suspend``-ed or ``resume``-d."""
 
     name: str
@@ -207,7 +208,7 @@
     action: str
 
 
-class SchedulingRecalled(msgspec.Struct, frozen=True):
+class AttemptRecalled(msgspec.Struct, frozen=True):
     """Whether a real server gave an attempt back unstarted."""
 
     name: str
@@ -215,7 +216,7 @@
     done: bool
 
 
-class SchedulingControlled(msgspec.Struct, frozen=True):
+class AttemptControlled(msgspec.Struct, frozen=True):
     """What came of ``suspend`` or ``resume``; ``error`` names one of the standard's, or is empty."""
 
     name: str
@@ -225,14 +226,14 @@
     message: str = ""
 
 
-class SchedulingSuspended(msgspec.Struct, frozen=True):
+class AttemptSuspended(msgspec.Struct, frozen=True):
     """The real server has suspended the job."""
 
     name: str
     server: str
 
 
-class SchedulingUnseen(msgspec.Struct, frozen=True):
+class AttemptUnseen(msgspec.Struct, frozen=True):
     """The real server cannot be asked (``found`` false), or was asked and has not started the job."""
 
     name: str
@@ -240,14 +241,14 @@
     found: bool
 
 
-class SchedulingStarted(msgspec.Struct, tag=True, frozen=True):
+class AttemptStarted(msgspec.Struct, tag="SchedulingStarted", frozen=True):
     """The real server has started the job."""
 
     name: str
     server: str
 
 
-class SchedulingProgress(msgspec.Struct, tag=True, frozen=True):
+class AttemptProgress(msgspec.Struct, tag="SchedulingProgress", frozen=True):
     """The job runs."""
 
     name: str
@@ -255,8 +256,8 @@
     share: float
 
 
-class SchedulingEnded(msgspec.Struct, tag=True, frozen=True):
-    """How an attempt ended. A flow has one at a time on a real server, so the two names match it."""
+class AttemptFinished(msgspec.Struct, tag="SchedulingEnded", frozen=True):
+    """How an attempt ended. A request has one at a time on a real server, so the two names match it."""
 
     name: str
     server: str
@@ -339,24 +340,24 @@
 class Relayed(msgspec.Struct, frozen=True):
     """A call-back that reached the node's other process; it is passed on no further."""
 
-    message: SchedulingStarted | SchedulingProgress | SchedulingEnded
+    message: AttemptStarted | AttemptProgress | AttemptFinished
 
 
-CallBack = SchedulingStarted | SchedulingProgress | SchedulingEnded
+CallBack = AttemptStarted | AttemptProgress | AttemptFinished
 
 
 class OtherProcess(Protocol):
     """The process that this one replaces, or that replaces it. Nothing here waits."""
 
     def unclaimed(self, message: CallBack) -> bool:
-        """Pass a call-back on that is for no flow here; tell whether there is anybody to pass it to."""
+        """Pass a call-back on that is for no request here; tell whether there is anybody to pass it to."""
 
     def maintained(self, server: str, on: bool) -> None:
         """Pass on what operators did with a real server."""
 
 
 class SlotsKept(msgspec.Struct, frozen=True):
-    """So many slots of a real server are kept free, but for flows that they are reserved for."""
+    """So many slots of a real server are kept free, but for requests that they are reserved for."""
 
     server: str
     slots: float
@@ -371,21 +372,21 @@
 
 
 class Stopping(msgspec.Struct, frozen=True):
-    """Refuse what is new, and end once the last flow is answered."""
+    """Refuse what is new, and end once the last request is answered."""
 
 
 Message = (
-    FlowArrived
-    | FlowWithdrawn
-    | FlowRecalled
-    | FlowControlled
-    | SchedulingRecalled
-    | SchedulingControlled
-    | SchedulingSuspended
-    | SchedulingUnseen
-    | SchedulingStarted
-    | SchedulingProgress
-    | SchedulingEnded
+    RequestArrived
+    | RequestWithdrawn
+    | RequestRecalled
+    | RequestControlled
+    | AttemptRecalled
+    | AttemptControlled
+    | AttemptSuspended
+    | AttemptUnseen
+    | AttemptStarted
+    | AttemptProgress
+    | AttemptFinished
     | ServerProbed
     | EntriesChanged
     | DirectoryMoved
--- a/merlinbay/drmaa/edges.py
+++ b/merlinbay/drmaa/edges.py
@@ -1,4 +1,4 @@
-"""The core's end of the front: the client's side of each flow."""
+"""The core's end of the front: the client's side of each request."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
 
 class JobEdge(ports.Edge):
-    """The client's side of one flow: one offer of a job."""
+    """The client's side of one request: one offer of a job."""
 
     def __init__(self, front: Hall, job: Job, spec: ports.JobSpec) -> None:
         self.front, self.job, self.name = front, job, spec.name
         self.deadline_us = spec.arrived_us + spec.budget_us
 
     def _mine(self) -> bool:
-        """Tell whether the job has not ended: the owner tells nothing more of a flow that is over."""
+        """Tell whether the job has not ended: the owner tells nothing more of a request that is over."""
         if not self.job.ended:
             return True
         # Guards against what crosses a terminate, which the owner has yet to hear of: it changes nothing.
@@ -69,7 +69,7 @@
         self._tell(self.front.engine.controlled, action, DrmaaError(error, message) if error else None)
 
     def answer(self, answer: Answer) -> None:
-        """Take the flow's answer: the job's final state, or what sends it back into the backlog."""
+        """Take the request's answer: the job's final state, or what sends it back into the backlog."""
         self.front.forget_edge(self.job)
         if not self._mine():
             return
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -143,7 +143,7 @@
         )
 
     def forget_edge(self, job: Job) -> None:
-        """Take it that a job's flow is over."""
+        """Take it that a job's request is over."""
         self.edges.pop(job, None)
 
     def _reservation(self, found: Reservation, what: str) -> None:
@@ -198,13 +198,13 @@
                     case Withdraw():
                         if (edge := self.edges.pop(effect.job, None)) is not None:
                             self.counters.add("drmaa_jobs_withdrawn")
-                            self.post(ports.FlowWithdrawn(edge.name, edge))
+                            self.post(ports.RequestWithdrawn(edge.name, edge))
                     case Recall():
                         if (edge := self.edges.get(effect.job)) is not None:
-                            self.post(ports.FlowRecalled(edge.name, edge))
+                            self.post(ports.RequestRecalled(edge.name, edge))
                     case Control():
                         if (edge := self.edges.get(effect.job)) is not None:
-                            self.post(ports.FlowControlled(edge.name, edge, effect.action))
+                            self.post(ports.RequestControlled(edge.name, edge, effect.action))
         if self.hub is not None:
             for found in self.hub.take(now_us):
                 if isinstance(found, Answer):
@@ -237,7 +237,7 @@
             spec = msgspec.structs.replace(spec, only=only, reserved=True)
         edge = self.edges[job] = JobEdge(self, job, spec)
         self.counters.add("drmaa_offers")
-        self.post(ports.FlowArrived(spec, edge))
+        self.post(ports.RequestArrived(spec, edge))
 
     def post(self, message: ports.Message) -> None:
         """Send the owner a message, after those that wait already."""
@@ -247,7 +247,7 @@
                 return
             except trio.WouldBlock:
                 pass
-            except trio.BrokenResourceError:  # the owner has ended, and with it every flow
+            except trio.BrokenResourceError:  # the owner has ended, and with it every request
                 return
         # Guards against order lost: once one message waits, those that follow do so behind it.
         self.outbox.append(message)
--- a/merlinbay/drmaa/hall.py
+++ b/merlinbay/drmaa/hall.py
@@ -41,4 +41,4 @@
         """Take it that a job is not with the core any more."""
 
     def forget_edge(self, job: Job) -> None:
-        """Take it that a job's flow is over."""
+        """Take it that a job's request is over."""
--- a/merlinbay/drmaa/servers.py
+++ b/merlinbay/drmaa/servers.py
@@ -1,4 +1,4 @@
-"""Real servers that are batch schedulers: runJob for each scheduling; notifications tell the rest."""
+"""Real servers that are batch schedulers: runJob for each attempt; notifications tell the rest."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from merlinbay.clock import Clock
 from merlinbay.core import ports
-from merlinbay.core.ports import Ending, Scheduling, ServiceEntry
+from merlinbay.core.ports import Ending, ServerAttempt, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
 from merlinbay.drmaa import templates, words
@@ -24,7 +24,7 @@
 
 
 class DrmaaServers(PooledServers):
-    """Sends schedulings to schedulers."""
+    """Sends attempts to schedulers."""
 
     def __init__(
         self,
@@ -40,48 +40,48 @@
     ) -> None:
         super().__init__(nursery, pool, inbox, clock, limits, counters, log)
         self.notify = notify
-        self.sending: set[Scheduling] = set()  # their runJob is unanswered,
-        self.given_up: set[Scheduling] = set()  # and of these, the ones to terminate then,
-        self.recalls: set[Scheduling] = set()  # and to call back
-        self.job_ids: dict[Scheduling, str] = {}  # of the taken ones, until they end,
-        self.taken: dict[tuple[str, str], Scheduling] = {}  # and these by job name and scheduler
+        self.sending: set[ServerAttempt] = set()  # their runJob is unanswered,
+        self.given_up: set[ServerAttempt] = set()  # and of these, the ones to terminate then,
+        self.recalls: set[ServerAttempt] = set()  # and to call back
+        self.job_ids: dict[ServerAttempt, str] = {}  # of the taken ones, until they end,
+        self.taken: dict[tuple[str, str], ServerAttempt] = {}  # and these by job name and scheduler
         self.asking = Asking(ask)
         self.started_us: dict[str, int] = {}  # of the schedulers
         self.nap = trio.CancelScope()
 
-    def start(self, scheduling: Scheduling) -> None:
+    def start(self, attempt: ServerAttempt) -> None:
         """Send an attempt."""
-        if self.spawn(self._send, scheduling):
-            self.sending.add(scheduling)
+        if self.spawn(self._send, attempt):
+            self.sending.add(attempt)
         else:
-            self.not_sent(scheduling)
+            self.not_sent(attempt)
 
-    def give_up(self, scheduling: Scheduling) -> None:
+    def give_up(self, attempt: ServerAttempt) -> None:
         """Terminate the job, as soon as its id is known."""
         # Guards against a cancel that crosses runJob: closing the connection would leave a job running
         # whose id nobody has, so its answer is waited for and the job terminated then.
-        if scheduling in self.sending:
-            self.given_up.add(scheduling)
-        elif job_id := self.job_ids.pop(scheduling, ""):
-            self.spawn(self._terminate, scheduling.server, job_id)
+        if attempt in self.sending:
+            self.given_up.add(attempt)
+        elif job_id := self.job_ids.pop(attempt, ""):
+            self.spawn(self._terminate, attempt.server, job_id)
 
-    def forget(self, scheduling: Scheduling) -> None:
+    def forget(self, attempt: ServerAttempt) -> None:
         """Drop the job's id."""
-        self.job_ids.pop(scheduling, None)
-        self.recalls.discard(scheduling)
-        if self.taken.pop((scheduling.spec.name, scheduling.server), None) is not None:
-            self.asking.forget(scheduling)
+        self.job_ids.pop(attempt, None)
+        self.recalls.discard(attempt)
+        if self.taken.pop((attempt.spec.name, attempt.server), None) is not None:
+            self.asking.forget(attempt)
 
-    def recall(self, scheduling: Scheduling) -> None:
+    def recall(self, attempt: ServerAttempt) -> None:
         """Take the job back if it has not started, as soon as its id is known."""
-        if scheduling in self.sending:
-            self.recalls.add(scheduling)
-        elif job_id := self.job_ids.get(scheduling, ""):
-            self.spawn(self._recall, scheduling, job_id)
+        if attempt in self.sending:
+            self.recalls.add(attempt)
+        elif job_id := self.job_ids.get(attempt, ""):
+            self.spawn(self._recall, attempt, job_id)
 
-    def control(self, scheduling: Scheduling, action: str) -> None:
+    def control(self, attempt: ServerAttempt, action: str) -> None:
         """Pass ``suspend`` or ``resume`` on."""
-        self.spawn(self._control, scheduling, self.job_ids.get(scheduling, ""), action)
+        self.spawn(self._control, attempt, self.job_ids.get(attempt, ""), action)
 
     def probe(self, server: str) -> None:
         """Tell at once that the probe failed: schedulers of this binding have none."""
@@ -103,16 +103,16 @@
             if server not in {entry.server for entry in entries if entry.state != "removed"}:
                 self.started_us.pop(server, None)
         if changed:
-            for (_, server), scheduling in self.taken.items():
+            for (_, server), attempt in self.taken.items():
                 if server in changed:
-                    self.asking.hasten(scheduling, now)
+                    self.asking.hasten(attempt, now)
             self._rouse()
 
     def heard(self, job_name: str, server: str) -> None:
         """Take it that a scheduler told of a job: it need not be asked soon."""
-        scheduling = self.taken.get((job_name, server))
-        if scheduling is not None:
-            self.asking.heard(scheduling, self.clock.now_us())
+        attempt = self.taken.get((job_name, server))
+        if attempt is not None:
+            self.asking.heard(attempt, self.clock.now_us())
 
     async def run(self) -> None:
         """Ask for the state of jobs that nothing was heard of, for ever."""
@@ -123,7 +123,7 @@
             ) as self.nap:
                 await trio.sleep_forever()
             for key in self.asking.take(self.clock.now_us()):
-                assert isinstance(key, Scheduling)
+                assert isinstance(key, ServerAttempt)
                 if not self.spawn(self._ask, key, self.job_ids.get(key, "")):
                     self.asking.missed(key, self.clock.now_us())
 
@@ -132,72 +132,70 @@
         if due is not None and self.clock.to_trio(due) < self.nap.deadline:
             self.nap.deadline = self.clock.to_trio(due)
 
-    async def _send(self, scheduling: Scheduling) -> None:
+    async def _send(self, attempt: ServerAttempt) -> None:
         call = words.RunJob(
-            templates.template_for(scheduling.spec, scheduling.deadline_us), scheduling.server, self.notify
+            templates.template_for(attempt.spec, attempt.deadline_us), attempt.server, self.notify
         )
         reply: Reply | Outcome = Outcome.TIMEOUT
-        with trio.move_on_at(self.clock.to_trio(scheduling.deadline_us) + self.limits.late_answer):
-            reply = await self.attempt(
-                scheduling.server,
+        with trio.move_on_at(self.clock.to_trio(attempt.deadline_us) + self.limits.late_answer):
+            reply = await self.exchange(
+                attempt.server,
                 "POST",
                 JOBS,
                 [("content-type", "application/json")],
                 words.write(call),
-                scheduling.wanted,
+                attempt.wanted,
             )
         outcome, job_id = outcome_of(reply) if isinstance(reply, Reply) else (reply, "")
-        self.sending.discard(scheduling)
-        gave_up, recall = scheduling in self.given_up, scheduling in self.recalls
-        self.given_up.discard(scheduling)
-        self.recalls.discard(scheduling)
+        self.sending.discard(attempt)
+        gave_up, recall = attempt in self.given_up, attempt in self.recalls
+        self.given_up.discard(attempt)
+        self.recalls.discard(attempt)
         if job_id and gave_up:
-            await self._terminate(scheduling.server, job_id)
-        elif job_id and not scheduling.ended:
-            self.job_ids[scheduling] = job_id
-            self.taken[scheduling.spec.name, scheduling.server] = scheduling
-            self.asking.watch(scheduling, scheduling.deadline_us, self.clock.now_us())
+            await self._terminate(attempt.server, job_id)
+        elif job_id and not attempt.ended:
+            self.job_ids[attempt] = job_id
+            self.taken[attempt.spec.name, attempt.server] = attempt
+            self.asking.watch(attempt, attempt.deadline_us, self.clock.now_us())
             self._rouse()
             if recall:
-                await self._recall(scheduling, job_id)
+                await self._recall(attempt, job_id)
         elif not job_id and not gave_up:
             await self.ended(
-                scheduling,
+                attempt,
                 outcome,
                 unfit=(isinstance(reply, Reply) and outcome is Outcome.ERROR and reply.status == 400),
             )
 
     async def _terminate(self, server: str, job_id: str) -> None:
         with trio.move_on_after(self.limits.cancel_exchange):
-            reply = await self.attempt(server, "POST", f"{JOBS}/{job_id}/terminate", [])
+            reply = await self.exchange(server, "POST", f"{JOBS}/{job_id}/terminate", [])
             self.counters.add("drmaa_terminates" if isinstance(reply, Reply) else "drmaa_terminates_failed")
 
-    async def _recall(self, scheduling: Scheduling, job_id: str) -> None:
+    async def _recall(self, attempt: ServerAttempt, job_id: str) -> None:
         done = False
         with trio.move_on_after(self.limits.cancel_exchange):
-            reply = await self.attempt(scheduling.server, "POST", f"{JOBS}/{job_id}/recall", [])
+            reply = await self.exchange(attempt.server, "POST", f"{JOBS}/{job_id}/recall", [])
             done = isinstance(reply, Reply) and reply.status == 200
         self.counters.add("drmaa_recalls" if done else "drmaa_recalls_failed")
-        await self.post(ports.SchedulingRecalled(scheduling.spec.name, scheduling.server, done))
+        await self.post(ports.AttemptRecalled(attempt.spec.name, attempt.server, done))
 
-    async def _control(self, scheduling: Scheduling, job_id: str, action: str) -> None:
+    async def _control(self, attempt: ServerAttempt, job_id: str, action: str) -> None:
         error, message = "DrmCommunicationException", "its scheduler did not answer"
         with trio.move_on_after(self.limits.cancel_exchange):
-            reply = await self.attempt(scheduling.server, "POST", f"{JOBS}/{job_id}/{action}", [])
+            reply = await self.exchange(attempt.server, "POST", f"{JOBS}/{job_id}/{action}", [])
             if isinstance(reply, Reply):
                 error, message = error_of(reply)
         self.counters.add("drmaa_controls_failed" if error else "drmaa_controls")
-        await self.post(
-            ports.SchedulingControlled(scheduling.spec.name, scheduling.server, action, error, message)
-        )
+        await self.post(ports.AttemptControlled(attempt.spec.name, attempt.server, action, error, message))
 
-    async def _ask(self, scheduling: Scheduling, job_id: str) -> None:
+    async def _ask(self, attempt: ServerAttempt, job_id: str) -> None:
         """Ask for one job's state, and tell what differs from what is known."""
         reply: Reply | Outcome = Outcome.TIMEOUT
         with trio.move_on_after(self.limits.cancel_exchange):
-            reply = await self.attempt(scheduling.server, "GET", f"{JOBS}/{job_id}", [])
+            reply = await self.exchange(attempt.server, "GET", f"{JOBS}/{job_id}", [])
         self.counters.add("drmaa_asked")
-        now, name, server = self.clock.now_us(), scheduling.spec.name, scheduling.server
+        now, name, server = self.clock.now_us(), attempt.spec.name, attempt.server
         info: words.JobInfo | None = None
         if isinstance(reply, Reply) and reply.status == 200:
             try:
@@ -205,24 +203,24 @@
             except msgspec.DecodeError:
                 self.counters.add("drmaa_notifications_bad")
         if info is not None:
-            was_unseen = self.asking.answered(scheduling, now)
+            was_unseen = self.asking.answered(attempt, now)
             message = message_of(words.Notification("NEW_STATE", server, name, info.jobState, job_id, info))
-            if message is not None and not isinstance(message, ports.SchedulingUnseen):
-                if isinstance(message, ports.SchedulingEnded):
+            if message is not None and not isinstance(message, ports.AttemptUnseen):
+                if isinstance(message, ports.AttemptFinished):
                     self.counters.add("drmaa_found_ended")
                 await self.post(message)
             elif was_unseen:
-                await self.post(ports.SchedulingUnseen(name, server, True))
+                await self.post(ports.AttemptUnseen(name, server, True))
         elif isinstance(reply, Reply) and reply.status == 404:
             # A scheduler that has restarted and knows no job: nobody can tell whether it had run.
             self.counters.add("drmaa_found_lost")
-            await self.ended(scheduling, Outcome.RESET)
+            await self.ended(attempt, Outcome.RESET)
         else:
-            sight = self.asking.missed(scheduling, now)
+            sight = self.asking.missed(attempt, now)
             if sight == "unseen":
-                await self.post(ports.SchedulingUnseen(name, server, False))
+                await self.post(ports.AttemptUnseen(name, server, False))
             elif sight == "gone":
-                await self.ended(scheduling, Outcome.RESET)
+                await self.ended(attempt, Outcome.RESET)
         self._rouse()
 
 
@@ -284,9 +282,9 @@
     if note.event != "NEW_STATE":
         return None
     if note.jobState == words.RUNNING:
-        return ports.SchedulingStarted(note.jobName, note.sessionName)
+        return ports.AttemptStarted(note.jobName, note.sessionName)
     if note.jobState == words.SUSPENDED:
-        return ports.SchedulingSuspended(note.jobName, note.sessionName)
+        return ports.AttemptSuspended(note.jobName, note.sessionName)
     info = note.jobInfo or words.JobInfo(note.jobId, note.jobState)
     ending = Ending(
         info.exitStatus,
@@ -296,7 +294,7 @@
         info.output if note.jobState == words.FAILED else b"",
     )
     if note.jobState == words.DONE:
-        return ports.SchedulingEnded(note.jobName, note.sessionName, Outcome.OK, info.output, ending=ending)
+        return ports.AttemptFinished(note.jobName, note.sessionName, Outcome.OK, info.output, ending=ending)
     if note.jobState == words.FAILED:
         outcome = (
             Outcome.FULL
@@ -307,5 +305,5 @@
         )
         # Guards against a job that fails by itself and is run again and again: it has told its exit status.
         ran = outcome is Outcome.ERROR and info.exitStatus is not None and not info.exception
-        return ports.SchedulingEnded(note.jobName, note.sessionName, outcome, unfit=ran, ending=ending)
+        return ports.AttemptFinished(note.jobName, note.sessionName, outcome, unfit=ran, ending=ending)
     return None
--- a/merlinbay/drmaa/templates.py
+++ b/merlinbay/drmaa/templates.py
@@ -165,7 +165,7 @@
 
 
 def template_for(spec: JobSpec, deadline_us: int) -> JobTemplate:
-    """Translate a flow into the template that a scheduler gets; its ``jobName`` is the flow's name.
+    """Translate a request into the template that a scheduler gets; its ``jobName`` is the request's name.
 
     What the front has seen to (waiting, turns, the choice of machines) is not said again.
     """
--- a/merlinbay/handover/twin.py
+++ b/merlinbay/handover/twin.py
@@ -61,7 +61,7 @@
     # Core's port.
 
     def unclaimed(self, message: ports.CallBack) -> bool:
-        """Pass a call-back on that is for no flow here; tell whether there is anybody to pass it to."""
+        """Pass a call-back on that is for no request here; tell whether there is anybody to pass it to."""
         return self._post(words.Unclaimed(message))
 
     def maintained(self, server: str, on: bool) -> None:
--- a/merlinbay/handover/words.py
+++ b/merlinbay/handover/words.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from merlinbay.core.ports import SchedulingEnded, SchedulingProgress, SchedulingStarted, ServiceEntry
+from merlinbay.core.ports import AttemptFinished, AttemptProgress, AttemptStarted, ServiceEntry
 from merlinbay.decision.learned import Learned, LearnedWorker
 
 SPEAKS = 1  # raised when words change their meaning; another number's process is not replaced but stopped
@@ -37,9 +37,9 @@
 
 
 class Unclaimed(msgspec.Struct, tag=True, frozen=True):
-    """A call-back for no flow of ours."""
+    """A call-back for no request of ours."""
 
-    message: SchedulingStarted | SchedulingProgress | SchedulingEnded
+    message: AttemptStarted | AttemptProgress | AttemptFinished
 
 
 class Banned(msgspec.Struct, tag=True, frozen=True):
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -8,7 +8,7 @@
 
 from merlinbay.clock import Clock
 from merlinbay.core import ports
-from merlinbay.core.ports import Scheduling, ServiceEntry
+from merlinbay.core.ports import ServerAttempt, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
 from merlinbay.http.client import Broken, NotSent, Reply
@@ -47,11 +47,11 @@
         self.nursery.start_soon(self._counted, task, args)
         return True
 
-    def not_sent(self, scheduling: Scheduling) -> None:
+    def not_sent(self, attempt: ServerAttempt) -> None:
         """Tell that an attempt never went out. The owner's own task must not wait for its inbox."""
-        self.nursery.start_soon(self.ended, scheduling, Outcome.CONNECT_FAILED)
+        self.nursery.start_soon(self.ended, attempt, Outcome.CONNECT_FAILED)
 
-    async def attempt(
+    async def exchange(
         self,
         server: str,
         method: str,
@@ -70,21 +70,19 @@
 
     async def ended(
         self,
-        scheduling: Scheduling,
+        attempt: ServerAttempt,
         outcome: Outcome,
         report: dict[str, float] | None = None,
         unfit: bool = False,
     ) -> None:
         """Tell how an attempt ended."""
-        await self.post(
-            ports.SchedulingEnded(scheduling.spec.name, scheduling.server, outcome, b"", report, unfit)
-        )
+        await self.post(ports.AttemptFinished(attempt.spec.name, attempt.server, outcome, b"", report, unfit))
 
     async def post(self, message: ports.Message) -> None:
         """Put a message into the owner's inbox."""
         try:
             await self.inbox.send(message)
-        except trio.BrokenResourceError:  # the owner has ended, and with it every flow
+        except trio.BrokenResourceError:  # the owner has ended, and with it every request
             pass
 
     async def _counted(self, task: Callable[..., Awaitable[None]], args: tuple[object, ...]) -> None:
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -19,7 +19,7 @@
     edge_connections: int = 400
     server_connections: int = 400
     server_tasks: int = 4000  # exchanges with real servers under way, refused ones and cancels included
-    most_held: int = 300  # flows
+    most_held: int = 300  # requests
     linger: float = 0.3  # after an answer to what can't be read,
     linger_bytes: int = 256 * 1024  # and so much more is taken in
     ahead_bytes: int = 96 * 1024  # read behind a request that is not answered yet: over one whole request
@@ -43,14 +43,14 @@
     push_retry: float = 0.05  # or is called again after so long
     push_start: float = 2.0  # and a process that starts waits so long for its list
     reload_told_us: int = 4_000_000  # after SIGHUP, what the new discovery has counts as told
-    recheck_us: int = 5_000  # after its deadline, a flow that the module left unanswered fails
-    answer_margin_us: int = 20_000  # a flow is given up so long before its client gives it up
-    late_answer: float = 1.0  # a 202 is waited for so long after the flow's deadline
+    recheck_us: int = 5_000  # after its deadline, a request that the module left unanswered fails
+    answer_margin_us: int = 20_000  # a request is given up so long before its client gives it up
+    late_answer: float = 1.0  # a 202 is waited for so long after the request's deadline
     stop_serving: float = 3.1  # after SIGTERM, go on as before for so long: clients keep their connections
     stop_arrivals: float = 0.3  # after which no new connection is expected any more
     stop_retiring: float = 0.5  # where others serve, clients are sent there so long before jobs are refused
     spare_connections: int = 3  # and so many of the kept ones stay free, where no other balancer serves
-    stop_answers_us: int = 400_000  # and then have the flows under way end within so long
+    stop_answers_us: int = 400_000  # and then have the requests under way end within so long
     stop_tail: float = 0.1  # refuse for so long after the last answer, for what crossed the closing
     stop_part: float = 0.2  # then wait so long for connections to end in good order,
     stop_most: float = 3.6  # and leave after so long at the latest, before SIGKILL
@@ -90,7 +90,7 @@
         # or stay without a word, hold most of them while a node takes its neighbour's clients as well.
         edge_connections=usable * 65 // 100,
         server_connections=usable * 35 // 100,
-        # Guards against flows that hold every edge connection, so that no call-back could end them.
+        # Guards against requests that hold every edge connection, so that no call-back could end them.
         most_held=min(most_held, usable * 55 // 100 * 3 // 4),
         finished_bytes=memory_mb * 1024 * 1024 // 12,
         waits=usable * 55 // 100 // 8,
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -64,7 +64,7 @@
 
 
 async def run(config: Config, counters: Counters) -> None:
-    """Run one node until it is told to stop and its last flow is answered."""
+    """Run one node until it is told to stop and its last request is answered."""
     limits, clock, operator = config.limits, Clock(), config.operator
     log = log_for(config)
     send: trio.MemorySendChannel[Message]
--- a/merlinbay/platform/edge.py
+++ b/merlinbay/platform/edge.py
@@ -26,8 +26,8 @@
     return Response(503, b"refused\n", [(b"retry-after", wait)] if retry_after_us else [])
 
 
-class EdgeFlow(ports.Edge):
-    """The client's side of one flow: this wire tells clients the end only."""
+class ClientRequest(ports.Edge):
+    """The client's side of one request: this wire tells clients the end only."""
 
     def __init__(self, connection: Connection, name: str) -> None:
         self.connection, self.name = connection, name
@@ -37,7 +37,7 @@
         return hung_up(self.connection.sock)
 
     def answer(self, answer: Answer) -> None:
-        """Write the flow's answer to its edge connection."""
+        """Write the request's answer to its edge connection."""
         self.connection.context = None
         if answer.verdict is Verdict.SERVED:
             self.connection.proven = True
@@ -94,21 +94,21 @@
             # one from a node that leaves, gives the node up though it still serves.
             self.counters.add("jobs_spared")
             return refusal(self.limits.retry_when_stopping_us)
-        flow = connection.context = EdgeFlow(connection, spec.name)
-        await self.inbox.send(ports.FlowArrived(spec, flow))
+        client_request = connection.context = ClientRequest(connection, spec.name)
+        await self.inbox.send(ports.RequestArrived(spec, client_request))
         return None
 
     def gone(self, connection: Connection) -> None:
-        """Withdraw the flow of a client that hung up."""
-        flow = connection.context
-        if isinstance(flow, EdgeFlow):
+        """Withdraw the request of a client that hung up."""
+        client_request = connection.context
+        if isinstance(client_request, ClientRequest):
             # Guards against a word that is lost where the inbox is full: it waits, as all else does.
-            connection.nursery.start_soon(self._withdraw, flow)
+            connection.nursery.start_soon(self._withdraw, client_request)
 
-    async def _withdraw(self, flow: EdgeFlow) -> None:
+    async def _withdraw(self, client_request: ClientRequest) -> None:
         try:
-            await self.inbox.send(ports.FlowWithdrawn(flow.name, flow))
-        except trio.BrokenResourceError:  # the owner has ended, and with it every flow
+            await self.inbox.send(ports.RequestWithdrawn(client_request.name, client_request))
+        except trio.BrokenResourceError:  # the owner has ended, and with it every request
             pass
 
     async def _call_back(self, request: Request) -> Response:
@@ -121,13 +121,13 @@
             return Response(400)
         self.counters.add("call_backs")
         if event.state == "started":
-            await self.inbox.send(ports.SchedulingStarted(event.id, event.server))
+            await self.inbox.send(ports.AttemptStarted(event.id, event.server))
         elif event.state == "running":
-            await self.inbox.send(ports.SchedulingProgress(event.id, event.server, event.share))
+            await self.inbox.send(ports.AttemptProgress(event.id, event.server, event.share))
         elif event.state in OUTCOMES:
             result = words.result_bytes(event.result) if event.state == "done" else b""
             await self.inbox.send(
-                ports.SchedulingEnded(
+                ports.AttemptFinished(
                     event.id, event.server, OUTCOMES[event.state], result, words.named(event.load)
                 )
             )
--- a/merlinbay/platform/servers.py
+++ b/merlinbay/platform/servers.py
@@ -1,4 +1,4 @@
-"""The platform's real servers: one exchange for each scheduling; call-backs tell the rest."""
+"""The platform's real servers: one exchange for each attempt; call-backs tell the rest."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from merlinbay.clock import Clock
 from merlinbay.core import ports
-from merlinbay.core.ports import Scheduling
+from merlinbay.core.ports import ServerAttempt
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
 from merlinbay.http.client import Reply
@@ -18,7 +18,7 @@
 
 
 class PlatformServers(PooledServers):
-    """Sends schedulings to executors."""
+    """Sends attempts to executors."""
 
     def __init__(
         self,
@@ -33,42 +33,38 @@
     ) -> None:
         super().__init__(nursery, pool, inbox, clock, limits, counters, log)
         self.has_load = has_load
-        self.sending: dict[Scheduling, trio.CancelScope] = {}  # until their answer has come
+        self.sending: dict[ServerAttempt, trio.CancelScope] = {}  # until their answer has come
 
-    def start(self, scheduling: Scheduling) -> None:
+    def start(self, attempt: ServerAttempt) -> None:
         """Send an attempt."""
-        scope = trio.CancelScope(
-            deadline=self.clock.to_trio(scheduling.deadline_us) + self.limits.late_answer
-        )
-        if self.spawn(self._send, scheduling, scope):
-            self.sending[scheduling] = scope
+        scope = trio.CancelScope(deadline=self.clock.to_trio(attempt.deadline_us) + self.limits.late_answer)
+        if self.spawn(self._send, attempt, scope):
+            self.sending[attempt] = scope
         else:
-            self.not_sent(scheduling)
+            self.not_sent(attempt)
 
-    def give_up(self, scheduling: Scheduling) -> None:
+    def give_up(self, attempt: ServerAttempt) -> None:
         """Close the connection before the 202, delete the job after it."""
-        scope = self.sending.pop(scheduling, None)
+        scope = self.sending.pop(attempt, None)
         if scope is not None:
             scope.cancel()
         else:
-            self.spawn(self._delete, scheduling)
+            self.spawn(self._delete, attempt)
 
-    def forget(self, scheduling: Scheduling) -> None:
+    def forget(self, attempt: ServerAttempt) -> None:
         """Keep an exchange that is under way: its answer frees the connection."""
 
-    def recall(self, scheduling: Scheduling) -> None:
+    def recall(self, attempt: ServerAttempt) -> None:
         """Tell at once that it can't be: this wire does not say whether a deleted job had started."""
-        self.nursery.start_soon(
-            self.post, ports.SchedulingRecalled(scheduling.spec.name, scheduling.server, False)
-        )
+        self.nursery.start_soon(self.post, ports.AttemptRecalled(attempt.spec.name, attempt.server, False))
 
-    def control(self, scheduling: Scheduling, action: str) -> None:
+    def control(self, attempt: ServerAttempt, action: str) -> None:
         """Tell at once that this wire has no word for it."""
         self.nursery.start_soon(
             self.post,
-            ports.SchedulingControlled(
-                scheduling.spec.name,
-                scheduling.server,
+            ports.AttemptControlled(
+                attempt.spec.name,
+                attempt.server,
                 action,
                 "UnsupportedOperationException",
                 "the real server has no such operation",
@@ -79,9 +75,9 @@
         """Ask a real server for its load."""
         self.spawn(self._probe, server)
 
-    async def _send(self, scheduling: Scheduling, scope: trio.CancelScope) -> None:
-        spec = scheduling.spec
-        wait_ms = max((scheduling.deadline_us - self.clock.now_us()) // 1000, 1)
+    async def _send(self, attempt: ServerAttempt, scope: trio.CancelScope) -> None:
+        spec = attempt.spec
+        wait_ms = max((attempt.deadline_us - self.clock.now_us()) // 1000, 1)
         headers = [("x-request-id", spec.name), ("x-timeout-ms", str(wait_ms))]
         if spec.repeat_key:
             headers.append(("idempotency-key", spec.repeat_key))
@@ -90,35 +86,35 @@
 
         def wanted() -> bool:
             nonlocal begun
-            begun = scheduling.wanted()
+            begun = attempt.wanted()
             return begun
 
         with scope:
-            reply = await self.attempt(scheduling.server, "POST", spec.target, headers, spec.body, wanted)
-        given_up = self.sending.pop(scheduling, None) is None
+            reply = await self.exchange(attempt.server, "POST", spec.target, headers, spec.body, wanted)
+        given_up = self.sending.pop(attempt, None) is None
         if given_up and begun and reply is None:
             # Guards against a 202 that crosses the close: the job was taken then, and would run on.
-            await self._delete(scheduling)
+            await self._delete(attempt)
         elif isinstance(reply, Outcome):
-            await self.ended(scheduling, reply)
+            await self.ended(attempt, reply)
         elif reply is not None and (outcome := outcome_of(reply)) is not None:
             await self.ended(
-                scheduling,
+                attempt,
                 outcome,
                 words.load_from(reply.headers.get("x-server-load", "")),
                 unfit=400 <= reply.status < 500,
             )
 
-    async def _delete(self, scheduling: Scheduling) -> None:
+    async def _delete(self, attempt: ServerAttempt) -> None:
         with trio.move_on_after(self.limits.cancel_exchange):
-            reply = await self.attempt(scheduling.server, "DELETE", f"/jobs/{scheduling.spec.name}", [])
+            reply = await self.exchange(attempt.server, "DELETE", f"/jobs/{attempt.spec.name}", [])
             self.counters.add("deletes" if isinstance(reply, Reply) else "deletes_failed")
 
     async def _probe(self, name: str) -> None:
         began = self.clock.now_us()
         reply: Reply | Outcome = Outcome.TIMEOUT
         with trio.move_on_after(self.limits.probe_exchange):
-            reply = await self.attempt(name, "GET", "/-/load" if self.has_load else "/-/healthy", [])
+            reply = await self.exchange(name, "GET", "/-/load" if self.has_load else "/-/healthy", [])
         outcome, report = reply if isinstance(reply, Outcome) else Outcome.ERROR, None
         if isinstance(reply, Reply):
             outcome = Outcome.OK if reply.status == 200 else Outcome.ERROR
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,7 +20,7 @@
 from merlinbay.clock import Clock
 from merlinbay.config import load
 from merlinbay.core.owner import Owner
-from merlinbay.core.ports import Answer, Edge, FlowArrived, JobSpec, ServiceEntry
+from merlinbay.core.ports import Answer, Edge, JobSpec, RequestArrived, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision import api
 from merlinbay.http.client import NotSent
@@ -28,7 +28,7 @@
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.server import Listener
 from merlinbay.log import Log
-from merlinbay.platform.edge import EdgeFlow
+from merlinbay.platform.edge import ClientRequest
 from merlinbay.platform.servers import refuses
 from tests.net import CONF, LIMITS, StandIn, admission, bound, play, stage
 from tests.support import settings
@@ -396,9 +396,9 @@
     made = Balancer(settings(balancers=1), 1, 0)
     made.handle(0, [api.ListChanged("all", [api.WorkerEntry("w", "a", "k1")])])
     owner, edge = Owner(made, clock, LIMITS, counters, Log(9), servers, Mock()), Leaver(left)
-    owner.turn([FlowArrived(JobSpec("j", "safe", 1_000_000, 2_000_000), edge)])
+    owner.turn([RequestArrived(JobSpec("j", "safe", 1_000_000, 2_000_000), edge)])
     assert servers.start.call_count == (not left) and edge.answers == 0
-    assert (len(owner.flows), counters.counts["flows_withdrawn"]) == ((0, 1) if left else (1, 0))
+    assert (len(owner.requests), counters.counts["requests_withdrawn"]) == ((0, 1) if left else (1, 0))
 
 
 @pytest.mark.parametrize("unread", [b"", b"x"])
@@ -407,12 +407,12 @@
 
     async def scene() -> None:
         ours, theirs = trio.socket.socketpair()
-        flow = EdgeFlow(Mock(sock=ours), "j")
+        client_request = ClientRequest(Mock(sock=ours), "j")
         with ours, theirs:
             await theirs.send(b"y" + unread)
-            assert not flow.left()
+            assert not client_request.left()
             theirs.close()
-            assert flow.left()
+            assert client_request.left()
 
     play(scene)
 
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -16,7 +16,7 @@
 from merlinbay.batch.errors import DrmaaError
 from merlinbay.batch.jobs import Backlog
 from merlinbay.batch.quota import Allowance
-from merlinbay.core.ports import Answer, JobSpec, SchedulingEnded, SchedulingStarted, Verdict
+from merlinbay.core.ports import Answer, AttemptFinished, AttemptStarted, JobSpec, Verdict
 from merlinbay.decision.api import JobClass, Outcome
 from merlinbay.drmaa import templates, words
 from merlinbay.drmaa.servers import message_of, outcome_of
@@ -89,7 +89,7 @@
     counts = s.counters.counts
     assert (
         counts["drmaa_jobs_done"] + counts["drmaa_jobs_failed"]
-        == counts["answers_served"] + counts["answers_failed"] + counts["flows_withdrawn"]
+        == counts["answers_served"] + counts["answers_failed"] + counts["requests_withdrawn"]
     )
     return counts["drmaa_jobs_done"] + counts["drmaa_jobs_failed"]
 
@@ -438,9 +438,9 @@
     if expected is None:
         assert message is None
     elif expected == "started":
-        assert message == SchedulingStarted("j", "s-1")
+        assert message == AttemptStarted("j", "s-1")
     else:
-        assert isinstance(message, SchedulingEnded) and message.outcome is expected
+        assert isinstance(message, AttemptFinished) and message.outcome is expected
         assert message.result == info.get("output", b"")
         assert message.unfit == ("exitStatus" in info)  # it ran to its end: no other scheduler gets it
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -207,7 +207,7 @@
                 front.gone(wait)
             assert len(front.engine.waits) == waits
         for message in list(front.outbox):
-            assert isinstance(message, ports.FlowArrived | ports.FlowWithdrawn | ports.FleetAsked)
+            assert isinstance(message, ports.RequestArrived | ports.RequestWithdrawn | ports.FleetAsked)
         for session in front.engine.sessions.values():
             assert session.quota.jobs <= (50 if session.name == "q" else session.quota.allowance.jobs)
         assert front.engine.jobs >= sum(
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,7 @@
 import pytest
 import trio
 
-from merlinbay.core.ports import SchedulingEnded
+from merlinbay.core.ports import AttemptFinished
 from merlinbay.decision import Balancer, api
 from merlinbay.decision.learned import adopt, learned
 from merlinbay.handover import words
@@ -259,7 +259,7 @@
         with trio.fail_after(5):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ours.write)
-                ours.post(words.Unclaimed(SchedulingEnded("a", "s", api.Outcome.OK, b"x" * 4_000_000)))
+                ours.post(words.Unclaimed(AttemptFinished("a", "s", api.Outcome.OK, b"x" * 4_000_000)))
                 ours.post(words.EdgeGiven(True, False), os.dup(0))
                 heard = await theirs.read()
                 assert heard is not None and heard[0] == words.EdgeGiven(True, False) and heard[1] >= 0
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -16,7 +16,14 @@
 
 from merlinbay.clock import Clock
 from merlinbay.core.owner import Owner
-from merlinbay.core.ports import EntriesChanged, JobSpec, Message, Scheduling, SchedulingEnded, ServiceEntry
+from merlinbay.core.ports import (
+    AttemptFinished,
+    EntriesChanged,
+    JobSpec,
+    Message,
+    ServerAttempt,
+    ServiceEntry,
+)
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer, api
 from merlinbay.decision.calls import TOLD_US, Calls
@@ -517,9 +524,9 @@
             send, inbox = trio.open_memory_channel[Message](9)
             servers = PlatformServers(at.nursery, pool, send, clock, LIMITS, counters, Log(9), False)
             now = clock.now_us()
-            servers.start(Scheduling(JobSpec("j", "admit", now, SECOND), 1, 0, "s", now, now + SECOND))
+            servers.start(ServerAttempt(JobSpec("j", "admit", now, SECOND), 1, 0, "s", now, now + SECOND))
             ended = await inbox.receive()
-            assert isinstance(ended, SchedulingEnded) and ended.outcome is api.Outcome.CONNECT_FAILED
+            assert isinstance(ended, AttemptFinished) and ended.outcome is api.Outcome.CONNECT_FAILED
             assert not server.seen
 
     play(scene)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -60,7 +60,7 @@
                 await trio.sleep(0.01)
             await trio.sleep(0.01)
             assert s.counters.counts["answers_served"] == 2
-            assert s.counters.counts["schedulings_stale"] == 18
+            assert s.counters.counts["attempts_stale"] == 18
 
     play(scene)
 
@@ -191,7 +191,7 @@
                 await s.admit("a1")
             await trio.sleep(0.2)
             assert server.targets("DELETE") == ["/jobs/a1"]
-            assert s.counters.counts["flows_withdrawn"] == 1
+            assert s.counters.counts["requests_withdrawn"] == 1
 
     play(scene)
 
@@ -220,7 +220,7 @@
             await s.admit("a0")
             assert [(await s.admit(f"b{number}")).status for number in range(12)] == [200] * 12
             counts = s.counters.counts
-            assert 0 < counts["dials_refused"] == counts["schedulings_connect_failed"] <= 3
+            assert 0 < counts["dials_refused"] == counts["attempts_connect_failed"] <= 3
 
     play(scene)
 
@@ -270,7 +270,7 @@
             server.last.scope.cancel()
             await trio.sleep(0.05)
             assert (await s.admit("a2")).status == 200
-            assert s.counters.counts["schedulings_reset"] == 0
+            assert s.counters.counts["attempts_reset"] == 0
             assert s.counters.counts["server_connections"] == 2
 
     play(scene)
@@ -444,7 +444,7 @@
     play(scene)
 
 
-def test_call_backs_come_in_though_flows_hold_what_they_may(tmp_path: Path) -> None:
+def test_call_backs_come_in_though_requests_hold_what_they_may(tmp_path: Path) -> None:
     """With few descriptors, jobs beyond the limit are refused at once and the others still end."""
 
     async def slow(server: StandIn, request: Request) -> Response | None:
@@ -459,7 +459,7 @@
 
     async def scene() -> None:
         async with stage(tmp_path) as s:
-            s.sockets = 64  # 17 edge connections, 12 flows
+            s.sockets = 64  # 17 edge connections, 12 requests
             for number in range(20):
                 s.add(f"s-{number}", slow)
             await s.start()
@@ -476,8 +476,10 @@
     play(scene)
 
 
-def test_a_failing_module_leaves_no_flow_unanswered(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Its exception is counted, the flow fails at its deadline, and the node serves on."""
+def test_a_failing_module_leaves_no_request_unanswered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its exception is counted, the request fails at its deadline, and the node serves on."""
     handle = Balancer.handle
 
     def failing(self: Balancer, now_us: int, events: list[api.Event]) -> list[api.Action]:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -175,7 +175,7 @@
 
 
 def test_sighup_moves_the_watch_and_keeps_all_else(tmp_path: Path) -> None:
-    """Twice, under a flow: the list comes from the new address at once; a broken file changes nothing."""
+    """Twice, under a request: the list comes from the new address at once; a broken file changes nothing."""
 
     async def scene() -> None:
         async with stage(tmp_path) as s:
@@ -289,7 +289,7 @@
             lines = [line for line in text.decode().splitlines() if "counters" in line]
             assert len(lines) == 2
             for line in lines:
-                assert " flows_taken=1 " in line and " schedulings_sent=1 " in line
+                assert " requests_taken=1 " in line and " attempts_sent=1 " in line
                 assert " answers_served=1 " in line
 
     play(scene)
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -160,7 +160,7 @@
 
 @pytest.mark.parametrize("sockets", [64, 256, 1024, 65536])
 def test_descriptors_are_divided(sockets: int) -> None:
-    """Edge and servers leave some to the rest, and flows leave room for call-backs."""
+    """Edge and servers leave some to the rest, and requests leave room for call-backs."""
     settings = Settings([JobClass("admit", 1, 5_000_000)], safety=Safety(must_ask_in_us=10_000_000))
     limits = limits_from(sockets, 192, settings, 120_000, 10_000_000, 20_000)
     assert limits.edge_connections + limits.server_connections + 32 <= sockets
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -13,7 +13,7 @@
 
 from merlinbay.core import ports
 from merlinbay.core.owner import Owner
-from merlinbay.core.ports import Ending, Scheduling, ServiceEntry
+from merlinbay.core.ports import Ending, ServerAttempt, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer, api
 from merlinbay.decision.api import NEVER_RAN, Outcome
@@ -62,35 +62,35 @@
     """Schedulers that do nothing by themselves."""
 
     def __init__(self) -> None:
-        self.open: dict[tuple[str, str], Scheduling] = {}
-        self.recalls: list[Scheduling] = []
-        self.controls: list[tuple[Scheduling, str]] = []
-        self.runs: dict[str, list[Scheduling]] = defaultdict(list)  # by repeat key: what may have run
-        self.given_up: set[Scheduling] = set()
+        self.open: dict[tuple[str, str], ServerAttempt] = {}
+        self.recalls: list[ServerAttempt] = []
+        self.controls: list[tuple[ServerAttempt, str]] = []
+        self.runs: dict[str, list[ServerAttempt]] = defaultdict(list)  # by repeat key: what may have run
+        self.given_up: set[ServerAttempt] = set()
 
-    def start(self, scheduling: Scheduling) -> None:
+    def start(self, attempt: ServerAttempt) -> None:
         """Take an attempt."""
-        key = scheduling.spec.name, scheduling.server
+        key = attempt.spec.name, attempt.server
         assert key not in self.open
-        if scheduling.spec.job_class == "once":  # it may go out only while nothing of it may have run
-            assert not self.runs[scheduling.spec.repeat_key]
-        self.open[key] = scheduling
+        if attempt.spec.job_class == "once":  # it may go out only while nothing of it may have run
+            assert not self.runs[attempt.spec.repeat_key]
+        self.open[key] = attempt
 
-    def give_up(self, scheduling: Scheduling) -> None:
+    def give_up(self, attempt: ServerAttempt) -> None:
         """Note it: what is given up unstarted never starts later in this world."""
-        self.given_up.add(scheduling)
+        self.given_up.add(attempt)
 
-    def forget(self, scheduling: Scheduling) -> None:
+    def forget(self, attempt: ServerAttempt) -> None:
         """Drop it."""
-        self.open.pop((scheduling.spec.name, scheduling.server), None)
+        self.open.pop((attempt.spec.name, attempt.server), None)
 
-    def recall(self, scheduling: Scheduling) -> None:
+    def recall(self, attempt: ServerAttempt) -> None:
         """Note it."""
-        self.recalls.append(scheduling)
+        self.recalls.append(attempt)
 
-    def control(self, scheduling: Scheduling, action: str) -> None:
+    def control(self, attempt: ServerAttempt, action: str) -> None:
         """Note it."""
-        self.controls.append((scheduling, action))
+        self.controls.append((attempt, action))
 
     def probe(self, server: str) -> None:
         """Pass over it."""
@@ -259,20 +259,20 @@
     @rule(data=st.data(), news=st.sampled_from(NEWS), again=st.booleans())
     def news(self, data: st.DataObject, news: str, again: bool) -> None:
         """Tell something of a job, perhaps twice."""
-        scheduling = data.draw(st.sampled_from(list(self.servers.open.values())))
-        name, server = scheduling.spec.name, scheduling.server
+        attempt = data.draw(st.sampled_from(list(self.servers.open.values())))
+        name, server = attempt.spec.name, attempt.server
         for _ in range(1 + again):
             match news:
                 case "started" | "suspended":
                     if (name, server) in self.servers.open:
-                        self.ran(scheduling)
+                        self.ran(attempt)
                     self.tell(
-                        ports.SchedulingStarted(name, server)
+                        ports.AttemptStarted(name, server)
                         if news == "started"
-                        else ports.SchedulingSuspended(name, server)
+                        else ports.AttemptSuspended(name, server)
                     )
                 case "unseen" | "found":
-                    self.tell(ports.SchedulingUnseen(name, server, news == "found"))
+                    self.tell(ports.AttemptUnseen(name, server, news == "found"))
                 case _:
                     outcome = {
                         "done": Outcome.OK,
@@ -282,9 +282,9 @@
                         "lost": Outcome.RESET,
                     }[news]
                     if outcome not in NEVER_RAN and (name, server) in self.servers.open:
-                        self.ran(scheduling)
+                        self.ran(attempt)
                     self.tell(
-                        ports.SchedulingEnded(
+                        ports.AttemptFinished(
                             name,
                             server,
                             outcome,
@@ -293,11 +293,11 @@
                         )
                     )
 
-    def ran(self, scheduling: Scheduling) -> None:
+    def ran(self, attempt: ServerAttempt) -> None:
         """Note that an attempt may have run; a held job never does."""
-        key = scheduling.spec.repeat_key
-        if scheduling not in self.servers.runs[key]:
-            self.servers.runs[key].append(scheduling)
+        key = attempt.spec.repeat_key
+        if attempt not in self.servers.runs[key]:
+            self.servers.runs[key].append(attempt)
         for session in self.front.engine.sessions.values():
             job = session.jobs.get(key)
             assert job is None or not job.state.value.endswith("_HELD")
@@ -307,15 +307,15 @@
     def answer_server_call(self, yes: bool) -> None:
         """Answer a recall, or a suspend or resume."""
         if self.servers.recalls:
-            scheduling = self.servers.recalls.pop(0)
-            done = yes and not scheduling.started
-            self.tell(ports.SchedulingRecalled(scheduling.spec.name, scheduling.server, done))
+            attempt = self.servers.recalls.pop(0)
+            done = yes and not attempt.started
+            self.tell(ports.AttemptRecalled(attempt.spec.name, attempt.server, done))
         else:
-            scheduling, action = self.servers.controls.pop(0)
+            attempt, action = self.servers.controls.pop(0)
             self.tell(
-                ports.SchedulingControlled(
-                    scheduling.spec.name,
-                    scheduling.server,
+                ports.AttemptControlled(
+                    attempt.spec.name,
+                    attempt.server,
                     action,
                     "" if yes else "UnsupportedOperationException",
                     "no",
@@ -355,12 +355,12 @@
                     assert self.finals[job.id] == job.state.value
                 elif job.state.value in ENDS:
                     self.finals[job.id] = job.state.value
-                has_flow = job.stage.value in ("offered", "placed")
-                assert has_flow == (job in self.front.edges)
-                if has_flow:
+                has_request = job.stage.value in ("offered", "placed")
+                assert has_request == (job in self.front.edges)
+                if has_request:
                     edge = self.front.edges[job]
-                    flow = self.owner.names.get(edge.name)
-                    assert flow is not None and flow.edge is edge and not flow.done
+                    request = self.owner.names.get(edge.name)
+                    assert request is not None and request.edge is edge and not request.done
                     if job.array is not None:
                         out[job.array.id] += 1
         for array_id, most in self.parallel.items():
@@ -376,7 +376,7 @@
             for array in list(self.front.engine.sessions["q"].arrays):
                 self.call("POST", f"/sessions/q/arrays/{array}/release")
             self.pass_time(60 * SECOND)
-        assert self.front.engine.jobs == 0 and not self.owner.flows and not self.front.edges
+        assert self.front.engine.jobs == 0 and not self.owner.requests and not self.front.edges
         assert not self.answers and not self.servers.open and not self.front.engine.waits
 
 
@@ -407,5 +407,5 @@
         assert stop.value is None and connection.context is not None
     world.front.gone(connection)
     world.turn()
-    assert not world.owner.flows and not world.servers.open and world.front.engine.jobs == 0
-    assert not connection.answers and world.counters.counts["flows_withdrawn"] == 1
+    assert not world.owner.requests and not world.servers.open and world.front.engine.jobs == 0
+    assert not connection.answers and world.counters.counts["requests_withdrawn"] == 1
