The owner's task in four modules: table of requests, controls, messages of the fleet, turns

Change: core/requests.py keeps open requests, their attempts and timers; core/controls.py recall, suspend and resume; core/fleet_messages.py what is heard of servers and asked about them; the owner finds a handler by the message's type. No behaviour changed.

--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -1,38 +1,29 @@
-"""The one task that owns the decision module: takes messages, asks it, and carries out what it says."""
+"""The one task that owns the decision module: takes messages, asks it, and carries out what it says.
+
+Messages have a handler each, found by their type; a turn collects the module's events in ``self.events`` and
+carries out its actions until none is left. What only fronts with pause and recall ask for is in ``controls``.
+"""
 
 from __future__ import annotations
 
-import heapq
 import traceback
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from typing import Any
 
 import trio
 
 from merlinbay.clock import Clock
 from merlinbay.core import ports
+from merlinbay.core.controls import Controls
+from merlinbay.core.fleet_messages import FleetMessages, report_row
 from merlinbay.core.ports import Answer, Verdict
+from merlinbay.core.requests import OpenRequest, RequestTable, Timed, Timers
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer, api
-from merlinbay.decision.learned import learned
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
 
-@dataclass(slots=True, eq=False)
-class OpenRequest:
-    """A client's request, from its arrival until it is answered and its last attempt has ended."""
-
-    spec: ports.JobSpec
-    number: int  # its id in the module
-    edge: ports.Edge
-    deadline_us: int
-    done: bool = False  # answered or withdrawn
-    sent: int = 0
-    recalling: bool = False  # the client's side wants it back, if it has not started
-    ending: ports.Ending | None = None
-    open: dict[int, ports.ServerAttempt] = field(default_factory=dict)
-
-
 class Owner:
     """Owns requests, attempts, timers and the module. Only its own task calls it."""
 
@@ -51,27 +42,55 @@
         self.servers, self.directory = servers, directory
         self.fields = balancer.settings.report_fields
         self.classes = {spec.name for spec in balancer.settings.classes}
-        self.watchers: list[ports.EntriesWatcher] = []
-        self.other: ports.OtherProcess | None = None
-        self.requests: dict[int, OpenRequest] = {}
-        self.names: dict[str, OpenRequest] = {}
-        self.open: dict[tuple[str, str], ports.ServerAttempt] = {}
-        self.due: list[tuple[int, int, str | OpenRequest | ports.ServerAttempt]] = []
-        self.count = 0
+        self.other: ports.OtherProcess | None = None  # the one that this replaces, or that replaces this
+        self.requests = RequestTable()
+        self.timers = Timers()
+        self.request_count = 0
         self.stopping = False
+        self.now = 0
+        self.events: list[api.Event] = []  # for the module's next call
+        self.fleet = FleetMessages(balancer, servers, counters, self._tell_module, lambda: self.now)
+        controls = Controls(self.requests, servers, self._end_attempt, self._tell_module)
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            ports.RequestArrived: self._on_request_arrived,
+            ports.RequestWithdrawn: self._on_request_withdrawn,
+            ports.AttemptStarted: self._on_attempt_started,
+            ports.AttemptProgress: self._on_attempt_progress,
+            ports.AttemptFinished: self._on_attempt_finished,
+            ports.Relayed: self._on_relayed,
+            ports.Stopping: self._on_stopping,
+            **controls.handlers,
+            **self.fleet.handlers,
+        }
+        self.actions: dict[type, Callable[[Any], None]] = {
+            api.Place: self._place,
+            api.Cancel: self._cancel,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.SetTimer: self._set_timer,
+            api.Subscribe: self._subscribe,
+            api.Probe: self._probe,
+            api.Note: self._note,
+            api.Tell: self._drop_tell,
+        }
+
+    def watch_entries(self, watcher: ports.EntriesWatcher) -> None:
+        """Have somebody beside the real servers hear of them."""
+        self.fleet.watchers.append(watcher)
+
+    def know_other_process(self, other: ports.OtherProcess | None) -> None:
+        """Work beside the process that this one replaces, or that replaces it."""
+        self.other = self.fleet.other = other
 
     async def run(self, inbox: trio.MemoryReceiveChannel[ports.Message]) -> None:
         """Work until stopped, and for a moment after the last request is answered."""
         end = float("inf")
         while trio.current_time() < end:
-            if (
-                self.stopping
-                and end == float("inf")
-                and all(request.done for request in self.requests.values())
-            ):
+            if self.stopping and end == float("inf") and self.requests.all_answered():
                 end = trio.current_time() + self.limits.stop_tail
             messages: list[ports.Message] = []
-            wake = min(end, self.clock.to_trio(self.due[0][0]) if self.due else float("inf"))
+            due = self.timers.next_us()
+            wake = min(end, float("inf") if due is None else self.clock.to_trio(due))
             with trio.move_on_at(wake):
                 messages.append(await inbox.receive())
             try:
@@ -83,139 +102,42 @@
 
     def turn(self, messages: list[ports.Message]) -> None:
         """Take what has come and what is due, in one call of the module and those that follow from it."""
-        now = self.clock.now_us()
-        events: list[api.Event] = []
+        self.now, self.events = self.clock.now_us(), []
         for message in messages:
-            self._take(message, now, events)
-        while self.due and self.due[0][0] <= now:
-            self._expire(heapq.heappop(self.due)[2], now, events)
-        while events:
+            self._handle(message)
+        for what in self.timers.pop_due(self.now):
+            self._expire(what)
+        while self.events:
+            events, self.events = self.events, []
             try:
-                actions = self.balancer.handle(now, events)
+                actions = self.balancer.handle(self.now, events)
             except Exception as error:  # Guards against one bad event that would end every other request.
                 self.counters.add("module_errors")
-                self.log.event(
-                    "module_failed", level="error", error="".join(traceback.format_exception(error))
-                )
+                trace = "".join(traceback.format_exception(error))
+                self.log.event("module_failed", level="error", error=trace)
                 return
-            events = []
             for action in actions:
-                self._carry_out(action, now, events)
+                self.actions[type(action)](action)
 
     def gauges(self) -> dict[str, float]:
         """Return what is held here: jobs not yet answered, and slots of real servers."""
         return {
-            "jobs": float(sum(not request.done for request in self.requests.values())),
+            "jobs": float(sum(not request.done for request in self.requests)),
             "slots": round(self.balancer.own_held, 1),
         }
 
     # Messages.
 
-    def _take(self, message: ports.Message, now: int, events: list[api.Event]) -> None:
-        match message:
-            case ports.RequestArrived():
-                self._arrived(message, now, events)
-            case ports.AttemptFinished():
-                attempt = self.open.get((message.name, message.server))
-                if attempt is None:  # Guards against call-backs that repeat, or cross a cancel.
-                    self._unclaimed(message)
-                elif message.unfit:
-                    self._unfit(attempt, now, events, message)
-                else:
-                    self.requests[attempt.request_number].ending = message.ending
-                    self._ended(attempt, message.outcome, now, events, message.result, message.report)
-            case ports.AttemptStarted():
-                if (found := self.open.get((message.name, message.server))) is not None:
-                    found.started = True
-                    events.append(
-                        api.JobPaused(found.request_number, found.number, False)
-                        if found.paused
-                        else api.JobStarted(found.request_number, found.number)
-                    )
-                    found.paused = False
-                    if not self.requests[found.request_number].done:
-                        self.requests[found.request_number].edge.started(found.server)
-                else:
-                    self._unclaimed(message)
-            case ports.AttemptProgress():
-                if (found := self.open.get((message.name, message.server))) is not None:
-                    events.append(api.JobProgress(found.request_number, found.number, message.share))
-                else:
-                    self._unclaimed(message)
-            case ports.Relayed():
-                if (message.message.name, message.message.server) in self.open:
-                    self._take(message.message, now, events)
-            case (
-                ports.RequestRecalled()
-                | ports.RequestControlled()
-                | ports.AttemptRecalled()
-                | ports.AttemptControlled()
-                | ports.AttemptSuspended()
-                | ports.AttemptUnseen()
-            ):
-                self._control(message, now, events)
-            case ports.SlotsKept():
-                events.append(api.SlotsKept(message.server, message.slots, message.of))
-            case ports.FleetAsked():
-                message.told([ports.MachineView(**view) for view in self.balancer.beliefs(now)])
-            case ports.MaintenanceAsked():
-                known = self.balancer.knows(message.server)
-                if known:
-                    events.append(api.Maintained(message.server, message.on))
-                if message.told is not None:
-                    message.told(known)  # heard after this turn, in which the module learns it
-                    if known and self.other is not None:
-                        self.other.maintained(message.server, message.on)
-            case ports.LearnedAsked():
-                message.told(learned(self.balancer, self.balancer.classes))
-            case ports.RequestWithdrawn():
-                request = self.names.get(message.name)
-                if request is not None and request.edge is message.edge and not request.done:
-                    self._withdraw(request, events)
-            case ports.ServerProbed():
-                events.append(
-                    api.ProbeEnded(
-                        message.server, message.outcome, message.took_us, self._row(message.report)
-                    )
-                )
-            case ports.EntriesChanged():
-                self.counters.add(f"entries_{message.scope}")
-                self.servers.entries_changed(message.scope, message.entries)
-                for watcher in self.watchers:
-                    watcher.entries_changed(message.scope, message.entries)
-                events.append(
-                    api.ListChanged(
-                        message.scope,
-                        [
-                            api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us)
-                            for e in message.entries
-                        ],
-                        message.heard_us,
-                        message.answered,
-                    )
-                )
-            case ports.BalancersCounted():
-                events.append(api.BalancersCounted(message.count, message.me))
-            case ports.DirectoryMoved():
-                events.append(api.ListMoved(message.told_us))
-            case ports.Stopping():
-                self.stopping = True
-                # Guards against requests that outlast the process: what it has taken is answered before.
-                last = now + self.limits.stop_answers_us
-                for request in self.requests.values():
-                    if not request.done and request.deadline_us > last:
-                        request.deadline_us = last
-                        self._at(last, request)
-
-    def _unclaimed(self, message: ports.CallBack) -> None:
-        """Take it that nothing here waits for a call-back; the node's other process may."""
-        if self.other is None or not self.other.unclaimed(message):
-            self.counters.add("attempts_stale")
+    def _handle(self, message: ports.Message) -> None:
+        self.handlers[type(message)](message)
 
-    def _arrived(self, message: ports.RequestArrived, now: int, events: list[api.Event]) -> None:
+    def _tell_module(self, event: api.Event) -> None:
+        self.events.append(event)
+
+    def _on_request_arrived(self, message: ports.RequestArrived) -> None:
         spec = message.spec
         self.counters.add("requests_taken")
-        if spec.job_class not in self.classes or spec.name in self.names:
+        if spec.job_class not in self.classes or spec.name in self.requests.by_name:
             self.counters.add("answers_failed")
             message.edge.answer(Answer(Verdict.FAILED))
             return
@@ -223,16 +145,16 @@
             self.counters.add("answers_refused")
             message.edge.answer(Answer(Verdict.REFUSED, retry_after_us=self.limits.retry_when_stopping_us))
             return
-        self.count += 1
+        self.request_count += 1
         deadline = spec.arrived_us + max(spec.budget_us - self.limits.answer_margin_us, 1000)
-        request = OpenRequest(spec, self.count, message.edge, deadline)
-        self.requests[request.number] = self.names[spec.name] = request
-        self._at(deadline, request)
-        events.append(
+        request = OpenRequest(spec, self.request_count, message.edge, deadline)
+        self.requests.add(request)
+        self.timers.add(deadline, request)
+        self._tell_module(
             api.JobArrived(
                 request.number,
                 spec.job_class,
-                max(deadline - now, 0),
+                max(deadline - self.now, 0),
                 spec.slots,
                 spec.memory,
                 spec.key,
@@ -245,12 +167,68 @@
             )
         )
 
-    def _ended(
+    def _on_request_withdrawn(self, message: ports.RequestWithdrawn) -> None:
+        request = self.requests.waiting(message.name, message.edge)
+        if request is not None:
+            self._withdraw(request)
+
+    def _on_attempt_started(self, message: ports.AttemptStarted) -> None:
+        attempt = self.requests.attempts.get((message.name, message.server))
+        if attempt is None:
+            self._pass_on(message)
+            return
+        attempt.started = True
+        self._tell_module(
+            api.JobPaused(attempt.request_number, attempt.number, False)
+            if attempt.paused
+            else api.JobStarted(attempt.request_number, attempt.number)
+        )
+        attempt.paused = False
+        request = self.requests.request_of(attempt)
+        if not request.done:
+            request.edge.started(attempt.server)
+
+    def _on_attempt_progress(self, message: ports.AttemptProgress) -> None:
+        attempt = self.requests.attempts.get((message.name, message.server))
+        if attempt is None:
+            self._pass_on(message)
+            return
+        self._tell_module(api.JobProgress(attempt.request_number, attempt.number, message.share))
+
+    def _on_attempt_finished(self, message: ports.AttemptFinished) -> None:
+        attempt = self.requests.attempts.get((message.name, message.server))
+        if attempt is None:  # Guards against call-backs that repeat, or cross a cancel.
+            self._pass_on(message)
+        elif message.unfit:
+            self._fail_unfit(attempt, message)
+        else:
+            self.requests.request_of(attempt).ending = message.ending
+            self._end_attempt(attempt, message.outcome, message.result, message.report)
+
+    def _on_relayed(self, message: ports.Relayed) -> None:
+        if (message.message.name, message.message.server) in self.requests.attempts:
+            self._handle(message.message)
+
+    def _pass_on(self, message: ports.CallBack) -> None:
+        """Pass a call-back that nothing here waits for to the node's other process, if there is one."""
+        if self.other is None or not self.other.unclaimed(message):
+            self.counters.add("attempts_stale")
+
+    def _on_stopping(self, message: ports.Stopping) -> None:
+        self.stopping = True
+        # Guards against requests that outlast the process: what it has taken is answered before.
+        last = self.now + self.limits.stop_answers_us
+        for request in self.requests:
+            if not request.done and request.deadline_us > last:
+                request.deadline_us = last
+                self.timers.add(last, request)
+
+    # How attempts and requests end.
+
+    def _end_attempt(
         self,
         attempt: ports.ServerAttempt,
         outcome: api.Outcome,
-        now: int,
-        events: list[api.Event],
         result: bytes = b"",
         report: dict[str, float] | None = None,
     ) -> None:
@@ -258,227 +236,142 @@
         if attempt.started and outcome in api.NEVER_RAN:
             # Guards against a server that tells of a start and hands the job back: it may have run.
             outcome = api.Outcome.RESET
-        del self.open[attempt.spec.name, attempt.server]
+        request = self.requests.close_attempt(attempt)
         attempt.ended = True
         self.servers.forget(attempt)
         self.counters.add(f"attempts_{outcome.name.lower()}")
-        request = self.requests[attempt.request_number]
-        del request.open[attempt.number]
         if outcome is api.Outcome.OK and not request.done:
             self._answer(request, Answer(Verdict.SERVED, result, ending=request.ending))
-        elif attempt.started and not request.done and not any(s.started for s in request.open.values()):
+        elif attempt.started and not request.done and not any(a.started for a in request.open.values()):
             request.edge.unplaced()
-        events.append(
+        self._tell_module(
             api.AttemptEnded(
                 attempt.request_number,
                 attempt.number,
                 outcome,
-                now - attempt.sent_us,
+                self.now - attempt.sent_us,
                 request.done,
-                self._row(report),
+                report_row(report, self.fields),
                 attempt.server,
             )
         )
-        self._forget(request)
+        self.requests.forget_if_over(request)
 
-    def _unfit(
-        self, attempt: ports.ServerAttempt, now: int, events: list[api.Event], message: ports.AttemptFinished
-    ) -> None:
+    def _fail_unfit(self, attempt: ports.ServerAttempt, message: ports.AttemptFinished) -> None:
         """Fail a request whose job a real server cannot use."""
         # Guards against one bad job that goes from server to server and has each left out as failing: it
         # is tried no more, and its attempt ends as one that was called off, which tells nothing of health.
-        request = self.requests[attempt.request_number]
+        request = self.requests.request_of(attempt)
         self.counters.add("requests_unfit")
         if not request.done:
             self._answer(request, Answer(Verdict.FAILED, ending=message.ending))
-        self._ended(attempt, api.Outcome.CANCELLED, now, events, report=message.report)
-
-    # What fronts with more words than the platform's ask for.
-
-    def _control(self, message: ports.Message, now: int, events: list[api.Event]) -> None:
-        match message:
-            case ports.RequestRecalled():
-                request = self.names.get(message.name)
-                # A request that is done has been answered: that, and nothing here, tells what became of it.
-                if (
-                    request is not None
-                    and request.edge is message.edge
-                    and not request.done
-                    and not request.recalling
-                ):
-                    request.recalling = True
-                    for attempt in request.open.values():
-                        self.servers.recall(attempt)
-            case ports.RequestControlled():
-                request = self.names.get(message.name)
-                if request is None or request.edge is not message.edge or request.done:
-                    return
-                if len(request.open) == 1:
-                    self.servers.control(next(iter(request.open.values())), message.action)
-                else:  # Guards against a copy that runs on while the other is suspended.
-                    request.edge.controlled(
-                        message.action, "TryLaterException", f"{len(request.open)} servers have the job"
-                    )
-            case ports.AttemptRecalled():
-                found = self.open.get((message.name, message.server))
-                if found is not None and not self.requests[found.request_number].done:
-                    self._recalled(self.requests[found.request_number], found, message.done, now, events)
-            case ports.AttemptControlled():
-                found = self.open.get((message.name, message.server))
-                if found is not None and not self.requests[found.request_number].done:
-                    if not message.error:
-                        found.paused = message.action == "suspend"
-                        events.append(api.JobPaused(found.request_number, found.number, found.paused))
-                    self.requests[found.request_number].edge.controlled(
-                        message.action, message.error, message.message
-                    )
-            case ports.AttemptSuspended():
-                found = self.open.get((message.name, message.server))
-                if found is not None and not found.paused:
-                    found.started = found.paused = True
-                    events.append(api.JobPaused(found.request_number, found.number, True))
-                    if not self.requests[found.request_number].done:
-                        self.requests[found.request_number].edge.suspended()
-            case ports.AttemptUnseen():
-                found = self.open.get((message.name, message.server))
-                if found is not None and not self.requests[found.request_number].done:
-                    edge = self.requests[found.request_number].edge
-                    edge.found_queued() if message.found else edge.lost_sight()
-
-    def _recalled(
-        self,
-        request: OpenRequest,
-        attempt: ports.ServerAttempt,
-        done: bool,
-        now: int,
-        events: list[api.Event],
-    ) -> None:
-        """Take a server's word on an attempt that is to come back unstarted."""
-        if request.recalling and (not done or attempt.started):
-            request.recalling = False
-            request.edge.recalled(False)
-        if not done:
-            return
-        # Guards against a server that looks full for having given back what was asked for: that is CANCELLED.
-        if not request.recalling:
-            self._ended(attempt, api.Outcome.FULL, now, events)
-        elif len(request.open) > 1:  # the others are asked too: the last one's word counts
-            self._ended(attempt, api.Outcome.CANCELLED, now, events)
-        else:
-            request.done = (
-                True  # Guards against a next attempt: the module hears that nothing is owed any more.
-            )
-            request.edge.recalled(True)
-            self._ended(attempt, api.Outcome.CANCELLED, now, events)
+        self._end_attempt(attempt, api.Outcome.CANCELLED, report=message.report)
 
-    def _row(self, report: dict[str, float] | None) -> list[object] | None:
-        return None if report is None else [report.get(name) for name in self.fields]
+    def _withdraw(self, request: OpenRequest) -> None:
+        """Take it that a request's client has left: nothing is owed any more."""
+        self.counters.add("requests_withdrawn")
+        request.done = True
+        self._tell_module(api.JobWithdrawn(request.number))
+        self.requests.forget_if_over(request)
 
-    # Time.
+    def _answer(self, request: OpenRequest, answer: Answer) -> None:
+        """Give a request its one final answer."""
+        request.done = True
+        self.counters.add(f"answers_{answer.verdict.value}")
+        request.edge.answer(answer)
 
-    def _at(self, due_us: int, what: str | OpenRequest | ports.ServerAttempt) -> None:
-        self.count += 1
-        heapq.heappush(self.due, (due_us, self.count, what))
+    # Time.
 
-    def _expire(
-        self, what: str | OpenRequest | ports.ServerAttempt, now: int, events: list[api.Event]
-    ) -> None:
+    def _expire(self, what: Timed) -> None:
         if isinstance(what, str):
-            events.append(api.TimerFired(what))
+            self._tell_module(api.TimerFired(what))
         elif isinstance(what, ports.ServerAttempt):
-            if self.open.get((what.spec.name, what.server)) is what:
+            if self.requests.attempts.get((what.spec.name, what.server)) is what:
                 self.servers.give_up(what)
-                self._ended(what, api.Outcome.TIMEOUT, now, events)
-        elif not what.done and what.deadline_us <= now:
-            ended = list(what.open.values())
-            for attempt in ended:
-                self.servers.give_up(attempt)
-                self._ended(attempt, api.Outcome.TIMEOUT, now, events)
-            if ended:
-                self._at(now + self.limits.recheck_us, what)
-            else:  # Guards against a request that the module holds, or has failed on, past its time.
-                self._answer(what, Answer(Verdict.FAILED))
-                events.append(api.JobWithdrawn(what.number))
-                self._forget(what)
+                self._end_attempt(what, api.Outcome.TIMEOUT)
+        elif not what.done and what.deadline_us <= self.now:
+            self._end_at_deadline(what)
+
+    def _end_at_deadline(self, request: OpenRequest) -> None:
+        """End a request's attempts; fail it where the module has not answered after that."""
+        attempts = list(request.open.values())
+        for attempt in attempts:
+            self.servers.give_up(attempt)
+            self._end_attempt(attempt, api.Outcome.TIMEOUT)
+        if attempts:
+            self.timers.add(self.now + self.limits.recheck_us, request)
+            return
+        # Guards against a request that the module holds, or has failed on, past its time.
+        self._answer(request, Answer(Verdict.FAILED))
+        self._tell_module(api.JobWithdrawn(request.number))
+        self.requests.forget_if_over(request)
 
     # Actions.
 
-    def _carry_out(self, action: api.Action, now: int, events: list[api.Event]) -> None:
-        match action:
-            case api.Place():
-                self._place(action, now, events)
-            case api.Cancel():
-                request = self.requests.get(action.id)
-                attempt = request.open.get(action.attempt) if request is not None else None
-                if attempt is not None:
-                    self.servers.give_up(attempt)
-                    self._ended(attempt, api.Outcome.CANCELLED, now, events)
-            case api.Refuse() | api.Fail():
-                request = self.requests.get(action.id)
-                if request is not None and not request.done:
-                    self._answer(
-                        request,
-                        Answer(Verdict.FAILED, ending=request.ending)
-                        if isinstance(action, api.Fail)
-                        else Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us),
-                    )
-                    self._forget(request)
-            case api.SetTimer():
-                self._at(now + action.in_us, action.token)
-            case api.Subscribe():
-                self.directory.subscribe()
-            case api.Probe():
-                self.counters.add("probes_sent")
-                self.servers.probe(action.worker)
-            case api.Note():
-                self.log.event("module_note", text=action.text)
-            case api.Tell():
-                self.counters.add("tells_dropped")  # no settings of ours let balancers speak to each other
-
-    def _place(self, action: api.Place, now: int, events: list[api.Event]) -> None:
-        request = self.requests.get(action.id)
+    def _place(self, action: api.Place) -> None:
+        request = self.requests.by_number.get(action.id)
         if request is None:
             return
         number, request.sent = request.sent, request.sent + 1
-        until = (
-            min(request.deadline_us, now + action.timeout_us) if action.timeout_us else request.deadline_us
-        )
-        attempt = ports.ServerAttempt(
-            request.spec, request.number, number, action.worker, now, until, edge=request.edge
-        )
+        until = request.deadline_us
+        if action.timeout_us:
+            until = min(until, self.now + action.timeout_us)
         if not request.done and request.edge.left():
             # Guards against an attempt for a client that has left, while the word of it is still on its way.
-            self._withdraw(request, events)
-        if request.done or now >= request.deadline_us or (request.spec.name, action.worker) in self.open:
+            self._withdraw(request)
+        sent_there = (request.spec.name, action.worker) in self.requests.attempts
+        if request.done or self.now >= request.deadline_us or sent_there:
             self.counters.add("attempts_moot")
-            events.append(
-                api.AttemptEnded(
-                    request.number, number, api.Outcome.MOOT, 0, request.done, None, action.worker
-                )
+            moot = api.Outcome.MOOT
+            self._tell_module(
+                api.AttemptEnded(request.number, number, moot, 0, request.done, None, action.worker)
             )
             return
         self.counters.add("attempts_sent")
-        request.open[number] = self.open[request.spec.name, action.worker] = attempt
+        attempt = ports.ServerAttempt(
+            request.spec, request.number, number, action.worker, self.now, until, edge=request.edge
+        )
+        self.requests.open_attempt(request, attempt)
         if until < request.deadline_us:
-            self._at(until, attempt)
+            self.timers.add(until, attempt)
         self.servers.start(attempt)
         if request.recalling:  # Guards against a copy that starts while the first attempt is called back.
             self.servers.recall(attempt)
         request.edge.sent(attempt.server)
 
-    def _withdraw(self, request: OpenRequest, events: list[api.Event]) -> None:
-        """Take it that a request's client has left: nothing is owed any more."""
-        self.counters.add("requests_withdrawn")
-        request.done = True
-        events.append(api.JobWithdrawn(request.number))
-        self._forget(request)
+    def _cancel(self, action: api.Cancel) -> None:
+        request = self.requests.by_number.get(action.id)
+        attempt = request.open.get(action.attempt) if request is not None else None
+        if attempt is not None:
+            self.servers.give_up(attempt)
+            self._end_attempt(attempt, api.Outcome.CANCELLED)
 
-    def _answer(self, request: OpenRequest, answer: Answer) -> None:
-        """Give a request its one final answer."""
-        request.done = True
-        self.counters.add(f"answers_{answer.verdict.value}")
-        request.edge.answer(answer)
+    def _refuse(self, action: api.Refuse) -> None:
+        self._answer_open(action.id, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
+
+    def _fail(self, action: api.Fail) -> None:
+        request = self.requests.by_number.get(action.id)
+        if request is not None:
+            self._answer_open(action.id, Answer(Verdict.FAILED, ending=request.ending))
+
+    def _answer_open(self, number: int, answer: Answer) -> None:
+        request = self.requests.by_number.get(number)
+        if request is not None and not request.done:
+            self._answer(request, answer)
+            self.requests.forget_if_over(request)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self.timers.add(self.now + action.in_us, action.token)
+
+    def _subscribe(self, action: api.Subscribe) -> None:
+        self.directory.subscribe()
+
+    def _probe(self, action: api.Probe) -> None:
+        self.counters.add("probes_sent")
+        self.servers.probe(action.worker)
+
+    def _note(self, action: api.Note) -> None:
+        self.log.event("module_note", text=action.text)
 
-    def _forget(self, request: OpenRequest) -> None:
-        if request.done and not request.open and self.requests.pop(request.number, None) is not None:
-            del self.names[request.spec.name]
+    def _drop_tell(self, action: api.Tell) -> None:
+        self.counters.add("tells_dropped")  # no settings of ours let balancers speak to each other
--- /dev/null
+++ b/merlinbay/core/requests.py
@@ -0,0 +1,99 @@
+"""What the owner keeps: requests that are not over, their attempts, and what is due when."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from merlinbay.core import ports
+
+
+@dataclass(slots=True, eq=False)
+class OpenRequest:
+    """A client's request, from its arrival until it is answered and its last attempt has ended."""
+
+    spec: ports.JobSpec
+    number: int  # its id in the module
+    edge: ports.Edge
+    deadline_us: int
+    done: bool = False  # answered or withdrawn
+    sent: int = 0
+    recalling: bool = False  # the client's side wants it back, if it has not started
+    ending: ports.Ending | None = None
+    open: dict[int, ports.ServerAttempt] = field(default_factory=dict)
+
+
+class RequestTable:
+    """Open requests by number and by name, and their open attempts by name and server."""
+
+    def __init__(self) -> None:
+        self.by_number: dict[int, OpenRequest] = {}
+        self.by_name: dict[str, OpenRequest] = {}
+        self.attempts: dict[tuple[str, str], ports.ServerAttempt] = {}
+
+    def __len__(self) -> int:
+        return len(self.by_number)
+
+    def __iter__(self) -> Iterator[OpenRequest]:
+        return iter(self.by_number.values())
+
+    def add(self, request: OpenRequest) -> None:
+        """Keep a request."""
+        self.by_number[request.number] = self.by_name[request.spec.name] = request
+
+    def waiting(self, name: str, edge: ports.Edge) -> OpenRequest | None:
+        """Return the request of that name and client that still waits for its answer."""
+        request = self.by_name.get(name)
+        if request is None or request.edge is not edge or request.done:
+            return None
+        return request
+
+    def forget_if_over(self, request: OpenRequest) -> None:
+        """Drop a request that is answered or withdrawn and has no attempt open."""
+        if request.done and not request.open and self.by_number.pop(request.number, None) is not None:
+            del self.by_name[request.spec.name]
+
+    def open_attempt(self, request: OpenRequest, attempt: ports.ServerAttempt) -> None:
+        """Keep an attempt of a request."""
+        request.open[attempt.number] = self.attempts[request.spec.name, attempt.server] = attempt
+
+    def close_attempt(self, attempt: ports.ServerAttempt) -> OpenRequest:
+        """Drop an attempt that has ended; return its request."""
+        del self.attempts[attempt.spec.name, attempt.server]
+        request = self.by_number[attempt.request_number]
+        del request.open[attempt.number]
+        return request
+
+    def request_of(self, attempt: ports.ServerAttempt) -> OpenRequest:
+        """Return the request of an open attempt."""
+        return self.by_number[attempt.request_number]
+
+    def all_answered(self) -> bool:
+        """Tell whether no client waits for an answer."""
+        return all(request.done for request in self)
+
+
+Timed = str | OpenRequest | ports.ServerAttempt  # a timer of the module by its token, or what has a deadline
+
+
+class Timers:
+    """What is due when. An entry cannot be taken back: who made it looks whether it still matters."""
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[int, int, Timed]] = []
+        self.count = 0
+
+    def add(self, due_us: int, what: Timed) -> None:
+        """Have something become due."""
+        self.count += 1
+        heapq.heappush(self.heap, (due_us, self.count, what))
+
+    def next_us(self) -> int | None:
+        """Return when something is due next; None: nothing is."""
+        return self.heap[0][0] if self.heap else None
+
+    def pop_due(self, now_us: int) -> Iterator[Timed]:
+        """Take out what is due, one at a time."""
+        while self.heap and self.heap[0][0] <= now_us:
+            yield heapq.heappop(self.heap)[2]
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -131,10 +131,10 @@
         balancer = Balancer(config.settings, config.seed, clock.now_us())
         owner = Owner(balancer, clock, limits, counters, log, servers, discovery)
         if drmaa is not None and drmaa.front is not None and drmaa.front.reserving is not None:
-            owner.watchers.append(drmaa.front.reserving)
+            owner.watch_entries(drmaa.front.reserving)
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
-        owner.other = sides.twin
+        owner.know_other_process(sides.twin)
         if sides.fleet is not None:
             sides.fleet.gauges = owner.gauges
         if inherited is not None:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -333,7 +333,7 @@
         """Let time pass, with all that becomes due on the way."""
         until = self.clock.now + by
         for _ in range(10_000):
-            due = min(self.front.engine.next_us(), self.owner.due[0][0] if self.owner.due else until, until)
+            due = min(self.front.engine.next_us(), self.owner.timers.next_us() or until, until)
             self.clock.now = max(due, self.clock.now)
             self.front.engine.tick(self.clock.now)
             self.front.flush(self.clock.now)
@@ -359,7 +359,7 @@
                 assert has_request == (job in self.front.edges)
                 if has_request:
                     edge = self.front.edges[job]
-                    request = self.owner.names.get(edge.name)
+                    request = self.owner.requests.by_name.get(edge.name)
                     assert request is not None and request.edge is edge and not request.done
                     if job.array is not None:
                         out[job.array.id] += 1
@@ -376,7 +376,7 @@
             for array in list(self.front.engine.sessions["q"].arrays):
                 self.call("POST", f"/sessions/q/arrays/{array}/release")
             self.pass_time(60 * SECOND)
-        assert self.front.engine.jobs == 0 and not self.owner.requests and not self.front.edges
+        assert self.front.engine.jobs == 0 and not len(self.owner.requests) and not self.front.edges
         assert not self.answers and not self.servers.open and not self.front.engine.waits
 
 
@@ -407,5 +407,5 @@
         assert stop.value is None and connection.context is not None
     world.front.gone(connection)
     world.turn()
-    assert not world.owner.requests and not world.servers.open and world.front.engine.jobs == 0
+    assert not len(world.owner.requests) and not world.servers.open and world.front.engine.jobs == 0
     assert not connection.answers and world.counters.counts["requests_withdrawn"] == 1
