One filter for who may take a job, asked on every path; a copy kept to its group

A keyed job whose first attempt went to one zone got its copy 40 ms later in the other.

Ruled out: the group index (`_batches` returned the right group), the window (copies went within 12 s), the wire. At fault: `_pick` in `decision/rules.py` took its candidates from `job.asked`, the workers whose probes came back, which outlived the first placement; only `_batches` knew of the group.

Change: `decision/eligibility.py` says which workers may take a job now (class, effect, group, window, copies out, send cap, kind, binding, memory, state, ejection, silence, cold turn). `_pick`, the key's preferred workers and the choice of whom to probe ask it; it reads the unresolved attempt from the attempts themselves, where a field kept by hand (`maybe`) was set on some paths. Probe replies are dropped when an attempt is placed. Renamed: `maybe` -> `unresolved`, `asked` -> `probe_replies`, `awaited` -> `probes_pending`, `asking` -> `probing`.

--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -117,9 +117,13 @@
     attempts: list[Attempt] = field(default_factory=list)
     pending: int = 0
     done: bool = False
-    asked: list[Worker] = field(default_factory=list)  # workers that answered its probes,
-    awaited: int = 0  # how many have not yet
-    maybe: Attempt | None = None  # the first attempt that may have run
+    probe_replies: list[Worker] = field(default_factory=list)  # workers that answered probes of this attempt,
+    probes_pending: int = 0  # how many have not yet
+
+    @property
+    def unresolved(self) -> Attempt | None:
+        """The first attempt that may have run: it is out, or has ended in a way that does not exclude it."""
+        return next((attempt for attempt in self.attempts if attempt.open or attempt.ran), None)
 
 
 @dataclass(slots=True, eq=False)
@@ -156,7 +160,7 @@
     affine: dict[str, list[Worker]] = field(default_factory=dict)  # by key: its few workers, in order
     tenants: dict[str, Rate] = field(default_factory=dict)  # offered rate of each
     jobs: dict[int, Job] = field(default_factory=dict)
-    asking: dict[str, list[Job]] = field(default_factory=dict)  # by worker: the jobs whose probes are out
+    probing: dict[str, list[Job]] = field(default_factory=dict)  # by worker: the jobs whose probes are out
     watches: list[tuple[int, int, int]] = field(default_factory=list)  # heap: due, job, attempt
     timer_at: int = 0
     trust: float = 1.0  # how often a worker that seemed to have room took the job
@@ -204,12 +208,12 @@
         self.timer_at = self.watches[0][0]
         return [self.timer_at - self.now]
 
-    def ask(self, job: Job, workers: list[str]) -> None:
+    def probes_sent(self, job: Job, workers: list[str]) -> None:
         """Remember that probes are out for a job."""
         self.jobs[job.id] = job
         for name in workers:
-            self.asking.setdefault(name, []).append(job)
-        job.awaited += len(workers)
+            self.probing.setdefault(name, []).append(job)
+        job.probes_pending += len(workers)
 
     def tenant_rate(self, tenant: str, tau_us: int) -> float:
         """Count a request of a tenant; return its rate."""
@@ -219,12 +223,12 @@
         rate.add(self.now, tau_us)
         return rate.value
 
-    def next_asking(self, worker: str) -> Job | None:
+    def next_probing(self, worker: str) -> Job | None:
         """Return the first job that still waits for a probe of this worker."""
-        queue = self.asking.pop(worker, [])
-        waiting = [job for job in queue if job.awaited and not job.done]
+        queue = self.probing.pop(worker, [])
+        waiting = [job for job in queue if job.probes_pending and not job.done]
         if len(waiting) > 1:
-            self.asking[worker] = waiting[1:]
+            self.probing[worker] = waiting[1:]
         return waiting[0] if waiting else None
 
     def hold(self, job: Job, attempt: Attempt) -> None:
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -1,7 +1,8 @@
 """Every decision of the balancer. Its interface (settings, events, actions) is ``merlinbay/decision/api.py``.
 
 Top to bottom: estimators, pick, a request's life, worker health, list. Records are in
-``records.py``, beliefs about workers and peers in ``beliefs.py``, calls for the list in ``calls.py``.
+``records.py``, beliefs about workers and peers in ``beliefs.py``, calls for the list in ``calls.py``; which
+workers may take a job is in ``eligibility.py``, which every send asks.
 Departures from the design say "Guards against". Times are microseconds.
 """
 
@@ -14,8 +15,9 @@
 from typing import Any
 
 from merlinbay.decision import api
-from merlinbay.decision.beliefs import RUN_WEIGHT, Beliefs
+from merlinbay.decision.beliefs import RUN_WEIGHT
 from merlinbay.decision.calls import Calls
+from merlinbay.decision.eligibility import SILENT_US, Eligibility
 from merlinbay.decision.records import Attempt, Class, Job, Kind, Rate, Worker
 from merlinbay.decision.threshold import threshold
 
@@ -32,12 +34,10 @@
 LONG_RUN = 2.5  # and elsewhere before it tells of its worker's pace
 TRUST_STEP = 0.05  # weight of one answer in the share of workers with room that do take a job
 REPORT_TRUST = 0.5  # weight of a load report against the estimate it meets: reports are old and noisy
-MEMORY_RUNS = 1.0  # mean run times for which a told free memory counts: by then other jobs hold it
 PROMPT = 0.05  # share of a mean run time within which a start means that there was room
 DENSE_MOST = 4.0  # the most that worth for each slot and second, over the mean job's, counts
 PATIENCE = 0.1  # share of a job's slack that it waits unstarted before a second copy goes out
 PATIENCE_MIN_US = 15_000  # and the least: a few round trips
-SILENT_US = 1_500_000  # a worker not heard for so long after a send is taken to hang
 BENCH_US = 1_000_000  # how long a failing worker is left out; doubles with each failure in a row,
 BENCH_DOUBLINGS = 3  # so often at the most: none is shut out for good
 LET_PASS = {api.Outcome.ERROR: 1, api.Outcome.RESET: 2}  # failures in a row that tell nothing yet of a worker
@@ -45,7 +45,7 @@
 KEYS_KEPT = 4096  # keys whose preferred workers are remembered, to save hashing the zone anew
 
 
-class Balancer(Beliefs):
+class Balancer(Eligibility):
     """The decisions of one scheduler."""
 
     def __init__(self, settings: api.Settings, seed: int, now_us: int) -> None:
@@ -138,40 +138,17 @@
 
     # Pick.
 
-    def _may(self, worker: Worker, job: Job) -> bool:
-        """Tell whether the worker may be sent this job at all now."""
-        if (
-            worker.state != "up"
-            or worker.bench_until > self.now
-            or (job.only and worker.name not in job.only)
-        ):
-            return False
-        if self.hangs(worker, SILENT_US):
-            return False  # Guards against a hung worker, which takes jobs and answers none.
-        if self.cold(worker) and not self.cold_turn(worker):
-            return False
-        wanted = job.cls.spec.kind
-        fits = wanted < 0 or self.kinds[self.settings.kinds[wanted]] is worker.kind
-        return fits and all(attempt.worker is not worker for attempt in job.attempts)
-
-    def _lacks_memory(self, worker: Worker, job: Job) -> bool:
-        """Tell whether the worker was told lately to have less free memory than the job needs."""
-        # Guards against a worker shut out for good: it gets no job, so no report says that memory is free.
-        return worker.free_memory < job.memory and self.now < worker.memory_at + MEMORY_RUNS * self.mean_run
-
     def _batches(self, job: Job) -> list[list[Worker]]:
         """Return batches of workers to look at; cold ones first, while we have a share of their budget."""
-        spec = job.cls.spec
-        near, far = self.pools.get(spec.kind) or ([], [])
-        if job.maybe is not None and spec.effect == "by_key" and spec.group != "all":
-            home = job.maybe.worker  # once it may have run, only its group drops the repeat
-            return [self.groups.get(home.cell if spec.group == "cell" else home.zone, [])]
+        near, far = self.pools.get(job.cls.spec.kind) or ([], [])
+        if (group := self.repeat_group(job)) is not None:
+            return [group]
         if job.only:  # Guards against samples that miss the few workers that the job is bound to.
             return [[self.workers[name] for name in job.only if name in self.workers]]
         if job.key:
             # Guards against keys fetched everywhere: what a worker keeps for a key is worth more than
             # room, so a job with a key stays with its few workers unless none of them can be used.
-            some = [w for w in self._affine(job.key, near, far) if self._may(w, job)]
+            some = self.eligible(job, self._affine(job.key, near, far))
             if some:
                 return [[w] for w in some]
         # Guards against one put back that nobody tries: idle ones have more room than a cold one.
@@ -181,12 +158,11 @@
         """Choose a worker with room for the job's slots, else one under its gate; nearer ones first."""
         gates: dict[int, float] = {}
         best, best_free, best_slow = None, -math.inf, True
-        for batch in [job.asked] if job.asked or job.awaited else self._batches(job):
-            for worker in batch:
+        probed = job.probe_replies or job.probes_pending
+        for batch in [job.probe_replies] if probed else self._batches(job):
+            for worker in self.eligible(job, batch):
                 free = worker.kept if job.reserved else self._free(worker, caution)
-                if (slow := self._pace(worker) >= SLOW, -free) >= (best_slow, -best_free) or (
-                    not self._may(worker, job) or self._lacks_memory(worker, job)
-                ):
+                if (slow := self._pace(worker) >= SLOW, -free) >= (best_slow, -best_free):
                     continue
                 if free < job.slots:
                     if room_only or worker.kept or job.reserved:  # nobody waits for what is kept
@@ -237,14 +213,14 @@
 
     def _try(self, job: Job) -> None:
         """Ask some workers first where only probes tell load, else decide at once."""
-        job.asked, job.awaited = [], 0
-        if self.settings.asks_first and self.limits.probes and self._repeatable(job):
+        job.probe_replies, job.probes_pending = [], 0
+        if self.settings.asks_first and self.limits.probes:
             most = min(ASK, int(ASK_SPEND / 2 / max(self.settings.probe_price, 1e-6)))
             for batch in self._batches(job):
-                some = [w.name for w in batch if self._may(w, job)][:most]
+                some = [w.name for w in self.eligible(job, batch)][:most]
                 self.out += [api.Probe(name) for name in some]
-                self.ask(job, some)
-        if job.awaited:
+                self.probes_sent(job, some)
+        if job.probes_pending:
             self._watch(job, -1, min(ASK_US, (job.deadline - self.now) / 2))
         else:
             self._settle(job)
@@ -252,20 +228,18 @@
     def _probed(self, event: api.ProbeEnded) -> None:
         """Take a probe's answer, and decide on its job at the first room or the last answer."""
         self._report(event)
-        job, worker = self.next_asking(event.worker), self.workers.get(event.worker)
+        job, worker = self.next_probing(event.worker), self.workers.get(event.worker)
         if job is not None:
-            job.awaited -= 1
-            job.asked += [worker] if worker is not None and event.outcome == api.Outcome.OK else []
+            job.probes_pending -= 1
+            job.probe_replies += [worker] if worker is not None and event.outcome == api.Outcome.OK else []
             self._settle(job)
 
     def _settle(self, job: Job) -> None:
         """Send the job if its class allows it and a worker is found, else give its final answer."""
-        room_only = job.awaited > 0 or job.room_only
-        worker = self._pick(job, room_only) if self._repeatable(job) else None
+        worker = self._pick(job, job.probes_pending > 0 or job.room_only)
         if worker is not None:
-            job.awaited = 0
             self._place(job, worker)
-        elif not job.awaited:
+        elif not job.probes_pending:
             self.jobs.pop(job.id, None)
             self._answer(job)
 
@@ -273,7 +247,8 @@
         """Refuse the job where trying again is harmless, else fail it."""
         job.done = True
         spec, wait = job.cls.spec, 0
-        if job.maybe and (spec.effect == "once" or (spec.effect == "by_key" and spec.group != "all")):
+        bound = spec.effect == "once" or (spec.effect == "by_key" and spec.group != "all")
+        if bound and job.unresolved:
             self.out.append(api.Fail(job.id))
             return
         if self.limits.retry_after:  # spread, or refused clients return in step
@@ -282,6 +257,8 @@
 
     def _place(self, job: Job, worker: Worker) -> None:
         self.out.append(api.Place(job.id, worker.name))
+        # Guards against a copy that goes by the replies to an earlier attempt's probes.
+        job.probe_replies, job.probes_pending = [], 0
         self.hold(job, Attempt(worker, self.now, self._free(worker) >= job.slots))
         worker.asked_at = worker.asked_at or self.now
         self.returned = [w for w in self.returned if w is not worker] if self.returned else []
@@ -298,8 +275,8 @@
         if event.token == "subscribe":
             self.out += self.calls.due(self.now)
         for waiting, number in self.due():
-            if number < 0 and waiting.awaited:  # a probe's answer is lost or late
-                waiting.awaited = 0
+            if number < 0 and waiting.probes_pending:  # a probe's answer is lost or late
+                waiting.probes_pending = 0
                 self._settle(waiting)
             job, attempt = self.find(waiting.id, number)
             if (
@@ -319,10 +296,9 @@
             worker.observe(self.now, max(self._others(worker), worker.kind.slots + job.slots - worker.held))
             if len(job.attempts) >= self.limits.send_cap:
                 continue
-            job.maybe = job.maybe or (attempt if job.cls.spec.effect == "by_key" else None)
             # Guards against copies that never go out: where schedulers are many, the others are unheard.
             room_only = self._density(job) < 1 or job.pending > 1
-            target = self._pick(job, room_only, 0.0) if self._repeatable(job) else None
+            target = self._pick(job, room_only, 0.0)
             if target is not None and (job.pending == 1 or self._swap(job, number)):
                 self._place(job, target)
             elif job.pending == 1:
@@ -351,22 +327,9 @@
         if self._pace(attempt.worker) < SLOW:
             self._look(job, attempt, number, LATE_RUN)
             return
-        job.maybe = job.maybe or (attempt if job.cls.spec.effect == "by_key" else None)
-        if job.cls.spec.effect != "once" and self._repeatable(job):
-            target = self._pick(job, room_only=True)
-            if target is not None and self._pace(target) < SLOW:
-                self._place(job, target)
-
-    def _repeatable(self, job: Job) -> bool:
-        """Tell whether a further attempt keeps the rules of the job's class now."""
-        spec, first = job.cls.spec, job.maybe
-        if self.now >= job.deadline or len(job.attempts) >= self.limits.send_cap:
-            return False
-        return (
-            first is None
-            or spec.effect == "repeatable"
-            or (spec.effect == "by_key" and self.now < first.at + spec.window_us)
-        )
+        target = self._pick(job, room_only=True)
+        if target is not None and self._pace(target) < SLOW:
+            self._place(job, target)
 
     def _noted(self, event: api.JobStarted | api.JobProgress | api.StreamStarted) -> None:
         job, attempt = self.find(event.id, event.attempt)
@@ -412,12 +375,7 @@
             return
         self.release(job, attempt)
         self._judge(attempt.worker, job, attempt, event)
-        if event.outcome not in api.NEVER_RAN:
-            attempt.ran, job.maybe = True, job.maybe or attempt
-        elif job.maybe is attempt:
-            # Guards against a failure where a refusal is due: an attempt that was out when its copy went
-            # has come back unstarted, so it binds no longer. Others that may have run, or are out, do.
-            job.maybe = next((other for other in job.attempts if other.open or other.ran), None)
+        attempt.ran = event.outcome not in api.NEVER_RAN
         if (event.final or event.outcome == api.Outcome.OK) and not job.done:
             job.done = True
             self._cancel(job, None)
--- /dev/null
+++ b/tests/test_eligibility.py
@@ -0,0 +1,311 @@
+"""Who may take a job, on every path: drawn settings and event sequences against the real balancer.
+
+The checker in ``support`` judges class, group, window, send cap, second copies, drains and answers; here it
+also sees two attempts at one worker, and actions that the settings do not allow.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from merlinbay.decision import Balancer, api
+from merlinbay.decision.records import Attempt, Job, Worker
+from merlinbay.site_settings import settings_from
+from tests.support import Checker, Seen, entry, settings
+from tests.test_sites import SITES, conf_of
+
+ACTIONS = [*["job", "replies", "time", "end"] * 2, "start", "list", "operators"]
+STEPS = st.lists(
+    st.tuples(st.sampled_from(ACTIONS), st.integers(0, 2**16), st.integers(0, 7)), min_size=10, max_size=60
+)
+WINDOWS_US = (40_000, 250_000, 3_000_000, 12_000_000)
+OUTCOMES = (1, 1, 2, 3, 4, 5, 6, 7)
+PASSING_US = (5_000, 20_000, 60_000, 160_000, 400_000, 1_600_000, 3_000_000, 9_000_000)
+
+
+@dataclass
+class StrictChecker(Checker):
+    """Judges also single actions: one attempt at a worker at once, and nothing that is not allowed."""
+
+    probes: deque[str] = field(default_factory=deque)
+
+    def act(self, *events: api.Event) -> None:
+        """Hand a batch over; what is cancelled in answer ends at once, as the owner has it."""
+        for action in self.give(*events):
+            if not isinstance(action, api.Cancel):
+                continue
+            job = self.jobs[action.id]
+            sent = job.attempts[action.attempt]
+            if not sent.outcome:
+                took = self.now - sent.at
+                self.act(api.AttemptEnded(action.id, action.attempt, 7, took, job.over, None, sent.worker))
+
+    def _after(self, action: api.Action, ended_now: set[int]) -> None:
+        if isinstance(action, api.Probe):
+            self.probes.append(action.worker)
+            if not self.conf.limits.probes:
+                self.broken.append("probed where no probes are allowed")
+        if isinstance(action, api.Cancel) and not self.conf.limits.cancelling:
+            self.broken.append("cancelled where that is not allowed")
+        super()._after(action, ended_now)
+
+    def _placed(self, job: Seen, action: api.Place) -> None:
+        if any(sent.worker == action.worker and not sent.outcome for sent in job.attempts):
+            self.broken.append("two attempts at one worker at once")
+        if job.event.only and action.worker not in job.event.only:
+            self.broken.append("sent to a worker that the job is not bound to")
+        super()._placed(job, action)
+
+
+@dataclass
+class Fleet:
+    """The workers of a drawn deployment: ``zones`` of two cells each, ``cell`` workers in each."""
+
+    zones: int
+    cell: int
+    kinds: int
+
+    def rows(self) -> list[api.WorkerEntry]:
+        """Return the worker list."""
+        return [
+            api.WorkerEntry(f"w{n}", "abc"[n // self.cell // 2], f"k{n % self.kinds + 1}", n // self.cell)
+            for n in range(self.zones * 2 * self.cell)
+        ]
+
+
+@st.composite
+def deployments(draw: st.DrawFn) -> tuple[api.Settings, Fleet]:
+    """Draw settings with a class of each effect, and the workers they are about."""
+    fleet = Fleet(draw(st.integers(1, 3)), draw(st.integers(1, 3)), draw(st.integers(1, 2)))
+    probes = draw(st.booleans())
+    keyed = [
+        api.JobClass(
+            f"keyed-{group}",
+            120_000,
+            draw(st.sampled_from([1_000_000, 7_500_000])),
+            effect="by_key",
+            group=group,
+            window_us=draw(st.sampled_from(WINDOWS_US)),
+        )
+        for group in ("zone", "cell", "all")
+    ]
+    unsafe = api.JobClass("unsafe", 400_000, 2_000_000, effect="once")
+    conf = settings(
+        classes=[*keyed, api.JobClass("safe", 150_000, 5_000_000), unsafe],
+        balancers=draw(st.integers(1, 4)),
+        tells_start=draw(st.booleans()),
+        cross_zone_price=draw(st.sampled_from([0.0, 0.01, 0.16])),
+        asks_first=probes,
+        probe_price=draw(st.sampled_from([0.0, 0.002])),
+        limits=api.Limits(
+            cancelling=draw(st.booleans()),
+            second_copies=draw(st.booleans()),
+            send_cap=draw(st.integers(1, 5)),
+            retry_after=True,
+            probes=probes,
+        ),
+    )
+    return conf, fleet
+
+
+def report_of(conf: api.Settings, pick: int) -> list[object]:
+    """Return a load report in the settings' order: as often full as with room."""
+    free = (0, 3, 0, 1)[pick % 4]
+    return [free if name == conf.free_slots_field else pick % 3 for name in conf.report_fields]
+
+
+def arrival(check: StrictChecker, rows: list[api.WorkerEntry], pick: int, small: int) -> api.JobArrived:
+    """Return a job; some are bound to workers, some take free slots only, some what is reserved."""
+    cls = check.conf.classes[small % len(check.conf.classes)]
+    bound = tuple(row.worker for row in rows if pick >> rows.index(row) & 1) if pick % 5 == 0 else ()
+    return api.JobArrived(
+        len(check.jobs) + 1,
+        cls.name,
+        cls.deadline_us >> (pick % 3),
+        1.0 + pick % 2,
+        key="key" if pick % 7 == 0 else "",
+        only=bound,
+        room_only=pick % 11 == 0,
+        reserved=bool(bound) and pick % 2 == 0,
+    )
+
+
+def attempt_step(check: StrictChecker, what: str, pick: int, small: int) -> None:
+    """Start or end one of the attempts that are out."""
+    pending = [
+        (number, job, at, sent)
+        for number, job in check.jobs.items()
+        for at, sent in enumerate(job.attempts)
+        if not sent.outcome
+    ]
+    if not pending:
+        return
+    number, job, at, sent = pending[pick % len(pending)]
+    if what == "start":
+        check.act(api.JobStarted(number, at))
+        return
+    outcome = OUTCOMES[small]
+    over = job.over or outcome == api.Outcome.OK
+    report = report_of(check.conf, pick) if pick % 3 else None
+    check.act(api.AttemptEnded(number, at, outcome, check.now - sent.at, over, report, sent.worker))
+
+
+def play(check: StrictChecker, rows: list[api.WorkerEntry], steps: list[tuple[str, int, int]]) -> None:
+    """Turn drawn steps into legal events."""
+    check.act(api.ListChanged("remembered", rows))
+    for what, pick, small in steps:
+        row = rows[pick % len(rows)]
+        if what == "job":
+            check.act(arrival(check, rows, pick, small))
+        elif what == "replies":
+            for _ in range(len(check.probes) if small < 6 else len(check.probes) // 2):
+                worker, lost = check.probes.popleft(), pick % 9 == 0
+                outcome = api.Outcome.TIMEOUT if lost else api.Outcome.OK
+                check.act(api.ProbeEnded(worker, outcome, 900, None if lost else report_of(check.conf, pick)))
+        elif what == "time":
+            check.pass_time(PASSING_US[small])
+        elif what == "list":
+            state = ("up", "up", "draining", "removed")[small % 4]
+            ready = check.now - 100_000 if small >= 4 else 0
+            changed = api.WorkerEntry(row.worker, row.zone, row.kind, row.cell, state, 1.0, ready)
+            check.act(api.ListChanged("changes", [changed]))
+        elif what == "operators":
+            check.act(
+                api.SlotsKept(row.worker, float(small % 3), 4.0)
+                if small < 4
+                else api.Maintained(row.worker, small % 2 == 0)
+            )
+        else:
+            attempt_step(check, what, pick, small)
+    check.finish()
+
+
+LIGHT = hypothesis_settings(
+    derandomize=True, deadline=None, max_examples=400, database=None, suppress_health_check=list(HealthCheck)
+)
+
+
+@LIGHT
+@given(deployment=deployments(), steps=STEPS)
+def test_no_path_sends_a_job_where_it_may_not_go(
+    deployment: tuple[api.Settings, Fleet], steps: list[tuple[str, int, int]]
+) -> None:
+    """Effects, groups, windows, probes, copies, cancels, zones, cells and send caps of all sorts."""
+    conf, fleet = deployment
+    check = StrictChecker(conf, Balancer(conf, 7, 1_000_000))
+    play(check, fleet.rows(), steps)
+    assert check.broken == []
+
+
+def probing(path: Path) -> api.Settings:
+    """Return the settings of a deployment whose workers report their load to probes only."""
+    conf = conf_of(path, False)
+    conf["report"]["how"] = "on_probe"
+    return settings_from(conf)
+
+
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+@hypothesis_settings(LIGHT, max_examples=100)
+@given(steps=STEPS)
+def test_other_customers_settings_with_probes(path: Path, steps: list[tuple[str, int, int]]) -> None:
+    """The variants of ``deploy/sites``, with load told to probes only."""
+    conf = probing(path)
+    conf.limits.probes = True
+    check = StrictChecker(conf, Balancer(conf, 7, 1_000_000))
+    zones = (conf.zone, "another")
+    rows = [
+        api.WorkerEntry(f"w{n}", zones[n // 6], conf.kinds[n % len(conf.kinds)], n // 3) for n in range(12)
+    ]
+    play(check, rows, steps)
+    assert check.broken == []
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_copy_goes_to_the_group_of_the_first_attempt(seed: int) -> None:
+    """As met: a keyed job of a zone, both zones probed, and the copy that followed went over the border."""
+    conf = settings(asks_first=True, cross_zone_price=0.16, probe_price=0.002)
+    conf.limits.probes, conf.classes[1].group, conf.classes[1].window_us = True, "zone", 12_000_000
+    check = StrictChecker(conf, Balancer(conf, seed, 1_000_000))
+    check.act(api.ListChanged("all", [entry(n) for n in range(8)]))
+    for number in range(1, 11):
+        check.act(api.JobArrived(number, "keyed", 7_500_000))
+        while check.probes:
+            check.act(api.ProbeEnded(check.probes.popleft(), 1, 900, [3, 0]))  # all are full
+        check.pass_time(30_000)
+    assert sum(len(job.attempts) for job in check.jobs.values()) > len(check.jobs), "no copy was sent"
+    assert check.broken == []
+
+
+def eight_workers(conf: api.Settings) -> tuple[Balancer, list[Worker]]:
+    """Return a balancer and its workers w0 to w7, in order."""
+    made = Balancer(conf, 1, 1_000_000)
+    made.handle(1_000_000, [api.ListChanged("all", [entry(n) for n in range(8)])])
+    return made, sorted(made.workers.values(), key=lambda worker: worker.name)
+
+
+def allowed(made: Balancer, job: Job, workers: list[Worker]) -> str:
+    """Return the numbers of the workers that may take the job."""
+    return "".join(worker.name[1:] for worker in made.eligible(job, workers))
+
+
+@pytest.mark.parametrize(("group", "expected"), [("all", "1234567"), ("zone", "246"), ("cell", "1")])
+def test_only_the_group_of_an_unresolved_attempt_may_repeat(group: str, expected: str) -> None:
+    """Whatever workers a path looks at: those that would not drop a repeat are left out."""
+    conf = settings()
+    conf.classes[1].group = group
+    made, workers = eight_workers(conf)
+    state = made.classes["keyed"]
+    job = Job(1, state, 1.0, 0.0, "", state.run, 1.0, 9_000_000)
+    assert allowed(made, job, workers) == "01234567"
+    job.attempts, job.pending = [Attempt(workers[0], made.now)], 1
+    assert allowed(made, job, workers) == expected
+    job.attempts[0].open, job.pending = False, 0  # it has come back unstarted, so it binds no longer
+    assert allowed(made, job, workers) == "1234567"
+
+
+@pytest.mark.parametrize(
+    ("job_class", "second_copies", "expected"),
+    [("safe", True, "1234567"), ("unsafe", True, ""), ("safe", False, ""), ("keyed", False, "")],
+)
+def test_a_second_copy_needs_a_class_and_a_deployment_that_allow_it(
+    job_class: str, second_copies: bool, expected: str
+) -> None:
+    """While one attempt is out."""
+    conf = settings()
+    conf.limits.second_copies, conf.classes[1].group = second_copies, "all"
+    conf.classes[2].window_us = 9_000_000  # which counts for keyed classes only
+    made, workers = eight_workers(conf)
+    state = made.classes[job_class]
+    job = Job(1, state, 1.0, 0.0, "", state.run, 1.0, 9_000_000)
+    job.attempts, job.pending = [Attempt(workers[0], made.now)], 1
+    assert allowed(made, job, workers) == expected
+
+
+def test_the_condition_of_each_worker_counts() -> None:
+    """Drained, failing, hanging, short of memory, of another kind, not one that the job is bound to."""
+    conf = settings()
+    conf.classes[0].kind = 0  # the workers with even numbers
+    made, workers = eight_workers(conf)
+    made.now = 5_000_000
+    state = made.classes["safe"]
+    job = Job(1, state, 1.0, 2.0, "", state.run, 1.0, 9_000_000)
+    assert allowed(made, job, workers) == "0246"
+    workers[0].state = "draining"
+    workers[2].bench_until = made.now + 1
+    workers[4].held, workers[4].asked_at = 1.0, 1_000_000
+    assert allowed(made, job, workers) == "6"
+    workers[6].free_memory, workers[6].memory_at = 1.0, made.now
+    assert allowed(made, job, workers) == ""
+    workers[6].free_memory = 2.0
+    assert allowed(made, job, workers) == "6"
+    job.only = ("w0", "w1")
+    assert allowed(made, job, workers) == ""
+    job.only, made.now = (), job.deadline
+    assert allowed(made, job, workers) == ""
