Control log: the keyspace, and the interface of a voter

Cause: simulation, fan-out and processes build on the voter's class at the same time, and need its signatures and the applied state first.

--- /dev/null
+++ b/merlinbay/control/consensus/settings.py
@@ -0,0 +1,53 @@
+"""Settings of a voter. All voters of a log have the same ones."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+KIB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a voter stands."""
+
+    region: str = ""
+    zone: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class VoterSettings:
+    """Times in seconds, sizes in bytes.
+
+    The times suit round trips of up to some 100 ms between regions: a lost leader is replaced within twice
+    the election timeout and two round trips.
+    """
+
+    initial_voters: tuple[str, ...]  # names; read only until the first configuration is agreed
+    placements: dict[str, Placement] = field(default_factory=dict)
+    election_timeout: float = 0.7  # the least; each wait is drawn between it and twice it
+    heartbeat_interval: float = 0.2
+    lease: float = 0.7  # a leader that no majority has confirmed for so long steps down
+    request_timeout: float = 3.0  # a proposal or read that takes longer is answered as uncertain or failed
+    voters_timeout: float = 60.0  # the same for a change of voters, whose new voter has to catch up
+    max_proposals: int = 256  # in flight at the leader; more are rejected as overloaded
+    max_reads: int = 1024  # the same for reads
+    max_change_bytes: int = 64 * KIB  # key, value and id of one change
+    max_batch_bytes: int = 256 * KIB  # entries of one message, and a chunk of a snapshot
+    max_messages_in_flight: int = 8  # unacknowledged batches to one voter
+    max_log_entries: int = 65_536  # not compacted yet; more proposals are rejected as overloaded
+    compact_after_entries: int = 4096  # applied entries after which a snapshot replaces them
+    keep_entries: int = 1024  # left in the log at a snapshot, for voters slightly behind
+    history_revisions: int = 16_384  # deltas of the keyspace that are kept
+
+    def __post_init__(self) -> None:
+        if not 0 < 2 * self.heartbeat_interval <= min(self.election_timeout, self.lease):
+            raise ValueError("two heartbeats have to fit into the election timeout and the lease")
+        if self.max_change_bytes > self.max_batch_bytes:
+            raise ValueError("a change has to fit into a batch")
+        if not 0 <= self.keep_entries < self.compact_after_entries < self.max_log_entries:
+            raise ValueError("keep_entries < compact_after_entries < max_log_entries has to hold")
+
+    def region(self, voter: str) -> str:
+        """Return the region of a voter, empty where none is set."""
+        return self.placements.get(voter, Placement()).region
--- /dev/null
+++ b/merlinbay/control/keyspace.py
@@ -0,0 +1,167 @@
+"""The replicated state: keys with their revisions, and the ids of the changes that were decided lately.
+
+A pure function of the committed changes: voters that applied the same changes have the same ``digest()``.
+What may differ between them (how much history was compacted) has no influence on any result of ``apply``.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from merlinbay.control.entries import (
+    Change,
+    ChangeApplied,
+    ChangeRejected,
+    ChangeResult,
+    Delta,
+    KeyValue,
+    StateSnapshot,
+)
+
+SNAPSHOT_VERSION = 1
+DEDUPE_REVISIONS = (
+    16_384  # an id is remembered that many revisions; part of the state, so the same everywhere
+)
+DEDUPE_IDS = 2 * DEDUPE_REVISIONS  # rejected changes make no revision: a bound by number too
+
+
+class SnapshotError(ValueError):
+    """The bytes are not a snapshot of a keyspace, or one of another version."""
+
+
+class Decision(msgspec.Struct, frozen=True, array_like=True):
+    """What became of a change, kept under its id."""
+
+    revision: int  # where it was applied; of the keyspace where it was rejected
+    conflicting_revision: int = -1  # the key's revision that made it conflict; -1: it was applied
+
+    def result(self) -> ChangeResult:
+        """Return the answer, the same for each repeat."""
+        if self.conflicting_revision < 0:
+            return ChangeApplied(self.revision)
+        return ChangeRejected("conflict", current_revision=self.conflicting_revision)
+
+
+class KeyspaceSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The stored form; both lists in the order of their revisions."""
+
+    version: int
+    revision: int
+    compacted_revision: int
+    entries: list[KeyValue]
+    decisions: list[tuple[str, Decision]]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(KeyspaceSnapshot)
+
+
+class Keyspace:
+    """Keys, their values and last revisions; deleted keys stay as such until they are compacted."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.compacted_revision = 0  # deltas start at it or later
+        self._entries: dict[str, KeyValue] = {}  # in the order of revisions
+        self._decisions: dict[str, Decision] = {}  # in the order of being decided
+
+    def apply(self, change: Change) -> ChangeResult:
+        """Apply a committed change. A repeated id gets the first answer, also where that was a conflict."""
+        decided = self._decisions.get(change.change_id)
+        if decided is not None:
+            return decided.result()
+        current = self.key_revision(change.key)
+        if change.expected_revision is not None and change.expected_revision != current:
+            decision = Decision(self.revision, current)
+        else:
+            self.revision += 1
+            self._entries.pop(change.key, None)  # the new one stands last
+            self._entries[change.key] = KeyValue(change.key, change.value, self.revision)
+            decision = Decision(self.revision)
+        self._decisions[change.change_id] = decision
+        self._forget_decisions()
+        return decision.result()
+
+    def _forget_decisions(self) -> None:
+        horizon = self.revision - DEDUPE_REVISIONS
+        while self._decisions:
+            oldest = next(iter(self._decisions))
+            if self._decisions[oldest].revision > horizon and len(self._decisions) <= DEDUPE_IDS:
+                return
+            del self._decisions[oldest]
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the key's value, None where it does not exist."""
+        found = self._entries.get(key)
+        return found if found is not None and found.value is not None else None
+
+    def key_revision(self, key: str) -> int:
+        """Return the revision to compare and set by; 0 where the key does not exist."""
+        found = self.get(key)
+        return found.revision if found is not None else 0
+
+    def delta_after(self, revision: int) -> Delta | None:
+        """Return what changed since; None where that was compacted, or ``revision`` is not reached yet."""
+        if not self.compacted_revision <= revision <= self.revision:
+            return None
+        changed: list[KeyValue] = []
+        for entry in reversed(self._entries.values()):
+            if entry.revision <= revision:
+                break
+            changed.append(entry)
+        return Delta(revision, self.revision, tuple(reversed(changed)))
+
+    def state(self) -> StateSnapshot:
+        """Return all keys that exist, for a reader whose delta was compacted."""
+        live = tuple(entry for entry in self._entries.values() if entry.value is not None)
+        return StateSnapshot(self.revision, live)
+
+    def compact(self, keep: int) -> None:
+        """Forget deleted keys, and so deltas, that are older than the last ``keep`` revisions."""
+        horizon = self.revision - keep
+        if horizon <= self.compacted_revision:
+            return
+        self.compacted_revision = horizon
+        self._entries = {
+            key: entry
+            for key, entry in self._entries.items()
+            if entry.value is not None or entry.revision > horizon
+        }
+
+    def snapshot(self) -> bytes:
+        """Return the whole state, for ``restore``."""
+        return _encoder.encode(
+            KeyspaceSnapshot(
+                SNAPSHOT_VERSION,
+                self.revision,
+                self.compacted_revision,
+                list(self._entries.values()),
+                list(self._decisions.items()),
+            )
+        )
+
+    @classmethod
+    def restore(cls, data: bytes) -> Keyspace:
+        """Return the keyspace of a snapshot. Raises ``SnapshotError``."""
+        try:
+            found = _decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            raise SnapshotError(str(error)) from None
+        if found.version != SNAPSHOT_VERSION:
+            raise SnapshotError(f"version {found.version}, not {SNAPSHOT_VERSION}")
+        keyspace = cls()
+        keyspace.revision = found.revision
+        keyspace.compacted_revision = found.compacted_revision
+        keyspace._entries = {entry.key: entry for entry in found.entries}
+        keyspace._decisions = dict(found.decisions)
+        return keyspace
+
+    def digest(self) -> str:
+        """Return a hash of what all replicas agree on: live keys, revision, ids."""
+        live = sorted(
+            (entry for entry in self._entries.values() if entry.value is not None), key=lambda one: one.key
+        )
+        content = _encoder.encode((self.revision, live, list(self._decisions.items())))
+        return hashlib.blake2b(content, digest_size=16).hexdigest()
