--- /dev/null
+++ b/merlinbay/control/consensus/core.py
@@ -0,0 +1,186 @@
+"""The state that all parts of a voter share, and the only places where it becomes durable."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from merlinbay.control.consensus import records
+from merlinbay.control.consensus.log import LogEntry
+from merlinbay.control.consensus.membership import Member
+from merlinbay.control.consensus.messages import Message, encode
+from merlinbay.control.consensus.roles import TRANSITIONS, Role
+from merlinbay.control.consensus.settings import VoterSettings
+from merlinbay.control.effects import Effect, Persist, Send
+from merlinbay.control.entries import Change, ChangeResult
+from merlinbay.control.keyspace import Keyspace
+
+
+@dataclass(slots=True)
+class Counters:
+    """What happened since the start."""
+
+    unreadable_messages: int = 0
+    impossible_messages: int = 0  # readable, but no correct voter sends them
+    elections_started: int = 0
+    leaderships_lost: int = 0
+    checkpoints: int = 0
+    snapshots_installed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A change that was applied to the keyspace."""
+
+    index: int
+    result: ChangeResult
+
+
+def new_incarnation(random: Random, now: float) -> str:
+    """Return the identity of a disk that is used for the first time."""
+    # The time too: guards against a generator that is seeded alike at each start.
+    drawn = f"{random.getrandbits(64)} {now.hex()}".encode()
+    return hashlib.blake2b(drawn, digest_size=8).hexdigest()
+
+
+class Core:
+    """Term, vote, log, applied state and role of one voter, with the effects not taken yet."""
+
+    def __init__(
+        self, name: str, settings: VoterSettings, stored: Iterable[bytes], random: Random, now: float
+    ) -> None:
+        state = records.load(name, stored)
+        self.settings = settings
+        self.random = random
+        self.now = now
+        self.effects: list[Effect] = []
+        self.counters = Counters()
+        self.term = state.term
+        self.voted_for = state.voted_for
+        self.log = state.log
+        self.snapshot = state.snapshot
+        self.keyspace = state.keyspace
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.heard_leader_at = -math.inf
+        self.election_deadline = math.inf
+        self.commit_index = state.snapshot.index if state.snapshot is not None else 0
+        if state.identity is None:
+            self.identity = Member(name, new_incarnation(random, now))
+            self._persist(records.IdentityRecord(self.identity))
+        else:
+            self.identity = state.identity
+        self.restart_election_timer()
+        self.commit_to(state.commit_index)
+
+    @property
+    def name(self) -> str:
+        """Return this voter's name."""
+        return self.identity.name
+
+    @property
+    def is_member(self) -> bool:
+        """Return whether this voter, with its disk, is in the last configuration known."""
+        return self.identity in self.log.configuration.members
+
+    @property
+    def own_term_committed(self) -> bool:
+        """Return whether an entry of the current term is committed, and so all entries of earlier leaders."""
+        return self.log.term_at(self.commit_index) == self.term
+
+    def become(self, role: Role) -> None:
+        """Change the role."""
+        if role not in TRANSITIONS[self.role]:
+            raise AssertionError(f"{self.role.value} becomes {role.value}")
+        self.role = role
+
+    def restart_election_timer(self) -> None:
+        """Wait for a leader from now on; differently long each time, so that votes seldom split."""
+        self.election_deadline = self.now + self.settings.election_timeout * (1 + self.random.random())
+
+    def step_down(self, term: int, leader: str = "") -> None:
+        """Become a follower in ``term``."""
+        if self.role is Role.LEADER:
+            self.counters.leaderships_lost += 1
+            self.restart_election_timer()
+        if term > self.term:
+            self.set_term(term, None)
+        self.become(Role.FOLLOWER)
+        self.leader = leader
+
+    def send(self, receiver: str, message: Message) -> None:
+        """Send a message once all that was persisted before is stored."""
+        self.effects.append(Send(receiver, encode(self.identity.incarnation, message)))
+
+    def _persist(self, record: records.Record, replaces_all: bool = False) -> None:
+        self.effects.append(Persist(records.encode_record(record), replaces_all))
+
+    def set_term(self, term: int, voted_for: Member | None) -> None:
+        """Enter a term, or vote in it."""
+        if (term, voted_for) != (self.term, self.voted_for):
+            self.term, self.voted_for = term, voted_for
+            self._persist(records.TermRecord(term, voted_for))
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Add entries to the log, in place of those from the first one's index on."""
+        if entries[0].index <= self.log.last_index:
+            self.log.truncate_from(entries[0].index)
+        self.log.append(entries)
+        self._persist(records.EntriesRecord(self.commit_index, entries))
+
+    def commit_to(self, index: int) -> list[Applied]:
+        """Apply the entries up to ``index``, which are committed."""
+        applied: list[Applied] = []
+        while self.commit_index < index:
+            self.commit_index += 1
+            entry = self.log.get(self.commit_index)
+            if entry is not None and isinstance(entry.command, Change):
+                applied.append(Applied(entry.index, self.keyspace.apply(entry.command)))
+        self._bound_history()
+        return applied
+
+    def _bound_history(self) -> None:
+        keep = self.settings.history_revisions
+        if self.keyspace.revision - self.keyspace.compacted_revision >= 2 * keep:
+            self.keyspace.compact(keep)
+        entries_kept = self.commit_index - self.log.base_index
+        if entries_kept >= self.settings.compact_after_entries + self.settings.keep_entries:
+            self._take_snapshot()
+
+    def _take_snapshot(self) -> None:
+        term = self.log.term_at(self.commit_index)
+        assert term is not None
+        configuration = self.log.configuration_at(self.commit_index)
+        self.snapshot = records.SnapshotData(self.commit_index, term, configuration, self.keyspace.snapshot())
+        self.log.compact(self.commit_index - self.settings.keep_entries)
+        self._persist_checkpoint(self.snapshot)
+
+    def install(self, snapshot: records.SnapshotData, keyspace: Keyspace) -> None:
+        """Take the leader's snapshot in place of the state and of the entries that it contains."""
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            self.log.compact(snapshot.index)
+        else:
+            self.log = type(self.log)(snapshot.index, snapshot.term, snapshot.configuration)
+        self.snapshot, self.keyspace = snapshot, keyspace
+        self.commit_index = snapshot.index
+        self.counters.snapshots_installed += 1
+        self._persist_checkpoint(snapshot)
+
+    def _persist_checkpoint(self, snapshot: records.SnapshotData) -> None:
+        self.counters.checkpoints += 1
+        base = self.log.base_index
+        checkpoint = records.CheckpointRecord(
+            self.identity,
+            self.term,
+            self.voted_for,
+            self.commit_index,
+            snapshot,
+            base,
+            self.log.base_term,
+            self.log.configuration_at(base),
+            self.log.entries_from(base + 1),
+        )
+        self._persist(checkpoint, replaces_all=True)
--- /dev/null
+++ b/merlinbay/control/consensus/leadership.py
@@ -0,0 +1,111 @@
+"""What a leader has beside a voter's state, and what it does after each event."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from merlinbay.control.consensus.core import Core
+from merlinbay.control.consensus.membership import Member
+from merlinbay.control.consensus.messages import TimeoutNow
+from merlinbay.control.consensus.reconfiguration import Reconfiguration
+from merlinbay.control.consensus.replication import Replication
+from merlinbay.control.consensus.requests import Requests
+
+
+@dataclass(slots=True)
+class Transfer:
+    """Leadership that is being handed over. No proposals are taken in the meantime."""
+
+    target: str
+    deadline: float
+    asked: bool = False
+
+
+class Leadership:
+    """The time from one won election to the step down."""
+
+    def __init__(self, core: Core, founders: tuple[Member, ...]) -> None:
+        self.core = core
+        self.replication = Replication(core, founders)
+        self.requests = Requests(core, self.replication)
+        self.reconfiguration = Reconfiguration(core, self.replication)
+        self.transfer: Transfer | None = None
+        self.replication.begin_round()
+
+    @property
+    def lease_until(self) -> float:
+        """Return until when a majority's confirmation holds."""
+        core = self.core
+        if core.log.configuration.names == (core.name,):
+            return core.now + core.settings.lease
+        return self.replication.confirmed_at() + core.settings.lease
+
+    def advance(self) -> bool:
+        """Do all that has become possible; return whether this leader goes on."""
+        self._commit()
+        while self.reconfiguration.drive():
+            self._commit()
+        if self.reconfiguration.must_step_down():
+            self.replication.begin_round()  # tells the others that its removal is committed
+            return False
+        self.requests.begin_reads()
+        self.requests.answer_reads()
+        self._go_on_with_transfer()
+        self.replication.send_pending()
+        return True
+
+    def _commit(self) -> None:
+        self.requests.applied(self.core.commit_to(self.replication.committable()))
+
+    def tick(self) -> None:
+        """Do what is due."""
+        if self.transfer is not None and self.transfer.deadline <= self.core.now:
+            self.transfer = None
+        self.requests.expire()
+        self.reconfiguration.expire()
+        if self.replication.next_heartbeat <= self.core.now:
+            self.replication.begin_round()
+
+    def next_deadline(self) -> float:
+        """Return when ``tick`` is due."""
+        deadlines = [
+            self.replication.next_heartbeat,
+            self.lease_until,
+            self.requests.next_deadline(),
+            self.reconfiguration.next_deadline(),
+        ]
+        if self.transfer is not None:
+            deadlines.append(self.transfer.deadline)
+        return min(deadlines)
+
+    def start_transfer(self) -> None:
+        """Choose who takes over: the most complete log, then the own region."""
+        core, progress = self.core, self.replication.progress
+        candidates = [
+            member.name
+            for member in core.log.configuration.members
+            if member != core.identity and progress[member.name].incarnation == member.incarnation
+        ]
+        if not candidates or self.transfer is not None:
+            return
+
+        def preference(name: str) -> tuple[int, int, bool, str]:
+            same_region = core.settings.region(name) == core.settings.region(core.name)
+            return progress[name].match_index, progress[name].acked_round, same_region, name
+
+        deadline = core.now + core.settings.election_timeout
+        self.transfer = Transfer(max(candidates, key=preference), deadline)
+
+    def _go_on_with_transfer(self) -> None:
+        transfer = self.transfer
+        if transfer is None or transfer.asked:
+            return
+        progress = self.replication.progress.get(transfer.target)
+        if progress is not None and progress.match_index == self.core.log.last_index:
+            transfer.asked = True
+            self.core.send(transfer.target, TimeoutNow(self.core.term))
+
+    def give_up(self) -> None:
+        """Answer all that is open: leadership is lost."""
+        self.requests.give_up()
+        self.reconfiguration.give_up()
--- /dev/null
+++ b/merlinbay/control/consensus/messages.py
@@ -0,0 +1,132 @@
+"""What voters send each other, as msgpack; what cannot be read raises ``Unreadable`` and nothing else."""
+
+from __future__ import annotations
+
+import msgspec
+
+from merlinbay.control.consensus.log import Count, LogEntry
+from merlinbay.control.consensus.membership import Member
+
+MESSAGE_VERSION = 1
+
+
+class VoteRequest(msgspec.Struct, frozen=True, tag="vote"):
+    """A candidate asks for a vote in ``term``."""
+
+    term: Count
+    last_index: Count
+    last_term: Count
+    pre: bool = False  # only asks whether the vote would be given; nothing is promised
+    transfer: bool = False  # the leader asked the candidate to take over
+    founding: tuple[str, ...] = ()  # the first election of all: the initial voters' names
+
+
+class VoteResponse(msgspec.Struct, frozen=True, tag="voted"):
+    """The answer; ``candidate`` is the one voted for, with its disk."""
+
+    term: Count  # of the request where the vote is granted, of the voter where it is not
+    candidate: Member
+    granted: bool
+    pre: bool = False
+
+
+class AppendRequest(msgspec.Struct, frozen=True, tag="append"):
+    """A leader's entries after ``previous_index``; without entries, a heartbeat."""
+
+    term: Count
+    round: Count
+    previous_index: Count
+    previous_term: Count
+    commit_index: Count
+    entries: tuple[LogEntry, ...] = ()
+
+
+class AppendResponse(msgspec.Struct, frozen=True, tag="appended"):
+    """The answer: the log agrees with the leader's up to ``index``, or may agree at or before it."""
+
+    term: Count
+    round: Count  # of the request
+    index: Count
+    success: bool
+
+
+class SnapshotRequest(msgspec.Struct, frozen=True, tag="snapshot"):
+    """One chunk of the leader's snapshot."""
+
+    term: Count
+    round: Count
+    index: Count  # the last entry that the snapshot contains
+    offset: Count
+    data: bytes
+    done: bool
+
+
+class SnapshotResponse(msgspec.Struct, frozen=True, tag="snapshotted"):
+    """How much of the snapshot has arrived; ``installed`` once it is stored."""
+
+    term: Count
+    round: Count
+    index: Count
+    received: Count
+    installed: bool
+
+
+class TimeoutNow(msgspec.Struct, frozen=True, tag="timeout_now"):
+    """The leader asks the receiver to hold an election at once."""
+
+    term: Count
+
+
+Message = (
+    VoteRequest
+    | VoteResponse
+    | AppendRequest
+    | AppendResponse
+    | SnapshotRequest
+    | SnapshotResponse
+    | TimeoutNow
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with the version of the format and the disk of its sender."""
+
+    version: int
+    incarnation: str
+    message: Message
+
+
+class Unreadable(Exception):
+    """Bytes that are no message of this version."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(incarnation: str, message: Message) -> bytes:
+    """Return the bytes of a message."""
+    return _encoder.encode(Envelope(MESSAGE_VERSION, incarnation, message))
+
+
+def decode(data: bytes) -> Envelope:
+    """Read a message. Raises ``Unreadable``."""
+    try:
+        envelope = _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise Unreadable(str(error)) from None
+    if envelope.version != MESSAGE_VERSION:
+        raise Unreadable(f"version {envelope.version}")
+    message = envelope.message
+    if isinstance(message, AppendRequest):
+        _check_order(message)
+    return envelope
+
+
+def _check_order(message: AppendRequest) -> None:
+    """Guard the log against entries with gaps, or of terms that do not rise."""
+    index, term = message.previous_index, message.previous_term
+    for entry in message.entries:
+        if entry.index != index + 1 or not term <= entry.term <= message.term:
+            raise Unreadable(f"entry {entry.index} of term {entry.term} after {index} of term {term}")
+        index, term = entry.index, entry.term
--- /dev/null
+++ b/merlinbay/control/consensus/reconfiguration.py
@@ -0,0 +1,164 @@
+"""The leader's changes of voters: one at a time, and none before an entry of its own term is committed.
+
+The committed configuration says what is still to be done, so that the next leader goes on where one was lost:
+
+    joining, not caught up      -> wait; it gets the log, but has no vote
+    caught up, replaces a voter -> that one is removed
+    caught up                   -> it becomes a voter
+
+A voter that answers with another disk than the configuration names has lost its own; it is made joining, to
+replace itself. Adding and removing are two entries, since majorities of configurations that differ in two
+voters need not meet.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from merlinbay.control.consensus.core import Core
+from merlinbay.control.consensus.membership import MAX_JOINING, Configuration, Joining, Member
+from merlinbay.control.consensus.progress import Mode
+from merlinbay.control.consensus.replication import Replication
+from merlinbay.control.effects import ProposalDone
+from merlinbay.control.entries import ChangeApplied, ChangeRejected, ChangeUncertain
+
+CAUGHT_UP_ENTRIES = 64  # a joining server may lag by so many: less than a second of a burst
+
+
+@dataclass(slots=True)
+class PendingVoters:
+    """A change of voters that was asked for."""
+
+    token: int
+    add: str | None
+    remove: str | None
+    deadline: float
+    started: bool = False
+
+
+class Reconfiguration:
+    """The changes of voters of one leadership."""
+
+    def __init__(self, core: Core, replication: Replication) -> None:
+        self.core = core
+        self.replication = replication
+        self.pending: PendingVoters | None = None
+
+    def request(self, add: str | None, remove: str | None, token: int) -> ChangeRejected | None:
+        """Take a change of voters; return why not."""
+        configuration = self.core.log.configuration
+        if self.pending is not None:
+            return ChangeRejected("overloaded", "another change of voters is under way")
+        problem = self._problem(configuration, add, remove)
+        if problem:
+            return ChangeRejected("invalid", problem)
+        deadline = self.core.now + self.core.settings.voters_timeout
+        self.pending = PendingVoters(token, add, remove, deadline)
+        return None
+
+    def _problem(self, configuration: Configuration, add: str | None, remove: str | None) -> str:
+        """Return what is wrong with a change, empty where nothing is."""
+        if not add and not remove:
+            return "nobody to add or to remove"
+        if add and add != remove and add in configuration.names:
+            return f"{add} is a voter already"
+        if remove and remove not in configuration.receivers():
+            return f"{remove} is no voter"
+        if remove and configuration.names == (remove,):
+            return f"{remove} is the only voter: add others first"
+        if add and len(configuration.joining) >= MAX_JOINING:
+            return "too many servers are joining"
+        return ""
+
+    def drive(self) -> bool:
+        """Take the next step if there is one; return whether the configuration changed."""
+        core = self.core
+        if not core.own_term_committed or core.log.configuration_index > core.commit_index:
+            return False
+        self._answer_if_done()
+        following = self._requested() or self._lost_disk() or self._joined()
+        if following is None:
+            return False
+        self.replication.append(following)
+        return True
+
+    def _answer_if_done(self) -> None:
+        pending, configuration = self.pending, self.core.log.configuration
+        if pending is None or not pending.started:
+            return
+        if pending.add and pending.add not in configuration.names:
+            return
+        if any(one.name in (pending.add, pending.remove) for one in configuration.joining):
+            return
+        if pending.remove and pending.remove != pending.add and pending.remove in configuration.names:
+            return
+        self.pending = None
+        result = ChangeApplied(self.core.keyspace.revision)
+        self.core.effects.append(ProposalDone(pending.token, result))
+
+    def _requested(self) -> Configuration | None:
+        """Return the first step of the change that was asked for."""
+        pending, configuration = self.pending, self.core.log.configuration
+        if pending is None or pending.started:
+            return None
+        pending.started = True
+        if pending.add:
+            return configuration.with_joining(Joining(pending.add, pending.remove or ""))
+        assert pending.remove is not None
+        return configuration.without(pending.remove)
+
+    def _lost_disk(self) -> Configuration | None:
+        """Return a configuration in which a voter whose disk was lost is joining."""
+        configuration = self.core.log.configuration
+        joining = {one.name for one in configuration.joining}
+        if len(joining) >= MAX_JOINING:
+            return None
+        for member in configuration.members:
+            progress = self.replication.progress.get(member.name)
+            if member.name in joining or progress is None or progress.incarnation == member.incarnation:
+                continue
+            return configuration.with_joining(Joining(member.name, member.name))
+        return None
+
+    def _joined(self) -> Configuration | None:
+        """Return the next step for the first joining server that has caught up."""
+        configuration = self.core.log.configuration
+        for joining in configuration.joining:
+            if not self._caught_up(joining.name):
+                continue
+            incarnation = self.replication.progress[joining.name].incarnation
+            if configuration.admits(joining.name, incarnation):
+                others = tuple(one for one in configuration.joining if one != joining)
+                return Configuration(configuration.members, others)
+            if joining.replaces in configuration.names and len(configuration.members) > 1:
+                return configuration.without_member(joining.replaces)
+            if joining.name not in configuration.names:
+                return configuration.with_member(Member(joining.name, incarnation))
+        return None
+
+    def _caught_up(self, name: str) -> bool:
+        progress = self.replication.progress.get(name)
+        if progress is None or not progress.incarnation or progress.mode is not Mode.REPLICATE:
+            return False
+        log = self.core.log
+        return progress.match_index >= max(log.configuration_index, log.last_index - CAUGHT_UP_ENTRIES)
+
+    def must_step_down(self) -> bool:
+        """Return whether a configuration without this leader is committed."""
+        log = self.core.log
+        return not self.core.is_member and log.configuration_index <= self.core.commit_index
+
+    def next_deadline(self) -> float:
+        """Return when the change has taken too long."""
+        return self.pending.deadline if self.pending is not None else float("inf")
+
+    def expire(self) -> None:
+        """Answer a change that takes too long; the next step may be taken all the same."""
+        if self.pending is not None and self.pending.deadline <= self.core.now:
+            self.give_up()
+
+    def give_up(self) -> None:
+        """Answer as uncertain."""
+        if self.pending is not None:
+            self.core.effects.append(ProposalDone(self.pending.token, ChangeUncertain()))
+            self.pending = None
--- /dev/null
+++ b/merlinbay/control/consensus/records.py
@@ -0,0 +1,151 @@
+"""The durable records of a voter, and the state that they amount to when they are read in order."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from merlinbay.control.consensus.log import Log, LogEntry
+from merlinbay.control.consensus.membership import Configuration, Member
+from merlinbay.control.keyspace import Keyspace, SnapshotError
+
+RECORD_VERSION = 1
+
+
+class CorruptRecords(Exception):
+    """The records are not those of this voter. Its disk counts as lost: start anew on an empty one."""
+
+
+class IdentityRecord(msgspec.Struct, frozen=True, tag="identity"):
+    """The first record of a disk."""
+
+    identity: Member
+    version: int = RECORD_VERSION
+
+
+class TermRecord(msgspec.Struct, frozen=True, tag="term"):
+    """The current term, and the vote in it; stored before either is said."""
+
+    term: int
+    voted_for: Member | None
+
+
+class EntriesRecord(msgspec.Struct, frozen=True, tag="entries"):
+    """Entries, in place of those stored from the first one's index on."""
+
+    commit_index: int  # as known then: what is committed can be applied at once after a start
+    entries: list[LogEntry]
+
+
+class SnapshotData(msgspec.Struct, frozen=True, tag="snapshot"):
+    """The state after the entry at ``index``: what a leader sends to a voter that is far behind."""
+
+    index: int
+    term: int
+    configuration: Configuration
+    keyspace: bytes
+    version: int = RECORD_VERSION
+
+
+class CheckpointRecord(msgspec.Struct, frozen=True, tag="checkpoint"):
+    """All of a voter's state, in place of all records before."""
+
+    identity: Member
+    term: int
+    voted_for: Member | None
+    commit_index: int
+    snapshot: SnapshotData
+    base_index: int  # of the entries: those just before the snapshot are kept too, for voters slightly behind
+    base_term: int
+    base_configuration: Configuration
+    entries: list[LogEntry]
+    version: int = RECORD_VERSION
+
+
+Record = IdentityRecord | TermRecord | EntriesRecord | CheckpointRecord
+
+_encoder = msgspec.msgpack.Encoder()
+_record_decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
+_snapshot_decoder = msgspec.msgpack.Decoder(SnapshotData)
+
+
+def encode_record(record: Record) -> bytes:
+    """Return the bytes of a record."""
+    return _encoder.encode(record)
+
+
+def encode_snapshot(snapshot: SnapshotData) -> bytes:
+    """Return the bytes of a snapshot as they are sent, in chunks."""
+    return _encoder.encode(snapshot)
+
+
+def decode_snapshot(data: bytes) -> tuple[SnapshotData, Keyspace]:
+    """Read a snapshot. Raises ``SnapshotError``."""
+    try:
+        snapshot = _snapshot_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise SnapshotError(str(error)) from None
+    if snapshot.version != RECORD_VERSION:
+        raise SnapshotError(f"version {snapshot.version}, not {RECORD_VERSION}")
+    return snapshot, Keyspace.restore(snapshot.keyspace)
+
+
+@dataclass(slots=True)
+class DurableState:
+    """What a voter must not forget, and what follows from it."""
+
+    identity: Member | None = None  # None: an empty disk
+    term: int = 0
+    voted_for: Member | None = None
+    commit_index: int = 0
+    log: Log = field(default_factory=Log)
+    snapshot: SnapshotData | None = None
+    keyspace: Keyspace = field(default_factory=Keyspace)  # as of the snapshot
+
+    def take(self, record: Record) -> None:
+        """Add the next record."""
+        match record:
+            case IdentityRecord():
+                if self.identity is not None:
+                    raise CorruptRecords("a second identity")
+                self.identity = record.identity
+            case TermRecord():
+                self.term, self.voted_for = record.term, record.voted_for
+            case EntriesRecord():
+                if record.entries:
+                    self.log.truncate_from(record.entries[0].index)
+                self.log.append(record.entries)
+                self.commit_index = max(self.commit_index, record.commit_index)
+            case CheckpointRecord():
+                self._take_checkpoint(record)
+
+    def _take_checkpoint(self, record: CheckpointRecord) -> None:
+        snapshot = record.snapshot
+        self.identity = record.identity
+        self.term, self.voted_for = record.term, record.voted_for
+        self.commit_index = record.commit_index
+        self.snapshot = snapshot
+        self.keyspace = Keyspace.restore(snapshot.keyspace)
+        self.log = Log(record.base_index, record.base_term, record.base_configuration)
+        self.log.append(record.entries)
+
+
+def load(name: str, records: Iterable[bytes]) -> DurableState:
+    """Return the state of the stored records. Raises ``CorruptRecords``."""
+    state = DurableState()
+    try:
+        for data in records:
+            record = _record_decoder.decode(data)
+            if getattr(record, "version", RECORD_VERSION) != RECORD_VERSION:
+                raise CorruptRecords("another version of the format")
+            state.take(record)
+            if state.identity is None:
+                raise CorruptRecords("no identity at the start")
+    except (msgspec.MsgspecError, ValueError) as error:  # of those: gaps in the log, a snapshot's format
+        raise CorruptRecords(str(error)) from None
+    if state.identity is not None and state.identity.name != name:
+        raise CorruptRecords(f"of {state.identity.name}, not of {name}")
+    state.commit_index = min(state.commit_index, state.log.last_index)
+    return state
