--- a/merlinbay/control/consensus/core.py
+++ b/merlinbay/control/consensus/core.py
@@ -66,6 +66,7 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.heard_leader_at = -math.inf
+        self.current_at = -math.inf  # the applied state had all that was committed then, as far as known
         self.election_deadline = math.inf
         self.commit_index = state.snapshot.index if state.snapshot is not None else 0
         if state.identity is None:
--- a/merlinbay/control/consensus/election.py
+++ b/merlinbay/control/consensus/election.py
@@ -55,8 +55,9 @@
         return len(self.granted.intersection(configuration.members)) >= configuration.quorum
 
     def founders(self) -> tuple[Member, ...]:
-        """Return the members of the first configuration: the disks that voted."""
-        return tuple(sorted(self.granted, key=lambda member: member.name))
+        """Return the members of the first configuration: the disks that voted, one of each voter."""
+        by_name = {member.name: member for member in self.granted}
+        return tuple(by_name[name] for name in sorted(by_name))
 
     def on_response(self, sender: Member, response: VoteResponse) -> bool:
         """Count a vote; return whether the election is won by it."""
--- a/merlinbay/control/consensus/messages.py
+++ b/merlinbay/control/consensus/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from merlinbay.control.consensus.log import Count, LogEntry
@@ -9,6 +11,8 @@
 
 MESSAGE_VERSION = 1
 
+Seconds = Annotated[float, msgspec.Meta(ge=0)]
+
 
 class VoteRequest(msgspec.Struct, frozen=True, tag="vote"):
     """A candidate asks for a vote in ``term``."""
@@ -39,6 +43,7 @@
     previous_term: Count
     commit_index: Count
     entries: tuple[LogEntry, ...] = ()
+    age: Seconds = 0.0  # since when the leader has not been confirmed by a majority
 
 
 class AppendResponse(msgspec.Struct, frozen=True, tag="appended"):
--- a/merlinbay/control/consensus/replication.py
+++ b/merlinbay/control/consensus/replication.py
@@ -120,7 +120,9 @@
 
     def _send_append(self, name: str, previous: int, term: int, entries: tuple[LogEntry, ...]) -> None:
         core = self.core
-        core.send(name, AppendRequest(core.term, self.round, previous, term, core.commit_index, entries))
+        age = max(core.now - self.confirmed_at(), 0.0)
+        request = AppendRequest(core.term, self.round, previous, term, core.commit_index, entries, age)
+        core.send(name, request)
 
     def _send_heartbeat(self, name: str, progress: Progress) -> None:
         """Send no entries; its answer shows whether earlier ones were lost."""
@@ -156,10 +158,15 @@
         self.core.send(name, request)
 
     def _repeat_chunk(self, name: str, progress: Progress) -> None:
-        """Send a chunk again that was not answered for long."""
-        transfer = progress.transfer
-        if transfer is not None and self.core.now - transfer.sent_at >= self.core.settings.election_timeout:
-            self._send_chunk(name, transfer)
+        """Send a chunk again that was not answered for long; at the start, that of the newest snapshot."""
+        transfer, snapshot = progress.transfer, self.core.snapshot
+        if transfer is None or snapshot is None:
+            return
+        if self.core.now - transfer.sent_at < self.core.settings.election_timeout:
+            return
+        if not transfer.offset and transfer.index < snapshot.index:
+            transfer = progress.transfer = SnapshotTransfer(snapshot.index, encode_snapshot(snapshot))
+        self._send_chunk(name, transfer)
 
     # Answers.
 
--- a/merlinbay/control/consensus/settings.py
+++ b/merlinbay/control/consensus/settings.py
@@ -41,6 +41,8 @@
     history_revisions: int = 16_384  # deltas of the keyspace that are kept
 
     def __post_init__(self) -> None:
+        if not self.initial_voters or len(set(self.initial_voters)) < len(self.initial_voters):
+            raise ValueError("the initial voters have to be named, each once")
         if not 0 < 2 * self.heartbeat_interval <= min(self.election_timeout, self.lease):
             raise ValueError("two heartbeats have to fit into the election timeout and the lease")
         if self.max_change_bytes > self.max_batch_bytes:
--- a/merlinbay/control/voter.py
+++ b/merlinbay/control/voter.py
@@ -94,6 +94,11 @@
         """Return the names of the voters of the last configuration known, committed or not."""
         return self._core.log.configuration.names
 
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this voter, with the disk that it has, holds a vote as far as it knows."""
+        return self._core.is_member
+
     @property
     def joining(self) -> tuple[str, ...]:
         """Return the names of the servers that catch up to become voters."""
@@ -120,10 +125,11 @@
         return self._core.counters
 
     def age(self, now: float) -> float:
-        """Return for how long ``keyspace`` may be stale: since a leader was last heard."""
+        """Return for how long ``keyspace`` may be stale: since a majority last confirmed its leader."""
+        current_at = self._core.current_at
         if self._leadership is not None:
-            return max(now - self._leadership.replication.confirmed_at(), 0.0)
-        return max(now - self._core.heard_leader_at, 0.0)
+            current_at = self._leadership.replication.confirmed_at()
+        return max(now - current_at, 0.0)
 
     # Events.
 
@@ -166,6 +172,7 @@
         core.heard_leader_at = core.now
         core.restart_election_timer()
         if isinstance(message, AppendRequest):
+            core.current_at = max(core.current_at, core.now - message.age)
             self._following.on_append(sender.name, message)
         else:
             self._following.on_snapshot(sender.name, message)
@@ -348,6 +355,7 @@
 
     def _end(self) -> None:
         if self._leadership is not None and self._core.role is not Role.LEADER:
+            self._core.current_at = self._leadership.replication.confirmed_at()
             self._leadership.give_up()
             self._leadership = None
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,220 +1,332 @@
-"""The rules of Raft, one by one and in a small cluster: decisions of ``merlinbay.control.voter``."""
+"""The rules of Raft, one by one, and in a small cluster: decisions of ``merlinbay.control.voter``."""
 
 from __future__ import annotations
 
-import heapq
-from collections import defaultdict
-from collections.abc import Callable
-from itertools import count
+import math
 from random import Random
 from typing import Any
 
 import pytest
 
+from merlinbay.control.consensus import messages as wire
+from merlinbay.control.consensus import records
 from merlinbay.control.consensus.log import LogEntry
-from merlinbay.control.effects import Effect, Persist, ProposalDone, ReadDone, RevisionAdvanced, Send
-from merlinbay.control.entries import Change, ChangeApplied, ChangeResult
-from merlinbay.control.voter import Role, Voter, VoterSettings
-
-NAMES = ("a", "b", "c", "d", "e")
-
-
-def settings(names: tuple[str, ...] = NAMES, **more: Any) -> VoterSettings:
-    """Return settings that compact early, so that snapshots are sent."""
-    small = {"compact_after_entries": 24, "keep_entries": 8, "max_batch_bytes": 900, "max_change_bytes": 600}
-    return VoterSettings(names, **{**small, **more})
-
-
-class Cluster:
-    """Voters in virtual time, with a network and disks that fail; checks Raft's invariants at each step."""
-
-    def __init__(self, seed: int = 0, names: tuple[str, ...] = NAMES, **more: Any) -> None:
-        self.settings = settings(names, **more)
-        self.rng = Random(seed)
-        self.now = 0.0
-        self.numbers = count(1)
-        self.queue: list[tuple[float, int, str, str, bytes]] = []
-        self.disks: dict[str, list[bytes]] = {}
-        self.voters: dict[str, Voter] = {}
-        self.skew: dict[str, float] = {}
-        self.stopped: dict[str, list[tuple[str, bytes]]] = {}  # with the messages that wait for it
-        self.full: set[str] = set()
-        self.cut: set[tuple[str, str]] = set()  # from, to
-        self.loss = self.twice = 0.0
-        self.delay = 0.02
-        self.sent: dict[str, int] = defaultdict(int)
-        self.results: dict[int, ChangeResult] = {}
-        self.reads: dict[int, ReadDone] = {}
-        self.leaders: dict[int, tuple[str, str]] = {}
-        self.committed: dict[int, LogEntry] = {}
-        self.digests: dict[int, str] = {}
-        self.seen: dict[str, int] = {}
-        for name in names:
-            self.start(name)
-
-    def start(self, name: str) -> Voter:
-        """Start a voter from its disk."""
-        self.skew.setdefault(name, self.rng.uniform(0, 3600))
-        stored = self.disks.setdefault(name, [])
-        voter = Voter(name, self.settings, stored, Random(self.rng.random()), self.clock(name))
-        self.voters[name], self.seen[name] = voter, voter.commit_index
-        self.carry_out(name)
-        return voter
-
-    def clock(self, name: str) -> float:
-        """Return the voter's own time."""
-        return self.now + self.skew[name]
-
-    def crash(self, name: str, lose_disk: bool = False) -> None:
-        """End a voter."""
-        self.voters.pop(name, None)
-        self.stopped.pop(name, None)
-        if lose_disk:
-            self.disks[name] = []
-
-    def wake(self, name: str) -> None:
-        """Let a stopped voter go on, with all that has come in."""
-        for sender, message in self.stopped.pop(name):
-            self.call(name, "receive", sender, message)
-
-    def call(self, name: str, method: str, *values: Any) -> None:
-        """Call a method of a voter, and carry out what follows."""
-        getattr(self.voters[name], method)(self.clock(name), *values)
-        self.carry_out(name)
-
-    def carry_out(self, name: str) -> None:
-        """Do a host's work."""
-        voter = self.voters[name]
-        effects = voter.take_effects()
-        while effects:
-            effect = effects.pop(0)
-            if isinstance(effect, Persist) and name in self.full:
-                voter.storage_failed(self.clock(name), [effect, *effects])
-                effects = voter.take_effects()
-                assert not any(isinstance(one, (Persist, Send)) for one in effects)
-            else:
-                self.do(name, effect)
-        self.check(name, voter)
-
-    def do(self, name: str, effect: Effect) -> None:
-        """Carry out one effect."""
-        match effect:
-            case Persist():
-                self.disks[name] = [*([] if effect.replaces_all else self.disks[name]), effect.record]
-            case Send():
-                self.send(name, effect)
-            case ProposalDone():
-                assert effect.token not in self.results
-                self.results[effect.token] = effect.result
-            case ReadDone():
-                assert effect.token not in self.reads
-                self.reads[effect.token] = effect
-            case RevisionAdvanced():
-                assert effect.revision == self.voters[name].keyspace.revision
-
-    def send(self, name: str, effect: Send) -> None:
-        """Put a message on its way, none, one or two times."""
-        self.sent[name] += 1
-        if (name, effect.receiver) in self.cut or self.rng.random() < self.loss:
-            return
-        for _ in range(2 if self.rng.random() < self.twice else 1):
-            at = self.now + self.delay * self.rng.uniform(0.5, 2)
-            heapq.heappush(self.queue, (at, next(self.numbers), name, effect.receiver, effect.message))
-
-    def check(self, name: str, voter: Voter) -> None:
-        """Check election safety, state machine safety and the digests."""
-        if voter.role is Role.LEADER:
-            leader = (name, voter.incarnation)
-            assert self.leaders.setdefault(voter.term, leader) == leader
-        for index in range(self.seen[name] + 1, voter.commit_index + 1):
-            entry = voter._core.log.get(index)
-            if entry is not None:
-                assert self.committed.setdefault(index, entry) == entry
-        self.seen[name] = voter.commit_index
-        if voter.commit_index:
-            digest = voter.keyspace.digest()
-            assert self.digests.setdefault(voter.commit_index, digest) == digest
-
-    def step(self, until: float) -> bool:
-        """Do the next event; return False where none is left before ``until``."""
-        due = [
-            (voter.next_deadline() - self.skew[name], name)
-            for name, voter in self.voters.items()
-            if name not in self.stopped
-        ]
-        at, name = min(due, default=(until + 1, ""))
-        if self.queue and self.queue[0][0] <= max(at, self.now):
-            at, _, sender, name, message = heapq.heappop(self.queue)
-            if at > until:
-                heapq.heappush(self.queue, (at, next(self.numbers), sender, name, message))
-                return False
-            self.now = max(self.now, at)
-            if name in self.stopped:
-                self.stopped[name].append((sender, message))
-            elif name in self.voters:
-                self.call(name, "receive", sender, message)
-            return True
-        if at > until:
-            return False
-        self.now = max(self.now, at)
-        # A clock's difference is rounded: a tick just before its time would never end.
-        self.now = max(self.now, self.voters[name].next_deadline() - self.skew[name] + 1e-9)
-        self.call(name, "tick")
-        return True
-
-    def run(self, seconds: float, until: Callable[[], object] = lambda: False) -> bool:
-        """Go on for a time, or until something is so; return whether it is."""
-        end = self.now + seconds
-        while not until():
-            if not self.step(end):
-                self.now = end
-                return bool(until())
-        return True
-
-    def leader(self) -> str:
-        """Wait for a leader that has committed an entry of its term; return it."""
-
-        def found() -> list[str]:
-            running = {name: one for name, one in self.voters.items() if name not in self.stopped}
-            leading = [name for name, one in running.items() if one.role is Role.LEADER]
-            top = max((self.voters[name].term for name in leading), default=0)
-            return [
-                name
-                for name in leading
-                if self.voters[name].term == top and self.voters[name]._core.own_term_committed
-            ]
-
-        assert self.run(60, found), "no leader"
-        return found()[0]
-
-    def propose(self, name: str, key: str, value: str = "", **more: Any) -> int:
-        """Propose a change; return its token."""
-        token = next(self.numbers)
-        change_id = more.pop("change_id", f"change-{token}")
-        self.call(name, "propose", Change(change_id, key, value.encode(), **more), token)
-        return token
-
-    def commit(self, key: str, value: str = "", **more: Any) -> ChangeResult:
-        """Propose a change to the leader and wait for the answer."""
-        token = self.propose(self.leader(), key, value, **more)
-        assert self.run(10, lambda: token in self.results)
-        return self.results[token]
-
-    def read(self, name: str, key: str) -> int:
-        """Ask for a read; return its token."""
-        token = next(self.numbers)
-        self.call(name, "read", key, token)
-        return token
-
-    def cut_off(self, side: set[str]) -> None:
-        """Cut all links between ``side`` and the others."""
-        others = set(self.disks) - side
-        self.cut |= {(one, other) for one in side for other in others}
-        self.cut |= {(other, one) for one in side for other in others}
-
-
-def test_leader_and_commit() -> None:
-    """One leader; all apply the same; idle traffic is heartbeats only."""
+from merlinbay.control.consensus.membership import Configuration, Member
+from merlinbay.control.effects import Persist, ProposalDone, Send
+from merlinbay.control.entries import Change, ChangeApplied, ChangeRejected, ChangeResult, ChangeUncertain
+from merlinbay.control.voter import CorruptRecords, Role, Voter, VoterSettings
+from tests.consensus_cluster import NAMES, Cluster, Trouble, settings
+
+LATER = 100.0  # past each election timeout
+
+
+def disk(name: str) -> Member:
+    """Return a voter's identity."""
+    return Member(name, f"disk-{name}")
+
+
+def entry(index: int, term: int) -> LogEntry:
+    """Return an entry that tells its place."""
+    return LogEntry(index, term, Change(f"{index}-{term}", "k", b"x"))
+
+
+def stored(*terms: int, term: int = 0, commit: int = 0, me: str = "a", names: str = "abc") -> list[bytes]:
+    """Return the records of a log: a configuration, and entries of these terms after it."""
+    first = LogEntry(1, 1, Configuration(tuple(disk(name) for name in names)))
+    entries = [first, *(entry(index, one) for index, one in enumerate(terms, 2))]
+    found: list[records.Record] = [
+        records.IdentityRecord(disk(me)),
+        records.TermRecord(max(term, *terms, 1), None),
+        records.EntriesRecord(commit, entries),
+    ]
+    return [records.encode_record(record) for record in found]
+
+
+class Lone:
+    """One voter whose peers are played by the test."""
+
+    def __init__(self, kept: list[bytes], name: str = "a", **more: Any) -> None:
+        self.kept, self.now = kept, 0.0
+        self.voter = Voter(name, settings(("a", "b", "c"), **more), kept, Random(1), 0.0)
+        self.answers: dict[int, ChangeResult] = {}
+        self.take()
+
+    def take(self) -> list[tuple[str, wire.Message]]:
+        """Carry the effects out; return what is sent, of which nothing precedes what it rests on."""
+        sent: list[tuple[str, wire.Message]] = []
+        for effect in self.voter.take_effects():
+            if isinstance(effect, Persist):
+                self.kept = [*([] if effect.replaces_all else self.kept), effect.record]
+            elif isinstance(effect, ProposalDone):
+                self.answers[effect.token] = effect.result
+            elif isinstance(effect, Send):
+                sent.append((effect.receiver, wire.decode(effect.message).message))
+                self.check_stored(sent[-1][1])
+        return sent
+
+    def check_stored(self, message: wire.Message) -> None:
+        """Check that what a message says would survive a crash now."""
+        state = records.load("a", self.kept)
+        match message:
+            case wire.VoteResponse(granted=True, pre=False):
+                assert (state.term, state.voted_for) == (message.term, message.candidate)
+            case wire.VoteRequest(pre=False):
+                assert (state.term, state.voted_for) == (message.term, disk("a"))
+            case wire.AppendResponse(success=True):
+                assert state.log.last_index >= message.index
+            case wire.AppendRequest(entries=(*_, last)):
+                assert state.log.last_index >= last.index
+
+    def say(self, sender: str, message: wire.Message, incarnation: str = "") -> list[Any]:
+        """Give it a message; return what it sends back."""
+        self.voter.receive(self.now, sender, wire.encode(incarnation or f"disk-{sender}", message))
+        return [sent for receiver, sent in self.take() if receiver == sender]
+
+    def append(
+        self, previous: tuple[int, int], *entries: LogEntry, term: int = 9, commit: int = 0
+    ) -> wire.AppendResponse:
+        """Send it entries as leader ``b``; return its answer."""
+        (answer,) = self.say("b", wire.AppendRequest(term, 1, *previous, commit, entries))
+        assert isinstance(answer, wire.AppendResponse)
+        return answer
+
+    def terms(self) -> list[int]:
+        """Return the terms in its log."""
+        return [one.term for one in self.voter._core.log.entries_from(1)]
+
+    @property
+    def roles(self) -> list[Role]:
+        """Return its role."""
+        return [self.voter.role]
+
+    def lead(self) -> None:
+        """Let it win an election by the vote of ``b``."""
+        self.now = LATER
+        self.voter.tick(self.now)
+        for pre in (True, False):
+            term = self.voter.term + pre
+            self.say("b", wire.VoteResponse(term, disk("a"), True, pre))
+        assert self.voter.role is Role.LEADER
+
+    def acknowledge(self, sender: str, index: int, incarnation: str = "") -> list[Any]:
+        """Answer as a follower whose log agrees up to ``index``."""
+        leadership = self.voter._leadership
+        assert leadership is not None
+        answer = wire.AppendResponse(self.voter.term, leadership.replication.round, index, True)
+        return self.say(sender, answer, incarnation)
+
+
+# Votes.
+
+
+def test_one_vote_a_term_also_after_a_restart() -> None:
+    """The same candidate gets it again; another one, and the same name with another disk, do not."""
+    lone = Lone(stored())
+    lone.now = LATER
+    assert lone.say("b", wire.VoteRequest(5, 9, 4)) == [wire.VoteResponse(5, disk("b"), True)]
+    for one in (lone, Lone(lone.kept)):
+        one.now = 2 * LATER
+        assert one.say("c", wire.VoteRequest(5, 9, 4))[0].granted is False
+        assert one.say("b", wire.VoteRequest(5, 9, 4), "disk-b2")[0].granted is False
+        assert one.say("b", wire.VoteRequest(5, 9, 4))[0].granted is True
+
+
+@pytest.mark.parametrize("pre", [True, False])
+@pytest.mark.parametrize(
+    ("last_index", "last_term", "granted"),
+    [(4, 3, True), (5, 3, True), (3, 4, True), (3, 3, False), (9, 2, False)],
+)
+def test_a_vote_needs_an_up_to_date_log(last_index: int, last_term: int, granted: bool, pre: bool) -> None:
+    """By last term, then by length."""
+    lone = Lone(stored(1, 2, 3))
+    lone.now = LATER
+    assert lone.say("b", wire.VoteRequest(7, last_index, last_term, pre))[0].granted is granted
+
+
+def test_a_preliminary_vote_promises_nothing() -> None:
+    """It neither changes the term nor keeps the voter from voting for others."""
+    lone = Lone(stored(term=4))
+    lone.now = LATER
+    assert lone.say("b", wire.VoteRequest(5, 9, 4, pre=True))[0].granted is True
+    assert lone.say("b", wire.VoteRequest(4, 9, 4, pre=True))[0].granted is False
+    assert lone.voter.term == 4
+    assert lone.say("c", wire.VoteRequest(5, 9, 4))[0].granted is True
+
+
+def test_who_hears_a_leader_votes_for_nobody_else() -> None:
+    """Its term stays too; a transfer that the leader asked for is an exception."""
+    lone = Lone(stored())
+    lone.append((1, 1))
+    for pre in (True, False):
+        assert lone.say("c", wire.VoteRequest(12, 9, 9, pre))[0].granted is False
+    assert lone.voter.term == 9
+    assert lone.say("c", wire.VoteRequest(12, 9, 9, transfer=True))[0].granted is True
+
+
+@pytest.mark.parametrize(
+    "sender, incarnation, candidate, term",
+    [
+        ("c", "disk-c2", disk("a"), 2),  # its disk was lost: not the voter that the log names
+        ("x", "disk-x", disk("a"), 2),
+        ("c", "disk-c", Member("a", "disk-a0"), 2),  # for the disk that the candidate has lost
+        ("c", "disk-c", disk("a"), 1),
+    ],
+)
+def test_a_vote_that_does_not_count(sender: str, incarnation: str, candidate: Member, term: int) -> None:
+    """Only those of the configuration's disks, for this candidacy."""
+    lone = Lone(stored())
+    lone.now = LATER
+    lone.voter.tick(LATER)
+    lone.say("b", wire.VoteResponse(2, disk("a"), True, pre=True))
+    assert lone.roles == [Role.CANDIDATE]
+    lone.say(sender, wire.VoteResponse(term, candidate, True), incarnation)
+    assert lone.roles == [Role.CANDIDATE]
+    lone.say("c", wire.VoteResponse(2, disk("a"), True))
+    assert lone.roles == [Role.LEADER]
+
+
+# Entries.
+
+
+def test_append_checks_the_entry_before() -> None:
+    """Where it lacks or differs, the answer tells where the logs may agree; an old leader learns the term."""
+    lone = Lone(stored(1, 3, 3, 3))
+    assert lone.append((9, 8)) == wire.AppendResponse(9, 1, 5, False)
+    assert lone.append((5, 4)) == wire.AppendResponse(9, 1, 2, False)
+    assert lone.terms() == [1, 1, 3, 3, 3]
+    assert lone.append((5, 3), term=8) == wire.AppendResponse(9, 1, 0, False)
+
+
+def test_append_replaces_only_what_differs() -> None:
+    """A message that comes late and ends early removes nothing."""
+    lone = Lone(stored(1, 2, 2))
+    assert lone.append((1, 1), entry(2, 1)) == wire.AppendResponse(9, 1, 2, True)
+    assert lone.terms() == [1, 1, 2, 2]
+    assert lone.append((2, 1), entry(3, 4), entry(4, 5)).index == 4
+    assert lone.terms() == [1, 1, 4, 5]
+    assert Lone(lone.kept).terms() == [1, 1, 4, 5]
+
+
+def test_commit_goes_no_further_than_what_agrees() -> None:
+    """Entries after the message's last are perhaps not the leader's."""
+    lone = Lone(stored(1, 2, 2))
+    lone.append((1, 1), entry(2, 1), commit=4)
+    assert (lone.voter.commit_index, lone.voter.keyspace.revision) == (2, 1)
+    lone.append((0, 0))  # a repeat from before
+    assert (lone.voter.commit_index, lone.terms()) == (2, [1, 1, 2, 2])
+
+
+def test_a_leader_commits_only_by_entries_of_its_term() -> None:
+    """Figure 3.7: an old entry on a majority may still be replaced."""
+    lone = Lone(stored(2))
+    lone.lead()
+    assert lone.voter.term == 3
+    lone.acknowledge("b", 2)
+    assert lone.voter.commit_index == 0
+    lone.acknowledge("b", 3)
+    assert lone.voter.commit_index == 3
+
+
+def test_an_acknowledgement_counts_for_its_disk_only() -> None:
+    """Another disk of the same name starts from nothing; a late answer of the lost one is dropped."""
+    lone = Lone(stored())
+    lone.lead()
+    lone.acknowledge("b", 2, "disk-b2")
+    assert lone.voter.commit_index == 0
+    lone.acknowledge("b", 2)
+    assert lone.voter.commit_index == 0
+    lone.acknowledge("c", 2)
+    assert lone.voter.commit_index == 2 and lone.voter.joining == ("b",)
+
+
+def test_messages_are_bounded_and_sent_ahead() -> None:
+    """Batches by bytes; no more unanswered ones than allowed."""
+    lone = Lone(stored(), max_messages_in_flight=3)
+    lone.lead()
+    lone.acknowledge("b", 2)
+    for token in range(40):
+        lone.voter.propose(lone.now, Change(f"{token}", "k", bytes(400)), token)
+    sent = [message for receiver, message in lone.take() if receiver == "b"]
+    assert [len(one.entries) for one in sent if isinstance(one, wire.AppendRequest)] == [1, 1, 1]
+    assert all(len(wire.encode("", one)) < 1200 for one in sent)
+
+
+@pytest.mark.parametrize("term", [9, 10])
+def test_a_leader_gives_way_to_a_newer_term_only(term: int) -> None:
+    """Another leader of the same term cannot be: dropped and counted."""
+    lone = Lone(stored(term=8))
+    lone.lead()
+    lone.voter.propose(lone.now, Change("1", "k", b""), 1)
+    lone.append((1, 1), term=term) if term > 9 else lone.say("b", wire.AppendRequest(9, 1, 1, 1, 0))
+    assert lone.voter.role is (Role.FOLLOWER if term > 9 else Role.LEADER)
+    assert lone.answers == ({1: ChangeUncertain()} if term > 9 else {})
+    assert lone.voter.counters.impossible_messages == (term == 9)
+
+
+# Requests.
+
+
+@pytest.mark.parametrize(
+    "change, reason",
+    [
+        (Change("", "k", b""), "invalid"),
+        (Change("1", "", b""), "invalid"),
+        (Change("1", "\ud800", b""), "invalid"),
+        (Change("1", "k", bytes(601)), "invalid"),
+        (Change("1", "k", b"", -1), "invalid"),
+        (Change("1", "k", b""), "overloaded"),
+    ],
+)
+def test_a_change_is_rejected_at_once(change: Change, reason: str) -> None:
+    """Before it costs anything."""
+    lone = Lone(stored(), max_proposals=2)
+    lone.lead()
+    lone.voter.propose(lone.now, Change("a", "k", b""), 1)
+    lone.voter.propose(lone.now, Change("b", "k", b""), 2)
+    lone.voter.propose(lone.now, change, 3)
+    lone.take()
+    result = lone.answers[3]
+    assert isinstance(result, ChangeRejected) and result.reason == reason
+
+
+def test_a_request_that_takes_long_is_answered() -> None:
+    """Also while a majority confirms the leader, but stores nothing."""
+    cluster = Cluster(names=("a", "b", "c"))
+    leader = cluster.leader()
+    token = cluster.propose(leader, "k")
+    leadership = cluster.voters[leader]._leadership
+    assert leadership is not None
+    for progress in leadership.replication.progress.values():
+        progress.probe_sent = True
+    leadership.replication.committable = lambda: 0  # type: ignore[method-assign]
+    assert cluster.run(4, lambda: token in cluster.results)
+    assert cluster.results[token] == ChangeUncertain()
+
+
+def test_repeats_and_compare_and_set() -> None:
+    """A repeat gets the first answer, a conflict too; of two changes of one revision, one wins."""
+    cluster = Cluster()
+    assert cluster.commit("k", "1", change_id="x") == ChangeApplied(1)
+    assert cluster.commit("k", "2", expected_revision=0, change_id="y") == ChangeRejected(
+        "conflict", current_revision=1
+    )
+    leader = cluster.leader()
+    tokens = [cluster.propose(leader, "k", str(number), expected_revision=1) for number in (3, 4)]
+    tokens += [cluster.propose(leader, "k", "1", change_id="x"), cluster.propose(leader, "k", change_id="y")]
+    cluster.run(1)
+    assert [cluster.results[token] for token in tokens] == [
+        ChangeApplied(2),
+        ChangeRejected("conflict", current_revision=2),
+        ChangeApplied(1),
+        ChangeRejected("conflict", current_revision=1),
+    ]
+
+
+# A cluster in trouble.
+
+
+def test_idle_traffic_is_heartbeats_and_a_leader_is_replaced_soon() -> None:
+    """Five a second to each; a new leader within twice the election timeout and some round trips."""
     cluster = Cluster()
     assert cluster.commit("k", "1") == ChangeApplied(1)
     cluster.run(1)
@@ -223,140 +335,290 @@
     cluster.run(10)
     leader = cluster.leader()
     assert all(45 <= sent <= 55 for name, sent in cluster.sent.items() if name != leader)
+    cluster.crash(leader)
+    before = cluster.now
+    assert cluster.leader() != leader and cluster.now - before < 3.0
+
+
+@pytest.mark.parametrize("request_first", [True, False])
+def test_a_leader_stopped_for_20_s_and_woken(request_first: bool) -> None:
+    """It answers no read from its old state, whether what came in meanwhile is seen before or after."""
+    cluster = Cluster(names=("a", "b", "c"))
+    cluster.commit("k", "old")
+    leader = cluster.leader()
+    before = [cluster.read(leader, "k"), cluster.propose(leader, "k", "before")]
+    cluster.stopped[leader] = []
+    cluster.run(20)
+    assert isinstance(cluster.commit("k", "new"), ChangeApplied)
+    cluster.cut_off({leader})
+    waiting, cluster.stopped[leader] = cluster.stopped[leader], []
+    if not request_first:
+        cluster.stopped[leader] = waiting
+    cluster.wake(leader)
+    after = [cluster.read(leader, "k"), cluster.propose(leader, "k", "late")]
+    cluster.run(0)
+    assert cluster.reads[before[0]].failed and cluster.reads[after[0]].failed
+    assert cluster.results[before[1]] == ChangeUncertain()
+    assert isinstance(cluster.results[after[1]], ChangeRejected)
+
+
+def test_a_read_waits_for_a_round_that_began_after_it() -> None:
+    """Answers to earlier heartbeats confirm nothing, though the lease still holds."""
+    cluster = Cluster(names=("a", "b", "c"))
+    cluster.commit("k", "1")
+    leader = cluster.leader()
+    cluster.run(1)
+    cluster.cut_off({leader})
+    token = cluster.read(leader, "k")
+    assert cluster.voters[leader].lease_until > cluster.clock(leader) and token not in cluster.reads
+    assert cluster.run(2, lambda: token in cluster.reads) and cluster.reads[token].failed
+
 
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_leader_cut_one_way(heard: bool) -> None:
+    """Whether it only hears or is only heard: another one takes over, and changes go on."""
+    cluster = Cluster()
+    leader = cluster.leader()
+    others = set(NAMES) - {leader}
+    cluster.cut = {(leader, one) if not heard else (one, leader) for one in others}
+    assert cluster.run(4, lambda: cluster.voters[leader].role is not Role.LEADER)
+    assert cluster.commit("k") == ChangeApplied(1)
 
-class Trouble:
-    """A seeded stretch of everything that may go wrong, with clients; a minority of disks is lost."""
-
-    def __init__(self, seed: int, names: tuple[str, ...]) -> None:
-        self.rng = Random(f"trouble {seed}")
-        self.cluster = Cluster(seed, names)
-        self.cluster.loss, self.cluster.twice = self.rng.choice([0, 0.02, 0.1]), self.rng.choice([0, 0.05])
-        self.lost: set[str] = set()  # disks, until the voter is admitted again
-        self.acknowledged: dict[str, int] = {}  # by id
-        self.open: dict[int, Change] = {}  # by token
-        self.reading: dict[int, int] = {}  # token, and the revision that a read must reach
-
-    def play(self, steps: int) -> None:
-        """Make trouble, and check what clients were told."""
-        for _ in range(steps):
-            action = self.rng.choice(
-                [self.propose] * 8 + [self.read] * 4 + [self.crash, self.stop, self.cut, self.heal, self.fill]
-            )
-            action()
-            self.cluster.run(self.rng.choice([0.01, 0.05, 0.3, 1.0]))
-            self.look()
-        self.settle()
-
-    def propose(self) -> None:
-        """Propose a new change, or repeat an old one, at any voter."""
-        running = [name for name in self.cluster.voters if name not in self.cluster.stopped]
-        if not running:
-            return
-        token = next(self.cluster.numbers)
-        old = list(self.open.values())
-        expected = self.rng.choice([None, None, self.cluster.voters[running[0]].keyspace.key_revision("k1")])
-        change = Change(f"id-{token}", f"k{token % 3}", bytes(self.rng.randrange(200)), expected)
-        if old and self.rng.random() < 0.2:
-            change = self.rng.choice(old)
-        self.open[token] = change
-        leading = [name for name in running if self.cluster.voters[name].role is Role.LEADER]
-        self.cluster.call(self.rng.choice(leading or running), "propose", change, token)
-
-    def read(self) -> None:
-        """Read at any voter."""
-        running = [name for name in self.cluster.voters if name not in self.cluster.stopped]
-        if running:
-            token = self.cluster.read(self.rng.choice(running), "k1")
-            self.reading[token] = max(self.acknowledged.values(), default=0)
-
-    def crash(self) -> None:
-        """End a voter, some with its disk, and start one that is down."""
-        cluster = self.cluster
-        down = sorted(set(cluster.disks) - set(cluster.voters))
-        if down:
-            cluster.start(self.rng.choice(down))
-            return
-        name = self.rng.choice(sorted(cluster.disks))
-        again = {one for one in self.lost if one in cluster.voters and cluster.voters[one]._core.is_member}
-        settled = all(not voter.joining for voter in cluster.voters.values())
-        self.lost -= again if settled else set()
-        may_lose = len(self.lost | {name}) <= (len(cluster.disks) - 1) // 2 and len(cluster.committed) > 0
-        lose = may_lose and self.rng.random() < 0.4
-        self.lost |= {name} if lose else set()
-        cluster.crash(name, lose)
-
-    def stop(self) -> None:
-        """Stop a voter, or let it go on."""
-        cluster = self.cluster
-        if cluster.stopped:
-            cluster.wake(self.rng.choice(sorted(cluster.stopped)))
-        elif cluster.voters:
-            cluster.stopped[self.rng.choice(sorted(cluster.voters))] = []
-
-    def cut(self) -> None:
-        """Cut links one way, or two sides from each other."""
-        names = sorted(self.cluster.disks)
-        if self.rng.random() < 0.5:
-            self.cluster.cut.add((self.rng.choice(names), self.rng.choice(names)))
-        else:
-            self.cluster.cut_off(set(self.rng.sample(names, self.rng.randrange(1, len(names)))))
-
-    def heal(self) -> None:
-        """Join all links again."""
-        self.cluster.cut.clear()
-
-    def fill(self) -> None:
-        """Fill a disk, or make room and start the voter from its records."""
-        cluster = self.cluster
-        if cluster.full:
-            name = cluster.full.pop()
-            if name in cluster.voters and cluster.voters[name].role is Role.STORAGE_FAILED:
-                cluster.crash(name)
-                cluster.start(name)
-        else:
-            cluster.full.add(self.rng.choice(sorted(cluster.disks)))
-
-    def look(self) -> None:
-        """Take the answers."""
-        for token in sorted(self.open.keys() & self.cluster.results.keys()):
-            change, result = self.open.pop(token), self.cluster.results[token]
-            if isinstance(result, ChangeApplied):
-                assert self.acknowledged.setdefault(change.change_id, result.revision) == result.revision
-        for token in sorted(self.reading.keys() & self.cluster.reads.keys()):
-            done = self.cluster.reads[token]
-            assert done.failed or done.revision >= self.reading[token]
-            del self.reading[token]
-
-    def settle(self) -> None:
-        """Repair everything: all come to one state, with all that was acknowledged, once."""
-        cluster = self.cluster
-        cluster.cut.clear()
-        cluster.full.clear()
-        cluster.loss = cluster.twice = 0
-        for name in sorted(cluster.stopped):
-            cluster.wake(name)
-        for name in sorted(cluster.disks):
-            if name not in cluster.voters or cluster.voters[name].role is Role.STORAGE_FAILED:
-                cluster.crash(name)
-                cluster.start(name)
-        assert cluster.run(90, self.is_settled), "not settled"
-        cluster.run(1)
-        self.look()
-        assert len({voter.keyspace.digest() for voter in cluster.voters.values()}) == 1
-        applied = [
-            one.command for _, one in sorted(cluster.committed.items()) if isinstance(one.command, Change)
-        ]
-        assert {change.change_id for change in applied} >= self.acknowledged.keys()
-
-    def is_settled(self) -> bool:
-        """Return whether all are voters again, with the same log."""
-        voters = self.cluster.voters.values()
-        return (
-            all(voter._core.is_member and not voter.joining for voter in voters)
-            and len({(voter.commit_index, voter.last_index) for voter in voters}) == 1
-            and any(voter.role is Role.LEADER for voter in voters)
-        )
+
+def test_a_voter_that_does_not_hear_the_leader_disturbs_nobody() -> None:
+    """The term stays, during the cut and after."""
+    cluster = Cluster()
+    leader = cluster.leader()
+    cut = next(name for name in NAMES if name != leader)
+    term = cluster.voters[leader].term
+    cluster.cut = {(leader, cut)}
+    cluster.run(20)
+    assert cluster.voters[cut].leader == ""
+    cluster.cut.clear()
+    cluster.run(5)
+    assert (cluster.leader(), cluster.voters[leader].term) == (leader, term)
+    assert cluster.voters[cut].leader == leader
+
+
+def test_a_side_without_a_majority_rejects_and_tells_its_age() -> None:
+    """Within a lease and two election timeouts; after an hour, both sides come to one state."""
+    cluster = Cluster(names=tuple("abcdefg"), heartbeat_interval=2.0, election_timeout=7.0, lease=7.0)
+    cluster.commit("k", "1")
+    leader = cluster.leader()
+    side = {leader, *[name for name in "abcdefg" if name != leader][:2]}
+    cluster.cut_off(side)
+    late = cluster.propose(leader, "k", "uncertain")
+    cluster.run(21.1)
+    assert cluster.results[late] == ChangeUncertain()
+    for name in sorted(side):
+        result = cluster.results[cluster.propose(name, "k")]
+        assert isinstance(result, ChangeRejected) and result.reason == "no_quorum"
+        assert cluster.reads[cluster.read(name, "k")].failed
+    cluster.run(3600)
+    assert all(3621 < cluster.voters[name].age(cluster.clock(name)) < 3624 for name in side)
+    value = cluster.voters[leader].keyspace.get("k")
+    assert value is not None and value.value == b"1"
+    assert cluster.commit("k", "2") == ChangeApplied(2)
+    cluster.cut.clear()
+    cluster.run(30)
+    assert {voter.keyspace.revision for voter in cluster.voters.values()} == {2}
+
+
+def test_two_lost_disks_of_five_are_readmitted_without_a_second_vote() -> None:
+    """They are other voters until the log says so; then they hold all again."""
+    cluster = Cluster()
+    for number in range(60):
+        cluster.commit("k", f"{number}")
+    leader = cluster.leader()
+    lost = [name for name in NAMES if name != leader][:2]
+    for name in lost:
+        cluster.crash(name, lose_disk=True)
+        assert not cluster.start(name).is_voter
+    assert cluster.run(20, lambda: all(cluster.voters[name].is_voter for name in lost))
+    cluster.run(2)
+    assert {voter.keyspace.revision for voter in cluster.voters.values()} == {60}
+    assert all(cluster.voters[name].counters.snapshots_installed for name in lost)
+    cluster.crash(leader)
+    assert cluster.leader() != leader and set(cluster.voters[lost[0]].voters) == set(NAMES)
+
+
+def test_the_first_election_needs_all_and_is_never_repeated() -> None:
+    """A minority that knows nothing, and a majority that has lost its disks, form no second one."""
+    cluster = Cluster(names=("a", "b", "c"))
+    cluster.crash("c")
+    cluster.run(20)
+    assert not cluster.leaders
+    cluster.start("c")
+    assert cluster.commit("k", "1") == ChangeApplied(1)
+    for name in ("a", "b"):
+        cluster.crash(name, lose_disk=True)
+        cluster.start(name)
+    terms = set(cluster.leaders)
+    cluster.run(60)
+    assert set(cluster.leaders) == terms and cluster.commit_count() == 1
+
+
+def test_a_full_disk_at_one_voter() -> None:
+    """It says nothing more, its clients get an answer, and it comes back from its records."""
+    cluster = Cluster(names=("a", "b", "c"))
+    cluster.commit("k", "1")
+    leader = cluster.leader()
+    cluster.full.add(leader)
+    token, read = cluster.propose(leader, "k", "2"), cluster.read(leader, "k")
+    voter = cluster.voters[leader]
+    assert voter.role is Role.STORAGE_FAILED and voter.next_deadline() == math.inf
+    assert cluster.results[token] == ChangeUncertain() and cluster.reads[read].failed
+    assert cluster.commit("k", "3") == ChangeApplied(2)
+    cluster.full.clear()
+    cluster.crash(leader)
+    cluster.start(leader)
+    cluster.run(2)
+    assert cluster.voters[leader].keyspace.revision == 2
+
+
+def test_storage_that_fails_takes_back_what_was_not_said() -> None:
+    """A commit that rests on what is not stored is uncertain; a rejection stands."""
+    voter = Voter("a", settings(("a",)), [], Random(1), 0.0)
+    voter.tick(LATER)
+    voter.take_effects()
+    voter.propose(LATER, Change("1", "k", b""), 1)
+    voter.propose(LATER, Change("2", "", b""), 2)
+    effects = voter.take_effects()
+    assert ProposalDone(1, ChangeApplied(1)) in effects
+    voter.storage_failed(LATER, effects)
+    answers = {one.token: one.result for one in voter.take_effects() if isinstance(one, ProposalDone)}
+    assert answers[1] == ChangeUncertain() and isinstance(answers[2], ChangeRejected)
+
+
+# Voters.
+
+
+def change(cluster: Cluster, add: str | None, remove: str | None) -> ChangeResult:
+    """Change the voters at the leader; return the answer."""
+    leader, token = cluster.leader(), next(cluster.numbers)
+    cluster.call(leader, "change_voters", add, remove, token)
+    assert cluster.run(70, lambda: token in cluster.results)
+    return cluster.results[token]
+
+
+def test_voters_are_added_removed_and_replaced() -> None:
+    """Also the leader; the one removed stands in no more elections."""
+    cluster = Cluster(names=("a", "b", "c"))
+    for number in range(50):
+        cluster.commit("k", f"{number}")
+    cluster.start("d")
+    assert change(cluster, "d", None) == ChangeApplied(50)
+    assert cluster.voters[cluster.leader()].voters == ("a", "b", "c", "d")
+    cluster.start("e")
+    removed = next(name for name in "abc" if name != cluster.leader())
+    assert change(cluster, "e", removed) == ChangeApplied(50)
+    leader = cluster.leader()
+    assert change(cluster, None, leader) == ChangeApplied(50)
+    assert cluster.leader() != leader
+    cluster.run(20)
+    assert not {cluster.leader()} & {leader, removed}
+    assert cluster.voters[cluster.leader()].voters == tuple(sorted(set("abcde") - {leader, removed}))
+    assert cluster.commit("k") == ChangeApplied(51)
+
+
+@pytest.mark.parametrize(
+    "add, remove, reason",
+    [(None, None, "invalid"), ("b", None, "invalid"), (None, "x", "invalid"), ("d", None, "overloaded")],
+)
+def test_a_change_of_voters_is_rejected(add: str | None, remove: str | None, reason: str) -> None:
+    """One at a time, and only one that makes sense."""
+    cluster = Cluster(names=("a", "b", "c"))
+    if reason == "overloaded":
+        cluster.call(cluster.leader(), "change_voters", "x", None, next(cluster.numbers))
+    result = change(cluster, add, remove)
+    assert isinstance(result, ChangeRejected) and result.reason == reason
+
+
+def test_no_change_of_voters_before_an_entry_of_the_own_term_is_committed() -> None:
+    """Ongaro's correction of 2015: the last leader's change may still be there."""
+    lone = Lone(stored())
+    lone.lead()
+    lone.voter.change_voters(lone.now, None, "c", 1)
+    lone.take()
+    assert "c" in lone.voter.voters
+    lone.acknowledge("b", 2)
+    assert "c" not in lone.voter.voters and 1 not in lone.answers
+    lone.acknowledge("b", 3)
+    assert lone.answers[1] == ChangeApplied(0)
+
+
+def test_leadership_is_handed_over() -> None:
+    """Without an election timeout's wait, and nothing is lost."""
+    cluster = Cluster()
+    cluster.commit("k")
+    leader, before = cluster.leader(), cluster.now
+    cluster.call(leader, "transfer_leadership")
+    result = cluster.results[cluster.propose(leader, "k")]
+    assert isinstance(result, ChangeRejected) and result.reason == "overloaded"
+    assert cluster.run(0.3, lambda: cluster.leader() != leader) and cluster.now - before < 0.3
+
+
+# What is stored and sent.
+
+
+def test_what_cannot_be_read_is_dropped_and_counted() -> None:
+    """Any bytes, other versions, entries with gaps; the voter goes on."""
+    lone, rng = Lone(stored(1, 2), max_batch_bytes=2000), Random(3)
+    request = wire.AppendRequest(9, 1, 2, 1, 0, (entry(3, 2), entry(5, 2)))
+    whole = wire.encode("disk-b", wire.AppendRequest(9, 1, 2, 1, 0, (entry(3, 2),)))
+    bad = [b"", b"\xc1", wire.encode("disk-b", request), b"\x93\x02" + whole[2:]]
+    for message in bad:
+        lone.voter.receive(0.0, "b", message)
+    assert lone.voter.counters.unreadable_messages == len(bad) and lone.take() == []
+    for _ in range(2000):
+        spoilt = bytearray(whole)
+        for _ in range(rng.randrange(1, 4)):
+            spoilt[rng.randrange(len(spoilt))] = rng.randrange(256)
+        lone.voter.receive(0.0, "b", bytes(spoilt))
+        lone.voter.take_effects()
+
+
+@pytest.mark.parametrize(
+    "kept",
+    [
+        [b"junk"],
+        stored()[1:],
+        stored(me="b"),
+        [*stored(), *stored()[:1]],
+        [*stored(), records.encode_record(records.EntriesRecord(0, [entry(7, 1)]))],
+        [records.encode_record(records.IdentityRecord(disk("a"), version=2))],
+    ],
+)
+def test_records_that_are_not_its_own(kept: list[bytes]) -> None:
+    """The host is told; it takes the disk as lost."""
+    with pytest.raises(CorruptRecords):
+        Voter("a", settings(("a", "b", "c")), kept, Random(1), 0.0)
+
+
+def test_a_follower_whose_batches_were_lost_and_compacted_gets_the_snapshot() -> None:
+    """Also where the window of unanswered batches was full."""
+    cluster = Cluster(names=("a", "b", "c"), max_messages_in_flight=2)
+    leader = cluster.leader()
+    cluster.run(1)
+    behind = next(name for name in "abc" if name != leader)
+    cluster.cut = {(leader, behind)}
+    for number in range(80):
+        cluster.commit("k", f"{number}")
+    cluster.cut.clear()
+    cluster.run(5)
+    assert cluster.voters[behind].keyspace.revision == 80
+    assert cluster.voters[behind].counters.snapshots_installed == 1
+    assert len(cluster.disks[leader]) < 80
+
+
+@pytest.mark.parametrize(
+    "more",
+    [{"heartbeat_interval": 0.4}, {"max_change_bytes": 2000}, {"keep_entries": 24}, {"initial_voters": ()}],
+)
+def test_settings_that_cannot_work(more: dict[str, Any]) -> None:
+    """Said when they are read."""
+    with pytest.raises(ValueError):
+        settings(**{"names": NAMES, **more}) if "initial_voters" not in more else VoterSettings(())
 
 
 @pytest.mark.parametrize("seed", range(12))
