--- /dev/null
+++ b/merlinbay/control/fanout/messages.py
@@ -0,0 +1,220 @@
+"""The watch protocol: msgpack arrays, one message a frame, tagged by a number.
+
+A follower sends ``Watch`` first, then ``Progress``; a server answers with ``Accepted``, ``Busy`` or
+``Goodbye``, then sends deltas, snapshots and keep-alives. New fields are added at
+the end with a default, so that a reader of the same version takes messages of a newer program; an
+incompatible change raises ``PROTOCOL_VERSION``.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from typing import Annotated, TypeVar
+
+import msgspec
+
+from merlinbay.control.entries import KeyValue
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 1024 * 1024  # a longer frame is malformed; the largest value has to fit
+MAX_NAMES = 64  # names in one message
+
+Name = Annotated[str, msgspec.Meta(max_length=255)]
+Key = Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
+Revision = Annotated[int, msgspec.Meta(ge=0)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+Names = Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_NAMES)]
+
+
+class MalformedMessage(Exception):
+    """The bytes are no message of this protocol that may come from that side."""
+
+
+class Role(enum.StrEnum):
+    """What watches."""
+
+    FOLLOWER = "follower"
+    RELAY = "relay"
+
+
+class BusyReason(enum.StrEnum):
+    """Why a server does not take a watch now."""
+
+    RATE = "rate"  # too many new watches at once
+    FULL = "full"  # too many watches
+    BEHIND = "behind"  # the watcher has a later revision or generation of this history
+    NO_DATA = "no_data"  # this relay has no state yet
+
+
+class GoodbyeReason(enum.StrEnum):
+    """Why a watch ends."""
+
+    MOVED = "moved"  # the follower watches another upstream
+    STOPPING = "stopping"  # this side ends on purpose
+    SLOW = "slow"  # the follower does not take its frames
+    SILENT = "silent"  # the follower has not reported
+    VERSION = "version"  # the protocol's versions differ
+    FOREIGN = "foreign"  # the two sides hold different logs of the same generation number
+    STALE = "stale"  # the other upstream is no better
+    PROTOCOL = "protocol"  # a message was malformed or out of place
+    REPLACED = "replaced"  # the member opened another watch here
+
+
+class Generation(msgspec.Struct, frozen=True, array_like=True):
+    """A history of revisions. An operator's reset founds one with a higher ``number`` and a new ``log_id``.
+
+    A follower takes a higher number's state even where its revision is lower. Two logs of one number are
+    a mistake of operation (two logs founded apart): neither side takes anything from the other.
+    """
+
+    number: Revision
+    log_id: Name
+
+
+NO_GENERATION = Generation(0, "")  # of who has no state yet
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A ``KeyValue`` on the wire, without the names of its fields."""
+
+    key: Key
+    value: bytes | None
+    revision: Revision
+
+
+class RevisionCount(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """So many followers have this revision in force, or a later one up to the next count's."""
+
+    revision: Revision
+    followers: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Laggard(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A follower by name with the last revision that it reported."""
+
+    member: Name
+    revision: Revision
+
+
+class Summary(msgspec.Struct, frozen=True, array_like=True):
+    """What the followers below a relay have in force, in a bounded form."""
+
+    counts: Annotated[tuple[RevisionCount, ...], msgspec.Meta(max_length=MAX_NAMES)] = ()  # newest first
+    laggards: Annotated[tuple[Laggard, ...], msgspec.Meta(max_length=MAX_NAMES)] = ()  # oldest first
+    absent: Annotated[tuple[Laggard, ...], msgspec.Meta(max_length=MAX_NAMES)] = ()  # lost a short time ago
+
+
+class Watch(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """The first message of a connection: who watches, and from which state on."""
+
+    member: Name
+    role: Role
+    zone: Name
+    generation: Generation
+    revision: Revision
+    version: int = PROTOCOL_VERSION
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """The revision that the sender has in force; from a relay with a summary of what is below it."""
+
+    revision: Revision
+    summary: Summary | None = None
+
+
+class Accepted(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """The watch is held. A generation above the watcher's is followed by a snapshot that replaces all."""
+
+    generation: Generation
+    revision: Revision
+    staleness_ms: Milliseconds
+
+
+class DeltaMessage(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The last state of each key that changed after ``after_revision`` up to ``revision``.
+
+    A large delta comes in ``count`` parts, in order and with nothing between, and is applied as a whole.
+    """
+
+    after_revision: Revision
+    revision: Revision
+    staleness_ms: Milliseconds
+    entries: tuple[Entry, ...]
+    index: Revision = 0
+    count: Annotated[int, msgspec.Meta(ge=1)] = 1
+
+
+class SnapshotMessage(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Part ``index`` of ``count`` of the state at ``revision``. Parts come in order, with nothing between."""
+
+    revision: Revision
+    staleness_ms: Milliseconds
+    entries: tuple[Entry, ...]
+    index: Revision = 0
+    count: Annotated[int, msgspec.Meta(ge=1)] = 1
+
+
+class KeepAlive(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """The server is there; its state was known to be the latest ``staleness_ms`` ago."""
+
+    revision: Revision
+    staleness_ms: Milliseconds
+
+
+class Busy(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The watch is not taken now: come back after the time, or go to one of the others, best first."""
+
+    reason: BusyReason
+    retry_after_ms: Milliseconds
+    upstreams: Names = ()
+
+
+class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The last message of a side; a server may name others to go to, best first."""
+
+    reason: GoodbyeReason
+    upstreams: Names = ()
+
+
+FollowerMessage = Watch | Progress | Goodbye
+ServerMessage = Accepted | DeltaMessage | SnapshotMessage | KeepAlive | Busy | Goodbye
+
+_Message = TypeVar("_Message")
+_encoder = msgspec.msgpack.Encoder()
+_from_follower: msgspec.msgpack.Decoder[FollowerMessage] = msgspec.msgpack.Decoder(FollowerMessage)
+_from_server: msgspec.msgpack.Decoder[ServerMessage] = msgspec.msgpack.Decoder(ServerMessage)
+
+
+def encode(message: FollowerMessage | ServerMessage) -> bytes:
+    """Return the frame's content; the carrier puts the length before it."""
+    return _encoder.encode(message)
+
+
+def decode_from_follower(frame: bytes) -> FollowerMessage:
+    """Read what a downstream sent; raise ``MalformedMessage``."""
+    return _decode(_from_follower, frame)
+
+
+def decode_from_server(frame: bytes) -> ServerMessage:
+    """Read what an upstream sent; raise ``MalformedMessage``."""
+    return _decode(_from_server, frame)
+
+
+def _decode(decoder: msgspec.msgpack.Decoder[_Message], frame: bytes) -> _Message:
+    if len(frame) > MAX_FRAME_BYTES:
+        raise MalformedMessage(f"frame of {len(frame)} bytes")
+    try:
+        return decoder.decode(frame)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise MalformedMessage(str(error)) from error
+
+
+def wire_entries(entries: Iterable[KeyValue]) -> tuple[Entry, ...]:
+    """Return entries as they are sent."""
+    return tuple([Entry(entry.key, entry.value, entry.revision) for entry in entries])
+
+
+def key_values(entries: Iterable[Entry]) -> list[KeyValue]:
+    """Return received entries as the rest of the program holds them."""
+    return [KeyValue(entry.key, entry.value, entry.revision) for entry in entries]
