Fan-out of the control log: server of watches, follower, relay, and a simulation of them

Need: a change has to be in force at 2,500 members within 3 s, at a bounded cost for each process. Change: the bodies behind the interface: a server encodes each coalesced delta once, keeps a bounded queue a watch and admits new ones at a bounded rate; a follower holds one watch, moves with jitter and opens a second stream before it gives up a working one; a relay is both, with the recent changes between them and a summary upwards. python -m merlinbay.control.fanout.simulate plays fleets in virtual time. A report carries the number of its generation.

--- /dev/null
+++ b/merlinbay/control/fanout/assembly.py
@@ -0,0 +1,65 @@
+"""Parts of a large delta or snapshot, collected until it is whole."""
+
+from __future__ import annotations
+
+import msgspec
+
+from merlinbay.control.fanout.messages import DeltaMessage, Entry, SnapshotMessage
+
+Part = DeltaMessage | SnapshotMessage
+
+
+class PartOutOfPlace(Exception):
+    """A part does not follow the one before it, or makes the whole too large."""
+
+
+class WholeMessage(msgspec.Struct, frozen=True):
+    """The last part, for what it says of the whole, with the entries of all."""
+
+    last: Part
+    entries: tuple[Entry, ...]
+
+
+class Assembly:
+    """Collects the parts of one message at a time."""
+
+    __slots__ = ("_entries", "_first", "_max_bytes", "_next", "_size")
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self.clear()
+
+    def clear(self) -> None:
+        """Drop what was collected."""
+        self._first: Part | None = None
+        self._entries: list[Entry] = []
+        self._next = 0
+        self._size = 0
+
+    def add(self, part: Part, size: int) -> WholeMessage | None:
+        """Take a part whose frame had ``size`` bytes; return the whole with its last part."""
+        if self._first is None and part.count == 1 and part.index == 0:
+            return WholeMessage(part, part.entries)
+        if part.index != self._next or part.index >= part.count or not self._continues(part):
+            raise PartOutOfPlace(f"part {part.index} of {part.count}, wanted {self._next}")
+        self._size += size
+        if self._size > self._max_bytes:
+            raise PartOutOfPlace(f"more than {self._max_bytes} bytes")
+        self._first = self._first or part
+        self._next += 1
+        self._entries.extend(part.entries)
+        if self._next < part.count:
+            return None
+        whole = WholeMessage(part, tuple(self._entries))
+        self.clear()
+        return whole
+
+    def _continues(self, part: Part) -> bool:
+        first = self._first
+        if first is None:
+            return True
+        if isinstance(first, DeltaMessage):
+            same = isinstance(part, DeltaMessage) and part.after_revision == first.after_revision
+        else:
+            same = isinstance(part, SnapshotMessage)
+        return same and part.revision == first.revision and part.count == first.count
--- /dev/null
+++ b/merlinbay/control/fanout/candidates.py
@@ -0,0 +1,72 @@
+"""Which upstream a follower tries next, and when."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+
+from merlinbay.control.fanout.settings import FollowerSettings
+from merlinbay.control.fanout.topology import Location, Upstream, ordered_candidates
+
+
+class Candidates:
+    """The upstreams in order of preference, with what failed of late."""
+
+    __slots__ = ("_blocked", "_failures", "_hinted", "_rng", "_settings", "ordered")
+
+    def __init__(self, settings: FollowerSettings, rng: Random) -> None:
+        self._settings, self._rng = settings, rng
+        self.ordered: tuple[Upstream, ...] = ()
+        self._failures: dict[str, int] = {}  # since the last watch that was accepted
+        self._blocked: dict[str, float] = {}  # a server asked not to come back before
+        self._hinted: frozenset[str] = frozenset()  # a server named these
+
+    def set(self, member: str, location: Location, upstreams: Iterable[Upstream]) -> None:
+        """Take a new list."""
+        self.ordered = ordered_candidates(member, location, upstreams)
+        names = {upstream.name for upstream in self.ordered}
+        self._failures = {name: count for name, count in self._failures.items() if name in names}
+        self._blocked = {name: until for name, until in self._blocked.items() if name in names}
+
+    def rank(self, upstream: Upstream) -> int:
+        """Return the place in the order, 0 for the best; after all for one that is not listed."""
+        return self.ordered.index(upstream) if upstream in self.ordered else len(self.ordered)
+
+    def failed(self, upstream: Upstream) -> None:
+        """Count a failure; others that failed less often are tried first."""
+        self._failures[upstream.name] = self._failures.get(upstream.name, 0) + 1
+
+    def busy(self, upstream: Upstream, until: float, hinted: Iterable[str]) -> None:
+        """Don't try it before ``until``, and those that it named first."""
+        self._blocked[upstream.name] = until
+        self._hinted = frozenset(hinted)
+
+    def accepted(self) -> None:
+        """Forget failures: a watch is held."""
+        self._failures.clear()
+        self._hinted = frozenset()
+
+    def backoff(self) -> float:
+        """Return the wait before the next attempt: it doubles once all have failed once more."""
+        settings = self._settings
+        rounds = min(self._failures.get(one.name, 0) for one in self.ordered) if self.ordered else 0
+        longest = min(settings.backoff_most, 2 * settings.backoff_first * 2.0 ** min(rounds, 16))
+        return longest * self._rng.uniform(0.25, 1.0)
+
+    def choose(self, now: float, below: int, other_than: Upstream | None = None) -> Upstream | None:
+        """Return whom to try among the first ``below`` of the order, None if all asked for time."""
+        able = [
+            one
+            for one in self.ordered[:below]
+            if one != other_than and self._blocked.get(one.name, now) <= now
+        ]
+        if not able:
+            return None
+        return min(able, key=self._preference)
+
+    def free_at(self, now: float) -> float:
+        """Return when the first one may be tried that asked for time."""
+        return min((self._blocked.get(one.name, now) for one in self.ordered), default=now)
+
+    def _preference(self, upstream: Upstream) -> tuple[int, bool]:
+        return self._failures.get(upstream.name, 0), upstream.name not in self._hinted
--- /dev/null
+++ b/merlinbay/control/fanout/frames.py
@@ -0,0 +1,97 @@
+"""Deltas and snapshots as frames, encoded once for all watches that need the same."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from merlinbay.control.entries import Delta, KeyValue
+from merlinbay.control.fanout.messages import (
+    DeltaMessage,
+    Entry,
+    SnapshotMessage,
+    encode,
+    wire_entries,
+)
+from merlinbay.control.fanout.store import RevisionStore
+
+ENTRY_OVERHEAD = 16  # bytes of an entry's frame beside its key and value, at most
+
+
+class Transfer(msgspec.Struct, frozen=True):
+    """The frames that bring a watch to ``revision``."""
+
+    revision: int
+    frames: tuple[bytes, ...]
+    snapshot: bool
+
+
+class FrameCache:
+    """Encodes what a watch needs next. A snapshot is used as long as deltas continue it."""
+
+    def __init__(self, store: RevisionStore, chunk_bytes: int, lifetime: float) -> None:
+        self.chunk_bytes = chunk_bytes
+        self.lifetime = lifetime  # a delta is encoded again after so long, for the staleness in it
+        self.deltas_encoded = self.snapshots_encoded = 0
+        self._store = store
+        self._deltas: dict[int, Transfer] = {}  # by the revision before it; all up to the store's
+        self._deltas_revision = 0
+        self._deltas_at = 0.0
+        self._snapshot: Transfer | None = None
+
+    def clear(self) -> None:
+        """Forget everything: the store's history was replaced."""
+        self._deltas.clear()
+        self._snapshot = None
+
+    def delta(self, revision: int, staleness_ms: int, now: float) -> Transfer | None:
+        """Return the frames from ``revision`` to the store's; None where the changes were compacted."""
+        if self._deltas_revision != self._store.revision or now - self._deltas_at > self.lifetime:
+            self._deltas.clear()
+            self._deltas_revision, self._deltas_at = self._store.revision, now
+        transfer = self._deltas.get(revision)
+        if transfer is None:
+            delta = self._store.delta_after(revision)
+            if delta is None:
+                return None
+            transfer = self._deltas[revision] = self._encode_delta(delta, staleness_ms)
+        return transfer
+
+    def snapshot(self) -> Transfer:
+        """Return the frames of the state, or of a former one that deltas continue."""
+        kept = self._snapshot
+        if kept is None or self._store.delta_after(kept.revision) is None:
+            kept = self._snapshot = self._encode_snapshot()
+        return kept
+
+    def _encode_delta(self, delta: Delta, staleness_ms: int) -> Transfer:
+        def part(entries: tuple[Entry, ...], index: int, count: int) -> bytes:
+            return encode(
+                DeltaMessage(delta.after_revision, delta.revision, staleness_ms, entries, index, count)
+            )
+
+        self.deltas_encoded += 1
+        return Transfer(delta.revision, self._parts(delta.entries, part), snapshot=False)
+
+    def _encode_snapshot(self) -> Transfer:
+        state = self._store.snapshot()
+
+        def part(entries: tuple[Entry, ...], index: int, count: int) -> bytes:
+            return encode(SnapshotMessage(state.revision, entries, index, count))
+
+        self.snapshots_encoded += 1
+        return Transfer(state.revision, self._parts(state.entries, part), snapshot=True)
+
+    def _parts(
+        self, entries: Iterable[KeyValue], part: Callable[[tuple[Entry, ...], int, int], bytes]
+    ) -> tuple[bytes, ...]:
+        groups: list[list[Entry]] = [[]]
+        size = 0
+        for entry in wire_entries(entries):
+            if size > self.chunk_bytes:
+                groups.append([])
+                size = 0
+            groups[-1].append(entry)
+            size += len(entry.key) + len(entry.value or b"") + ENTRY_OVERHEAD
+        return tuple(part(tuple(group), index, len(groups)) for index, group in enumerate(groups))
--- /dev/null
+++ b/merlinbay/control/fanout/link.py
@@ -0,0 +1,20 @@
+"""One attempt of a follower to watch an upstream, from the wish to connect to the end of its stream."""
+
+from __future__ import annotations
+
+from merlinbay.control.fanout.assembly import Assembly
+from merlinbay.control.fanout.messages import NO_GENERATION
+from merlinbay.control.fanout.topology import Upstream
+
+
+class Link:
+    """The stream of one attempt."""
+
+    __slots__ = ("assembly", "attempt", "deadline", "generation", "open", "upstream")
+
+    def __init__(self, attempt: int, upstream: Upstream, deadline: float, max_bytes: int) -> None:
+        self.attempt, self.upstream = attempt, upstream
+        self.deadline = deadline  # it is given up then, unless something comes before
+        self.open = False
+        self.generation = NO_GENERATION  # set with Accepted
+        self.assembly = Assembly(max_bytes)
--- a/merlinbay/control/fanout/messages.py
+++ b/merlinbay/control/fanout/messages.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterable
 from typing import Annotated, TypeVar
 
@@ -19,11 +20,12 @@
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 1024 * 1024  # a longer frame is malformed; the largest value has to fit
 MAX_NAMES = 64  # names in one message
+NEVER_MS = 2**40  # staleness of data that was never known to be the latest
 
 Name = Annotated[str, msgspec.Meta(max_length=255)]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
 Revision = Annotated[int, msgspec.Meta(ge=0)]
-Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=NEVER_MS)]
 Names = Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_NAMES)]
 
 
@@ -64,8 +66,8 @@
 class Generation(msgspec.Struct, frozen=True, array_like=True):
     """A history of revisions. An operator's reset founds one with a higher ``number`` and a new ``log_id``.
 
-    A follower takes a higher number's state even where its revision is lower. Two logs of one number are
-    a mistake of operation (two logs founded apart): neither side takes anything from the other.
+    Numbers start at 1. A follower takes a higher number's state even where its revision is lower. Two logs of
+    one number are a mistake of operation (two logs founded apart): neither takes anything from the other.
     """
 
     number: Revision
@@ -119,6 +121,7 @@
 class Progress(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """The revision that the sender has in force; from a relay with a summary of what is below it."""
 
+    generation: Revision  # the number of the generation that the revision belongs to
     revision: Revision
     summary: Summary | None = None
 
@@ -146,10 +149,12 @@
 
 
 class SnapshotMessage(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Part ``index`` of ``count`` of the state at ``revision``. Parts come in order, with nothing between."""
+    """Part ``index`` of ``count`` of the state at ``revision``. Parts come in order, with nothing between.
+
+    It is encoded once for many, and so does not say how old it is; a ``KeepAlive`` follows.
+    """
 
     revision: Revision
-    staleness_ms: Milliseconds
     entries: tuple[Entry, ...]
     index: Revision = 0
     count: Annotated[int, msgspec.Meta(ge=1)] = 1
@@ -210,6 +215,16 @@
         raise MalformedMessage(str(error)) from error
 
 
+def milliseconds(seconds: float) -> int:
+    """Return a time as it is sent, rounded up so that no data seems newer than it is."""
+    return max(0, math.ceil(min(seconds * 1000, NEVER_MS)))
+
+
+def seconds(sent: int) -> float:
+    """Return a time that was sent; infinity for ``NEVER_MS``."""
+    return math.inf if sent >= NEVER_MS else sent / 1000
+
+
 def wire_entries(entries: Iterable[KeyValue]) -> tuple[Entry, ...]:
     """Return entries as they are sent."""
     return tuple([Entry(entry.key, entry.value, entry.revision) for entry in entries])
--- a/merlinbay/control/fanout/relay.py
+++ b/merlinbay/control/fanout/relay.py
@@ -2,22 +2,55 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from random import Random
 
-from merlinbay.control.fanout.effects import RelayEffect
+from merlinbay.control.entries import Delta, StateSnapshot
+from merlinbay.control.fanout.changes import RecentChanges
+from merlinbay.control.fanout.effects import RelayEffect, StateAdvanced
 from merlinbay.control.fanout.follower import Follower
+from merlinbay.control.fanout.messages import NO_GENERATION, Generation, Role
 from merlinbay.control.fanout.settings import RelaySettings
 from merlinbay.control.fanout.source import WatchServer
 from merlinbay.control.fanout.topology import Location, Upstream
 
 
+class InvalidTier(ValueError):
+    """An upstream of a relay is not of a lower tier, so that relays could follow each other in a ring."""
+
+
+class RelayStore:
+    """The follower's state as its relay serves it, with deltas from the changes that it keeps."""
+
+    def __init__(self, follower: Follower, settings: RelaySettings) -> None:
+        self._follower = follower
+        self._changes = RecentChanges(settings.cached_changes, settings.cached_bytes, follower.revision)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the state."""
+        return self._follower.revision
+
+    def delta_after(self, revision: int) -> Delta | None:
+        """Return what changed after ``revision``; None if that is not kept or lies in the future."""
+        return self._changes.after(revision)
+
+    def snapshot(self) -> StateSnapshot:
+        """Return the whole state."""
+        return self._follower.snapshot()
+
+    def advanced(self, effect: StateAdvanced) -> None:
+        """Take in what the follower has applied."""
+        if effect.replaced:
+            self._changes.restart(effect.revision)
+        else:
+            self._changes.add(effect.changed, effect.revision)
+
+
 class Relay:
     """Serves on what it follows. Calls about its own upstream streams begin with ``upstream_``."""
 
-    follower: Follower
-    server: WatchServer
-
     def __init__(
         self,
         member: str,
@@ -29,58 +62,140 @@
         *,
         tier: int = 1,
         others: Iterable[str] = (),
+        generation: Generation = NO_GENERATION,
+        saved: StateSnapshot | None = None,
     ) -> None:
         """Follow ``upstreams``, all of a lower tier, so that no relay follows itself by way of others."""
-        raise NotImplementedError
+        self.settings, self.tier = settings, tier
+        self.follower = Follower(
+            member,
+            location,
+            self._checked(upstreams),
+            settings.follower,
+            rng,
+            role=Role.RELAY,
+            generation=generation,
+            saved=saved,
+        )
+        self.store = RelayStore(self.follower, settings)
+        generation = self.follower.generation
+        self.server = WatchServer(self.store, generation, settings.server, rng, now, others)
+        self._effects: list[RelayEffect] = []
+        self._reports_sent = 0  # the server's count of changed reports, as of the last summary
+        self._summary_at = math.inf
+        self._summary_sent_at = -math.inf
 
     def start(self, now: float) -> None:
         """Look for an upstream; watches are taken once there is a state."""
-        raise NotImplementedError
+        self.follower.start(now)
+        self._after(now)
 
     def drain(self, now: float) -> None:
         """Send all watches elsewhere and end the own one."""
-        raise NotImplementedError
+        self.server.drain(now)
+        self.follower.stop(now)
+        self._after(now)
 
     def set_upstreams(self, upstreams: Iterable[Upstream], now: float) -> None:
         """Take a new list of upstreams."""
-        raise NotImplementedError
+        self.follower.set_upstreams(self._checked(upstreams), now)
+        self._after(now)
+
+    # Upstream.
 
     def upstream_connected(self, attempt: int, now: float) -> None:
         """Hear that the stream of an attempt is open."""
-        raise NotImplementedError
+        self.follower.connected(attempt, now)
+        self._after(now)
 
     def upstream_received(self, attempt: int, frame: bytes, now: float) -> None:
         """Take a frame from upstream."""
-        raise NotImplementedError
+        self.follower.received(attempt, frame, now)
+        self._after(now)
 
     def upstream_closed(self, attempt: int, now: float) -> None:
         """Hear that the stream of an attempt has ended or could not be opened."""
-        raise NotImplementedError
+        self.follower.closed(attempt, now)
+        self._after(now)
+
+    # Downstream.
 
     def opened(self, connection: int, now: float) -> None:
         """Take a new downstream stream."""
-        raise NotImplementedError
+        self.server.opened(connection, now)
+        self._after(now)
 
     def received(self, connection: int, frame: bytes, now: float) -> None:
         """Take a frame from downstream."""
-        raise NotImplementedError
+        self.server.received(connection, frame, now)
+        self._after(now)
 
     def written(self, connection: int, size: int, now: float) -> None:
         """Hear that a frame of ``size`` bytes was taken by the network."""
-        raise NotImplementedError
+        self.server.written(connection, size, now)
+        self._after(now)
 
     def closed(self, connection: int, now: float) -> None:
         """Hear that a downstream stream has ended."""
-        raise NotImplementedError
+        self.server.closed(connection, now)
+        self._after(now)
+
+    # Time.
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        raise NotImplementedError
+        if now >= self._summary_at:
+            self._summarize(now)
+        self.follower.tick(now)
+        self._after(now)
+        self.server.tick(now)
+        self._after(now)
 
     def next_deadline(self) -> float:
         """Return when ``tick`` is due; infinity if never."""
-        raise NotImplementedError
+        return min(self.follower.next_deadline(), self.server.next_deadline(), self._summary_at)
 
     def take_effects(self) -> list[RelayEffect]:
         """Return what is to be done, once."""
-        raise NotImplementedError
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _after(self, now: float) -> None:
+        """Carry what one side has done to the other."""
+        for effect in self.follower.take_effects():
+            if isinstance(effect, StateAdvanced):
+                self._advanced(effect, now)
+            self._effects.append(effect)
+        self._confirm(now)
+        self._effects += self.server.take_effects()
+        if self.server.reports != self._reports_sent:
+            self._summary_at = min(self._summary_at, max(now, self._summary_sent_at + self.settings.summary))
+
+    def _advanced(self, effect: StateAdvanced, now: float) -> None:
+        self.store.advanced(effect)
+        if self.server.generation != self.follower.generation:
+            self.server.reset(self.follower.generation, now)
+        self.server.advanced(now)
+
+    def _confirm(self, now: float) -> None:
+        """Hand on how old the state is; an empty state of a known generation is served as well."""
+        known = self.follower.staleness(now) < math.inf
+        if known and self.server.generation == NO_GENERATION:
+            self.server.reset(self.follower.generation, now)
+        self.server.confirm(now, self.follower.staleness(now))
+
+    def _summarize(self, now: float) -> None:
+        self._summary_at = math.inf
+        self._summary_sent_at = now
+        self._reports_sent = self.server.reports
+        self.follower.summary = self.server.summary(now)
+        self.follower.report_now(now)
+
+    def _checked(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
+        listed = list(upstreams)
+        for upstream in listed:
+            if upstream.tier >= self.tier:
+                raise InvalidTier(
+                    f"{upstream.name} of tier {upstream.tier} above a relay of tier {self.tier}"
+                )
+        return listed
--- a/merlinbay/control/fanout/settings.py
+++ b/merlinbay/control/fanout/settings.py
@@ -9,7 +9,8 @@
     """How a voter or relay serves its downstream watches."""
 
     coalesce: float = 0.1  # least time between two deltas to one watch; a lone change goes out at once
-    keepalive: float = 2.0  # a watch that got nothing for so long gets a KeepAlive
+    keepalive: float = 1.2  # a watch without frames for so long gets a KeepAlive; over the usual second
+    first_message: float = 5.0  # a new stream whose first message does not come within this is cut
     silence: float = 30.0  # a watch that sent nothing for so long is cut: three reports are missing
     write_timeout: float = 5.0  # a watch that has taken no frame for so long, with some waiting, is cut
     queue_messages: int = 8  # unwritten frames of one watch; a full queue gets one coalesced delta later
@@ -29,8 +30,8 @@
     """How a follower keeps its one watch."""
 
     connect_timeout: float = 3.0  # from the wish to connect to the answer to Watch
-    keepalive_timeout: float = 6.0  # nothing from upstream for so long: three KeepAlives are missing
-    move_spread: float = 2.0  # after a loss the first attempt waits up to so long, evenly spread
+    keepalive_timeout: float = 3.0  # nothing from upstream for so long: two KeepAlives are late or missing
+    move_spread: float = 1.0  # after a loss the first attempt waits up to so long, evenly spread
     backoff_first: float = 0.5  # mean wait after the first failed attempt; doubled with each
     backoff_most: float = 15.0  # no attempt is put off for longer, but by a server's Busy
     busy_most: float = 30.0  # a server's retry time is believed up to this
--- /dev/null
+++ b/merlinbay/control/fanout/simulated_fleet.py
@@ -0,0 +1,302 @@
+"""A fleet of voters, relays and followers in virtual time, with what is measured of it.
+
+The consensus is not played: a change is in force at the leader after one round to the next region and back,
+and reaches each other voter one way later, also by a heartbeat. Followers' members may be restarted.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from merlinbay.control.entries import Delta, KeyValue, StateSnapshot
+from merlinbay.control.fanout.changes import RecentChanges
+from merlinbay.control.fanout.effects import StateAdvanced
+from merlinbay.control.fanout.follower import Follower
+from merlinbay.control.fanout.messages import Generation
+from merlinbay.control.fanout.relay import Relay
+from merlinbay.control.fanout.settings import FollowerSettings, RelaySettings, WatchServerSettings
+from merlinbay.control.fanout.simulated_network import (
+    OTHER_REGION_DELAY,
+    Host,
+    Network,
+    follower_host,
+    relay_host,
+    server_host,
+)
+from merlinbay.control.fanout.source import WatchServer
+from merlinbay.control.fanout.status import ForceStatus, force_status, merge
+from merlinbay.control.fanout.topology import Location, Upstream
+
+GENERATION = Generation(1, "simulated")
+HEARTBEAT = 0.25  # from the leader to the other voters
+COMMIT_DELAY = 2 * OTHER_REGION_DELAY  # to a majority and back
+FRAME_HEADER = 4  # bytes of the length before each message
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What is played."""
+
+    followers: int = 250
+    regions: int = 3
+    zones: int = 12
+    voters: int = 5
+    relays: int = 16
+    keys: int = 200
+    value_bytes: int = 64
+    kept_changes: int = 10_000  # at a voter; changes before these are compacted
+    server: WatchServerSettings = WatchServerSettings()
+    follower: FollowerSettings = FollowerSettings()
+
+    def location(self, number: int) -> Location:
+        """Return the place of the so many-th machine of a kind."""
+        zone = number % self.zones
+        return Location(f"r{zone % self.regions}", f"z{zone}")
+
+
+class SourceStore:
+    """The state of a voter, which has applied the log up to some revision."""
+
+    def __init__(self, kept_changes: int) -> None:
+        self.values: dict[str, KeyValue] = {}
+        self.changes = RecentChanges(kept_changes, 64 * 1024 * 1024)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the state."""
+        return self.changes.revision
+
+    def delta_after(self, revision: int) -> Delta | None:
+        """Return what changed after ``revision``; None if that was compacted or lies in the future."""
+        return self.changes.after(revision)
+
+    def snapshot(self) -> StateSnapshot:
+        """Return the whole state."""
+        return StateSnapshot(self.revision, tuple(self.values.values()))
+
+    def apply(self, entry: KeyValue) -> None:
+        """Apply the next entry of the log."""
+        if entry.value is None:
+            self.values.pop(entry.key, None)
+        else:
+            self.values[entry.key] = entry
+        self.changes.add([entry], entry.revision)
+
+
+@dataclass(slots=True)
+class Voter:
+    """A voter's store and what serves it."""
+
+    store: SourceStore
+    server: WatchServer
+    host: Host
+
+
+@dataclass(slots=True)
+class Measured:
+    """What followers went through."""
+
+    times_to_force: list[float] = field(default_factory=list)  # of every change at every follower
+    times_disturbed: list[float] = field(default_factory=list)  # the same, at those that lost something
+    broken: list[str] = field(default_factory=list)  # what must not be
+    most_watches: int = 0  # at one relay at a time
+    admissions: Counter[tuple[str, int]] = field(default_factory=Counter)  # by relay and second
+
+
+class Fleet:
+    """Voters, relays, followers and the log."""
+
+    def __init__(self, plan: FleetPlan, seed: int) -> None:
+        self.plan = plan
+        self.network = Network(seed)
+        self.rng = Random(seed + 1)
+        self.log: list[KeyValue] = []
+        self.asked_at: list[float] = []  # by revision: when the leader was asked for the change
+        self.disturbed: set[str] = set()  # followers whose relay, zone, region or process was taken away
+        self.measured = Measured()
+        self.voters = [self._voter(number) for number in range(plan.voters)]
+        self.relays: dict[str, Relay] = {}
+        self.followers: dict[str, Follower] = {}
+        self._seen: dict[str, int] = {}  # the last revision of a follower's process
+        for _ in range(plan.keys):
+            self._append(len(self.log))
+        for voter in self.voters:
+            self._catch_up(voter, len(self.log), 0.0)
+        self._relays_listed = self._relay_upstreams()
+        for upstream in self._relays_listed:
+            self.start_relay(upstream.name)
+        self.network.at(0.0, self._heartbeat)
+        self.network.at(0.5, self._watch_over)
+
+    # Processes.
+
+    def start_relay(self, name: str) -> None:
+        """Start a relay, or start it again with nothing."""
+        number = int(name.removeprefix("relay"))
+        upstreams = [Upstream(voter.host.name, "", voter.host.location, tier=0) for voter in self.voters]
+        settings = RelaySettings(server=self.plan.server, follower=self.plan.follower)
+        rng = Random(self.rng.getrandbits(64))
+        relay = Relay(name, self.plan.location(number), upstreams, settings, rng, self.network.now)
+        host = relay_host(self.network, relay)
+        self.relays[name] = relay
+        relay.start(self.network.now)
+        host.done()
+
+    def start_follower(self, number: int) -> None:
+        """Start a follower, or start it again with nothing."""
+        name = f"member{number}"
+        follower = Follower(
+            name, self.plan.location(number), self._relays_listed, self.plan.follower, self.rng
+        )
+        self.followers[name] = follower
+        self._seen[name] = 0
+        host = follower_host(self.network, follower, self._heard)
+        follower.start(self.network.now)
+        host.done()
+
+    def restart_follower(self, number: int) -> None:
+        """End a follower's process and start it anew."""
+        self.network.hosts[f"member{number}"].die(told=True)
+        self.start_follower(number)
+
+    def stop(self, name: str, told: bool = True) -> None:
+        """End a process: ``told`` where its machine goes on."""
+        self.network.hosts[name].die(told)
+
+    # The log.
+
+    def change(self, keys: int = 1) -> None:
+        """Ask for changes of so many keys now; they are in force at the leader a little later."""
+        first = len(self.log)
+        self.network.at(self.network.now + COMMIT_DELAY, lambda: self._spread(first + keys))
+        for _ in range(keys):
+            self._append(self.rng.randrange(self.plan.keys))
+
+    def _append(self, key: int) -> None:
+        value = self.rng.randbytes(self.plan.value_bytes)
+        deleted = len(self.log) >= self.plan.keys and self.rng.random() < 0.05
+        self.log.append(KeyValue(f"team/{key}/limit", None if deleted else value, len(self.log) + 1))
+        self.asked_at.append(self.network.now)
+
+    def _spread(self, revision: int) -> None:
+        """Let the leader apply the log and tell the other voters."""
+        now = self.network.now
+        leader = self.voters[0]
+        self._catch_up(leader, revision, now)
+        for voter in self.voters[1:]:
+            delay = self.network.delay(leader.host.location, voter.host.location)
+            self.network.at(now + delay, lambda to=voter: self._catch_up(to, revision, now))  # type: ignore[misc]
+
+    def _heartbeat(self) -> None:
+        self._spread(self.voters[0].store.revision)
+        self.network.at(self.network.now + HEARTBEAT, self._heartbeat)
+
+    def _catch_up(self, voter: Voter, revision: int, sent_at: float) -> None:
+        if not self.network.reachable(self.voters[0].host, voter.host):
+            return
+        now = self.network.now
+        for entry in self.log[voter.store.revision : revision]:
+            voter.store.apply(entry)
+            voter.server.advanced(now)
+        voter.server.confirm(now, now - sent_at)
+        voter.host.done()
+
+    # What is measured.
+
+    def _heard(self, host: Host, effect: StateAdvanced) -> None:
+        name, now = host.name, self.network.now
+        if self.network.hosts[name] is not host:
+            return
+        seen = self._seen[name]
+        if effect.revision <= seen:
+            self.measured.broken.append(f"{name} went from {seen} to {effect.revision}")
+        if seen:  # its first state is no measure of a change's time
+            times = [now - asked for asked in self.asked_at[seen : effect.revision]]
+            if name in self.disturbed:
+                self.measured.times_disturbed += times
+            else:
+                self.measured.times_to_force += times
+        self._seen[name] = effect.revision
+
+    def _watch_over(self) -> None:
+        second = int(self.network.now)
+        for name, relay in self.relays.items():
+            self.measured.most_watches = max(self.measured.most_watches, relay.server.watches)
+            self.measured.admissions[name, second] = relay.server.counters.admitted
+        self.network.at(self.network.now + 0.5, self._watch_over)
+
+    def differing(self) -> list[str]:
+        """Return the followers that are there and hold another state than the log's."""
+        state: dict[str, KeyValue] = {}
+        for entry in self.log:
+            if entry.value is None:
+                state.pop(entry.key, None)
+            else:
+                state[entry.key] = entry
+        return [
+            name
+            for name, follower in self.followers.items()
+            if self.network.hosts[name].alive
+            and {entry.key: entry for entry in follower.snapshot().entries} != state
+        ]
+
+    def force_status(self, revision: int) -> ForceStatus:
+        """Return what the summaries at the voters say together."""
+        now = self.network.now
+        summaries = [voter.server.summary(now) for voter in self.voters]
+        return force_status(merge(summaries, 8, 16), revision, expected=len(self.followers))
+
+    def most_admissions(self, since: float) -> int:
+        """Return the most watches that one relay took within a second of the clock."""
+        taken = self.measured.admissions
+        return max(
+            (
+                count - taken[name, second - 1]
+                for (name, second), count in list(taken.items())
+                if second > since
+            ),
+            default=0,
+        )
+
+    def disturb(self, chosen: Callable[[Follower], bool]) -> None:
+        """Count these followers' times apart from now on."""
+        self.disturbed |= {name for name, follower in self.followers.items() if chosen(follower)}
+
+    def alive(self) -> int:
+        """Return how many followers are there."""
+        return sum(self.network.hosts[name].alive for name in self.followers)
+
+    def behind(self, revision: int) -> int:
+        """Return how many followers that are there lack ``revision``."""
+        return sum(
+            follower.revision < revision
+            for name, follower in self.followers.items()
+            if self.network.hosts[name].alive
+        )
+
+    def watching(self, relay: str) -> int:
+        """Return how many followers hold, or believe that they hold, a watch at a relay."""
+        upstreams = (follower.upstream for follower in self.followers.values())
+        return sum(upstream is not None and upstream.name == relay for upstream in upstreams)
+
+    def without_watch(self) -> int:
+        """Return how many followers that are there hold no watch."""
+        return sum(
+            follower.upstream is None
+            for name, follower in self.followers.items()
+            if self.network.hosts[name].alive
+        )
+
+    def _relay_upstreams(self) -> list[Upstream]:
+        plan = self.plan
+        return [Upstream(f"relay{n}", "", plan.location(n)) for n in range(plan.relays)]
+
+    def _voter(self, number: int) -> Voter:
+        name, location = f"voter{number}", self.plan.location(number)
+        store = SourceStore(self.plan.kept_changes)
+        rng = Random(self.rng.getrandbits(64))
+        server = WatchServer(store, GENERATION, self.plan.server, rng, 0.0)
+        return Voter(store, server, server_host(self.network, name, location, server))
--- /dev/null
+++ b/merlinbay/control/fanout/simulated_network.py
@@ -0,0 +1,293 @@
+"""Processes and streams in virtual time, for tests and simulated figures. One seed gives one history."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from merlinbay.control.fanout.effects import (
+    CloseDownstream,
+    CloseUpstream,
+    Connect,
+    RelayEffect,
+    SendDownstream,
+    SendUpstream,
+    StateAdvanced,
+)
+from merlinbay.control.fanout.follower import Follower
+from merlinbay.control.fanout.messages import GoodbyeReason
+from merlinbay.control.fanout.relay import Relay
+from merlinbay.control.fanout.source import WatchServer
+from merlinbay.control.fanout.topology import Location
+
+SAME_ZONE_DELAY = 0.0005  # one way, seconds
+SAME_REGION_DELAY = 0.002
+OTHER_REGION_DELAY = 0.040
+DELAY_SPREAD = 0.5  # a message takes up to this share longer
+
+
+class Core(Protocol):
+    """What a simulated process runs."""
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+
+    def next_deadline(self) -> float:
+        """Return when ``tick`` is due."""
+
+    def take_effects(self) -> Sequence[RelayEffect]:
+        """Return what is to be done, once."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamCalls:
+    """How a core hears of its own attempts."""
+
+    connected: Callable[[int, float], None]
+    received: Callable[[int, bytes, float], None]
+    closed: Callable[[int, float], None]
+
+
+@dataclass(frozen=True, slots=True)
+class DownstreamCalls:
+    """How a core hears of the streams that it serves."""
+
+    opened: Callable[[int, float], None]
+    received: Callable[[int, bytes, float], None]
+    written: Callable[[int, int, float], None]
+    closed: Callable[[int, float], None]
+
+
+class Stream:
+    """A connection of a client's attempt to a server."""
+
+    __slots__ = ("attempt", "client", "delay", "down_free", "number", "open", "server", "up_free")
+
+    def __init__(self, number: int, client: Host, attempt: int, server: Host, delay: float) -> None:
+        self.number, self.client, self.attempt, self.server = number, client, attempt, server
+        self.delay = delay
+        self.open = True
+        self.up_free = self.down_free = 0.0  # the last message each way arrives then: order is kept
+
+
+class Network:
+    """The clock, the events to come, and who cannot reach whom."""
+
+    def __init__(self, seed: int) -> None:
+        self.now = 0.0
+        self.rng = Random(seed)
+        self.hosts: dict[str, Host] = {}
+        self.cut_regions: set[str] = set()  # nothing passes between one of these and another region
+        self.slow: set[str] = set()  # names of hosts that take nothing from their streams
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._streams = itertools.count(1)
+
+    def at(self, moment: float, call: Callable[[], None]) -> None:
+        """Have something happen."""
+        heapq.heappush(self._events, (moment, next(self._order), call))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+        self.now = until
+
+    def stream(self, client: Host, attempt: int, server: Host) -> Stream:
+        """Return a new stream that is not yet open."""
+        delay = self.delay(client.location, server.location)
+        return Stream(next(self._streams), client, attempt, server, delay)
+
+    def delay(self, here: Location, there: Location) -> float:
+        """Return the time of one message one way, without its spread."""
+        if here == there:
+            return SAME_ZONE_DELAY
+        return SAME_REGION_DELAY if here.region == there.region else OTHER_REGION_DELAY
+
+    def reachable(self, one: Host, other: Host) -> bool:
+        """Return whether messages pass between two hosts."""
+        if not (one.alive and other.alive):
+            return False
+        here, there = one.location.region, other.location.region
+        return here == there or not (here in self.cut_regions or there in self.cut_regions)
+
+    def arrival(self, stream: Stream, free: float) -> float:
+        """Draw when a message arrives that is sent now, not before the one ahead of it."""
+        return max(free, self.now + stream.delay * (1 + DELAY_SPREAD * self.rng.random()))
+
+
+class Host:
+    """A process at a place: it ticks when it is due, and its effects are carried out."""
+
+    def __init__(
+        self,
+        network: Network,
+        name: str,
+        location: Location,
+        core: Core,
+        up: UpstreamCalls | None = None,
+        down: DownstreamCalls | None = None,
+        heard: Callable[[Host, StateAdvanced], None] | None = None,
+    ) -> None:
+        self.network, self.name, self.location, self.core = network, name, location, core
+        self.alive = True
+        self.refuses = True  # connecting to it after its death fails at once: its machine is there
+        self._up, self._down, self._heard = up, down, heard
+        self._attempts: dict[int, Stream] = {}  # own ones
+        self._served: dict[int, Stream] = {}  # those of others, by number
+        self._timer = math.inf
+        network.hosts[name] = self
+
+    def done(self) -> None:
+        """Carry out what a call has led to, and wake up at the next deadline."""
+        for effect in self.core.take_effects():
+            self._carry_out(effect)
+        deadline = self.core.next_deadline()
+        if self.alive and deadline < self._timer:
+            self._timer = deadline
+            self.network.at(max(deadline, self.network.now), lambda: self._wake(deadline))
+
+    def die(self, told: bool) -> None:
+        """End at once. ``told``: its system closes the streams; otherwise nobody hears of it."""
+        self.alive = False
+        self.refuses = told
+        for stream in [*self._attempts.values(), *self._served.values()]:
+            if told:
+                self.network.at(self.network.now + stream.delay, lambda ended=stream: _hang_up(ended))  # type: ignore[misc]
+
+    def _wake(self, timer: float) -> None:
+        if timer != self._timer or not self.alive:
+            return
+        self._timer = math.inf
+        if self.core.next_deadline() <= self.network.now:
+            self.core.tick(self.network.now)
+        self.done()
+
+    def _carry_out(self, effect: RelayEffect) -> None:
+        match effect:
+            case SendDownstream(connection, frame):
+                self._send_down(connection, frame)
+            case SendUpstream(attempt, frame):
+                self._send_up(attempt, frame)
+            case Connect(attempt, upstream):
+                self._connect(attempt, self.network.hosts[upstream.name])
+            case CloseUpstream(attempt):
+                self._close(self._attempts.pop(attempt, None), after_frames=True)
+            case CloseDownstream(connection, reason):
+                orderly = reason is not GoodbyeReason.SLOW  # what is queued to a slow client is lost
+                self._close(self._served.pop(connection, None), orderly)
+            case StateAdvanced() if self._heard is not None:
+                self._heard(self, effect)
+
+    # Streams.
+
+    def _connect(self, attempt: int, server: Host) -> None:
+        stream = self.network.stream(self, attempt, server)
+        self._attempts[attempt] = stream
+        self.network.at(self.network.now + 2 * stream.delay, lambda: self._connected(stream))
+
+    def _connected(self, stream: Stream) -> None:
+        """Open a stream; to a host that cannot be reached it just never opens."""
+        if stream.attempt not in self._attempts:
+            return
+        if not stream.server.alive and stream.server.refuses:
+            _hang_up(stream)
+        elif self.network.reachable(self, stream.server):
+            stream.server._opened(stream)
+            assert self._up is not None
+            self._up.connected(stream.attempt, self.network.now)
+            self.done()
+
+    def _opened(self, stream: Stream) -> None:
+        assert self._down is not None
+        self._served[stream.number] = stream
+        self._down.opened(stream.number, self.network.now)
+        self.done()
+
+    def _send_up(self, attempt: int, frame: bytes) -> None:
+        stream = self._attempts.get(attempt)
+        if stream is not None:
+            stream.up_free = self.network.arrival(stream, stream.up_free)
+            self.network.at(stream.up_free, lambda: stream.server._from_below(stream, frame))
+
+    def _from_below(self, stream: Stream, frame: bytes) -> None:
+        if stream.number in self._served and self.network.reachable(stream.client, self):
+            assert self._down is not None
+            self._down.received(stream.number, frame, self.network.now)
+            self.done()
+
+    def _send_down(self, number: int, frame: bytes) -> None:
+        stream = self._served.get(number)
+        if stream is not None:
+            stream.down_free = self.network.arrival(stream, stream.down_free)
+            self.network.at(stream.down_free, lambda: stream.client._from_above(stream, frame))
+
+    def _from_above(self, stream: Stream, frame: bytes) -> None:
+        server = stream.server
+        if not self.network.reachable(server, self) or self.name in self.network.slow:
+            return
+        if stream.attempt in self._attempts:
+            assert self._up is not None
+            self._up.received(stream.attempt, frame, self.network.now)
+            self.done()
+        if stream.number in server._served:
+            assert server._down is not None
+            server._down.written(stream.number, len(frame), self.network.now)
+            server.done()
+
+    def _close(self, stream: Stream | None, after_frames: bool) -> None:
+        """End a stream; its other side hears of it if it can be reached then."""
+        if stream is None:
+            return
+        moment = self.network.now + stream.delay
+        if after_frames:
+            moment = max(moment, stream.up_free, stream.down_free)
+        self.network.at(moment, lambda: _hang_up(stream))
+
+    def _ended(self, stream: Stream) -> None:
+        now = self.network.now
+        if stream.client is self and self._up is not None and stream.attempt in self._attempts:
+            del self._attempts[stream.attempt]
+            self._up.closed(stream.attempt, now)
+        elif stream.server is self and self._down is not None and stream.number in self._served:
+            del self._served[stream.number]
+            self._down.closed(stream.number, now)
+        self.done()
+
+
+def _hang_up(stream: Stream) -> None:
+    """Tell both sides that are there, unless nothing passes between their regions."""
+    network = stream.client.network
+    regions = {stream.client.location.region, stream.server.location.region}
+    if len(regions) > 1 and regions & network.cut_regions:
+        return
+    for side in (stream.client, stream.server):
+        if side.alive:
+            side._ended(stream)
+
+
+def follower_host(
+    network: Network, follower: Follower, heard: Callable[[Host, StateAdvanced], None] | None = None
+) -> Host:
+    """Return a member that follows."""
+    up = UpstreamCalls(follower.connected, follower.received, follower.closed)
+    return Host(network, follower.member, follower.location, follower, up, heard=heard)
+
+
+def relay_host(network: Network, relay: Relay) -> Host:
+    """Return a relay."""
+    up = UpstreamCalls(relay.upstream_connected, relay.upstream_received, relay.upstream_closed)
+    down = DownstreamCalls(relay.opened, relay.received, relay.written, relay.closed)
+    return Host(network, relay.follower.member, relay.follower.location, relay, up, down)
+
+
+def server_host(network: Network, name: str, location: Location, server: WatchServer) -> Host:
+    """Return a voter, as far as the fan-out sees it."""
+    down = DownstreamCalls(server.opened, server.received, server.written, server.closed)
+    return Host(network, name, location, server, down=down)
--- /dev/null
+++ b/merlinbay/control/fanout/state.py
@@ -0,0 +1,69 @@
+"""A follower's copy of the state: changed by whole deltas and snapshots, or not at all."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from merlinbay.control.entries import KeyValue, StateSnapshot
+from merlinbay.control.fanout.messages import Entry
+
+
+class RevisionGap(Exception):
+    """A delta begins after the revision that is held: something between is missing."""
+
+
+class InvalidEntries(Exception):
+    """Entries contradict the message that carries them."""
+
+
+class ReplicaState:
+    """All keys as of one revision."""
+
+    __slots__ = ("_values", "revision")
+
+    def __init__(self, saved: StateSnapshot | None = None) -> None:
+        self.revision = saved.revision if saved else 0
+        self._values = {entry.key: entry for entry in saved.entries} if saved else {}
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return a key's value and revision, None if it does not exist."""
+        return self._values.get(key)
+
+    def snapshot(self) -> StateSnapshot:
+        """Return the whole state."""
+        return StateSnapshot(self.revision, tuple(self._values.values()))
+
+    def apply(self, after_revision: int, revision: int, entries: Sequence[Entry]) -> list[KeyValue] | None:
+        """Apply a delta; return what it changed, or None where all of it was held already.
+
+        A delta that begins below the held revision is taken from there on: it has the last state of each key,
+        and those with a later revision than the held one are just what changed since.
+        """
+        if after_revision > self.revision:
+            raise RevisionGap(f"delta after {after_revision}, held {self.revision}")
+        if any(not after_revision < entry.revision <= revision for entry in entries):
+            raise InvalidEntries(f"delta {after_revision} to {revision} with a revision outside")
+        if revision <= self.revision:
+            return None
+        changed = [
+            KeyValue(entry.key, entry.value, entry.revision)
+            for entry in entries
+            if entry.revision > self.revision
+        ]
+        for entry in changed:
+            if entry.value is None:
+                self._values.pop(entry.key, None)
+            else:
+                self._values[entry.key] = entry
+        self.revision = revision
+        return changed
+
+    def replace(self, revision: int, entries: Iterable[Entry]) -> None:
+        """Take a whole state in place of the held one."""
+        values = {}
+        for entry in entries:
+            if entry.value is None or entry.revision > revision:
+                raise InvalidEntries(f"snapshot at {revision} with {entry.key} at {entry.revision}")
+            values[entry.key] = KeyValue(entry.key, entry.value, entry.revision)
+        self._values = values
+        self.revision = revision
