--- a/merlinbay/control/fanout/follower.py
+++ b/merlinbay/control/fanout/follower.py
@@ -217,8 +217,8 @@
         held = self.upstream
         everyone = len(self._candidates.ordered)
         below = everyone
-        if held is not None and self.staleness(now) < self.settings.stale_limit:
-            below = min(everyone, self._candidates.rank(held))
+        if self._watching is not None and not self._watching.stale:
+            below = min(everyone, self._candidates.rank(self._watching.upstream))
         chosen = self._candidates.choose(now, below, other_than=held)
         if chosen is None:
             self._plan(now)
@@ -239,10 +239,8 @@
 
     def _prefer_again(self, now: float) -> None:
         """Plan a second stream where a better upstream is known, or the data is old."""
-        held = self.upstream
-        if held is None:
-            return
-        if self._candidates.rank(held) > 0 or self.staleness(now) >= self.settings.stale_limit:
+        link = self._watching
+        if link is not None and (link.stale or self._candidates.rank(link.upstream) > 0):
             self._attempt_at = now + self.settings.prefer_again * self._rng.uniform(1, 2)
 
     def _attempt_by(self, moment: float) -> None:
@@ -361,8 +359,9 @@
     def _confirmed(self, link: Link, revision: int, staleness_ms: int, now: float) -> None:
         self._replica.confirm(link.generation, revision, staleness_ms, now)
         stale = seconds(staleness_ms) >= self.settings.stale_limit
-        if stale and self._trying is None and self._attempt_at == math.inf:
-            self._attempt_at = now + self._rng.uniform(0, self.settings.move_spread)
+        if stale and not link.stale:  # later attempts are planned as this one comes to nothing
+            self._attempt_by(now + self._rng.uniform(0, self.settings.move_spread))
+        link.stale = stale
 
     # Reports.
 
--- a/merlinbay/control/fanout/link.py
+++ b/merlinbay/control/fanout/link.py
@@ -10,11 +10,12 @@
 class Link:
     """The stream of one attempt."""
 
-    __slots__ = ("assembly", "attempt", "deadline", "generation", "open", "upstream")
+    __slots__ = ("assembly", "attempt", "deadline", "generation", "open", "stale", "upstream")
 
     def __init__(self, attempt: int, upstream: Upstream, deadline: float, max_bytes: int) -> None:
         self.attempt, self.upstream = attempt, upstream
         self.deadline = deadline  # it is given up then, unless something comes before
         self.open = False
+        self.stale = False  # its upstream's data were older than the limit when it last said
         self.generation = NO_GENERATION  # set with Accepted
         self.assembly = Assembly(max_bytes)
--- a/merlinbay/control/fanout/simulated_fleet.py
+++ b/merlinbay/control/fanout/simulated_fleet.py
@@ -77,6 +77,10 @@
         """Return the whole state."""
         return StateSnapshot(self.revision, tuple(self.values.values()))
 
+    def restore(self, other: SourceStore) -> None:
+        """Take the state of another store, as an operator's reset does."""
+        self.values, self.changes = other.values, other.changes
+
     def apply(self, entry: KeyValue) -> None:
         """Apply the next entry of the log."""
         if entry.value is None:
