Seeded simulation of the control log in virtual time, and a checker over its histories

Need: the replicated control log has to be shown by seeds, with a checker that finds faults. Considered: a model of the core in place of its code (shows nothing of the code); Porcupine or Knossos as an outside program (another runtime for a search that takes a hundred lines).

--- /dev/null
+++ b/merlinbay/control/simulation/faults.py
@@ -0,0 +1,122 @@
+"""Carries the faults of a scenario out on a running world."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from itertools import product
+
+from merlinbay.control.simulation.host import Host
+from merlinbay.control.simulation.network import Network
+from merlinbay.control.simulation.scenario import (
+    Crash,
+    Cut,
+    CutOff,
+    DiskFull,
+    Fault,
+    MoveLeadership,
+    MoveVoter,
+    Pause,
+    Scenario,
+)
+from merlinbay.control.simulation.scheduler import Scheduler
+
+Pairs = list[tuple[str, str]]
+
+
+class Faults:
+    """Plans all faults of a scenario; ``end`` takes back what still holds."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        scheduler: Scheduler,
+        network: Network,
+        hosts: dict[str, Host],
+        leader: Callable[[], Host | None],
+        move_voter: Callable[[float], None],
+        trace: Callable[[str], None],
+    ) -> None:
+        """Plan the faults."""
+        self.scenario = scenario
+        self.scheduler = scheduler
+        self.network = network
+        self.hosts = hosts
+        self.leader = leader
+        self.move_voter = move_voter
+        self.trace = trace
+        self.over = False
+        for fault in scenario.faults:
+            self._plan(fault)
+
+    def _plan(self, fault: Fault) -> None:
+        def begin() -> None:
+            if not self.over:
+                self._begin(fault)
+
+        self.scheduler.at(fault.at, begin)
+
+    def _begin(self, fault: Fault) -> None:
+        self.trace(repr(fault))
+        match fault:
+            case Crash():
+                self._crash(fault)
+            case Pause():
+                self._pause(fault)
+            case Cut():
+                pairs = list(product(fault.senders, fault.receivers))
+                self._cut(pairs, fault.two_way, fault.span)
+            case CutOff():
+                self._cut_off(fault)
+            case DiskFull():
+                disk = self.hosts[fault.voter].disk
+                disk.full = True
+                self.scheduler.after(fault.span, lambda: setattr(disk, "full", False))
+            case MoveLeadership():
+                leader = self.leader()
+                if leader is not None:
+                    leader.give(lambda voter, now: voter.transfer_leadership(now))
+            case MoveVoter():
+                self.move_voter(fault.choice)
+
+    def _crash(self, fault: Crash) -> None:
+        host = self.hosts[fault.voter]
+        if not fault.loses_disk:
+            host.crash_within(fault.effects, fault.down_for)
+            return
+        host.crash(None)
+        host.disk.lose()
+        self.scheduler.after(fault.down_for, host.start)
+
+    def _pause(self, fault: Pause) -> None:
+        host = self.hosts[fault.voter] if fault.voter else self.leader()
+        if host is not None and not host.paused:
+            host.pause()
+            self.trace(f"{host.name} is stopped for {fault.span:.3f} s")
+            self.scheduler.after(fault.span, host.resume)
+
+    def _cut_off(self, fault: CutOff) -> None:
+        regions = self.scenario.regions
+        inside = [place for place, region in regions.items() if region == fault.region]
+        outside = [place for place, region in regions.items() if region != fault.region]
+        self._cut(list(product(inside, outside)), True, fault.span)
+
+    def _cut(self, pairs: Pairs, two_way: bool, span: float) -> None:
+        if two_way:
+            pairs = pairs + [(receiver, sender) for sender, receiver in pairs]
+        self.network.cut(pairs)
+        self.scheduler.after(span, lambda: self._heal(pairs))
+
+    def _heal(self, pairs: Iterable[tuple[str, str]]) -> None:
+        if not self.over:
+            self.network.heal(pairs)
+            self.trace("a cut is healed")
+
+    def end(self) -> None:
+        """End all faults: cuts, pauses, full disks, armed crashes; start what is down."""
+        self.over = True
+        self.network.heal_all()
+        for host in self.hosts.values():
+            host.disk.full = False
+            host.crash_in = None
+            host.resume()
+            host.start()
--- /dev/null
+++ b/merlinbay/control/simulation/follower.py
@@ -0,0 +1,80 @@
+"""A simulated follower of the revision stream: deltas from one voter, then from another."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Protocol
+
+import msgspec
+
+from merlinbay.control.entries import Delta, KeyValue, StateSnapshot
+from merlinbay.control.simulation.history import AppliedSeen, History, StateSeen
+from merlinbay.control.simulation.scheduler import Scheduler
+
+POLL_EVERY = 0.3  # seconds, mean
+MOVES = 0.1  # share of the polls after which the follower goes to another voter
+
+News = Delta | StateSnapshot
+
+
+class Surroundings(Protocol):
+    """What a follower needs of the world."""
+
+    scheduler: Scheduler
+    history: History
+
+    def request_news(
+        self, follower: str, voter: str, revision: int, on_answer: Callable[[News], None]
+    ) -> None:
+        """Ask a voter for what came after a revision; not answered where it has nothing newer."""
+
+
+def state_digest(entries: Iterable[KeyValue]) -> bytes:
+    """Return a digest of all keys that exist, with their values and revisions."""
+    existing = sorted(
+        ((one.key, one.value, one.revision) for one in entries if one.value is not None),
+        key=lambda entry: entry[0],
+    )
+    return hashlib.blake2b(msgspec.msgpack.encode(existing), digest_size=16).digest()
+
+
+class Follower:
+    """Keeps a copy of all keys; an answer to the last request is taken as it is, so that faults show."""
+
+    def __init__(self, name: str, world: Surroundings, random: Random, voters: tuple[str, ...]) -> None:
+        """Start empty at revision 0."""
+        self.name = name
+        self.world = world
+        self.random = random
+        self.voters = voters
+        self.voter = random.choice(voters)
+        self.request = 0
+        self.revision = 0
+        self.entries: dict[str, KeyValue] = {}
+        self.snapshots = 0
+
+    def poll(self) -> None:
+        """Ask for news, and do so again and again."""
+        self.request += 1
+        request = self.request
+        if self.random.random() < MOVES:
+            self.voter = self.random.choice(self.voters)
+        self.world.request_news(self.name, self.voter, self.revision, lambda news: self._take(request, news))
+        self.world.scheduler.after(POLL_EVERY * (0.5 + self.random.random()), self.poll)
+
+    def _take(self, request: int, news: News) -> None:
+        if request != self.request:
+            return  # late, or a second copy
+        self.request += 1
+        if isinstance(news, StateSnapshot):
+            self.snapshots += 1
+            self.entries = {}
+        self.entries |= {entry.key: entry for entry in news.entries}
+        self.revision = news.revision
+        history, time = self.world.history, self.world.scheduler.time
+        history.followers.append(
+            StateSeen(time, self.name, self.revision, state_digest(self.entries.values()))
+        )
+        history.applied += [AppliedSeen(time, self.name, entry) for entry in news.entries]
--- /dev/null
+++ b/merlinbay/control/simulation/history.py
@@ -0,0 +1,138 @@
+"""What a run of the simulation records: the operations of clients, and what voters and followers showed.
+
+A history is plain data. The checks in ``checker`` judge it afterwards and know nothing of how it came about,
+so that tests can hand them histories made by hand.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from enum import Enum
+
+from merlinbay.control.entries import Change, ChangeApplied, ChangeRejected, ChangeResult, KeyValue
+
+
+class Kind(Enum):
+    """What a client asked for."""
+
+    CHANGE = "change"
+    READ = "read"
+
+
+@dataclass
+class Operation:
+    """One operation of one client, over all its retries.
+
+    A change is complete once it was applied, or rejected for good (conflict, invalid). An operation that its
+    client gave up stays open: it may have taken effect at any time after ``invoked``, or never.
+    """
+
+    client: str
+    kind: Kind
+    key: str
+    invoked: float
+    change: Change | None = None
+    returned: float = math.inf
+    result: ChangeApplied | ChangeRejected | None = None  # of a change
+    value: KeyValue | None = None  # of a read
+
+    @property
+    def complete(self) -> bool:
+        """Whether the client knows the outcome."""
+        return self.returned < math.inf
+
+
+@dataclass
+class Attempt:
+    """One change handed to one voter; ``result`` stays None where the voter stopped before it answered."""
+
+    time: float
+    voter: str
+    change: Change
+    result: ChangeResult | None = None
+    answers: int = 0
+
+
+@dataclass(frozen=True)
+class LeaderSeen:
+    """A voter that takes itself for the leader of a term, and the end of its log at that moment."""
+
+    time: float
+    voter: str
+    term: int
+    last_index: int
+
+
+@dataclass(frozen=True)
+class EntrySeen:
+    """An entry in a voter's log. ``content`` identifies the payload."""
+
+    time: float
+    voter: str
+    index: int
+    term: int
+    content: bytes
+    previous_term: int | None  # None where the entry before it was compacted
+    committed: bool
+
+
+@dataclass(frozen=True)
+class LogSeen:
+    """The extent of a voter's log, and a digest of all that it has applied.
+
+    ``disk`` counts the disks that the voter has had.
+    """
+
+    time: float
+    voter: str
+    disk: int
+    last_index: int
+    commit_index: int
+    state_digest: str = ""
+
+
+@dataclass(frozen=True)
+class StateSeen:
+    """All keys of a voter or a follower, reduced to a digest, at a revision."""
+
+    time: float
+    place: str
+    revision: int
+    digest: bytes
+
+
+@dataclass(frozen=True)
+class AppliedSeen:
+    """The last state of a key, as a voter or a follower has applied it."""
+
+    time: float
+    place: str
+    entry: KeyValue
+
+
+@dataclass(frozen=True)
+class FinalState:
+    """What a voter ends with, after all faults are over and some quiet time has passed."""
+
+    voter: str
+    revision: int
+    digest: bytes
+    entries: tuple[KeyValue, ...]
+
+
+@dataclass
+class History:
+    """All records of one run, each list in the order of virtual time."""
+
+    operations: list[Operation] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    leaders: list[LeaderSeen] = field(default_factory=list)
+    entries: list[EntrySeen] = field(default_factory=list)
+    logs: list[LogSeen] = field(default_factory=list)
+    states: list[StateSeen] = field(default_factory=list)
+    applied: list[AppliedSeen] = field(default_factory=list)
+    followers: list[StateSeen] = field(default_factory=list)
+    finals: list[FinalState] = field(default_factory=list)
+    expected_finals: int = 0  # voters that have to agree at the end; 0: the end is not judged
+    failures: list[str] = field(default_factory=list)  # exceptions of the code under test
--- /dev/null
+++ b/merlinbay/control/simulation/linearizability.py
@@ -0,0 +1,123 @@
+"""Linearizability of a register with compare-and-set, by the algorithm of Wing and Gong with Lowe's memory.
+
+The keys of the log are independent registers, and linearizability is local: a history is linearizable if it
+is so key by key. The search walks through the orders that respect real time, keeps the configurations (set of
+linearized operations, state of the register) that it has visited, and never visits one twice. Open operations
+may be linearized anywhere after their call, or nowhere. The search is bounded; a history that exceeds the
+bound is reported as undecided, never as linearizable.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+from merlinbay.control.entries import ChangeApplied, ChangeRejected
+from merlinbay.control.simulation.history import Kind, Operation
+
+MOST_CONFIGURATIONS = 200_000  # some 100 MB of visited configurations
+UNKNOWN = -1  # the revision of a change whose client never learned it
+
+
+class Verdict(Enum):
+    """What the search found."""
+
+    LINEARIZABLE = "linearizable"
+    VIOLATED = "violated"
+    UNDECIDED = "undecided"
+
+
+@dataclass(frozen=True, slots=True)
+class Register:
+    """The state of one key: its value (None where it does not exist) and the revision of its last change."""
+
+    value: bytes | None = None
+    revision: int = 0
+
+
+def _agrees(known: int, claimed: int) -> bool:
+    return known == claimed or UNKNOWN in (known, claimed)
+
+
+def _after_read(register: Register, operation: Operation) -> Register | None:
+    seen = operation.value
+    if seen is None or seen.value is None:
+        return register if register.value is None else None
+    if seen.value != register.value or not _agrees(register.revision, seen.revision):
+        return None
+    return Register(seen.value, seen.revision)
+
+
+def _matches_expectation(register: Register, expected: int) -> bool:
+    if expected == 0:
+        return register.value is None
+    return register.value is not None and _agrees(register.revision, expected)
+
+
+def _after_conflict(register: Register, expected: int) -> Register | None:
+    certain = expected == 0 or register.revision != UNKNOWN
+    return None if certain and _matches_expectation(register, expected) else register
+
+
+def _after_change(register: Register, operation: Operation) -> Register | None:
+    change, result = operation.change, operation.result
+    assert change is not None
+    if isinstance(result, ChangeRejected):
+        if result.reason != "conflict" or change.expected_revision is None:
+            return register
+        return _after_conflict(register, change.expected_revision)
+    if change.expected_revision is not None and not _matches_expectation(register, change.expected_revision):
+        return None
+    if not isinstance(result, ChangeApplied):
+        return Register(change.value, UNKNOWN)
+    return Register(change.value, result.revision) if result.revision > register.revision else None
+
+
+def step(register: Register, operation: Operation) -> Register | None:
+    """Return the register after the operation, or None where the operation's outcome rules this out."""
+    if operation.kind is Kind.READ:
+        return _after_read(register, operation)
+    return _after_change(register, operation)
+
+
+def check_key(operations: list[Operation], most: int = MOST_CONFIGURATIONS) -> Verdict:
+    """Search an order of one key's operations that explains all outcomes."""
+    ordered = sorted(
+        (one for one in operations if one.complete or one.kind is Kind.CHANGE), key=lambda one: one.invoked
+    )
+    must = sum(1 << number for number, one in enumerate(ordered) if one.complete)
+    stack = [(0, Register())]
+    visited: set[tuple[int, Register]] = set(stack)
+    while stack:
+        done, register = stack.pop()
+        if done & must == must:
+            return Verdict.LINEARIZABLE
+        for number in _candidates(ordered, done):
+            following = step(register, ordered[number])
+            if following is None:
+                continue
+            configuration = (done | 1 << number, following)
+            if configuration not in visited:
+                visited.add(configuration)
+                stack.append(configuration)
+        if len(visited) > most:
+            return Verdict.UNDECIDED
+    return Verdict.VIOLATED
+
+
+def _candidates(ordered: list[Operation], done: int) -> list[int]:
+    """Return the operations that may come next: called before every open operation has returned.
+
+    Complete operations are tried first (the stack takes the last one first), and the earliest return before.
+    """
+    deadline = math.inf
+    found: list[int] = []
+    for number, operation in enumerate(ordered):
+        if operation.invoked > deadline:
+            break
+        if not done >> number & 1:
+            found.append(number)
+            deadline = min(deadline, operation.returned)
+    eligible = [number for number in found if ordered[number].invoked <= deadline]
+    return sorted(eligible, key=lambda number: -ordered[number].returned)
--- /dev/null
+++ b/merlinbay/control/simulation/observer.py
@@ -0,0 +1,99 @@
+"""Looks into voters between their calls, and records what changed for the checks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from merlinbay.control.simulation.follower import state_digest
+from merlinbay.control.simulation.history import (
+    AppliedSeen,
+    EntrySeen,
+    FinalState,
+    History,
+    LeaderSeen,
+    LogSeen,
+    StateSeen,
+)
+from merlinbay.control.simulation.host import Host
+from merlinbay.control.simulation.ports import Core, LogView, VoterPort
+
+
+@dataclass
+class Seen:
+    """What was last seen of one start of one voter."""
+
+    voter: VoterPort
+    revision: int = 0
+    extent: tuple[int, int, int] = (0, 0, 0)  # last index and its term, commit index
+    committed: int = 0
+    entries: dict[int, tuple[int, bool]] = field(default_factory=dict)  # term and whether committed
+
+
+class Observer:
+    """Keeps what was seen of each voter, so that only news are recorded."""
+
+    def __init__(self, core: Core, history: History) -> None:
+        """Start with nothing seen."""
+        self.core = core
+        self.history = history
+        self.seen: dict[str, Seen] = {}
+        self.led: set[tuple[str, int]] = set()
+
+    def observe(self, host: Host, time: float) -> str:
+        """Record what is new at a voter; return a line for the trace where it began to lead."""
+        voter = host.voter
+        assert voter is not None
+        seen = self.seen.get(host.name)
+        if seen is None or seen.voter is not voter:
+            seen = self.seen[host.name] = Seen(voter)
+        self._observe_state(host.name, seen, time)
+        log = self.core.log(voter, seen.committed + 1)
+        if log is not None:
+            self._observe_log(host, seen, log, time)
+        term = self.core.leading_term(voter)
+        if term is None or (host.name, term) in self.led:
+            return ""
+        self.led.add((host.name, term))
+        self.history.leaders.append(LeaderSeen(time, host.name, term, log.last_index if log else 0))
+        return f"{host.name} leads term {term}"
+
+    def _observe_state(self, name: str, seen: Seen, time: float) -> None:
+        revision = seen.voter.keyspace.revision
+        if revision == seen.revision:
+            return
+        delta = seen.voter.keyspace.delta_after(seen.revision) if revision > seen.revision else None
+        snapshot = self.core.snapshot(seen.voter)
+        entries = delta.entries if delta is not None else snapshot.entries
+        self.history.applied += [AppliedSeen(time, name, entry) for entry in entries]
+        self.history.states.append(StateSeen(time, name, revision, state_digest(snapshot.entries)))
+        seen.revision = revision
+
+    def _observe_log(self, host: Host, seen: Seen, log: LogView, time: float) -> None:
+        last_term = log.entries[-1].term if log.entries else 0
+        extent = (log.last_index, last_term, log.commit_index)
+        if extent == seen.extent:
+            return
+        seen.extent = extent
+        self.history.logs.append(
+            LogSeen(time, host.name, host.disk.number, log.last_index, log.commit_index, log.state_digest)
+        )
+        previous = log.previous_term
+        for entry in log.entries:
+            mark = (entry.term, entry.index <= log.commit_index)
+            if seen.entries.get(entry.index) != mark:
+                seen.entries[entry.index] = mark
+                self.history.entries.append(
+                    EntrySeen(time, host.name, entry.index, entry.term, entry.content, previous, mark[1])
+                )
+            previous = entry.term
+        seen.committed = max(seen.committed, log.commit_index)
+
+    def finish(self, hosts: list[Host]) -> None:
+        """Record what voters end with."""
+        self.history.expected_finals = len(hosts)
+        for host in hosts:
+            if host.voter is not None:
+                snapshot = self.core.snapshot(host.voter)
+                self.history.finals.append(
+                    FinalState(host.name, snapshot.revision, state_digest(snapshot.entries), snapshot.entries)
+                )
--- /dev/null
+++ b/merlinbay/control/simulation/ports.py
@@ -0,0 +1,100 @@
+"""What the simulation needs of the consensus core, so that a stand-in can take its place in tests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from merlinbay.control.effects import Effect
+from merlinbay.control.entries import Change, Delta, StateSnapshot
+
+
+class KeyspacePort(Protocol):
+    """The applied state of a voter."""
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last change applied."""
+
+    def delta_after(self, revision: int) -> Delta | None:
+        """Return what changed after a revision, or None where that was compacted."""
+
+
+class VoterPort(Protocol):
+    """A voter of the control log: decisions only, effects are carried out by the host."""
+
+    @property
+    def keyspace(self) -> KeyspacePort:
+        """Return the applied state."""
+
+    def receive(self, now: float, sender: str, message: bytes) -> None:
+        """Take a message of another voter."""
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+
+    def next_deadline(self) -> float:
+        """Return when ``tick`` is due, by this voter's clock."""
+
+    def propose(self, now: float, change: Change, token: int) -> None:
+        """Propose a change; answered by ``ProposalDone``."""
+
+    def read(self, now: float, key: str, token: int) -> None:
+        """Read a key linearizably; answered by ``ReadDone``."""
+
+    def change_voters(self, now: float, add: str | None, remove: str | None, token: int) -> None:
+        """Add and remove one voter each; answered by ``ProposalDone``."""
+
+    def transfer_leadership(self, now: float) -> None:
+        """Hand the leadership to another voter."""
+
+    def storage_failed(self, now: float, dropped: Sequence[Effect] = ()) -> None:
+        """Give up: a record could not be made durable; the effects from it on are dropped."""
+
+    def take_effects(self) -> list[Effect]:
+        """Return the effects since the last call."""
+
+
+@dataclass(frozen=True)
+class LogEntry:
+    """An entry as the checks compare it."""
+
+    index: int
+    term: int
+    content: bytes
+
+
+@dataclass(frozen=True)
+class LogView:
+    """A voter's log from ``first_index`` on; what is before was compacted into a snapshot."""
+
+    first_index: int
+    last_index: int
+    commit_index: int
+    state_digest: str  # of all that is applied up to the commit index, ids of changes included
+    previous_term: int | None  # of the entry before the first one
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(frozen=True)
+class Boot:
+    """What a voter is started with."""
+
+    name: str
+    first_voters: tuple[str, ...]  # the voters of the first configuration
+    records: Sequence[bytes]
+    random: Random
+    now: float
+
+
+@dataclass(frozen=True)
+class Core:
+    """The code under test: how to start a voter, and how to look into it."""
+
+    start: Callable[[Boot], VoterPort]
+    snapshot: Callable[[VoterPort], StateSnapshot]
+    leading_term: Callable[[VoterPort], int | None]  # the term that the voter takes itself for the leader of
+    voters: Callable[[VoterPort], frozenset[str]]  # the configuration that the voter goes by
+    log: Callable[[VoterPort, int], LogView | None]  # from an index on; None: it shows no log
--- /dev/null
+++ b/merlinbay/control/simulation/scenario.py
@@ -0,0 +1,228 @@
+"""What a run plays: places, delays, clients and faults, all drawn from the seed."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from itertools import combinations
+from random import Random
+
+from merlinbay.control.simulation.network import NetworkSettings
+
+REGIONS = ("north", "south", "west")
+SPREAD = {5: (2, 2, 1), 7: (3, 2, 2)}  # voters by region; three of one region are 3 of 7, or 3 of 5 below
+CROWDED = (3, 1, 1)  # 5 voters of which one region has the majority
+LONGEST_PAUSE = 20.0  # seconds
+MOST_OFFSET = 3600.0  # seconds a clock is off
+MOST_DRIFT = 0.0005  # 500 parts in a million: ten times a bad quartz
+KEYS = ("teams/a/quota", "teams/b/quota", "limits/starts", "limits/urgent")
+
+
+@dataclass(frozen=True)
+class Crash:
+    """End a process between two of its next effects, and start it again, perhaps on an empty disk."""
+
+    at: float
+    voter: str
+    effects: int
+    down_for: float
+    loses_disk: bool = False
+
+
+@dataclass(frozen=True)
+class Pause:
+    """Stop a process as by SIGSTOP; ``voter`` empty: the leader of that moment."""
+
+    at: float
+    voter: str
+    span: float
+
+
+@dataclass(frozen=True)
+class Cut:
+    """Let no message pass from any of the senders to any of the receivers; two-way: nor back."""
+
+    at: float
+    span: float
+    senders: tuple[str, ...]
+    receivers: tuple[str, ...]
+    two_way: bool
+
+
+@dataclass(frozen=True)
+class CutOff:
+    """Separate a region with all that is in it from the others."""
+
+    at: float
+    span: float
+    region: str
+
+
+@dataclass(frozen=True)
+class DiskFull:
+    """Let a voter's disk take no records for some time."""
+
+    at: float
+    span: float
+    voter: str
+
+
+@dataclass(frozen=True)
+class MoveLeadership:
+    """Ask the leader to hand its leadership over."""
+
+    at: float
+
+
+@dataclass(frozen=True)
+class MoveVoter:
+    """Ask the leader for one change of the voters; what is changed is chosen by the voters of that moment."""
+
+    at: float
+    choice: float  # in [0, 1)
+
+
+Fault = Crash | Pause | Cut | CutOff | DiskFull | MoveLeadership | MoveVoter
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """All that a run is determined by, besides the code under test."""
+
+    seed: int
+    duration: float  # seconds with clients and faults
+    quiet: float  # seconds without, before the end is judged
+    regions: dict[str, str]  # of every place
+    voters: tuple[str, ...]  # the first ones
+    spares: tuple[str, ...]
+    clients: tuple[str, ...]
+    followers: tuple[str, ...]
+    clocks: dict[str, tuple[float, float]]  # offset and drift
+    network: NetworkSettings
+    faults: tuple[Fault, ...]
+    think_time: float  # mean seconds between two operations of a client
+
+    @property
+    def machines(self) -> tuple[str, ...]:
+        """Return the voters and the spare machines."""
+        return self.voters + self.spares
+
+
+def draw(seed: int) -> Scenario:
+    """Draw the scenario of a seed."""
+    random = Random(f"control scenario {seed}")
+    count = random.choice((5, 5, 7))
+    spread = CROWDED if count == 5 and random.random() < 0.5 else SPREAD[count]
+    voters, regions = _voters(spread)
+    spares = ("spare-1", "spare-2") if random.random() < 0.4 else ()
+    clients = tuple(f"client-{number}" for number in range(1, random.randint(3, 5) + 1))
+    followers = tuple(f"follower-{number}" for number in range(1, 4))
+    for place in (*spares, *clients, *followers):
+        regions[place] = random.choice(REGIONS)
+    machines = voters + spares
+    duration = random.uniform(25.0, 45.0)
+    return Scenario(
+        seed=seed,
+        duration=duration,
+        quiet=30.0,
+        regions=regions,
+        voters=voters,
+        spares=spares,
+        clients=clients,
+        followers=followers,
+        clocks={name: draw_clock(random) for name in machines},
+        network=draw_network(random),
+        faults=draw_faults(random, voters, spares, duration),
+        think_time=random.choice((0.1, 0.3, 0.6)),
+    )
+
+
+def _voters(spread: Sequence[int]) -> tuple[tuple[str, ...], dict[str, str]]:
+    regions = {
+        f"{region}-{number}": region
+        for region, count in zip(REGIONS, spread, strict=True)
+        for number in range(1, count + 1)
+    }
+    return tuple(regions), regions
+
+
+def draw_clock(random: Random) -> tuple[float, float]:
+    """Draw the offset and the drift of a clock."""
+    offset = random.choice((-MOST_OFFSET, 0.0, MOST_OFFSET, random.uniform(-MOST_OFFSET, MOST_OFFSET)))
+    # The core is given a monotonic clock, which is not negative.
+    return offset + 2 * MOST_OFFSET, random.uniform(-MOST_DRIFT, MOST_DRIFT)
+
+
+def draw_network(random: Random) -> NetworkSettings:
+    """Draw the delays, 2 to 60 ms one way between regions, and how bad the network is."""
+    bad = random.random()
+    return NetworkSettings(
+        delays=tuple((one, other, random.uniform(0.002, 0.06)) for one, other in combinations(REGIONS, 2)),
+        jitter=random.choice((0.05, 0.3)),
+        loss=bad * random.choice((0.0, 0.02, 0.1)),
+        duplication=bad * random.choice((0.0, 0.05, 0.2)),
+        reordering=bad * random.choice((0.0, 0.05, 0.2)),
+        held_back=random.choice((0.1, 1.0, 5.0)),
+    )
+
+
+def draw_faults(
+    random: Random, voters: tuple[str, ...], spares: tuple[str, ...], duration: float
+) -> tuple[Fault, ...]:
+    """Draw faults over the duration, some every few seconds. Disks are lost by a minority in all."""
+    faults: list[Fault] = []
+    disks = len(voters) // 2
+    pace = random.choice((1.0, 2.5, 5.0))
+    at = 2.0 + random.expovariate(1.0 / pace)
+    while at < duration:
+        fault = _draw_fault(random, voters, spares, at, disks > 0)
+        disks -= isinstance(fault, Crash) and fault.loses_disk
+        faults.append(fault)
+        if isinstance(fault, Crash) and random.random() < 0.2:
+            faults += _crash_others(random, voters, at)
+        at += random.expovariate(1.0 / pace)
+    return tuple(faults)
+
+
+def _draw_fault(
+    random: Random, voters: tuple[str, ...], spares: tuple[str, ...], at: float, may_lose_disk: bool
+) -> Fault:
+    voter = random.choice(voters + spares)
+    span = random.choice((0.5, 2.0, 6.0)) * random.uniform(0.5, 1.5)
+    kind = random.choices(
+        ("crash", "lose disk", "pause", "cut", "cut off", "full", "leadership", "voters"),
+        (6, 2 * may_lose_disk, 4, 4, 2, 1, 2, 4 * bool(spares)),
+    )[0]
+    match kind:
+        case "crash" | "lose disk":
+            return Crash(at, voter, random.randint(0, 20), span, kind == "lose disk")
+        case "pause":
+            longest = random.choice((1.0, 5.0, LONGEST_PAUSE))
+            return Pause(at, random.choice(("", voter)), random.uniform(0.3, 1.0) * longest)
+        case "cut":
+            return _draw_cut(random, voters + spares, at, span)
+        case "cut off":
+            return CutOff(at, 2 * span, random.choice(REGIONS))
+        case "full":
+            return DiskFull(at, span, voter)
+        case "leadership":
+            return MoveLeadership(at)
+        case _:
+            return MoveVoter(at, random.random())
+
+
+def _crash_others(random: Random, voters: tuple[str, ...], at: float) -> list[Fault]:
+    """Crash all at nearly the same time, as in a power failure."""
+    return [
+        Crash(at + random.uniform(0.0, 0.05), voter, random.randint(0, 5), random.uniform(0.2, 3.0))
+        for voter in voters
+    ]
+
+
+def _draw_cut(random: Random, machines: tuple[str, ...], at: float, span: float) -> Cut:
+    side = tuple(random.sample(machines, random.randint(1, len(machines) // 2)))
+    others = tuple(name for name in machines if name not in side)
+    two_way = random.random() < 0.4
+    if random.random() < 0.5:
+        side, others = others, side
+    return Cut(at, span, side, others, two_way)
--- /dev/null
+++ b/merlinbay/control/simulation/scheduler.py
@@ -0,0 +1,34 @@
+"""Virtual time: a queue of calls, carried out in the order of their moments."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+
+
+class Scheduler:
+    """Runs calls at their moments. Calls for one moment run in the order of being planned."""
+
+    def __init__(self) -> None:
+        """Start at moment 0."""
+        self.time = 0.0
+        self.steps = 0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+
+    def at(self, time: float, call: Callable[[], None]) -> None:
+        """Run a call at a moment, or now where that is over."""
+        self._number += 1
+        heapq.heappush(self._queue, (max(time, self.time), self._number, call))
+
+    def after(self, span: float, call: Callable[[], None]) -> None:
+        """Run a call after a span of time."""
+        self.at(self.time + span, call)
+
+    def run_until(self, time: float) -> None:
+        """Run all calls up to a moment."""
+        while self._queue and self._queue[0][0] <= time:
+            self.time, _, call = heapq.heappop(self._queue)
+            self.steps += 1
+            call()
+        self.time = time
--- /dev/null
+++ b/merlinbay/control/simulation/world.py
@@ -0,0 +1,216 @@
+"""One run: voters, clients and followers in virtual time, from a scenario to a history."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+from merlinbay.control.effects import ProposalDone, ReadDone
+from merlinbay.control.entries import Change
+from merlinbay.control.simulation.checker import Violation, check
+from merlinbay.control.simulation.client import Client, OnAnswer
+from merlinbay.control.simulation.faults import Faults
+from merlinbay.control.simulation.follower import Follower, News
+from merlinbay.control.simulation.history import Attempt, History, Kind, Operation
+from merlinbay.control.simulation.host import Host
+from merlinbay.control.simulation.machine import Clock
+from merlinbay.control.simulation.network import Network
+from merlinbay.control.simulation.observer import Observer
+from merlinbay.control.simulation.ports import Core, VoterPort
+from merlinbay.control.simulation.scenario import KEYS, Scenario
+from merlinbay.control.simulation.scheduler import Scheduler
+
+FINAL = "final"  # the client that asks after the faults are over
+FINAL_EVERY = 2.0  # seconds between its operations
+
+
+@dataclass(frozen=True)
+class Run:
+    """What came out of a run. ``fingerprint`` is equal for two runs that went the same way."""
+
+    scenario: Scenario
+    history: History
+    violations: list[Violation]
+    trace: list[str]
+    fingerprint: str
+    steps: int
+
+
+class World:
+    """All that a run consists of."""
+
+    def __init__(self, scenario: Scenario, core: Core) -> None:
+        """Set everything up; ``run`` plays it."""
+        self.scenario = scenario
+        self.core = core
+        self.scheduler = Scheduler()
+        self.history = History()
+        self.lines: list[str] = []
+        self.tokens = itertools.count(1)
+        self.observer = Observer(core, self.history)
+        regions = {**scenario.regions, FINAL: scenario.regions[scenario.voters[0]]}
+        self.network = Network(scenario.network, regions, self._random("network"))
+        self.hosts = {name: self._host(name) for name in scenario.machines}
+        think = scenario.think_time
+        self.clients = [self._client(name, think) for name in scenario.clients]
+        self.final = self._client(FINAL, FINAL_EVERY)
+        self.followers = [
+            Follower(name, self, self._random(name), scenario.voters) for name in scenario.followers
+        ]
+        self.faults = Faults(
+            scenario,
+            self.scheduler,
+            self.network,
+            self.hosts,
+            self.leader,
+            self.move_voter,
+            self.trace,
+        )
+
+    def _random(self, purpose: str) -> Random:
+        return Random(f"control {self.scenario.seed} {purpose}")
+
+    def _host(self, name: str) -> Host:
+        clock = Clock(*self.scenario.clocks[name])
+        return Host(name, self.core, self, clock, self._random(name), self.scenario.voters)
+
+    def _client(self, name: str, think_time: float) -> Client:
+        return Client(name, self, self._random(name), self.scenario.machines, think_time)
+
+    def run(self) -> History:
+        """Play the scenario, end the faults, and let the voters come to rest."""
+        scenario = self.scenario
+        for host in self.hosts.values():
+            host.start()
+        for client in self.clients:
+            client.start()
+        for follower in self.followers:
+            follower.poll()
+        self.scheduler.run_until(scenario.duration)
+        self.trace("the faults end")
+        self.faults.end()
+        for client in self.clients:
+            client.stop()
+        self.scheduler.run_until(scenario.duration + scenario.quiet / 2)
+        self._ask_finally()
+        self.scheduler.run_until(scenario.duration + scenario.quiet)
+        leader = self.leader()
+        names = self.core.voters(leader.voter) if leader is not None and leader.voter else scenario.voters
+        self.observer.finish([self.hosts[name] for name in sorted(names)])
+        return self.history
+
+    def _ask_finally(self) -> None:
+        """Write and read every key, one after the other, with a client that does not give up at a stop."""
+        self.final.stop()
+        for number, key in enumerate(KEYS):
+            self._finally(number * FINAL_EVERY, key, Change(f"{FINAL}/{key}", key, f"{FINAL}/{key}".encode()))
+            self._finally((number + 0.5) * FINAL_EVERY, key, None)
+
+    def _finally(self, after: float, key: str, change: Change | None) -> None:
+        kind = Kind.READ if change is None else Kind.CHANGE
+
+        def begin() -> None:
+            self.final.begin(Operation(FINAL, kind, key, self.scheduler.time, change))
+
+        self.scheduler.after(after, begin)
+
+    def leader(self) -> Host | None:
+        """Return the running voter that leads the highest term."""
+        leading = [
+            (term, host)
+            for host in self.hosts.values()
+            if host.voter is not None and (term := self.core.leading_term(host.voter)) is not None
+        ]
+        return max(leading, key=lambda pair: pair[0])[1] if leading else None
+
+    def move_voter(self, choice: float) -> None:
+        """Ask the leader to add or remove one voter; at least the first number of voters stays."""
+        leader = self.leader()
+        if leader is None or leader.voter is None:
+            return
+        voters = sorted(self.core.voters(leader.voter))
+        others = sorted(set(self.scenario.machines) - set(voters))
+        if len(voters) <= len(self.scenario.voters):
+            add, remove = (others[int(choice * len(others))] if others else None), None
+        else:
+            add, remove = None, voters[int(choice * len(voters))]
+        if add is None and remove is None:
+            return
+        self.trace(f"{leader.name} is asked to add {add} and remove {remove}")
+        leader.change_voters(
+            add, remove, next(self.tokens), lambda done: self.trace(f"change of voters: {done}")
+        )
+
+    def send(self, sender: str, receiver: str, message: bytes) -> None:
+        """Send a message from voter to voter."""
+        host = self.hosts[receiver]
+        for delay in self.network.arrivals(sender, receiver):
+            self.scheduler.after(
+                delay, lambda: host.give(lambda voter, now: voter.receive(now, sender, message))
+            )
+
+    def request_change(self, client: str, voter: str, change: Change, on_answer: OnAnswer) -> None:
+        """Send a client's change to a voter; each copy that arrives is an attempt."""
+        host = self.hosts[voter]
+        for delay in self.network.arrivals(client, voter):
+            reply = partial(self._reply, voter, client, on_answer)
+            self.scheduler.after(delay, partial(host.propose, change, next(self.tokens), reply))
+
+    def request_read(self, client: str, voter: str, key: str, on_answer: OnAnswer) -> None:
+        """Send a client's read to a voter."""
+        host = self.hosts[voter]
+        for delay in self.network.arrivals(client, voter):
+            reply = partial(self._reply, voter, client, on_answer)
+            self.scheduler.after(delay, partial(host.read, key, next(self.tokens), reply))
+
+    def _reply(self, voter: str, client: str, on_answer: OnAnswer, answer: ProposalDone | ReadDone) -> None:
+        for delay in self.network.arrivals(voter, client):
+            self.scheduler.after(delay, partial(on_answer, answer))
+
+    def request_news(
+        self, follower: str, voter: str, revision: int, on_answer: Callable[[News], None]
+    ) -> None:
+        """Ask a voter for what came after a revision; one that has nothing newer does not answer."""
+
+        def call(running: VoterPort, now: float) -> None:
+            if running.keyspace.revision <= revision:
+                return
+            news = running.keyspace.delta_after(revision) or self.core.snapshot(running)
+            for delay in self.network.arrivals(voter, follower):
+                self.scheduler.after(delay, lambda: on_answer(news))
+
+        for delay in self.network.arrivals(follower, voter):
+            self.scheduler.after(delay, lambda: self.hosts[voter].give(call))
+
+    def observe(self, host: Host) -> None:
+        """Record what is new at a voter."""
+        line = self.observer.observe(host, self.scheduler.time)
+        if line:
+            self.trace(line)
+
+    def attempted(self, attempt: Attempt) -> None:
+        """Record that a change was handed to a voter."""
+        self.history.attempts.append(attempt)
+
+    def failed(self, host: Host, problem: str) -> None:
+        """Record an exception of the code under test."""
+        self.trace(f"{host.name} fails: {problem}")
+        self.history.failures.append(f"{host.name} at {self.scheduler.time:.3f}: {problem}")
+
+    def trace(self, text: str) -> None:
+        """Note what happens."""
+        self.lines.append(f"{self.scheduler.time:9.3f} {text}")
+
+
+def play(scenario: Scenario, core: Core) -> Run:
+    """Play a scenario and check its history."""
+    world = World(scenario, core)
+    history = world.run()
+    violations = check(history)
+    text = "\n".join([*world.lines, repr(history.states), repr(history.entries), repr(history.operations)])
+    fingerprint = hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+    return Run(scenario, history, violations, world.lines, fingerprint, world.scheduler.steps)
