--- a/merlinbay/conformance/report.py
+++ b/merlinbay/conformance/report.py
@@ -9,7 +9,7 @@
 from dataclasses import asdict, dataclass
 from xml.etree import ElementTree
 
-from merlinbay.conformance.clauses import Clause
+from merlinbay.conformance.clause import Clause
 from merlinbay.conformance.probe import Miss, Probe, Skip
 
 KEPT, MISSED, SKIPPED = "kept", "missed", "skipped"
--- a/merlinbay/emulator/live.py
+++ b/merlinbay/emulator/live.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
-import subprocess
 import sys
 import tempfile
+import time
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -21,104 +20,22 @@
 
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
+from merlinbay.emulator.bad_clients import BAD_REQUESTS, bad_client
+from merlinbay.emulator.call_backs import CallBackSender
+from merlinbay.emulator.checker import RuleViolation
 from merlinbay.emulator.host import Request as Asked
-from merlinbay.emulator.loop import Loop, Order
+from merlinbay.emulator.live_loop import LiveLoop
+from merlinbay.emulator.loop import Loop
+from merlinbay.emulator.node_process import HOST, LIMITS, settings_json, start_node
 from merlinbay.emulator.play import Day, Result
 from merlinbay.emulator.servers import Server, Work
 from merlinbay.emulator.spec import Script
-from merlinbay.http.client import Broken, ClientConnection, NotSent
+from merlinbay.http.client import ClientConnection, ConnectionBroken, NotSent
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.server import Listener
-from merlinbay.limits import Limits
 from merlinbay.log import Log
 
-HOST = "127.0.0.2"
-LIMITS = replace(Limits(), edge_connections=4000, dial=0.5, edge_idle=60.0, read_request=60.0)
 STATES = {"up": "SERVING", "draining": "DRAINING", "removed": "DELETED"}
-TRIES, AGAIN = 10, 0.05  # of a call-back
-KEPT = 24  # of a node's call-back connections, for each server
-
-
-def settings_json(script: Script, me: int) -> dict[str, Any]:
-    """Return the settings of a node's configuration file (WIRE, 12)."""
-    job, hall, limits = script.job, script.hall, script.limits
-    return {
-        "az": hall.zones[0],
-        "zones": hall.zones,
-        "balancers": hall.nodes,
-        "me": me,
-        "discovery": "subscribe",
-        "kinds": [kind.name for kind in hall.kinds],
-        "classes": [
-            {
-                "name": job.name,
-                "aimUs": int(job.aim * 1e6),
-                "deadlineUs": int(job.deadline * 1e6),
-                "worth": 1.0,
-                "effect": job.effect,
-                "group": job.group,
-                "windowUs": int(job.window * 1e6),
-            }
-        ],
-        "limits": {
-            "cancelling": limits.cancelling,
-            "secondCopies": limits.second_copies,
-            "probes": False,
-            "sendCap": limits.send_cap,
-            "retryAfter": limits.max_retry_after > 0,
-            "maxRetryAfterUs": int(limits.max_retry_after * 1e6),
-            "dialTimeoutUs": int(script.net.dial_ms * 1000),
-            "keepaliveUs": int(hall.keep_alive * 1e6),
-            "mostHeld": 4000,
-        },
-        "report": {
-            "how": "inline" if script.reports.on else "off",
-            "fields": ["err_rps", "active", "x0", "x1"] if script.reports.on else [],
-        },
-        "extra": {
-            "tellsStart": True,
-            "queueOrder": hall.order,
-            "classStretch": [job.stretch],
-            "reportX0": "free slots",
-            "reportX1": "free memory",
-        },
-        "safety": {
-            "drainGraceUs": int(limits.drain_grace * 1e6),
-            "coldFrom": hall.cold_from,
-            "coldUs": int(hall.cold * 1e6),
-            "tipMultiple": hall.tip,
-            "overloadForUs": int(hall.tip_for * 1e6),
-            "answerSlackUs": int(limits.answer_slack_ms * 1000),
-            "mustAskInUs": 10_000_000,
-        },
-    }
-
-
-class LiveLoop(Loop):
-    """The loop, run by the clock."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.began = 0.0
-        self.wake = trio.Event()
-
-    def at(self, due_us: int, order: Order, call: Any, *args: Any) -> None:
-        """Have something called at a time."""
-        if not self.heap or due_us < self.heap[0][0]:
-            self.wake.set()
-        super().at(due_us, order, call, *args)
-
-    def catch_up(self) -> None:
-        """Run what is due by now."""
-        self.run(int((trio.current_time() - self.began) * 1e6))
-
-    async def drive(self) -> None:
-        """Run for ever."""
-        while True:
-            self.catch_up()
-            self.wake = trio.Event()
-            with trio.move_on_at(self.began + self.heap[0][0] / 1e6 if self.heap else float("inf")):
-                await self.wake.wait()
 
 
 class LiveServer:
@@ -130,7 +47,7 @@
         self.listener: Listener | None = None
         self.scope = trio.CancelScope()
         self.addr = ""
-        self.idle: dict[str, list[ClientConnection]] = {}
+        self.call_backs = CallBackSender()
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Take a job, or a cancel."""
@@ -205,33 +122,12 @@
                 report = None if self.model.state == "down" else self.model.report()
                 if report is not None:
                     event["load"] = dict(zip(("eps", "inflight", "x0", "x1"), report, strict=True))
-            self.live.nursery.start_soon(self._call_back, node, json.dumps(event).encode())
+            self.live.nursery.start_soon(
+                self.call_backs.send, self.live.addresses[node], json.dumps(event).encode()
+            )
 
         return told
 
-    async def _call_back(self, node: int, body: bytes) -> None:
-        """Tell a node, ten times at most."""
-        addr = self.live.addresses[node]
-        idle = self.idle.setdefault(addr, [])
-        for _ in range(TRIES):
-            connection = None
-            try:
-                while idle and connection is None:
-                    kept = idle.pop()
-                    connection = kept if kept.usable() else None
-                connection = connection or await ClientConnection.dial(addr, LIMITS)
-                reply = await connection.exchange("POST", "/v1/job-events", [], body)
-                if connection.reusable and len(idle) < KEPT:
-                    idle.append(connection)
-                else:
-                    connection.close()
-                if reply.status in (200, 204):
-                    return
-            except (NotSent, Broken):
-                if connection is not None:
-                    connection.close()
-            await trio.sleep(AGAIN)
-
     async def serve(self) -> None:
         """Listen whenever the model is not down, on one port for good."""
         sock = None
@@ -311,37 +207,6 @@
         """Owe nothing."""
 
 
-BAD = [  # what clients send that cannot be served; each is owed an error, or the end of its connection
-    b"",
-    b"GET",
-    b"nonsense\r\n\r\n",
-    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
-    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n\r\n",
-    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\nseat",
-    b"POST /nothing HTTP/1.1\r\nhost: x\r\nx-request-id: b\r\nx-timeout-ms: 9\r\ncontent-length: 0\r\n\r\n",
-    b"POST /admit HTTP/1.1\r\nhost: x\r\nx-timeout-ms: soon\r\ncontent-length: 0\r\n\r\n",
-    b"POST /admit HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nse",
-    b"X" * 40_000,
-]
-OWED = 3.0  # seconds from the connect
-
-
-async def bad_client(addr: str, said: bytes) -> bool:
-    """Be one; tell whether it got what it is owed."""
-    host, _, port = addr.rpartition(":")
-    with trio.move_on_after(OWED):
-        try:
-            stream = await trio.open_tcp_stream(host, int(port))
-            async with stream:
-                if said:
-                    await stream.send_all(said)
-                got = await stream.receive_some(64)
-                return not got or got[9:10] in (b"4", b"5")
-        except (OSError, trio.BrokenResourceError):
-            return True  # refused, or reset
-    return False
-
-
 class LiveNode:
     """A node that is a process, as callers see it."""
 
@@ -386,7 +251,7 @@
                 reply = await connection.exchange("POST", f"/{live.script.job.name}", heads, b"seat")
                 verdict = {200: "served", 429: "refused", 503: "refused"}.get(reply.status, "failed")
                 retry_us = int(float(reply.headers.get("retry-after", "0")) * 1e6)
-            except (NotSent, Broken):
+            except (NotSent, ConnectionBroken):
                 verdict = "lost"
         live.catch_up()
         if connection is not None:
@@ -427,7 +292,9 @@
             await trio.sleep(float(self.callers.gaps_bad.next()) / rate)
             self.bad += 1
             node = self.bad % len(self.addresses)
-            self.nursery.start_soon(self._bad, self.addresses[node], BAD[self.bad % len(BAD)])
+            self.nursery.start_soon(
+                self._bad, self.addresses[node], BAD_REQUESTS[self.bad % len(BAD_REQUESTS)]
+            )
 
     async def _bad(self, addr: str, said: bytes) -> None:
         self.bad_open += not await bad_client(addr, said)
@@ -477,49 +344,20 @@
 
     async def _node(self, number: int, folder: Path, discovery: str) -> trio.Process:
         """Start a node, and wait until it is ready."""
-        with trio.socket.socket() as probe:
-            await probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        addr = self.addresses[number] = f"{HOST}:{port}"
-        path = folder / f"n{number}.json"
-        path.write_text(
-            json.dumps(
-                {
-                    "name": f"n{number}",
-                    "listen": addr,
-                    "discovery": discovery,
-                    "seed": f"{self.seed + number:x}",
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                    "settings": settings_json(self.script, number),
-                }
-            )
-        )
-        process = await trio.lowlevel.open_process(
-            self.command,
-            env={**os.environ, "LB_CONFIG": str(path), "LB_OPERATOR": ""},
-            stderr=subprocess.DEVNULL,
-        )
-        with trio.fail_after(20):
-            while True:
-                try:
-                    connection = await ClientConnection.dial(addr, LIMITS)
-                    try:
-                        if (await connection.exchange("GET", "/-/ready", [])).status == 200:
-                            return process
-                    finally:
-                        connection.close()
-                except (NotSent, Broken):
-                    pass
-                await trio.sleep(0.05)
+        configuration = {
+            "name": f"n{number}",
+            "discovery": discovery,
+            "seed": f"{self.seed + number:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": settings_json(self.script, number),
+        }
+        process, self.addresses[number] = await start_node(self.command, configuration, folder)
+        return process
 
     async def _play(self, directory: LiveDirectory) -> str:
         """Run the day by the clock; return the rule that was broken, if one was."""
-        from merlinbay.emulator.checker import Broken as RuleBroken
-
         loop = self.loop
         assert isinstance(loop, LiveLoop)
-        import time
-
         loop.began, self.unix = trio.current_time(), time.time()
         directory.told(self.directory.remembered())
         self.directory.watchers[0] = directory.told
@@ -540,7 +378,7 @@
                 nursery.cancel_scope.cancel()
             for node, job in list(self.checker.asked):
                 self.checker.overdue(node, job)
-        except* RuleBroken as group:
+        except* RuleViolation as group:
             broken = str(group.exceptions[0])
         return broken
 
--- a/merlinbay/executor/server.py
+++ b/merlinbay/executor/server.py
@@ -16,7 +16,7 @@
 from merlinbay.drmaa.answers import JSON, failure, ok
 from merlinbay.executor.child import Child, NotStarted
 from merlinbay.executor.slots import Job, Slots
-from merlinbay.http.client import Broken, NotSent
+from merlinbay.http.client import ConnectionBroken, NotSent
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.limits import Limits
@@ -183,7 +183,7 @@
                     addr, "POST", f"/{path}", [("content-type", "application/json")], waiting[0]
                 )
                 done = reply.status < 300 or reply.status == 400
-            except (NotSent, Broken):
+            except (NotSent, ConnectionBroken):
                 done = False
             if not done and (tries := tries + 1) < NOTIFY_TRIES:
                 await trio.sleep(min(NOTIFY_WAIT * 2**tries, 2.0))
--- a/merlinbay/fleet/simulate.py
+++ b/merlinbay/fleet/simulate.py
@@ -23,7 +23,7 @@
 KEYS = wire.Keys((b"k" * 32,))
 
 
-class Broken(Exception):
+class InvariantViolation(Exception):
     """Something does not hold that must; the text says what, when and at which node."""
 
 
@@ -171,10 +171,10 @@
         self.now = until
 
     def agreed(self, node: str, epoch: Epoch) -> None:
-        """Take it that a node takes an epoch for chosen. Raises ``Broken`` where another has it otherwise."""
+        """Note the epoch that a node takes for chosen. Raises ``InvariantViolation`` where another differs."""
         known = self.epochs.setdefault(epoch.number, epoch)
         if known != epoch:
-            raise Broken(
+            raise InvariantViolation(
                 f"{self.now:.3f}: {node} has epoch {epoch.number} as {epoch.members}, not {known.members}"
             )
 
@@ -186,7 +186,9 @@
         wait = net.delay * self.rng.uniform(0.5, 1.5)
         if isinstance(effect, Send):
             if len(effect.data) > wire.DATAGRAM:
-                raise Broken(f"{self.now:.3f}: {node.name} sends a datagram of {len(effect.data)} bytes")
+                raise InvariantViolation(
+                    f"{self.now:.3f}: {node.name} sends a datagram of {len(effect.data)} bytes"
+                )
             self.packets, self.bytes = self.packets + 1, self.bytes + len(effect.data)
             if other is None or (node.addr, effect.addr) in net.cut or self.rng.random() < net.loss:
                 return
@@ -239,18 +241,18 @@
         return [node for node in self.nodes.values() if node.view is not None and not node.stopped]
 
     def check(self) -> None:
-        """Check what holds at any time. Raises ``Broken``."""
+        """Check what holds at any time. Raises ``InvariantViolation``."""
         most = 64 + 3 * len(self.nodes) + 8
         for node in self.live():
             assert node.view is not None
             if len(node.view.members) > most or len(node.view.timers) > 60 + 40 * len(node.view.members):
-                raise Broken(
+                raise InvariantViolation(
                     f"{self.now:.3f}: {node.name} keeps {len(node.view.members)} members and "
                     f"{len(node.view.timers)} timers"
                 )
             for member in node.view.members.values():
                 if member.claim.incarnation < node.seen.get(member.name, 0):
-                    raise Broken(f"{self.now:.3f}: {member.name} went back at {node.name}")
+                    raise InvariantViolation(f"{self.now:.3f}: {member.name} went back at {node.name}")
                 node.seen[member.name] = member.claim.incarnation
 
     def settled(self) -> str:
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -19,7 +19,7 @@
     """No connection in time: the server is gone silently, or holds as many as it accepts."""
 
 
-class Broken(Exception):
+class ConnectionBroken(Exception):
     """The connection broke, or spoke no HTTP, after the request's last byte was written."""
 
 
@@ -81,7 +81,7 @@
     async def exchange(
         self, method: str, target: str, headers: list[tuple[str, str]], body: bytes = b""
     ) -> Reply:
-        """Send a request and return its answer. Raises ``NotSent`` or ``Broken``."""
+        """Send a request and return its answer. Raises ``NotSent`` or ``ConnectionBroken``."""
         # Guards against header bytes beyond ASCII, which pass on as they came.
         everything = [
             (name.encode(), value.encode("latin-1", "replace"))
@@ -105,7 +105,7 @@
         try:
             return await self._reply()
         except (OSError, h11.RemoteProtocolError) as error:
-            raise Broken(str(error)) from None
+            raise ConnectionBroken(str(error)) from None
 
     async def _reply(self) -> Reply:
         head: h11.Response | None = None
@@ -119,7 +119,7 @@
             elif type(event) is h11.Data:
                 body += event.data
                 if len(body) > self.body_bytes:
-                    raise Broken("the answer is too large")
+                    raise ConnectionBroken("the answer is too large")
             elif type(event) is h11.EndOfMessage and head is not None:
                 if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
                     self.h11.start_next_cycle()
@@ -129,4 +129,4 @@
                     bytes(body),
                 )
             elif type(event) is h11.ConnectionClosed:
-                raise Broken("the connection ended before the answer")
+                raise ConnectionBroken("the connection ended before the answer")
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -11,7 +11,7 @@
 from merlinbay.core.ports import ServerAttempt, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.http.client import Broken, NotSent, Reply
+from merlinbay.http.client import ConnectionBroken, NotSent, Reply
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.limits import Limits
 from merlinbay.log import Log
@@ -65,7 +65,7 @@
             return await self.pool.exchange(server, method, target, headers, body, wanted)
         except NotSent:
             return Outcome.CONNECT_FAILED
-        except Broken:
+        except ConnectionBroken:
             return Outcome.RESET
 
     async def ended(
--- a/merlinbay/notify/sender.py
+++ b/merlinbay/notify/sender.py
@@ -9,7 +9,7 @@
 
 from merlinbay.clock import Clock
 from merlinbay.counters import Counters
-from merlinbay.http.client import Broken, NotSent, Reply
+from merlinbay.http.client import ConnectionBroken, NotSent, Reply
 from merlinbay.http.pool import ConnectionPool, RealServer
 from merlinbay.limits import Limits
 from merlinbay.log import Log
@@ -87,7 +87,7 @@
                 reply = await self.pool.exchange(target.addr, "POST", target.path, heads, body)
         except trio.TooSlowError:
             why = f"no answer within {self.timeout:g} s"
-        except (NotSent, Broken) as error:
+        except (NotSent, ConnectionBroken) as error:
             why = str(error)[:200]
         except Exception as error:  # Guards against a listener whose answer ends the node.
             why = repr(error)[:200]
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -8,7 +8,7 @@
 from merlinbay.clock import Clock
 from merlinbay.core import ports
 from merlinbay.counters import Counters
-from merlinbay.http.client import Broken, ClientConnection, NotSent
+from merlinbay.http.client import ClientConnection, ConnectionBroken, NotSent
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.platform import words
@@ -77,7 +77,13 @@
             with trio.CancelScope() as self.watch:
                 try:
                     await self._watch()
-                except (NotSent, Broken, trio.TooSlowError, msgspec.DecodeError, Unexpected) as error:
+                except (
+                    NotSent,
+                    ConnectionBroken,
+                    trio.TooSlowError,
+                    msgspec.DecodeError,
+                    Unexpected,
+                ) as error:
                     self.counters.add("watches_failed")
                     self.log.event("discovery_failed", level="warning", error=repr(error))
                     await self.inbox.send(
--- a/merlinbay/rig/run.py
+++ b/merlinbay/rig/run.py
@@ -17,7 +17,7 @@
 
 from merlinbay.fleet import wire
 from merlinbay.fleet.members import Health
-from merlinbay.http.client import Broken, ClientConnection, NotSent
+from merlinbay.http.client import ClientConnection, ConnectionBroken, NotSent
 from merlinbay.limits import Limits
 from merlinbay.rig.processes import Process
 from merlinbay.rig.proxy import PORT, Proxies
@@ -140,7 +140,7 @@
                 finally:
                     connection.close()
             return json.loads(reply.body) if reply.status == 200 else None
-        except (OSError, NotSent, Broken, trio.TooSlowError, ValueError):
+        except (OSError, NotSent, ConnectionBroken, trio.TooSlowError, ValueError):
             return None
 
     async def _watch(self, process: Process) -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -21,7 +21,7 @@
 from merlinbay.cli.main import main
 from merlinbay.decision import api
 from merlinbay.emulator import spec, theory
-from merlinbay.emulator.checker import Broken, Checker
+from merlinbay.emulator.checker import Checker, RuleViolation
 from merlinbay.emulator.live import play_live
 from merlinbay.emulator.loop import Loop, Order
 from merlinbay.emulator.play import Result, play
@@ -245,20 +245,20 @@
     """One answer in time; repeats in rack and window; nothing to a gone server; no cold one tipped."""
     checker, loop, one, two = checked()
     checker.sent(0, 1, one)
-    with pytest.raises(Broken, match="rule 2"):
+    with pytest.raises(RuleViolation, match="rule 2"):
         checker.sent(0, 1, two)  # another rack, and the first is out
     checker.ended(0, 1, 0, api.Outcome.RESET)
-    with pytest.raises(Broken, match="rule 2"):
+    with pytest.raises(RuleViolation, match="rule 2"):
         checker.answered(0, 1, "refused")
     checker, loop, one, two = checked()
     checker.answered(0, 1, "served")
-    with pytest.raises(Broken, match="rule 1"):
+    with pytest.raises(RuleViolation, match="rule 1"):
         checker.answered(0, 1, "served")
     checker, loop, one, two = checked()
     loop.run(5 * S + 9000)
-    with pytest.raises(Broken, match="rule 1"):
+    with pytest.raises(RuleViolation, match="rule 1"):
         checker.answered(0, 1, "failed")
-    with pytest.raises(Broken, match="rule 1"):
+    with pytest.raises(RuleViolation, match="rule 1"):
         checked()[0].overdue(0, 1)
     checker, loop, one, two = checked()
     checker.listed(0, "s0", "draining", 0)
@@ -266,19 +266,19 @@
     checker.sent(0, 1, one)
     loop.run(500_001)
     checker.ended(0, 1, 0, api.Outcome.FULL)
-    with pytest.raises(Broken, match="rule 3"):
+    with pytest.raises(RuleViolation, match="rule 3"):
         checker.sent(0, 1, one)
     checker, loop, one, two = checked()
     loop.run(S)
     one.start()
     checker.listed(0, "s0", "up", one.ready_us)
-    with pytest.raises(Broken, match="rule 4"):
+    with pytest.raises(RuleViolation, match="rule 4"):
         for _ in range(100):
             one.take(job(Nobody(), 1, 0.3))
     assert checker.tipped == ["s0"] and one.state == "down"
     checker, loop, one, two = checked(second_copies=False)
     checker.sent(0, 1, one)
-    with pytest.raises(Broken, match="two attempts"):
+    with pytest.raises(RuleViolation, match="two attempts"):
         checker.sent(0, 1, one)
 
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -325,9 +325,9 @@
     watch(accuser, Event(1.0, "died", "n2"))
     watch.harm(["n3"], sim.now, sim.now)
     watch(accuser, Event(1.0, "died", "n3"))
-    with pytest.raises(simulate.Broken, match="n0 was told that n1 died"):
+    with pytest.raises(simulate.InvariantViolation, match="n0 was told that n1 died"):
         watch(accuser, harmless)
-    with pytest.raises(simulate.Broken, match="n1 suspected"):
+    with pytest.raises(simulate.InvariantViolation, match="n1 suspected"):
         watch(accuser, Event(1.0, "suspected", "n1"))
 
 
