--- a/merlinbay/fleet/simulate.py
+++ b/merlinbay/fleet/simulate.py
@@ -171,7 +171,7 @@
         self.now = until
 
     def agreed(self, node: str, epoch: Epoch) -> None:
-        """Note the epoch that a node takes for chosen. Raises ``InvariantViolation`` where another differs."""
+        """Note an epoch that a node has as chosen. Raises ``InvariantViolation`` where another differs."""
         known = self.epochs.setdefault(epoch.number, epoch)
         if known != epoch:
             raise InvariantViolation(
