--- /dev/null
+++ b/merlinbay/control_service/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of the replicated configuration: sockets, disk and operators' calls around its cores."""
--- /dev/null
+++ b/merlinbay/control_service/connection.py
@@ -0,0 +1,217 @@
+"""One authenticated connection: length-prefixed frames, a bounded send queue, idle and write timeouts."""
+
+from __future__ import annotations
+
+import struct
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+from merlinbay.control_service.sealing import TAG_BYTES, FrameSeal
+from merlinbay.control_service.traffic import Traffic
+from merlinbay.fleet.wire import Refused
+
+LENGTH = struct.Struct("!I")
+RECEIVE_BYTES = 64 * 1024
+WRITE_BATCH_BYTES = 256 * 1024  # frames joined into one write
+FINISH_S = 1.0  # for the last frames of a connection that is ended on purpose
+
+
+@dataclass(frozen=True, slots=True)
+class TransportLimits:
+    """Sizes in bytes, times in seconds."""
+
+    frame_bytes: int = 4 * 1024 * 1024  # the whole configuration has to fit: snapshots are one frame
+    queue_frames: int = 1024
+    queue_bytes: int = 16 * 1024 * 1024
+    connections: int = 4096  # accepted by one listener
+    connect: float = 3.0
+    handshake: float = 5.0
+    keepalive: float = 5.0  # an empty frame after so long without another one
+    idle: float = 20.0  # without any frame: four keepalives
+    write: float = 10.0  # for one batch
+    backoff_first: float = 0.1
+    backoff_most: float = 5.0
+
+
+class Overflow(Enum):
+    """What a full send queue leads to."""
+
+    DROP_OLDEST = "drop_oldest"  # for messages that the protocol repeats
+    CLOSE = "close"  # for streams that need every message: the peer reconnects and catches up
+
+
+class FrameTooLong(Exception):
+    """The peer announced a frame over the limit."""
+
+
+class Connection:
+    """Frames to and from one peer. ``send`` never waits; ``run`` carries frames until the connection ends."""
+
+    __slots__ = (
+        "peer",
+        "peer_role",
+        "last_received",
+        "on_message",
+        "on_written",
+        "_stream",
+        "_outgoing",
+        "_incoming",
+        "_limits",
+        "_traffic",
+        "_overflow",
+        "_queue",
+        "_queue_bytes",
+        "_wake",
+        "_scope",
+        "_finishing",
+        "_buffer",
+    )
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        peer: str,
+        peer_role: str,
+        outgoing: FrameSeal,
+        incoming: FrameSeal,
+        limits: TransportLimits,
+        traffic: Traffic,
+        overflow: Overflow,
+    ) -> None:
+        self.peer, self.peer_role = peer, peer_role
+        self.last_received = trio.current_time()
+        self.on_message: Callable[[bytes], None] = _ignore
+        self.on_written: Callable[[int], None] = (
+            _ignore  # so many more messages have left the queue and buffer
+        )
+        self._stream, self._outgoing, self._incoming = stream, outgoing, incoming
+        self._limits, self._traffic, self._overflow = limits, traffic, overflow
+        self._queue: deque[bytes] = deque()
+        self._queue_bytes = 0
+        self._wake = trio.Event()
+        self._scope = trio.CancelScope()
+        self._finishing = False
+        self._buffer = bytearray()
+
+    def send(self, message: bytes) -> None:
+        """Queue one message."""
+        if len(message) + TAG_BYTES > self._limits.frame_bytes:
+            self._traffic.messages_dropped += 1
+            self.close()
+            return
+        self._queue.append(message)
+        self._queue_bytes += len(message)
+        while len(self._queue) > self._limits.queue_frames or self._queue_bytes > self._limits.queue_bytes:
+            if self._overflow is Overflow.CLOSE:
+                self.close()
+                break
+            self._queue_bytes -= len(self._queue.popleft())
+            self._traffic.messages_dropped += 1
+        self._wake.set()
+
+    def unread(self, data: bytes | bytearray) -> None:
+        """Take bytes that came with the handshake and belong to the first frames."""
+        self._buffer += data
+
+    def finish(self) -> None:
+        """End the connection once what is queued was written, or after a short time."""
+        self._finishing = True
+        self._scope.deadline = min(self._scope.deadline, trio.current_time() + FINISH_S)
+        self._wake.set()
+
+    def close(self) -> None:
+        """End the connection; ``run`` returns soon after."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Carry frames until either side ends the connection, it idles out, or a frame is refused."""
+        with self._scope:
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write)
+                    await self._read()
+                    nursery.cancel_scope.cancel()
+            except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+                pass
+            except* (Refused, FrameTooLong):
+                self._traffic.connections_refused += 1
+        await trio.aclose_forcefully(self._stream)
+
+    async def _write(self) -> None:
+        while True:
+            with trio.move_on_after(self._limits.keepalive):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            while True:
+                batch, messages = self._take_batch()
+                with trio.fail_after(self._limits.write):
+                    await self._stream.send_all(batch)
+                self._traffic.bytes_sent += len(batch)
+                self._traffic.messages_sent += messages
+                if messages:
+                    self.on_written(messages)
+                if not self._queue:
+                    break
+            if self._finishing:
+                self._scope.cancel()
+
+    def _take_batch(self) -> tuple[bytes, int]:
+        """Return frames to write, a keepalive where there are none, and how many messages they carry."""
+        frames: list[bytes] = []
+        size = 0
+        while self._queue and size < WRITE_BATCH_BYTES:
+            message = self._queue.popleft()
+            self._queue_bytes -= len(message)
+            frames.append(self._frame(message))
+            size += len(message)
+        return b"".join(frames) or self._frame(b""), len(frames)
+
+    def _frame(self, message: bytes) -> bytes:
+        content = self._outgoing.seal(message)
+        return LENGTH.pack(len(content)) + content
+
+    async def _read(self) -> None:
+        with trio.CancelScope() as idle:
+            while True:
+                idle.deadline = trio.current_time() + self._limits.idle
+                content = await receive_frame(self._stream, self._buffer, self._limits.frame_bytes)
+                if content is None:
+                    return
+                self._traffic.bytes_received += LENGTH.size + len(content)
+                message = self._incoming.open(content)
+                self.last_received = trio.current_time()
+                if message:
+                    self._traffic.messages_received += 1
+                    self.on_message(message)
+
+
+def _ignore(_: object) -> None:
+    """Stand in for a callback that was not set."""
+
+
+async def receive_frame(stream: trio.SocketStream, buffer: bytearray, most: int) -> bytes | None:
+    """Return the next frame's content, None at the end. ``buffer`` keeps what came behind it.
+
+    Raises ``FrameTooLong``.
+    """
+    while len(buffer) < LENGTH.size:
+        part = await stream.receive_some(RECEIVE_BYTES)
+        if not part:
+            return None
+        buffer += part
+    (length,) = LENGTH.unpack_from(buffer)
+    if length > most:
+        raise FrameTooLong
+    end = LENGTH.size + length
+    while len(buffer) < end:
+        part = await stream.receive_some(RECEIVE_BYTES)
+        if not part:
+            return None
+        buffer += part
+    content = bytes(buffer[LENGTH.size : end])
+    del buffer[:end]
+    return content
--- /dev/null
+++ b/merlinbay/control_service/sealing.py
@@ -0,0 +1,90 @@
+"""Authentication of a connection: a handshake under the fleet's keys, then frames under its own. No I/O.
+
+The handshake is two sealed messages (``merlinbay.fleet.wire``) that carry a nonce each. Both sides derive one
+key per direction from the nonces; a frame's tag covers its position in the stream, so that frames can be
+neither repeated nor moved, within the connection or into another one. Contents are not encrypted.
+"""
+
+from __future__ import annotations
+
+import hmac
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from merlinbay.fleet import wire
+from merlinbay.fleet.wire import Keys, Refused
+
+NONCE_BYTES = 16
+TAG_BYTES = 16
+Greeting = TypeVar("Greeting", "Hello", "Welcome")
+
+
+class Hello(msgspec.Struct, frozen=True, tag_field="k", tag="control_hello"):
+    """First message of the side that connects."""
+
+    name: str
+    role: str
+    nonce: bytes
+
+
+class Welcome(msgspec.Struct, frozen=True, tag_field="k", tag="control_welcome"):
+    """The answer; ``hello_nonce`` shows that it was made for this connection."""
+
+    name: str
+    nonce: bytes
+    hello_nonce: bytes
+
+
+def seal_greeting(keys: Keys, fleet: str, greeting: Hello | Welcome) -> bytes:
+    """Return a handshake message as bytes."""
+    return wire.seal(keys, fleet, msgspec.to_builtins(greeting, builtin_types=(bytes,)))
+
+
+def open_greeting(keys: Keys, fleet: str, data: bytes, kind: type[Greeting]) -> tuple[Greeting, bytes]:
+    """Return a handshake message and the key that it was signed with. Raises ``Refused``."""
+    for key in keys.keys:
+        try:
+            message = wire.open_sealed(Keys((key,)), fleet, data)
+        except Refused as error:
+            refused = error
+            continue
+        try:
+            greeting = msgspec.convert(message, kind, builtin_types=(bytes,))
+        except msgspec.ValidationError:
+            raise Refused("unexpected handshake message") from None
+        if len(greeting.nonce) != NONCE_BYTES:
+            raise Refused("nonce of a wrong length")
+        return greeting, key
+    raise refused
+
+
+@dataclass(slots=True)
+class FrameSeal:
+    """Tags the frames of one direction in their order."""
+
+    key: bytes
+    position: int = 0
+
+    def _tag(self, payload: bytes) -> bytes:
+        tag = hmac.digest(self.key, self.position.to_bytes(8, "big") + payload, "sha256")[:TAG_BYTES]
+        self.position += 1
+        return tag
+
+    def seal(self, payload: bytes) -> bytes:
+        """Return the next frame's content."""
+        return self._tag(payload) + payload
+
+    def open(self, content: bytes) -> bytes:
+        """Return the payload of the next frame. Raises ``Refused``."""
+        payload = content[TAG_BYTES:]
+        if not hmac.compare_digest(self._tag(payload), content[:TAG_BYTES]):
+            raise Refused("frame with a wrong tag")
+        return payload
+
+
+def frame_seal(key: bytes, direction: bytes, hello_nonce: bytes, welcome_nonce: bytes) -> FrameSeal:
+    """Derive the key of one direction: ``hello`` from the side that connected, ``welcome`` to it."""
+    context = b"merlinbay control frames " + direction + hello_nonce + welcome_nonce
+    return FrameSeal(hmac.digest(key, context, "sha256"))
--- /dev/null
+++ b/merlinbay/control_service/settings.py
@@ -0,0 +1,130 @@
+"""The file of one control process, as types: one TOML file, one line where something is wrong with it."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+
+from merlinbay.fleet.settings import Name, Seconds
+from merlinbay.fleet.wire import Keys
+from merlinbay.problems import BadConfig, address
+
+Role = Literal["voter", "relay", "follower"]
+
+
+class LogSection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """How events are written to standard error."""
+
+    format: Literal["plain", "console", "json"] = "plain"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    lines: Annotated[int, msgspec.Meta(ge=1)] = 20  # of one event a second; what is beyond it is counted
+
+
+class MachineSection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Where a control machine is reached."""
+
+    address: str  # host:port of voters, relays and followers
+    operator: str = ""  # host:port of the operators' calls
+    region: Name = "region"
+    zone: Name = "zone"
+    tier: Annotated[int, msgspec.Meta(ge=0, le=4)] = 0  # 0: a voter; a relay: one above its upstreams
+
+
+class VoterSection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """What a voter needs: a disk that lasts, the voters of the beginning, and its times."""
+
+    data: str  # a folder that lasts
+    initial: list[Name] = []  # voters of the first start; the same at each of them
+    heartbeat: Seconds = 0.3
+    election: Seconds = 1.5  # without a heartbeat; drawn from this to twice this
+    compact_after: Annotated[int, msgspec.Meta(ge=10)] = 2000  # records between two snapshots
+
+
+class RelaySection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """What a relay needs beside its upstreams."""
+
+    coalesce: Seconds = 0.1  # changes are gathered for so long before they are passed on
+    followers: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 1000
+
+
+class ControlFile(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """The file of one control process."""
+
+    name: Name
+    fleet: Name = "fleet"  # a process of another fleet is refused
+    region: Name = "region"
+    zone: Name = "zone"
+    listen: str = ""  # host:port of voters, relays and followers; a follower needs none
+    advertise: str = ""  # where the others reach it, if that differs
+    bind: str = ""  # the local address of its own connections; empty: that of listen
+    operator: str = ""  # host:port of the operators' calls; empty: none
+    keys: str  # a file of one or two keys, base64, one a line, as for the fleet's view
+    machines: dict[str, MachineSection] = {}  # the control machines by name
+    upstreams: list[Name] = []  # machines that a relay or follower may watch
+    voter: VoterSection | None = None
+    relay: RelaySection | None = None
+    log: LogSection = msgspec.field(default_factory=LogSection)
+
+    def role(self) -> Role:
+        """Return the role that the file describes; a voter serves watches as well."""
+        if self.voter is not None:
+            return "voter"
+        return "relay" if self.relay is not None else "follower"
+
+    def load_keys(self) -> Keys:
+        """Read the keys. Raises ``BadConfig``."""
+        try:
+            return Keys.load(self.keys)
+        except ValueError as error:
+            raise BadConfig(f"keys: {error}") from None
+
+
+def read(path: str) -> ControlFile:
+    """Read a file. Raises ``BadConfig`` with one line that names file, key and cause."""
+    try:
+        file = msgspec.convert(tomllib.loads(Path(path).read_text()), ControlFile)
+    except OSError as error:
+        raise BadConfig(f"{path}: {error.strerror}") from None
+    except (ValueError, msgspec.ValidationError) as error:
+        raise BadConfig(f"{path}: {error}") from None
+    if problem := _problem(file) or _bad_address(file):
+        raise BadConfig(f"{path}: {problem}")
+    return file
+
+
+def _problem(file: ControlFile) -> str:
+    """Return key and cause of what is wrong beyond the types; empty: nothing."""
+    if file.voter is not None and file.relay is not None:
+        return "relay: a voter serves watches without this section"
+    if file.role() != "follower" and not file.listen:
+        return f"listen: needed by a {file.role()}"
+    if file.voter is None and not file.upstreams:
+        return f"upstreams: needed by a {file.role()}"
+    for name in file.upstreams:
+        if name not in file.machines:
+            return f"upstreams: {name}: not in machines"
+    if file.voter is None:
+        return ""
+    if file.voter.election < 3 * file.voter.heartbeat:
+        return "voter.election: less than three heartbeats: one that is late would start an election"
+    unknown = [name for name in file.voter.initial if name not in file.machines]
+    if unknown:
+        return f"voter.initial: {unknown[0]}: not in machines"
+    return ""
+
+
+def _bad_address(file: ControlFile) -> str:
+    values = {"listen": file.listen, "advertise": file.advertise, "operator": file.operator}
+    for name, machine in file.machines.items():
+        values[f"machines.{name}.address"] = machine.address
+        values[f"machines.{name}.operator"] = machine.operator
+    for key, value in values.items():
+        try:
+            if value:
+                address(value)
+        except BadConfig as error:
+            return f"{key}: {error}"
+    return ""
--- /dev/null
+++ b/tests/test_control_service.py
@@ -0,0 +1,197 @@
+"""Processes of the replicated configuration: their disk, their connections, and faults between them."""
+
+from __future__ import annotations
+
+import base64
+from pathlib import Path
+
+import pytest
+import trio
+
+from merlinbay.control.effects import Persist
+from merlinbay.control_service import schema, settings
+from merlinbay.control_service.connection import Connection, Overflow, TransportLimits
+from merlinbay.control_service.durable_log import DurableLog
+from merlinbay.control_service.sealing import frame_seal
+from merlinbay.control_service.transport import Acceptor, Endpoint, NotConnected, connect, listen_at
+from merlinbay.fleet.wire import Keys, Refused
+from merlinbay.log import Log
+from merlinbay.problems import BadConfig
+
+KEY = Keys((b"k" * 16,))
+OTHER_KEY = Keys((b"o" * 16,))
+
+
+def test_a_frame_is_taken_once_and_in_its_place() -> None:
+    """Frames that are repeated, moved, altered or of another connection are refused."""
+    sender = frame_seal(b"key", b"hello", b"1", b"2")
+    first, second = sender.seal(b"a"), sender.seal(b"b")
+    assert frame_seal(b"key", b"hello", b"1", b"2").open(first) == b"a"
+    for frames in ([first, first], [second], [first[:-1] + b"c"]):
+        receiver = frame_seal(b"key", b"hello", b"1", b"2")
+        with pytest.raises(Refused):
+            for frame in frames:
+                receiver.open(frame)
+    for other in (
+        frame_seal(b"key", b"welcome", b"1", b"2"),
+        frame_seal(b"key", b"hello", b"1", b"3"),
+        frame_seal(b"other", b"hello", b"1", b"2"),
+    ):
+        with pytest.raises(Refused):
+            other.open(first)
+
+
+def test_records_come_back_in_order_from_the_last_that_replaced_all(tmp_path: Path) -> None:
+    """Batches, a replacement within a batch, compaction and reopening."""
+
+    async def run() -> None:
+        path = tmp_path / "log"
+        for opening in range(4):
+            log = DurableLog(path, Log(10))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(log.run)
+                expected = [] if opening == 0 else [f"all{opening - 1}".encode(), b"tail", b"end"]
+                assert log.records() == expected
+                await log.append([Persist(b"x"), Persist(b"y")])
+                assert log.records() == [*expected, b"x", b"y"]
+                await log.append([Persist(b"z"), Persist(f"all{opening}".encode(), True), Persist(b"tail")])
+                await log.append([Persist(b"end")])
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "cause"),
+    [
+        ("secrets/x", {}, "unknown prefix"),
+        ("teams", {}, "too few"),
+        ("teams/a/b", {}, "too many parts"),
+        ("teams/a b", {}, "a part is"),
+        ("teams/a", {"tasks_running": -1}, "tasks_running"),
+        ("teams/a", {"tasks_running": 1, "quota": 2}, "quota"),
+        ("limits/a", {"value": float("nan")}, "value"),
+        ("configuration/a", {"value": "x" * 70_000}, "at most"),
+    ],
+)
+def test_a_value_is_checked_before_it_is_proposed(key: str, value: object, cause: str) -> None:
+    """Each refusal names its key and cause."""
+    with pytest.raises(schema.BadValue, match=cause) as caught:
+        schema.encode_value(key, value)
+    assert str(caught.value).startswith(key)
+
+
+def test_a_checked_value_reads_back() -> None:
+    """Defaults are filled in, so that a later default changes no stored value."""
+    stored = schema.encode_value("teams/a", {"tasks_running": 5})
+    assert schema.decode_value(stored)["share"] == 1.0
+
+
+BASE = 'name = "a"\nkeys = "k"\nlisten = "127.0.0.1:1"\n'
+MACHINES = '[machines.a]\naddress = "127.0.0.1:1"\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "cause"),
+    [
+        ("name = 1", "name"),
+        (BASE + "colour = 1", "colour"),
+        (BASE, "upstreams: needed by a follower"),
+        (BASE + 'upstreams = ["b"]', "upstreams: b: not in machines"),
+        (BASE + '[voter]\ndata = "d"\ninitial = ["b"]', "voter.initial: b"),
+        (BASE + '[voter]\ndata = "d"\nelection = 0.5', "voter.election"),
+        (BASE + '[voter]\ndata = "d"\n[machines.a]\naddress = "x"', "machines.a.address"),
+        ("name = \n", "line 1"),
+    ],
+)
+def test_a_wrong_file_is_one_line_with_file_key_and_cause(tmp_path: Path, text: str, cause: str) -> None:
+    """Operators see where to look."""
+    path = tmp_path / "control.toml"
+    path.write_text(text)
+    with pytest.raises(BadConfig) as caught:
+        settings.read(str(path))
+    assert str(caught.value).startswith(str(path))
+    assert cause in str(caught.value)
+    assert "\n" not in str(caught.value)
+
+
+class Echo:
+    """A listener that sends every message back."""
+
+    def __init__(self, keys: Keys, limits: TransportLimits) -> None:
+        self.endpoint = Endpoint("server", "relay", "fleet", keys, limits=limits)
+        self.address = ""
+
+    async def serve(self, connection: Connection) -> None:
+        """Send back until the end."""
+        connection.on_message = connection.send
+        await connection.run()
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Listen until cancelled."""
+        listening = await listen_at("127.0.0.1:0")
+        self.address = f"127.0.0.1:{listening.getsockname()[1]}"
+        task_status.started()
+        await Acceptor(self.endpoint, lambda role: Overflow.CLOSE, self.serve).run(listening)
+
+
+def test_messages_go_both_ways_and_wrong_keys_none() -> None:
+    """Also with two keys while one replaces the other; sizes around the batch and up to the limit."""
+
+    async def run() -> None:
+        limits = TransportLimits(frame_bytes=300_000, keepalive=0.05)
+        echo = Echo(Keys((b"n" * 16, b"k" * 16)), limits)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(echo.run)
+            client = Endpoint("client", "follower", "fleet", Keys((b"k" * 16, b"n" * 16)), limits=limits)
+            connection = await connect(client, echo.address, Overflow.CLOSE)
+            assert connection.peer == "server"
+            send, receive = trio.open_memory_channel[bytes](10)
+            connection.on_message = send.send_nowait
+            nursery.start_soon(connection.run)
+            for size in (1, 299_984, 3):
+                connection.send(b"m" * size)
+            assert [len(await receive.receive()) for _ in range(3)] == [1, 299_984, 3]
+            for wrong in (
+                Endpoint("client", "follower", "fleet", OTHER_KEY),
+                Endpoint("client", "follower", "other", KEY),
+            ):
+                with pytest.raises(NotConnected):
+                    await connect(wrong, echo.address, Overflow.CLOSE)
+            assert echo.endpoint.traffic.connections_refused == 2
+            assert client.traffic.messages_received == 3
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_a_full_queue_drops_the_oldest_or_ends_the_connection() -> None:
+    """Consensus messages are repeated by their protocol; a watch has to start again."""
+
+    async def run() -> None:
+        limits = TransportLimits(queue_frames=2)
+        echo = Echo(KEY, limits)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(echo.run)
+            endpoint = Endpoint("client", "voter", "fleet", KEY, limits=limits)
+            lossy = await connect(endpoint, echo.address, Overflow.DROP_OLDEST)
+            for message in (b"1", b"2", b"3"):
+                lossy.send(message)
+            send, receive = trio.open_memory_channel[bytes](10)
+            lossy.on_message = send.send_nowait
+            nursery.start_soon(lossy.run)
+            assert [await receive.receive() for _ in range(2)] == [b"2", b"3"]
+            strict = await connect(endpoint, echo.address, Overflow.CLOSE)
+            for message in (b"1", b"2", b"3"):
+                strict.send(message)
+            await strict.run()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def key_file(folder: Path) -> Path:
+    """Write a file of one key."""
+    path = folder / "keys"
+    path.write_text(base64.b64encode(b"k" * 32).decode() + "\n")
+    return path
