Control processes: hosts of voter, relay and follower, operators' calls, merlinbay control

One task drives a voter: inputs that come while the disk writes wait for it, so that nobody sees what is in memory and not yet on the disk. All records of a turn are one commit; a disk that refuses leads to storage_failed, and the voter is built anew from its records once the disk takes them again. Relays and followers have no task of their own beside a timer and their connections. A node follows the configuration where its operator's file has a section control.

The cores have no bodies yet, so no process was run.

--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -127,6 +127,7 @@
 def attach() -> None:
     """Add the commands that call a front."""
     from merlinbay.cli.conformance import conformance
+    from merlinbay.cli.control import control
     from merlinbay.cli.fleet import fleet
     from merlinbay.cli.jobs import job
     from merlinbay.cli.looks import events, monitor
@@ -144,6 +145,7 @@
     else:
         main.add_command(keys)
         main.add_command(tls)
+    main.add_command(control)
     main.add_command(fleet)
     main.add_command(operate)
     main.add_command(store)
--- a/merlinbay/control_service/connection.py
+++ b/merlinbay/control_service/connection.py
@@ -147,28 +147,28 @@
                 await self._wake.wait()
             self._wake = trio.Event()
             while True:
-                batch, messages = self._take_batch()
+                batch, sizes = self._take_batch()
                 with trio.fail_after(self._limits.write):
                     await self._stream.send_all(batch)
                 self._traffic.bytes_sent += len(batch)
-                self._traffic.messages_sent += messages
-                if messages:
-                    self.on_written(messages)
+                self._traffic.messages_sent += len(sizes)
+                for size in sizes:
+                    self.on_written(size)
                 if not self._queue:
                     break
             if self._finishing:
                 self._scope.cancel()
 
-    def _take_batch(self) -> tuple[bytes, int]:
-        """Return frames to write, a keepalive where there are none, and how many messages they carry."""
+    def _take_batch(self) -> tuple[bytes, list[int]]:
+        """Return frames to write, a keepalive where there are none, and the sizes of their messages."""
         frames: list[bytes] = []
-        size = 0
-        while self._queue and size < WRITE_BATCH_BYTES:
+        sizes: list[int] = []
+        while self._queue and sum(sizes) < WRITE_BATCH_BYTES:
             message = self._queue.popleft()
             self._queue_bytes -= len(message)
             frames.append(self._frame(message))
-            size += len(message)
-        return b"".join(frames) or self._frame(b""), len(frames)
+            sizes.append(len(message))
+        return b"".join(frames) or self._frame(b""), sizes
 
     def _frame(self, message: bytes) -> bytes:
         content = self._outgoing.seal(message)
--- a/merlinbay/control_service/settings.py
+++ b/merlinbay/control_service/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from merlinbay.control.fanout.topology import Location, Upstream
 from merlinbay.fleet.settings import Name, Seconds
 from merlinbay.fleet.wire import Keys
 from merlinbay.problems import BadConfig, address
@@ -32,15 +33,20 @@
     zone: Name = "zone"
     tier: Annotated[int, msgspec.Meta(ge=0, le=4)] = 0  # 0: a voter; a relay: one above its upstreams
 
+    def upstream(self, name: str) -> Upstream:
+        """Return the machine as followers and relays know it."""
+        return Upstream(name, self.address, Location(self.region, self.zone), self.tier)
+
 
 class VoterSection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """What a voter needs: a disk that lasts, the voters of the beginning, and its times."""
 
     data: str  # a folder that lasts
     initial: list[Name] = []  # voters of the first start; the same at each of them
-    heartbeat: Seconds = 0.3
-    election: Seconds = 1.5  # without a heartbeat; drawn from this to twice this
-    compact_after: Annotated[int, msgspec.Meta(ge=10)] = 2000  # records between two snapshots
+    heartbeat: Seconds = 0.2
+    election: Seconds = 0.7  # without a heartbeat; drawn from it to twice it
+    compact_after: Annotated[int, msgspec.Meta(ge=8)] = 4096  # changes between two snapshots
+    generation: Annotated[int, msgspec.Meta(ge=1)] = 1  # raised where a new log is founded on empty disks
 
 
 class RelaySection(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -50,6 +56,23 @@
     followers: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 1000
 
 
+class Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Section ``control`` of a node's operator's file: the node follows the configuration."""
+
+    fleet: Name = "fleet"
+    region: Name = "region"
+    zone: Name = "zone"
+    bind: str = ""  # the local address of its own connections
+    keys: str  # a file of one or two keys, as for the fleet's view
+    machines: dict[str, MachineSection]  # relays or voters that it may watch
+
+    def wrong(self) -> str:
+        """Return what is wrong with the section beyond its types: key and cause; empty: nothing."""
+        if not self.machines:
+            return "machines: at least one relay or voter is needed"
+        return _bad_machine(self.machines)
+
+
 class ControlFile(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """The file of one control process."""
 
@@ -74,12 +97,21 @@
             return "voter"
         return "relay" if self.relay is not None else "follower"
 
-    def load_keys(self) -> Keys:
-        """Read the keys. Raises ``BadConfig``."""
-        try:
-            return Keys.load(self.keys)
-        except ValueError as error:
-            raise BadConfig(f"keys: {error}") from None
+    def watched(self) -> list[Upstream]:
+        """Return the machines that a relay or follower may watch."""
+        return [self.machines[name].upstream(name) for name in self.upstreams]
+
+    def bind_address(self) -> str:
+        """Return the local address of its own connections."""
+        return self.bind or (address(self.listen)[0] if self.listen else "")
+
+
+def load_keys(path: str) -> Keys:
+    """Read the keys. Raises ``BadConfig``."""
+    try:
+        return Keys.load(path)
+    except ValueError as error:
+        raise BadConfig(f"keys: {error}") from None
 
 
 def read(path: str) -> ControlFile:
@@ -108,8 +140,8 @@
             return f"upstreams: {name}: not in machines"
     if file.voter is None:
         return ""
-    if file.voter.election < 3 * file.voter.heartbeat:
-        return "voter.election: less than three heartbeats: one that is late would start an election"
+    if file.voter.election < 2 * file.voter.heartbeat:
+        return "voter.election: less than two heartbeats: one that is late would start an election"
     unknown = [name for name in file.voter.initial if name not in file.machines]
     if unknown:
         return f"voter.initial: {unknown[0]}: not in machines"
@@ -118,13 +150,24 @@
 
 def _bad_address(file: ControlFile) -> str:
     values = {"listen": file.listen, "advertise": file.advertise, "operator": file.operator}
-    for name, machine in file.machines.items():
-        values[f"machines.{name}.address"] = machine.address
-        values[f"machines.{name}.operator"] = machine.operator
     for key, value in values.items():
-        try:
-            if value:
-                address(value)
-        except BadConfig as error:
-            return f"{key}: {error}"
+        if problem := _address_problem(key, value):
+            return problem
+    return _bad_machine(file.machines)
+
+
+def _bad_machine(machines: dict[str, MachineSection]) -> str:
+    for name, machine in machines.items():
+        for key, value in (("address", machine.address), ("operator", machine.operator)):
+            if problem := _address_problem(f"machines.{name}.{key}", value):
+                return problem
+    return ""
+
+
+def _address_problem(key: str, value: str) -> str:
+    try:
+        if value:
+            address(value)
+    except BadConfig as error:
+        return f"{key}: {error}"
     return ""
--- /dev/null
+++ b/merlinbay/control_service/status.py
@@ -0,0 +1,136 @@
+"""What a control process tells operators of itself, as types; the command line adds up several of them."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+import trio
+
+from merlinbay.control.fanout.messages import Summary
+from merlinbay.control_service.follower_host import FollowerHost
+from merlinbay.control_service.relay_host import RelayHost
+from merlinbay.control_service.traffic import Traffic
+from merlinbay.control_service.voter_host import VoterHost
+
+
+class PeerStatus(msgspec.Struct, frozen=True):
+    """Another voter, as this one sees it."""
+
+    name: str
+    connected: bool  # messages can be sent to it
+    heard_ago_s: float | None  # since its last message; None: never
+
+
+class VotingStatus(msgspec.Struct, frozen=True):
+    """A voter's part in the log."""
+
+    state: str  # follower, pre_candidate, candidate, leader, storage_failed
+    term: int
+    leader: str
+    commit_index: int
+    voters: tuple[str, ...]
+    peers: tuple[PeerStatus, ...]
+    storage: str  # why nothing can be stored; empty: it can
+
+
+class ProcessStatus(msgspec.Struct, frozen=True):
+    """One control process."""
+
+    name: str
+    role: str
+    region: str
+    zone: str
+    revision: int
+    age_s: float | None  # for how long its data may be out of date; None: it never had any
+    upstream: str = ""
+    watches: int = 0
+    below: Summary = Summary()  # what the followers below have in force
+    voting: VotingStatus | None = None
+    operators: dict[str, str] = {}  # of the control machines: name to address of the operators' calls
+    traffic: dict[str, int] = {}
+
+
+def rounded(seconds: float) -> float | None:
+    """Return a time for JSON, which knows no infinity."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
+def traffic_figures(traffic: Traffic) -> dict[str, int]:
+    """Return the counters by name."""
+    return {name: getattr(traffic, name) for name in traffic.__slots__ if name != "role"}
+
+
+def voting_status(host: VoterHost) -> VotingStatus:
+    """Return what a voter tells of its part in the log."""
+    voter = host.voter
+    others = [name for name in voter.voters if name != voter.name]
+    peers = [
+        PeerStatus(name, host.peers.connected(name), _rounded_or_none(host.peers.heard_ago(name)))
+        for name in others
+    ]
+    return VotingStatus(
+        voter.role.value,
+        voter.term,
+        voter.leader,
+        voter.commit_index,
+        voter.voters,
+        tuple(peers),
+        host.durable.failure,
+    )
+
+
+def _rounded_or_none(seconds: float | None) -> float | None:
+    return None if seconds is None else rounded(seconds)
+
+
+def voter_status(host: VoterHost, region: str, zone: str, operators: dict[str, str]) -> ProcessStatus:
+    """Return the status of a voter's process."""
+    return ProcessStatus(
+        host.endpoint.name,
+        "voter",
+        region,
+        zone,
+        host.watches.store.revision,
+        rounded(host.voter.age(trio.current_time())),
+        watches=host.watches.server.watches,
+        below=host.watches.summary(),
+        voting=voting_status(host),
+        operators=operators,
+        traffic=traffic_figures(host.endpoint.traffic),
+    )
+
+
+def relay_status(host: RelayHost, region: str, zone: str, operators: dict[str, str]) -> ProcessStatus:
+    """Return the status of a relay's process."""
+    now = trio.current_time()
+    upstream = host.core.follower.upstream
+    return ProcessStatus(
+        host.endpoint.name,
+        "relay",
+        region,
+        zone,
+        host.core.follower.revision,
+        rounded(host.core.follower.staleness(now)),
+        upstream=upstream.name if upstream is not None else "",
+        watches=host.core.server.watches,
+        below=host.core.server.summary(now),
+        operators=operators,
+        traffic=traffic_figures(host.endpoint.traffic),
+    )
+
+
+def follower_status(host: FollowerHost, region: str, zone: str, operators: dict[str, str]) -> ProcessStatus:
+    """Return the status of a follower's process."""
+    upstream = host.core.upstream
+    return ProcessStatus(
+        host.endpoint.name,
+        "follower",
+        region,
+        zone,
+        host.core.revision,
+        rounded(host.core.staleness(trio.current_time())),
+        upstream=upstream.name if upstream is not None else "",
+        operators=operators,
+        traffic=traffic_figures(host.endpoint.traffic),
+    )
--- /dev/null
+++ b/merlinbay/control_service/watch_service.py
@@ -0,0 +1,142 @@
+"""The watches that a voter serves. Inputs are gathered until the voter's own records are on the disk."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import TypeVar
+
+import trio
+
+from merlinbay.control.entries import Delta, StateSnapshot
+from merlinbay.control.fanout.messages import Generation, Summary
+from merlinbay.control.fanout.settings import WatchServerSettings
+from merlinbay.control.fanout.source import WatchServer
+from merlinbay.control.keyspace import Keyspace
+from merlinbay.control_service.watch_streams import DownstreamStreams
+
+T = TypeVar("T")
+
+
+class ServedKeyspace:
+    """The keyspace that watches are served from. Its revision never goes back.
+
+    A voter that is built anew from its disk may at first know less to be committed than it has served:
+    until it has caught up, the former keyspace is served.
+    """
+
+    def __init__(self, keyspace: Keyspace) -> None:
+        self.current = keyspace
+        self._next: Keyspace | None = None
+
+    def replace(self, keyspace: Keyspace) -> None:
+        """Serve another keyspace as soon as it is not behind."""
+        self._next = keyspace
+        self.catch_up()
+
+    def catch_up(self) -> None:
+        """Change over if the next keyspace is no longer behind."""
+        if self._next is not None and self._next.revision >= self.current.revision:
+            self.current, self._next = self._next, None
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the state."""
+        return self.current.revision
+
+    def delta_after(self, revision: int) -> Delta | None:
+        """Return what changed after ``revision``; None if that was compacted or lies in the future."""
+        return self.current.delta_after(revision)
+
+    def snapshot(self) -> StateSnapshot:
+        """Return the whole state."""
+        return self.current.state()
+
+
+class WatchService:
+    """A server of watches with its streams; ``turn`` gives it what has come."""
+
+    def __init__(
+        self,
+        keyspace: Keyspace,
+        generation: Generation,
+        settings: WatchServerSettings,
+        random: Random,
+        others: Iterable[str],
+    ) -> None:
+        self.store = ServedKeyspace(keyspace)
+        now = trio.current_time()
+        self.server = WatchServer(self.store, generation, settings, random, now, others)
+        self.streams = DownstreamStreams(self)
+        self.wake: Callable[[], None] = lambda: None
+        self._inputs: deque[Callable[[float], None]] = deque()
+        self._advanced = False
+
+    def turn(self, staleness: float) -> None:
+        """Take all inputs and carry out what follows; ``staleness`` is that of the voter's state."""
+        now = trio.current_time()
+        self.server.confirm(now, staleness)
+        if self._advanced:
+            self._advanced = False
+            self.store.catch_up()
+            self.server.advanced(now)
+        while self._inputs:
+            self._inputs.popleft()(now)
+        self.server.tick(now)
+        for effect in self.server.take_effects():
+            self.streams.carry_out(effect)
+
+    def advance(self) -> None:
+        """Take it that the voter has a new revision."""
+        self._advanced = True
+
+    def replace(self, keyspace: Keyspace) -> None:
+        """Serve the keyspace of a voter that was built anew."""
+        self.store.replace(keyspace)
+        self._advanced = True
+
+    async def local(self, read: Callable[[Keyspace], T]) -> T:
+        """Read from the keyspace at a moment when all that it holds is on the disk."""
+        answers: list[T] = []
+        done = trio.Event()
+
+        def answer(now: float) -> None:
+            answers.append(read(self.store.current))
+            done.set()
+
+        self._put(answer)
+        await done.wait()
+        return answers[0]
+
+    def drain(self) -> None:
+        """Send all watches elsewhere: the process is going to end."""
+        self._put(self.server.drain)
+
+    def next_deadline(self) -> float:
+        """Return when ``turn`` is due."""
+        return self.server.next_deadline()
+
+    def summary(self) -> Summary:
+        """Return what the followers below have in force."""
+        return self.server.summary(trio.current_time())
+
+    def _put(self, item: Callable[[float], None]) -> None:
+        self._inputs.append(item)
+        self.wake()
+
+    def opened(self, connection: int) -> None:
+        """Take a new stream."""
+        self._put(lambda now: self.server.opened(connection, now))
+
+    def received(self, connection: int, frame: bytes) -> None:
+        """Take a frame."""
+        self._put(lambda now: self.server.received(connection, frame, now))
+
+    def written(self, connection: int, size: int) -> None:
+        """Hear that a frame went to the network."""
+        self._put(lambda now: self.server.written(connection, size, now))
+
+    def closed(self, connection: int) -> None:
+        """Hear that a stream has ended."""
+        self._put(lambda now: self.server.closed(connection, now))
--- /dev/null
+++ b/merlinbay/control_service/watch_streams.py
@@ -0,0 +1,167 @@
+"""The streams of the watch protocol: one upstream of a follower or relay, many downstream of a server."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
+
+import trio
+
+from merlinbay.control.fanout.effects import (
+    CloseDownstream,
+    CloseUpstream,
+    Connect,
+    DownstreamEffect,
+    SendDownstream,
+    SendUpstream,
+)
+from merlinbay.control_service.connection import Connection, Overflow
+from merlinbay.control_service.transport import Endpoint, NotConnected, connect
+
+
+class UpstreamEvents(Protocol):
+    """Who hears of upstream streams, by the number of the attempt."""
+
+    def upstream_connected(self, attempt: int) -> None:
+        """Hear that the stream is open."""
+
+    def upstream_received(self, attempt: int, frame: bytes) -> None:
+        """Take a frame."""
+
+    def upstream_closed(self, attempt: int) -> None:
+        """Hear that the stream has ended or could not be opened."""
+
+
+class UpstreamStreams:
+    """Opens, writes and ends the streams that a follower asks for."""
+
+    __slots__ = ("_endpoint", "_nursery", "_events", "_scopes", "_connections")
+
+    def __init__(self, endpoint: Endpoint, nursery: trio.Nursery, events: UpstreamEvents) -> None:
+        self._endpoint, self._nursery, self._events = endpoint, nursery, events
+        self._scopes: dict[int, trio.CancelScope] = {}
+        self._connections: dict[int, Connection] = {}
+
+    def carry_out(self, effect: Connect | SendUpstream | CloseUpstream) -> None:
+        """Do what the follower wants."""
+        if isinstance(effect, Connect):
+            scope = self._scopes[effect.attempt] = trio.CancelScope()
+            self._nursery.start_soon(self._run, effect, scope)
+        elif isinstance(effect, SendUpstream):
+            if effect.attempt in self._connections:
+                self._connections[effect.attempt].send(effect.frame)
+        else:
+            self._close(effect.attempt)
+
+    def abort_all(self) -> None:
+        """End all streams at once."""
+        for scope in self._scopes.values():
+            scope.cancel()
+        self._scopes.clear()
+        self._connections.clear()
+
+    def _close(self, attempt: int) -> None:
+        scope = self._scopes.pop(attempt, None)
+        connection = self._connections.pop(attempt, None)
+        if connection is not None:
+            connection.finish()
+        elif scope is not None:
+            scope.cancel()
+
+    async def _run(self, effect: Connect, scope: trio.CancelScope) -> None:
+        attempt = effect.attempt
+        with scope:
+            try:
+                connection = await connect(self._endpoint, effect.upstream.address, Overflow.CLOSE)
+            except NotConnected:
+                self._ended(attempt)
+                return
+            connection.on_message = partial(self._events.upstream_received, attempt)
+            self._connections[attempt] = connection
+            self._events.upstream_connected(attempt)
+            await connection.run()
+        self._ended(attempt)
+
+    def _ended(self, attempt: int) -> None:
+        self._connections.pop(attempt, None)
+        if self._scopes.pop(attempt, None) is not None:  # else it was closed on purpose
+            self._events.upstream_closed(attempt)
+
+
+class DownstreamEvents(Protocol):
+    """Who hears of downstream streams, by number."""
+
+    def opened(self, connection: int) -> None:
+        """Take a new stream."""
+
+    def received(self, connection: int, frame: bytes) -> None:
+        """Take a frame."""
+
+    def written(self, connection: int, size: int) -> None:
+        """Hear that a frame went to the network."""
+
+    def closed(self, connection: int) -> None:
+        """Hear that a stream has ended."""
+
+
+class DownstreamStreams:
+    """Numbers the accepted streams, writes to them and ends them."""
+
+    def __init__(self, events: DownstreamEvents) -> None:
+        self._events = events
+        self._connections: dict[int, Connection] = {}
+        self._last = 0
+
+    async def serve(self, connection: Connection) -> None:
+        """Carry one stream to its end."""
+        self._last += 1
+        number = self._last
+        self._connections[number] = connection
+        connection.on_message = partial(self._received, number)
+        connection.on_written = partial(self._written, number)
+        self._events.opened(number)
+        try:
+            await connection.run()
+        finally:
+            if self._connections.pop(number, None) is not None:  # else it was closed on purpose
+                self._events.closed(number)
+
+    def _received(self, number: int, frame: bytes) -> None:
+        if number in self._connections:
+            self._events.received(number, frame)
+
+    def _written(self, number: int, size: int) -> None:
+        if number in self._connections:
+            self._events.written(number, size)
+
+    def carry_out(self, effect: DownstreamEffect) -> None:
+        """Do what the server wants."""
+        if isinstance(effect, SendDownstream):
+            if effect.connection in self._connections:
+                self._connections[effect.connection].send(effect.frame)
+        elif isinstance(effect, CloseDownstream):
+            connection = self._connections.pop(effect.connection, None)
+            if connection is not None:
+                connection.finish()
+
+
+class Timer:
+    """Calls ``tick`` whenever the deadline is due that ``next_deadline`` returns."""
+
+    __slots__ = ("_next_deadline", "_tick", "_nap")
+
+    def __init__(self, next_deadline: Callable[[], float], tick: Callable[[], None]) -> None:
+        self._next_deadline, self._tick = next_deadline, tick
+        self._nap = trio.CancelScope()
+
+    def changed(self) -> None:
+        """Take it that the deadline may be another one now."""
+        self._nap.deadline = self._next_deadline()
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            with trio.CancelScope(deadline=self._next_deadline()) as self._nap:
+                await trio.sleep_forever()
+            self._tick()
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -160,6 +160,10 @@
             await drmaa.listen(nursery, limits)
         if sides.fleet is not None:
             await sides.fleet.listen(nursery)
+        if operator is not None and operator.control is not None:
+            from merlinbay.control_service.node_follower import start as follow_configuration
+
+            follow_configuration(operator.control, config.name, nursery, counters, log)
         nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, sides)
         desk.serving = True
         log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
--- a/merlinbay/operator_file.py
+++ b/merlinbay/operator_file.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from merlinbay.control_service.settings import Section as Control
 from merlinbay.dnssd.settings import DnsSd
 from merlinbay.drmaa.settings import Drmaa
 from merlinbay.fleet.settings import Fleet
@@ -29,6 +30,7 @@
     drmaa: Drmaa = msgspec.field(default_factory=Drmaa)
     dnssd: DnsSd | None = None
     fleet: Fleet = msgspec.field(default_factory=Fleet)
+    control: Control | None = None
     log: LogSection = msgspec.field(default_factory=LogSection)
 
 
@@ -48,6 +50,8 @@
         raise BadConfig(f"{path}: drmaa.{wrong}")
     if wrong := operator.fleet.wrong():
         raise BadConfig(f"{path}: fleet.{wrong}")
+    if operator.control is not None and (wrong := operator.control.wrong()):
+        raise BadConfig(f"{path}: control.{wrong}")
     for key in ("listen", "advertise", "control"):
         try:
             if text := getattr(operator.fleet, key):
