Control processes joined with their cores; eight scenarios of real processes with faults between them

Need: the hard cases of the replicated log as processes: leader killed, stopped and woken, cut one way, a side without a majority, a lost disk, a full disk, a relay killed, followers from before compaction and from the future. Verdicts rest on events; scenarios run three at a time, since ten processes are what one run may hold. Its age is that of the served state: a former leader that hears nobody knows how old it is, which the voter alone does not say. Links are kept to all voters of the configuration, so that an election need not wait for connections.

--- a/merlinbay/control_service/operator_calls.py
+++ b/merlinbay/control_service/operator_calls.py
@@ -160,7 +160,7 @@
 
     async def keys(self) -> Entries:
         """Return all keys that this voter has."""
-        age = rounded(self.host.voter.age(trio.current_time()))
+        age = rounded(self.host.watches.age())
         return await self.host.watches.local(lambda keyspace: _all_keys(keyspace, age))
 
     async def voters_call(self, request: Request, parts: list[str], options: dict[str, str]) -> Response:
@@ -225,7 +225,7 @@
         with trio.move_on_after(WATCH_S):
             while self.host.watches.store.revision <= after:
                 await self.host.advanced.wait()
-        age = rounded(self.host.voter.age(trio.current_time()))
+        age = rounded(self.host.watches.age())
         return _answer(await self.host.watches.local(lambda keyspace: _changed(keyspace, after, age)))
 
 
--- a/merlinbay/control_service/peers.py
+++ b/merlinbay/control_service/peers.py
@@ -1,4 +1,4 @@
-"""Links to the other voters: opened when there is something to send, closed when long unused."""
+"""Links to other voters: kept to those of the configuration, to others while something is sent there."""
 
 from __future__ import annotations
 
@@ -30,6 +30,7 @@
         """``address_of`` is asked at every attempt to connect; empty where no address is known."""
         self._endpoint, self._address_of, self._random = endpoint, address_of, random
         self._peers: dict[str, Peer] = {}
+        self._wanted: tuple[str, ...] = ()
         self._heard: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -40,10 +41,19 @@
                 await trio.sleep(SWEEP_S)
                 self._sweep()
 
+    def keep(self, names: tuple[str, ...]) -> None:
+        """Keep links to these, so that the first message of an election need not wait for a connection."""
+        if names == self._wanted or self._nursery is None:
+            return
+        self._wanted = names
+        for name in names:
+            if name not in self._peers and name != self._endpoint.name:
+                self._open(name)
+
     def _sweep(self) -> None:
         before = trio.current_time() - UNUSED_S
         for name, peer in list(self._peers.items()):
-            if peer.used < before:
+            if peer.used < before and name not in self._wanted:
                 peer.scope.cancel()
                 del self._peers[name]
 
--- a/merlinbay/control_service/status.py
+++ b/merlinbay/control_service/status.py
@@ -30,6 +30,7 @@
     leader: str
     commit_index: int
     voters: tuple[str, ...]
+    joining: tuple[str, ...]  # that catch up to become voters
     peers: tuple[PeerStatus, ...]
     storage: str  # why nothing can be stored; empty: it can
 
@@ -75,6 +76,7 @@
         voter.leader,
         voter.commit_index,
         voter.voters,
+        voter.joining,
         tuple(peers),
         host.durable.failure,
     )
@@ -92,7 +94,7 @@
         region,
         zone,
         host.watches.store.revision,
-        rounded(host.voter.age(trio.current_time())),
+        rounded(host.watches.age()),
         watches=host.watches.server.watches,
         below=host.watches.summary(),
         voting=voting_status(host),
--- a/merlinbay/control_service/voter_host.py
+++ b/merlinbay/control_service/voter_host.py
@@ -121,8 +121,9 @@
                 item(self.voter, now)
             self.voter.tick(now)
             await self._carry_out(self.voter.take_effects(), nursery)
+            self.peers.keep(self.voter.voters)
             self._tell_role()
-            self.watches.turn(self.voter.age(trio.current_time()))
+            self.watches.turn(self.voter.keyspace, self.voter.age(trio.current_time()))
 
     async def _carry_out(self, effects: list[Effect], nursery: trio.Nursery) -> None:
         """Store all records first, in one commit: the other effects may only come later for that."""
@@ -155,7 +156,6 @@
         """Build the core anew from what is on the disk, as after a crash."""
         self._rebuild = False
         self.voter = self._build()
-        self.watches.replace(self.voter.keyspace)
         self.log.event("control_storage_recovered", revision=self.voter.keyspace.revision)
 
     def _carry_out_one(self, effect: Effect) -> None:
@@ -165,7 +165,6 @@
             case ProposalDone() | ReadDone():
                 self._answer(effect)
             case RevisionAdvanced():
-                self.watches.advance()
                 self.advanced.set()
                 self.advanced = trio.Event()
 
--- a/merlinbay/control_service/watch_service.py
+++ b/merlinbay/control_service/watch_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from random import Random
@@ -28,17 +29,11 @@
 
     def __init__(self, keyspace: Keyspace) -> None:
         self.current = keyspace
-        self._next: Keyspace | None = None
 
-    def replace(self, keyspace: Keyspace) -> None:
-        """Serve another keyspace as soon as it is not behind."""
-        self._next = keyspace
-        self.catch_up()
-
-    def catch_up(self) -> None:
-        """Change over if the next keyspace is no longer behind."""
-        if self._next is not None and self._next.revision >= self.current.revision:
-            self.current, self._next = self._next, None
+    def offer(self, keyspace: Keyspace) -> None:
+        """Serve a keyspace unless it is behind."""
+        if keyspace.revision >= self.current.revision:
+            self.current = keyspace
 
     @property
     def revision(self) -> int:
@@ -71,15 +66,16 @@
         self.streams = DownstreamStreams(self)
         self.wake: Callable[[], None] = lambda: None
         self._inputs: deque[Callable[[float], None]] = deque()
-        self._advanced = False
+        self._served_revision = keyspace.revision
 
-    def turn(self, staleness: float) -> None:
-        """Take all inputs and carry out what follows; ``staleness`` is that of the voter's state."""
+    def turn(self, keyspace: Keyspace, staleness: float) -> None:
+        """Take all inputs and carry out what follows; ``staleness`` is that of the voter's keyspace."""
         now = trio.current_time()
-        self.server.confirm(now, staleness)
-        if self._advanced:
-            self._advanced = False
-            self.store.catch_up()
+        self.store.offer(keyspace)
+        if keyspace is self.store.current and math.isfinite(staleness):
+            self.server.confirm(now, staleness)
+        if self.store.revision > self._served_revision:
+            self._served_revision = self.store.revision
             self.server.advanced(now)
         while self._inputs:
             self._inputs.popleft()(now)
@@ -87,15 +83,6 @@
         for effect in self.server.take_effects():
             self.streams.carry_out(effect)
 
-    def advance(self) -> None:
-        """Take it that the voter has a new revision."""
-        self._advanced = True
-
-    def replace(self, keyspace: Keyspace) -> None:
-        """Serve the keyspace of a voter that was built anew."""
-        self.store.replace(keyspace)
-        self._advanced = True
-
     async def local(self, read: Callable[[Keyspace], T]) -> T:
         """Read from the keyspace at a moment when all that it holds is on the disk."""
         answers: list[T] = []
@@ -113,6 +100,10 @@
         """Send all watches elsewhere: the process is going to end."""
         self._put(self.server.drain)
 
+    def age(self) -> float:
+        """Return how long ago the served state was known to be the latest; infinity: never."""
+        return self.server.staleness(trio.current_time())
+
     def next_deadline(self) -> float:
         """Return when ``turn`` is due."""
         return self.server.next_deadline()
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import base64
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -17,6 +17,7 @@
 from merlinbay.fleet.wire import Keys, Refused
 from merlinbay.log import Log
 from merlinbay.problems import BadConfig
+from tests.control_scenarios import SCENARIOS
 
 KEY = Keys((b"k" * 16,))
 OTHER_KEY = Keys((b"o" * 16,))
@@ -190,8 +191,37 @@
     trio.run(run)
 
 
-def key_file(folder: Path) -> Path:
-    """Write a file of one key."""
-    path = folder / "keys"
-    path.write_text(base64.b64encode(b"k" * 32).decode() + "\n")
-    return path
+SIDE_BY_SIDE = 3  # scenarios at a time: some ten processes
+
+
+@pytest.fixture(scope="module")
+def outcomes(tmp_path_factory: pytest.TempPathFactory) -> dict[str, BaseException | None]:
+    """Run all scenarios, some side by side; return what each failed with."""
+    folder = tmp_path_factory.mktemp("control")
+    found: dict[str, BaseException | None] = {}
+
+    async def run(scenario: Callable[[Path], Awaitable[None]], limit: trio.Semaphore) -> None:
+        async with limit:
+            try:
+                await scenario(folder / scenario.__name__)
+            except Exception as error:
+                found[scenario.__name__] = error
+            else:
+                found[scenario.__name__] = None
+
+    async def run_all() -> None:
+        limit = trio.Semaphore(SIDE_BY_SIDE)
+        async with trio.open_nursery() as nursery:
+            for scenario in SCENARIOS:
+                nursery.start_soon(run, scenario, limit)
+
+    trio.run(run_all)
+    return found
+
+
+@pytest.mark.parametrize("name", [scenario.__name__ for scenario in SCENARIOS])
+def test_what_a_scenario_wants_holds(outcomes: dict[str, BaseException | None], name: str) -> None:
+    """Several real processes with faults between them; each scenario says what has to hold."""
+    failure = outcomes[name]
+    if failure is not None:
+        raise failure
