--- a/merlinbay/cli/control.py
+++ b/merlinbay/cli/control.py
@@ -258,12 +258,11 @@
     if name or remove:
         found = machines.call("POST", "voters", {"add": name, "remove": remove}, answer_s=90.0)
         click.echo(f"done at revision {found['revision']}")
-    voting = machines.call("GET", "status").get("voting")
-    if voting is None:
-        click.echo("this machine is no voter: ask one with --at")
-        return
-    for voter_name in voting["voters"]:
-        click.echo(f"{voter_name}{'  leader' if voter_name == voting['leader'] else ''}")
+    found = machines.call("GET", "voters")
+    for voter_name in found["voters"]:
+        click.echo(f"{voter_name}{'  leader' if voter_name == found['leader'] else ''}")
+    for joining in found["joining"]:
+        click.echo(f"{joining}  joining")
 
 
 def _announce(machines: Machines, add: str) -> str:
--- a/merlinbay/control_service/operator_calls.py
+++ b/merlinbay/control_service/operator_calls.py
@@ -6,7 +6,7 @@
 ``GET /control/keys?prefix=P``   all keys below a prefix, this process's own, with their age
 ``GET /control/watch?after=R``   what changed after a revision, as soon as something has; a voter's call
 ``POST /control/changes``        propose a change; a repeat has the same ``change_id``
-``GET, POST /control/voters``    the voters; add and remove one
+``GET, POST /control/voters``    the voters, as the leader has them; add and remove one
 ``POST /control/transfer``       hand leadership over
 ===============================  ======================================================================
 """
@@ -49,6 +49,15 @@
     remove: str | None = None
 
 
+class Voters(msgspec.Struct):
+    """The voters, as the leader has them."""
+
+    leader: str
+    term: int
+    voters: tuple[str, ...]
+    joining: tuple[str, ...]  # that catch up to become voters
+
+
 class Applied(msgspec.Struct):
     """A change's answer."""
 
@@ -172,11 +181,10 @@
                 return await self._watch(int(options.get("after", "0")))
             case "POST", ["changes"]:
                 return await self._change(msgspec.json.decode(request.body, type=ChangeRequest), request)
+            case "GET", ["voters"]:
+                return await self._list_voters(request)
             case "POST", ["voters"]:
-                wanted = msgspec.json.decode(request.body, type=VotersRequest)
-                if wanted.add is not None and not self.machines.address_of(wanted.add):
-                    raise BadCall(f"no address of {wanted.add} is known: set machines/{wanted.add} first")
-                return self._result(await self.host.change_voters(wanted.add, wanted.remove), request)
+                return await self._voters(msgspec.json.decode(request.body, type=VotersRequest), request)
             case "POST", ["transfer"]:
                 if self.host.voter.leader != self.host.voter.name:
                     return self._to_leader(self.host.voter.leader, request)
@@ -198,6 +206,34 @@
         change = Change(wanted.change_id, wanted.key, value, wanted.expected_revision)
         return self._result(await self.host.propose(change), request)
 
+    async def _list_voters(self, request: Request) -> Response:
+        """Answer as the leader: who was removed may have missed what came after."""
+        confirmed = await self.host.read("machines")
+        if confirmed.failed:
+            return self._to_leader(confirmed.leader, request)
+        voter = self.host.voter
+        return _answer(Voters(voter.name, voter.term, voter.voters, voter.joining))
+
+    async def _voters(self, wanted: VotersRequest, request: Request) -> Response:
+        """Change the voters. A repeat of what was done already, or is under way, does nothing further."""
+        if wanted.add is not None and not self.machines.address_of(wanted.add):
+            raise BadCall(f"no address of {wanted.add} is known: set machines/{wanted.add} first")
+        if wanted.add is None and wanted.remove is None:
+            raise BadCall("nobody to add or to remove")
+        confirmed = await self.host.read(f"machines/{wanted.add}")
+        if confirmed.failed:
+            return self._to_leader(confirmed.leader, request)
+        voter = self.host.voter
+        if wanted.add in voter.joining:
+            return _problem(503, f"{wanted.add} is joining", retry=True, reason="joining")
+        add = None if wanted.add in voter.voters and wanted.add != wanted.remove else wanted.add
+        remove = wanted.remove if wanted.remove in voter.voters else None
+        if add is not None or remove is not None:
+            return self._result(await self.host.change_voters(add, remove), request)
+        if voter.commit_index < voter.last_index:
+            return _problem(503, "the last change of voters is not committed", retry=True, reason="joining")
+        return _answer(Applied(self.host.watches.store.revision))
+
     def _result(self, result: ChangeResult, request: Request) -> Response:
         if isinstance(result, ChangeApplied):
             return _answer(Applied(result.revision))
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -8,7 +8,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -34,6 +34,34 @@
 ZONE = Location("region", "zone")
 
 
+Scenario = Callable[[Path], Awaitable[None]]
+SIDE_BY_SIDE = 4  # scenarios at a time: some fifteen processes, 600 MB
+
+
+def run_side_by_side(scenarios: Sequence[Scenario], folder: Path) -> dict[str, BaseException | None]:
+    """Run scenarios, some at a time; return what each failed with, by its name."""
+    found: dict[str, BaseException | None] = {}
+
+    async def run(scenario: Scenario, limit: trio.Semaphore) -> None:
+        name = scenario.__name__
+        async with limit:
+            try:
+                await scenario(folder / name)
+            except Exception as error:
+                found[name] = error
+            else:
+                found[name] = None
+
+    async def run_all() -> None:
+        limit = trio.Semaphore(SIDE_BY_SIDE)
+        async with trio.open_nursery() as nursery:
+            for scenario in scenarios:
+                nursery.start_soon(run, scenario, limit)
+
+    trio.run(run_all)
+    return found
+
+
 @dataclass
 class Machine:
     """One control process."""
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -17,6 +16,7 @@
 from merlinbay.fleet.wire import Keys, Refused
 from merlinbay.log import Log
 from merlinbay.problems import BadConfig
+from tests.control_cluster import run_side_by_side
 from tests.control_scenarios import SCENARIOS
 
 KEY = Keys((b"k" * 16,))
@@ -191,32 +191,10 @@
     trio.run(run)
 
 
-SIDE_BY_SIDE = 3  # scenarios at a time: some ten processes
-
-
 @pytest.fixture(scope="module")
 def outcomes(tmp_path_factory: pytest.TempPathFactory) -> dict[str, BaseException | None]:
-    """Run all scenarios, some side by side; return what each failed with."""
-    folder = tmp_path_factory.mktemp("control")
-    found: dict[str, BaseException | None] = {}
-
-    async def run(scenario: Callable[[Path], Awaitable[None]], limit: trio.Semaphore) -> None:
-        async with limit:
-            try:
-                await scenario(folder / scenario.__name__)
-            except Exception as error:
-                found[scenario.__name__] = error
-            else:
-                found[scenario.__name__] = None
-
-    async def run_all() -> None:
-        limit = trio.Semaphore(SIDE_BY_SIDE)
-        async with trio.open_nursery() as nursery:
-            for scenario in SCENARIOS:
-                nursery.start_soon(run, scenario, limit)
-
-    trio.run(run_all)
-    return found
+    """Run all scenarios; return what each failed with."""
+    return run_side_by_side(SCENARIOS, tmp_path_factory.mktemp("control"))
 
 
 @pytest.mark.parametrize("name", [scenario.__name__ for scenario in SCENARIOS])
