--- a/merlinbay/cli/control.py
+++ b/merlinbay/cli/control.py
@@ -6,7 +6,6 @@
 import sys
 import time
 import uuid
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -19,12 +18,50 @@
 
 FIRST_PAUSE_S, MOST_PAUSE_S = 0.1, 1.0  # between attempts of one call
 ANSWER_S = 5.0  # for one attempt: longer than a voter keeps a proposal undecided
-WATCH_S = 30.0
+STATUS_S = 2.0  # for the status of one of many machines
+WATCH_S = 30.0  # for a watch, which a voter answers after 20 s at the latest
+VOTERS_S = 90.0  # for a change of voters, whose new one catches up first
+NO_ANSWER = 599  # in place of a status
 EXITS = {"conflict": WRONG_STATE, "invalid": OTHER}
 CONFIG = click.option("--config", required=True, type=click.Path(dir_okay=False), help="The process's file.")
 JSON_FLAG = click.option("--json", "as_json", is_flag=True, help="Print the answer as it came.")
 
 
+class NotDone(click.ClickException):
+    """A call came to nothing within its time."""
+
+    def show(self, file: Any = None) -> None:
+        """Say it in one line."""
+        click.echo(f"merlinbay: {self.message}", err=True)
+
+
+class NotTaken(NotDone):
+    """No majority, or too much at once."""
+
+    exit_code = TRY_LATER
+
+
+class NobodyAnswered(NotDone):
+    """No machine could be reached."""
+
+    exit_code = UNREACHABLE
+
+
+class PerhapsDone(NotDone):
+    """It may have been carried out all the same."""
+
+    exit_code = TIMED_OUT
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """What one call of one machine came to."""
+
+    status: int  # of HTTP; NO_ANSWER
+    value: dict[str, Any]
+    unknown: bool = False  # it was sent, and nobody says what became of it
+
+
 @dataclass(frozen=True)
 class Machines:
     """The control machines that are asked, and for how long a call is tried."""
@@ -33,39 +70,41 @@
     timeout: float
 
     def call(self, method: str, path: str, body: object = None, answer_s: float = ANSWER_S) -> Any:
-        """Make one call at the first machine that can answer; end with one line where none can.
+        """Make one call at the first machine that can answer; raise ``NotDone`` where none can.
 
         It is repeated at the next machine after a failure that may pass. Changes carry an id, so that a
         repeat of one that was applied has no further effect.
         """
-        deadline, pause, attempt = time.monotonic() + self.timeout, FIRST_PAUSE_S, 0
+        deadline, pause, tried, unknown = time.monotonic() + self.timeout, FIRST_PAUSE_S, 0, False
         while True:
-            address = self.addresses[attempt % len(self.addresses)]
-            status, value = _attempt(address, method, path, body, answer_s)
-            if status < 400:
-                return value
-            if not value.get("retry"):
-                _end(status, value)
-            attempt += 1
+            address = self.addresses[tried % len(self.addresses)]
+            attempt = _attempt(address, method, path, body, answer_s)
+            if attempt.status < 400:
+                return attempt.value
+            if not attempt.value.get("retry"):
+                _end(attempt)
+            tried, unknown = tried + 1, unknown or attempt.unknown
             if time.monotonic() + pause >= deadline:
-                click.echo(f"merlinbay: not done within {self.timeout:g} s: {value['error']}", err=True)
-                sys.exit(UNREACHABLE if status == 599 else TRY_LATER)
+                text = f"not done within {self.timeout:g} s: {attempt.value['error']}"
+                if unknown:
+                    raise PerhapsDone(text)
+                raise NobodyAnswered(text) if attempt.status == NO_ANSWER else NotTaken(text)
             time.sleep(pause)
             pause = min(pause * 2, MOST_PAUSE_S)
 
 
-def _attempt(
-    address: str, method: str, path: str, body: object, answer_s: float
-) -> tuple[int, dict[str, Any]]:
-    """Return status and answer of one attempt; 599 where no answer came."""
+def _attempt(address: str, method: str, path: str, body: object, answer_s: float) -> Attempt:
     import httpx
 
     try:
         with httpx.Client(timeout=answer_s, follow_redirects=True, trust_env=False) as client:
             found = client.request(method, f"http://{address}/control/{path}", json=body)
-            return found.status_code, _object(found)
+            value = _object(found)
     except (httpx.HTTPError, ValueError) as error:
-        return 599, {"error": f"cannot reach {address}: {error}", "retry": True}
+        problem = {"error": f"cannot reach {address}: {error}", "retry": True}
+        unsent = isinstance(error, httpx.ConnectError | httpx.ConnectTimeout)
+        return Attempt(NO_ANSWER, problem, unknown=not unsent)
+    return Attempt(found.status_code, value, unknown=value.get("reason") == "uncertain")
 
 
 def _object(found: httpx.Response) -> dict[str, Any]:
@@ -75,9 +114,9 @@
     return value
 
 
-def _end(status: int, value: dict[str, Any]) -> None:
-    click.echo(f"merlinbay: {value.get('error', status)}", err=True)
-    sys.exit(UNKNOWN if status == 404 else EXITS.get(str(value.get("reason")), OTHER))
+def _end(attempt: Attempt) -> None:
+    click.echo(f"merlinbay: {attempt.value.get('error', attempt.status)}", err=True)
+    sys.exit(UNKNOWN if attempt.status == 404 else EXITS.get(str(attempt.value.get("reason")), OTHER))
 
 
 @click.group()
@@ -149,8 +188,8 @@
 
 
 def _status_of(address: str) -> dict[str, Any] | None:
-    found, value = _attempt(address, "GET", "status", None, 2.0)
-    return value if found < 400 else None
+    attempt = _attempt(address, "GET", "status", None, STATUS_S)
+    return attempt.value if attempt.status < 400 else None
 
 
 @control.command()
@@ -193,7 +232,7 @@
 def set_command(
     ctx: click.Context, key: str, value: str | None, delete: bool, if_revision: int | None, change_id: str
 ) -> None:
-    """Set KEY to VALUE (JSON). Exit 5: not known whether it was applied; 6: it is at another revision."""
+    """Set KEY to VALUE (JSON). Exit 5: it may have been applied; 6: it is at another revision."""
     if delete == (value is not None):
         raise click.UsageError("either VALUE or --delete")
     parsed = None if value is None else _parsed(value)
@@ -201,7 +240,7 @@
         raise click.UsageError("VALUE null: use --delete")
     identity = change_id or uuid.uuid4().hex
     body = {"change_id": identity, "key": key, "value": parsed, "expected_revision": if_revision}
-    _finish_change(_with_machines(ctx), "changes", body, lambda found: f"{key}: revision {found['revision']}")
+    _finish_change(_with_machines(ctx), body)
 
 
 def _parsed(value: str) -> Any:
@@ -211,17 +250,14 @@
         raise click.UsageError(f"VALUE is not JSON: {error}") from None
 
 
-def _finish_change(
-    machines: Machines, path: str, body: dict[str, Any], say: Callable[[dict[str, Any]], str]
-) -> None:
+def _finish_change(machines: Machines, body: dict[str, Any]) -> None:
     try:
-        found = machines.call("POST", path, body)
-    except SystemExit as ended:
-        if ended.code not in (TRY_LATER, UNREACHABLE) or "change_id" not in body:
-            raise
-        click.echo(f"whether it was applied is not known; repeat it with --id {body['change_id']}", err=True)
-        sys.exit(TIMED_OUT)
-    click.echo(say(found))
+        found = machines.call("POST", "changes", body)
+    except PerhapsDone as error:
+        identity = body["change_id"]
+        text = f"{error.message}; it may have been applied: repeat it with --id {identity}"
+        raise PerhapsDone(text) from None
+    click.echo(f"{body['key']}: revision {found['revision']}")
 
 
 @control.command()
@@ -256,7 +292,7 @@
     machines = _with_machines(ctx)
     name = _announce(machines, add) if add else None
     if name or remove:
-        found = machines.call("POST", "voters", {"add": name, "remove": remove}, answer_s=90.0)
+        found = machines.call("POST", "voters", {"add": name, "remove": remove}, answer_s=VOTERS_S)
         click.echo(f"done at revision {found['revision']}")
     found = machines.call("GET", "voters")
     for voter_name in found["voters"]:
--- a/merlinbay/control_service/node_follower.py
+++ b/merlinbay/control_service/node_follower.py
@@ -28,7 +28,8 @@
 
     def advanced(effect: StateAdvanced) -> None:
         counters.add("control_revisions")
-        endpoint.traffic.export(counters)
+        counters.counts["control_bytes_received"] = endpoint.traffic.bytes_received
+        counters.counts["control_bytes_sent"] = endpoint.traffic.bytes_sent
         log.event("control_revision", level="debug", revision=effect.revision, replaced=effect.replaced)
 
     host = FollowerHost(
--- a/merlinbay/control_service/process.py
+++ b/merlinbay/control_service/process.py
@@ -18,6 +18,7 @@
 from merlinbay.control.fanout.messages import Generation
 from merlinbay.control.fanout.settings import FollowerSettings, RelaySettings, WatchServerSettings
 from merlinbay.control.fanout.topology import Location
+from merlinbay.control.voter import CorruptRecords
 from merlinbay.control_service import status
 from merlinbay.control_service.durable_log import Corrupt, DurableLog, NotDurable
 from merlinbay.control_service.follower_host import FollowerHost
@@ -122,16 +123,19 @@
     except (NotDurable, Corrupt) as error:
         raise BadConfig(f"voter.data: {path}: {error}") from None
     machines = Machines(file.machines)
-    host = VoterHost(
-        endpoint,
-        voter_settings(file, section),
-        durable,
-        machines.address_of,
-        generation(file, section),
-        WatchServerSettings(),
-        make_random,
-        log,
-    )
+    try:
+        host = VoterHost(
+            endpoint,
+            voter_settings(file, section),
+            durable,
+            machines.address_of,
+            generation(file, section),
+            WatchServerSettings(),
+            make_random,
+            log,
+        )
+    except (CorruptRecords, Corrupt) as error:
+        raise BadConfig(f"voter.data: {path}: {error}") from None
     machines.get = lambda key: host.watches.store.current.get(key)
 
     def leave() -> None:
@@ -234,17 +238,23 @@
     with trio.open_signal_receiver(*taken) as signals:
         async for number in signals:
             if number == signal.SIGUSR1:
-                parts.endpoint.traffic.export(counters)
-                counters.print()
+                _print_counters(file, parts, counters)
             elif number == signal.SIGHUP:
                 _reload_keys(file, parts.endpoint, log)
             else:
                 log.event("control_stops", machine=file.name)
                 parts.leave()
                 await trio.sleep(STOP_S)
+                _print_counters(file, parts, counters)
                 return
 
 
+def _print_counters(file: ControlFile, parts: Parts, counters: Counters) -> None:
+    for name, value in parts.calls.status().counters.items():
+        counters.counts[f"control_{file.role()}_{name}"] = value
+    counters.print()
+
+
 def _reload_keys(file: ControlFile, endpoint: Endpoint, log: Log) -> None:
     try:
         endpoint.keys = load_keys(file.keys)
--- a/merlinbay/control_service/settings.py
+++ b/merlinbay/control_service/settings.py
@@ -42,7 +42,7 @@
     """What a voter needs: a disk that lasts, the voters of the beginning, and its times."""
 
     data: str  # a folder that lasts
-    initial: list[Name] = []  # voters of the first start; the same at each of them
+    initial: list[Name]  # voters of the first start: the same at each voter, also one that is added later
     heartbeat: Seconds = 0.2
     election: Seconds = 0.7  # without a heartbeat; drawn from it to twice it
     compact_after: Annotated[int, msgspec.Meta(ge=8)] = 4096  # changes between two snapshots
@@ -142,9 +142,8 @@
         return ""
     if file.voter.election < 2 * file.voter.heartbeat:
         return "voter.election: less than two heartbeats: one that is late would start an election"
-    unknown = [name for name in file.voter.initial if name not in file.machines]
-    if unknown:
-        return f"voter.initial: {unknown[0]}: not in machines"
+    if not file.voter.initial or len(set(file.voter.initial)) < len(file.voter.initial):
+        return "voter.initial: the voters of the first start have to be named, each once"
     return ""
 
 
--- a/merlinbay/control_service/status.py
+++ b/merlinbay/control_service/status.py
@@ -10,7 +10,6 @@
 from merlinbay.control.fanout.messages import Summary
 from merlinbay.control_service.follower_host import FollowerHost
 from merlinbay.control_service.relay_host import RelayHost
-from merlinbay.control_service.traffic import Traffic
 from merlinbay.control_service.voter_host import VoterHost
 
 
@@ -49,7 +48,7 @@
     below: Summary = Summary()  # what the followers below have in force
     voting: VotingStatus | None = None
     operators: dict[str, str] = {}  # of the control machines: name to address of the operators' calls
-    traffic: dict[str, int] = {}
+    counters: dict[str, int] = {}  # since the start
 
 
 def rounded(seconds: float) -> float | None:
@@ -57,9 +56,35 @@
     return round(seconds, 3) if math.isfinite(seconds) else None
 
 
-def traffic_figures(traffic: Traffic) -> dict[str, int]:
-    """Return the counters by name."""
-    return {name: getattr(traffic, name) for name in traffic.__slots__ if name != "role"}
+def voter_counters(host: VoterHost) -> dict[str, int]:
+    """Return a voter's counters by name: connections, log, watches."""
+    return {
+        **host.endpoint.traffic.figures(),
+        "storage_failures": host.storage_failures,
+        **_prefixed("log", msgspec.to_builtins(host.voter.counters)),
+        **_prefixed("watch", msgspec.structs.asdict(host.watches.server.counters)),
+    }
+
+
+def relay_counters(host: RelayHost) -> dict[str, int]:
+    """Return a relay's counters by name: connections, watches, its own watch."""
+    return {
+        **host.endpoint.traffic.figures(),
+        **_prefixed("watch", msgspec.structs.asdict(host.core.server.counters)),
+        **_prefixed("follow", msgspec.structs.asdict(host.core.follower.counters)),
+    }
+
+
+def follower_counters(host: FollowerHost) -> dict[str, int]:
+    """Return a follower's counters by name: connections, its watch."""
+    return {
+        **host.endpoint.traffic.figures(),
+        **_prefixed("follow", msgspec.structs.asdict(host.core.counters)),
+    }
+
+
+def _prefixed(prefix: str, figures: dict[str, int]) -> dict[str, int]:
+    return {f"{prefix}_{name}": value for name, value in figures.items()}
 
 
 def voting_status(host: VoterHost) -> VotingStatus:
@@ -99,7 +124,7 @@
         below=host.watches.summary(),
         voting=voting_status(host),
         operators=operators,
-        traffic=traffic_figures(host.endpoint.traffic),
+        counters=voter_counters(host),
     )
 
 
@@ -118,7 +143,7 @@
         watches=host.core.server.watches,
         below=host.core.server.summary(now),
         operators=operators,
-        traffic=traffic_figures(host.endpoint.traffic),
+        counters=relay_counters(host),
     )
 
 
@@ -134,5 +159,5 @@
         rounded(host.core.staleness(trio.current_time())),
         upstream=upstream.name if upstream is not None else "",
         operators=operators,
-        traffic=traffic_figures(host.endpoint.traffic),
+        counters=follower_counters(host),
     )
--- a/merlinbay/control_service/traffic.py
+++ b/merlinbay/control_service/traffic.py
@@ -4,8 +4,6 @@
 
 from dataclasses import dataclass
 
-from merlinbay.counters import Counters
-
 
 @dataclass(slots=True)
 class Traffic:
@@ -20,8 +18,6 @@
     connections_opened: int = 0
     connections_refused: int = 0  # failed handshakes
 
-    def export(self, counters: Counters) -> None:
-        """Write the figures into a process's counters, by role."""
-        for name in self.__slots__:
-            if name != "role":
-                counters.counts[f"control_{self.role}_{name}"] = getattr(self, name)
+    def figures(self) -> dict[str, int]:
+        """Return the counters by name."""
+        return {name: getattr(self, name) for name in self.__slots__ if name != "role"}
--- a/tests/test_control_cli.py
+++ b/tests/test_control_cli.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -80,9 +81,32 @@
     for arguments, expected, says in cases:
         code, _, errors = await command([voter], *arguments)
         assert (code, says in errors) == (expected, True), (arguments, code, errors)
-    nobody = Machine("nobody", "127.0.0.1", "", Path(), "")
-    code, _, errors = await command([nobody], "--timeout", "0.5", "set", "teams/a", TEAM, "--id", "lost")
-    assert (code, "repeat it with --id lost" in errors) == (5, True), errors
+
+
+async def unknown_ends(folder: Path) -> None:
+    """Tell a change that may have been applied from one that never was proposed."""
+    silent = await trio.open_tcp_listeners(0, host="127.0.0.1")  # takes calls and answers none
+    port = silent[0].socket.getsockname()[1]
+    short = ["control", "--timeout", "0.3", "--at"]
+    change = ["set", "teams/a", TEAM, "--id", "lost"]
+    cases = [
+        ([*short, f"127.0.0.1:{port}", *change], 5, "repeat it with --id lost"),
+        ([*short, f"127.0.0.1:{free_port()}", *change], 8, "cannot reach"),
+        (["control", *change], 2, "--at"),
+    ]
+    for arguments, expected, says in cases:
+        async with RUNNER:
+            ended = await trio.to_thread.run_sync(partial(CliRunner().invoke, main, arguments))
+        assert (ended.exit_code, says in ended.stderr) == (expected, True), (arguments, ended.stderr)
+    async with cluster(folder) as found:
+        await found.leader()
+        for machine in found.voters[1:]:
+            machine.kill()
+        lonely = found.voters[0]
+        code, _, errors = await command([lonely], "--timeout", "6", "set", "teams/a", TEAM, "--id", "first")
+        assert code in (4, 5), errors  # 5: it was proposed while the leader did not know yet
+        code, _, errors = await command([lonely], "--timeout", "0.3", "set", "teams/a", TEAM)
+        assert (code, "no leader" in errors) == (4, True), errors
 
 
 async def watching(found: Cluster, voter: Machine) -> None:
@@ -251,7 +275,7 @@
             node.wait()
 
 
-SCENARIOS: list[Scenario] = [operators_calls, voter_replaced, node_follows]
+SCENARIOS: list[Scenario] = [operators_calls, unknown_ends, voter_replaced, node_follows]
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -89,7 +89,7 @@
 
 
 BASE = 'name = "a"\nkeys = "k"\nlisten = "127.0.0.1:1"\n'
-MACHINES = '[machines.a]\naddress = "127.0.0.1:1"\n'
+VOTER = '[voter]\ndata = "d"\ninitial = ["a"]\n'
 
 
 @pytest.mark.parametrize(
@@ -99,9 +99,12 @@
         (BASE + "colour = 1", "colour"),
         (BASE, "upstreams: needed by a follower"),
         (BASE + 'upstreams = ["b"]', "upstreams: b: not in machines"),
-        (BASE + '[voter]\ndata = "d"\ninitial = ["b"]', "voter.initial: b"),
-        (BASE + '[voter]\ndata = "d"\nelection = 0.39', "voter.election"),
-        (BASE + '[voter]\ndata = "d"\n[machines.a]\naddress = "x"', "machines.a.address"),
+        (BASE + '[voter]\ndata = "d"', "initial"),
+        (BASE + '[voter]\ndata = "d"\ninitial = []', "voter.initial"),
+        (BASE + '[voter]\ndata = "d"\ninitial = ["a", "b", "a"]', "voter.initial"),
+        (BASE + VOTER + "election = 0.39", "voter.election"),
+        (BASE + VOTER + '[machines.a]\naddress = "x"', "machines.a.address"),
+        (BASE + VOTER + "[relay]", "relay: a voter serves"),
         ("name = \n", "line 1"),
     ],
 )
@@ -116,6 +119,13 @@
     assert "\n" not in str(caught.value)
 
 
+def test_the_example_file_describes_a_voter() -> None:
+    """The file that operators copy is one that a process takes."""
+    file = settings.read(str(Path(__file__).parent.parent / "deploy" / "control.toml"))
+    assert file.role() == "voter"
+    assert set(file.voter.initial if file.voter else []) < set(file.machines)
+
+
 class Echo:
     """A listener that sends every message back."""
 
