--- a/bench/events.py
+++ b/bench/events.py
@@ -21,10 +21,10 @@
 from merlinbay.access import tokens
 from merlinbay.access.grants import Scope
 from merlinbay.access.tls import Files, Handshakes
-from merlinbay.batch.book import Bounds
 from merlinbay.batch.engine import Engine
 from merlinbay.batch.jobs import Backlog, Submission
 from merlinbay.batch.quota import Allowance
+from merlinbay.batch.registry import Bounds
 from merlinbay.batch.timers import Timers
 from merlinbay.clock import Clock
 from merlinbay.core import ports
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -38,13 +38,13 @@
         made.handle(now + 40_000, [api.AttemptEnded(number, attempt, api.Outcome.OK, 40_000, True,
                                                     [2.0, 2.0], action.worker)])
 job_us = (time.process_time() - started) / jobs * 1e6
-from merlinbay.platform import words
+from merlinbay.platform import messages
 rows = [{"id": f"w{n}", "addr": "10.1.0.18:8081", "zone": "z", "kind": "k", "cell": n // 6,
          "state": "SERVING", "weight": 1.0, "started_ms": 0} for n in range(entries)]
 text = json.dumps({"version": 1, "full": True, "servers": rows}, indent=2).encode()
 began = time.process_time()
 for _ in range(20):
-    listed = words.entries(words.read_listing(text))
+    listed = messages.entries(messages.read_listing(text))
     made.handle(now, [api.ListChanged("all", [api.WorkerEntry(
         e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us) for e in listed])])
 list_us = (time.process_time() - began) / 20 * 1e6
--- a/merlinbay/batch/engine.py
+++ b/merlinbay/batch/engine.py
@@ -16,16 +16,16 @@
 from collections import Counter
 from collections.abc import Callable
 
-from merlinbay.batch.book import NO_BACKLOG, ROOM, Bounds, Change, Control, Gathered, Recall, Withdraw
 from merlinbay.batch.errors import DrmaaError, invalid_argument, invalid_state, try_later, unsupported
 from merlinbay.batch.jobs import Job, JobArray, Session, Stage, Submission, indices
+from merlinbay.batch.queue import JobQueue
+from merlinbay.batch.registry import NO_BACKLOG, ROOM, Bounds, Change, Control, Gathered, Recall, Withdraw
 from merlinbay.batch.states import Event, State
-from merlinbay.batch.turns import Turns
 
 STOP_RETRY_US = 1_000_000  # when a client of a node that stops may try another, or this one again
 
 
-class Engine(Turns):
+class Engine(JobQueue):
     """Sessions, jobs, arrays and waits of one front."""
 
     def __init__(self, bounds: Bounds, new_id: Callable[[], str]) -> None:
--- a/merlinbay/batch/shares.py
+++ b/merlinbay/batch/fair_share.py
@@ -63,7 +63,7 @@
         parent.count(change)
 
     def charge(self, work: float) -> None:
-        """Book work, here and all the way up. Negative work gives back what was booked too high."""
+        """Registry work, here and all the way up. Negative work gives back what was booked too high."""
         parent = self.parent
         if parent is None:
             return
--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from merlinbay.batch.errors import invalid_argument
+from merlinbay.batch.fair_share import Branch, Lane
 from merlinbay.batch.quota import Quota
-from merlinbay.batch.shares import Branch, Lane
 from merlinbay.batch.states import ENDED, State
 from merlinbay.batch.timers import Timer
 
--- a/merlinbay/batch/pace.py
+++ b/merlinbay/batch/pacing.py
@@ -44,7 +44,7 @@
     work: float = 1.0  # smoothed run time, seconds
 
 
-class Pace:
+class Pacing:
     """The pace of every class and shape."""
 
     def __init__(self) -> None:
--- a/merlinbay/batch/turns.py
+++ b/merlinbay/batch/queue.py
@@ -5,14 +5,14 @@
 from collections import Counter
 from collections.abc import Hashable
 
-from merlinbay.batch.book import Book, Change, Effect, Offer
 from merlinbay.batch.errors import DrmaaError, invalid_state
+from merlinbay.batch.fair_share import Lane
 from merlinbay.batch.jobs import Job, JobArray, Session, Stage, Submission
-from merlinbay.batch.shares import Lane
+from merlinbay.batch.registry import Change, Effect, Offer, Registry
 from merlinbay.batch.states import HELD, Event, State
 
 
-class Turns(Book):
+class JobQueue(Registry):
     """Jobs on their way from their submission to the core, and from there to their end."""
 
     waiting: Counter[Hashable]  # in lanes, by shape
--- a/merlinbay/batch/book.py
+++ b/merlinbay/batch/registry.py
@@ -10,10 +10,10 @@
 import msgspec
 
 from merlinbay.batch.errors import DrmaaError, invalid_argument, invalid_state, try_later
+from merlinbay.batch.fair_share import Branch
 from merlinbay.batch.jobs import Backlog, Job, JobArray, Session, Wait
-from merlinbay.batch.pace import Pace
+from merlinbay.batch.pacing import Pacing
 from merlinbay.batch.quota import Allowance, Quota
-from merlinbay.batch.shares import Branch
 from merlinbay.batch.states import ENDED, STARTED, Event, InvalidState, State, after
 from merlinbay.batch.timers import Timers
 
@@ -100,14 +100,14 @@
     error: DrmaaError | None = None
 
 
-class Book:
+class Registry:
     """Sessions, records and waits."""
 
     def __init__(self, bounds: Bounds, new_id: Callable[[], str]) -> None:
         self.bounds, self.new_id = bounds, new_id
         self.sessions: dict[str, Session] = {}
         self.effects: list[Effect] = []
-        self.timers, self.pace, self.root = Timers(), Pace(), Branch()
+        self.timers, self.pace, self.root = Timers(), Pacing(), Branch()
         self.jobs = 0  # unfinished ones
         self.waits: dict[object, Wait] = {}
         self.kept: dict[Job | JobArray, int] = {}  # finished ones and until when, the oldest first,
--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -128,9 +128,10 @@
     """Add the commands that call a front."""
     from merlinbay.cli.conformance import conformance
     from merlinbay.cli.control import control
+    from merlinbay.cli.events import events
     from merlinbay.cli.fleet import fleet
     from merlinbay.cli.jobs import job
-    from merlinbay.cli.looks import events, monitor
+    from merlinbay.cli.monitor import monitor
     from merlinbay.cli.operate import operate
     from merlinbay.cli.rehearse import experiment, rehearse, report_page
     from merlinbay.cli.reservations import reservation
--- a/merlinbay/client/__init__.py
+++ b/merlinbay/client/__init__.py
@@ -8,7 +8,7 @@
 from merlinbay.client.aio import AsyncClient
 from merlinbay.client.policy import DrmaaRemote, MayHaveRun, Policy, Unreachable
 from merlinbay.client.sync import Client
-from merlinbay.drmaa.words import JobInfo, JobTemplate
+from merlinbay.drmaa.schema import JobInfo, JobTemplate
 
 __all__ = [
     "AsyncClient",
--- a/merlinbay/client/aio.py
+++ b/merlinbay/client/aio.py
@@ -12,7 +12,7 @@
 from merlinbay.client.operations import POLL, Ask, Doing, EventPage, Failed, Operations, Reply
 from merlinbay.client.policy import Policy
 from merlinbay.client.transport import Door, failed, timeout_of
-from merlinbay.drmaa.words import JobInfo, JobTemplate
+from merlinbay.drmaa.schema import JobInfo, JobTemplate
 
 T = TypeVar("T")
 
--- a/merlinbay/client/operations.py
+++ b/merlinbay/client/operations.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from merlinbay.client.policy import DrmaaRemote, Fault, Policy, Trial
-from merlinbay.drmaa.words import JobInfo, JobTemplate
+from merlinbay.drmaa.schema import JobInfo, JobTemplate
 
 T = TypeVar("T")
 POLL = 25.0  # seconds that one call of a longer wait lasts
--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -14,7 +14,7 @@
 from merlinbay.core.ports import NodeFacts
 from merlinbay.decision import api
 from merlinbay.limits import Limits, limits_from
-from merlinbay.platform import words
+from merlinbay.platform import messages
 from merlinbay.problems import BadConfig, address
 from merlinbay.site_settings import settings_from
 
@@ -39,7 +39,7 @@
     settings: dict[str, Any]
     seed: str = "0"
     limits: Bounds = msgspec.field(default_factory=Bounds)
-    known: words.Listing = msgspec.field(default_factory=lambda: words.Listing(0, True, []))
+    known: messages.Listing = msgspec.field(default_factory=lambda: messages.Listing(0, True, []))
     admin_addr: str = ""
 
 
@@ -51,11 +51,11 @@
     listen: tuple[str, int]
     discovery: str
     seed: int
-    known: words.Listing
+    known: messages.Listing
     settings: api.Settings
     limits: Limits
     operator: Operator | None = None  # without one, everything beside the platform's protocol is off
-    desk: tuple[str, int] | None = None  # where operators call
+    admin: tuple[str, int] | None = None  # where operators call
 
     def facts(self) -> NodeFacts:
         """Return what the parts of an operator's file are told."""
@@ -98,8 +98,8 @@
         )
     except (ValueError, TypeError, OverflowError) as error:
         raise BadConfig(f"{path}: {error}") from None
-    admin = environ.get("LB_ADMIN_ADDR") or file.admin_addr
-    desk = address(admin) if admin else None
+    admin_text = environ.get("LB_ADMIN_ADDR") or file.admin_addr
+    admin = address(admin_text) if admin_text else None
     limits = replace(limits, accept_fd=accept_fd(environ.get("LB_ACCEPT_FD", "")))
     listen = address(environ.get("LB_LISTEN", file.listen))
     discovery = environ.get("LB_DISCOVERY", file.discovery)
@@ -123,7 +123,7 @@
         settings,
         limits,
         operator,
-        desk,
+        admin,
     )
 
 
--- a/merlinbay/drmaa/answers.py
+++ b/merlinbay/drmaa/answers.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 
 from merlinbay.access.grants import denied
-from merlinbay.batch.book import Reply
 from merlinbay.batch.errors import DrmaaError
 from merlinbay.batch.jobs import Job
+from merlinbay.batch.registry import Reply
 from merlinbay.batch.timers import NEVER
 from merlinbay.clock import Clock
-from merlinbay.drmaa import words
+from merlinbay.drmaa import schema
 from merlinbay.http.connection import Connection, Response
 
 JSON = (b"content-type", b"application/json")
@@ -49,7 +49,7 @@
 
 def ok(value: object, status: int = 200) -> Response:
     """Write an answer."""
-    return Response(status, words.write(value), [JSON])
+    return Response(status, schema.write(value), [JSON])
 
 
 def failure(error: DrmaaError) -> Response:
@@ -60,5 +60,5 @@
     if error.nobody:
         headers.append((b"www-authenticate", b"Bearer"))
     return Response(
-        words.status_of(error), words.error_body(error.name, str(error), error.retry_after_us), headers
+        schema.status_of(error), schema.error_body(error.name, str(error), error.retry_after_us), headers
     )
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -12,10 +12,10 @@
 import trio
 
 from merlinbay.access.grants import Gate, OpenGate
-from merlinbay.batch.book import Change, Control, Offer, Recall, Reply, Withdraw
 from merlinbay.batch.engine import Engine
 from merlinbay.batch.errors import DrmaaError
 from merlinbay.batch.jobs import Job, JobArray
+from merlinbay.batch.registry import Change, Control, Offer, Recall, Reply, Withdraw
 from merlinbay.batch.states import State
 from merlinbay.batch.timers import NEVER
 from merlinbay.clock import Clock
@@ -24,9 +24,9 @@
 from merlinbay.decision import api
 from merlinbay.drmaa import listening, templates
 from merlinbay.drmaa.answers import Call, failure
-from merlinbay.drmaa.asks import Ask
 from merlinbay.drmaa.calls import DEFAULT, Calls
-from merlinbay.drmaa.edges import JobEdge
+from merlinbay.drmaa.incoming_call import IncomingCall
+from merlinbay.drmaa.job_client import JobClient
 from merlinbay.drmaa.reserving import Reserving
 from merlinbay.drmaa.settings import Drmaa
 from merlinbay.http.connection import Connection, Request, Response
@@ -61,7 +61,7 @@
         self.counters, self.log, self.settings, self.machine = counters, log, settings, machine
         self.rules = templates.Rules({spec.name: spec for spec in classes}, settings.memory_unit_kib)
         self.engine = Engine(settings.bounds(limits), lambda: secrets.token_hex(8))
-        self.edges: dict[Job, JobEdge] = {}  # of the jobs that are with the core
+        self.edges: dict[Job, JobClient] = {}  # of the jobs that are with the core
         self.outbox: deque[ports.Message] = deque()  # what the owner's inbox had no room for, in order
         self.ready = trio.Event()  # there is something in it
         self.nap, self.due_us = trio.CancelScope(), NEVER  # when the engine is looked at next; maybe too soon
@@ -235,7 +235,7 @@
                 self.engine.refused(job, RESERVED_AGAIN_US, now_us)
                 return
             spec = msgspec.structs.replace(spec, only=only, reserved=True)
-        edge = self.edges[job] = JobEdge(self, job, spec)
+        edge = self.edges[job] = JobClient(self, job, spec)
         self.counters.add("drmaa_offers")
         self.post(ports.RequestArrived(spec, edge))
 
@@ -275,8 +275,8 @@
             parts = [unquote(part) for part in parts]
         asked, now = parse_qs(query) if query else {}, self.clock.now_us()
         try:
-            ask = Ask(connection, request, self.gate.grant(request.headers, now), asked, now)
-            response = self.calls.take(ask, parts)
+            incoming = IncomingCall(connection, request, self.gate.grant(request.headers, now), asked, now)
+            response = self.calls.take(incoming, parts)
         except DrmaaError as error:
             self.counters.add("drmaa_errors")
             response = failure(error)
--- a/merlinbay/drmaa/asks.py
+++ b/merlinbay/drmaa/incoming_call.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(slots=True)
-class Ask:
+class IncomingCall:
     """One call: who makes it, on what connection, when."""
 
     connection: Connection
--- a/merlinbay/drmaa/info.py
+++ b/merlinbay/drmaa/info.py
@@ -6,7 +6,7 @@
 
 from merlinbay import __version__
 from merlinbay.batch.jobs import Job, JobArray, Session
-from merlinbay.drmaa.words import JobInfo, when
+from merlinbay.drmaa.schema import JobInfo, when
 
 VERSION = dict(zip(("major", "minor"), __version__.split("."), strict=False))
 # GFD.194, 4.5: what an implementation may offer, and whether this one does.
--- a/merlinbay/drmaa/edges.py
+++ b/merlinbay/drmaa/job_client.py
@@ -8,15 +8,15 @@
 from merlinbay.batch.jobs import Job
 from merlinbay.core import ports
 from merlinbay.core.ports import Answer, Ending, Verdict
-from merlinbay.drmaa.hall import Hall
+from merlinbay.drmaa.shared_state import SharedState
 
 NOTHING = Ending()
 
 
-class JobEdge(ports.Edge):
+class JobClient(ports.Edge):
     """The client's side of one request: one offer of a job."""
 
-    def __init__(self, front: Hall, job: Job, spec: ports.JobSpec) -> None:
+    def __init__(self, front: SharedState, job: Job, spec: ports.JobSpec) -> None:
         self.front, self.job, self.name = front, job, spec.name
         self.deadline_us = spec.arrived_us + spec.budget_us
 
--- a/merlinbay/drmaa/listening.py
+++ b/merlinbay/drmaa/listening.py
@@ -8,10 +8,10 @@
 
 from merlinbay.batch.errors import invalid_argument, unsupported
 from merlinbay.batch.jobs import Session
-from merlinbay.drmaa import words
+from merlinbay.drmaa import schema
 from merlinbay.drmaa.answers import Call, ok
-from merlinbay.drmaa.asks import Ask
-from merlinbay.drmaa.hall import Hall
+from merlinbay.drmaa.incoming_call import IncomingCall
+from merlinbay.drmaa.shared_state import SharedState
 from merlinbay.http.connection import Response
 from merlinbay.notify import signing
 from merlinbay.notify.hub import Hub, wanted_of
@@ -37,19 +37,19 @@
 class ListeningCalls:
     """The calls below ``S/events`` and ``S/listeners``."""
 
-    def __init__(self, front: Hall) -> None:
+    def __init__(self, front: SharedState) -> None:
         self.front = front
 
-    def take(self, ask: Ask, session: Session, parts: list[str]) -> Response | Call:
+    def take(self, incoming: IncomingCall, session: Session, parts: list[str]) -> Response | Call:
         """Answer a call. Raises ``DrmaaError``."""
-        hub, account = self.front.hub, ask.grant.account
+        hub, account = self.front.hub, incoming.grant.account
         if hub is None:
             raise unsupported("events are not kept here")
-        match ask.request.method, parts:
+        match incoming.request.method, parts:
             case "GET", ["events"]:
-                return self._poll(ask, hub, session)
+                return self._poll(incoming, hub, session)
             case "POST", ["listeners"]:
-                return self._register(ask, hub, session)
+                return self._register(incoming, hub, session)
             case "GET", ["listeners"]:
                 return ok(
                     {
@@ -70,35 +70,39 @@
                 return ok(listener_info(found))
             case "POST", ["listeners", listener_id, "rotate"]:
                 found, key = hub.listener(session.name, listener_id, account), secrets.token_bytes(KEY)
-                hub.listeners.rotate(found, key, ask.now)
+                hub.listeners.rotate(found, key, incoming.now)
                 return ok({**listener_info(found), "key": signing.write_key(key)})
-        raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
-
-    def _poll(self, ask: Ask, hub: Hub, session: Session) -> Call:
-        limit, timeout = ask.page_limit(), ask.timeout()
-        wanted = wanted_of(ask.query.get("event", []), ask.grant.account, ask.query.get("job", [""])[0])
-        call = ask.later(self.front.clock)
+        raise unsupported(f"{incoming.request.method} {incoming.request.target[:200]}")
+
+    def _poll(self, incoming: IncomingCall, hub: Hub, session: Session) -> Call:
+        limit, timeout = incoming.page_limit(), incoming.timeout()
+        wanted = wanted_of(
+            incoming.query.get("event", []),
+            incoming.grant.account,
+            incoming.query.get("job", [""])[0],
+        )
+        call = incoming.later(self.front.clock)
         hub.poll(
             call,
             session.name,
-            ask.query.get("after", [""])[0],
+            incoming.query.get("after", [""])[0],
             limit,
             wanted,
-            ask.until_us(min(WAIT_MOST if timeout is None else timeout, 3600.0)),
-            ask.now,
+            incoming.until_us(min(WAIT_MOST if timeout is None else timeout, 3600.0)),
+            incoming.now,
         )
         return call
 
-    def _register(self, ask: Ask, hub: Hub, session: Session) -> Response:
+    def _register(self, incoming: IncomingCall, hub: Hub, session: Session) -> Response:
         try:
-            wish = _register(ask.request.body)
+            wish = _register(incoming.request.body)
         except (msgspec.DecodeError, RecursionError) as error:
             raise invalid_argument(str(error)) from None
         try:
             key = signing.read_key(wish.key) if wish.key else secrets.token_bytes(KEY)
         except ValueError as error:
             raise invalid_argument(f"key: {error}") from None
-        account = ask.grant.account
+        account = incoming.grant.account
         found = hub.register(
             session.name, wish.url, wanted_of(wish.events, account), key, wish.cursor, account or ""
         )
@@ -131,7 +135,7 @@
             "sessionName": session,
             "jobId": entry.job,
             "jobState": entry.state,
-            "time": words.when(entry.at_us),
+            "time": schema.when(entry.at_us),
         }
         if entry.machine:
             value["machine"] = entry.machine
@@ -139,7 +143,7 @@
             value["accountingId"] = entry.account
         if entry.members != 1:
             value["members"] = entry.members
-        entry.text = words.write(value)
+        entry.text = schema.write(value)
     return entry.text
 
 
@@ -161,7 +165,7 @@
 def write_batch(batch: Batch) -> bytes:
     """Write a call-back's body."""
     stream = batch.listener.stream
-    return words.write(
+    return schema.write(
         {
             "type": "drmaa2.events",
             "listenerId": batch.listener.id,
--- a/merlinbay/drmaa/monitoring.py
+++ b/merlinbay/drmaa/monitoring.py
@@ -7,53 +7,53 @@
 from merlinbay.core import ports
 from merlinbay.drmaa import info
 from merlinbay.drmaa.answers import Call, ok
-from merlinbay.drmaa.asks import Ask
-from merlinbay.drmaa.hall import Hall
+from merlinbay.drmaa.incoming_call import IncomingCall
 from merlinbay.drmaa.reserving import info as reservation_info
-from merlinbay.drmaa.words import when
+from merlinbay.drmaa.schema import when
+from merlinbay.drmaa.shared_state import SharedState
 from merlinbay.http.connection import Response
 
 
 class MonitorCalls:
     """The calls below ``/drmaa2/monitor``."""
 
-    def __init__(self, front: Hall) -> None:
+    def __init__(self, front: SharedState) -> None:
         self.front = front
 
-    def take(self, ask: Ask, parts: list[str]) -> Response | Call:
+    def take(self, incoming: IncomingCall, parts: list[str]) -> Response | Call:
         """Answer a call. Raises ``DrmaaError``."""
         match parts:
             case ["jobs"]:
-                return self._jobs(ask)
+                return self._jobs(incoming)
             case ["queues"]:
-                return self._queues(ask)
+                return self._queues(incoming)
             case ["reservations"]:
-                return self._reservations(ask)
+                return self._reservations(incoming)
             case ["machines"]:
-                return self._machines(ask)
-        raise unsupported(f"GET {ask.request.target[:200]}")
+                return self._machines(incoming)
+        raise unsupported(f"GET {incoming.request.target[:200]}")
 
-    def _jobs(self, ask: Ask) -> Response:
+    def _jobs(self, incoming: IncomingCall) -> Response:
         from merlinbay.monitor import filters, view  # Guards against a slow start: a grammar is built
 
-        grant, text = ask.grant, ask.query.get("filter", [""])[0]
+        grant, text = incoming.grant, incoming.query.get("filter", [""])[0]
         try:
             test = filters.compiled(text, view.KINDS) if text else None
         except filters.BadFilter as error:
             raise invalid_argument(f"filter: {error}") from None
-        after, limit = ask.page()
+        after, limit = incoming.page()
 
         def wanted(job: Job) -> bool:
             return grant.sees(job.what.account) and view.passes(test, job)
 
         sessions = [found for found in self.front.engine.sessions.values() if grant.sees(found.owner)]
         jobs, then = view.page(sessions, after, limit, wanted)
-        full = ask.query.get("full", [""])[0] == "true"
+        full = incoming.query.get("full", [""])[0] == "true"
         rows = [info.job_info(job, self.front.machine) if full else info.job_brief(job) for job in jobs]
         return ok({"jobs": rows, **({"next": then} if then else {})})
 
-    def _queues(self, ask: Ask) -> Response:
-        names, engine = ask.query.get("name", []), self.front.engine
+    def _queues(self, incoming: IncomingCall) -> Response:
+        names, engine = incoming.query.get("name", []), self.front.engine
         rows: list[dict[str, object]] = []
         for name, spec in self.front.rules.classes.items():
             if names and name not in names:
@@ -64,7 +64,7 @@
                 "aim": spec.aim_us / 1e6,
                 "deadline": spec.deadline_us / 1e6,
             }
-            if ask.grant.account is None:
+            if incoming.grant.account is None:
                 row["waiting"] = sum(
                     number
                     for shape, number in engine.waiting.items()
@@ -73,21 +73,26 @@
             rows.append(row)
         return ok({"queues": rows})
 
-    def _reservations(self, ask: Ask) -> Response:
-        reserving, (after, limit) = self.front.reserving, (ask.query.get("after", [""])[0], ask.page_limit())
+    def _reservations(self, incoming: IncomingCall) -> Response:
+        reserving, (after, limit) = (
+            self.front.reserving,
+            (incoming.query.get("after", [""])[0], incoming.page_limit()),
+        )
         if reserving is None:
             raise unsupported("nothing is reserved here")
         found = sorted(
-            name for name, row in reserving.book.all.items() if name > after and ask.grant.sees(row.account)
+            name
+            for name, row in reserving.book.all.items()
+            if name > after and incoming.grant.sees(row.account)
         )
         more = {"next": found[limit - 1]} if len(found) > limit else {}
         rows = [reservation_info(reserving.book.all[name]) for name in found[:limit]]
         return ok({"reservations": rows, **more})
 
-    def _machines(self, ask: Ask) -> Call:
-        names = set(ask.query.get("name", []))
-        after, limit = ask.query.get("after", [""])[0], ask.page_limit()
-        call = ask.later(self.front.clock)
+    def _machines(self, incoming: IncomingCall) -> Call:
+        names = set(incoming.query.get("name", []))
+        after, limit = incoming.query.get("after", [""])[0], incoming.page_limit()
+        call = incoming.later(self.front.clock)
 
         def told(machines: list[ports.MachineView]) -> None:
             found = sorted(
@@ -95,7 +100,7 @@
                 key=lambda row: row.name,
             )
             more = {"next": found[limit - 1].name} if len(found) > limit else {}
-            call.done(ok({"machines": [machine_info(row, ask.now) for row in found[:limit]], **more}))
+            call.done(ok({"machines": [machine_info(row, incoming.now) for row in found[:limit]], **more}))
 
         self.front.post(ports.FleetAsked(told))
         return call
--- a/merlinbay/drmaa/reserving.py
+++ b/merlinbay/drmaa/reserving.py
@@ -15,10 +15,10 @@
 from merlinbay.batch.timers import Timers
 from merlinbay.core import ports
 from merlinbay.drmaa.answers import ok
-from merlinbay.drmaa.asks import Ask
+from merlinbay.drmaa.incoming_call import IncomingCall
+from merlinbay.drmaa.schema import when
 from merlinbay.drmaa.settings import NAME
 from merlinbay.drmaa.templates import moment
-from merlinbay.drmaa.words import when
 from merlinbay.http.connection import Response
 from merlinbay.reserve.book import Phase, Reservation, SlotBook, Wish
 from merlinbay.reserve.settings import Reservations
@@ -160,86 +160,93 @@
 
     # Calls.
 
-    def take(self, ask: Ask, parts: list[str]) -> Response:
+    def take(self, incoming: IncomingCall, parts: list[str]) -> Response:
         """Answer a call below ``/drmaa2/reservations`` or ``/drmaa2/reservationSessions``."""
-        if ask.request.method != "GET":
-            ask.grant.need(Scope.SUBMIT)
+        if incoming.request.method != "GET":
+            incoming.grant.need(Scope.SUBMIT)
         else:
-            ask.grant.need(Scope.MONITOR)
+            incoming.grant.need(Scope.MONITOR)
         if parts[0] == "reservations":
-            return self._in_session(ask, DEFAULT, parts[1:])
-        match ask.request.method, parts[1:]:
+            return self._in_session(incoming, DEFAULT, parts[1:])
+        match incoming.request.method, parts[1:]:
             case "GET", []:
                 return ok(
                     {
                         "sessionNames": sorted(
-                            name for name, owner in self.sessions.items() if ask.grant.sees(owner)
+                            name for name, owner in self.sessions.items() if incoming.grant.sees(owner)
                         )
                     }
                 )
             case "POST", []:
-                name = read(_create, ask.request.body).sessionName
+                name = read(_create, incoming.request.body).sessionName
                 if not NAME.fullmatch(name) or name in self.sessions:
                     raise invalid_argument("sessionName: it exists, or has other than letters, digits, '._-'")
                 if len(self.sessions) >= SESSIONS:
                     raise DrmaaError("OutOfResourceException", f"{SESSIONS} sessions exist")
-                self.sessions[name] = ask.grant.account
+                self.sessions[name] = incoming.grant.account
                 return ok({"sessionName": name}, 201)
             case "DELETE", [name]:
-                self._owned(ask, name)
+                self._owned(incoming, name)
                 if name == DEFAULT:
                     raise invalid_argument(f"session {name!r} is always there")
                 for found in [found for found in self.book.all.values() if found.session == name]:
                     if found.phase is not Phase.ENDED:
-                        self.book.terminate(found, ask.now)
+                        self.book.terminate(found, incoming.now)
                 del self.sessions[name]
                 return ok({"sessionName": name})
             case _, [name, "reservations", *rest]:
-                self._owned(ask, name)
-                return self._in_session(ask, name, rest)
-        raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
+                self._owned(incoming, name)
+                return self._in_session(incoming, name, rest)
+        raise unsupported(f"{incoming.request.method} {incoming.request.target[:200]}")
 
-    def _owned(self, ask: Ask, name: str) -> None:
-        if name not in self.sessions or not ask.grant.sees(self.sessions[name]):
+    def _owned(self, incoming: IncomingCall, name: str) -> None:
+        if name not in self.sessions or not incoming.grant.sees(self.sessions[name]):
             raise invalid_argument(f"no session {name[:80]!r}", missing=True)
 
-    def _in_session(self, ask: Ask, session: str, parts: list[str]) -> Response:
-        match ask.request.method, parts:
+    def _in_session(self, incoming: IncomingCall, session: str, parts: list[str]) -> Response:
+        match incoming.request.method, parts:
             case "POST", []:
-                wish = wish_of(read(_request, ask.request.body).reservationTemplate)
-                return ok(info(self.book.reserve(wish, ask.grant.account, session, ask.now)), 201)
+                wish = wish_of(read(_request, incoming.request.body).reservationTemplate)
+                return ok(
+                    info(self.book.reserve(wish, incoming.grant.account, session, incoming.now)),
+                    201,
+                )
             case "GET", []:
                 names = [
                     found.id
                     for found in self.book.all.values()
-                    if found.session == session and ask.grant.sees(found.account)
+                    if found.session == session and incoming.grant.sees(found.account)
                 ]
-                after, limit = ask.query.get("after", [""])[0], ask.page_limit()
+                after, limit = incoming.query.get("after", [""])[0], incoming.page_limit()
                 start = names.index(after) + 1 if after in names else 0
                 more = {"next": names[start + limit - 1]} if len(names) > start + limit else {}
                 return ok({"reservationIds": names[start : start + limit], **more})
             case "GET", [name]:
-                return ok(info(self._found(ask, session, name)))
+                return ok(info(self._found(incoming, session, name)))
             case ("POST", [name, "terminate"]) | ("DELETE", [name]):
-                found = self._changeable(ask, session, name)
-                self.book.terminate(found, ask.now)
+                found = self._changeable(incoming, session, name)
+                self.book.terminate(found, incoming.now)
                 return ok(info(found))
             case "POST", [name, "extend"]:
-                found = self._changeable(ask, session, name)
-                self.book.extend(found, moment("endTime", read(_extend, ask.request.body).endTime), ask.now)
+                found = self._changeable(incoming, session, name)
+                self.book.extend(
+                    found,
+                    moment("endTime", read(_extend, incoming.request.body).endTime),
+                    incoming.now,
+                )
                 return ok(info(found))
-        raise unsupported(f"{ask.request.method} {ask.request.target[:200]}")
+        raise unsupported(f"{incoming.request.method} {incoming.request.target[:200]}")
 
-    def _changeable(self, ask: Ask, session: str, name: str) -> Reservation:
+    def _changeable(self, incoming: IncomingCall, session: str, name: str) -> Reservation:
         """Return a reservation that the caller may change: the operator's are everybody's to use alone."""
-        found = self._found(ask, session, name)
+        found = self._found(incoming, session, name)
         if found.account is None:
-            ask.grant.need_all()
+            incoming.grant.need_all()
         return found
 
-    def _found(self, ask: Ask, session: str, name: str) -> Reservation:
+    def _found(self, incoming: IncomingCall, session: str, name: str) -> Reservation:
         found = self.book.all.get(name)
-        if found is None or found.session != session or not ask.grant.sees(found.account):
+        if found is None or found.session != session or not incoming.grant.sees(found.account):
             raise invalid_argument(f"no reservation {name[:60]!r}", missing=True)
         return found
 
--- a/merlinbay/drmaa/servers.py
+++ b/merlinbay/drmaa/servers.py
@@ -10,8 +10,8 @@
 from merlinbay.core.ports import Ending, ServerAttempt, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.drmaa import templates, words
-from merlinbay.drmaa.asking import Asking, AskLimits
+from merlinbay.drmaa import schema, templates
+from merlinbay.drmaa.status_polling import PollingLimits, StatusPolling
 from merlinbay.http.client import Reply
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool
@@ -36,7 +36,7 @@
         counters: Counters,
         log: Log,
         notify: str,
-        ask: AskLimits,
+        ask: PollingLimits,
     ) -> None:
         super().__init__(nursery, pool, inbox, clock, limits, counters, log)
         self.notify = notify
@@ -45,7 +45,7 @@
         self.recalls: set[ServerAttempt] = set()  # and to call back
         self.job_ids: dict[ServerAttempt, str] = {}  # of the taken ones, until they end,
         self.taken: dict[tuple[str, str], ServerAttempt] = {}  # and these by job name and scheduler
-        self.asking = Asking(ask)
+        self.polling = StatusPolling(ask)
         self.started_us: dict[str, int] = {}  # of the schedulers
         self.nap = trio.CancelScope()
 
@@ -70,7 +70,7 @@
         self.job_ids.pop(attempt, None)
         self.recalls.discard(attempt)
         if self.taken.pop((attempt.spec.name, attempt.server), None) is not None:
-            self.asking.forget(attempt)
+            self.polling.forget(attempt)
 
     def recall(self, attempt: ServerAttempt) -> None:
         """Take the job back if it has not started, as soon as its id is known."""
@@ -105,35 +105,35 @@
         if changed:
             for (_, server), attempt in self.taken.items():
                 if server in changed:
-                    self.asking.hasten(attempt, now)
+                    self.polling.hasten(attempt, now)
             self._rouse()
 
     def heard(self, job_name: str, server: str) -> None:
         """Take it that a scheduler told of a job: it need not be asked soon."""
         attempt = self.taken.get((job_name, server))
         if attempt is not None:
-            self.asking.heard(attempt, self.clock.now_us())
+            self.polling.heard(attempt, self.clock.now_us())
 
     async def run(self) -> None:
-        """Ask for the state of jobs that nothing was heard of, for ever."""
+        """IncomingCall for the state of jobs that nothing was heard of, for ever."""
         while True:
-            due = self.asking.next_us()
+            due = self.polling.next_us()
             with trio.CancelScope(
                 deadline=float("inf") if due is None else self.clock.to_trio(due)
             ) as self.nap:
                 await trio.sleep_forever()
-            for key in self.asking.take(self.clock.now_us()):
+            for key in self.polling.take(self.clock.now_us()):
                 assert isinstance(key, ServerAttempt)
                 if not self.spawn(self._ask, key, self.job_ids.get(key, "")):
-                    self.asking.missed(key, self.clock.now_us())
+                    self.polling.missed(key, self.clock.now_us())
 
     def _rouse(self) -> None:
-        due = self.asking.next_us()
+        due = self.polling.next_us()
         if due is not None and self.clock.to_trio(due) < self.nap.deadline:
             self.nap.deadline = self.clock.to_trio(due)
 
     async def _send(self, attempt: ServerAttempt) -> None:
-        call = words.RunJob(
+        call = schema.RunJob(
             templates.template_for(attempt.spec, attempt.deadline_us), attempt.server, self.notify
         )
         reply: Reply | Outcome = Outcome.TIMEOUT
@@ -143,7 +143,7 @@
                 "POST",
                 JOBS,
                 [("content-type", "application/json")],
-                words.write(call),
+                schema.write(call),
                 attempt.wanted,
             )
         outcome, job_id = outcome_of(reply) if isinstance(reply, Reply) else (reply, "")
@@ -156,7 +156,7 @@
         elif job_id and not attempt.ended:
             self.job_ids[attempt] = job_id
             self.taken[attempt.spec.name, attempt.server] = attempt
-            self.asking.watch(attempt, attempt.deadline_us, self.clock.now_us())
+            self.polling.watch(attempt, attempt.deadline_us, self.clock.now_us())
             self._rouse()
             if recall:
                 await self._recall(attempt, job_id)
@@ -190,21 +190,21 @@
         await self.post(ports.AttemptControlled(attempt.spec.name, attempt.server, action, error, message))
 
     async def _ask(self, attempt: ServerAttempt, job_id: str) -> None:
-        """Ask for one job's state, and tell what differs from what is known."""
+        """IncomingCall for one job's state, and tell what differs from what is known."""
         reply: Reply | Outcome = Outcome.TIMEOUT
         with trio.move_on_after(self.limits.cancel_exchange):
             reply = await self.exchange(attempt.server, "GET", f"{JOBS}/{job_id}", [])
         self.counters.add("drmaa_asked")
         now, name, server = self.clock.now_us(), attempt.spec.name, attempt.server
-        info: words.JobInfo | None = None
+        info: schema.JobInfo | None = None
         if isinstance(reply, Reply) and reply.status == 200:
             try:
-                info = words.read_job_info(reply.body)
+                info = schema.read_job_info(reply.body)
             except msgspec.DecodeError:
                 self.counters.add("drmaa_notifications_bad")
         if info is not None:
-            was_unseen = self.asking.answered(attempt, now)
-            message = message_of(words.Notification("NEW_STATE", server, name, info.jobState, job_id, info))
+            was_unseen = self.polling.answered(attempt, now)
+            message = message_of(schema.Notification("NEW_STATE", server, name, info.jobState, job_id, info))
             if message is not None and not isinstance(message, ports.AttemptUnseen):
                 if isinstance(message, ports.AttemptFinished):
                     self.counters.add("drmaa_found_ended")
@@ -216,7 +216,7 @@
             self.counters.add("drmaa_found_lost")
             await self.ended(attempt, Outcome.RESET)
         else:
-            sight = self.asking.missed(attempt, now)
+            sight = self.polling.missed(attempt, now)
             if sight == "unseen":
                 await self.post(ports.AttemptUnseen(name, server, False))
             elif sight == "gone":
@@ -228,7 +228,7 @@
     """Return what runJob's answer says: the job's id if it was taken, else the attempt's outcome."""
     try:
         if reply.status == 201:
-            return Outcome.OK, words.read_job_info(reply.body).jobId
+            return Outcome.OK, schema.read_job_info(reply.body).jobId
         body = msgspec.json.decode(reply.body, type=dict[str, object])
     except msgspec.DecodeError:
         return Outcome.ERROR, ""
@@ -244,7 +244,7 @@
     except msgspec.DecodeError:
         body = {}
     name = str(body.get("exception", ""))
-    if name not in words.STATUSES:
+    if name not in schema.STATUSES:
         name = "UnsupportedOperationException" if reply.status in (404, 405) else "DrmCommunicationException"
     return name, str(body.get("message", f"status {reply.status}"))[:200]
 
@@ -261,7 +261,7 @@
         if request.method != "POST":
             return Response(405)
         try:
-            note = words.read_notification(request.body)
+            note = schema.read_notification(request.body)
         except msgspec.DecodeError:
             self.counters.add("drmaa_notifications_bad")
             return Response(400)
@@ -277,25 +277,25 @@
         """Nothing is owed to a scheduler that hangs up."""
 
 
-def message_of(note: words.Notification) -> ports.Message | None:
+def message_of(note: schema.Notification) -> ports.Message | None:
     """Translate a notification; states that change nothing for the core give None."""
     if note.event != "NEW_STATE":
         return None
-    if note.jobState == words.RUNNING:
+    if note.jobState == schema.RUNNING:
         return ports.AttemptStarted(note.jobName, note.sessionName)
-    if note.jobState == words.SUSPENDED:
+    if note.jobState == schema.SUSPENDED:
         return ports.AttemptSuspended(note.jobName, note.sessionName)
-    info = note.jobInfo or words.JobInfo(note.jobId, note.jobState)
+    info = note.jobInfo or schema.JobInfo(note.jobId, note.jobState)
     ending = Ending(
         info.exitStatus,
         info.terminatingSignal,
         int((info.cpuTime or 0) * 1e6),
         info.annotation,
-        info.output if note.jobState == words.FAILED else b"",
+        info.output if note.jobState == schema.FAILED else b"",
     )
-    if note.jobState == words.DONE:
+    if note.jobState == schema.DONE:
         return ports.AttemptFinished(note.jobName, note.sessionName, Outcome.OK, info.output, ending=ending)
-    if note.jobState == words.FAILED:
+    if note.jobState == schema.FAILED:
         outcome = (
             Outcome.FULL
             if info.exception in UNSTARTED  # handed back unstarted, by a drain for one
--- a/merlinbay/drmaa/settings.py
+++ b/merlinbay/drmaa/settings.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from merlinbay.access.settings import Access
-from merlinbay.batch.book import Bounds
 from merlinbay.batch.jobs import Backlog
 from merlinbay.batch.quota import Allowance
-from merlinbay.drmaa.asking import AskLimits
-from merlinbay.drmaa.words import SessionSettings
+from merlinbay.batch.registry import Bounds
+from merlinbay.drmaa.schema import SessionSettings
+from merlinbay.drmaa.status_polling import PollingLimits
 from merlinbay.limits import Limits
 from merlinbay.notify.settings import Events
 from merlinbay.reserve.settings import Reservations
@@ -119,9 +119,9 @@
             waits=limits.waits,
         )
 
-    def asking(self) -> AskLimits:
+    def asking(self) -> PollingLimits:
         """Return how eagerly schedulers are asked."""
-        return AskLimits(
+        return PollingLimits(
             first_us=int(self.ask_first * 1e6),
             most_us=int(self.ask_most * 1e6),
             gone_after_us=int(self.ask_gone * 1e6),
--- a/merlinbay/drmaa/hall.py
+++ b/merlinbay/drmaa/shared_state.py
@@ -17,7 +17,7 @@
 from merlinbay.notify.hub import Hub
 
 
-class Hall(Protocol):
+class SharedState(Protocol):
     """The front, to its parts."""
 
     clock: Clock
--- a/merlinbay/drmaa/asking.py
+++ b/merlinbay/drmaa/status_polling.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskLimits:
+class PollingLimits:
     """How eagerly schedulers are asked."""
 
     first_us: int = 1_000_000
@@ -27,7 +27,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Asked:
+class PolledJob:
     """One job at a scheduler."""
 
     deadline_us: int
@@ -40,20 +40,20 @@
     unseen: bool = False
 
 
-class Asking:
+class StatusPolling:
     """Which job is asked after next."""
 
-    def __init__(self, limits: AskLimits) -> None:
+    def __init__(self, limits: PollingLimits) -> None:
         self.limits = limits
-        self.jobs: dict[Hashable, Asked] = {}
+        self.jobs: dict[Hashable, PolledJob] = {}
         # A heap, from which nothing is taken before it is due: a question is at most ``most_us`` away, and
         # most jobs have ended by then. What is out of date is dropped when it comes up.
-        self.due: list[tuple[int, int, Hashable, Asked]] = []
+        self.due: list[tuple[int, int, Hashable, PolledJob]] = []
         self.count = self.out = 0
 
     def watch(self, key: Hashable, deadline_us: int, now_us: int) -> None:
         """Begin: a scheduler has taken the job."""
-        asked = self.jobs[key] = Asked(deadline_us, now_us, self.limits.first_us)
+        asked = self.jobs[key] = PolledJob(deadline_us, now_us, self.limits.first_us)
         self._plan(key, asked, now_us)
 
     def forget(self, key: Hashable) -> None:
@@ -72,7 +72,7 @@
         return was
 
     def hasten(self, key: Hashable, now_us: int) -> None:
-        """Ask soon: its scheduler has restarted, or left the list."""
+        """IncomingCall soon: its scheduler has restarted, or left the list."""
         asked = self.jobs.get(key)
         if asked is not None and not asked.asking:
             asked.hasty = True
@@ -125,16 +125,16 @@
             return "unseen"
         return ""
 
-    def _settle(self, asked: Asked) -> None:
+    def _settle(self, asked: PolledJob) -> None:
         self.out -= asked.asking
         asked.asking = False
 
-    def _plan(self, key: Hashable, asked: Asked, now_us: int) -> None:
+    def _plan(self, key: Hashable, asked: PolledJob, now_us: int) -> None:
         left = max(asked.deadline_us - now_us, 0) // 4
         asked.wait_us = max(min(asked.wait_us, self.limits.most_us, left), self.limits.least_us)
         self._put(key, asked, now_us + asked.wait_us)
 
-    def _put(self, key: Hashable, asked: Asked, due_us: int) -> None:
+    def _put(self, key: Hashable, asked: PolledJob, due_us: int) -> None:
         self.count += 1
         asked.due_us = due_us
         heapq.heappush(self.due, (due_us, self.count, key, asked))
--- a/merlinbay/drmaa/templates.py
+++ b/merlinbay/drmaa/templates.py
@@ -12,7 +12,7 @@
 from merlinbay.batch.jobs import Job, Submission
 from merlinbay.core.ports import JobSpec
 from merlinbay.decision import api
-from merlinbay.drmaa.words import JobTemplate, when, write
+from merlinbay.drmaa.schema import JobTemplate, when, write
 
 _template = msgspec.json.Decoder(JobTemplate).decode
 TEMPLATE_TYPE = "application/vnd.drmaa2.job-template+json"
--- a/merlinbay/executor/child.py
+++ b/merlinbay/executor/child.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from merlinbay.drmaa.words import JobTemplate
+from merlinbay.drmaa.schema import JobTemplate
 
 GRACE = 2.0  # seconds between SIGTERM and SIGKILL
 OUTPUT_MOST = 32 * 1024  # bytes of standard output that are kept, where no outputPath takes them
--- a/merlinbay/executor/server.py
+++ b/merlinbay/executor/server.py
@@ -12,7 +12,7 @@
 from merlinbay.clock import Clock
 from merlinbay.core.ports import ServiceEntry
 from merlinbay.counters import Counters
-from merlinbay.drmaa import words
+from merlinbay.drmaa import schema
 from merlinbay.drmaa.answers import JSON, failure, ok
 from merlinbay.executor.child import Child, NotStarted
 from merlinbay.executor.slots import Job, Slots
@@ -78,13 +78,13 @@
         """Owe nothing to a node that hangs up."""
 
     def _run_job(self, body: bytes) -> Response:
-        call = words.read_scheduled(body)
+        call = schema.read_scheduled(body)
         job = self.slots.add(call.jobTemplate, call.sessionName, call.notify)
-        job.info.submissionTime = words.when(self.clock.now_us())
+        job.info.submissionTime = schema.when(self.clock.now_us())
         job.info.allocatedMachines, job.info.slots = [self.name], job.slots
         assert self.nursery is not None
         self._start_what_fits()
-        return Response(201, words.write({"jobId": job.id, "jobState": job.state.value}), [JSON])
+        return Response(201, schema.write({"jobId": job.id, "jobState": job.state.value}), [JSON])
 
     async def _act(self, job: Job, verb: str) -> Response:
         child = self.children.get(job)
@@ -122,7 +122,7 @@
 
     async def _run(self, job: Job) -> None:
         child, info = self.children[job], job.info
-        info.dispatchTime = words.when(self.clock.now_us())
+        info.dispatchTime = schema.when(self.clock.now_us())
         self._tell(job)
         self.counters.add("executor_started")
         try:
@@ -141,7 +141,7 @@
         del self.children[job]
         if info.dispatchTime is not None:
             info.wallclockTime = self.clock.now_us() / 1e6 - info.dispatchTime.timestamp()
-        info.finishTime = words.when(self.clock.now_us())
+        info.finishTime = schema.when(self.clock.now_us())
         if job.state is State.SUSPENDED and status == 0:
             self.slots.move(job, Event.RESUME)
         self.slots.end(job, Event.FINISH if status == 0 else Event.FAIL)
@@ -155,7 +155,7 @@
         job.info.jobState = job.state.value
         if not job.notify:
             return
-        body = words.write(
+        body = schema.write(
             {
                 "event": "NEW_STATE",
                 "sessionName": job.session,
--- a/merlinbay/executor/slots.py
+++ b/merlinbay/executor/slots.py
@@ -11,7 +11,7 @@
 
 from merlinbay.batch.errors import DrmaaError, invalid_argument, invalid_state, try_later
 from merlinbay.batch.states import Event, InvalidState, State, after
-from merlinbay.drmaa.words import JobInfo, JobTemplate
+from merlinbay.drmaa.schema import JobInfo, JobTemplate
 
 RETRY_US = 200_000
 
--- a/merlinbay/handover/link.py
+++ b/merlinbay/handover/control_socket.py
@@ -14,20 +14,20 @@
 import msgspec
 import trio
 
-from merlinbay.handover import words
+from merlinbay.handover import messages
 from merlinbay.limits import Limits
 
 PEER = struct.Struct("3i")  # struct ucred: process, user, group (unix(7))
 
 
-class Link:
+class ControlSocket:
     """One connection between them."""
 
     def __init__(self, sock: trio.socket.SocketType, limits: Limits) -> None:
         self.sock, self.limits = sock, limits
-        self.out, self.waiting = trio.open_memory_channel[tuple[words.Word, int]](limits.inbox)
+        self.out, self.waiting = trio.open_memory_channel[tuple[messages.Word, int]](limits.inbox)
 
-    def post(self, word: words.Word, descriptor: int = -1) -> bool:
+    def post(self, word: messages.Word, descriptor: int = -1) -> bool:
         """Have a word written; a descriptor is closed here once it is sent. Does not wait."""
         try:
             self.out.send_nowait((word, descriptor))
@@ -50,13 +50,13 @@
             finally:
                 self._drop()
 
-    async def _send(self, word: words.Word, descriptor: int) -> None:
+    async def _send(self, word: messages.Word, descriptor: int) -> None:
         if descriptor < 0:
-            await self.sock.send(words.encode(word))
+            await self.sock.send(messages.encode(word))
             return
         try:
             await self.sock.sendmsg(
-                [words.encode(word)],
+                [messages.encode(word)],
                 [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [descriptor]).tobytes())],
             )
         finally:
@@ -72,7 +72,7 @@
             if descriptor >= 0:
                 os.close(descriptor)
 
-    async def read(self) -> tuple[words.Word, int] | None:
+    async def read(self) -> tuple[messages.Word, int] | None:
         """Return the next word and its descriptor or -1; None: the other is gone, or talks nonsense."""
         try:
             data, extra, flags, _ = await self.sock.recvmsg(
@@ -87,7 +87,7 @@
         if not data or flags & socket.MSG_TRUNC:
             return None
         try:
-            return words.decode(data), descriptor
+            return messages.decode(data), descriptor
         except msgspec.MsgspecError:
             return None
 
--- a/merlinbay/handover/twin.py
+++ b/merlinbay/handover/takeover.py
@@ -17,8 +17,8 @@
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.decision.learned import Learned
-from merlinbay.handover import link, words
-from merlinbay.handover.link import Link
+from merlinbay.handover import control_socket, messages
+from merlinbay.handover.control_socket import ControlSocket
 from merlinbay.http.attendance import Attendance
 from merlinbay.http.connection import Connection
 from merlinbay.http.server import Listener
@@ -38,7 +38,7 @@
     entries: list[ports.ServiceEntry] = field(default_factory=list)
 
 
-class Twin:
+class Takeover:
     """A process's side of both links."""
 
     def __init__(
@@ -53,8 +53,8 @@
     ) -> None:
         self.path, self.inbox, self.listener, self.attendance = path, inbox, listener, attendance
         self.limits, self.counters, self.log = limits, counters, log
-        self.predecessor: Link | None = None
-        self.successor: Link | None = None
+        self.predecessor: ControlSocket | None = None
+        self.successor: ControlSocket | None = None
         self.succeeded = False  # the successor takes clients
         attendance.told = self._away
 
@@ -62,34 +62,34 @@
 
     def unclaimed(self, message: ports.CallBack) -> bool:
         """Pass a call-back on that is for no request here; tell whether there is anybody to pass it to."""
-        return self._post(words.Unclaimed(message))
+        return self._post(messages.Unclaimed(message))
 
     def maintained(self, server: str, on: bool) -> None:
         """Pass a ban on."""
-        self._post(words.Banned(server, on))
+        self._post(messages.Banned(server, on))
 
     def _away(self, away: bool) -> None:
-        self._post(words.Away(away))
+        self._post(messages.Away(away))
 
-    def _post(self, word: words.Word) -> bool:
+    def _post(self, word: messages.Word) -> bool:
         return any([end.post(word) for end in (self.predecessor, self.successor) if end is not None])
 
     # The new process.
 
     async def inherit(self) -> Inherited | None:
         """Ask the predecessor for what it has; None where there is none, or none that speaks as we do."""
-        sock = await link.dial(self.path)
+        sock = await control_socket.dial(self.path)
         if sock is None:
             return None
-        end, parts = Link(sock, self.limits), words.Part([], [])
+        end, parts = ControlSocket(sock, self.limits), messages.Part([], [])
         with trio.move_on_after(self.limits.inherit):
-            await sock.send(words.encode(words.Hello(words.SPEAKS)))
+            await sock.send(messages.encode(messages.Hello(messages.SPEAKS)))
             while (heard := await end.read()) is not None:
                 word, _ = heard
-                if isinstance(word, words.Part):
+                if isinstance(word, messages.Part):
                     parts.entries.extend(word.entries)
                     parts.workers.extend(word.workers)
-                elif isinstance(word, words.Whole):
+                elif isinstance(word, messages.Whole):
                     self.predecessor = end
                     word.learned.workers = parts.workers
                     self.log.event("inherited", entries=len(parts.entries), banned=len(word.learned.banned))
@@ -106,7 +106,7 @@
             return
         async with trio.open_nursery() as nursery:
             nursery.start_soon(end.write)
-            end.post(words.Serves())
+            end.post(messages.Serves())
             await self._hear(end)
             self.predecessor = None
             nursery.cancel_scope.cancel()
@@ -125,7 +125,7 @@
         met = False
         while True:
             try:
-                with await link.listen(self.path) as listening:
+                with await control_socket.listen(self.path) as listening:
                     if not met:
                         met = True
                         task_status.started()
@@ -136,18 +136,18 @@
                     task_status.started()
                 return
             with sock:
-                if link.same_user(sock):
-                    await self._succeed(Link(sock, self.limits), listing)
+                if control_socket.same_user(sock):
+                    await self._succeed(ControlSocket(sock, self.limits), listing)
 
-    async def _succeed(self, end: Link, listing: Listing) -> None:
+    async def _succeed(self, end: ControlSocket, listing: Listing) -> None:
         heard = await end.read()
-        if heard is None or heard[0] != words.Hello(words.SPEAKS):
+        if heard is None or heard[0] != messages.Hello(messages.SPEAKS):
             self.log.event("successor_refused", level="warning", said=ascii(heard)[:80])
             return
 
         def told(learned: Learned) -> None:
             # Called in the owner's turn: bans after it are passed on behind what is told here.
-            for word in words.told(*listing(), learned, self.attendance.away):
+            for word in messages.told(*listing(), learned, self.attendance.away):
                 end.post(word)
             self.successor = end
 
@@ -179,15 +179,15 @@
         except OSError:
             return False
         self.counters.add("edge_connections_given")
-        return self.successor.post(words.EdgeGiven(connection.proven, connection.calls_back), descriptor)
+        return self.successor.post(messages.EdgeGiven(connection.proven, connection.calls_back), descriptor)
 
     # Both.
 
-    async def _hear(self, end: Link) -> None:
+    async def _hear(self, end: ControlSocket) -> None:
         """Take what the other process says, until it is gone."""
         while (heard := await end.read()) is not None:
             word, descriptor = heard
-            if isinstance(word, words.EdgeGiven) and descriptor >= 0:
+            if isinstance(word, messages.EdgeGiven) and descriptor >= 0:
                 self.counters.add("edge_connections_taken_over")
                 self.listener.adopt(
                     trio.socket.from_stdlib_socket(socket.socket(fileno=descriptor)),
@@ -197,11 +197,11 @@
                 continue
             if descriptor >= 0:
                 os.close(descriptor)
-            if isinstance(word, words.Unclaimed):
+            if isinstance(word, messages.Unclaimed):
                 await self.inbox.send(ports.Relayed(word.message))
-            elif isinstance(word, words.Banned):
+            elif isinstance(word, messages.Banned):
                 await self.inbox.send(ports.MaintenanceAsked(word.server, word.on, None))
-            elif isinstance(word, words.Away):
+            elif isinstance(word, messages.Away):
                 self.attendance.turn(word.away, relayed=True)
-            elif isinstance(word, words.Serves):
+            elif isinstance(word, messages.Serves):
                 self.succeeded = True
--- a/merlinbay/handover/wiring.py
+++ b/merlinbay/handover/wiring.py
@@ -10,7 +10,7 @@
 
 from merlinbay.core import ports
 from merlinbay.counters import Counters
-from merlinbay.handover.twin import Twin
+from merlinbay.handover.takeover import Takeover
 from merlinbay.http.attendance import Attendance
 from merlinbay.http.server import Listener
 from merlinbay.limits import Limits
@@ -26,8 +26,8 @@
     limits: Limits,
     counters: Counters,
     log: Log,
-) -> Twin:
+) -> Takeover:
     """Return this process's side. Nodes that share a ``$TMPDIR`` are told apart by name and address."""
     key = zlib.crc32(f"{name} {listen[0]}:{listen[1]}".encode())
     path = Path(tempfile.gettempdir()) / f"merlinbay-{key:08x}.sock"
-    return Twin(path, inbox, listener, attendance, limits, counters, log)
+    return Takeover(path, inbox, listener, attendance, limits, counters, log)
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -55,9 +55,9 @@
     stop_part: float = 0.2  # then wait so long for connections to end in good order,
     stop_most: float = 3.6  # and leave after so long at the latest, before SIGKILL
     retry_when_stopping_us: int = 100_000
-    desk_connections: int = 16  # operators' calls that wait for their line
-    desk_line: int = 1024  # bytes of one
-    desk_call: float = 5.0  # and so long it may take
+    admin_connections: int = 16  # operators' calls that wait for their line
+    admin_line: int = 1024  # bytes of one
+    admin_call: float = 5.0  # and so long it may take
     away_arrivals: float = 0.5  # after clients are sent away, new ones still come for so long;
     away_idle: float = 1.4  # so long after the call, connections that stand idle are closed,
     away_quiet: float = 0.2  # if they have done so for a while,
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -23,10 +23,10 @@
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.server import Listener, bound
 from merlinbay.log import Log
-from merlinbay.platform import words
-from merlinbay.platform.desk import Desk
+from merlinbay.platform import messages
+from merlinbay.platform.admin_listener import AdminListener
+from merlinbay.platform.client_adapter import ClientAdapter
 from merlinbay.platform.discovery import Discovery
-from merlinbay.platform.edge import PlatformEdge
 from merlinbay.platform.servers import PlatformServers, refuses
 from merlinbay.problems import BadConfig, address
 
@@ -34,7 +34,7 @@
     from merlinbay.dnssd.directory import DnsSdDirectory
     from merlinbay.drmaa.wiring import DrmaaParts
     from merlinbay.fleet.wiring import FleetParts
-    from merlinbay.handover.twin import Twin
+    from merlinbay.handover.takeover import Takeover
 
 
 @dataclass
@@ -43,7 +43,7 @@
 
     drmaa: DrmaaParts | None = None
     fleet: FleetParts | None = None
-    twin: Twin | None = None  # the process before or after this one
+    takeover: Takeover | None = None  # the process before or after this one
 
     def reload(self) -> None:
         """Read keys and certificates again. Raises ``BadConfig``."""
@@ -69,7 +69,7 @@
     log = log_for(config)
     send: trio.MemorySendChannel[Message]
     send, receive = trio.open_memory_channel[Message](limits.inbox)
-    edge = PlatformEdge(send, clock, limits, counters, {spec.name for spec in config.settings.classes})
+    edge = ClientAdapter(send, clock, limits, counters, {spec.name for spec in config.settings.classes})
     handler: Handler = edge
     sides = Sides()
     if operator is not None:
@@ -87,23 +87,23 @@
         edge.scarce = listener.scarce
     attendance = Attendance(listener, limits)
     edge.wanted = attendance.wanted
-    desk = Desk(send, attendance, limits, counters, log)
+    admin = AdminListener(send, attendance, limits, counters, log)
     sock = await listening(listener.bind(*config.listen), config.listen)
-    desk_sock = await listening(bound(*config.desk, limits.backlog), config.desk) if config.desk else None
+    admin_sock = await listening(bound(*config.admin, limits.backlog), config.admin) if config.admin else None
     inherited = None
     if limits.accept_fd >= 0 and operator is None:  # what fronts hold is not handed over
         from merlinbay.handover.wiring import wire as wire_handover
 
-        sides.twin = wire_handover(
+        sides.takeover = wire_handover(
             config.name, config.listen, send, listener, attendance, limits, counters, log
         )
-        inherited = await sides.twin.inherit()
+        inherited = await sides.takeover.inherit()
     discovery: Discovery | DnsSdDirectory
     if operator is None or operator.dnssd is None:
         version, entries = (
             (inherited.version, inherited.entries)
             if inherited is not None
-            else (config.known.version, words.entries(config.known))
+            else (config.known.version, messages.entries(config.known))
         )
         discovery = Discovery(
             config.discovery,
@@ -134,7 +134,7 @@
             owner.watch_entries(drmaa.front.reserving)
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
-        owner.know_other_process(sides.twin)
+        owner.know_other_process(sides.takeover)
         if sides.fleet is not None:
             sides.fleet.gauges = owner.gauges
         if inherited is not None:
@@ -144,18 +144,18 @@
             )
             adopt(balancer, balancer.classes, inherited.learned)
         else:
-            owner.turn([EntriesChanged("remembered", words.entries(config.known))])
+            owner.turn([EntriesChanged("remembered", messages.entries(config.known))])
         if isinstance(discovery, Discovery) and discovery.pushed:
             # Guards against a send by the old list: what the agent has counts as told from the first moment.
             with trio.move_on_after(limits.push_start):
                 await discovery.had.wait()
         await nursery.start(listener.serve, sock)
-        if sides.twin is not None and isinstance(discovery, Discovery):
-            nursery.start_soon(sides.twin.follow)
-            await nursery.start(sides.twin.await_successors, discovery.listing)
+        if sides.takeover is not None and isinstance(discovery, Discovery):
+            nursery.start_soon(sides.takeover.follow)
+            await nursery.start(sides.takeover.await_successors, discovery.listing)
         nursery.start_soon(attendance.run)
-        if desk_sock is not None:
-            nursery.start_soon(desk.serve, desk_sock)
+        if admin_sock is not None:
+            nursery.start_soon(admin.serve, admin_sock)
         if drmaa is not None:
             await drmaa.listen(nursery, limits)
         if sides.fleet is not None:
@@ -165,7 +165,7 @@
 
             follow_configuration(operator.control, config.name, nursery, counters, log)
         nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, sides)
-        desk.serving = True
+        admin.serving = True
         log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
         await owner.run(receive)
         edge.over = True
@@ -256,7 +256,7 @@
     nursery.cancel_scope.deadline = began + limits.stop_most
     if sides.fleet is not None:
         sides.fleet.leaving()
-    if sides.twin is not None and await sides.twin.leave():
+    if sides.takeover is not None and await sides.takeover.leave():
         await inbox.send(Stopping())
         return
     await trio.sleep(limits.stop_arrivals)
--- a/merlinbay/platform/desk.py
+++ b/merlinbay/platform/admin_listener.py
@@ -16,7 +16,7 @@
 Call = Callable[[str], Awaitable[str]]  # takes what follows the call's word, returns why not, or nothing
 
 
-class Desk:
+class AdminListener:
     """Answers operators' calls."""
 
     def __init__(
@@ -46,10 +46,10 @@
                 try:
                     accepted, _ = await sock.accept()
                 except OSError:  # Guards against running out of descriptors: the listener must outlive it.
-                    self.counters.add("desk_accepts_failed")
+                    self.counters.add("admin_accepts_failed")
                     await trio.sleep(self.limits.accept_pause)
                     continue
-                if len(self.waiting) >= self.limits.desk_connections:
+                if len(self.waiting) >= self.limits.admin_connections:
                     # Guards against callers that stay without a word and would keep others from being heard.
                     longest = next(iter(self.waiting))
                     del self.waiting[longest]
@@ -57,7 +57,7 @@
                 nursery.start_soon(self._answer, accepted)
 
     async def _answer(self, sock: trio.socket.SocketType) -> None:
-        with sock, trio.move_on_after(self.limits.desk_call) as scope:
+        with sock, trio.move_on_after(self.limits.admin_call) as scope:
             self.waiting[scope] = None
             try:
                 line = await self._line(sock)
@@ -75,9 +75,9 @@
         while left > 0 and (more := await sock.recv(self.limits.receive_bytes)):
             left -= len(more)
             # Guards against a reset that overtakes the answer: a line that is too long is read to its end.
-            data = (data + more)[: self.limits.desk_line + 1]
+            data = (data + more)[: self.limits.admin_line + 1]
             if b"\n" in more:
-                return b"" if len(data) > self.limits.desk_line else data.partition(b"\n")[0]
+                return b"" if len(data) > self.limits.admin_line else data.partition(b"\n")[0]
         return data or None
 
     async def answer(self, line: bytes) -> str:
@@ -91,7 +91,7 @@
             why = f"{word} takes {'one id' if takes_id else 'no id'}"
         else:
             why = await call(rest)
-        self.counters.add("desk_refused" if why else "desk_calls")
+        self.counters.add("admin_refused" if why else "admin_calls")
         if word != "status" or why:
             self.log.event("operator_call", call=ascii(word)[:40], id=ascii(rest)[:80], refused=why or "no")
         return f"FAILURE {why}" if why else "SUCCESS"
--- a/merlinbay/platform/edge.py
+++ b/merlinbay/platform/client_adapter.py
@@ -14,7 +14,7 @@
 from merlinbay.decision.api import Outcome
 from merlinbay.http.connection import Connection, Request, Response, hung_up
 from merlinbay.limits import Limits
-from merlinbay.platform import words
+from merlinbay.platform import messages
 
 OUTCOMES = {"done": Outcome.OK, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 TAKEN = Response(200)
@@ -48,7 +48,7 @@
             self.connection.respond(Response(500, b"failed\n"))
 
 
-class PlatformEdge:
+class ClientAdapter:
     """Handles every request at the node's address."""
 
     def __init__(
@@ -83,8 +83,8 @@
         if request.method != "POST":
             return Response(405)
         try:
-            spec = words.job_spec(request.target, request.headers, request.body, self.clock.now_us())
-        except words.BadRequest as error:
+            spec = messages.job_spec(request.target, request.headers, request.body, self.clock.now_us())
+        except messages.BadRequest as error:
             self.counters.add("requests_bad")
             return Response(400, f"bad request: {error}\n".encode())
         if spec.job_class not in self.classes:
@@ -115,7 +115,7 @@
         if request.method != "POST":
             return Response(405)
         try:
-            event = words.read_job_event(request.body)
+            event = messages.read_job_event(request.body)
         except (msgspec.DecodeError, msgspec.ValidationError):
             self.counters.add("call_backs_bad")
             return Response(400)
@@ -125,10 +125,10 @@
         elif event.state == "running":
             await self.inbox.send(ports.AttemptProgress(event.id, event.server, event.share))
         elif event.state in OUTCOMES:
-            result = words.result_bytes(event.result) if event.state == "done" else b""
+            result = messages.result_bytes(event.result) if event.state == "done" else b""
             await self.inbox.send(
                 ports.AttemptFinished(
-                    event.id, event.server, OUTCOMES[event.state], result, words.named(event.load)
+                    event.id, event.server, OUTCOMES[event.state], result, messages.named(event.load)
                 )
             )
         else:
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -11,7 +11,7 @@
 from merlinbay.http.client import ClientConnection, ConnectionBroken, NotSent
 from merlinbay.limits import Limits
 from merlinbay.log import Log
-from merlinbay.platform import words
+from merlinbay.platform import messages
 
 
 class Unexpected(Exception):
@@ -125,7 +125,7 @@
                 if reply.status != 200:
                     raise Unexpected(f"status {reply.status}")
                 try:
-                    listing = words.read_listing(reply.body)
+                    listing = messages.read_listing(reply.body)
                 except msgspec.DecodeError as error:
                     # Guards against one spoilt answer that ends a watch: the same is asked once more.
                     self.counters.add("lists_spoilt")
@@ -149,16 +149,16 @@
         finally:
             connection.close()
 
-    async def _hear(self, listing: words.Listing, first: bool) -> None:
+    async def _hear(self, listing: messages.Listing, first: bool) -> None:
         """Take an answer, and tell what it says."""
         self.heard_us = self.clock.now_us()
-        self._learn(listing.version, listing.full, words.entries(listing))
+        self._learn(listing.version, listing.full, messages.entries(listing))
         self.counters.add("watch_answers")
-        if wrong := words.odd(listing):
+        if wrong := messages.odd(listing):
             self.counters.add("entries_odd", len(wrong))
             self.log.event("entries_odd", level="warning", number=len(wrong), first=wrong[0])
         if listing.servers or listing.full or first:  # the first answer also tells that it works
             await self.inbox.send(
-                ports.EntriesChanged("all" if listing.full else "changes", words.entries(listing))
+                ports.EntriesChanged("all" if listing.full else "changes", messages.entries(listing))
             )
         self.had.set()
--- a/merlinbay/platform/servers.py
+++ b/merlinbay/platform/servers.py
@@ -14,7 +14,7 @@
 from merlinbay.http.servers import PooledServers
 from merlinbay.limits import Limits
 from merlinbay.log import Log
-from merlinbay.platform import words
+from merlinbay.platform import messages
 
 
 class PlatformServers(PooledServers):
@@ -101,7 +101,7 @@
             await self.ended(
                 attempt,
                 outcome,
-                words.load_from(reply.headers.get("x-server-load", "")),
+                messages.load_from(reply.headers.get("x-server-load", "")),
                 unfit=400 <= reply.status < 500,
             )
 
@@ -118,7 +118,7 @@
         outcome, report = reply if isinstance(reply, Outcome) else Outcome.ERROR, None
         if isinstance(reply, Reply):
             outcome = Outcome.OK if reply.status == 200 else Outcome.ERROR
-            report = words.load_from(reply.body.decode("latin-1"))
+            report = messages.load_from(reply.body.decode("latin-1"))
         await self.post(ports.ServerProbed(name, outcome, self.clock.now_us() - began, report))
 
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -180,7 +180,7 @@
     sockets: int = 256
     settings: dict[str, Any] = field(default_factory=dict)
     operator: str = ""  # the text of the operator's file; none by default
-    desk: int = 0  # the port where operators call; none by default
+    admin_port: int = 0  # the port where operators call; none by default
 
     def add(self, name: str, play: Play = serves, cell: int = 0, **row: object) -> StandIn:
         """Add a real server to the list, before the node starts or while it runs."""
@@ -251,7 +251,7 @@
         return {
             "LB_CONFIG": str(path),
             "LB_OPERATOR": str(operator) if self.operator else "",
-            "LB_ADMIN_ADDR": f"127.0.0.2:{self.desk}" if self.desk else "",
+            "LB_ADMIN_ADDR": f"127.0.0.2:{self.admin_port}" if self.admin_port else "",
         }
 
     async def start(self, program: bool = False, **conf: object) -> None:
@@ -283,7 +283,7 @@
 
     async def operate(self, line: str, port: int = 0) -> str:
         """Make one operator's call; return the line that answers it."""
-        stream = await trio.open_tcp_stream("127.0.0.2", port or self.desk)
+        stream = await trio.open_tcp_stream("127.0.0.2", port or self.admin_port)
         async with stream:
             await stream.send_all(line.encode() + b"\n")
             return b"".join([part async for part in stream]).decode()
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -13,11 +13,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from merlinbay.batch.book import Bounds, Control, Effect, Offer, Recall, Reply, Withdraw
 from merlinbay.batch.engine import Engine
 from merlinbay.batch.errors import DrmaaError
 from merlinbay.batch.jobs import Backlog, Job, Session, Stage, Submission
 from merlinbay.batch.quota import Allowance
+from merlinbay.batch.registry import Bounds, Control, Effect, Offer, Recall, Reply, Withdraw
 from merlinbay.batch.states import ENDED, HELD, TABLE, Event, InvalidState, State, after
 
 T0 = 1_800_000_000_000_000
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,7 +28,7 @@
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.server import Listener
 from merlinbay.log import Log
-from merlinbay.platform.edge import ClientRequest
+from merlinbay.platform.client_adapter import ClientRequest
 from merlinbay.platform.servers import refuses
 from tests.net import CONF, LIMITS, StandIn, admission, bound, play, stage
 from tests.support import settings
@@ -529,10 +529,10 @@
     """The owner has ended; nobody reads its inbox any more."""
 
     async def scene() -> None:
-        from merlinbay.platform.edge import PlatformEdge
+        from merlinbay.platform.client_adapter import ClientAdapter
 
         send, inbox = trio.open_memory_channel[object](9)
-        edge = PlatformEdge(send, Clock(), LIMITS, Counters(), {"admit"})
+        edge = ClientAdapter(send, Clock(), LIMITS, Counters(), {"admit"})
         edge.over = True
         head = {name.lower(): value for name, value in admission("j")}
         refused = await edge.request(Mock(proven=False), Request("POST", "/admit", head, b""))
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -11,14 +11,14 @@
 import pytest
 import trio
 
-from merlinbay.batch.book import Bounds, Offer
 from merlinbay.batch.engine import Engine
 from merlinbay.batch.errors import DrmaaError
 from merlinbay.batch.jobs import Backlog
 from merlinbay.batch.quota import Allowance
+from merlinbay.batch.registry import Bounds, Offer
 from merlinbay.core.ports import Answer, AttemptFinished, AttemptStarted, JobSpec, Verdict
 from merlinbay.decision.api import JobClass, Outcome
-from merlinbay.drmaa import templates, words
+from merlinbay.drmaa import schema, templates
 from merlinbay.drmaa.servers import message_of, outcome_of
 from merlinbay.http.client import Reply
 from merlinbay.http.connection import Request, Response
@@ -34,7 +34,7 @@
 RULES = templates.Rules({spec.name: spec for spec in CLASSES}, memory_unit_kib=1024)
 
 
-def spec_of(template: words.JobTemplate, index: int = 0) -> JobSpec:
+def spec_of(template: schema.JobTemplate, index: int = 0) -> JobSpec:
     """Return what the core is offered of a template, of an array member if there is an index."""
     engine = Engine(Bounds(), lambda: "j")
     session = engine.create("s", "", Allowance(), Backlog(), NOW)
@@ -355,7 +355,7 @@
 def test_a_bad_call_raises(body: bytes, name: str) -> None:
     """Each with the standard's exception."""
     with pytest.raises(DrmaaError) as caught:
-        template = words.read_run_job(body)
+        template = schema.read_run_job(body)
         engine = Engine(Bounds(), lambda: "j")
         session = engine.create("s", "", Allowance(), None, NOW)
         engine.submit(session, templates.submission(template, RULES, NOW), NOW)
@@ -366,9 +366,9 @@
     ({}, {"job_class": "admit", "budget_us": 3_000_000, "slots": 1.0, "tenant": ""}),
     ({"jobCategory": "print", "rerunnable": False}, {"job_class": "print", "budget_us": 9_000_000}),
     ({"minSlots": 2, "maxSlots": 4, "accountingId": "t"}, {"slots": 2.0, "tenant": "t"}),
-    ({"deadlineTime": words.when(NOW + 1_500_000)}, {"budget_us": 1_500_000}),
-    ({"deadlineTime": words.when(NOW + 60_000_000)}, {"budget_us": 3_000_000}),
-    ({"deadlineTime": words.when(NOW - 1)}, None),
+    ({"deadlineTime": schema.when(NOW + 1_500_000)}, {"budget_us": 1_500_000}),
+    ({"deadlineTime": schema.when(NOW + 60_000_000)}, {"budget_us": 3_000_000}),
+    ({"deadlineTime": schema.when(NOW - 1)}, None),
     ({"deadlineTime": datetime(2027, 1, 15)}, None),
     ({"jobCategory": "nonsense"}, None),
     ({"rerunnable": False}, None),
@@ -386,7 +386,7 @@
     ({"resourceLimits": {"CPU_TIME": -5}}, None),
     ({"resourceLimits": {"PATIENCE": 5}}, None),
     ({"payload": b"x", "inputPath": "/in"}, None),
-    ({"startTime": words.when(NOW + 9), "deadlineTime": words.when(NOW + 8)}, None),
+    ({"startTime": schema.when(NOW + 9), "deadlineTime": schema.when(NOW + 8)}, None),
     *(({name: "x"}, "UnsupportedAttributeException") for name in templates.UNSUPPORTED),
 ]
 
@@ -394,7 +394,7 @@
 @pytest.mark.parametrize("attributes, expected", TEMPLATES)
 def test_a_template_becomes_a_job(attributes: dict[str, Any], expected: dict[str, Any] | str | None) -> None:
     """Attribute by attribute; None: InvalidArgumentException."""
-    template = words.JobTemplate(**{"remoteCommand": "x", **attributes})
+    template = schema.JobTemplate(**{"remoteCommand": "x", **attributes})
     if not isinstance(expected, dict):
         with pytest.raises(DrmaaError, match=".") as caught:
             templates.submission(template, RULES, NOW)
@@ -406,7 +406,7 @@
 
 def test_an_array_member_knows_its_index() -> None:
     """In the paths where the standard lets it stand, and in the environment; other texts are left alone."""
-    template = words.JobTemplate(
+    template = schema.JobTemplate(
         "run $DRMAA2_INDEX$", inputPath="/in/$DRMAA2_INDEX$", outputPath="/out", jobEnvironment={"A": "1"}
     )
     spec = spec_of(template, 7)
@@ -433,7 +433,7 @@
 ) -> None:
     """State by state."""
     message = message_of(
-        words.Notification(event, "s-1", "j", state, "id", words.JobInfo("id", state, **info))
+        schema.Notification(event, "s-1", "j", state, "id", schema.JobInfo("id", state, **info))
     )
     if expected is None:
         assert message is None
@@ -463,7 +463,7 @@
 
 def test_values_of_the_core_know_no_wire() -> None:
     """The core imports neither front, and its values are made without one."""
-    core = Path(words.__file__).parent.parent / "core"
+    core = Path(schema.__file__).parent.parent / "core"
     text = "".join(path.read_text() for path in core.glob("*.py"))
     assert not [
         name
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -15,7 +15,7 @@
 from merlinbay.batch.states import Event, State
 from merlinbay.clock import Clock
 from merlinbay.counters import Counters
-from merlinbay.drmaa.words import JobTemplate
+from merlinbay.drmaa.schema import JobTemplate
 from merlinbay.executor.child import Child, NotStarted
 from merlinbay.executor.server import Executor
 from merlinbay.executor.slots import Job, Slots
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -16,7 +16,7 @@
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.decision.api import JobClass
-from merlinbay.drmaa import words
+from merlinbay.drmaa import schema
 from merlinbay.drmaa.front import DrmaaFront
 from merlinbay.drmaa.listening import Register
 from merlinbay.drmaa.settings import Drmaa, NamedSession
@@ -62,9 +62,9 @@
 
 def fits(kind: Any) -> st.SearchStrategy[Any]:
     """Return values that a type of the wire admits, each attribute there or left out."""
-    if kind is words.RunJob:
+    if kind is schema.RunJob:
         return st.one_of(st.fixed_dictionaries({"jobTemplate": SENSIBLE}), every(kind))
-    if kind is words.JobTemplate:
+    if kind is schema.JobTemplate:
         return st.one_of(SENSIBLE, SENSIBLE, every(kind))
     return every(kind)
 
@@ -150,9 +150,11 @@
     max_size=6,
 ).map(lambda parts: "/" + "/".join(parts))
 CALLS = st.one_of(
-    st.tuples(st.just("POST"), st.sampled_from(["/jobs", "/sessions/q/jobs"]), bodies(words.RunJob)),
-    st.tuples(st.just("POST"), st.sampled_from(["/arrays", "/sessions/q/arrays"]), bodies(words.RunBulkJobs)),
-    st.tuples(st.just("POST"), st.just("/sessions"), bodies(words.CreateSession)),
+    st.tuples(st.just("POST"), st.sampled_from(["/jobs", "/sessions/q/jobs"]), bodies(schema.RunJob)),
+    st.tuples(
+        st.just("POST"), st.sampled_from(["/arrays", "/sessions/q/arrays"]), bodies(schema.RunBulkJobs)
+    ),
+    st.tuples(st.just("POST"), st.just("/sessions"), bodies(schema.CreateSession)),
     st.tuples(st.just("POST"), st.sampled_from(["/listeners", "/sessions/q/listeners"]), bodies(Register)),
     st.tuples(
         st.just("GET"),
@@ -167,7 +169,7 @@
     st.tuples(
         st.just("POST"),
         st.sampled_from(["/waitAnyStarted", "/sessions/q/waitAnyTerminated"]),
-        bodies(words.WaitAny),
+        bodies(schema.WaitAny),
     ),
     st.tuples(
         st.sampled_from(["GET", "POST", "DELETE", "PUT", "HEAD"]),
@@ -223,7 +225,7 @@
     if answer.status < 300:
         assert answer.status in (200, 201) and isinstance(value, dict)
         return
-    assert answer.status == words.STATUSES[value["exception"]] or (
+    assert answer.status == schema.STATUSES[value["exception"]] or (
         answer.status == 404 and value["exception"] == "InvalidArgumentException"
     )
     assert value["exception"] != "InternalException" and isinstance(value["message"], str)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,8 +16,8 @@
 from merlinbay.core.ports import AttemptFinished
 from merlinbay.decision import Balancer, api
 from merlinbay.decision.learned import adopt, learned
-from merlinbay.handover import words
-from merlinbay.handover.link import Link
+from merlinbay.handover import messages
+from merlinbay.handover.control_socket import ControlSocket
 from merlinbay.http.client import ClientConnection
 from merlinbay.http.connection import Request, Response
 from tests.net import LIMITS, LOAD, ROOT, Play, Stage, StandIn, admission, free_port, play, serves, stage
@@ -160,7 +160,7 @@
         assert (await s.operate("maint-on a", h.desks[0])).startswith("SUCCESS")
         s.change("c", state="DELETED")
         await trio.sleep(0.3)
-        _, desk = await h.start()
+        _, admin_port = await h.start()
         assert (await s.operate("maint-on b", h.desks[0])).startswith("SUCCESS")
         await trio.sleep(0.1)
         before = [len(s.stand(name).targets()) for name in "abc"]
@@ -169,7 +169,7 @@
         assert await old.wait() == 0
         await at_once(s, "new")
         assert [len(s.stand(name).targets()) for name in "abc"] == before
-        assert (await s.operate("standby", desk)).startswith("SUCCESS")
+        assert (await s.operate("standby", admin_port)).startswith("SUCCESS")
         await h.start()
         assert (await s.call("GET", "/-/ready")).status == 503
         assert (await s.operate("active", h.desks[-1])).startswith("SUCCESS")
@@ -213,7 +213,7 @@
         await trio.sleep(0.1)
         assert await job(kept, "second") == 200 and (await s.admit("third")).status == 200
         assert (await s.operate("maint-on a", h.desks[0])).startswith("SUCCESS")
-        _, desk = await h.start()
+        _, admin_port = await h.start()
         old.send_signal(signal.SIGTERM)
         assert await old.wait() == 0
         assert await job(kept, "fourth") == 200
@@ -255,14 +255,14 @@
 
     async def scene() -> None:
         pair = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        ours, theirs = (Link(trio.socket.from_stdlib_socket(one), LIMITS) for one in pair)
+        ours, theirs = (ControlSocket(trio.socket.from_stdlib_socket(one), LIMITS) for one in pair)
         with trio.fail_after(5):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ours.write)
-                ours.post(words.Unclaimed(AttemptFinished("a", "s", api.Outcome.OK, b"x" * 4_000_000)))
-                ours.post(words.EdgeGiven(True, False), os.dup(0))
+                ours.post(messages.Unclaimed(AttemptFinished("a", "s", api.Outcome.OK, b"x" * 4_000_000)))
+                ours.post(messages.EdgeGiven(True, False), os.dup(0))
                 heard = await theirs.read()
-                assert heard is not None and heard[0] == words.EdgeGiven(True, False) and heard[1] >= 0
+                assert heard is not None and heard[0] == messages.EdgeGiven(True, False) and heard[1] >= 0
                 os.close(heard[1])
                 nursery.cancel_scope.cancel()
         for one in (ours, theirs):
@@ -286,10 +286,15 @@
                 )
     one.handle(one.now, [api.Maintained("w4", True)])
     assert one.workers["w2"].bench_until > one.now and one.kinds["k1"].slots > 4
-    parts = [words.decode(words.encode(word)) for word in words.told(5, [], learned(one, one.classes), False)]
+    parts = [
+        messages.decode(messages.encode(word))
+        for word in messages.told(5, [], learned(one, one.classes), False)
+    ]
     whole = parts[-1]
-    assert isinstance(whole, words.Whole)
-    whole.learned.workers = [w for part in parts[:-1] if isinstance(part, words.Part) for w in part.workers]
+    assert isinstance(whole, messages.Whole)
+    whole.learned.workers = [
+        w for part in parts[:-1] if isinstance(part, messages.Part) for w in part.workers
+    ]
     two.handle(one.now, [api.ListChanged("remembered", [entry(0, ready=3_000_000), *rows[1:]])])
     adopt(two, two.classes, whole.learned)
     assert learned(two, two.classes).load == learned(one, one.classes).load
--- a/tests/test_in_service.py
+++ b/tests/test_in_service.py
@@ -25,7 +25,7 @@
 
     async def whole() -> None:
         async with stage(folder) as s:
-            s.desk = free_port()
+            s.admin_port = free_port()
             s.add("s-1")
             s.add("s-2")
             await s.start(program)
@@ -59,7 +59,7 @@
     """Forty connections without a word neither keep others out nor delay them."""
 
     async def scene(s: Stage) -> None:
-        silent = [await trio.open_tcp_stream("127.0.0.2", s.desk) for _ in range(40)]
+        silent = [await trio.open_tcp_stream("127.0.0.2", s.admin_port) for _ in range(40)]
         for line, word in CALLS:
             with trio.fail_after(1):
                 answer = await s.operate(line)
@@ -77,8 +77,8 @@
 
     async def scene(s: Stage) -> None:
         for at, words, status, line in [
-            (s.desk, ["maint-on", "s-1"], 0, "SUCCESS"),
-            (s.desk, ["maint-off", "x"], 9, "FAILURE nobody"),
+            (s.admin_port, ["maint-on", "s-1"], 0, "SUCCESS"),
+            (s.admin_port, ["maint-off", "x"], 9, "FAILURE nobody"),
             (free_port(), ["status"], 8, "merlinbay: cannot reach the node"),
         ]:
             done = await trio.run_process(
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -28,12 +28,12 @@
 from merlinbay.decision import Balancer, api
 from merlinbay.decision.calls import TOLD_US, Calls
 from merlinbay.decision.learned import learned
-from merlinbay.handover import words as handed
+from merlinbay.handover import messages as handed
 from merlinbay.http.client import NotSent
 from merlinbay.http.connection import Request, Response
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.log import Log
-from merlinbay.platform import words
+from merlinbay.platform import messages
 from merlinbay.platform.discovery import Discovery
 from merlinbay.platform.servers import PlatformServers
 from tests.net import LIMITS, Stage, StandIn, play, stage
@@ -260,7 +260,7 @@
     ]
     text = json.dumps({"version": 1, "full": True, "servers": rows}, indent=4).encode()
     assert len(text) < LIMITS.listing_bytes / 4
-    found = words.entries(words.read_listing(text))
+    found = messages.entries(messages.read_listing(text))
     made = Balancer(settings(balancers=230), 1, 0)
     made.handle(
         0,
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -9,10 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from merlinbay.batch.book import Bounds
 from merlinbay.batch.engine import Engine
 from merlinbay.batch.jobs import Backlog, Submission
 from merlinbay.batch.quota import Allowance
+from merlinbay.batch.registry import Bounds
 from merlinbay.monitor import filters, view
 
 KINDS: dict[str, type] = {"state": str, "exit": float, "at": datetime, "machines": list, "note": str}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 from merlinbay.decision import Balancer, api
 from merlinbay.http.client import ClientConnection
 from merlinbay.http.connection import Request, Response
-from merlinbay.platform.words import load_from, named
+from merlinbay.platform.messages import load_from, named
 from tests.net import LIMITS, LOAD, StandIn, admission, play, serves, stage
 
 
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -347,16 +347,16 @@
             status, answer = await s.json(method, f"/drmaa2/reservation{path}", value)
             return answer.get("exception", answer) if status >= 300 else answer
 
-        await call("POST", "Sessions", {"sessionName": "hall"})
-        assert await call("POST", "Sessions", {"sessionName": "hall"}) == "InvalidArgumentException"
-        assert (await call("GET", "Sessions"))["sessionNames"] == ["default", "hall"]
+        await call("POST", "Sessions", {"sessionName": "shared"})
+        assert await call("POST", "Sessions", {"sessionName": "shared"}) == "InvalidArgumentException"
+        assert (await call("GET", "Sessions"))["sessionNames"] == ["default", "shared"]
         wish = {"reservationTemplate": {"startTime": at(100), "duration": 10, "minSlots": 1, "maxSlots": 9}}
-        made = await call("POST", "Sessions/hall/reservations", wish)
+        made = await call("POST", "Sessions/shared/reservations", wish)
         name = made["reservationId"]
         assert made["reservedSlots"] == 3  # as many as there are of the nine
         assert await call("GET", f"s/{name}") == "InvalidArgumentException"  # of another session
-        assert (await call("GET", "Sessions/hall/reservations"))["reservationIds"] == [name]
-        path = f"Sessions/hall/reservations/{name}"
+        assert (await call("GET", "Sessions/shared/reservations"))["reservationIds"] == [name]
+        path = f"Sessions/shared/reservations/{name}"
         assert (await call("POST", f"{path}/extend", {"endTime": at(200)}))["state"] == "BOOKED"
         assert await call("POST", f"{path}/extend", {"endTime": at(-1)}) == "InvalidArgumentException"
         for bad in ({"minSlots": 0}, {"duration": -1}, {"startTime": "2999-01-01T00:00:00"}, {"x": 1}, {}):
@@ -364,7 +364,7 @@
         assert await call("POST", "s", {"reservationTemplate": {"usersACL": ["a"], "duration": 1}}) == (
             "UnsupportedAttributeException"
         )
-        await call("DELETE", "Sessions/hall")
+        await call("DELETE", "Sessions/shared")
         assert await call("GET", path) == "InvalidArgumentException"
         assert await call("DELETE", "Sessions/default") == "InvalidArgumentException"
         assert (await call("POST", "s", wish))["reservedSlots"] == 3  # what it held is free
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -16,7 +16,7 @@
 from merlinbay.drmaa.settings import Drmaa
 from merlinbay.http.client import Reply
 from merlinbay.limits import limits_from
-from merlinbay.platform import words
+from merlinbay.platform import messages
 from merlinbay.platform.servers import outcome_of
 from merlinbay.problems import BadConfig, address
 from tests.net import ROOT
@@ -70,10 +70,10 @@
 def test_a_request_becomes_a_job(target: str, more: dict[str, str], expected: dict[str, Any] | None) -> None:
     """None: it is answered 400."""
     if expected is None:
-        with pytest.raises(words.BadRequest):
-            words.job_spec(target, {**HEADERS, **more}, b"", 7)
+        with pytest.raises(messages.BadRequest):
+            messages.job_spec(target, {**HEADERS, **more}, b"", 7)
     else:
-        spec = words.job_spec(target, {**HEADERS, **more}, b"", 7)
+        spec = messages.job_spec(target, {**HEADERS, **more}, b"", 7)
         assert {name: getattr(spec, name) for name in expected} == expected
         assert spec.arrived_us == 7
 
@@ -100,7 +100,7 @@
 )
 def test_a_listing_becomes_entries(state: str, expected: str) -> None:
     """Id and address stay apart; an unknown state gets nothing new."""
-    listing = words.read_listing(
+    listing = messages.read_listing(
         msgspec.json.encode(
             {
                 "version": 4,
@@ -121,7 +121,9 @@
             }
         )
     )
-    assert words.entries(listing) == [ServiceEntry("s-1", "127.0.0.9:1", "a", "k", 3, expected, 2.5, 12_000)]
+    assert messages.entries(listing) == [
+        ServiceEntry("s-1", "127.0.0.9:1", "a", "k", 3, expected, 2.5, 12_000)
+    ]
 
 
 @pytest.mark.parametrize(
@@ -136,7 +138,7 @@
 )
 def test_an_odd_entry_is_named(row: dict[str, str], state: str, named: list[str]) -> None:
     """An unknown state or a missing address costs the one entry, not the list; what is gone needs none."""
-    listing = words.read_listing(
+    listing = messages.read_listing(
         msgspec.json.encode(
             {
                 "version": 4,
@@ -148,14 +150,14 @@
             }
         )
     )
-    assert [text.partition(":")[0] for text in words.odd(listing)] == named
-    assert [entry.state for entry in words.entries(listing)] == [state, "up"]
+    assert [text.partition(":")[0] for text in messages.odd(listing)] == named
+    assert [entry.state for entry in messages.entries(listing)] == [state, "up"]
 
 
 @pytest.mark.parametrize("result, expected", [("é", "é".encode()), ("", b""), ({"a": 1}, b'{"a":1}')])
 def test_a_result_becomes_a_body(result: Any, expected: bytes) -> None:
     """Text is the body itself."""
-    assert words.result_bytes(result) == expected
+    assert messages.result_bytes(result) == expected
 
 
 @pytest.mark.parametrize("sockets", [64, 256, 1024, 65536])
