A job suspended or ended while its process is made no longer runs on; two clauses retry longer jobs

Seen: test_our_own_endpoint_keeps_every_clause failed on a busy machine, three times of four with a look right after the start: 'suspended, it went on: DONE'. Cause: a fault of the executor, and the clauses' own dependence on time. executor/child.py dropped signals that came while the process was still being made in its thread, so a suspended job ran on, and a terminated one ran to its end. The clauses on hold and suspend needed a job of 1.5 to 2 s to be still running when their calls came. Change: signals that come early are kept and sent once the process is there; stop waits for it. The two clauses take a longer job (1.5, 6, 24 s) where one ended before the calls reached it; the last length decides. The test of a cancelled executor polls for the end of its processes in place of a look after 0.1 s.

--- a/merlinbay/conformance/job_clauses.py
+++ b/merlinbay/conformance/job_clauses.py
@@ -5,7 +5,7 @@
 import time
 
 from merlinbay.conformance.clause import ClauseList
-from merlinbay.conformance.probe import ENDED, Probe, Skip, expect
+from merlinbay.conformance.probe import ENDED, Probe, Skip, expect, with_longer_jobs
 
 STATES = {
     "UNDETERMINED",
@@ -38,30 +38,41 @@
 @clause("Job, hold")
 def holds_only_what_waits(p: Probe) -> None:
     """Hold of a running job raises InvalidStateException, and the job runs on."""
-    job = p.run("sleep", "2")
-    p.until(job, "RUNNING")
-    p.raises("InvalidStateException", "POST", p.at(f"/jobs/{job}/hold"))
-    p.raises("InvalidStateException", "POST", p.at(f"/jobs/{job}/release"))
-    expect(p.info(job)["jobState"] == "RUNNING", "the refused call changed its state")
-    expect(p.end(job)["jobState"] == "DONE", "it did not run to its end")
+
+    def check(seconds: float) -> None:
+        job = p.run("sleep", str(seconds))
+        p.need_running(job)
+        p.raises("InvalidStateException", "POST", p.at(f"/jobs/{job}/hold"))
+        p.raises("InvalidStateException", "POST", p.at(f"/jobs/{job}/release"))
+        p.need_running(job)
+        expect(p.end(job)["jobState"] == "DONE", "it did not run to its end")
+
+    with_longer_jobs(check)
 
 
 @clause("Job, suspend and resume")
 def suspends_and_resumes(p: Probe) -> None:
     """A suspended job stands still until it is resumed; calls in a wrong state raise."""
-    job = p.run("sh", "-c", "for i in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15; do sleep 0.1; done")
-    p.until(job, "RUNNING")
-    p.raises("InvalidStateException", "POST", p.at(f"/jobs/{job}/resume"))
-    status, found = p.call("POST", p.at(f"/jobs/{job}/suspend"))
-    if status == 405:
-        raise Skip("it cannot suspend")
-    expect(status == 200, f"suspend: {status} {found}")
-    p.until(job, "SUSPENDED")
-    time.sleep(2.0)
-    expect(p.info(job)["jobState"] == "SUSPENDED", f"suspended, it went on: {p.info(job)['jobState']}")
-    p.raises("InvalidStateException", "POST", p.at(f"/jobs/{job}/suspend"))
-    p.good("POST", p.at(f"/jobs/{job}/resume"))
-    expect(p.end(job)["jobState"] == "DONE", "resumed, it did not run to its end")
+
+    def check(seconds: float) -> None:
+        job = p.run("sh", "-c", f"i=0; while [ $i -lt {seconds * 10:g} ]; do sleep 0.1; i=$((i+1)); done")
+        p.need_running(job)
+        p.raises("InvalidStateException", "POST", p.at(f"/jobs/{job}/resume"))
+        p.need_running(job)
+        status, found = p.call("POST", p.at(f"/jobs/{job}/suspend"))
+        if status == 405:
+            raise Skip("it cannot suspend")
+        if status == 409:
+            p.need_running(job)
+        expect(status == 200, f"suspend: {status} {found}")
+        p.until(job, "SUSPENDED")
+        time.sleep(seconds + 0.5)  # it would have ended
+        expect(p.info(job)["jobState"] == "SUSPENDED", f"suspended, it went on: {p.info(job)['jobState']}")
+        p.raises("InvalidStateException", "POST", p.at(f"/jobs/{job}/suspend"))
+        p.good("POST", p.at(f"/jobs/{job}/resume"))
+        expect(p.end(job)["jobState"] == "DONE", "resumed, it did not run to its end")
+
+    with_longer_jobs(check)
 
 
 @clause("Job, terminate")
--- a/merlinbay/conformance/probe.py
+++ b/merlinbay/conformance/probe.py
@@ -6,6 +6,7 @@
 import json
 import secrets
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -14,12 +15,17 @@
 from merlinbay.client.transport import Door
 
 ENDED = ("DONE", "FAILED")
+JOB_LENGTHS_S = (1.5, 6.0, 24.0)  # of jobs that have to run while they are looked at
 
 
 class Miss(Exception):
     """The endpoint does not keep the clause."""
 
 
+class Overtaken(Exception):
+    """A job ended before the check that needs it running: that says nothing of the endpoint."""
+
+
 class Skip(Exception):
     """The clause is about something that the endpoint says it does not have."""
 
@@ -127,11 +133,29 @@
             time.sleep(0.02)
         return found
 
+    def need_running(self, job: str) -> None:
+        """Wait until a job has started. Raises ``Overtaken`` where it has already ended by itself."""
+        state = self.started(job)["jobState"]
+        if state == "DONE":
+            raise Overtaken(f"the job {job} has ended")
+        expect(state == "RUNNING", f"the job is {state}, and not RUNNING")
+
     def can(self, capability: str) -> bool:
         """Tell whether the endpoint says that it supports a capability."""
         return bool(self.good("GET", f"/supports/{capability}").get("supported"))
 
 
+def with_longer_jobs(check: Callable[[float], None]) -> None:
+    """Make a check by a job of a short length, and by longer ones where that ended too early."""
+    for seconds in JOB_LENGTHS_S:
+        try:
+            check(seconds)
+        except Overtaken:
+            continue
+        return
+    raise Miss(f"jobs of up to {JOB_LENGTHS_S[-1]:g} s ended before a call could reach them running")
+
+
 def output(info: dict[str, Any]) -> bytes:
     """Return what a job wrote."""
     return base64.b64decode(info.get("output", ""))
--- a/merlinbay/executor/child.py
+++ b/merlinbay/executor/child.py
@@ -47,6 +47,8 @@
     def __init__(self, template: JobTemplate, folder: Path) -> None:
         self.template, self.folder = template, folder
         self.process: trio.Process | None = None
+        self.process_made = trio.Event()  # or it cannot be made
+        self.early_signals: list[int] = []  # sent before there was a process
         self.output, self.error = bytearray(), bytearray()
 
     def _path(self, text: str) -> Path:
@@ -86,6 +88,10 @@
                 )
             except (OSError, ValueError, subprocess.SubprocessError) as error:
                 raise NotStarted(str(error)) from None
+            finally:
+                self.process_made.set()
+        for number in self.early_signals:
+            self.signal(number)
         wall = template.resourceLimits.get("WALLCLOCK_TIME")
         async with trio.open_nursery() as nursery:
             if process.stdin is not None:
@@ -108,22 +114,26 @@
         return process.returncode
 
     def signal(self, number: int) -> None:
-        """Send a signal to all of the job's processes."""
-        if self.process is not None:
-            try:
-                os.killpg(self.process.pid, number)
-            except ProcessLookupError:
-                pass
+        """Send a signal to all of the job's processes, or keep it for them until they are there."""
+        # Guards against a job that was suspended or ended while its process was being made, and ran on.
+        if self.process is None:
+            self.early_signals.append(number)
+            return
+        try:
+            os.killpg(self.process.pid, number)
+        except ProcessLookupError:
+            pass
 
     async def stop(self) -> None:
         """End it: politely at first."""
         self.signal(signal.SIGTERM)
         self.signal(signal.SIGCONT)
-        process = self.process
-        if process is not None:
-            with trio.move_on_after(GRACE):
-                await process.wait()
-            self.signal(signal.SIGKILL)
+        await self.process_made.wait()
+        if self.process is None:
+            return
+        with trio.move_on_after(GRACE):
+            await self.process.wait()
+        self.signal(signal.SIGKILL)
 
     def _open(self, files: ExitStack, path: str, mode: str) -> IO[bytes] | None:
         return files.enter_context(self._path(path).open(mode)) if path else None
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import time
 from pathlib import Path
 from typing import Any
@@ -139,6 +140,67 @@
         play(body, Child(template, tmp_path))
 
 
+def state_of(child: Child) -> str:
+    """Return the letter by which the system tells what a process does: S it waits, T it is stopped."""
+    assert child.process is not None
+    return Path(f"/proc/{child.process.pid}/stat").read_text().rpartition(")")[2].split()[0]
+
+
+def test_a_job_suspended_while_its_process_is_being_made_stands_still(tmp_path: Path) -> None:
+    """The signal reaches it once it is there, and so does the one to go on."""
+
+    async def body() -> None:
+        child = Child(JobTemplate("sleep", args=["0.5"]), tmp_path)
+        statuses: list[int] = []
+
+        async def run() -> None:
+            statuses.append(await child.run())
+
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(run)
+                child.signal(signal.SIGSTOP)
+                assert child.process is None
+                await child.process_made.wait()
+                while state_of(child) != "T":
+                    await trio.sleep(0.01)
+                await trio.sleep(0.7)
+                assert statuses == []
+                child.signal(signal.SIGCONT)
+        assert statuses == [0]
+
+    play(body)
+
+
+def test_a_job_terminated_while_its_process_is_being_made_ends(tmp_path: Path) -> None:
+    """By the signal, and not at the end of what it was to do."""
+
+    async def body() -> None:
+        child = Child(JobTemplate("sleep", args=["600"]), tmp_path)
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(child.stop)
+                await trio.testing.wait_all_tasks_blocked()
+                assert child.process is None
+                assert await child.run() == -signal.SIGTERM
+
+    play(body)
+
+
+def test_a_job_that_cannot_be_started_can_be_terminated(tmp_path: Path) -> None:
+    """There is nothing to wait for."""
+
+    async def body() -> None:
+        child = Child(JobTemplate("/nowhere"), tmp_path)
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(child.stop)
+                with pytest.raises(NotStarted):
+                    await child.run()
+
+    play(body)
+
+
 def test_an_executor_that_is_cancelled_leaves_no_process(tmp_path: Path) -> None:
     """Also where nobody has terminated the job before: running, or stopped by a suspend."""
 
@@ -162,5 +224,8 @@
             nursery.cancel_scope.cancel()
 
     play(body)
-    time.sleep(0.1)
-    assert not any(alive(int((tmp_path / name).read_text())) for name in "12")
+    end = time.monotonic() + 60
+    pids = [int((tmp_path / name).read_text()) for name in "12"]
+    while (left := [pid for pid in pids if alive(pid)]) and time.monotonic() < end:
+        time.sleep(0.02)  # what was killed is gone once the system has seen to it
+    assert left == []
