Copies, probes and zone crossings are decided by what they are worth

Reports are read with their queue and compared with what was held when they were made; slots come from free and own running ones; what the others hold is learned for each worker; in a backfilled queue a job of several slots has a longer turn. `Settings` gets `queued_field` and `waste_price`, read in `site_settings.py`.

--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -127,6 +127,7 @@
     free_slots_field: str = ""  # the report field that holds free slots, if any
     errors_field: str = ""  # the report field that counts its errors a second, if any
     held_field: str = ""  # the report field that counts the requests held there, if any
+    queued_field: str = ""  # the report field that counts the requests waiting there, if any
     free_memory_field: str = ""  # the report field that holds free memory, if any
     tells_start: bool = False
     progress_us: int = 0  # progress notes come this often while a job runs; 0: never
@@ -135,6 +136,7 @@
     cross_zone_price: float = 0.0
     asks_first: bool = False  # workers report their load to probes only
     probe_price: float = 0.0  # of one probe for each request
+    waste_price: float = 0.0  # of as much work without an answer as was asked for
     worth_by_work: bool = False  # a job's worth grows with its work
 
     def __post_init__(self) -> None:
--- a/merlinbay/decision/beliefs.py
+++ b/merlinbay/decision/beliefs.py
@@ -12,7 +12,7 @@
 
 from merlinbay.decision.api import Outcome
 from merlinbay.decision.calls import GOLDEN
-from merlinbay.decision.records import Kind, Memory, Worker
+from merlinbay.decision.records import Memory, Worker
 
 PACE_WEIGHT = 0.15  # weight of one job in its worker's pace: a few jobs tell a slowed machine
 PACE_TAU_US = 20_000_000  # and how long that lasts without news, for one that is passed over gets no jobs
@@ -21,8 +21,11 @@
 COLD_SAFE = 0.5  # share of the cold budget that is used: the jobs' true sizes are not known
 RUN_WEIGHT = 0.03  # weight of one run time, start delay or count of slots: against long tails
 SPARE = 0.75  # reported free slots that are at least one: reports are a little off
+CAUTION = 0.65  # share of the spread (square root, less for a few) of an unseen count that counts as held
 HEARD_MOST = 64  # reports that the median of what the others hold rests on, at the most
 HEARD_US = 2_000_000  # and how old the oldest of them may be: a queue is gone within a second
+OTHERS_WEIGHT = 0.1  # weight of one report in what the others hold at a worker in the mean
+FEW_REPORTS = 5  # reports that a worker's slots rest on, at the least
 HEARD_HALF = 4  # so many count as much as the count of balancers that was told
 
 
@@ -72,8 +75,19 @@
         # Guards against coarse counts: scaled by the balancers, our one job there would shut a gate. So
         # the mean of our counts is scaled, an unheard worker holds it too, and news fade back to it.
         mean = self.peers() * self.mean_held * worker.kind.slots * self.capacity(worker) / self.slots_total
+        # Guards against zones that are not used alike: others may hold much here, and nothing there.
+        mean += (worker.others_mean - mean) * worker.reports / (worker.reports + HEARD_HALF)
         return mean + (worker.others - mean) * self._fade(worker)
 
+    def _free(self, worker: Worker, caution: float = CAUTION) -> float:
+        """Return the estimated free slots; below 0, the waiting count. A cold worker has a part of them."""
+        slots = worker.kind.slots * self.capacity(worker)
+        # Guards against the mean's blind spot: workers' true counts lie spread about it, and a queue on
+        # some is not made good by room on others. So a share of the unseen part's spread is added.
+        others = self._others(worker)
+        spread = others * math.sqrt((1 - self._fade(worker)) / (1 + others))
+        return slots - worker.held - worker.kept - others - caution * spread
+
     def _pace(self, worker: Worker) -> float:
         """Return the worker's run time over its kind's, as its jobs told it lately."""
         return 1 + (worker.pace - 1) * math.exp((worker.paced_at - self.now) / PACE_TAU_US)
@@ -86,8 +100,9 @@
         if ratio > pace or not least:
             worker.pace, worker.paced_at = pace + (min(ratio, 10.0) - pace) * PACE_WEIGHT, self.now
 
-    def _told_slots(self, kind: Kind, free: float, held: float | None) -> None:
+    def _told_slots(self, worker: Worker, free: float, held: float | None) -> None:
         """Learn a kind's slots from a report."""
+        kind = worker.kind
         if held is not None and free >= max(held, 1.0):  # half empty: none waits; the two make up all
             kind.counts += 1  # Guards against few slots believed, where none is ever seen empty.
             kind.slots += (free + held - kind.slots) * max(RUN_WEIGHT, 1 / kind.counts)
@@ -95,7 +110,7 @@
             if free >= SPARE:
                 kind.slots = min(kind.slots, free + held) if kind.told else free + held
         elif not kind.counts:
-            kind.slots = max(float(round(free)), kind.slots if kind.told else 1.0)
+            self._shown_slots(worker, free)
         # Guards against a full worker's report: that nothing is free says nothing of how much there is.
         kind.told = kind.told or held is None or free >= SPARE
         if not kind.told:
@@ -104,6 +119,21 @@
         for other in self.kinds.values():
             other.slots = other.slots if other.told else max(other.most, kind.slots)
 
+    def _shown_slots(self, worker: Worker, free: float) -> None:
+        """Learn a kind's slots where reports tell the free ones only."""
+        # Guards against noise: the most that was ever reported free is too much. The free ones and our
+        # running ones make up all where nobody else sends; so the mean of the least shared worker counts.
+        kind = worker.kind
+        if self.cold(worker):
+            return
+        worker.slot_reports += 1
+        weight = max(RUN_WEIGHT, 1 / worker.slot_reports)
+        worker.slots_shown += (free + worker.running - worker.slots_shown) * weight
+        kind.most = max(kind.most, worker.running)
+        shown = [w.slots_shown for w in self.usable if w.kind is kind and w.slot_reports >= FEW_REPORTS]
+        before = max(free, kind.slots if kind.told else 0.0)
+        kind.slots = max(float(round(max(shown, default=before))), kind.most, 1.0)
+
     def _learn_slots(self, worker: Worker, late: bool) -> None:
         """Learn a kind's slots where no report tells them: from what we see running, and starting late."""
         # Guards against a small share: where schedulers are many, ours alone never fill a worker. So the
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -22,6 +22,11 @@
     SlotsKept,
 )
 
+NEVER = -(10**12)  # a time long ago
+HISTORY_US = (
+    1_000_000  # for so long our outstanding slots are remembered: reports are older than that in vain
+)
+
 
 @dataclass(slots=True, eq=False)
 class Kind:
@@ -64,12 +69,36 @@
     heard_at: int = 0
     cold_next: int = 0  # our turn to send to it while it is cold; before this it gets nothing more from us
     last_report: list[object] | None = None
+    held_before: deque[tuple[int, float]] = field(
+        default_factory=deque
+    )  # our outstanding slots, and since when
+    reports: int = 0  # how often it has told what it holds,
+    others_mean: float = 0.0  # and what the others held there, smoothed over these
+    slot_reports: int = 0  # how often it has told its free slots,
+    slots_shown: float = 0.0  # and its slots, smoothed over reports: free ones and our running ones
+    probed_at: int = NEVER  # the last probe went out
 
     def restart(self, at: int) -> None:
         """Take it that it started anew: what was known of its health is of another process."""
         self.ready_at, self.pace = at, 1.0
         self.fails, self.bench_until, self.asked_at, self.cold_next = 0, 0, 0, 0
 
+    def count(self, now: int, slots: float) -> None:
+        """Count slots of ours that are taken there, or less than 0 that are free again."""
+        self.held += slots
+        self.held_before.append((now, self.held))
+        while self.held_before[0][0] < now - HISTORY_US and len(self.held_before) > 1:
+            self.held_before.popleft()
+
+    def held_at(self, at: int) -> float:
+        """Return our outstanding slots as they were then, or at the earliest time remembered."""
+        held = self.held_before[0][1] if self.held_before else self.held
+        for since, value in self.held_before:
+            if since > at:
+                break
+            held = value
+        return held
+
     def observe(self, now: int, others: float) -> None:
         """Note how many slots the others hold there."""
         self.others, self.others_at = max(0.0, others), now
@@ -114,9 +143,12 @@
     only: tuple[str, ...] = ()  # the workers that may run it; empty: any
     room_only: bool = False  # it takes free slots, and no place behind others
     reserved: bool = False  # the slots that are kept are for it
+    arrived: int = 0
     attempts: list[Attempt] = field(default_factory=list)
     pending: int = 0
     done: bool = False
+
+    probed_first: bool = False  # its workers were probed before it was placed
     probe_replies: list[Worker] = field(default_factory=list)  # workers that answered probes of this attempt,
     probes_pending: int = 0  # how many have not yet
 
@@ -163,6 +195,9 @@
     probing: dict[str, list[Job]] = field(default_factory=dict)  # by worker: the jobs whose probes are out
     watches: list[tuple[int, int, int]] = field(default_factory=list)  # heap: due, job, attempt
     timer_at: int = 0
+    misjudged: float = 0.5  # how often a job that seemed to find room has waited,
+    probe_us: float = 0.0  # and what a probe takes
+    crossed: float = 0.0  # share of our jobs that went over the zone border
     trust: float = 1.0  # how often a worker that seemed to have room took the job
     offered: int = 0
     own_held: float = 0.0  # our outstanding slots, now
@@ -178,6 +213,7 @@
     shown: float = 0.0  # and the median share of a worker's slots
     mean_run: float = 1000.0  # slots x run time of the mean job offered
     mean_worth: float = 1.0
+    mean_slots: float = 1.0
 
     def find(self, job_id: int, number: int) -> tuple[Job | None, Attempt | None]:
         """Return a job and its open attempt, or neither."""
@@ -236,7 +272,7 @@
         self.jobs[job.id] = job
         job.attempts.append(attempt)
         job.pending += 1
-        attempt.worker.held += job.slots
+        attempt.worker.count(self.now, job.slots)
         attempt.worker.kept -= job.slots * job.reserved
         self.own_held += job.slots
 
@@ -244,7 +280,7 @@
         """Count an attempt that has ended."""
         attempt.open = False
         job.pending -= 1
-        attempt.worker.held -= job.slots
+        attempt.worker.count(self.now, -job.slots)
         attempt.worker.kept += job.slots * job.reserved
         self.own_held -= job.slots
         if attempt.started:
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -15,24 +15,25 @@
 from typing import Any
 
 from merlinbay.decision import api
-from merlinbay.decision.beliefs import RUN_WEIGHT
+from merlinbay.decision.beliefs import CAUTION, OTHERS_WEIGHT, RUN_WEIGHT
 from merlinbay.decision.calls import Calls
-from merlinbay.decision.eligibility import SILENT_US, Eligibility
+from merlinbay.decision.eligibility import SILENT_US
 from merlinbay.decision.records import Attempt, Class, Job, Kind, Rate, Worker
 from merlinbay.decision.threshold import threshold
+from merlinbay.decision.worth import LEAST_SPARE, Worth
 
 SCAN = 8  # workers sampled for one request: bounds its cost at any fleet size
-ASK = 3  # workers probed for one request of those nearby, and as many of those away
-ASK_SPEND = 0.02  # points of the result that probes may cost; where they cost more, fewer go out
-ASK_US = 150_000  # answers to probes are waited for no longer: one may get lost
+PROBES = 3  # workers probed first for one request of those nearby, and as many of those away
+PROBE_WAIT_US = 150_000  # answers to these are waited for no longer: one may get lost
 AFFINE = 2  # workers over all zones that a key prefers after its first in the own zone
 RATE_TAU_US = 2_000_000  # memory of the offered load: longer than a stall, shorter than a burst
 FEW = 20  # jobs that a mean rests on: with fewer, one job would shut gates, or make its worker look slow
-CAUTION = 0.65  # share of the spread (square root, less for a few) of an unseen count that counts as held
 SLOW = 1.9  # a worker of this pace and more comes after all others, and its jobs get a second copy
 LATE_RUN = 1.0  # share of a mean run time that a job may run there before the copy goes out,
 LONG_RUN = 2.5  # and elsewhere before it tells of its worker's pace
 TRUST_STEP = 0.05  # weight of one answer in the share of workers with room that do take a job
+CROSSED_STEP = 0.02  # weight of one job in the share that crosses zones
+REPORT_AGE_US = 120_000  # a report to a probe shows a worker as it was so long ago
 REPORT_TRUST = 0.5  # weight of a load report against the estimate it meets: reports are old and noisy
 PROMPT = 0.05  # share of a mean run time within which a start means that there was room
 DENSE_MOST = 4.0  # the most that worth for each slot and second, over the mean job's, counts
@@ -45,7 +46,7 @@
 KEYS_KEPT = 4096  # keys whose preferred workers are remembered, to save hashing the zone anew
 
 
-class Balancer(Eligibility):
+class Balancer(Worth):
     """The decisions of one scheduler."""
 
     def __init__(self, settings: api.Settings, seed: int, now_us: int) -> None:
@@ -102,35 +103,22 @@
         weight = max(0.01, 1 / self.offered)
         self.mean_run += (job.run * max(job.slots, 0.01) - self.mean_run) * weight
         self.mean_worth += (job.worth - self.mean_worth) * weight
+        self.mean_slots += (job.slots - self.mean_slots) * weight
 
     def _over_share(self, tenant: str) -> bool:
         """Tell whether a tenant sends more than its quota, judged by our part of its requests."""
         rate = self.tenant_rate(tenant, RATE_TAU_US) * self.settings.balancers * 1e6
         return any(t.name == tenant and rate > t.quota_per_s for t in self.settings.tenants)
 
-    def _free(self, worker: Worker, caution: float = CAUTION) -> float:
-        """Return the estimated free slots; below 0, the waiting count. A cold worker has a part of them."""
-        slots = worker.kind.slots * self.capacity(worker)
-        # Guards against the mean's blind spot: workers' true counts lie spread about it, and a queue on
-        # some is not made good by room on others. So a share of the unseen part's spread is added.
-        others = self._others(worker)
-        spread = others * math.sqrt((1 - self._fade(worker)) / (1 + others))
-        return slots - worker.held - worker.kept - others - caution * spread
-
-    def _density(self, job: Job) -> float:
-        """Return the job's worth for each slot and second, over the mean job's."""
-        return job.worth / (job.run * max(job.slots, 0.01)) * self.mean_run / max(self.mean_worth, 1e-9)
-
     def _gate(self, kind: Kind, job: Job) -> float:
         """Return O2A's N, and one more with probability q; where jobs wait r has been 1 at the least."""
-        # Guards against gates that shut on who has more than his share: his peers offer less than he does.
-        own = self.rate.value * self.mean_run
-        all_of_us = own * self.settings.balancers
-        load = min(all_of_us, own + self.peers() * self.mean_held) if self.heard else all_of_us
-        load *= kind.pace / self.slots_total
+        load = self.load(kind)
         # Worth, for each slot and second, counts as far as others want the slots.
-        scarce = 1 - min(1.0, load) * (1 - min(DENSE_MOST, self._density(job)))
-        turn = self.mean_run * kind.pace / kind.slots
+        scarce = 1 - min(1.0, load) * (1 - min(DENSE_MOST, self.density(job)))
+        turn = self.turn(kind)
+        if self.settings.queue_order == "backfill" and job.slots > 1:
+            # Guards against a job of several slots that others of one slot overtake again and again.
+            turn *= job.slots / max(1 - load, LEAST_SPARE)
         # R-p and c are mapped so that at r = 1 the last job admitted is just in time, by turns of a slot.
         k = (1 + job.cls.spec.aim_us / turn * scarce / max(1 - job.cls.spec.late_worth, 0.1)) / 2
         n, q = threshold(round(min(max(load, 1.0), 100.0), 2), round(min(k, 1000.0), 1))
@@ -158,8 +146,8 @@
         """Choose a worker with room for the job's slots, else one under its gate; nearer ones first."""
         gates: dict[int, float] = {}
         best, best_free, best_slow = None, -math.inf, True
-        probed = job.probe_replies or job.probes_pending
-        for batch in [job.probe_replies] if probed else self._batches(job):
+        near: tuple[Worker, float] | None = None
+        for batch in self._replied(job) if job.probe_replies or job.probes_pending else self._batches(job):
             for worker in self.eligible(job, batch):
                 free = worker.kept if job.reserved else self._free(worker, caution)
                 if (slow := self._pace(worker) >= SLOW, -free) >= (best_slow, -best_free):
@@ -173,8 +161,20 @@
                         continue
                 best, best_free, best_slow = worker, free, slow
             if best is not None and (best_free >= job.slots or job.key):
-                return best
-        return best
+                break
+            if best is not None and best.zone == self.settings.zone:
+                near = best, best_free
+        if best is None or best.zone == self.settings.zone or not self.settings.cross_zone_price or job.only:
+            return best
+        return best if self.crossing_pays(job, (best, best_free), near) else near and near[0]
+
+    def _replied(self, job: Job) -> list[list[Worker]]:
+        """Return the workers that answered its probes; those away only once all have, if crossings cost."""
+        away = [w for w in job.probe_replies if w.zone != self.settings.zone]
+        if not self.settings.cross_zone_price or not away:
+            return [job.probe_replies]
+        near = [w for w in job.probe_replies if w.zone == self.settings.zone]
+        return [near] if job.probes_pending else [near, away]
 
     def _affine(self, key: str, near: list[Worker], far: list[Worker]) -> list[Worker]:
         """Return the workers that a key prefers, in order, by highest hash: the same at every scheduler."""
@@ -207,28 +207,49 @@
             event.only,
             event.room_only,
             event.reserved,
+            self.now,
         )
         self._count_offered(job)
         self._try(job)
 
     def _try(self, job: Job) -> None:
-        """Ask some workers first where only probes tell load, else decide at once."""
-        job.probe_replies, job.probes_pending = [], 0
+        """Probe some workers first where only probes tell load and that pays, else decide at once."""
+        job.probe_replies, job.probes_pending, job.probed_first = [], 0, False
         if self.settings.asks_first and self.limits.probes:
-            most = min(ASK, int(ASK_SPEND / 2 / max(self.settings.probe_price, 1e-6)))
-            for batch in self._batches(job):
-                some = [w.name for w in self.eligible(job, batch)][:most]
-                self.out += [api.Probe(name) for name in some]
-                self.probes_sent(job, some)
+            near, far = self.pools.get(job.cls.spec.kind) or ([], [])
+            workers = near + far
+            if workers and self.probing_first_pays(workers[0].kind, PROBES * (1 + bool(far)), len(workers)):
+                self._probe_first(job)
+            else:
+                self._probe_stale(near, 1 - self.crossed)
+                self._probe_stale(far, self.crossed)
         if job.probes_pending:
-            self._watch(job, -1, min(ASK_US, (job.deadline - self.now) / 2))
+            self._watch(job, -1, min(PROBE_WAIT_US, (job.deadline - self.now) / 2))
         else:
             self._settle(job)
 
+    def _probe_first(self, job: Job) -> None:
+        """Probe workers for the job, which waits for the first that has room."""
+        job.probed_first = True
+        for batch in self._batches(job):
+            some = [w.name for w in self.eligible(job, batch)][:PROBES]
+            self.out += [api.Probe(name) for name in some]
+            self.probes_sent(job, some)
+
+    def _probe_stale(self, pool: list[Worker], share: float) -> None:
+        """Probe workers of a pool, which gets this share of our jobs, whose last probe is older than pays."""
+        for worker in self.sample(pool, SCAN):
+            every = self.probe_every(worker.kind, self.rate.value * share / len(pool))
+            if self.now - worker.probed_at >= every and not self.hangs(worker, SILENT_US):
+                worker.probed_at = self.now
+                self.out.append(api.Probe(worker.name))
+
     def _probed(self, event: api.ProbeEnded) -> None:
-        """Take a probe's answer, and decide on its job at the first room or the last answer."""
-        self._report(event)
+        """Take a probe's answer; a job that waits for it is placed at the first room or the last answer."""
+        if event.outcome == api.Outcome.OK:
+            self.probe_us += (event.took_us - self.probe_us) * RUN_WEIGHT
         job, worker = self.next_probing(event.worker), self.workers.get(event.worker)
+        self._report(event, waited_for=job is not None)
         if job is not None:
             job.probes_pending -= 1
             job.probe_replies += [worker] if worker is not None and event.outcome == api.Outcome.OK else []
@@ -261,6 +282,7 @@
         job.probe_replies, job.probes_pending = [], 0
         self.hold(job, Attempt(worker, self.now, self._free(worker) >= job.slots))
         worker.asked_at = worker.asked_at or self.now
+        self.crossed += ((worker.zone != self.settings.zone) - self.crossed) * CROSSED_STEP
         self.returned = [w for w in self.returned if w is not worker] if self.returned else []
         if self.cold(worker):
             worker.cold_next = self._cold_until(job.run * job.slots, worker)
@@ -297,12 +319,13 @@
             if len(job.attempts) >= self.limits.send_cap:
                 continue
             # Guards against copies that never go out: where schedulers are many, the others are unheard.
-            room_only = self._density(job) < 1 or job.pending > 1
+            room_only = self.density(job) < 1 or job.pending > 1
             target = self._pick(job, room_only, 0.0)
-            if target is not None and (job.pending == 1 or self._swap(job, number)):
+            pays = target is not None and self.copy_pays(job, attempt, target)
+            if target is not None and pays and (job.pending == 1 or self._swap(job, number)):
                 self._place(job, target)
             elif job.pending == 1:
-                self._watch(job, number, job.patience)
+                self._watch(job, number, max(job.patience, self.now - attempt.at))
         self.out += [api.SetTimer(us, "watch") for us in self.remind_next()]
 
     def _swap(self, job: Job, number: int) -> bool:
@@ -328,7 +351,7 @@
             self._look(job, attempt, number, LATE_RUN)
             return
         target = self._pick(job, room_only=True)
-        if target is not None and self._pace(target) < SLOW:
+        if target is not None and self._pace(target) < SLOW and self.copy_pays(job, attempt, target):
             self._place(job, target)
 
     def _noted(self, event: api.JobStarted | api.JobProgress | api.StreamStarted) -> None:
@@ -341,8 +364,11 @@
             return
         attempt.started = self.now
         worker.running += job.slots
+        late = self.now - attempt.at > PROMPT * self.mean_run
+        if attempt.room and not job.probed_first:
+            self.misjudged += (late - self.misjudged) * TRUST_STEP
         if not worker.kind.told:
-            self._learn_slots(worker, self.now - attempt.at > PROMPT * self.mean_run)
+            self._learn_slots(worker, late)
         self.own_running += job.slots
         self._cancel(job, attempt)
         if self.limits.second_copies and job.pending == 1 and not job.done:
@@ -440,11 +466,10 @@
         errors = self.settings.read(event.report or []).get(self.settings.errors_field, 0.0)
         return errors * self.mean_run / 1e6 >= ERRING * worker.kind.slots
 
-    def _report(self, event: api.AttemptEnded | api.ProbeEnded) -> None:
+    def _report(self, event: api.AttemptEnded | api.ProbeEnded, waited_for: bool = False) -> None:
         """Take free slots and memory from a load report; a repeated or absurd value is ignored."""
         worker = self.workers.get(event.worker)
-        fresh = self.settings.asks_first
-        if worker is None or event.report is None or (event.report == worker.last_report and not fresh):
+        if worker is None or event.report is None or (event.report == worker.last_report and not waited_for):
             return
         worker.last_report = event.report
         readings = self.settings.read(event.report)
@@ -452,13 +477,21 @@
         worker.free_memory = readings.get(self.settings.free_memory_field, worker.free_memory)
         worker.memory_at = self.now
         if free is not None:
-            self._told_slots(worker.kind, free, held)
-            held = held if self.settings.held_field else worker.kind.slots - free
-        if held is not None:
-            self.hear(worker, held)
-            before = self._others(worker)
-            trust = self.trust * (1.0 if fresh else REPORT_TRUST)
-            worker.observe(self.now, before + (held - worker.held - before) * trust)
+            self._told_slots(worker, free, held)
+            queued = readings.get(self.settings.queued_field, 0.0) * self.mean_slots
+            held = held if self.settings.held_field else worker.kind.slots - free + queued
+        if held is None:
+            return
+        self.hear(worker, held)
+        own = worker.held
+        if self.settings.asks_first and not waited_for:
+            own = worker.held_at(self.now - REPORT_AGE_US)
+            worker.reports += 1
+            weight = max(OTHERS_WEIGHT, 1 / worker.reports)
+            worker.others_mean += (max(held - own, 0.0) - worker.others_mean) * weight
+        before = self._others(worker)
+        trust = self.trust * (1.0 if waited_for else REPORT_TRUST)
+        worker.observe(self.now, before + (held - own - before) * trust)
 
     # The list.
 
--- a/merlinbay/site_settings.py
+++ b/merlinbay/site_settings.py
@@ -114,6 +114,7 @@
         report_fields=fields if report.get("how") != "off" else [],
         errors_field="err_rps" if "err_rps" in fields else "",
         held_field="active" if "active" in fields else "",
+        queued_field="waiting" if "waiting" in fields else "",
         free_slots_field=meaning("free slots"),
         free_memory_field=meaning("free memory"),
         tells_start=get_of(extra, "extra.tellsStart", bool, False),
@@ -122,6 +123,7 @@
         must_subscribe=get_of(conf, "discovery", str, "automatic") == "subscribe",
         asks_first=get_of(report, "report.how", str, "") == "on_probe",
         probe_price=float(get_of(prices, "prices.probe", NUMBER, 0.0)),
+        waste_price=float(get_of(prices, "prices.waste", NUMBER, 0.0)),
         worth_by_work=get_of(conf, "worthBy", str, "") == "work",
         cross_zone_price=float(get_of(prices, "prices.crossZone", NUMBER, 0.0)),
     )
