--- a/tests/consensus_cluster.py
+++ b/tests/consensus_cluster.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from merlinbay.control.consensus.log import LogEntry
+from merlinbay.control.consensus.membership import Configuration
 from merlinbay.control.effects import Effect, Persist, ProposalDone, ReadDone, RevisionAdvanced, Send
 from merlinbay.control.entries import Change, ChangeApplied, ChangeResult
 from merlinbay.control.voter import Role, Voter, VoterSettings
@@ -128,11 +129,22 @@
             entry = voter._core.log.get(index)
             if entry is not None:
                 assert self.committed.setdefault(index, entry) == entry
+                self.check_configuration(entry)
         self.seen[name] = voter.commit_index
         if voter.commit_index:
             digest = voter.keyspace.digest()
             assert self.digests.setdefault(voter.commit_index, digest) == digest
 
+    def check_configuration(self, entry: LogEntry) -> None:
+        """Check that majorities of this configuration and of the last one meet."""
+        if not isinstance(entry.command, Configuration):
+            return
+        for index in range(entry.index - 1, 0, -1):
+            before = self.committed[index].command if index in self.committed else None
+            if isinstance(before, Configuration):
+                assert len(set(before.members) ^ set(entry.command.members)) <= 1
+                return
+
     def step(self, until: float) -> bool:
         """Do the next event; return False where none is left before ``until``."""
         due = [
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -12,7 +12,7 @@
 from merlinbay.control.consensus import records
 from merlinbay.control.consensus.log import LogEntry
 from merlinbay.control.consensus.membership import Configuration, Member
-from merlinbay.control.effects import Persist, ProposalDone, Send
+from merlinbay.control.effects import Persist, ProposalDone, ReadDone, Send
 from merlinbay.control.entries import Change, ChangeApplied, ChangeRejected, ChangeResult, ChangeUncertain
 from merlinbay.control.voter import CorruptRecords, Role, Voter, VoterSettings
 from tests.consensus_cluster import NAMES, Cluster, Trouble, settings
@@ -49,6 +49,7 @@
         self.kept, self.now = kept, 0.0
         self.voter = Voter(name, settings(("a", "b", "c"), **more), kept, Random(1), 0.0)
         self.answers: dict[int, ChangeResult] = {}
+        self.reads: dict[int, ReadDone] = {}
         self.take()
 
     def take(self) -> list[tuple[str, wire.Message]]:
@@ -59,6 +60,8 @@
                 self.kept = [*([] if effect.replaces_all else self.kept), effect.record]
             elif isinstance(effect, ProposalDone):
                 self.answers[effect.token] = effect.result
+            elif isinstance(effect, ReadDone):
+                self.reads[effect.token] = effect
             elif isinstance(effect, Send):
                 sent.append((effect.receiver, wire.decode(effect.message).message))
                 self.check_stored(sent[-1][1])
@@ -124,6 +127,7 @@
     lone = Lone(stored())
     lone.now = LATER
     assert lone.say("b", wire.VoteRequest(5, 9, 4)) == [wire.VoteResponse(5, disk("b"), True)]
+    assert lone.voter.next_deadline() > LATER  # it gives its candidate the time to win
     for one in (lone, Lone(lone.kept)):
         one.now = 2 * LATER
         assert one.say("c", wire.VoteRequest(5, 9, 4))[0].granted is False
@@ -214,6 +218,53 @@
     assert (lone.voter.commit_index, lone.voter.keyspace.revision) == (2, 1)
     lone.append((0, 0))  # a repeat from before
     assert (lone.voter.commit_index, lone.terms()) == (2, [1, 1, 2, 2])
+    lone.append((4, 2), entry(5, 9))
+    assert Lone(lone.kept).voter.commit_index == 2
+
+
+def test_what_comes_late_from_before_a_snapshot_is_acknowledged() -> None:
+    """All of it is committed: it needs no look at entries that are gone."""
+    lone = Lone(stored())
+    lone.append((1, 1), *(entry(index, 2) for index in range(2, 41)), commit=40)
+    assert lone.voter._core.log.base_index == 32
+    assert lone.append((1, 1), entry(2, 2)) == wire.AppendResponse(9, 1, 40, True)
+    assert lone.append((39, 2), entry(40, 2), entry(41, 2)) == wire.AppendResponse(9, 1, 41, True)
+    assert Lone(lone.kept).voter.last_index == 41
+
+
+def snapshot_of(last: int) -> bytes:
+    """Return a snapshot of the log that ``stored`` and ``entry`` make, up to an index."""
+    lone = Lone(stored())
+    lone.append((1, 1), *(entry(index, 2) for index in range(2, last + 1)), commit=last)
+    configuration = lone.voter._core.log.configuration
+    return records.encode_snapshot(
+        records.SnapshotData(last, 2, configuration, lone.voter.keyspace.snapshot())
+    )
+
+
+def test_a_snapshot_takes_away_no_entry_that_was_acknowledged() -> None:
+    """Entries after it stay where the logs agree on its last one; it comes but once."""
+    request = wire.SnapshotRequest(9, 1, 5, 0, snapshot_of(5), done=True)
+    for terms, last in (((2, 2, 2, 2, 2), 6), ((2, 2, 2, 1, 1), 5)):
+        lone = Lone(stored(*terms))
+        for _ in range(2):
+            (answer,) = lone.say("b", request)
+            assert answer.installed
+        assert lone.voter.counters.snapshots_installed == 1
+        for voter in (lone.voter, Lone(lone.kept).voter):
+            assert (voter.commit_index, voter.last_index, voter.keyspace.revision) == (5, last, 4)
+
+
+def test_chunks_of_a_snapshot_are_put_together_in_order() -> None:
+    """One that comes too early or twice changes nothing; junk is dropped and counted."""
+    lone, data = Lone(stored()), snapshot_of(5)
+    for offset, end, received in ((0, 10, 10), (20, 30, 10), (0, 10, 10), (10, 20, 20)):
+        (answer,) = lone.say("b", wire.SnapshotRequest(9, 1, 5, offset, data[offset:end], done=False))
+        assert (answer.received, answer.installed) == (received, False)
+    (answer,) = lone.say("b", wire.SnapshotRequest(9, 1, 5, 20, data[20:], done=True))
+    assert answer.installed
+    assert lone.say("b", wire.SnapshotRequest(9, 1, 9, 0, b"junk", done=True)) == []
+    assert lone.voter.counters.impossible_messages == 1
 
 
 def test_a_leader_commits_only_by_entries_of_its_term() -> None:
@@ -340,6 +391,28 @@
     assert cluster.leader() != leader and cluster.now - before < 3.0
 
 
+def test_a_read_waits_for_an_entry_of_the_leaders_term() -> None:
+    """Before, a new leader may not know of all that is committed; the wait has an end."""
+    lone = Lone(stored(1, 2))
+    lone.lead()
+    lone.voter.read(lone.now, "k", 1)
+    lone.acknowledge("b", 1)
+    lone.acknowledge("b", 1)
+    assert 1 not in lone.reads
+    lone.acknowledge("b", 4)  # begins the read's round
+    lone.acknowledge("b", 4)
+    assert lone.reads[1].revision == 2 and not lone.reads[1].failed
+    lone = Lone(stored(1, 2))
+    lone.lead()
+    lone.voter.read(lone.now, "k", 2)
+    for _ in range(8):
+        lone.acknowledge("b", 1)
+        lone.now += 0.5
+        lone.voter.tick(lone.now)
+        lone.take()
+    assert lone.roles == [Role.LEADER] and lone.reads[2].failed
+
+
 @pytest.mark.parametrize("request_first", [True, False])
 def test_a_leader_stopped_for_20_s_and_woken(request_first: bool) -> None:
     """It answers no read from its old state, whether what came in meanwhile is seen before or after."""
@@ -426,10 +499,11 @@
 
 def test_two_lost_disks_of_five_are_readmitted_without_a_second_vote() -> None:
     """They are other voters until the log says so; then they hold all again."""
-    cluster = Cluster()
+    cluster = Cluster(history_revisions=10)
     for number in range(60):
         cluster.commit("k", f"{number}")
     leader = cluster.leader()
+    assert cluster.voters[leader].keyspace.compacted_revision >= 40
     lost = [name for name in NAMES if name != leader][:2]
     for name in lost:
         cluster.crash(name, lose_disk=True)
@@ -536,7 +610,7 @@
 
 def test_no_change_of_voters_before_an_entry_of_the_own_term_is_committed() -> None:
     """Ongaro's correction of 2015: the last leader's change may still be there."""
-    lone = Lone(stored())
+    lone = Lone(stored(commit=1))
     lone.lead()
     lone.voter.change_voters(lone.now, None, "c", 1)
     lone.take()
@@ -547,6 +621,37 @@
     assert lone.answers[1] == ChangeApplied(0)
 
 
+def test_a_new_voter_catches_up_before_it_counts() -> None:
+    """Until then it gets entries without a vote."""
+    lone = Lone(stored(1, commit=2))
+    lone.lead()
+    lone.acknowledge("b", 3)
+    lone.voter.change_voters(lone.now, "d", None, 1)
+    lone.take()
+    lone.acknowledge("b", 4)
+    lone.acknowledge("d", 1)
+    assert "d" in lone.voter.joining and "d" not in lone.voter.voters
+    lone.acknowledge("d", 4)
+    assert "d" in lone.voter.voters[-1:]
+
+
+def test_a_snapshot_goes_on_where_the_receiver_started_again() -> None:
+    """It has forgotten the chunks that it had."""
+    cluster = Cluster(names=("a", "b", "c"), max_batch_bytes=700)
+    leader = cluster.leader()
+    behind = next(name for name in "abc" if name != leader)
+    cluster.crash(behind)
+    for number in range(80):
+        cluster.commit(f"k{number}", f"{number}")
+    cluster.start(behind)
+    following = cluster.voters[behind]._following
+    assert cluster.run(9, lambda: following.assembly is not None and len(following.assembly.data) > 1500)
+    cluster.crash(behind)
+    cluster.start(behind)
+    cluster.run(9)
+    assert cluster.voters[behind].keyspace.revision == 80
+
+
 def test_leadership_is_handed_over() -> None:
     """Without an election timeout's wait, and nothing is lost."""
     cluster = Cluster()
@@ -609,6 +714,8 @@
     assert cluster.voters[behind].keyspace.revision == 80
     assert cluster.voters[behind].counters.snapshots_installed == 1
     assert len(cluster.disks[leader]) < 80
+    cluster.crash(behind)
+    assert cluster.start(behind).keyspace.revision > 40
 
 
 @pytest.mark.parametrize(
