--- a/merlinbay/control/consensus/core.py
+++ b/merlinbay/control/consensus/core.py
@@ -18,6 +18,8 @@
 from merlinbay.control.entries import Change, ChangeResult
 from merlinbay.control.keyspace import Keyspace
 
+LEAST_CANDIDACY = 0.3  # of an election timeout: above a round trip between regions
+
 
 @dataclass(slots=True)
 class Counters:
@@ -102,6 +104,11 @@
         """Wait for a leader from now on; differently long each time, so that votes seldom split."""
         self.election_deadline = self.now + self.settings.election_timeout * (1 + self.random.random())
 
+    def restart_candidacy_timer(self) -> None:
+        """Wait for votes: shorter, since no leader is there whom another election could disturb."""
+        share = LEAST_CANDIDACY + (1 - LEAST_CANDIDACY) * self.random.random()
+        self.election_deadline = self.now + self.settings.election_timeout * share
+
     def step_down(self, term: int, leader: str = "") -> None:
         """Become a follower in ``term``."""
         if self.role is Role.LEADER:
--- a/merlinbay/control/consensus/election.py
+++ b/merlinbay/control/consensus/election.py
@@ -32,7 +32,7 @@
         core = self.core
         core.become(role)
         core.leader = ""
-        core.restart_election_timer()
+        core.restart_candidacy_timer()
         self.granted = {core.identity}
         self.founding = tuple(sorted(core.settings.initial_voters)) if self.is_founder else ()
         if role is Role.CANDIDATE:
--- a/merlinbay/control/voter.py
+++ b/merlinbay/control/voter.py
@@ -293,7 +293,8 @@
         """Add, remove or replace one voter; answered by ``ProposalDone`` within ``voters_timeout``.
 
         The one that is added first catches up without a vote. ``add`` equal to ``remove`` readmits a voter
-        with the disk that it has now, which a leader also does by itself.
+        with the disk that it has now, which a leader also does by itself. ``ChangeApplied`` has the
+        keyspace's revision, which such a change does not move.
         """
         self._begin(now)
         rejected = self._refusal()
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -10,6 +10,7 @@
 
 from merlinbay.control.consensus import messages as wire
 from merlinbay.control.consensus import records
+from merlinbay.control.consensus.core import new_incarnation
 from merlinbay.control.consensus.log import LogEntry
 from merlinbay.control.consensus.membership import Configuration, Member
 from merlinbay.control.effects import Persist, ProposalDone, ReadDone, Send
@@ -74,7 +75,7 @@
             case wire.VoteResponse(granted=True, pre=False):
                 assert (state.term, state.voted_for) == (message.term, message.candidate)
             case wire.VoteRequest(pre=False):
-                assert (state.term, state.voted_for) == (message.term, disk("a"))
+                assert (state.term, state.voted_for) == (message.term, state.identity)
             case wire.AppendResponse(success=True):
                 assert state.log.last_index >= message.index
             case wire.AppendRequest(entries=(*_, last)):
@@ -102,13 +103,14 @@
         """Return its role."""
         return [self.voter.role]
 
-    def lead(self) -> None:
-        """Let it win an election by the vote of ``b``."""
+    def lead(self, granting: str = "b") -> None:
+        """Let it win an election by these votes."""
         self.now = LATER
         self.voter.tick(self.now)
         for pre in (True, False):
             term = self.voter.term + pre
-            self.say("b", wire.VoteResponse(term, disk("a"), True, pre))
+            for name in granting:
+                self.say(name, wire.VoteResponse(term, disk("a"), True, pre))
         assert self.voter.role is Role.LEADER
 
     def acknowledge(self, sender: str, index: int, incarnation: str = "") -> list[Any]:
@@ -222,6 +224,15 @@
     assert Lone(lone.kept).voter.commit_index == 2
 
 
+def test_a_configuration_that_is_replaced_is_out_of_force() -> None:
+    """Also after a start."""
+    lone = Lone(stored())
+    lone.append((1, 1), LogEntry(2, 2, Configuration((disk("a"), disk("b")))))
+    assert "c" not in lone.voter.voters
+    lone.append((1, 1), entry(2, 3))
+    assert "c" in lone.voter.voters and "c" in Lone(lone.kept).voter.voters
+
+
 def test_what_comes_late_from_before_a_snapshot_is_acknowledged() -> None:
     """All of it is committed: it needs no look at entries that are gone."""
     lone = Lone(stored())
@@ -290,6 +301,20 @@
     assert lone.voter.commit_index == 2 and lone.voter.joining == ("b",)
 
 
+def test_late_answers_take_nothing_back() -> None:
+    """Neither an acknowledgement of less, nor a rejection from before."""
+    lone = Lone(stored(1, names="abcde"))
+    lone.lead("bc")
+    lone.acknowledge("b", 3)
+    lone.acknowledge("b", 2)
+    lone.say("b", wire.AppendResponse(2, 1, 0, False))
+    lone.voter.propose(lone.now, Change("x", "k", b""), 1)
+    sent = [message for receiver, message in lone.take() if receiver == "b"]
+    assert [one.previous_index for one in sent if isinstance(one, wire.AppendRequest)] == [3]
+    lone.acknowledge("c", 3)
+    assert lone.voter.commit_index == 3
+
+
 def test_messages_are_bounded_and_sent_ahead() -> None:
     """Batches by bytes; no more unanswered ones than allowed."""
     lone = Lone(stored(), max_messages_in_flight=3)
@@ -340,6 +365,20 @@
     assert isinstance(result, ChangeRejected) and result.reason == reason
 
 
+def test_the_log_and_the_reads_are_bounded() -> None:
+    """Where nothing is committed for long."""
+    lone = Lone(stored(), max_log_entries=30, max_reads=2)
+    lone.lead()
+    for token in range(40):
+        lone.voter.propose(lone.now, Change(f"{token}", "k", b""), token)
+        lone.voter.read(lone.now, "k", token)
+    lone.take()
+    assert sorted(lone.answers) == list(range(28, 40)) and sorted(lone.reads) == list(range(2, 40))
+    assert all(
+        isinstance(one, ChangeRejected) and one.reason == "overloaded" for one in lone.answers.values()
+    )
+
+
 def test_a_request_that_takes_long_is_answered() -> None:
     """Also while a majority confirms the leader, but stores nothing."""
     cluster = Cluster(names=("a", "b", "c"))
@@ -532,6 +571,24 @@
     assert set(cluster.leaders) == terms and cluster.commit_count() == 1
 
 
+def test_two_disks_of_one_voter_in_the_first_election_are_one_vote() -> None:
+    """It lost one just then."""
+    lone = Lone([])
+    lone.now = LATER
+    lone.voter.tick(LATER)
+    me = Member("a", lone.voter.incarnation)
+    for pre in (True, False):
+        for sender, incarnation in (("b", "1"), ("b", "2"), ("c", "1")):
+            lone.say(sender, wire.VoteResponse(1, me, True, pre), incarnation)
+    assert lone.roles == [Role.LEADER] and lone.voter.voters == ("a", "b", "c")
+
+
+def test_each_disk_has_its_own_identity() -> None:
+    """Also where the generator of a host is seeded alike at each start, or the clock is the same."""
+    drawn = {new_incarnation(Random(seed), now) for seed in (1, 2) for now in (0.0, 1.0)}
+    assert len(drawn) == 4
+
+
 def test_a_full_disk_at_one_voter() -> None:
     """It says nothing more, its clients get an answer, and it comes back from its records."""
     cluster = Cluster(names=("a", "b", "c"))
@@ -608,6 +665,13 @@
     assert isinstance(result, ChangeRejected) and result.reason == reason
 
 
+@pytest.mark.parametrize("add", [None, "b"])
+def test_the_only_voter_is_not_removed(add: str | None) -> None:
+    """Nobody would be left to commit that."""
+    result = change(Cluster(names=("a",)), add, "a")
+    assert isinstance(result, ChangeRejected) and result.reason == "invalid"
+
+
 def test_no_change_of_voters_before_an_entry_of_the_own_term_is_committed() -> None:
     """Ongaro's correction of 2015: the last leader's change may still be there."""
     lone = Lone(stored(commit=1))
@@ -621,6 +685,50 @@
     assert lone.answers[1] == ChangeApplied(0)
 
 
+def test_leadership_goes_to_a_complete_log_or_stays() -> None:
+    """The voter chosen is asked once it has all; where that takes long, changes are taken again."""
+    lone = Lone(stored())
+    lone.lead()
+    lone.voter.propose(lone.now, Change("1", "k", b""), 1)
+    lone.voter.transfer_leadership(lone.now)
+    assert not any(isinstance(message, wire.TimeoutNow) for _, message in lone.take())
+    assert wire.TimeoutNow(2) in [message for name in "cb" for message in lone.acknowledge(name, 3)]
+    for _ in range(4):
+        lone.now += 0.2
+        lone.voter.tick(lone.now)
+        lone.acknowledge("b", 3)
+    lone.voter.propose(lone.now, Change("2", "k", b""), 2)
+    lone.take()
+    assert lone.roles == [Role.LEADER] and 1 in lone.answers and 2 not in lone.answers
+
+
+@pytest.mark.parametrize("sender, term, stands", [("b", 9, True), ("c", 9, False), ("b", 8, False)])
+def test_only_the_leader_hands_leadership_over(sender: str, term: int, stands: bool) -> None:
+    """Not one that comes late, nor anybody else."""
+    lone = Lone(stored())
+    lone.append((1, 1))
+    lone.say(sender, wire.TimeoutNow(term))
+    assert lone.roles == [Role.CANDIDATE if stands else Role.FOLLOWER]
+
+
+def test_who_holds_no_vote_forgets_a_leader_that_is_gone() -> None:
+    """It rejects as one that hears none, and stands in no election."""
+    lone = Lone(stored(names="bc"))
+    lone.append((1, 1))
+    assert lone.voter.leader == "b"
+    lone.now = 1.39
+    lone.voter.propose(lone.now, Change("1", "k", b""), 1)
+    lone.now = 1.41
+    lone.voter.propose(lone.now, Change("1", "k", b""), 2)
+    lone.now = LATER
+    lone.voter.tick(lone.now)
+    assert lone.take() == [] and lone.roles == [Role.FOLLOWER]
+    assert lone.answers == {
+        1: ChangeRejected("not_leader", leader="b"),
+        2: ChangeRejected("no_quorum", "this voter hears no leader"),
+    }
+
+
 def test_a_new_voter_catches_up_before_it_counts() -> None:
     """Until then it gets entries without a vote."""
     lone = Lone(stored(1, commit=2))
