--- a/tests/test_keyspace.py
+++ b/tests/test_keyspace.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from merlinbay.control import keyspace as module
-from merlinbay.control.entries import Change, ChangeApplied, ChangeRejected, KeyValue
+from merlinbay.control.entries import Change, ChangeApplied, ChangeRejected, Delta, KeyValue
 from merlinbay.control.keyspace import Keyspace, SnapshotError
 
 changes = st.lists(
@@ -95,6 +95,13 @@
     assert keyspace.apply(Change("1", "k", b"x", 4)) == ChangeRejected("conflict", current_revision=0)
 
 
+def test_a_delta_has_a_key_that_is_older_than_its_base() -> None:
+    """Where it was written again since."""
+    keyspace = built([Change("1", "a", b"1"), Change("2", "b", b"2"), Change("3", "a", b"3")])
+    assert keyspace.delta_after(2) == Delta(2, 3, (KeyValue("a", b"3", 3),))
+    assert keyspace.delta_after(1) == Delta(1, 3, (KeyValue("b", b"2", 2), KeyValue("a", b"3", 3)))
+
+
 def test_the_memory_of_ids_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """By revisions, and by number where nothing but rejections comes."""
     monkeypatch.setattr(module, "DEDUPE_REVISIONS", 5)
