--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -266,6 +266,7 @@
     sent(server)
     store.restore(source(2))
     server.reset(Generation(2, "restored"), 1.0)
+    assert server.staleness(1.0) == math.inf  # until its host confirms the new history
     server.confirm(1.0)
     server.tick(1.0)
     said = sent(server)
@@ -274,7 +275,7 @@
     link = watching(one, 3)
     give(one, link, KeepAlive(3, 0), SnapshotMessage(1, ()))
     assert one.snapshot() == STATE  # an older snapshot of the same history
-    give(one, link, said[0])
+    give(one, link, delta(3, 9, 0, 2), said[0])  # in the midst of another message
     assert one.snapshot() == STATE
     give(one, link, *said[1:])
     assert one.snapshot() == store.snapshot() and one.generation.number == 2
@@ -284,6 +285,30 @@
     assert status.force_status(server.summary(1.0), 2).in_force == 1
 
 
+def test_a_reset_to_the_same_revision_sends_the_new_state() -> None:
+    """No frame of the former history is used again."""
+    store = source(9, kept=3)
+    server = serve(store)
+    Watcher(server, 1).watch(0)
+    sent(server)
+    other = SourceStore(3)
+    for _ in range(9):
+        change(other, "other")
+    store.restore(other)
+    server.reset(Generation(2, "restored"), 1.0)
+    server.tick(1.0)
+    (snapshot,) = [one for one in sent(server) if isinstance(one, SnapshotMessage)]
+    assert [entry.key for entry in snapshot.entries] == ["other"]
+
+
+def test_a_delta_after_a_reset_is_not_applied_to_the_state_before_it() -> None:
+    """Even where its revisions would fit."""
+    one = follower(saved=STATE)
+    link = watching(one, 3)
+    effects = give(one, link, Accepted(Generation(2, "restored"), 5, 0), delta(3, 5))
+    assert one.snapshot() == STATE and CloseUpstream(link.attempt) in effects
+
+
 def test_a_delta_twice_or_overlapping_is_applied_once() -> None:
     """By revision, key by key."""
     one = follower(saved=STATE)
@@ -318,6 +343,19 @@
     assert attempt(one, 5.0).upstream == SECOND
 
 
+def test_data_before_the_watch_was_accepted_and_too_much_of_them_are_not_taken() -> None:
+    """A snapshot is bounded in bytes."""
+    one = follower(saved=STATE)
+    early = attempt(one)
+    assert CloseUpstream(early.attempt) in give(one, early, SnapshotMessage(9, ()))
+    settings = FollowerSettings(snapshot_bytes=1000)
+    one = Follower("m", HERE, [FIRST], settings, Random(3), generation=GENERATION, saved=STATE)
+    one.start(0.0)
+    link = watching(one, 3)
+    parts = [SnapshotMessage(9, (Entry(f"k{n}", b"x" * 400, n + 1),), n, 4) for n in range(4)]
+    assert CloseUpstream(link.attempt) in give(one, link, *parts) and one.snapshot() == STATE
+
+
 def test_a_snapshot_that_is_interrupted_half_way_changes_nothing() -> None:
     """The next one is taken as a whole; parts of the two do not mix."""
     store = SourceStore(3)
@@ -349,6 +387,43 @@
     assert one.revision == 9 and one.get("k8") == KeyValue("k8", b"8", 8)
 
 
+def test_a_follower_that_lacks_the_latest_revision_is_not_taken_to_be_fresh() -> None:
+    """Only what is in force counts, not what was promised."""
+    one = follower(saved=STATE)
+    link = watching(one, 5)
+    give(one, link, KeepAlive(5, 0))
+    assert one.staleness(1.0) == math.inf
+    give(one, link, delta(3, 5))
+    assert one.staleness(1.0) == 0.0
+
+
+def test_a_delta_encoded_long_ago_does_not_make_an_old_state_look_fresh() -> None:
+    """The same frame is used only for as long as its age is about right."""
+    store = source(5)
+    server = serve(store)
+    Watcher(server, 1).watch(3, now=0.0)
+    Watcher(server, 2).watch(3, now=1.0)
+    Watcher(server, 3).watch(3, now=100.0)
+    ages = [one.staleness_ms for one in sent(server) if isinstance(one, DeltaMessage)]
+    assert ages == [0, 0, 100_000] and server.frames.deltas_encoded == 2
+
+
+def test_a_kept_snapshot_is_used_until_its_deltas_are_compacted() -> None:
+    """Then the state is encoded anew."""
+    store = source(40, kept=3)
+    server = serve(store)
+    for connection in range(3):
+        Watcher(server, connection).watch(0)
+        change(store, "key0")
+    last = [type(message) for connection, message in sent_to(server) if connection == 2]
+    assert last == [Accepted, SnapshotMessage, DeltaMessage, DeltaMessage]
+    assert server.frames.snapshots_encoded == 1
+    for number in range(5):
+        change(store, f"key{number}")
+    Watcher(server, 9).watch(0)
+    assert server.frames.snapshots_encoded == 2 and sent(server)[-1] == KeepAlive(store.revision, 0)
+
+
 # The server's bounds.
 
 
@@ -473,6 +548,52 @@
     assert server.counters.cut_silent == 2
 
 
+def test_a_server_that_stops_sends_all_elsewhere_and_takes_none() -> None:
+    """With the names of others, which its followers then try first."""
+    server = WatchServer(source(3), GENERATION, SERVER, Random(1), 0.0, ["third"])
+    Watcher(server, 1).watch(3)
+    sent(server)
+    server.drain(1.0)
+    Watcher(server, 2).watch(3)
+    said = sent(server)
+    assert said == [Goodbye(GoodbyeReason.STOPPING, ("third",))] * 2 and server.watches == 0
+    third = Upstream("third", "", Location("r9", "z9"))
+    one = follower(upstreams=(FIRST, SECOND, third))
+    give(one, watching(one, 0), said[0])
+    assert attempt(one, 4.0).upstream == third
+
+
+def test_streams_without_a_watch_and_names_of_the_lost_are_bounded() -> None:
+    """Whoever connects and says nothing."""
+    server = serve(source(3), max_watches=600, admit_rate=1e6, admit_burst=2000)
+    for connection in range(2000):
+        server.opened(connection, 0.0)
+    closed = [effect for effect in server.take_effects() if isinstance(effect, CloseDownstream)]
+    assert len(closed) == 2000 - 2 * 600
+    for connection in range(1100):
+        server.closed(connection, 0.0)
+        Watcher(server, connection).watch(3)
+        server.closed(connection, 0.0)
+    assert len(server._absent) == 1024
+
+
+def test_a_relay_serves_nothing_before_it_has_the_state() -> None:
+    """Not even that it is empty."""
+    relay = Relay("r", HERE, [Upstream("voter", "", HERE, tier=0)], RelaySettings(), Random(1), 0.0)
+    relay.start(0.0)
+    relay.tick(1.0)
+    (connect,) = [effect for effect in relay.take_effects() if isinstance(effect, Connect)]
+    relay.upstream_connected(connect.attempt, 1.0)
+    relay.upstream_received(connect.attempt, messages.encode(Accepted(GENERATION, 3, 0)), 1.0)
+    Watcher(relay.server, 1).watch(0, now=1.0)
+    (busy,) = sent(relay.server)
+    assert isinstance(busy, Busy) and busy.reason is BusyReason.NO_DATA
+    for message in (SnapshotMessage(3, (Entry("a", b"", 3),)), KeepAlive(3, 0)):
+        relay.upstream_received(connect.attempt, messages.encode(message), 1.0)
+    Watcher(relay.server, 2).watch(0, now=2.0)
+    assert [type(one) for one in sent(relay.server)] == [Accepted, SnapshotMessage, KeepAlive]
+
+
 # The follower's one watch.
 
 
@@ -498,6 +619,10 @@
     assert again.upstream == FIRST
     give(one, again, Busy(BusyReason.FULL, 20_000), now=2.0)
     assert attempt(one, 4.0).upstream == SECOND
+    alone = follower(upstreams=(FIRST,))
+    give(alone, attempt(alone), Busy(BusyReason.FULL, messages.NEVER_MS))
+    wait = alone.next_deadline() - 1.0
+    assert FOLLOWER.busy_most <= wait <= FOLLOWER.busy_most + 4 * FOLLOWER.backoff_first  # one round is over
 
 
 def test_back_off_grows_to_its_bound_and_not_beyond() -> None:
@@ -574,6 +699,95 @@
     assert FOLLOWER.prefer_again <= now - 5.0 <= 2 * FOLLOWER.prefer_again + 1
 
 
+def test_followers_of_a_lost_relay_spread_their_moves_and_reports_are_never_missing() -> None:
+    """Evenly over the time for moving; a report goes at least so often as a server wants it."""
+    rng = Random(8)
+    waits = []
+    for number in range(200):
+        one = Follower(f"m{number}", HERE, [FIRST, SECOND], FOLLOWER, rng)
+        one.start(0.0)
+        one.closed(watching(one, 0, now=2.0).attempt, 3.0)
+        waits.append(one.next_deadline() - 3.0)
+    tenths = [
+        sum(tenth <= 10 * wait / FOLLOWER.move_spread < tenth + 1 for wait in waits) for tenth in range(10)
+    ]
+    assert min(tenths) > 8 and max(tenths) < 35
+    one = follower()
+    link = watching(one, 0)
+    reported = [1.0]
+    for step in range(10, 600):
+        now = step / 10
+        give(one, link, KeepAlive(0, 0), now=now)
+        one.tick(now)
+        reported += [now for effect in one.take_effects() if isinstance(effect, SendUpstream)]
+    gaps = [later - earlier for earlier, later in zip(reported, reported[1:], strict=False)]
+    assert max(gaps) <= FOLLOWER.report + 0.2 < SERVER.silence / 2 and len(gaps) < 14
+
+
+def test_an_upstream_that_asked_for_time_is_not_tried_before() -> None:
+    """Even where another has failed as often."""
+    one = follower()
+    give(one, attempt(one), Busy(BusyReason.FULL, 20_000))
+    one.closed(attempt(one, 4.0).attempt, 4.0)
+    assert attempt(one, 9.0).upstream == SECOND
+
+
+def relayed(relay: Relay, link: Connect, *said: ServerMessage, now: float = 1.0) -> None:
+    """Give messages to a relay from upstream."""
+    for message in said:
+        relay.upstream_received(link.attempt, messages.encode(message), now)
+
+
+def relay_watching(now: float = 1.0) -> tuple[Relay, Connect]:
+    """Return a relay that holds a state of one key at revision 3."""
+    relay = Relay("r", HERE, [Upstream("voter", "", HERE, tier=0)], RelaySettings(), Random(1), 0.0)
+    relay.start(0.0)
+    relay.tick(now)
+    (connect,) = [effect for effect in relay.take_effects() if isinstance(effect, Connect)]
+    relay.upstream_connected(connect.attempt, now)
+    relayed(
+        relay, connect, Accepted(GENERATION, 3, 0), SnapshotMessage(3, (Entry("a", b"", 3),)), KeepAlive(3, 0)
+    )
+    return relay, connect
+
+
+def test_a_relay_continues_by_deltas_only_what_it_has_seen_whole() -> None:
+    """After a snapshot from upstream its followers get one too; and after a reset."""
+    relay, link = relay_watching()
+    relayed(relay, link, delta(3, 4))
+    Watcher(relay.server, 1).watch(3)
+    assert [type(one) for one in sent(relay.server)] == [Accepted, DeltaMessage]
+    relayed(relay, link, SnapshotMessage(9, ()), now=2.0)
+    relay.server.tick(2.0)
+    Watcher(relay.server, 2).watch(4)
+    said = [type(message) for _, message in sent_to(relay.server)]
+    assert said == [SnapshotMessage, KeepAlive, Accepted, SnapshotMessage, KeepAlive]
+    relay.take_effects()
+    relayed(relay, link, Accepted(Generation(2, "restored"), 1, 0), SnapshotMessage(1, ()), now=3.0)
+    relay.tick(3.0)
+    frames = [effect.frame for effect in relay.take_effects() if isinstance(effect, SendDownstream)]
+    replaced = [messages.decode_from_server(frame) for frame in frames]
+    assert replaced[:2] == [Accepted(Generation(2, "restored"), 1, messages.NEVER_MS)] * 2
+    assert [type(one) for one in replaced[2:]] == [SnapshotMessage, KeepAlive] * 2
+
+
+def test_a_relays_summary_goes_up_at_a_bounded_rate() -> None:
+    """However many of its followers report."""
+    relay, link = relay_watching()
+    for connection in range(20):
+        Watcher(relay.server, connection).watch(3, now=1.0)
+    relay.take_effects()
+    sent_up = 0
+    for step in range(45):  # in less than the write timeout
+        now = 1.0 + step / 10
+        report = messages.encode(Progress(1, 3 * (step // 20 % 2)))
+        relay.received(step % 20, report, now)
+        relayed(relay, link, KeepAlive(3, 0), now=now)
+        relay.tick(now)
+        sent_up += sum(isinstance(effect, SendUpstream) for effect in relay.take_effects())
+    assert 4 <= sent_up <= 6
+
+
 def test_relays_cannot_follow_each_other_in_a_ring() -> None:
     """An upstream's tier is below."""
     with pytest.raises(InvalidTier):
@@ -624,6 +838,10 @@
     lost = status.force_status(server.summary(1.0), 9)
     assert (lost.followers, lost.absent) == (1, (Laggard("relay", 9),))
     assert server.summary(1.0 + SERVER.absent_for).absent == ()
+    Watcher(server, 1).say(Progress(1, 99))  # nobody has in force what is not there
+    assert status.force_status(server.summary(2.0), 50).in_force == 0
+    twice = [Summary((), (Laggard("moved", 7),)), Summary((), (Laggard("moved", 8), Laggard("late", 6)))]
+    assert status.merge(twice, 4, 4).laggards == (Laggard("late", 6), Laggard("moved", 8))
 
 
 def test_recent_changes_are_bounded_and_continue_any_revision_that_they_say() -> None:
@@ -637,6 +855,8 @@
         ("k3", None),
         ("k4", b"v"),
     ]
+    changes.restart(9)
+    assert len(changes) == 0 and changes.after(8) is None
     changes.add([KeyValue("large", b"x" * 2000, 10)], 10)
     assert len(changes) == 0 and changes.after(9) is None and changes.after(10) is not None
 
