Followers whose data get old try another upstream spread over 15 s, not all within one

Change: the first attempt beside a stale watch comes within stale_limit, evenly spread. Ruled out: a longer move_spread, which would delay followers that have lost their watch.

--- a/merlinbay/control/fanout/follower.py
+++ b/merlinbay/control/fanout/follower.py
@@ -360,7 +360,7 @@
         self._replica.confirm(link.generation, revision, staleness_ms, now)
         stale = seconds(staleness_ms) >= self.settings.stale_limit
         if stale and not link.stale:  # later attempts are planned as this one comes to nothing
-            self._attempt_by(now + self._rng.uniform(0, self.settings.move_spread))
+            self._attempt_by(now + self._rng.uniform(0, self.settings.stale_limit))
         link.stale = stale
 
     # Reports.
--- a/merlinbay/control/fanout/settings.py
+++ b/merlinbay/control/fanout/settings.py
@@ -37,7 +37,7 @@
     busy_most: float = 30.0  # a server's retry time is believed up to this
     progress: float = 1.0  # a new revision is reported within this, evenly spread
     report: float = 10.0  # a report is sent at least so often
-    stale_limit: float = 15.0  # upstream's data older than this: another upstream is tried beside it
+    stale_limit: float = 15.0  # data older than this: another upstream is tried, all within as long again
     prefer_again: float = 60.0  # a watch away from the best upstream tries that again after 1 to 2 times this
     snapshot_bytes: int = 32 * 1024 * 1024  # a larger snapshot is refused: half of a node's 64 MB
 
