Tests of what a voter's process must not show before it is on the disk, and of silent peers

A gate in the store's file holds a write back: no answer and no read may come before it. In the scenario of a full disk, what was served is not taken back while the voter that was built anew catches up.

--- a/tests/control_scenarios.py
+++ b/tests/control_scenarios.py
@@ -336,7 +336,8 @@
         first = await change("first", names)
         full = await leading(names)
         (folder / full.endpoint.name / "full").touch()
-        result = await full.propose(Change("second", "teams/second", b"{}"))
+        with trio.fail_after(60):
+            result = await full.propose(Change("second", "teams/second", b"{}"))
         assert not isinstance(result, ChangeApplied)
         assert full.storage_failures == 1
         assert full.durable.failure
@@ -347,6 +348,7 @@
         (folder / full.endpoint.name / "full").unlink()
         with trio.fail_after(60):
             while full.watches.store.revision < second:
+                assert full.watches.store.revision == first  # what was served is not taken back
                 await trio.sleep(0.02)
         assert full.voter.keyspace.digest() == (await leading(rest)).voter.keyspace.digest()
         nursery.cancel_scope.cancel()
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -2,20 +2,29 @@
 
 from __future__ import annotations
 
+import threading
 from pathlib import Path
+from random import Random
 
 import pytest
 import trio
+import trio.testing
 
+from merlinbay.control.consensus.settings import VoterSettings
 from merlinbay.control.effects import Persist
+from merlinbay.control.entries import Change, ChangeApplied
+from merlinbay.control.fanout.messages import Generation
+from merlinbay.control.fanout.settings import WatchServerSettings
 from merlinbay.control_service import schema, settings
-from merlinbay.control_service.connection import Connection, Overflow, TransportLimits
+from merlinbay.control_service.connection import LENGTH, Connection, Overflow, TransportLimits
 from merlinbay.control_service.durable_log import DurableLog
-from merlinbay.control_service.sealing import frame_seal
+from merlinbay.control_service.sealing import TAG_BYTES, frame_seal
 from merlinbay.control_service.transport import Acceptor, Endpoint, NotConnected, connect, listen_at
+from merlinbay.control_service.voter_host import VoterHost
 from merlinbay.fleet.wire import Keys, Refused
 from merlinbay.log import Log
 from merlinbay.problems import BadConfig
+from merlinbay.store.engine import Engine
 from tests.control_cluster import run_side_by_side
 from tests.control_scenarios import SCENARIOS
 
@@ -201,6 +210,91 @@
     trio.run(run)
 
 
+def test_a_peer_that_says_nothing_is_cut_and_keepalives_say_something() -> None:
+    """A silent connection ends; one without messages carries empty frames."""
+
+    async def run() -> None:
+        echo = Echo(KEY, TransportLimits(idle=0.5))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(echo.run)
+            silent = Endpoint("silent", "follower", "fleet", KEY, limits=TransportLimits(keepalive=1000.0))
+            connection = await connect(silent, echo.address, Overflow.CLOSE)
+            with trio.fail_after(60):
+                await connection.run()
+            alive = Endpoint("alive", "follower", "fleet", KEY, limits=TransportLimits(keepalive=0.02))
+            nursery.start_soon((await connect(alive, echo.address, Overflow.CLOSE)).run)
+            with trio.fail_after(60):
+                while alive.traffic.bytes_sent < 5 * (LENGTH.size + TAG_BYTES):
+                    await trio.sleep(0.02)
+            assert alive.traffic.messages_sent == 0
+            assert echo.endpoint.traffic.messages_received == 0
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+class GatedEngine(Engine):
+    """A store's file whose writes wait for a gate."""
+
+    gate = threading.Event()
+    writing = threading.Event()
+
+    def append(self, bodies: list[bytes]) -> int:
+        """Write once the gate is open."""
+        self.writing.set()
+        assert self.gate.wait(60)
+        return super().append(bodies)
+
+
+def test_nothing_is_seen_before_it_is_on_the_disk(tmp_path: Path) -> None:
+    """A voter alone commits by its own record: no answer and no read may come before that is written."""
+
+    async def run() -> None:
+        gate, writing = GatedEngine.gate, GatedEngine.writing
+        gate.set()
+        host = VoterHost(
+            Endpoint("v0", "voter", "test", KEY),
+            VoterSettings(initial_voters=("v0",)),
+            DurableLog(tmp_path / "log", Log(10), GatedEngine),
+            lambda name: "",
+            Generation(1, "test"),
+            WatchServerSettings(),
+            lambda: Random(1),
+            Log(10),
+        )
+        seen: list[str] = []
+
+        async def propose() -> None:
+            result = await host.propose(Change("id", "teams/a", b"{}"))
+            assert isinstance(result, ChangeApplied)
+            seen.append("answer")
+
+        async def read() -> None:
+            assert await host.watches.local(lambda keyspace: keyspace.revision) == 1
+            seen.append("read")
+
+        async with trio.open_nursery() as nursery:
+            await nursery.start(host.run, await listen_at("127.0.0.1:0"))
+            with trio.fail_after(60):
+                while host.voter.leader != "v0":
+                    await trio.sleep(0.02)
+            await trio.testing.wait_all_tasks_blocked()
+            gate.clear()
+            writing.clear()
+            nursery.start_soon(propose)
+            await trio.to_thread.run_sync(writing.wait, 60)
+            nursery.start_soon(read)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert seen == []
+            gate.set()
+            with trio.fail_after(60):
+                while len(seen) < 2:
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 @pytest.fixture(scope="module")
 def outcomes(tmp_path_factory: pytest.TempPathFactory) -> dict[str, BaseException | None]:
     """Run all scenarios; return what each failed with."""
