Scale runs: hollow members of the view with real sockets, metered, at the sizes of a plan

Need: the plan for 2,500 workers wants figures a role that are measured on one machine. A process of the program for each member does not fit beyond some 300.

Change: `merlinbay scale run PLAN`. Many members share a process and run the program's own code (for the view of the fleet: `fleet.wiring.FleetParts`) with sockets at loopback addresses of their own. Counting and delays stand below the code, by trio's socket factory, so that nothing of it is replaced. The plan is a typed TOML file; limits (memory, processes, cores) are checked before anything starts. A calibration step runs the same role as processes of the program among the hollow ones, with the ratio of all figures in the results. `results.py` gains fields with defaults: the base of the memory, ratios, unusable quantities, `incomplete`.

Ruled out: subclasses of `FleetNet` that count (two copies of its code to keep in step); the rig's proxies between all pairs (two sockets and a copy a member and packet).

--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -5,6 +5,8 @@
 import json
 import os
 import sys
+from contextlib import suppress
+from importlib import import_module
 from pathlib import Path
 
 import click
@@ -136,6 +138,7 @@
     from merlinbay.cli.rehearse import experiment, rehearse, report_page
     from merlinbay.cli.reservations import reservation
     from merlinbay.cli.rig import rig
+    from merlinbay.cli.scale import scale
     from merlinbay.cli.sessions import session
     from merlinbay.cli.store import store
 
@@ -158,6 +161,9 @@
     main.add_command(reservation)
     main.add_command(rehearse)
     main.add_command(rig)
+    with suppress(ModuleNotFoundError):  # it adds ``fit`` and ``capacity``, where numpy and scipy are there
+        import_module("merlinbay.cli.capacity")
+    main.add_command(scale)
     main.add_command(experiment)
     main.add_command(report_page)
 
--- /dev/null
+++ b/merlinbay/scale/processes.py
@@ -0,0 +1,106 @@
+"""The processes of a run as its leader sees them: hollow ones by their pipes, real ones by /proc."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TypeVar
+
+import trio
+
+from merlinbay.scale import messages
+from merlinbay.scale.layout import ProcessLayout
+from merlinbay.scale.meters import ProcessReading
+
+TICK_S = 1 / os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+END_S = 5.0  # for a process to end by itself
+ANSWER_S = 120.0  # for an answer; a process that is at its limit is late
+
+AnswerType = TypeVar("AnswerType", messages.Done, messages.Reading, messages.Progress, messages.Observations)
+
+
+class Failed(Exception):
+    """The run cannot go on; one line."""
+
+
+class HostProcess:
+    """A hollow process."""
+
+    def __init__(self, layout: ProcessLayout) -> None:
+        self.layout = layout
+        self.process: trio.Process | None = None
+        self.found = bytearray()
+        self.lock = trio.Lock()
+
+    async def start(self, setup: messages.Setup) -> None:
+        """Start it, without members. Raises ``Failed``."""
+        self.process = await trio.lowlevel.open_process(
+            [sys.executable, "-B", "-m", "merlinbay.scale.host"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        await self.call(setup, messages.Done)
+
+    async def call(self, order: messages.Order, wanted: type[AnswerType]) -> AnswerType:
+        """Have an order carried out. Raises ``Failed``."""
+        async with self.lock:
+            try:
+                with trio.fail_after(ANSWER_S):
+                    assert self.process is not None and self.process.stdin is not None
+                    await self.process.stdin.send_all(messages.frame(order))
+                    data = await self._answer()
+            except trio.TooSlowError:
+                raise Failed(f"a hollow process did not answer {type(order).__name__}") from None
+            except (OSError, trio.BrokenResourceError):
+                raise Failed(f"a hollow process ended at {type(order).__name__}") from None
+        answer = messages.decode_answer(data)
+        assert isinstance(answer, wanted)
+        return answer
+
+    async def _answer(self) -> bytes:
+        assert self.process is not None and self.process.stdout is not None
+        while True:
+            if len(self.found) >= messages.LENGTH.size:
+                (length,) = messages.LENGTH.unpack_from(self.found)
+                end = messages.LENGTH.size + length
+                if len(self.found) >= end:
+                    data = bytes(self.found[messages.LENGTH.size : end])
+                    del self.found[:end]
+                    return data
+            part = await self.process.stdout.receive_some(1 << 20)
+            if not part:
+                raise Failed("a hollow process ended; its last lines are above")
+            self.found += part
+
+    async def end(self) -> None:
+        """End it, by a word or else by a signal."""
+        process = self.process
+        if process is None:
+            return
+        with trio.CancelScope(shield=True):
+            with trio.move_on_after(END_S):
+                try:
+                    assert process.stdin is not None
+                    await process.stdin.send_all(messages.frame(messages.Stop()))
+                    await process.stdin.aclose()
+                except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
+                    process.kill()
+                await process.wait()
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+def real_reading(pid: int, base_memory_bytes: int) -> ProcessReading:
+    """Return what a real process has used. Raises ``Failed``."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        resident = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE
+    except OSError:
+        raise Failed("a real process has ended by itself") from None
+    cpu_s = (int(fields[11]) + int(fields[12])) * TICK_S  # utime and stime: fields 14 and 15 of the line
+    return ProcessReading(time.monotonic(), cpu_s, resident, 1, base_memory_bytes)
--- /dev/null
+++ b/merlinbay/scale/step.py
@@ -0,0 +1,323 @@
+"""One size of a run: processes are started, come to rest, are disturbed and read. Makes the size's rows."""
+
+from __future__ import annotations
+
+import time
+from array import array
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+from merlinbay.rig.run import own_net
+from merlinbay.scale import messages, meters
+from merlinbay.scale.layout import ProcessLayout, address_of, layout
+from merlinbay.scale.meters import ProcessReading, Traffic
+from merlinbay.scale.plan import Plan, RolePlan
+from merlinbay.scale.processes import Failed, HostProcess, real_reading
+from merlinbay.scale.registry import ROLES
+from merlinbay.scale.results import RoleMeasurement
+from merlinbay.scale.roles import RealMember, RunFacts, Variant
+from merlinbay.scale.schedule import Event, Kind, schedule
+
+LOOK_S = 0.5  # between two looks at how far the members are
+FULL_SHARE = 0.85  # of a core: a hollow process above it is late, and its times are not the members'
+# What members observe of what is done, and as which time it is reported.
+OBSERVED = {Kind.FAIL: ("died", "death_detected"), Kind.RESTART: ("left", "leave_spread")}
+RETURNED = ("returned", "return_spread")
+GAUGE = ("gauge", "gauge_spread")
+
+
+@dataclass
+class Snapshot:
+    """All processes at one moment."""
+
+    hosts: list[messages.Reading]
+    real: dict[str, list[ProcessReading]]
+
+
+@dataclass
+class Done:
+    """Something that was done to a member."""
+
+    what: str  # that the others observe
+    subject: str
+    name: str  # of the time
+    at: float
+
+
+@dataclass
+class Idle:
+    """What processes take without the role."""
+
+    hollow: float = 0.0  # of a core
+    real: dict[str, float] = field(default_factory=dict)  # by role,
+    real_memory: dict[str, int] = field(default_factory=dict)
+
+
+class Step:
+    """One size."""
+
+    def __init__(
+        self, plan: Plan, size: int, real: dict[str, int], idle: Idle, folder: Path, measured_s: float
+    ) -> None:
+        self.plan, self.size, self.idle, self.measured_s = plan, size, idle, measured_s
+        self.net = own_net()
+        hollow, self.alone = layout(plan, size, real)
+        self.hosts = [HostProcess(one) for one in hollow]
+        self.host_of = {number: host for host in self.hosts for number in host.layout.numbers}
+        self.numbers = {
+            role.role: sorted(
+                [number for one in hollow if one.role is role for number in one.numbers]
+                + self.alone[role.role]
+            )
+            for role in plan.role
+        }
+        self.run = RunFacts(self.net, size, plan.seed, folder, plan.topology, plan.disturbances, self.numbers)
+        folder.mkdir(parents=True)
+        self.real: dict[int, RealMember] = {}
+        self.done: list[Done] = []
+        self.touched: set[int] = set()
+        self.counts: Counter[str] = Counter()
+
+    async def play(self) -> list[RoleMeasurement]:
+        """Play it; return the rows. Raises ``Failed``; every process has ended when it returns."""
+        try:
+            await self._start()
+            await self._settle(self.size)
+            await trio.sleep(self.plan.warm_up_s)
+            if self.plan.disturbances.single_death:
+                return await self._one_death()
+            return await self._measure()
+        finally:
+            for host in self.hosts:
+                await host.end()
+            for member in self.real.values():
+                member.kill()
+
+    # Start.
+
+    async def _start(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for host in self.hosts:
+                nursery.start_soon(host.start, self._setup(host.layout))
+        for role in self.plan.role:
+            began = trio.current_time()
+            for turn, number in enumerate(self.numbers[role.role]):
+                await trio.sleep_until(began + turn / self.plan.starts_a_second)
+                await self._start_member(role, number)
+
+    def _setup(self, one: ProcessLayout) -> messages.Setup:
+        watched = [address_of(self.net, number) for alone in self.alone.values() for number in alone]
+        run = self.run
+        return messages.Setup(
+            run.net,
+            run.size,
+            run.seed,
+            str(run.folder),
+            run.topology,
+            run.disturbances,
+            run.numbers,
+            one.role,
+            watched,
+        )
+
+    async def _start_member(self, role: RolePlan, number: int) -> None:
+        if (host := self.host_of.get(number)) is not None:
+            await host.call(messages.StartMember(number), messages.Done)
+            return
+        self.real[number] = ROLES[role.role].real(role, self.run, number, Variant.MEMBER)
+        self.real[number].start()
+
+    async def _settle(self, size: int) -> float:
+        """Wait until all members have come to their role's target; return for how long. Raises ``Failed``."""
+        began = trio.current_time()
+        while True:
+            behind = 0
+            for host in self.hosts:
+                role = host.layout.role
+                gone = self.size - size
+                target = ROLES[role.role].target(role, len(self.numbers[role.role]) - gone)
+                found = await host.call(messages.GetProgress(), messages.Progress)
+                behind += sum(progress != target for progress in found.members.values())
+            if not behind:
+                return trio.current_time() - began
+            if trio.current_time() - began > self.plan.settle_most_s:
+                limit = f"settle_most_s = {self.plan.settle_most_s:g}"
+                raise Failed(f"size {self.size}: {behind} members have not come to rest within {limit}")
+            await trio.sleep(LOOK_S)
+
+    # Measured part.
+
+    async def _snapshot(self) -> Snapshot:
+        hosts = [await host.call(messages.GetReading(), messages.Reading) for host in self.hosts]
+        real = {
+            role: [
+                real_reading(self.real[number].pid, self.idle.real_memory.get(role, 0)) for number in numbers
+            ]
+            for role, numbers in self.alone.items()
+        }
+        return Snapshot(hosts, real)
+
+    async def _record(self) -> None:
+        for host in self.hosts:
+            await host.call(messages.Record(), messages.Done)
+
+    async def _measure(self) -> list[RoleMeasurement]:
+        events = schedule(self.plan, self._touchable(), self.measured_s)
+        await self._record()
+        before = await self._snapshot()
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for event in events:
+                nursery.start_soon(self._happen, began, event)
+            await trio.sleep_until(began + self.measured_s)
+            after = await self._snapshot()
+        if events:
+            await trio.sleep(self.plan.drain_s)
+        times = await self._times()
+        return self._rows(before, after, times)
+
+    def _touchable(self) -> list[int]:
+        """Return the members that may be disturbed: hollow ones of the role that takes what is left."""
+        role = next((role for role in self.plan.role if not role.members), self.plan.role[-1])
+        first = set(self.numbers[role.role][:3])  # those that others join by
+        return [
+            number for number in self.numbers[role.role] if number in self.host_of and number not in first
+        ]
+
+    async def _happen(self, began: float, event: Event) -> None:
+        await trio.sleep_until(began + event.at_s)
+        host, subject = self.host_of[event.number], f"n{event.number}"
+        self.counts[f"{event.kind.value}s"] += 1
+        if event.kind is Kind.GAUGE:
+            await self._gauge(host, event.number, subject)
+            return
+        self.touched.add(event.number)
+        what, name = OBSERVED[event.kind]
+        if event.kind is Kind.RESTART:
+            done = await host.call(messages.Act(event.number, "leave"), messages.Done)
+            await host.call(messages.StopMember(event.number), messages.Done)
+        else:
+            done = await host.call(messages.StopMember(event.number), messages.Done)
+        self.done.append(Done(what, subject, name, done.at))
+        await trio.sleep(event.down_s)
+        done = await host.call(messages.StartMember(event.number), messages.Done)
+        self.done.append(Done(RETURNED[0], subject, RETURNED[1], done.at))
+
+    async def _gauge(self, host: HostProcess, number: int, subject: str) -> None:
+        value = float(number + 1)
+        for other in self.hosts:
+            for one in other.layout.numbers:
+                if one != number and one not in self.touched:
+                    await other.call(messages.Act(one, "await", f"{subject}={value}"), messages.Done)
+        done = await host.call(messages.Act(number, "tell", str(value)), messages.Done)
+        self.done.append(Done(GAUGE[0], subject, GAUGE[1], done.at))
+
+    async def _times(self) -> dict[str, list[float]]:
+        """Return how long each thing that was done took to be observed, by every member that did."""
+        found: dict[str, list[float]] = {}
+        seen: dict[tuple[str, str], list[float]] = {}
+        for host in self.hosts:
+            answer = await host.call(messages.GetObservations(), messages.Observations)
+            self.counts.update(answer.counts)
+            for what, about in answer.times.items():
+                for subject, packed in about.items():
+                    values = array("d")
+                    values.frombytes(packed)
+                    seen.setdefault((what, subject), []).extend(values)
+                    self.counts[f"observed_{what}"] += len(values)
+        for done in self.done:
+            times = [at - done.at for at in seen.get((done.what, done.subject), []) if at >= done.at]
+            found.setdefault(done.name, []).extend(times)
+        return found
+
+    # Rows.
+
+    def _rows(
+        self, before: Snapshot, after: Snapshot, times: dict[str, list[float]]
+    ) -> list[RoleMeasurement]:
+        rows: list[RoleMeasurement] = []
+        for role in self.plan.role:
+            pairs = [
+                (one, two)
+                for host, one, two in zip(self.hosts, before.hosts, after.hosts, strict=True)
+                if host.layout.role is role
+            ]
+            if pairs:
+                rows.append(self._hollow_row(role, pairs, times))
+            if self.alone[role.role]:
+                rows.append(self._real_row(role, before, after))
+        return rows
+
+    def _hollow_row(
+        self,
+        role: RolePlan,
+        pairs: list[tuple[messages.Reading, messages.Reading]],
+        times: dict[str, list[float]],
+    ) -> RoleMeasurement:
+        seconds = sum(two.process.at - one.process.at for one, two in pairs) / len(pairs)
+        traffic = [
+            found.since(one.members[number])
+            for one, two in pairs
+            for number, found in two.members.items()
+            if number not in self.touched
+        ]
+        processes = [(one.process, two.process) for one, two in pairs]
+        full = sum(meters.idle_share(one, two) > FULL_SHARE for one, two in processes)
+        counts = {**self.counts, "processes": len(pairs), "processes_over_their_core": full}
+        return meters.row(
+            role.role, self.size, True, traffic, processes, self.idle.hollow, seconds, times, counts
+        )
+
+    def _real_row(self, role: RolePlan, before: Snapshot, after: Snapshot) -> RoleMeasurement:
+        processes = list(zip(before.real[role.role], after.real[role.role], strict=True))
+        seconds = sum(two.at - one.at for one, two in processes) / len(processes)
+        traffic = [self._seen_of(number, before, after) for number in self.alone[role.role]]
+        idle = self.idle.real.get(role.role, 0.0)
+        return meters.row(
+            role.role, self.size, False, traffic, processes, idle, seconds, {}, {"processes": len(processes)}
+        )
+
+    def _seen_of(self, number: int, before: Snapshot, after: Snapshot) -> Traffic:
+        """Return a real member's traffic: what hollow ones saw of it, raised to all others it speaks with."""
+        address, total = address_of(self.net, number), Traffic()
+        for one, two in zip(before.hosts, after.hosts, strict=True):
+            total = total.plus(two.watched[address].since(one.watched[address]))
+        real = sum(map(len, self.alone.values()))
+        return total.times((self.size - 1) / (self.size - real))
+
+    # One death.
+
+    async def _one_death(self) -> list[RoleMeasurement]:
+        """Measure idle for a while, then from one death until all others agree that it is over."""
+        await self._record()
+        start = await self._snapshot()
+        await trio.sleep(self.measured_s)
+        before = await self._snapshot()
+        victim = self._touchable()[-1]
+        self.touched.add(victim)
+        self.counts["deaths"] += 1
+        done = await self.host_of[victim].call(messages.StopMember(victim), messages.Done)
+        self.done.append(Done("died", f"n{victim}", "death_detected", done.at))
+        await self._settle(self.size - 1)
+        agreed_at = time.monotonic()
+        after = await self._snapshot()
+        times = await self._times()
+        times["all_agree"] = [agreed_at - done.at]
+        self._count_busiest(start, before, after, victim)
+        return self._rows(before, after, times)
+
+    def _count_busiest(self, start: Snapshot, before: Snapshot, after: Snapshot, victim: int) -> None:
+        """Count what the busiest member sent for the death, and what it sends in as long a time without."""
+        most, usual = 0, 0
+        for first, one, two in zip(start.hosts, before.hosts, after.hosts, strict=True):
+            span = (two.process.at - one.process.at) / (one.process.at - first.process.at)
+            for number, traffic in two.members.items():
+                sent = traffic.since(one.members[number]).bytes_sent
+                if number != victim and sent > most:
+                    most = sent
+                    usual = one.members[number].since(first.members[number]).times(span).bytes_sent
+        self.counts["busiest_bytes_for_death"] = most
+        self.counts["busiest_bytes_without"] = usual
