Starts of a scale run are paced by what they cost: members times starts a second

Seen: 200 members started at 50 a second saturate their processes (a start is news that each member tells some twelve times), which looks like deaths to the others and does not settle in two minutes.

--- a/merlinbay/scale/plan.py
+++ b/merlinbay/scale/plan.py
@@ -92,7 +92,8 @@
     idle_s: Annotated[float, msgspec.Meta(gt=0, le=600)] = 10.0  # that processes without the role are watched
     settle_most_s: Seconds = 120.0  # for all members to come to the expected state at the start
     drain_s: Seconds = 30.0  # after the measured part, for what is still under way to be observed
-    starts_a_second: Annotated[float, msgspec.Meta(gt=0, le=10_000)] = 50.0
+    # A start is news to all members, so that its price grows with them: starts a second times members.
+    start_budget: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)] = 1000.0
     limits: Limits = Limits()
     topology: Topology = Topology()
     role: Annotated[list[RolePlan], msgspec.Meta(min_length=1, max_length=10)]
--- a/merlinbay/scale/step.py
+++ b/merlinbay/scale/step.py
@@ -105,7 +105,7 @@
         for role in self.plan.role:
             began = trio.current_time()
             for turn, number in enumerate(self.numbers[role.role]):
-                await trio.sleep_until(began + turn / self.plan.starts_a_second)
+                await trio.sleep_until(began + turn * self.size / self.plan.start_budget)
                 await self._start_member(role, number)
 
     def _setup(self, one: ProcessLayout) -> messages.Setup:
