Scale runs of the control processes: voters, relays and followers; leaders killed, changes timed

Need: time to force, bytes, processor time and memory of a follower, relay and voter at growing sizes, with 21 control processes in 3 regions and 12 zones.

Change: the roles control-voter, control-relay and control-follower. Voters and relays have a process each: the control process's own parts below the same counting and delaying sockets (so that they count as real, and delays hold between all). Followers are hollow; the real one beside them is `merlinbay control follower`. Changes come by the operators' calls, at a rate and in a burst, repeated with their id; the leader is found and killed. Times are counted for the role that observes, with how many observations are missing. Processor time of real processes is read in nanoseconds (schedstat): ticks of 10 ms are more than a follower takes in ten seconds.

Ruled out: real voters and relays without delays between them, or with the rig's proxies, which would be half of the processor time.

--- a/merlinbay/scale/host.py
+++ b/merlinbay/scale/host.py
@@ -56,7 +56,7 @@
             setup.disturbances,
             setup.numbers,
         )
-        self.network = Network(setup.topology, frozenset(setup.watched), nursery)
+        self.network = Network(setup.net, setup.topology, frozenset(setup.watched), nursery)
         trio.socket.set_custom_socket_factory(self.network)
         nursery.start_soon(self.network.run)
         self.hosted: dict[int, Hosted] = {}
--- a/merlinbay/scale/membership.py
+++ b/merlinbay/scale/membership.py
@@ -7,10 +7,6 @@
 
 from __future__ import annotations
 
-import base64
-from pathlib import Path
-from random import Random
-
 import msgspec
 import trio
 
@@ -25,9 +21,18 @@
 from merlinbay.log import Log
 from merlinbay.problems import address
 from merlinbay.rig.processes import Process
+from merlinbay.scale.keys import write_keys
 from merlinbay.scale.layout import address_of, zone_of
 from merlinbay.scale.plan import RolePlan
-from merlinbay.scale.roles import HollowMember, MemberContext, MemberNeed, RealMember, RunFacts, Variant
+from merlinbay.scale.roles import (
+    ConfigurationWriter,
+    HollowMember,
+    MemberContext,
+    MemberNeed,
+    RealMember,
+    RunFacts,
+    Variant,
+)
 
 NAME = "view-member"
 PORT = 7946
@@ -35,7 +40,6 @@
 EPOCHS = "epochs"  # the one setting that is none of section ``fleet``
 GAUGES = 1_000_000  # a drawn gauge is news nearly always: it differs by over a tenth from the last one
 LEAVING_S = 0.2  # that a leaving member still gossips, before it ends
-KEY_FILE = "keys"
 NO_WORK = Settings([JobClass("none", 1, 1)])  # a hollow member has no core that would read them
 
 
@@ -54,17 +58,6 @@
     return [f"{address_of(run.net, number)}:{PORT}" for number in run.numbers[NAME][:SEEDS]]
 
 
-def write_keys(run: RunFacts) -> Path:
-    """Write the fleet's key, which is drawn by the run's seed; return the file."""
-    path = run.folder / KEY_FILE
-    if not path.exists():
-        secret = Random(run.seed).randbytes(32)
-        fresh = path.with_suffix(f".{id(run)}")
-        fresh.write_text(base64.b64encode(secret).decode() + "\n")
-        fresh.replace(path)
-    return path
-
-
 def section_keys(plan: RolePlan) -> dict[str, int | float | str | bool]:
     """Return the settings that are keys of section ``fleet``."""
     return {key: value for key, value in plan.settings.items() if key != EPOCHS}
@@ -78,7 +71,7 @@
         "listen": f"{address_of(run.net, number)}:{PORT}",
         "zone": f"z{zone_of(run.topology, number)}",
         "seeds": seed_addresses(run),
-        "keys": str(run.folder / KEY_FILE),
+        "keys": str(write_keys(run)),
         "data": str(run.folder / f"data-{member_name(number)}") if epochs else "",
         "expect": len(run.numbers[NAME]) if epochs else 0,
     }
@@ -206,6 +199,7 @@
     """Members of the view of the fleet."""
 
     name = NAME
+    meshed = True
 
     def need(self, plan: RolePlan) -> MemberNeed:
         """Return what a member takes: its table of the others, and its turns of gossip over them."""
@@ -217,9 +211,12 @@
 
     def member(self, context: MemberContext) -> HollowMember:
         """Make a hollow member."""
-        write_keys(context.run)
         return HollowViewMember(context)
 
     def real(self, plan: RolePlan, run: RunFacts, number: int, variant: Variant) -> RealMember:
         """Make a process of the program."""
         return RealViewMember(plan, run, number, variant)
+
+    def writer(self, run: RunFacts) -> ConfigurationWriter | None:
+        """Nobody: the view has no configuration."""
+        return None
--- a/merlinbay/scale/meters.py
+++ b/merlinbay/scale/meters.py
@@ -121,6 +121,7 @@
         idle_loop_cpu_share=idle,
         memory_bytes=memory_bytes([after for _, after in processes]),
         base_memory_bytes=round(sum(after.base_memory_bytes for _, after in processes) / len(processes)),
+        busiest_cpu_share=max(cpu_share([pair], idle) for pair in processes if pair[1].members),
         busiest_bytes_sent_per_s=max((one.bytes_sent for one in traffic), default=0) / seconds,
         times={what: value for what, value in found.items() if value is not None},
         counts=dict(sorted(counts.items())),
--- a/merlinbay/scale/plan.py
+++ b/merlinbay/scale/plan.py
@@ -67,7 +67,7 @@
     changes_a_second: Rate = 0.0  # of the configuration
     burst_changes: Count = 0  # at once,
     burst_at_s: Seconds = 0.0  # so long after the measured part began
-    kill_leader_at_s: Seconds = 0.0  # 0: not
+    kill_leader_at_s: Seconds = 0.0  # 0: not; back after ``failure_down_s``
 
 
 class Calibration(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
@@ -96,13 +96,19 @@
     start_budget: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)] = 1000.0
     limits: Limits = Limits()
     topology: Topology = Topology()
+    fixed_beside_size: bool = False  # roles with a number of members come on top of the sizes
     role: Annotated[list[RolePlan], msgspec.Meta(min_length=1, max_length=10)]
     disturbances: Disturbances = Disturbances()
     calibration: Calibration | None = None
 
     def members_of(self, role: RolePlan, size: int) -> int:
         """Return how many members a role has at a size."""
-        return role.members or size - sum(other.members for other in self.role)
+        taken = 0 if self.fixed_beside_size else sum(other.members for other in self.role)
+        return role.members or size - taken
+
+    def all_members(self, size: int) -> int:
+        """Return how many members run at a size."""
+        return sum(self.members_of(role, size) for role in self.role)
 
 
 def _wrong(plan: Plan, known: frozenset[str]) -> str:
@@ -114,7 +120,7 @@
         return "role: only one may leave members out, and takes what the others leave"
     if len({role.role for role in plan.role}) < len(plan.role):
         return "role: each role once"
-    if min(plan.sizes) < sum(role.members or 1 for role in plan.role):
+    if not plan.fixed_beside_size and min(plan.sizes) < sum(role.members or 1 for role in plan.role):
         return f"sizes: {min(plan.sizes)} is less than the roles' members"
     if max(plan.sizes) > MOST_MEMBERS:
         return f"sizes: over {MOST_MEMBERS}, there are no more addresses"
--- a/merlinbay/scale/processes.py
+++ b/merlinbay/scale/processes.py
@@ -15,9 +15,11 @@
 from merlinbay.scale.layout import ProcessLayout
 from merlinbay.scale.meters import ProcessReading
 
-TICK_S = 1 / os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
 END_S = 5.0  # for a process to end by itself
+QUIET_LOOKS, QUIET_LOOK_S = 3, 1.0
+QUIET_CPU_S = 0.02  # in a look,
+STARTED_CPU_S = 0.1  # and no less than this since the start: the interpreter's own start takes more
 ANSWER_S = 120.0  # for an answer; a process that is at its limit is late
 
 AnswerType = TypeVar("AnswerType", messages.Done, messages.Reading, messages.Progress, messages.Observations)
@@ -95,12 +97,26 @@
                 await process.wait()
 
 
+async def until_quiet(pids: list[int]) -> None:
+    """Wait until processes have come up: for a while they take hardly any time. Raises ``Failed``."""
+    last = {pid: 0.0 for pid in pids}
+    quiet = 0
+    with trio.fail_after(ANSWER_S):
+        while quiet < QUIET_LOOKS:
+            await trio.sleep(QUIET_LOOK_S)
+            now = {pid: real_reading(pid, 0).cpu_s for pid in pids}
+            busy = any(now[pid] - last[pid] > QUIET_CPU_S or now[pid] < STARTED_CPU_S for pid in pids)
+            quiet, last = 0 if busy else quiet + 1, now
+
+
 def real_reading(pid: int, base_memory_bytes: int) -> ProcessReading:
     """Return what a real process has used. Raises ``Failed``."""
     try:
-        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        tasks = Path(f"/proc/{pid}/task").glob("*/schedstat")
+        cpu_ns = sum(int(task.read_text().split()[0]) for task in tasks)
         resident = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE
     except OSError:
         raise Failed("a real process has ended by itself") from None
-    cpu_s = (int(fields[11]) + int(fields[12])) * TICK_S  # utime and stime: fields 14 and 15 of the line
-    return ProcessReading(time.monotonic(), cpu_s, resident, 1, base_memory_bytes)
+    if not resident:  # ended, and not yet waited for
+        raise Failed("a real process has ended by itself")
+    return ProcessReading(time.monotonic(), cpu_ns / 1e9, resident, 1, base_memory_bytes)
--- a/merlinbay/scale/registry.py
+++ b/merlinbay/scale/registry.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from merlinbay.scale.control_roles import CONTROL_ROLES
 from merlinbay.scale.membership import ViewMemberRole
 from merlinbay.scale.roles import Role
 
-ROLES: dict[str, Role] = {role.name: role for role in (ViewMemberRole(),)}
+ROLES: dict[str, Role] = {role.name: role for role in (ViewMemberRole(), *CONTROL_ROLES)}
 NAMES = frozenset(ROLES)
--- a/merlinbay/scale/results.py
+++ b/merlinbay/scale/results.py
@@ -38,6 +38,7 @@
     busiest_bytes_sent_per_s: float = 0.0  # of the one member that sent the most
     times: dict[str, Percentiles] = {}  # for example "time_to_force", "death_detected"
     counts: dict[str, int] = {}  # for example "changes", "deaths", "restarts"
+    busiest_cpu_share: float = 0.0  # of the process that took the most, over its members
     base_memory_bytes: int = 0  # of a process without the role; ``memory_bytes`` is the growth above it
     # Of a hollow row: real over hollow for each quantity, from the calibration; whether the figures above are
     # multiplied by them; and the quantities that do not stand for a real member's.
--- a/merlinbay/scale/roles.py
+++ b/merlinbay/scale/roles.py
@@ -87,10 +87,23 @@
         """Return the process id."""
 
 
+class ConfigurationWriter(Protocol):
+    """Changes the configuration of a run."""
+
+    repeats: int  # calls that had to be made again
+
+    async def write(self, number: int) -> int:
+        """Have a change applied, however often it has to be repeated; return its revision."""
+
+    async def leader(self) -> int:
+        """Return the member that leads at present."""
+
+
 class Role(Protocol):
     """A kind of member."""
 
     name: str
+    meshed: bool  # members speak with each other, so that real ones do so unseen by hollow ones
 
     def need(self, plan: RolePlan) -> MemberNeed:
         """Return what a member takes."""
@@ -103,3 +116,6 @@
 
     def real(self, plan: RolePlan, run: RunFacts, number: int, variant: Variant) -> RealMember:
         """Make a member that is a process of its own, or one to compare it with."""
+
+    def writer(self, run: RunFacts) -> ConfigurationWriter | None:
+        """Return who changes the configuration, if members of this role take changes."""
--- a/merlinbay/scale/run.py
+++ b/merlinbay/scale/run.py
@@ -21,14 +21,13 @@
 from merlinbay.scale.limits import unfit
 from merlinbay.scale.meters import ProcessReading
 from merlinbay.scale.plan import DAY_S, Plan
-from merlinbay.scale.processes import Failed, HostProcess, real_reading
+from merlinbay.scale.processes import Failed, HostProcess, real_reading, until_quiet
 from merlinbay.scale.registry import ROLES
 from merlinbay.scale.results import FORMAT, RoleMeasurement, ScaleRun
 from merlinbay.scale.roles import RunFacts, Variant
 from merlinbay.scale.step import Idle, Step
 
 IDLE_PROCESSES = 3  # real ones: what one takes varies
-WARM_S = 3.0  # for a process to have come up
 ROOT = Path(__file__).parent.parent.parent
 
 Say = Callable[[str], None]
@@ -157,7 +156,7 @@
         try:
             for member in members:
                 member.start()
-            await trio.sleep(WARM_S)
+            await until_quiet([member.pid for member in members])
             before = [real_reading(member.pid, 0) for member in members]
             await trio.sleep(self.plan.idle_s)
             after = [real_reading(member.pid, 0) for member in members]
--- a/merlinbay/scale/schedule.py
+++ b/merlinbay/scale/schedule.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from random import Random
 
-from merlinbay.scale.plan import DAY_S, Plan
+from merlinbay.scale.plan import DAY_S, Disturbances, Plan
 
 
 class Kind(Enum):
@@ -39,6 +39,13 @@
     return [first + gap * turn for turn in range(int((seconds - first) / gap) + 1)]
 
 
+def change_moments(disturbances: Disturbances, seconds: float) -> list[float]:
+    """Return when changes of the configuration are called: evenly at their rate, and the burst at once."""
+    rate = disturbances.changes_a_second
+    evenly = [turn / rate for turn in range(int(seconds * rate))] if rate else []
+    return sorted(evenly + [disturbances.burst_at_s] * disturbances.burst_changes)
+
+
 def schedule(plan: Plan, numbers: list[int], measured_s: float) -> list[Event]:
     """Return what happens to members; nobody is touched twice, and ``numbers`` are all that may be."""
     disturbances, rng = plan.disturbances, Random(f"{plan.seed} schedule")
--- a/merlinbay/scale/sockets.py
+++ b/merlinbay/scale/sockets.py
@@ -43,8 +43,9 @@
 class Network(trio.abc.SocketFactory):
     """Makes the sockets of a process, and holds back what they send."""
 
-    def __init__(self, topology: Topology, watched: frozenset[str], nursery: trio.Nursery) -> None:
+    def __init__(self, net: int, topology: Topology, watched: frozenset[str], nursery: trio.Nursery) -> None:
         self.topology, self.nursery = topology, nursery
+        self.prefix = f"127.{net}."
         self.watched = {
             address: Traffic() for address in watched
         }  # what real members sent and got, as seen here
@@ -68,7 +69,8 @@
         """Return how long a message takes from a member to an address."""
         key = (endpoint.zone, address)
         if key not in self.delays:
-            self.delays[key] = delay_s(self.topology, endpoint.number, number_of(address))
+            near = not address.startswith(self.prefix)  # a caller of the operators' calls, next to the member
+            self.delays[key] = 0.0 if near else delay_s(self.topology, endpoint.number, number_of(address))
         return self.delays[key]
 
     def hold(self, wait_s: float, sock: MeteredSocket, data: bytes, address: Any) -> None:
--- a/merlinbay/scale/step.py
+++ b/merlinbay/scale/step.py
@@ -4,7 +4,6 @@
 
 import time
 from array import array
-from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -12,6 +11,7 @@
 
 from merlinbay.rig.run import own_net
 from merlinbay.scale import messages, meters
+from merlinbay.scale.happenings import COMMITTED, OBSERVED, Happenings
 from merlinbay.scale.layout import ProcessLayout, address_of, layout
 from merlinbay.scale.meters import ProcessReading, Traffic
 from merlinbay.scale.plan import Plan, RolePlan
@@ -19,14 +19,10 @@
 from merlinbay.scale.registry import ROLES
 from merlinbay.scale.results import RoleMeasurement
 from merlinbay.scale.roles import RealMember, RunFacts, Variant
-from merlinbay.scale.schedule import Event, Kind, schedule
+from merlinbay.scale.schedule import Kind
 
 LOOK_S = 0.5  # between two looks at how far the members are
 FULL_SHARE = 0.85  # of a core: a hollow process above it is late, and its times are not the members'
-# What members observe of what is done, and as which time it is reported.
-OBSERVED = {Kind.FAIL: ("died", "death_detected"), Kind.RESTART: ("left", "leave_spread")}
-RETURNED = ("returned", "return_spread")
-GAUGE = ("gauge", "gauge_spread")
 
 
 @dataclass
@@ -37,16 +33,6 @@
     real: dict[str, list[ProcessReading]]
 
 
-@dataclass
-class Done:
-    """Something that was done to a member."""
-
-    what: str  # that the others observe
-    subject: str
-    name: str  # of the time
-    at: float
-
-
 @dataclass
 class Idle:
     """What processes take without the role."""
@@ -77,15 +63,16 @@
         self.run = RunFacts(self.net, size, plan.seed, folder, plan.topology, plan.disturbances, self.numbers)
         folder.mkdir(parents=True)
         self.real: dict[int, RealMember] = {}
-        self.done: list[Done] = []
-        self.touched: set[int] = set()
-        self.counts: Counter[str] = Counter()
+        writers = [ROLES[role.role].writer(self.run) for role in plan.role]
+        writer = next((one for one in writers if one is not None), None)
+        self.happenings = Happenings(plan, self.host_of, writer)
+        self.counts = self.happenings.counts
 
     async def play(self) -> list[RoleMeasurement]:
         """Play it; return the rows. Raises ``Failed``; every process has ended when it returns."""
         try:
             await self._start()
-            await self._settle(self.size)
+            await self._settle(gone=0)
             await trio.sleep(self.plan.warm_up_s)
             if self.plan.disturbances.single_death:
                 return await self._one_death()
@@ -130,19 +117,18 @@
         self.real[number] = ROLES[role.role].real(role, self.run, number, Variant.MEMBER)
         self.real[number].start()
 
-    async def _settle(self, size: int) -> float:
-        """Wait until all members have come to their role's target; return for how long. Raises ``Failed``."""
+    async def _settle(self, gone: int) -> None:
+        """Wait until all members have come to their role's target. Raises ``Failed``."""
         began = trio.current_time()
         while True:
             behind = 0
             for host in self.hosts:
                 role = host.layout.role
-                gone = self.size - size
                 target = ROLES[role.role].target(role, len(self.numbers[role.role]) - gone)
                 found = await host.call(messages.GetProgress(), messages.Progress)
                 behind += sum(progress != target for progress in found.members.values())
             if not behind:
-                return trio.current_time() - began
+                return
             if trio.current_time() - began > self.plan.settle_most_s:
                 limit = f"settle_most_s = {self.plan.settle_most_s:g}"
                 raise Failed(f"size {self.size}: {behind} members have not come to rest within {limit}")
@@ -165,16 +151,13 @@
             await host.call(messages.Record(), messages.Done)
 
     async def _measure(self) -> list[RoleMeasurement]:
-        events = schedule(self.plan, self._touchable(), self.measured_s)
         await self._record()
         before = await self._snapshot()
-        began = trio.current_time()
         async with trio.open_nursery() as nursery:
-            for event in events:
-                nursery.start_soon(self._happen, began, event)
-            await trio.sleep_until(began + self.measured_s)
+            nursery.start_soon(self.happenings.run, self._touchable(), self.measured_s)
+            await trio.sleep(self.measured_s)
             after = await self._snapshot()
-        if events:
+        if self.happenings.done:
             await trio.sleep(self.plan.drain_s)
         times = await self._times()
         return self._rows(before, after, times)
@@ -187,39 +170,28 @@
             number for number in self.numbers[role.role] if number in self.host_of and number not in first
         ]
 
-    async def _happen(self, began: float, event: Event) -> None:
-        await trio.sleep_until(began + event.at_s)
-        host, subject = self.host_of[event.number], f"n{event.number}"
-        self.counts[f"{event.kind.value}s"] += 1
-        if event.kind is Kind.GAUGE:
-            await self._gauge(host, event.number, subject)
-            return
-        self.touched.add(event.number)
-        what, name = OBSERVED[event.kind]
-        if event.kind is Kind.RESTART:
-            done = await host.call(messages.Act(event.number, "leave"), messages.Done)
-            await host.call(messages.StopMember(event.number), messages.Done)
-        else:
-            done = await host.call(messages.StopMember(event.number), messages.Done)
-        self.done.append(Done(what, subject, name, done.at))
-        await trio.sleep(event.down_s)
-        done = await host.call(messages.StartMember(event.number), messages.Done)
-        self.done.append(Done(RETURNED[0], subject, RETURNED[1], done.at))
-
-    async def _gauge(self, host: HostProcess, number: int, subject: str) -> None:
-        value = float(number + 1)
-        for other in self.hosts:
-            for one in other.layout.numbers:
-                if one != number and one not in self.touched:
-                    await other.call(messages.Act(one, "await", f"{subject}={value}"), messages.Done)
-        done = await host.call(messages.Act(number, "tell", str(value)), messages.Done)
-        self.done.append(Done(GAUGE[0], subject, GAUGE[1], done.at))
-
-    async def _times(self) -> dict[str, list[float]]:
-        """Return how long each thing that was done took to be observed, by every member that did."""
-        found: dict[str, list[float]] = {}
+    async def _times(self) -> dict[str, dict[str, list[float]]]:
+        """Return by role how long each thing that was done took to be observed, by every member that did."""
+        found: dict[str, dict[str, list[float]]] = {}
+        for role in self.plan.role:
+            hosts = [host for host in self.hosts if host.layout.role is role]
+            seen = await self._observed(hosts)
+            members = {number for host in hosts for number in host.layout.numbers}
+            observers = len(members - self.happenings.touched)
+            times = found[role.role] = {}
+            for done in self.happenings.done:
+                values = [at - done.at for at in seen.get((done.what, done.subject), []) if at >= done.at]
+                if values:
+                    times.setdefault(done.name, []).extend(values)
+                    self.counts[f"{done.name}_missing"] += max(observers - len(values), 0)
+        if self.happenings.commit_times:
+            found[self.plan.role[0].role][COMMITTED] = self.happenings.commit_times
+        return found
+
+    async def _observed(self, hosts: list[HostProcess]) -> dict[tuple[str, str], list[float]]:
+        """Return when members of some processes observed what about whom."""
         seen: dict[tuple[str, str], list[float]] = {}
-        for host in self.hosts:
+        for host in hosts:
             answer = await host.call(messages.GetObservations(), messages.Observations)
             self.counts.update(answer.counts)
             for what, about in answer.times.items():
@@ -228,15 +200,12 @@
                     values.frombytes(packed)
                     seen.setdefault((what, subject), []).extend(values)
                     self.counts[f"observed_{what}"] += len(values)
-        for done in self.done:
-            times = [at - done.at for at in seen.get((done.what, done.subject), []) if at >= done.at]
-            found.setdefault(done.name, []).extend(times)
-        return found
+        return seen
 
     # Rows.
 
     def _rows(
-        self, before: Snapshot, after: Snapshot, times: dict[str, list[float]]
+        self, before: Snapshot, after: Snapshot, times: dict[str, dict[str, list[float]]]
     ) -> list[RoleMeasurement]:
         rows: list[RoleMeasurement] = []
         for role in self.plan.role:
@@ -246,7 +215,7 @@
                 if host.layout.role is role
             ]
             if pairs:
-                rows.append(self._hollow_row(role, pairs, times))
+                rows.append(self._hollow_row(role, pairs, times[role.role]))
             if self.alone[role.role]:
                 rows.append(self._real_row(role, before, after))
         return rows
@@ -262,31 +231,33 @@
             found.since(one.members[number])
             for one, two in pairs
             for number, found in two.members.items()
-            if number not in self.touched
+            if number not in self.happenings.touched
         ]
         processes = [(one.process, two.process) for one, two in pairs]
         full = sum(meters.idle_share(one, two) > FULL_SHARE for one, two in processes)
         counts = {**self.counts, "processes": len(pairs), "processes_over_their_core": full}
+        hollow = role.members_per_process > 1  # else it is a process of its own
         return meters.row(
-            role.role, self.size, True, traffic, processes, self.idle.hollow, seconds, times, counts
+            role.role, self.size, hollow, traffic, processes, self.idle.hollow, seconds, times, counts
         )
 
     def _real_row(self, role: RolePlan, before: Snapshot, after: Snapshot) -> RoleMeasurement:
         processes = list(zip(before.real[role.role], after.real[role.role], strict=True))
         seconds = sum(two.at - one.at for one, two in processes) / len(processes)
-        traffic = [self._seen_of(number, before, after) for number in self.alone[role.role]]
+        real, all_members = len(self.alone[role.role]), len(self.numbers[role.role])
+        unseen = (all_members - 1) / (all_members - real) if ROLES[role.role].meshed else 1.0
+        traffic = [self._seen_of(number, before, after).times(unseen) for number in self.alone[role.role]]
         idle = self.idle.real.get(role.role, 0.0)
         return meters.row(
             role.role, self.size, False, traffic, processes, idle, seconds, {}, {"processes": len(processes)}
         )
 
     def _seen_of(self, number: int, before: Snapshot, after: Snapshot) -> Traffic:
-        """Return a real member's traffic: what hollow ones saw of it, raised to all others it speaks with."""
+        """Return what hollow members saw of a real one's traffic."""
         address, total = address_of(self.net, number), Traffic()
         for one, two in zip(before.hosts, after.hosts, strict=True):
             total = total.plus(two.watched[address].since(one.watched[address]))
-        real = sum(map(len, self.alone.values()))
-        return total.times((self.size - 1) / (self.size - real))
+        return total
 
     # One death.
 
@@ -297,15 +268,14 @@
         await trio.sleep(self.measured_s)
         before = await self._snapshot()
         victim = self._touchable()[-1]
-        self.touched.add(victim)
         self.counts["deaths"] += 1
-        done = await self.host_of[victim].call(messages.StopMember(victim), messages.Done)
-        self.done.append(Done("died", f"n{victim}", "death_detected", done.at))
-        await self._settle(self.size - 1)
+        began = time.monotonic()
+        await self.happenings.kill(victim, OBSERVED[Kind.FAIL])
+        await self._settle(gone=1)
         agreed_at = time.monotonic()
         after = await self._snapshot()
         times = await self._times()
-        times["all_agree"] = [agreed_at - done.at]
+        times[self.plan.role[-1].role]["all_agree"] = [agreed_at - began]
         self._count_busiest(start, before, after, victim)
         return self._rows(before, after, times)
 
