--- a/merlinbay/cli/scale.py
+++ b/merlinbay/cli/scale.py
@@ -57,7 +57,7 @@
     wanted = [size for size in plan.sizes if not sizes or size in sizes]
     found = misfits(plan)
     for size, why in found.items():
-        if size in wanted or not fitting:
+        if size in wanted:
             click.echo(f"merlinbay: {name}: {why}", err=True)
     if found and not fitting and set(found) & set(wanted) or not wanted:
         sys.exit(2)
