--- a/merlinbay/cli/scale.py
+++ b/merlinbay/cli/scale.py
@@ -56,12 +56,12 @@
         sys.exit(2)
     wanted = [size for size in plan.sizes if not sizes or size in sizes]
     found = misfits(plan)
-    for size, why in found.items():
-        if size in wanted:
-            click.echo(f"merlinbay: {name}: {why}", err=True)
-    if found and not fitting and set(found) & set(wanted) or not wanted:
-        sys.exit(2)
+    needed = {*wanted, *([plan.calibration.size] if plan.calibration is not None else [])}
+    for size in needed & set(found):
+        click.echo(f"merlinbay: {name}: {found[size]}", err=True)
     kept = [size for size in wanted if size not in found]
+    if not kept or (needed - set(wanted)) & set(found) or (len(kept) < len(wanted) and not fitting):
+        sys.exit(2)
     path = out or RESULTS / f"{plan.name}.json"
     cut = play(plan, Path(name).name, kept, path, click.echo)
     click.echo(f"{plan.name}: results in {path}")
--- a/merlinbay/scale/happenings.py
+++ b/merlinbay/scale/happenings.py
@@ -107,7 +107,8 @@
     async def _kill_leader(self, writer: ConfigurationWriter, at: float) -> None:
         await trio.sleep_until(at)
         leader = await writer.leader()
-        await self.kill(leader, ("leader_died", "leader_died"))
+        self.touched.add(leader)
+        await self.host_of[leader].call(messages.StopMember(leader), messages.Done)
         self.counts["leaders_killed"] += 1
         await trio.sleep(self.plan.disturbances.failure_down_s)
         await self.host_of[leader].call(messages.StartMember(leader), messages.Done)
--- a/merlinbay/scale/host.py
+++ b/merlinbay/scale/host.py
@@ -63,7 +63,6 @@
         self.offset = time.monotonic() - trio.current_time()
         self.recording = False
         self.times: dict[str, dict[str, array[float]]] = {}
-        self.counts: dict[str, int] = {}
         gc.collect()
         self.base_memory = resident_bytes()
 
@@ -96,7 +95,7 @@
                     what: {subject: found.tobytes() for subject, found in about.items()}
                     for what, about in self.times.items()
                 }
-                return messages.Observations(packed, self.counts)
+                return messages.Observations(packed)
             case _:
                 self.recording, self.times = True, {}
                 return self.done()
@@ -111,9 +110,7 @@
         hosted = self.hosted.setdefault(number, Hosted(Endpoint(number, address, zone)))
         hosted.lives += 1
         seed = f"{self.setup.seed} {number} {hosted.lives}"
-        context = MemberContext(
-            number, address, self.setup.role, self.run, Random(seed), self.observe, self.counts
-        )
+        context = MemberContext(number, address, self.setup.role, self.run, Random(seed), self.observe)
         hosted.scope, hosted.over = trio.CancelScope(), trio.Event()
         started = trio.Event()
         self.nursery.start_soon(self._life, hosted, context, started)
--- a/merlinbay/scale/messages.py
+++ b/merlinbay/scale/messages.py
@@ -93,7 +93,6 @@
     """When members observed what, by what and about whom: monotonic seconds as packed doubles."""
 
     times: dict[str, dict[str, bytes]]
-    counts: dict[str, int]
 
 
 Answer = Done | Reading | Progress | Observations
--- a/merlinbay/scale/roles.py
+++ b/merlinbay/scale/roles.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 from random import Random
@@ -47,7 +47,6 @@
     run: RunFacts
     random: Random
     observe: Callable[[str, str, float], None]  # what, about whom, when by trio's clock
-    counts: dict[str, int] = field(default_factory=dict)
 
 
 class HollowMember(Protocol):
--- a/merlinbay/scale/step.py
+++ b/merlinbay/scale/step.py
@@ -4,6 +4,7 @@
 
 import time
 from array import array
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -22,6 +23,8 @@
 from merlinbay.scale.schedule import Kind
 
 LOOK_S = 0.5  # between two looks at how far the members are
+MISSING = "_missing"  # how many members have not observed what was done, of a count's name
+RoleTimes = dict[str, dict[str, list[float]]]  # by role and name
 FULL_SHARE = 0.85  # of a core: a hollow process above it is late, and its times are not the members'
 
 
@@ -49,6 +52,8 @@
         self, plan: Plan, size: int, real: dict[str, int], idle: Idle, folder: Path, measured_s: float
     ) -> None:
         self.plan, self.size, self.idle, self.measured_s = plan, size, idle, measured_s
+        # The role that the sizes are about: it is disturbed, and what is done is to be observed by it.
+        self.open_role = next((role for role in plan.role if not role.members), plan.role[-1])
         self.net = own_net()
         hollow, self.alone = layout(plan, size, real)
         self.hosts = [HostProcess(one) for one in hollow]
@@ -157,10 +162,18 @@
             nursery.start_soon(self.happenings.run, self._touchable(), self.measured_s)
             await trio.sleep(self.measured_s)
             after = await self._snapshot()
-        if self.happenings.done:
-            await trio.sleep(self.plan.drain_s)
-        times = await self._times()
-        return self._rows(before, after, times)
+        return self._rows(before, after, await self._drained())
+
+    async def _drained(self) -> RoleTimes:
+        """Return all times, once every member has observed everything or ``drain_s`` is over."""
+        end, wait = trio.current_time() + self.plan.drain_s, LOOK_S
+        while True:
+            times = await self._times()
+            left = end - trio.current_time()
+            if left <= 0 or not any(self.counts[name] for name in self.counts if name.endswith(MISSING)):
+                return times
+            await trio.sleep(min(wait, left))
+            wait *= 2
 
     def _touchable(self) -> list[int]:
         """Return the members that may be disturbed: hollow ones of the role that takes what is left."""
@@ -170,20 +183,25 @@
             number for number in self.numbers[role.role] if number in self.host_of and number not in first
         ]
 
-    async def _times(self) -> dict[str, dict[str, list[float]]]:
+    async def _times(self) -> RoleTimes:
         """Return by role how long each thing that was done took to be observed, by every member that did."""
-        found: dict[str, dict[str, list[float]]] = {}
+        found: RoleTimes = {}
+        counts: Counter[str] = Counter()
         for role in self.plan.role:
             hosts = [host for host in self.hosts if host.layout.role is role]
             seen = await self._observed(hosts)
             members = {number for host in hosts for number in host.layout.numbers}
             observers = len(members - self.happenings.touched)
             times = found[role.role] = {}
+            for (what, _), moments in seen.items():
+                counts[f"observed_{what}"] += len(moments)
             for done in self.happenings.done:
+                if role.role != self.open_role.role:
+                    continue
                 values = [at - done.at for at in seen.get((done.what, done.subject), []) if at >= done.at]
-                if values:
-                    times.setdefault(done.name, []).extend(values)
-                    self.counts[f"{done.name}_missing"] += max(observers - len(values), 0)
+                counts[f"{done.name}{MISSING}"] += max(observers - len(values), 0)
+                times.setdefault(done.name, []).extend(values)
+        self.counts.update({name: count - self.counts[name] for name, count in counts.items()})
         if self.happenings.commit_times:
             found[self.plan.role[0].role][COMMITTED] = self.happenings.commit_times
         return found
@@ -193,20 +211,16 @@
         seen: dict[tuple[str, str], list[float]] = {}
         for host in hosts:
             answer = await host.call(messages.GetObservations(), messages.Observations)
-            self.counts.update(answer.counts)
             for what, about in answer.times.items():
                 for subject, packed in about.items():
                     values = array("d")
                     values.frombytes(packed)
                     seen.setdefault((what, subject), []).extend(values)
-                    self.counts[f"observed_{what}"] += len(values)
         return seen
 
     # Rows.
 
-    def _rows(
-        self, before: Snapshot, after: Snapshot, times: dict[str, dict[str, list[float]]]
-    ) -> list[RoleMeasurement]:
+    def _rows(self, before: Snapshot, after: Snapshot, times: RoleTimes) -> list[RoleMeasurement]:
         rows: list[RoleMeasurement] = []
         for role in self.plan.role:
             pairs = [
@@ -275,7 +289,7 @@
         agreed_at = time.monotonic()
         after = await self._snapshot()
         times = await self._times()
-        times[self.plan.role[-1].role]["all_agree"] = [agreed_at - began]
+        times[self.open_role.role]["all_agree"] = [agreed_at - began]
         self._count_busiest(start, before, after, victim)
         return self._rows(before, after, times)
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import msgspec
@@ -190,26 +191,66 @@
     trio.run(play)
 
 
-def command(*words: str) -> subprocess.CompletedProcess[str]:
-    """Run the command line."""
-    line = [sys.executable, "-B", "-m", "merlinbay", "scale", "run", *words]
-    return subprocess.run(line, cwd=ROOT, capture_output=True, text=True, timeout=150)
+def start(out: Path, *words: str) -> subprocess.Popen[str]:
+    """Start a run."""
+    line = [sys.executable, "-B", "-m", "merlinbay", "scale", "run", *words, "--out", str(out)]
+    return subprocess.Popen(line, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
 
 
-def test_a_tiny_run_writes_its_results(tmp_path: Path) -> None:
+@pytest.fixture(scope="module")
+def folder(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """Return where the runs write."""
+    return tmp_path_factory.mktemp("scale")
+
+
+@pytest.fixture(scope="module")
+def runs(folder: Path) -> Iterator[dict[str, subprocess.Popen[str]]]:
+    """Start the tiny runs side by side."""
+    found = {name: start(folder / f"{name}.json", name) for name in ("tiny", "tiny-control")}
+    yield found
+    for process in found.values():
+        if process.poll() is None:
+            process.terminate()
+            process.wait()
+
+
+def results(folder: Path, runs: dict[str, subprocess.Popen[str]], name: str) -> ScaleRun:
+    """Wait for a run and return its results."""
+    said = "".join(runs[name].communicate(timeout=300))
+    assert runs[name].returncode == 0, said
+    return msgspec.json.decode((folder / f"{name}.json").read_bytes(), type=ScaleRun)
+
+
+def test_a_tiny_run_writes_its_results(folder: Path, runs: dict[str, subprocess.Popen[str]]) -> None:
     """Six hollow members come to see each other, one dies and the five others all tell so."""
-    out = tmp_path / "tiny.json"
-    done = command("tiny", "--out", str(out))
-    assert done.returncode == 0, done.stdout + done.stderr
-    found = msgspec.json.decode(out.read_bytes(), type=ScaleRun)
+    found = results(folder, runs, "tiny")
     (row,) = found.rows
     assert (found.plan, found.incomplete, row.role, row.size) == ("tiny", "", "view-member", 6)
     assert row.hollow and row.members == 5 and row.bytes_sent_per_s > 0 and row.messages_received_per_s > 0
     assert row.times["death_detected"].count == 5 and row.counts["deaths"] == 1
+    assert row.counts["busiest_bytes_for_death"] > 0
 
 
 def test_a_run_that_does_not_fit_starts_nothing(tmp_path: Path) -> None:
     """One line for the size, and no results."""
-    done = command("tiny", "--memory-mib", "64", "--out", str(tmp_path / "tiny.json"))
-    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1
-    assert "size 6: some " in done.stderr and not (tmp_path / "tiny.json").exists()
+    out = tmp_path / "tiny.json"
+    process = start(out, "tiny", "--memory-mib", "64")
+    said = process.communicate(timeout=100)[1]
+    assert process.returncode == 2 and len(said.splitlines()) == 1
+    assert "size 6: some " in said and not out.exists()
+
+
+def test_changes_of_a_tiny_control_plane_are_in_force_at_all_followers(
+    folder: Path, runs: dict[str, subprocess.Popen[str]]
+) -> None:
+    """Nine changes, with the leader killed among them: none is missing at any of four followers."""
+    rows = {row.role: row for row in results(folder, runs, "tiny-control").rows}
+    assert [rows[role].hollow for role in ("control-voter", "control-relay", "control-follower")] == [
+        False,
+        False,
+        True,
+    ]
+    counts = rows["control-follower"].counts
+    assert (counts["changes"], counts["leaders_killed"], counts["time_to_force_missing"]) == (9, 1, 0)
+    assert rows["control-follower"].times["time_to_force"].count == 4 * 9
+    assert rows["control-voter"].times["time_to_commit"].count == 9
