A capacity page from the plan's inputs and fits over runs, with the ranking of what is missing

Ruled out: AICc for the constant against a slope, which is not defined at four values: a slope counts where its interval excludes zero, and AICc orders the forms with a slope. Formulas in code beside a text that describes them: the text in docs/capacity/*.toml is what is worked out. A ranking by hand: it is computed from margins and from which mechanism needs which. Runs of the view and of the control log are not there yet: their rows say reckoned or not known.

--- /dev/null
+++ b/merlinbay/cli/capacity.py
@@ -0,0 +1,120 @@
+"""``merlinbay scale fit`` and ``merlinbay scale capacity``: fits over scale runs, and the capacity page."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn
+
+import click
+
+if TYPE_CHECKING:
+    from merlinbay.capacity.fit import Choice
+    from merlinbay.capacity.runs import RunFile
+
+BAD_FILE, DIFFERENT = 2, 3
+FILE = click.Path(dir_okay=False, path_type=Path)
+FOLDER = click.Path(file_okay=False, path_type=Path)
+
+
+def refuse(error: Exception) -> NoReturn:
+    """Say in one line what is wrong with a file, and end."""
+    click.echo(f"merlinbay: {error}", err=True)
+    sys.exit(BAD_FILE)
+
+
+@click.command("fit")
+@click.argument("files", nargs=-1, required=True, type=FILE)
+@click.option("--role", default="", help="This role alone.")
+@click.option("--plot", type=FOLDER, help="Write an SVG of each fit into this folder.")
+def fit_runs(files: tuple[Path, ...], role: str, plot: Path | None) -> None:
+    """Fit each metric of each role in FILES over the sizes: form, slope with its interval, residuals."""
+    from merlinbay.capacity.fit import TooFewSizes, choose
+    from merlinbay.capacity.runs import BadRun, read_run
+
+    try:
+        runs = [read_run(path) for path in files]
+    except BadRun as error:
+        refuse(error)
+    fitted = False
+    for name, sizes, values in _all_series(runs, role):
+        try:
+            choice = choose(sizes, values)
+        except TooFewSizes as error:
+            click.echo(f"{name}: refused: {error}")
+            continue
+        fitted = True
+        _show(name, choice)
+        if plot is not None:
+            from merlinbay.capacity.plot import save
+
+            plot.mkdir(parents=True, exist_ok=True)
+            save(plot / f"{name.replace(' ', '-').replace('/', '-')}.svg", name, choice)
+    if not fitted:
+        refuse(ValueError("nothing could be fitted: at least four different sizes are needed"))
+
+
+def _all_series(runs: Sequence[RunFile], role: str) -> Iterator[tuple[str, list[float], list[float]]]:
+    """Yield the name, sizes and values of each plan, role, kind of member and metric."""
+    from merlinbay.capacity.runs import METRICS
+
+    kinds = sorted(
+        {
+            (file.run.plan, row.role, row.hollow)
+            for file in runs
+            for row in file.run.rows
+            if role in ("", row.role)
+        }
+    )
+    for plan, name, hollow in kinds:
+        rows = [
+            row
+            for file in runs
+            for row in file.run.rows
+            if (file.run.plan, row.role, row.hollow) == (plan, name, hollow)
+        ]
+        for metric in METRICS:
+            values = [float(getattr(row, metric)) for row in rows]
+            if any(values):
+                title = f"{plan} {name} {'hollow' if hollow else 'real'} {metric}"
+                yield title, [float(row.size) for row in rows], values
+
+
+def _show(name: str, choice: Choice) -> None:
+    """Print one fit."""
+    from merlinbay.capacity.page import form, slope
+
+    click.echo(f"{name}: {form(choice)}")
+    click.echo(f"  slope {slope(choice)}, intercept {choice.chosen.intercept:.4g}")
+    for size, value, residual in zip(choice.sizes, choice.values, choice.chosen.residuals, strict=True):
+        click.echo(f"  at {size:,.0f}: {value:.4g}, residual {residual:+.3g}")
+
+
+@click.command()
+@click.option("--page", default="docs/CAPACITY.md", show_default=True, type=FILE)
+@click.option("--plan", "plan_folder", default="docs/capacity", show_default=True, type=FOLDER)
+@click.option("--runs", "run_folder", default="bench/scale-runs", show_default=True, type=FOLDER)
+@click.option(
+    "--check", is_flag=True, help="Write nothing; exit with 3 where the page is not as it would be."
+)
+def capacity(page: Path, plan_folder: Path, run_folder: Path, check: bool) -> None:
+    """Write the tables of the capacity page from the plan's files and the runs."""
+    from merlinbay.capacity import page as tables
+    from merlinbay.capacity.needs import Reckoner
+    from merlinbay.capacity.plan import BadPlan, read_plan
+    from merlinbay.capacity.runs import BadRun, read_folder
+
+    try:
+        text = page.read_text()
+        written = tables.write(text, Reckoner(read_plan(plan_folder), read_folder(run_folder)))
+    except (OSError, BadPlan, BadRun, tables.BadPage) as error:
+        refuse(error)
+    if written == text:
+        click.echo(f"{page}: as the runs and the plan give it")
+    elif check:
+        click.echo(f"merlinbay: {page}: its tables are not as the runs and the plan give them", err=True)
+        sys.exit(DIFFERENT)
+    else:
+        page.write_text(written)
+        click.echo(f"{page}: written")
