--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -3,7 +3,8 @@
 ``decisions``: a job, a whole list, a start and the memory of the decision module by the entries listed.
 ``owner``: memory of waiting jobs by their number, and processor time of a job in the backlog by the teams.
 ``front``: a submission by sockets, and the memory of the node, by the jobs known. ``node``: a job's whole way
-through a node with sockets, from its submission to its end, by the real servers listed.
+through a node with sockets, from its submission to its end, by the real servers listed. ``agent``: an
+executor's own processor time for a task's start and end, by the tasks that run beside it.
 
 Sizes are measured one after the other; files go to ``bench/scale-runs``.
 """
@@ -24,12 +25,12 @@
 
 from bench import fleet
 from bench.batch import BACKLOG, many, run_and_wait, submit_held
+from bench.capacity_parts import BALANCERS
 from bench.nodes import PLAIN, ROOT, Node, StandIns
 from merlinbay.scale.results import FORMAT, Percentiles, RoleMeasurement, ScaleRun
 
 RUNS = ROOT / "bench" / "scale-runs"
 ENTRIES = (14, 60, 200, 625, 1250, 2500)
-BALANCERS = 200  # dispatcher nodes that the module is told of
 JOBS_WAITING = (2500, 5000, 10_000, 20_000, 40_000)
 TEAMS = (40, 165, 330, 660, 1320)
 JOBS_KNOWN = (1000, 3000, 6000, 12_000, 25_000)
@@ -37,80 +38,12 @@
 JOBS_RUN = 800  # that a point of the whole node is made of
 SUBMISSIONS = 1000  # that a point of the front is made of
 LISTS = 20  # that bench.fleet reads
-TABLE_CHILD = """
-import resource, sys
-from pathlib import Path
-from merlinbay.decision import Balancer, api
-def resident():
-    return int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize()
-entries, balancers = int(sys.argv[1]), 200
-admit = api.JobClass("admit", 120_000, 5_000_000, effect="by_key", group="cell", window_us=7_500_000)
-settings = api.Settings([admit], balancers=balancers, kinds=["k"], tells_start=True)
-before = resident()
-made = Balancer(settings, 1, 0)
-made.handle(0, [api.ListChanged("all", [
-    api.WorkerEntry(f"w{n}", "z", "k", n // 6, "up", 1.0, 0) for n in range(entries)])])
-now = 0
-for number in range(4000):
-    now += 50_000
-    for attempt, action in enumerate(a for a in made.handle(now, [api.JobArrived(number, "admit", 5_000_000)])
-                                     if isinstance(a, api.Place)):
-        made.handle(now + 40_000, [api.AttemptEnded(number, attempt, api.Outcome.OK, 40_000, True,
-                                                    [2.0, 2.0], action.worker)])
-print(resident() - before)
-"""
-MEMORY_CHILD = """
-import itertools, resource, sys
-from pathlib import Path
-from merlinbay.batch.book import Bounds
-from merlinbay.batch.engine import Engine
-from merlinbay.batch.jobs import Backlog, Submission
-from merlinbay.batch.quota import Allowance
-def resident():
-    return int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize()
-jobs, teams = int(sys.argv[1]), 660
-numbers = itertools.count(1)
-engine = Engine(Bounds(sessions=teams), lambda: f"job-{next(numbers)}")
-allowance = Allowance(jobs=10**6, size=1 << 40)
-sessions = [engine.create(f"team-{n}", "", allowance, Backlog(), 1) for n in range(teams)]
-before = resident()
-template = 300
-for number in range(jobs):
-    text = str(number).encode().ljust(template, b"x")
-    engine.submit(sessions[number % teams], Submission(text, "c", size=template, held=True), 1)
-print(resident() - before)
-"""
-TURNS_CHILD = """
-import itertools, sys, time
-from merlinbay.batch.book import Bounds, Offer
-from merlinbay.batch.engine import Engine
-from merlinbay.batch.jobs import Backlog, Submission
-from merlinbay.batch.quota import Allowance
-teams, each = int(sys.argv[1]), 8
-numbers = itertools.count(1)
-engine = Engine(Bounds(sessions=teams), lambda: f"job-{next(numbers)}")
-allowance = Allowance(jobs=10**6, size=1 << 40)
-sessions = [engine.create(f"team-{n}", "", allowance, Backlog(), 1) for n in range(teams)]
-began, now = time.process_time(), 1_000_000
-for session in sessions * each:
-    engine.submit(session, Submission(b"", "c"), now)
-done = 0
-while engine.jobs:
-    now += 1000
-    for effect in engine.take(now):
-        if isinstance(effect, Offer):
-            engine.placed(effect.job, "s", now)
-            engine.started(effect.job, "s", now)
-            engine.finished(effect.job, b"", now)
-            done += 1
-assert done == teams * each
-print(time.process_time() - began, done)
-"""
+TASKS_RUNNING = (2, 5, 10, 20, 40)
 
 
-def child(code: str, argument: int) -> list[float]:
+def part(name: str, size: int) -> list[float]:
     """Run a measurement in a process of its own; return the numbers that it prints."""
-    command = [sys.executable, "-B", "-c", code, str(argument)]
+    command = [sys.executable, "-B", "-m", "bench.capacity_parts", name, str(size)]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
     return [float(word) for word in done.stdout.split()]
 
@@ -170,7 +103,7 @@
         rows=tuple(rows),
     )
     RUNS.mkdir(parents=True, exist_ok=True)
-    path = RUNS / f"bench-{name}.json"
+    path = RUNS / f"bench-{name}-{datetime.fromtimestamp(began, UTC):%H%M%S}.json"
     path.write_bytes(msgspec.json.format(msgspec.json.encode(run), indent=1) + b"\n")
     click.echo(f"{path.relative_to(ROOT)}: {len(rows)} rows in {run.seconds:.0f} s")
 
@@ -191,7 +124,7 @@
             rows.append(row("dispatcher-job", entries, job_us * fleet.JOBS / 1e6, {"jobs": fleet.JOBS}))
             rows.append(row("dispatcher-list", entries, list_us * LISTS / 1e6, {"lists": LISTS}))
             rows.append(row("dispatcher-process", entries, 0.0, {}, round(memory_mb * 2**20)))
-            table = round(child(TABLE_CHILD, entries)[0])
+            table = round(part("table", entries)[0])
             rows.append(row("dispatcher-table", entries, 0.0, {"entries": entries}, table))
             rows.append(row("dispatcher-start", entries, 0.0, {}, 0, {"start": single(start_ms / 1e3)}))
     save("decisions", began, rows, f"{rounds} rounds of each size, {BALANCERS} balancers, {fleet.JOBS} jobs")
@@ -204,16 +137,16 @@
     began, rows = time.time(), []
     for _ in range(rounds):
         for jobs in JOBS_WAITING:
-            rows.append(row("owner-memory", jobs, 0.0, {"jobs": jobs}, round(child(MEMORY_CHILD, jobs)[0])))
+            rows.append(row("owner-memory", jobs, 0.0, {"jobs": jobs}, round(part("waiting", jobs)[0])))
         for teams in TEAMS:
-            cpu_s, done = child(TURNS_CHILD, teams)
+            cpu_s, done = part("turns", teams)
             rows.append(row("owner-turns", teams, cpu_s, {"jobs": round(done)}))
     what = f"{rounds} rounds of each size, in memory, templates of 300 bytes, eight jobs a team"
     save("owner", began, rows, what)
 
 
 @main.command()
-@click.option("--rounds", default=2, show_default=True)
+@click.option("--rounds", default=3, show_default=True)
 def front(rounds: int) -> None:
     """Measure submissions by sockets, and the memory of the node, by the jobs known."""
     began, rows = time.time(), []
@@ -259,5 +192,17 @@
     )
 
 
+@main.command()
+@click.option("--rounds", default=3, show_default=True)
+def agent(rounds: int) -> None:
+    """Measure an executor's part in a task's start and end, by the tasks that run."""
+    began, rows = time.time(), []
+    for _ in range(rounds):
+        for running in TASKS_RUNNING:
+            cpu_s, started = part("executor", running)
+            rows.append(row("agent-start", running, cpu_s, {"starts": round(started)}))
+    save("agent", began, rows, f"{rounds} rounds of each size, processes that end at once, nobody notified")
+
+
 if __name__ == "__main__":
     main(prog_name="python -m bench.capacity")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -361,8 +361,10 @@
     """By the value's name."""
     for name in ("inputs", "roles", "failures"):
         text = (ROOT / "docs" / "capacity" / f"{name}.toml").read_text()
-        (tmp_path / f"{name}.toml").write_text(text.replace('formula = "view_core"', 'formula = "vew_core"'))
-    with pytest.raises(BadPlan, match="there is no value 'vew_core'"):
+        (tmp_path / f"{name}.toml").write_text(
+            text.replace('formula = "follower_core"', 'formula = "folower_core"')
+        )
+    with pytest.raises(BadPlan, match="there is no value 'folower_core'"):
         read_plan(tmp_path)
 
 
