--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -18,10 +18,10 @@
 
 import trio
 
-from merlinbay.batch.book import Bounds, Offer
 from merlinbay.batch.engine import Engine
 from merlinbay.batch.jobs import Backlog, Session, Submission
 from merlinbay.batch.quota import Allowance
+from merlinbay.batch.registry import Bounds, Offer
 from merlinbay.clock import Clock
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer, api
--- a/merlinbay/capacity/needs.py
+++ b/merlinbay/capacity/needs.py
@@ -189,7 +189,9 @@
         return made
     if calibration is None:
         return replace(made, correction="hollow, not compared")
-    if made.measure.metric == MEMORY:
+    if calibration.corrected:
+        return replace(made, correction=f"hollow x {calibration.ratio:.2f} in the run, the ratio to real")
+    if made.measure.metric == MEMORY and calibration.whole_process:
         added = Estimate(*(part + calibration.difference for part in _parts(estimate)))
         return replace(made, estimate=added, correction=f"{calibration.difference:+,.0f} B of a process")
     if calibration.alike:
--- a/merlinbay/capacity/runs.py
+++ b/merlinbay/capacity/runs.py
@@ -24,6 +24,7 @@
 )
 METRICS = (*RATE_METRICS, "memory_bytes")
 MEMORY = "memory_bytes"
+CALIBRATION = "calibration"  # the count that marks rows of that step
 TOLERANCE = 0.15  # the most that hollow and real members may differ by and still count as alike
 
 
@@ -47,6 +48,9 @@
     size: int
     hollow: bool
     value: float
+    calibration: bool  # of the step that puts real members beside hollow ones
+    corrected: bool  # the run has already multiplied it by the ratio to real ones
+    base_bytes: int  # what was taken off a process's memory
 
 
 @dataclass(frozen=True)
@@ -95,13 +99,15 @@
 class Calibration:
     """Real beside hollow members of the same role at the same sizes.
 
-    Memory differs by what a process holds on its own, whatever the size: there the difference is added. All
-    else is multiplied by the ratio.
+    Where memory was measured with what a process holds on its own, which is the same at any size, the
+    difference is added. All else is multiplied by the ratio.
     """
 
     sizes: tuple[int, ...]
     ratio: float  # real over hollow, the median over the sizes
     difference: float  # real less hollow, the median over the sizes
+    corrected: bool  # the values have been multiplied by the ratio in the run
+    whole_process: bool  # of memory: the real members' has what a process holds on its own
 
     @property
     def alike(self) -> bool:
@@ -130,7 +136,8 @@
     points = list(_points(files, plan, role, metric))
     hollow = [point for point in points if point.hollow]
     real = [point for point in points if not point.hollow]
-    return Series(tuple(hollow or real), _calibrate(hollow, real))
+    corrected = [point for point in hollow if point.corrected]
+    return Series(tuple(corrected or hollow or real), _calibrate(hollow, real))
 
 
 def _points(files: Iterable[RunFile], plan: str, role: str, metric: Metric) -> Iterable[Point]:
@@ -140,7 +147,15 @@
         for row in file.run.rows:
             value = metric.of(row) if row.role == role else None
             if value is not None and math.isfinite(value):
-                yield Point(file.name, row.size, row.hollow, value)
+                yield Point(
+                    file.name,
+                    row.size,
+                    row.hollow,
+                    value,
+                    bool(row.counts.get(CALIBRATION)),
+                    getattr(row, "ratios_applied", False),
+                    getattr(row, "base_memory_bytes", 0),
+                )
 
 
 def _by_size(points: Sequence[Point]) -> dict[int, float]:
@@ -152,13 +167,19 @@
 
 
 def _calibrate(hollow: Sequence[Point], real: Sequence[Point]) -> Calibration | None:
-    """Compare the two kinds at the sizes that both were measured at."""
-    ours, theirs = _by_size(hollow), _by_size(real)
+    """Compare the two kinds at the sizes that both were measured at: in steps made for it, if any."""
+    steps = [point for point in hollow if point.calibration]
+    ours, theirs = _by_size(steps or hollow), _by_size(real)
     sizes = tuple(sorted(size for size in ours.keys() & theirs.keys() if ours[size] > 0))
     if not sizes:
         return None
-    ratio = _median_over(sizes, lambda size: theirs[size] / ours[size])
-    return Calibration(sizes, ratio, _median_over(sizes, lambda size: theirs[size] - ours[size]))
+    return Calibration(
+        sizes,
+        _median_over(sizes, lambda size: theirs[size] / ours[size]),
+        _median_over(sizes, lambda size: theirs[size] - ours[size]),
+        any(point.corrected for point in hollow),
+        not any(point.base_bytes for point in real),
+    )
 
 
 def _median_over(sizes: Sequence[int], value: Callable[[int], float]) -> float:
