A summary of the capacity page by role; a metric may be one of a run's counts

Need: a reader wants to see at once what rests on runs and what is over budget; bytes of the busiest member for one death are a count of the runs of epochs. Change: table of roles (rows by what they rest on, over budget, least margin) at the top; rows of a mechanism that another has replaced say so and are left out of it; metrics counts.NAME.

--- a/merlinbay/capacity/page.py
+++ b/merlinbay/capacity/page.py
@@ -34,6 +34,27 @@
     return pattern.sub(lambda _: f"{begin}\n\n{text}\n\n{end}", page)
 
 
+def summary_table(reckoner: Reckoner) -> list[str]:
+    """Return, for each role, on what its rows rest, how many are over budget, and the least margin."""
+    lines, rows = [], reckoner.rows()
+    for role in reckoner.plan.roles.role:
+        own = [row for row in rows if row.role == role.name and not _superseded(reckoner, row)]
+        bases = [str(sum(row.basis is basis for row in own)) for basis in Basis]
+        known = [(row.margin, row) for row in own if row.margin is not None]
+        over = str(sum(found < 1 for found, _ in known))
+        least = ""
+        if known:
+            found, row = min(known, key=lambda pair: pair[0])
+            least = f"{margin(found)}, {row.need.resource} ({row.basis.value})"
+        lines.append([role.name, *bases, over, least])
+    return table(["role", *(basis.value for basis in Basis), "over budget", "least margin"], lines)
+
+
+def _superseded(reckoner: Reckoner, row: Row) -> bool:
+    """Say whether a row is of a mechanism that another one has replaced."""
+    return reckoner.plan.replacement(reckoner.plan.mechanism(row.need.mechanism)) is not None
+
+
 def inputs_table(reckoner: Reckoner) -> list[str]:
     """Return each input, its value and where it comes from."""
     rows = []
@@ -145,7 +166,6 @@
 
 
 def _need_row(reckoner: Reckoner, row: Row) -> list[str]:
-    mechanism = reckoner.plan.mechanism(row.need.mechanism)
     need = interval(row.estimate, row.need.unit) if row.estimate else "not known"
     return [
         row.need.resource,
@@ -153,7 +173,7 @@
         basis(row),
         _budget(row),
         margins(row),
-        module(mechanism, mechanism.module),
+        carrier(reckoner, row.need.mechanism),
         filled(row.need.note, reckoner.inputs),
     ]
 
@@ -194,6 +214,16 @@
     return f"{mechanism.title}: {'none' if path == NO_MODULE else f'`{path}`'}"
 
 
+def carrier(reckoner: Reckoner, name: str) -> str:
+    """Return a mechanism of today, and what has replaced it."""
+    if not name:
+        return "none needed"
+    mechanism = reckoner.plan.mechanism(name)
+    replacement = reckoner.plan.replacement(mechanism)
+    replaced = f", replaced by the {replacement.title}" if replacement is not None else ""
+    return module(mechanism, mechanism.module) + replaced
+
+
 def failures_table(reckoner: Reckoner) -> list[str]:
     """Return, for each failure of the plan, what happens to each role."""
     lines: list[str] = []
@@ -202,7 +232,7 @@
         rows = []
         for one in failure.consequence:
             what = filled(one.what, reckoner.inputs)
-            rows.append([one.role, what, _load(reckoner, one), _carrier(reckoner, one)])
+            rows.append([one.role, what, _load(reckoner, one), carrier(reckoner, one.mechanism)])
         lines += [*table(["role", "what happens", "load", "mechanism"], rows), ""]
     return lines[:-1]
 
@@ -215,13 +245,6 @@
     return f"not known (`{formula}`)" if formula else ""
 
 
-def _carrier(reckoner: Reckoner, one: Consequence) -> str:
-    if not one.mechanism:
-        return "none needed"
-    mechanism = reckoner.plan.mechanism(one.mechanism)
-    return module(mechanism, mechanism.module)
-
-
 def ranking_table(reckoner: Reckoner) -> list[str]:
     """Return the ranking of today and that at 9484f4e."""
     lines: list[str] = []
@@ -246,6 +269,7 @@
 
 
 TABLES: dict[str, Callable[[Reckoner], list[str]]] = {
+    "summary": summary_table,
     "inputs": inputs_table,
     "sensitivity": sensitivity_table,
     "fits": fits_table,
--- a/merlinbay/capacity/plan.py
+++ b/merlinbay/capacity/plan.py
@@ -152,6 +152,13 @@
         """Return a mechanism by its name."""
         return next(one for one in self.roles.mechanism if one.name == name)
 
+    def replacement(self, mechanism: Mechanism, before: bool = False) -> Mechanism | None:
+        """Return the mechanism that makes another one superfluous, where that one is there."""
+        if not mechanism.replaced_by:
+            return None
+        found = self.mechanism(mechanism.replaced_by)
+        return found if found.at(before) != NO_MODULE else None
+
 
 def read_plan(folder: Path) -> Plan:
     """Read the files and check that all names in them are there."""
--- a/merlinbay/capacity/ranking.py
+++ b/merlinbay/capacity/ranking.py
@@ -42,11 +42,10 @@
 
 def rank(plan: Plan, rows: Sequence[Row], before: bool = False) -> list[Rank]:
     """Return all mechanisms in use, the least margin first, then the most rows; ``before``: at 9484f4e."""
-    here = {one.name for one in plan.roles.mechanism if one.at(before) != NO_MODULE}
     found = [
         _stand(plan, rows, one, before)
         for one in plan.roles.mechanism
-        if one.replaced_by not in here and _rows_of(plan, rows, one.name)
+        if plan.replacement(one, before) is None and _rows_of(plan, rows, one.name)
     ]
     return sorted(found, key=lambda one: (one.margin, -one.resting_rows, one.mechanism.name))
 
--- a/merlinbay/capacity/runs.py
+++ b/merlinbay/capacity/runs.py
@@ -24,6 +24,7 @@
 )
 METRICS = (*RATE_METRICS, "memory_bytes")
 MEMORY = "memory_bytes"
+COUNTS = "counts."  # how metrics begin that are one of the counts
 CALIBRATION = "calibration"  # the count that marks rows of that step
 TOLERANCE = 0.15  # the most that hollow and real members may differ by and still count as alike
 
@@ -57,8 +58,8 @@
 class Metric:
     """What is read from a role's rows.
 
-    ``name`` is a field of ``RoleMeasurement`` or ``times.NAME.PERCENTILE``. With ``per``, a rate is turned
-    into a value for each of these counts, for example processor seconds a change.
+    ``name`` is a field of ``RoleMeasurement``, ``times.NAME.PERCENTILE`` or ``counts.NAME``. With ``per``, a
+    rate is turned into a value for each of these counts, for example processor seconds a change.
     """
 
     name: str
@@ -70,9 +71,12 @@
         if value is None or not self.per:
             return value
         count = row.counts.get(self.per, 0)
-        return value * row.seconds / count if count else None
+        total = value if self.name.startswith(COUNTS) else value * row.seconds
+        return total / count if count else None
 
     def _read(self, row: RoleMeasurement) -> float | None:
+        if self.name.startswith(COUNTS):
+            return row.counts.get(self.name.removeprefix(COUNTS))
         if self.name.startswith("times."):
             _, kind, percentile = self.name.split(".")
             times = row.times.get(kind)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -189,7 +189,8 @@
     row = measurement(50, cpu_share=0.2, counts={"changes": 4}, times={"x": Percentiles(9, 1, 2, 3, 4)})
     assert Metric("cpu_share").of(row) == 0.2
     assert Metric("cpu_share", "changes").of(row) == 0.5  # seconds a change
-    assert Metric("times.x.p999").of(row) == 3
+    assert Metric("times.x.p999").of(row) == 3 and Metric("counts.changes").of(row) == 4
+    assert Metric("counts.changes", "changes").of(row) == 1  # no rate: so many for each
     assert Metric("times.y.p50").of(row) is None and Metric("cpu_share", "deaths").of(row) is None
     with pytest.raises(BadRun, match="no metric 'speed'"):
         Metric("speed").of(row)
