--- a/merlinbay/capacity/fit.py
+++ b/merlinbay/capacity/fit.py
@@ -122,7 +122,7 @@
         raise ValueError(f"{len(sizes)} sizes, but {len(values)} values")
     different = len(set(sizes))
     if different < LEAST_SIZES:
-        raise TooFewSizes(f"{different} different sizes, but a fit needs {LEAST_SIZES}")
+        raise TooFewSizes(f"sizes that differ: {different}, but a fit needs {LEAST_SIZES}")
     if min(sizes) < 1:
         raise ValueError("a size is at least 1")
     constant = _fit_constant(values)
--- a/merlinbay/capacity/page.py
+++ b/merlinbay/capacity/page.py
@@ -92,6 +92,7 @@
         "role and metric",
         "runs",
         "sizes",
+        "values",
         "form",
         "slope",
         "largest residual",
@@ -106,9 +107,10 @@
     metric = f"{measure.role}, `{measure.metric}`" + (f" per {measure.per}" if measure.per else "")
     runs = ", ".join(f"`{run}`" for run in one.series.runs) or MISSING_RUN
     sizes = sorted({point.size for point in one.series.points})
-    spread = f"{len(one.series.points)} values, {', '.join(f'{size:,}' for size in sizes)}" if sizes else ""
+    spread = ", ".join(f"{size:,}" for size in sizes)
+    values = str(len(one.series.points) or "")
     if one.choice is None:
-        return [measure.name, metric, runs, spread, f"not known: {one.missing}", "", "", "", ""]
+        return [measure.name, metric, runs, spread, values, f"not known: {one.missing}", "", "", "", ""]
     choice = one.choice
     residual = max(abs(value) for value in choice.chosen.residuals)
     if one.estimate is None:
@@ -122,6 +124,7 @@
         metric,
         runs,
         spread,
+        values,
         form(choice),
         slope(choice),
         quantity(residual, measure.unit),
--- a/merlinbay/capacity/runs.py
+++ b/merlinbay/capacity/runs.py
@@ -22,8 +22,8 @@
     "messages_received_per_s",
     "cpu_share",
 )
-METRICS = (*RATE_METRICS, "memory_bytes")
-MEMORY = "memory_bytes"
+MEMORY, BASE_MEMORY = "memory_bytes", "base_memory_bytes"
+METRICS = (*RATE_METRICS, MEMORY, BASE_MEMORY)
 COUNTS = "counts."  # how metrics begin that are one of the counts
 CALIBRATION = "calibration"  # the count that marks rows of that step
 TOLERANCE = 0.15  # the most that hollow and real members may differ by and still count as alike
@@ -83,7 +83,7 @@
             return None if times is None else float(getattr(times, percentile))
         if self.name not in METRICS:
             raise BadRun(f"there is no metric {self.name!r}")
-        return float(getattr(row, self.name))
+        return float(getattr(row, self.name, 0))
 
 
 @dataclass(frozen=True)
--- a/merlinbay/cli/capacity.py
+++ b/merlinbay/cli/capacity.py
@@ -57,7 +57,7 @@
 
 def _all_series(runs: Sequence[RunFile], role: str) -> Iterator[tuple[str, list[float], list[float]]]:
     """Yield the name, sizes and values of each plan, role, kind of member and metric."""
-    from merlinbay.capacity.runs import METRICS
+    from merlinbay.capacity.runs import METRICS, Metric
 
     kinds = sorted(
         {
@@ -75,7 +75,7 @@
             if (file.run.plan, row.role, row.hollow) == (plan, name, hollow)
         ]
         for metric in METRICS:
-            values = [float(getattr(row, metric)) for row in rows]
+            values = [Metric(metric).of(row) or 0.0 for row in rows]
             if any(values):
                 title = f"{plan} {name} {'hollow' if hollow else 'real'} {metric}"
                 yield title, [float(row.size) for row in rows], values
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -387,7 +387,7 @@
         lines[1].startswith("  slope 3 (2.99 to 3.0")
         and len([one for one in lines if "residual" in one]) == 5
     )
-    assert lines[-1] == "single r real bytes_sent_per_s: refused: 1 different sizes, but a fit needs 4"
+    assert lines[-1] == "single r real bytes_sent_per_s: refused: sizes that differ: 1, but a fit needs 4"
     assert [one.name for one in plots.iterdir()] == ["p-r-real-bytes_sent_per_s.svg"]
     code, lines = called(fit_runs, str(single))
     assert code == 2 and lines[-1].startswith("merlinbay: nothing could be fitted")
