--- a/merlinbay/scale/control_writer.py
+++ b/merlinbay/scale/control_writer.py
@@ -9,7 +9,7 @@
 
 from merlinbay.control_service.operator_calls import Applied, ChangeRequest
 from merlinbay.control_service.status import ProcessStatus
-from merlinbay.http.client import Broken, ClientConnection, NotSent, Reply
+from merlinbay.http.client import ClientConnection, ConnectionBroken, NotSent, Reply
 from merlinbay.limits import Limits
 from merlinbay.scale.control_plane import VOTER, name_of, operator_of
 from merlinbay.scale.roles import RunFacts
@@ -73,5 +73,5 @@
                     return await connection.exchange(method, f"/control/{path}", [], body)
                 finally:
                     connection.close()
-        except (OSError, NotSent, Broken, trio.TooSlowError):
+        except (OSError, NotSent, ConnectionBroken, trio.TooSlowError):
             return None
