--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -5,8 +5,6 @@
 import json
 import os
 import sys
-from contextlib import suppress
-from importlib import import_module
 from pathlib import Path
 
 import click
@@ -128,6 +126,7 @@
 
 def attach() -> None:
     """Add the commands that call a front."""
+    from merlinbay.cli.capacity import capacity, fit_runs
     from merlinbay.cli.conformance import conformance
     from merlinbay.cli.control import control
     from merlinbay.cli.events import events
@@ -161,8 +160,8 @@
     main.add_command(reservation)
     main.add_command(rehearse)
     main.add_command(rig)
-    with suppress(ModuleNotFoundError):  # it adds ``fit`` and ``capacity``, where numpy and scipy are there
-        import_module("merlinbay.cli.capacity")
+    scale.add_command(capacity)
+    scale.add_command(fit_runs)
     main.add_command(scale)
     main.add_command(experiment)
     main.add_command(report_page)
