Learn hints' measure and misjudged room; a copy that waits displaces in full

Causes: probing first went on for 200 jobs a node, since what it avoids was learned only from jobs placed without it; the load was underestimated (0.13 to 0.55 where jobs waited), since run times are 1.0 to 1.35 times the hints; and a copy that itself has to wait was priced by the fleet's mean load.

Change: `misjudged` is learned from what reports contradict; a class learns its run times over their hints; a copy without room at its target displaces its whole work.

--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -111,6 +111,7 @@
     spec: JobClass
     run: float
     seen: int = 0
+    over_hint: float = 1.0  # its run times over the hints of them
 
 
 @dataclass(slots=True, eq=False)
@@ -144,11 +145,11 @@
     room_only: bool = False  # it takes free slots, and no place behind others
     reserved: bool = False  # the slots that are kept are for it
     arrived: int = 0
+    hint: float = 0.0  # the run time that its request told; 0: none
     attempts: list[Attempt] = field(default_factory=list)
     pending: int = 0
     done: bool = False
 
-    probed_first: bool = False  # its workers were probed before it was placed
     probe_replies: list[Worker] = field(default_factory=list)  # workers that answered probes of this attempt,
     probes_pending: int = 0  # how many have not yet
 
@@ -195,7 +196,7 @@
     probing: dict[str, list[Job]] = field(default_factory=dict)  # by worker: the jobs whose probes are out
     watches: list[tuple[int, int, int]] = field(default_factory=list)  # heap: due, job, attempt
     timer_at: int = 0
-    misjudged: float = 0.5  # how often a job that seemed to find room has waited,
+    misjudged: float = 0.5  # how often a report to a probe has shown room where none was believed, or none,
     probe_us: float = 0.0  # and what a probe takes
     crossed: float = 0.0  # share of our jobs that went over the zone border
     trust: float = 1.0  # how often a worker that seemed to have room took the job
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -191,7 +191,7 @@
 
     def _arrived(self, event: api.JobArrived) -> None:
         cls = self.classes.get(event.job_class) or next(iter(self.classes.values()))
-        run = max(float(event.hint_us), 1000.0) if event.hint_us else cls.run
+        run = max(event.hint_us * cls.over_hint, 1000.0) if event.hint_us else cls.run
         worth = cls.spec.worth * (self.settings.over_share_worth if self._over_share(event.tenant) else 1)
         worth *= run if self.settings.worth_by_work else 1
         job = Job(
@@ -208,13 +208,14 @@
             event.room_only,
             event.reserved,
             self.now,
+            float(event.hint_us),
         )
         self._count_offered(job)
         self._try(job)
 
     def _try(self, job: Job) -> None:
         """Probe some workers first where only probes tell load and that pays, else decide at once."""
-        job.probe_replies, job.probes_pending, job.probed_first = [], 0, False
+        job.probe_replies, job.probes_pending = [], 0
         if self.settings.asks_first and self.limits.probes:
             near, far = self.pools.get(job.cls.spec.kind) or ([], [])
             workers = near + far
@@ -230,7 +231,6 @@
 
     def _probe_first(self, job: Job) -> None:
         """Probe workers for the job, which waits for the first that has room."""
-        job.probed_first = True
         for batch in self._batches(job):
             some = [w.name for w in self.eligible(job, batch)][:PROBES]
             self.out += [api.Probe(name) for name in some]
@@ -365,8 +365,6 @@
         attempt.started = self.now
         worker.running += job.slots
         late = self.now - attempt.at > PROMPT * self.mean_run
-        if attempt.room and not job.probed_first:
-            self.misjudged += (late - self.misjudged) * TRUST_STEP
         if not worker.kind.told:
             self._learn_slots(worker, late)
         self.own_running += job.slots
@@ -435,6 +433,9 @@
         if outcome == api.Outcome.OK:
             cls.seen += 1
             cls.run += (run - cls.run) * max(RUN_WEIGHT, 1 / cls.seen)
+            if job.hint:  # Guards against hints in another measure, as of a faster machine.
+                ratio = min(max(run / job.hint, 0.1), 10.0)
+                cls.over_hint += (ratio - cls.over_hint) * RUN_WEIGHT
             kind, ratio = worker.kind, min(max(run / cls.run, 0.1), 10.0)
             kind.pace += (ratio - kind.pace) * RUN_WEIGHT / 3 * (attempt.room or attempt.started > 0)
             if attempt.started and cls.seen >= FEW:
@@ -490,6 +491,9 @@
             weight = max(OTHERS_WEIGHT, 1 / worker.reports)
             worker.others_mean += (max(held - own, 0.0) - worker.others_mean) * weight
         before = self._others(worker)
+        if self.settings.asks_first:
+            believed, shown = self._free(worker) >= 1, worker.kind.slots - held >= 1
+            self.misjudged += ((believed != shown) - self.misjudged) * TRUST_STEP
         trust = self.trust * (1.0 if waited_for else REPORT_TRUST)
         worker.observe(self.now, before + (held - own - before) * trust)
 
--- a/merlinbay/decision/worth.py
+++ b/merlinbay/decision/worth.py
@@ -64,12 +64,9 @@
         It takes ``run_us`` by what is seen of it, else what was expected when it came.
         """
         spec, run = job.cls.spec, run_us or job.run
-        in_time = job.arrived + spec.aim_us + (spec.stretch - 1) * run - self.now
-        return self._share(job, wait_us, in_time, job.deadline - run - self.now)
-
-    def _share(self, job: Job, wait_us: float, in_time_us: float, at_all_us: float) -> float:
-        early = share_started(wait_us, in_time_us)
-        return early + job.cls.spec.late_worth * (max(share_started(wait_us, at_all_us), early) - early)
+        in_time = share_started(wait_us, job.arrived + spec.aim_us + (spec.stretch - 1) * run - self.now)
+        at_all = max(share_started(wait_us, job.deadline - run - self.now), in_time)
+        return in_time + spec.late_worth * (at_all - in_time)
 
     def _share_running(self, job: Job, attempt: Attempt, run_us: float) -> float:
         """Return the share of its worth that an attempt which runs can be expected to earn."""
@@ -78,7 +75,8 @@
         mean = job.cls.run * attempt.worker.kind.pace
         left = max(self._pace(attempt.worker) * run_us - elapsed, elapsed - mean)
         in_time = job.arrived + spec.aim_us + spec.stretch * run_us - self.now
-        return self._share(job, left, in_time, job.deadline - self.now)
+        early = share_started(left, in_time)
+        return early + spec.late_worth * (max(share_started(left, job.deadline - self.now), early) - early)
 
     def crossing_pays(self, job: Job, far: tuple[Worker, float], near: tuple[Worker, float] | None) -> bool:
         """Tell whether a worker beyond the zone border is worth its price over the best one on this side.
@@ -98,10 +96,11 @@
             waiting = self._share_running(job, attempt, run)
         else:  # the longer it has waited, the longer it will
             waiting = self.served_share(job, self.now - attempt.at + self.turn(attempt.worker.kind))
-        wait = self.wait_behind(target, self._free(target), job.slots)
+        wait = self.wait_behind(target, self._free(target, 0.0), job.slots)
         gain = (1 - waiting) * self.trust * self.served_share(job, wait, run)
         gain *= job.worth / max(self.mean_worth, 1e-9)
-        price = run * job.slots / self.mean_run * (self.displaced(target.kind) + self.settings.waste_price)
+        displaced = 1.0 if wait else self.displaced(target.kind)  # what waits there keeps others waiting
+        price = run * job.slots / self.mean_run * (displaced + self.settings.waste_price)
         if target.zone != self.settings.zone:
             price += self.settings.cross_zone_price
         return gain > price
--- a/tests/test_copies_and_probes.py
+++ b/tests/test_copies_and_probes.py
@@ -225,3 +225,38 @@
         gates[order] = [sum(made._gate(kind, job) for _ in range(50)) for job in (one, two)]
     assert gates["fifo"][0] == pytest.approx(gates["backfill"][0], rel=0.2)
     assert gates["backfill"][1] < gates["fifo"][1] / 2
+
+
+def test_what_reports_contradict_is_learned_without_placing_a_job() -> None:
+    """Found as waiting for probes for seconds: who probes first never saw how it would do without."""
+    made = probing(0.002, report_fields=["x0"], balancers=1)
+    made.misjudged = 0.5
+    for number in range(100):
+        made.now += 50_000
+        made.handle(made.now, [api.ProbeEnded(f"w{number % 8}", 1, 900, [4.0 - number / 1000])])
+    assert made.misjudged < 0.05
+
+
+def test_hints_are_taken_in_the_measure_of_run_times() -> None:
+    """Found as an underestimated load: jobs ran a third longer than their hints."""
+    made = balancer(balancers=1, worth_by_work=True)
+    for number in range(200):
+        made.now += 1_000_000
+        (placed, *_) = made.handle(made.now, [api.JobArrived(number, "safe", 5_000_000, hint_us=60_000)])
+        assert isinstance(placed, api.Place)
+        made.handle(made.now, [api.JobStarted(number, 0)])
+        made.now += 90_000
+        made.handle(made.now, [api.AttemptEnded(number, 0, 1, 90_000, True, None, placed.worker)])
+    made.handle(made.now, [api.JobArrived(999, "safe", 5_000_000, hint_us=40_000)])
+    assert made.jobs[999].run == pytest.approx(60_000, rel=0.02)
+
+
+def test_a_copy_that_would_wait_itself_displaces_other_work() -> None:
+    """At a low load in the mean, but where the target has no room either."""
+    made = balancer(balancers=1)
+    offer(made, 0.2)
+    job = job_of(made)
+    attempt, target = waiting(made, job, 150_000)
+    assert made.copy_pays(job, attempt, target)
+    target.held = 4.0
+    assert not made.copy_pays(job, attempt, target)
