--- /dev/null
+++ b/merlinbay/control/simulation/core.py
@@ -0,0 +1,87 @@
+"""The consensus core as the code under test, with settings that make compaction frequent."""
+
+from __future__ import annotations
+
+import hashlib
+from random import Random
+from typing import cast
+
+import msgspec
+
+from merlinbay.control.consensus.messages import VoteResponse, decode
+from merlinbay.control.consensus.settings import VoterSettings
+from merlinbay.control.entries import StateSnapshot
+from merlinbay.control.simulation.ports import Boot, Core, LogEntry, LogView, Vote, VoterPort
+from merlinbay.control.voter import Role, Voter
+
+
+def settings_of(seed: int, first_voters: tuple[str, ...]) -> VoterSettings:
+    """Draw how often a voter compacts, and how small batches are; the times are those of a real voter."""
+    random = Random(f"control settings {seed}")
+    keep = random.choice((0, 5, 20))
+    return VoterSettings(
+        initial_voters=first_voters,
+        compact_after_entries=keep + random.choice((5, 20, 200)),
+        keep_entries=keep,
+        history_revisions=random.choice((5, 30, 1000)),
+        max_change_bytes=256,
+        max_batch_bytes=random.choice((256, 4096)),
+        max_messages_in_flight=random.choice((1, 8)),
+    )
+
+
+def raft(seed: int) -> Core:
+    """Return the core under test, with the settings of a seed."""
+
+    def start(boot: Boot) -> VoterPort:
+        settings = settings_of(seed, boot.first_voters)
+        return Voter(boot.name, settings, boot.records, boot.random, boot.now)
+
+    return Core(start, _snapshot, _leading_term, _voters, _log, _vote)
+
+
+def _snapshot(voter: VoterPort) -> StateSnapshot:
+    return cast(Voter, voter).keyspace.state()
+
+
+def _leading_term(voter: VoterPort) -> int | None:
+    raft_voter = cast(Voter, voter)
+    return raft_voter.term if raft_voter.role is Role.LEADER else None
+
+
+def _voters(voter: VoterPort) -> frozenset[str]:
+    return frozenset(cast(Voter, voter).voters)
+
+
+def _log(voter: VoterPort, index: int) -> LogView:
+    raft_voter = cast(Voter, voter)
+    log = raft_voter._core.log
+    first = max(index, log.base_index + 1)
+    entries = tuple(
+        LogEntry(entry.index, entry.term, _content(entry.command)) for entry in log.entries_from(first)
+    )
+    return LogView(
+        term=raft_voter.term,
+        first_index=first,
+        last_index=log.last_index,
+        last_term=log.last_term,
+        commit_index=raft_voter.commit_index,
+        state_digest=raft_voter.keyspace.digest(),
+        previous_term=log.term_at(first - 1),
+        entries=entries,
+    )
+
+
+def _vote(sender: str, message: bytes) -> Vote | None:
+    if b"voted" not in message:
+        return None
+    envelope = decode(message)
+    answer = envelope.message
+    if not isinstance(answer, VoteResponse) or answer.pre or not answer.granted:
+        return None
+    candidate = f"{answer.candidate.name}/{answer.candidate.incarnation}"
+    return Vote(f"{sender}/{envelope.incarnation}", answer.term, candidate)
+
+
+def _content(command: msgspec.Struct) -> bytes:
+    return hashlib.blake2b(msgspec.msgpack.encode(command), digest_size=8).digest()
--- a/merlinbay/control/simulation/history.py
+++ b/merlinbay/control/simulation/history.py
@@ -64,9 +64,22 @@
     last_index: int
 
 
+@dataclass(frozen=True)
+class VoteSeen:
+    """A vote that a voter has sent; ``voter`` names its disk too."""
+
+    time: float
+    voter: str
+    term: int
+    candidate: str
+
+
 @dataclass(frozen=True)
 class EntrySeen:
-    """An entry in a voter's log. ``content`` identifies the payload."""
+    """An entry in a voter's log. ``content`` identifies the payload.
+
+    ``voter_term`` is the voter's term: what it takes for committed was committed in that term or before.
+    """
 
     time: float
     voter: str
@@ -75,6 +88,7 @@
     content: bytes
     previous_term: int | None  # None where the entry before it was compacted
     committed: bool
+    voter_term: int = 0
 
 
 @dataclass(frozen=True)
@@ -128,6 +142,7 @@
     operations: list[Operation] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     leaders: list[LeaderSeen] = field(default_factory=list)
+    votes: list[VoteSeen] = field(default_factory=list)
     entries: list[EntrySeen] = field(default_factory=list)
     logs: list[LogSeen] = field(default_factory=list)
     states: list[StateSeen] = field(default_factory=list)
--- a/merlinbay/control/simulation/ports.py
+++ b/merlinbay/control/simulation/ports.py
@@ -70,14 +70,25 @@
 class LogView:
     """A voter's log from ``first_index`` on; what is before was compacted into a snapshot."""
 
+    term: int  # of the voter
     first_index: int
     last_index: int
+    last_term: int
     commit_index: int
     state_digest: str  # of all that is applied up to the commit index, ids of changes included
     previous_term: int | None  # of the entry before the first one
     entries: tuple[LogEntry, ...]
 
 
+@dataclass(frozen=True)
+class Vote:
+    """A vote that a voter gives; ``voter`` names its disk too."""
+
+    voter: str
+    term: int
+    candidate: str
+
+
 @dataclass(frozen=True)
 class Boot:
     """What a voter is started with."""
@@ -98,3 +109,4 @@
     leading_term: Callable[[VoterPort], int | None]  # the term that the voter takes itself for the leader of
     voters: Callable[[VoterPort], frozenset[str]]  # the configuration that the voter goes by
     log: Callable[[VoterPort, int], LogView | None]  # from an index on; None: it shows no log
+    vote: Callable[[str, bytes], Vote | None]  # what a message of a sender says, if it is a vote
--- a/merlinbay/control/simulation/scheduler.py
+++ b/merlinbay/control/simulation/scheduler.py
@@ -6,12 +6,17 @@
 from collections.abc import Callable
 
 
+class TooManySteps(Exception):
+    """The calls do not come to an end: as with two voters that answer each other without a pause."""
+
+
 class Scheduler:
     """Runs calls at their moments. Calls for one moment run in the order of being planned."""
 
-    def __init__(self) -> None:
-        """Start at moment 0."""
+    def __init__(self, most_steps: int) -> None:
+        """Start at moment 0; after ``most_steps`` calls, give up."""
         self.time = 0.0
+        self.most_steps = most_steps
         self.steps = 0
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._number = 0
@@ -26,9 +31,11 @@
         self.at(self.time + span, call)
 
     def run_until(self, time: float) -> None:
-        """Run all calls up to a moment."""
+        """Run all calls up to a moment. Raises ``TooManySteps``."""
         while self._queue and self._queue[0][0] <= time:
             self.time, _, call = heapq.heappop(self._queue)
             self.steps += 1
+            if self.steps > self.most_steps:
+                raise TooManySteps(f"more than {self.most_steps} steps by {self.time:.3f}")
             call()
         self.time = time
--- a/merlinbay/control/simulation/world.py
+++ b/merlinbay/control/simulation/world.py
@@ -15,17 +15,18 @@
 from merlinbay.control.simulation.client import Client, OnAnswer
 from merlinbay.control.simulation.faults import Faults
 from merlinbay.control.simulation.follower import Follower, News
-from merlinbay.control.simulation.history import Attempt, History, Kind, Operation
+from merlinbay.control.simulation.history import Attempt, History, Kind, Operation, VoteSeen
 from merlinbay.control.simulation.host import Host
 from merlinbay.control.simulation.machine import Clock
 from merlinbay.control.simulation.network import Network
 from merlinbay.control.simulation.observer import Observer
 from merlinbay.control.simulation.ports import Core, VoterPort
 from merlinbay.control.simulation.scenario import KEYS, Scenario
-from merlinbay.control.simulation.scheduler import Scheduler
+from merlinbay.control.simulation.scheduler import Scheduler, TooManySteps
 
 FINAL = "final"  # the client that asks after the faults are over
 FINAL_EVERY = 2.0  # seconds between its operations
+MOST_STEPS = 3000  # calls a second of virtual time; a sound run has some 150
 
 
 @dataclass(frozen=True)
@@ -47,7 +48,7 @@
         """Set everything up; ``run`` plays it."""
         self.scenario = scenario
         self.core = core
-        self.scheduler = Scheduler()
+        self.scheduler = Scheduler(int(MOST_STEPS * (scenario.duration + scenario.quiet)))
         self.history = History()
         self.lines: list[str] = []
         self.tokens = itertools.count(1)
@@ -82,6 +83,15 @@
         return Client(name, self, self._random(name), self.scenario.machines, think_time)
 
     def run(self) -> History:
+        """Play the scenario; return its history."""
+        try:
+            self._run()
+        except TooManySteps as error:
+            self.trace(str(error))
+            self.history.failures.append(str(error))
+        return self.history
+
+    def _run(self) -> None:
         """Play the scenario, end the faults, and let the voters come to rest."""
         scenario = self.scenario
         for host in self.hosts.values():
@@ -101,7 +111,6 @@
         leader = self.leader()
         names = self.core.voters(leader.voter) if leader is not None and leader.voter else scenario.voters
         self.observer.finish([self.hosts[name] for name in sorted(names)])
-        return self.history
 
     def _ask_finally(self) -> None:
         """Write and read every key, one after the other, with a client that does not give up at a stop."""
@@ -148,6 +157,10 @@
     def send(self, sender: str, receiver: str, message: bytes) -> None:
         """Send a message from voter to voter."""
         host = self.hosts[receiver]
+        vote = self.core.vote(sender, message)
+        if vote is not None:
+            seen = VoteSeen(self.scheduler.time, vote.voter, vote.term, vote.candidate)
+            self.history.votes.append(seen)
         for delay in self.network.arrivals(sender, receiver):
             self.scheduler.after(
                 delay, lambda: host.give(lambda voter, now: voter.receive(now, sender, message))
