Simulation of the control log: crashes at the points that matter, three profiles of faults

Change: crashes just after a vote (with the disk, too), of a new leader between its first effects, chains of changes of voters, settings with one entry a message; profiles of mixed faults, of lost leaders and of changing voters; a check that a running voter never goes back; the state is only digested where the log changed. The mutant "a server votes before it has caught up" went: the entry that admits it cannot be stored without all before it, so that no safety rule is broken by it.

--- a/bench/control.py
+++ b/bench/control.py
@@ -22,7 +22,7 @@
 from merlinbay.control.simulation.world import Run, play
 
 TRACE_LINES = 60
-MOST_MUTANT_SEEDS = 400
+MOST_MUTANT_SEEDS = 600
 STOPPED = "the_code_runs_on"
 MOST_SHOWN = 5  # failing seeds and violations that are printed in full
 
--- a/bench/control_mutants.py
+++ b/bench/control_mutants.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 from merlinbay.control.consensus.core import Core
 from merlinbay.control.consensus.election import Election
 from merlinbay.control.consensus.following import Following
+from merlinbay.control.consensus.leadership import Leadership
 from merlinbay.control.consensus.log import LogEntry
 from merlinbay.control.consensus.membership import Configuration, Member
 from merlinbay.control.consensus.messages import AppendRequest, SnapshotRequest, VoteRequest
@@ -191,10 +193,24 @@
     return True
 
 
-def always_caught_up(self: Reconfiguration, name: str) -> bool:
-    """Let a server vote as soon as it has answered."""
-    progress = self.replication.progress.get(name)
-    return progress is not None and bool(progress.incarnation)
+def counts_lost_disks(self: Replication, sender: Member, answered_round: int) -> Progress | None:
+    """Take a voter with a new disk for the one that it was, with all that it had."""
+    progress = self.progress.get(sender.name)
+    if progress is not None:
+        progress.acked_round = max(progress.acked_round, answered_round)
+    return progress
+
+
+def sends_again(self: Progress, hint: int) -> None:
+    """Go back below what the receiver had."""
+    if self.mode is not Mode.SNAPSHOT:
+        self.next_index = hint + 1
+        self.enter(Mode.PROBE)
+
+
+def endless_lease(self: Leadership) -> float:
+    """Lead until somebody else is heard of."""
+    return math.inf
 
 
 def acknowledges_first(self: Voter) -> list[Effect]:
@@ -221,7 +237,14 @@
     Mutant(
         "commits entries of earlier terms by counting", ((Replication, "committable", counts_earlier_terms),)
     ),
-    Mutant("reads without confirmation", ((Requests, "answer_reads", answers_reads_at_once),)),
+    Mutant("reads rest on the lease", ((Requests, "answer_reads", answers_reads_at_once),)),
+    Mutant(
+        "reads rest on having led, also after being stopped",
+        (
+            (Requests, "answer_reads", answers_reads_at_once),
+            (Leadership, "lease_until", property(endless_lease)),
+        ),
+    ),
     Mutant("reads before an entry of the own term", ((Requests, "begin_reads", reads_before_own_entry),)),
     Mutant("a repeated change is applied again", ((Keyspace, "apply", applies_repeats),)),
     Mutant("the expected revision is not compared", ((Keyspace, "apply", compares_nothing),)),
@@ -231,6 +254,9 @@
     Mutant("a follower keeps conflicting entries", ((Following, "_add", keeps_conflicting),)),
     Mutant("a follower installs an older snapshot", ((Following, "on_snapshot", installs_older),)),
     Mutant("two changes of voters at once", ((Reconfiguration, "drive", drives_at_once),)),
-    Mutant("a server votes before it has caught up", ((Reconfiguration, "_caught_up", always_caught_up),)),
+    Mutant(
+        "what a lost disk had stored still counts",
+        ((Replication, "_answered", counts_lost_disks), (Progress, "disagreed", sends_again)),
+    ),
     Mutant("acknowledges before records are stored", ((Voter, "take_effects", acknowledges_first),)),
 )
--- a/merlinbay/control/simulation/checker.py
+++ b/merlinbay/control/simulation/checker.py
@@ -105,6 +105,16 @@
             yield f"the state at commit index {seen.commit_index} differs: {known.voter}, {seen.voter}"
 
 
+def voters_go_forward(history: History) -> Iterator[str]:
+    """Check that what a voter has applied never goes back while it runs."""
+    latest: dict[tuple[str, int], int] = {}
+    for seen in history.logs:
+        before = latest.get((seen.voter, seen.start), 0)
+        if seen.commit_index < before:
+            yield f"{seen.voter} went from commit index {before} to {seen.commit_index} at {seen.time:.3f}"
+        latest[seen.voter, seen.start] = max(before, seen.commit_index)
+
+
 def followers_go_forward(history: History) -> Iterator[str]:
     """Check that the revision at a follower never goes back."""
     latest: dict[str, int] = {}
@@ -236,6 +246,7 @@
     leader_completeness,
     revision_names_one_state,
     commit_index_names_one_state,
+    voters_go_forward,
     followers_go_forward,
     acknowledged_changes_stay,
     changes_are_applied_once,
--- a/merlinbay/control/simulation/core.py
+++ b/merlinbay/control/simulation/core.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from merlinbay.control.consensus.messages import VoteResponse, decode
+from merlinbay.control.consensus.messages import VoteRequest, VoteResponse, decode
 from merlinbay.control.consensus.settings import VoterSettings
 from merlinbay.control.entries import StateSnapshot
-from merlinbay.control.simulation.ports import Boot, Core, LogEntry, LogView, Vote, VoterPort
+from merlinbay.control.simulation.ports import Boot, Core, Extent, LogEntry, LogView, Vote, VoterPort
 from merlinbay.control.voter import Role, Voter
 
 
@@ -24,8 +24,8 @@
         compact_after_entries=keep + random.choice((5, 20, 200)),
         keep_entries=keep,
         history_revisions=random.choice((5, 30, 1000)),
-        max_change_bytes=256,
-        max_batch_bytes=random.choice((256, 4096)),
+        max_change_bytes=64,
+        max_batch_bytes=random.choice((150, 512, 4096)),  # an entry a message; some; nearly all
         max_messages_in_flight=random.choice((1, 8)),
     )
 
@@ -37,7 +37,7 @@
         settings = settings_of(seed, boot.first_voters)
         return Voter(boot.name, settings, boot.records, boot.random, boot.now)
 
-    return Core(start, _snapshot, _leading_term, _voters, _log, _vote)
+    return Core(start, _snapshot, _leading_term, _voters, _extent, _log, _vote)
 
 
 def _snapshot(voter: VoterPort) -> StateSnapshot:
@@ -53,6 +53,12 @@
     return frozenset(cast(Voter, voter).voters)
 
 
+def _extent(voter: VoterPort) -> Extent:
+    raft_voter = cast(Voter, voter)
+    log = raft_voter._core.log
+    return Extent(log.last_index, log.last_term, raft_voter.commit_index)
+
+
 def _log(voter: VoterPort, index: int) -> LogView:
     raft_voter = cast(Voter, voter)
     log = raft_voter._core.log
@@ -63,9 +69,6 @@
     return LogView(
         term=raft_voter.term,
         first_index=first,
-        last_index=log.last_index,
-        last_term=log.last_term,
-        commit_index=raft_voter.commit_index,
         state_digest=raft_voter.keyspace.digest(),
         previous_term=log.term_at(first - 1),
         entries=entries,
@@ -73,14 +76,17 @@
 
 
 def _vote(sender: str, message: bytes) -> Vote | None:
-    if b"voted" not in message:
+    if b"vote" not in message:  # both kinds of message have it in their tag
         return None
     envelope = decode(message)
-    answer = envelope.message
-    if not isinstance(answer, VoteResponse) or answer.pre or not answer.granted:
-        return None
-    candidate = f"{answer.candidate.name}/{answer.candidate.incarnation}"
-    return Vote(f"{sender}/{envelope.incarnation}", answer.term, candidate)
+    voter = f"{sender}/{envelope.incarnation}"
+    match envelope.message:
+        case VoteRequest(pre=False, term=term):
+            return Vote(voter, term, voter)  # a candidate votes for itself
+        case VoteResponse(pre=False, granted=True, term=term, candidate=candidate):
+            return Vote(voter, term, f"{candidate.name}/{candidate.incarnation}")
+        case _:
+            return None
 
 
 def _content(command: msgspec.Struct) -> bytes:
--- a/merlinbay/control/simulation/faults.py
+++ b/merlinbay/control/simulation/faults.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable, Iterable
 from itertools import product
 
-from merlinbay.control.simulation.host import Host
+from merlinbay.control.simulation.host import AfterVote, Host
 from merlinbay.control.simulation.network import Network
 from merlinbay.control.simulation.scenario import (
     Crash,
+    CrashAfterVote,
+    CrashLeaders,
     Cut,
     CutOff,
     DiskFull,
@@ -33,7 +35,7 @@
         network: Network,
         hosts: dict[str, Host],
         leader: Callable[[], Host | None],
-        move_voter: Callable[[float], None],
+        move_voters: Callable[[tuple[float, ...]], None],
         trace: Callable[[str], None],
     ) -> None:
         """Plan the faults."""
@@ -42,7 +44,7 @@
         self.network = network
         self.hosts = hosts
         self.leader = leader
-        self.move_voter = move_voter
+        self.move_voters = move_voters
         self.trace = trace
         self.over = False
         for fault in scenario.faults:
@@ -60,6 +62,12 @@
         match fault:
             case Crash():
                 self._crash(fault)
+            case CrashAfterVote():
+                for name in fault.voters:
+                    self.hosts[name].crash_after_vote = AfterVote(fault.down_for, fault.loses_disk)
+            case CrashLeaders():
+                for name, effects, down_for in fault.victims:
+                    self.hosts[name].crash_as_leader(effects, down_for)
             case Pause():
                 self._pause(fault)
             case Cut():
@@ -75,7 +83,7 @@
                 if leader is not None:
                     leader.give(lambda voter, now: voter.transfer_leadership(now))
             case MoveVoter():
-                self.move_voter(fault.choice)
+                self.move_voters(fault.choices)
 
     def _crash(self, fault: Crash) -> None:
         host = self.hosts[fault.voter] if fault.voter else self.leader()
@@ -84,9 +92,8 @@
         if not fault.loses_disk:
             host.crash_within(fault.effects, fault.down_for)
             return
-        host.crash(None)
+        host.crash(fault.down_for)
         host.disk.lose()
-        self.scheduler.after(fault.down_for, host.start)
 
     def _pause(self, fault: Pause) -> None:
         host = self.hosts[fault.voter] if fault.voter else self.leader()
@@ -129,6 +136,6 @@
         self.network.heal_all()
         for host in self.hosts.values():
             host.disk.full = False
-            host.crash_in = None
+            host.disarm()
             host.resume()
             host.start()
--- a/merlinbay/control/simulation/history.py
+++ b/merlinbay/control/simulation/history.py
@@ -95,7 +95,7 @@
 class LogSeen:
     """The extent of a voter's log, and a digest of all that it has applied.
 
-    ``disk`` counts the disks that the voter has had.
+    ``disk`` and ``start`` count the disks that the voter has had, and its starts.
     """
 
     time: float
@@ -104,6 +104,7 @@
     last_index: int
     commit_index: int
     state_digest: str = ""
+    start: int = 1
 
 
 @dataclass(frozen=True)
--- a/merlinbay/control/simulation/host.py
+++ b/merlinbay/control/simulation/host.py
@@ -36,8 +36,8 @@
 
     scheduler: Scheduler
 
-    def send(self, sender: str, receiver: str, message: bytes) -> None:
-        """Send a message to another voter."""
+    def send(self, sender: str, receiver: str, message: bytes) -> bool:
+        """Send a message to another voter; return whether it is a vote."""
 
     def observe(self, host: Host) -> None:
         """Look at a voter whose effects are all carried out."""
@@ -60,6 +60,14 @@
     attempt: Attempt | None
 
 
+@dataclass(frozen=True)
+class AfterVote:
+    """An armed crash: how long the process is down then, and whether its disk is empty after."""
+
+    down_for: float
+    loses_disk: bool
+
+
 class Host:
     """One process, its clock and its disk, over all its starts."""
 
@@ -81,6 +89,8 @@
         self.working = False
         self.crash_in: int | None = None  # effects until an armed crash
         self.crash_for = 0.0
+        self.crash_after_vote: AfterVote | None = None
+        self.leader_crash_in: int | None = None  # effects until a crash, once it leads
         self.effects: deque[Effect] = deque()
         self.inputs: deque[Input] = deque()
         self.pending: dict[int, Pending] = {}
@@ -122,7 +132,7 @@
         self.voter = None
         self.syncing = False
         self.paused = False
-        self.crash_in = None
+        self.disarm()
         self.tick_at = math.inf
         self.effects.clear()
         self.inputs.clear()
@@ -135,6 +145,15 @@
         self.crash_in = effects
         self.crash_for = down_for
 
+    def crash_as_leader(self, effects: int, down_for: float) -> None:
+        """Crash before so many effects are carried out from the moment on at which the voter leads."""
+        self.leader_crash_in = effects
+        self.crash_for = down_for
+
+    def disarm(self) -> None:
+        """Take armed crashes back."""
+        self.crash_in = self.crash_after_vote = self.leader_crash_in = None
+
     def pause(self) -> None:
         """Stop the process as by SIGSTOP: its inputs wait, its clock runs on."""
         self.paused = self.voter is not None
@@ -203,6 +222,9 @@
         except Exception:
             self.world.failed(self, traceback.format_exc(limit=-3))
             self.crash(RESTART_AFTER)
+            return
+        if self.leader_crash_in is not None and self.core.leading_term(self.voter) is not None:
+            self.crash_in, self.leader_crash_in = self.leader_crash_in, None
 
     def _carry_out(self) -> None:
         while self.effects and self.voter is not None and not (self.paused or self.syncing):
@@ -264,12 +286,21 @@
     def _carry_one(self, effect: Effect) -> None:
         match effect:
             case Send():
-                self.world.send(self.name, effect.receiver, effect.message)
+                voted = self.world.send(self.name, effect.receiver, effect.message)
+                if voted:
+                    self._has_voted()
             case ProposalDone() | ReadDone():
                 self._answer(effect)
             case RevisionAdvanced() | Persist():
                 pass  # followers are served once all effects are carried out
 
+    def _has_voted(self) -> None:
+        after = self.crash_after_vote
+        if after is not None:
+            self.crash(after.down_for)
+            if after.loses_disk:
+                self.disk.lose()
+
     def _answer(self, effect: ProposalDone | ReadDone) -> None:
         pending = self.pending.pop(effect.token, None)
         if pending is None:
--- a/merlinbay/control/simulation/observer.py
+++ b/merlinbay/control/simulation/observer.py
@@ -15,7 +15,9 @@
     StateSeen,
 )
 from merlinbay.control.simulation.host import Host
-from merlinbay.control.simulation.ports import Core, LogView, VoterPort
+from merlinbay.control.simulation.ports import Core, Extent, VoterPort
+
+NOTHING = Extent(0, 0, 0)
 
 
 @dataclass
@@ -24,7 +26,7 @@
 
     voter: VoterPort
     revision: int = 0
-    extent: tuple[int, int, int] = (0, 0, 0)  # last index and its term, commit index
+    extent: Extent = NOTHING
     committed: int = 0
     entries: dict[int, tuple[int, bool]] = field(default_factory=dict)  # term and whether committed
 
@@ -47,14 +49,14 @@
         if seen is None or seen.voter is not voter:
             seen = self.seen[host.name] = Seen(voter)
         self._observe_state(host.name, seen, time)
-        log = self.core.log(voter, seen.committed + 1)
-        if log is not None:
-            self._observe_log(host, seen, log, time)
+        extent = self.core.extent(voter) or NOTHING
+        if extent != seen.extent:
+            self._observe_log(host, seen, extent, time)
         term = self.core.leading_term(voter)
         if term is None or (host.name, term) in self.led:
             return ""
         self.led.add((host.name, term))
-        self.history.leaders.append(LeaderSeen(time, host.name, term, log.last_index if log else 0))
+        self.history.leaders.append(LeaderSeen(time, host.name, term, extent.last_index))
         return f"{host.name} leads term {term}"
 
     def _observe_state(self, name: str, seen: Seen, time: float) -> None:
@@ -68,17 +70,23 @@
         self.history.states.append(StateSeen(time, name, revision, state_digest(snapshot.entries)))
         seen.revision = revision
 
-    def _observe_log(self, host: Host, seen: Seen, log: LogView, time: float) -> None:
-        extent = (log.last_index, log.last_term, log.commit_index)
-        if extent == seen.extent:
-            return
+    def _observe_log(self, host: Host, seen: Seen, extent: Extent, time: float) -> None:
         seen.extent = extent
+        log = self.core.log(seen.voter, seen.committed + 1)
         self.history.logs.append(
-            LogSeen(time, host.name, host.disk.number, log.last_index, log.commit_index, log.state_digest)
+            LogSeen(
+                time,
+                host.name,
+                host.disk.number,
+                extent.last_index,
+                extent.commit_index,
+                log.state_digest,
+                host.starts,
+            )
         )
         previous = log.previous_term
         for entry in log.entries:
-            mark = (entry.term, entry.index <= log.commit_index)
+            mark = (entry.term, entry.index <= extent.commit_index)
             if seen.entries.get(entry.index) != mark:
                 seen.entries[entry.index] = mark
                 self.history.entries.append(
@@ -87,7 +95,7 @@
                     )
                 )
             previous = entry.term
-        seen.committed = max(seen.committed, log.commit_index)
+        seen.committed = max(seen.committed, extent.commit_index)
 
     def finish(self, hosts: list[Host]) -> None:
         """Record what voters end with."""
--- a/merlinbay/control/simulation/ports.py
+++ b/merlinbay/control/simulation/ports.py
@@ -66,15 +66,21 @@
     content: bytes
 
 
+@dataclass(frozen=True)
+class Extent:
+    """How far a voter's log goes, and how far it is committed."""
+
+    last_index: int
+    last_term: int
+    commit_index: int
+
+
 @dataclass(frozen=True)
 class LogView:
     """A voter's log from ``first_index`` on; what is before was compacted into a snapshot."""
 
     term: int  # of the voter
     first_index: int
-    last_index: int
-    last_term: int
-    commit_index: int
     state_digest: str  # of all that is applied up to the commit index, ids of changes included
     previous_term: int | None  # of the entry before the first one
     entries: tuple[LogEntry, ...]
@@ -108,5 +114,6 @@
     snapshot: Callable[[VoterPort], StateSnapshot]
     leading_term: Callable[[VoterPort], int | None]  # the term that the voter takes itself for the leader of
     voters: Callable[[VoterPort], frozenset[str]]  # the configuration that the voter goes by
-    log: Callable[[VoterPort, int], LogView | None]  # from an index on; None: it shows no log
+    extent: Callable[[VoterPort], Extent | None]  # None: it shows no log
+    log: Callable[[VoterPort, int], LogView]  # from an index on
     vote: Callable[[str, bytes], Vote | None]  # what a message of a sender says, if it is a vote
--- a/merlinbay/control/simulation/scenario.py
+++ b/merlinbay/control/simulation/scenario.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from itertools import combinations
 from random import Random
 
@@ -13,11 +13,13 @@
 SPREAD = {5: (2, 2, 1), 7: (3, 2, 2)}  # voters by region; three of one region are 3 of 7, or 3 of 5 below
 CROWDED = (3, 1, 1)  # 5 voters of which one region has the majority
 FAST_RESTART = 0.03  # seconds a process is down at least
+LEADERS_EFFECTS = (1, 1, 2, 3, 6, 9, 10, 11, 12, 14)  # stored and not sent; sent to some; then answers
 LONGEST_PAUSE = 20.0  # seconds
 MOST_OFFSET = 3600.0  # seconds a clock is off
 MOST_DRIFT = 0.0005  # 500 parts in a million: ten times a bad quartz
 HOUR = 3600.0
 CUT_OFF_AT = 30.0  # seconds until the region of a partition is cut off
+QUIET = 60.0  # seconds: a snapshot of 20 KB in chunks of 150 bytes takes some 20 s, and may start again
 KEYS = ("teams/a/quota", "teams/b/quota", "limits/starts", "limits/urgent")
 
 
@@ -35,6 +37,24 @@
     loses_disk: bool = False
 
 
+@dataclass(frozen=True)
+class CrashAfterVote:
+    """End some processes each just after its next vote, and start them again, perhaps on an empty disk."""
+
+    at: float
+    voters: tuple[str, ...]
+    down_for: float
+    loses_disk: bool = False
+
+
+@dataclass(frozen=True)
+class CrashLeaders:
+    """End each voter once it leads, between its first effects: its entries reach some or none."""
+
+    at: float
+    victims: tuple[tuple[str, int, float], ...]  # voter, effects that it carries out before, time down
+
+
 @dataclass(frozen=True)
 class Pause:
     """Stop a process as by SIGSTOP; ``voter`` empty: the leader of that moment."""
@@ -83,13 +103,41 @@
 
 @dataclass(frozen=True)
 class MoveVoter:
-    """Ask the leader for one change of the voters; what is changed is chosen by the voters of that moment."""
+    """Ask the leader for changes of one voter each, the next one when the last is answered.
+
+    What is changed is chosen by the voters of that moment.
+    """
 
     at: float
-    choice: float  # in [0, 1)
+    choices: tuple[float, ...]  # each in [0, 1)
+
 
+Fault = Crash | CrashAfterVote | CrashLeaders | Pause | Cut | CutOff | DiskFull | MoveLeadership | MoveVoter
 
-Fault = Crash | Pause | Cut | CutOff | DiskFull | MoveLeadership | MoveVoter
+
+@dataclass(frozen=True)
+class Profile:
+    """Which faults are drawn how often, and the mean seconds between two."""
+
+    crash: int = 0
+    lose_disk: int = 0
+    lose_vote: int = 0  # the disk, just after a vote
+    vote: int = 0
+    leaders: int = 0
+    pause: int = 0
+    cut: int = 0
+    cut_off: int = 0
+    full: int = 0
+    leadership: int = 0
+    voters: int = 0
+    paces: tuple[float, ...] = (0.5, 1.0, 2.5, 5.0)
+
+
+MIXED = Profile(6, 2, 2, 3, 3, 4, 4, 2, 1, 2, 4)
+LEADERS = Profile(
+    crash=2, lose_disk=1, lose_vote=1, vote=1, leaders=6, cut=2, leadership=2, paces=(0.3, 0.6, 1.2)
+)
+VOTERS = Profile(crash=2, lose_disk=2, leaders=3, cut=4, leadership=1, voters=8, paces=(0.3, 0.6, 1.2))
 
 
 @dataclass(frozen=True)
@@ -121,7 +169,8 @@
     count = random.choice((5, 5, 7))
     spread = CROWDED if count == 5 and random.random() < 0.5 else SPREAD[count]
     voters, regions = _voters(spread)
-    spares = ("spare-1", "spare-2") if random.random() < 0.4 else ()
+    profile = random.choices((MIXED, LEADERS, VOTERS), (5, 2, 2))[0]
+    spares = ("spare-1", "spare-2") if profile is VOTERS or random.random() < 0.4 else ()
     clients = tuple(f"client-{number}" for number in range(1, random.randint(3, 5) + 1))
     followers = tuple(f"follower-{number}" for number in range(1, 4))
     for place in (*spares, *clients, *followers):
@@ -131,7 +180,7 @@
     return Scenario(
         seed=seed,
         duration=duration,
-        quiet=30.0,
+        quiet=QUIET,
         regions=regions,
         voters=voters,
         spares=spares,
@@ -139,7 +188,7 @@
         followers=followers,
         clocks={name: draw_clock(random) for name in machines},
         network=draw_network(random),
-        faults=draw_faults(random, voters, spares, duration),
+        faults=draw_faults(random, profile, voters, spares, duration),
         think_time=random.choice((0.1, 0.3, 0.6)),
     )
 
@@ -197,16 +246,16 @@
 
 
 def draw_faults(
-    random: Random, voters: tuple[str, ...], spares: tuple[str, ...], duration: float
+    random: Random, profile: Profile, voters: tuple[str, ...], spares: tuple[str, ...], duration: float
 ) -> tuple[Fault, ...]:
     """Draw faults over the duration, some every few seconds. Disks are lost by a minority in all."""
     faults: list[Fault] = []
     disks = len(voters) // 2
-    pace = random.choice((0.5, 1.0, 2.5, 5.0))
+    pace = random.choice(profile.paces)
     at = 2.0 + random.expovariate(1.0 / pace)
     while at < duration:
-        fault = _draw_fault(random, voters, spares, at, disks > 0)
-        disks -= isinstance(fault, Crash) and fault.loses_disk
+        fault = _draw_fault(random, _draw_kind(random, profile, disks > 0, bool(spares)), voters + spares, at)
+        disks -= isinstance(fault, Crash | CrashAfterVote) and fault.loses_disk
         faults.append(fault)
         if isinstance(fault, Crash) and random.random() < 0.2:
             faults += _crash_others(random, voters, at)
@@ -214,33 +263,46 @@
     return tuple(faults)
 
 
-def _draw_fault(
-    random: Random, voters: tuple[str, ...], spares: tuple[str, ...], at: float, may_lose_disk: bool
-) -> Fault:
-    voter = random.choice(voters + spares)
+def _draw_kind(random: Random, profile: Profile, may_lose_disk: bool, may_move: bool) -> str:
+    weights = {field.name: getattr(profile, field.name) for field in fields(profile) if field.name != "paces"}
+    weights["lose_disk"] *= may_lose_disk
+    weights["lose_vote"] *= may_lose_disk
+    weights["voters"] *= may_move
+    return random.choices(list(weights), list(weights.values()))[0]
+
+
+def _draw_fault(random: Random, kind: str, machines: tuple[str, ...], at: float) -> Fault:
+    voter = random.choice(machines)
     span = random.choice((0.5, 2.0, 6.0)) * random.uniform(0.5, 1.5)
-    kind = random.choices(
-        ("crash", "lose disk", "pause", "cut", "cut off", "full", "leadership", "voters"),
-        (6, 2 * may_lose_disk, 4, 4, 2, 1, 2, 4 * bool(spares)),
-    )[0]
     match kind:
-        case "crash" | "lose disk":
+        case "crash" | "lose_disk":
             down_for = random.choice((FAST_RESTART, span))
             victim = random.choice(("", voter)) if kind == "crash" else voter
-            return Crash(at, victim, random.randint(0, 20), down_for, kind == "lose disk")
+            return Crash(at, victim, random.randint(0, 20), down_for, kind == "lose_disk")
+        case "vote":
+            some = tuple(random.sample(machines, random.randint(1, len(machines))))
+            return CrashAfterVote(at, some, FAST_RESTART)
+        case "lose_vote":
+            return CrashAfterVote(at, (voter,), FAST_RESTART, loses_disk=True)
+        case "leaders":
+            victims = tuple(
+                (name, random.choice(LEADERS_EFFECTS), random.choice((FAST_RESTART, 0.5, 2.0, 4.0)))
+                for name in machines
+            )
+            return CrashLeaders(at, victims)
         case "pause":
             longest = random.choice((1.0, 5.0, LONGEST_PAUSE))
             return Pause(at, random.choice(("", voter)), random.uniform(0.3, 1.0) * longest)
         case "cut":
-            return _draw_cut(random, voters + spares, at, span)
-        case "cut off":
+            return _draw_cut(random, machines, at, span)
+        case "cut_off":
             return CutOff(at, 2 * span, random.choice(REGIONS))
         case "full":
             return DiskFull(at, span, voter)
         case "leadership":
             return MoveLeadership(at)
         case _:
-            return MoveVoter(at, random.random())
+            return MoveVoter(at, tuple(random.random() for _ in range(random.randint(1, 4))))
 
 
 def _crash_others(random: Random, voters: tuple[str, ...], at: float) -> list[Fault]:
--- a/merlinbay/control/simulation/shrink.py
+++ b/merlinbay/control/simulation/shrink.py
@@ -26,10 +26,10 @@
         yield replace(scenario, followers=())
 
 
-def shrink(run: Run, play: Callable[[Scenario], Run]) -> Run:
+def shrink(run: Run, play: Callable[[Scenario], Run], most_runs: int = MOST_RUNS) -> Run:
     """Return the smallest run found that breaks the check that the given one broke first."""
     wanted = run.violations[0].check
-    left = MOST_RUNS
+    left = most_runs
     progress = True
     while progress and left > 0:
         progress = False
--- a/merlinbay/control/simulation/world.py
+++ b/merlinbay/control/simulation/world.py
@@ -26,6 +26,7 @@
 
 FINAL = "final"  # the client that asks after the faults are over
 FINAL_EVERY = 2.0  # seconds between its operations
+NEXT_MOVE_AFTER = 0.02  # seconds from the answer to a change of voters to the next one
 MOST_STEPS = 3000  # calls a second of virtual time; a sound run has some 150
 
 
@@ -68,7 +69,7 @@
             self.network,
             self.hosts,
             self.leader,
-            self.move_voter,
+            self.move_voters,
             self.trace,
         )
 
@@ -136,26 +137,34 @@
         ]
         return max(leading, key=lambda pair: pair[0])[1] if leading else None
 
-    def move_voter(self, choice: float) -> None:
-        """Ask the leader to add or remove one voter; at least the first number of voters stays."""
+    def move_voters(self, choices: tuple[float, ...]) -> None:
+        """Ask the leader to add or remove one voter, and then the next one."""
         leader = self.leader()
-        if leader is None or leader.voter is None:
+        if leader is None or leader.voter is None or not choices:
             return
-        voters = sorted(self.core.voters(leader.voter))
-        others = sorted(set(self.scenario.machines) - set(voters))
-        if len(voters) <= len(self.scenario.voters):
-            add, remove = (others[int(choice * len(others))] if others else None), None
-        else:
-            add, remove = None, voters[int(choice * len(voters))]
+        add, remove = self._choose_voter(self.core.voters(leader.voter), choices[0])
         if add is None and remove is None:
             return
         self.trace(f"{leader.name} is asked to add {add} and remove {remove}")
-        leader.change_voters(
-            add, remove, next(self.tokens), lambda done: self.trace(f"change of voters: {done}")
-        )
 
-    def send(self, sender: str, receiver: str, message: bytes) -> None:
-        """Send a message from voter to voter."""
+        def answered(done: ProposalDone | ReadDone) -> None:
+            self.trace(f"change of voters: {done}")
+            self.scheduler.after(NEXT_MOVE_AFTER, partial(self.move_voters, choices[1:]))
+
+        leader.change_voters(add, remove, next(self.tokens), answered)
+
+    def _choose_voter(self, voters: frozenset[str], choice: float) -> tuple[str | None, str | None]:
+        """Return whom to add or to remove; at least the first number of voters stays."""
+        others = sorted(set(self.scenario.machines) - voters)
+        surplus = len(voters) - len(self.scenario.voters)
+        if others and (surplus <= 0 or choice < 0.5):
+            return others[int(choice * len(others))], None
+        if surplus > 0:
+            return None, sorted(voters)[int(choice * len(voters))]
+        return None, None
+
+    def send(self, sender: str, receiver: str, message: bytes) -> bool:
+        """Send a message from voter to voter; return whether it is a vote."""
         host = self.hosts[receiver]
         vote = self.core.vote(sender, message)
         if vote is not None:
@@ -165,6 +174,7 @@
             self.scheduler.after(
                 delay, lambda: host.give(lambda voter, now: voter.receive(now, sender, message))
             )
+        return vote is not None
 
     def request_change(self, client: str, voter: str, change: Change, on_answer: OnAnswer) -> None:
         """Send a client's change to a voter; each copy that arrives is an attempt."""
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import math
+import os
+import subprocess
+import sys
 from collections.abc import Sequence
 from dataclasses import replace
 
 import pytest
 
+from bench.control_mutants import MUTANTS
 from merlinbay.control.effects import Effect, ProposalDone, ReadDone
 from merlinbay.control.entries import (
     Change,
@@ -19,6 +23,7 @@
     StateSnapshot,
 )
 from merlinbay.control.simulation.checker import check
+from merlinbay.control.simulation.core import raft
 from merlinbay.control.simulation.history import (
     AppliedSeen,
     Attempt,
@@ -33,9 +38,11 @@
     VoteSeen,
 )
 from merlinbay.control.simulation.linearizability import Verdict, check_key
-from merlinbay.control.simulation.ports import Boot, Core, VoterPort
-from merlinbay.control.simulation.scenario import draw
-from merlinbay.control.simulation.world import play
+from merlinbay.control.simulation.ports import Boot, Core, LogView, VoterPort
+from merlinbay.control.simulation.scenario import CUT_OFF_AT, HOUR, REGIONS, Scenario, draw, draw_partition
+from merlinbay.control.simulation.shrink import shrink
+from merlinbay.control.simulation.world import Run, play
+from tests.net import ROOT
 
 KEY = "k"
 
@@ -147,6 +154,7 @@
         "commit_index_names_one_state",
         History(logs=[LogSeen(0, "a", 1, 3, 3, "x"), LogSeen(1, "b", 1, 3, 3, "y")]),
     ),
+    ("voters_go_forward", History(logs=[LogSeen(0, "a", 1, 3, 3), LogSeen(1, "a", 1, 3, 2)])),
     (
         "followers_go_forward",
         History(followers=[StateSeen(0, "f", 2, b"x"), StateSeen(1, "f", 1, b"y")]),
@@ -299,12 +307,13 @@
 
     names = frozenset(voters)
     return Core(
-        start,
-        snapshot,
-        lambda voter: None,
-        lambda voter: names,
-        lambda voter, index: None,
-        lambda sender, message: None,
+        start=start,
+        snapshot=snapshot,
+        leading_term=lambda voter: None,
+        voters=lambda voter: names,
+        extent=lambda voter: None,
+        log=lambda voter, index: LogView(0, 0, "", None, ()),
+        vote=lambda sender, message: None,
     )
 
 
@@ -315,3 +324,67 @@
     one, other = (play(scenario, stand_in(scenario.voters)) for _ in range(2))
     assert one.violations == [] and one.fingerprint == other.fingerprint
     assert sum(operation.complete for operation in one.history.operations) > 50
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_a_seed_breaks_nothing(seed: int) -> None:
+    """The consensus core passes all checks; thousands of seeds: ``python -m bench.control seeds``."""
+    assert play(draw(seed), raft(seed)).violations == []
+
+
+def test_a_seed_plays_the_same_in_any_process() -> None:
+    """Neither the order of sets nor anything else of the process decides how a run goes."""
+    said = {
+        subprocess.run(
+            [sys.executable, "-m", "bench.control", "seed", "3"],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONHASHSEED": number},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        for number in ("1", "2")
+    }
+    assert len(said) == 1 and "the same the second time" in said.pop()
+
+
+@pytest.mark.parametrize(
+    ("name", "found_by"),
+    [
+        ("votes twice in a term", "one_vote_per_term"),
+        ("votes for a log that is not up to date", "leader_completeness"),
+        ("half is a majority", "one_leader_per_term"),
+    ],
+)
+def test_a_broken_rule_is_found(name: str, found_by: str) -> None:
+    """Some of the mutants, each by the check for it; all: ``python -m bench.control mutants``."""
+    mutant = next(one for one in MUTANTS if one.name == name)
+    with mutant.applied():
+        runs = (play(draw(seed), raft(seed)) for seed in range(16))
+        assert any(violation.check == found_by for run in runs for violation in run.violations)
+
+
+def test_a_failing_run_is_reduced() -> None:
+    """Faults that a violation does not need are left out."""
+    mutant = next(one for one in MUTANTS if one.name == "half is a majority")
+
+    def broken(scenario: Scenario) -> Run:
+        with mutant.applied():
+            return play(scenario, raft(3))
+
+    scenario = replace(draw(3), quiet=10.0, duration=20.0)
+    run = broken(scenario)
+    smaller = shrink(run, broken, most_runs=12)
+    assert smaller.violations and len(smaller.scenario.faults) < len(scenario.faults)
+
+
+def test_a_region_cut_off_for_an_hour_comes_back() -> None:
+    """The side without a majority changes nothing meanwhile; then both are one again."""
+    scenario = draw_partition(1)
+    run = play(scenario, raft(1))
+    assert run.violations == []
+    inside = {name for name in scenario.voters if scenario.regions[name] == REGIONS[0]}
+    settled, healed = CUT_OFF_AT + 10.0, CUT_OFF_AT + HOUR
+    during = [state for state in run.history.states if settled < state.time < healed]
+    assert during and not {state.place for state in during} & inside
+    assert {final.voter for final in run.history.finals} == set(scenario.voters)
