--- a/bench/control.py
+++ b/bench/control.py
@@ -1,9 +1,10 @@
-"""The control log in a seeded simulation: ``python -m bench.control seeds|seed|mutants|partition``.
+"""The control log in a seeded simulation: ``python -m bench.control COMMAND``.
 
 ``seeds N [--first K]``: N seeds of faults, the checks after each; a failing seed prints a short trace.
-``seed K``: one seed twice (the runs have to be the same); where it fails, with as few faults as still break
-it. ``mutants``: rules of the core broken one at a time, each of which a check has to find. ``partition [N]``:
-a region cut off for an hour of virtual time, and healed.
+``sequences N``: N seeds of each scenario that is made for one rule. ``seed K``: one seed twice (the runs have
+to be the same); where it fails, with as few faults as still break it. ``mutants``: rules of the core broken
+one at a time, each of which a check has to find. ``partition [N]``: a region cut off for an hour of virtual
+time, and healed.
 """
 
 from __future__ import annotations
@@ -18,6 +19,11 @@
 from merlinbay.control.simulation.core import raft
 from merlinbay.control.simulation.history import History, Kind
 from merlinbay.control.simulation.scenario import CUT_OFF_AT, HOUR, REGIONS, draw, draw_partition
+from merlinbay.control.simulation.sequences import (
+    handover_and_cut,
+    overwritten_majority,
+    voters_of_two_leaders,
+)
 from merlinbay.control.simulation.shrink import shrink
 from merlinbay.control.simulation.world import Run, play
 
@@ -78,6 +84,25 @@
     return len(failing)
 
 
+def sequences(count: int, first: int) -> int:
+    """Play the scenarios made for one rule with the sound core; return how many broke a check."""
+    broken = 0
+    for made in (overwritten_majority, handover_and_cut, voters_of_two_leaders):
+        started = time.monotonic()
+        runs = [
+            play(made(seed), raft(seed, one_entry_a_message=True)) for seed in range(first, first + count)
+        ]
+        failing = [run for run in runs if run.violations]
+        broken += len(failing)
+        spent = time.monotonic() - started
+        print(
+            f"{made.__name__}: {count} seeds from {first}, {len(failing)} broken, {spent:.0f} s", flush=True
+        )
+        for run in failing[:MOST_SHOWN]:
+            print("\n".join([f"seed {run.scenario.seed}", *report(run)]))
+    return broken
+
+
 def one_seed(seed: int) -> int:
     """Play a seed twice, and show what it breaks with as few faults as possible."""
     run, again = run_seed(seed), run_seed(seed)
@@ -92,7 +117,7 @@
     """Return which check finds a mutant at which seed, empty where none does; an exception is no find."""
     with mutant.applied():
         for seed in range(MOST_MUTANT_SEEDS):
-            run = run_seed(seed)
+            run = play(mutant.draw(seed), raft(seed, mutant.one_entry_a_message))
             checks = sorted({violation.check for violation in run.violations} - {STOPPED})
             if checks:
                 return f"seed {seed}: {', '.join(checks)}"
@@ -156,7 +181,7 @@
 def main() -> None:
     """Read the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("what", choices=["seeds", "seed", "mutants", "partition"])
+    parser.add_argument("what", choices=["seeds", "sequences", "seed", "mutants", "partition"])
     parser.add_argument("count", nargs="?", type=int, default=None, help="number of seeds; for seed, which")
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--only", default="", help="mutants: those whose name contains this")
@@ -166,6 +191,8 @@
             bad = seeds(asked.count or 2000, asked.first)
         case "seed":
             bad = one_seed(asked.count or 0)
+        case "sequences":
+            bad = sequences(asked.count or 20, asked.first)
         case "mutants":
             bad = mutants(asked.only)
         case _:
--- a/bench/control_mutants.py
+++ b/bench/control_mutants.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from random import Random
@@ -31,6 +31,12 @@
 from merlinbay.control.effects import Effect, Persist
 from merlinbay.control.entries import Change, ChangeResult
 from merlinbay.control.keyspace import Keyspace
+from merlinbay.control.simulation.scenario import Scenario, draw
+from merlinbay.control.simulation.sequences import (
+    handover_and_cut,
+    overwritten_majority,
+    voters_of_two_leaders,
+)
 from merlinbay.control.voter import Voter
 
 HIGHEST = 2**62
@@ -42,6 +48,8 @@
 
     name: str
     patches: tuple[tuple[Any, str, Any], ...]
+    draw: Callable[[int], Scenario] = draw  # some rules matter in rare sequences of events only
+    one_entry_a_message: bool = False
 
     @contextmanager
     def applied(self) -> Iterator[None]:
@@ -235,9 +243,12 @@
     ),
     Mutant("half is a majority", ((Configuration, "quorum", property(half)),)),
     Mutant(
-        "commits entries of earlier terms by counting", ((Replication, "committable", counts_earlier_terms),)
+        "commits entries of earlier terms by counting",
+        ((Replication, "committable", counts_earlier_terms),),
+        overwritten_majority,
+        one_entry_a_message=True,
     ),
-    Mutant("reads rest on the lease", ((Requests, "answer_reads", answers_reads_at_once),)),
+    Mutant("reads rest on the lease", ((Requests, "answer_reads", answers_reads_at_once),), handover_and_cut),
     Mutant(
         "reads rest on having led, also after being stopped",
         (
@@ -253,7 +264,9 @@
     Mutant("a follower commits what it has not compared", ((Following, "on_append", commits_unmatched),)),
     Mutant("a follower keeps conflicting entries", ((Following, "_add", keeps_conflicting),)),
     Mutant("a follower installs an older snapshot", ((Following, "on_snapshot", installs_older),)),
-    Mutant("two changes of voters at once", ((Reconfiguration, "drive", drives_at_once),)),
+    Mutant(
+        "two changes of voters at once", ((Reconfiguration, "drive", drives_at_once),), voters_of_two_leaders
+    ),
     Mutant(
         "what a lost disk had stored still counts",
         ((Replication, "_answered", counts_lost_disks), (Progress, "disagreed", sends_again)),
--- a/merlinbay/control/simulation/core.py
+++ b/merlinbay/control/simulation/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import replace
 from random import Random
 from typing import cast
 
@@ -14,6 +15,8 @@
 from merlinbay.control.simulation.ports import Boot, Core, Extent, LogEntry, LogView, Vote, VoterPort
 from merlinbay.control.voter import Role, Voter
 
+ONE_ENTRY = 150  # bytes of a batch into which two entries do not fit
+
 
 def settings_of(seed: int, first_voters: tuple[str, ...]) -> VoterSettings:
     """Draw how often a voter compacts, and how small batches are; the times are those of a real voter."""
@@ -25,16 +28,18 @@
         keep_entries=keep,
         history_revisions=random.choice((5, 30, 1000)),
         max_change_bytes=64,
-        max_batch_bytes=random.choice((150, 512, 4096)),  # an entry a message; some; nearly all
+        max_batch_bytes=random.choice((ONE_ENTRY, 512, 4096)),
         max_messages_in_flight=random.choice((1, 8)),
     )
 
 
-def raft(seed: int) -> Core:
+def raft(seed: int, one_entry_a_message: bool = False) -> Core:
     """Return the core under test, with the settings of a seed."""
 
     def start(boot: Boot) -> VoterPort:
         settings = settings_of(seed, boot.first_voters)
+        if one_entry_a_message:
+            settings = replace(settings, max_batch_bytes=ONE_ENTRY, max_messages_in_flight=1)
         return Voter(boot.name, settings, boot.records, boot.random, boot.now)
 
     return Core(start, _snapshot, _leading_term, _voters, _extent, _log, _vote)
--- a/merlinbay/control/simulation/faults.py
+++ b/merlinbay/control/simulation/faults.py
@@ -22,6 +22,8 @@
 )
 from merlinbay.control.simulation.scheduler import Scheduler
 
+CUT_AFTER_MOVE = 0.005  # seconds: a sync, so that the leader's word to its successor is out
+
 Pairs = list[tuple[str, str]]
 
 
@@ -66,8 +68,10 @@
                 for name in fault.voters:
                     self.hosts[name].crash_after_vote = AfterVote(fault.down_for, fault.loses_disk)
             case CrashLeaders():
+                leader = self.leader() if fault.spares_leader else None
                 for name, effects, down_for in fault.victims:
-                    self.hosts[name].crash_as_leader(effects, down_for)
+                    if self.hosts[name] is not leader:
+                        self.hosts[name].crash_as_leader(effects, down_for)
             case Pause():
                 self._pause(fault)
             case Cut():
@@ -79,9 +83,7 @@
                 disk.full = True
                 self.scheduler.after(fault.span, lambda: setattr(disk, "full", False))
             case MoveLeadership():
-                leader = self.leader()
-                if leader is not None:
-                    leader.give(lambda voter, now: voter.transfer_leadership(now))
+                self._move_leadership(fault)
             case MoveVoter():
                 self.move_voters(fault.choices)
 
@@ -95,6 +97,16 @@
         host.crash(fault.down_for)
         host.disk.lose()
 
+    def _move_leadership(self, fault: MoveLeadership) -> None:
+        leader = self.leader()
+        if leader is None:
+            return
+        leader.give(lambda voter, now: voter.transfer_leadership(now))
+        if fault.cut_for:
+            others = sorted(self.hosts.keys() - {leader.name})
+            pairs = [*product([leader.name], others), *product(others, [leader.name])]
+            self.scheduler.after(CUT_AFTER_MOVE, lambda: self._cut(pairs, fault.cut_for))
+
     def _pause(self, fault: Pause) -> None:
         host = self.hosts[fault.voter] if fault.voter else self.leader()
         if host is not None and not host.paused:
--- a/merlinbay/control/simulation/scenario.py
+++ b/merlinbay/control/simulation/scenario.py
@@ -53,6 +53,7 @@
 
     at: float
     victims: tuple[tuple[str, int, float], ...]  # voter, effects that it carries out before, time down
+    spares_leader: bool = False  # the leader of that moment is none of them
 
 
 @dataclass(frozen=True)
@@ -96,9 +97,10 @@
 
 @dataclass(frozen=True)
 class MoveLeadership:
-    """Ask the leader to hand its leadership over."""
+    """Ask the leader to hand its leadership over, and perhaps cut it from the others just after it did."""
 
     at: float
+    cut_for: float  # seconds; 0: it is not cut
 
 
 @dataclass(frozen=True)
@@ -300,7 +302,7 @@
         case "full":
             return DiskFull(at, span, voter)
         case "leadership":
-            return MoveLeadership(at)
+            return MoveLeadership(at, random.choice((0.0, 2.0)))
         case _:
             return MoveVoter(at, tuple(random.random() for _ in range(random.randint(1, 4))))
 
--- /dev/null
+++ b/merlinbay/control/simulation/sequences.py
@@ -0,0 +1,78 @@
+"""Scenarios made for one rule each: sequences of events that faults at random seldom hit."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+from merlinbay.control.simulation.network import NetworkSettings
+from merlinbay.control.simulation.scenario import (
+    CrashLeaders,
+    Cut,
+    Fault,
+    MoveLeadership,
+    MoveVoter,
+    Scenario,
+    draw,
+)
+
+CYCLE = 14.0  # seconds from one sequence to the next
+CYCLES = 3
+
+
+def _steady(seed: int, faults: list[Fault], think_time: float) -> Scenario:
+    """Return the scenario of a seed with a sound network and these faults only."""
+    drawn = draw(seed)
+    network = NetworkSettings(drawn.network.delays, 0.05, 0.0, 0.0, 0.0, 0.0)
+    duration = 2.0 + CYCLES * CYCLE
+    return replace(drawn, duration=duration, network=network, faults=tuple(faults), think_time=think_time)
+
+
+def overwritten_majority(seed: int) -> Scenario:
+    """Return figure 8 of the Raft paper: a majority stores an entry that a later leader overwrites.
+
+    The leader goes on with one follower only; another one is elected, stores its first entry and crashes; the
+    first one leads again and brings its old entries to a majority, but is cut off before an entry of its new
+    term is there too; the second one comes back.
+    """
+    random = Random(f"overwritten majority {seed}")
+    machines = draw(seed).machines
+    faults: list[Fault] = []
+    for number in range(CYCLES):
+        at = 3.0 + number * CYCLE
+        follower = random.sample(machines, max(1, len(machines) // 2 - 1))
+        back = at + random.uniform(1.6, 2.4)
+        lost = back + random.uniform(0.6, 2.2)
+        faults += [
+            Cut(at, back - at, tuple(follower), True, True, True),
+            CrashLeaders(at + 0.01, tuple((name, 1, 2.5) for name in machines), spares_leader=True),
+            Cut(lost, 4.0, tuple(follower), True, True, True),
+        ]
+    return _steady(seed, faults, think_time=0.1)
+
+
+def handover_and_cut(seed: int) -> Scenario:
+    """Return a leader that is cut from the others just after it handed its leadership over."""
+    faults: list[Fault] = [MoveLeadership(3.0 + 4.0 * number, 2.0) for number in range(9)]
+    return _steady(seed, faults, think_time=0.05)
+
+
+def voters_of_two_leaders(seed: int) -> Scenario:
+    """Return chains of changes of voters at a leader that is cut off with half of the machines."""
+    random = Random(f"voters of two leaders {seed}")
+    drawn = draw(seed)
+    machines = drawn.voters + ("spare-1", "spare-2")
+    faults: list[Fault] = []
+    for number in range(3 * CYCLES):
+        at = 3.0 + number * CYCLE / 3
+        side = tuple(random.sample(machines, len(machines) // 2))
+        choices = tuple(random.random() for _ in range(4))
+        faults += [
+            MoveVoter(at, choices),
+            Cut(at + random.uniform(0.0, 0.4), 2.5, side, True, True, True),
+            MoveVoter(at + 1.8, choices[::-1]),
+        ]
+    regions = {**drawn.regions, "spare-1": "north", "spare-2": "south"}
+    clocks = {**drawn.clocks, "spare-1": (7200.0, 0.0), "spare-2": (0.0, 0.0)}
+    drawn = _steady(seed, faults, think_time=0.1)
+    return replace(drawn, regions=regions, clocks=clocks, spares=("spare-1", "spare-2"))
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -6,7 +6,7 @@
 import os
 import subprocess
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 import pytest
@@ -40,6 +40,11 @@
 from merlinbay.control.simulation.linearizability import Verdict, check_key
 from merlinbay.control.simulation.ports import Boot, Core, LogView, VoterPort
 from merlinbay.control.simulation.scenario import CUT_OFF_AT, HOUR, REGIONS, Scenario, draw, draw_partition
+from merlinbay.control.simulation.sequences import (
+    handover_and_cut,
+    overwritten_majority,
+    voters_of_two_leaders,
+)
 from merlinbay.control.simulation.shrink import shrink
 from merlinbay.control.simulation.world import Run, play
 from tests.net import ROOT
@@ -332,6 +337,12 @@
     assert play(draw(seed), raft(seed)).violations == []
 
 
+@pytest.mark.parametrize("made", [overwritten_majority, handover_and_cut, voters_of_two_leaders])
+def test_a_sequence_made_for_one_rule_breaks_nothing(made: Callable[[int], Scenario]) -> None:
+    """What finds the mutants of a rule passes with the rule."""
+    assert play(made(5), raft(5, one_entry_a_message=True)).violations == []
+
+
 def test_a_seed_plays_the_same_in_any_process() -> None:
     """Neither the order of sets nor anything else of the process decides how a run goes."""
     said = {
