Simulation of the control log: hosts that handle all waiting inputs at once

Need: the voter's process hands all inputs that wait to the core with one time, then takes the effects of all and stores the records first; the simulation took the effects after each input only.

--- a/bench/control.py
+++ b/bench/control.py
@@ -29,6 +29,7 @@
 
 TRACE_LINES = 60
 MOST_MUTANT_SEEDS = 600
+PROGRESS_EVERY = 100  # seeds
 STOPPED = "the_code_runs_on"
 MOST_SHOWN = 5  # failing seeds and violations that are printed in full
 
@@ -68,6 +69,8 @@
     failing: list[int] = []
     for seed in range(first, first + count):
         run = run_seed(seed)
+        if seed > first and (seed - first) % PROGRESS_EVERY == 0:
+            print(f"{seed - first} seeds, {len(failing)} broken", file=sys.stderr, flush=True)
         total += counts(run.history)
         total["steps"] += run.steps
         total.update(type(fault).__name__ for fault in run.scenario.faults)
--- a/merlinbay/control/simulation/host.py
+++ b/merlinbay/control/simulation/host.py
@@ -1,8 +1,9 @@
 """One simulated voter process: carries the core's effects out in order, and stops anywhere between them.
 
-The rules of a host, which a real one has to keep too: inputs are handled one at a time, and the next one only
-when all effects of the last are carried out; a record that cannot be made durable ends the voter, since what
-the core holds in memory is then ahead of its disk.
+The rules of a host, which a real one has to keep too: effects are carried out in order, or all records first;
+the next input is handled only when all effects of the last are carried out; a record that cannot be made
+durable ends the voter, since what the core holds in memory is then ahead of its disk. A host may hand the
+inputs that wait to the core at once and take the effects of all of them (``batches``).
 """
 
 from __future__ import annotations
@@ -72,7 +73,14 @@
     """One process, its clock and its disk, over all its starts."""
 
     def __init__(
-        self, name: str, core: Core, world: World, clock: Clock, random: Random, first_voters: tuple[str, ...]
+        self,
+        name: str,
+        core: Core,
+        world: World,
+        clock: Clock,
+        random: Random,
+        first_voters: tuple[str, ...],
+        batches: bool,
     ) -> None:
         """Set the process up; ``start`` starts it."""
         self.name = name
@@ -81,6 +89,7 @@
         self.clock = clock
         self.random = random
         self.first_voters = first_voters
+        self.batches = batches
         self.disk = Disk()
         self.voter: VoterPort | None = None
         self.starts = 0
@@ -207,17 +216,30 @@
         try:
             self._carry_out()
             while self.inputs and self.idle:
-                self._call(self.inputs.popleft())
+                self._handle()
                 self._carry_out()
         finally:
             self.working = False
         if self.idle:
             self._plan_tick()
 
-    def _call(self, call: Input) -> None:
+    def _handle(self) -> None:
+        """Handle the next input, or all that wait, and take the effects."""
+        if not self.batches:
+            self._call([self.inputs.popleft()])
+            return
+        calls = list(self.inputs)
+        self.inputs.clear()
+        self._call(calls)
+        # Records first, so that one sync does for all of them.
+        self.effects = deque(sorted(self.effects, key=lambda effect: not isinstance(effect, Persist)))
+
+    def _call(self, calls: list[Input]) -> None:
         assert self.voter is not None
+        now = self.now()
         try:
-            call(self.voter, self.now())
+            for call in calls:
+                call(self.voter, now)
             self.effects.extend(self.voter.take_effects())
         except Exception:
             self.world.failed(self, traceback.format_exc(limit=-3))
@@ -277,7 +299,7 @@
         dropped = tuple(self.effects)
         self.effects.clear()
         self.syncing = False
-        self._call(lambda voter, now: voter.storage_failed(now, dropped))
+        self._call([lambda voter, now: voter.storage_failed(now, dropped)])
         for effect in self.effects:
             if isinstance(effect, ProposalDone | ReadDone):
                 self._answer(effect)
--- a/merlinbay/control/simulation/scenario.py
+++ b/merlinbay/control/simulation/scenario.py
@@ -158,6 +158,7 @@
     network: NetworkSettings
     faults: tuple[Fault, ...]
     think_time: float  # mean seconds between two operations of a client
+    batches: bool = False  # hosts handle all inputs that wait at once
 
     @property
     def machines(self) -> tuple[str, ...]:
@@ -192,6 +193,7 @@
         network=draw_network(random),
         faults=draw_faults(random, profile, voters, spares, duration),
         think_time=random.choice((0.1, 0.3, 0.6)),
+        batches=random.random() < 0.5,
     )
 
 
@@ -215,6 +217,7 @@
         network=draw_network(random),
         faults=(CutOff(CUT_OFF_AT, HOUR, REGIONS[0]),),
         think_time=5.0,
+        batches=True,
     )
 
 
--- a/merlinbay/control/simulation/world.py
+++ b/merlinbay/control/simulation/world.py
@@ -78,7 +78,8 @@
 
     def _host(self, name: str) -> Host:
         clock = Clock(*self.scenario.clocks[name])
-        return Host(name, self.core, self, clock, self._random(name), self.scenario.voters)
+        random, scenario = self._random(name), self.scenario
+        return Host(name, self.core, self, clock, random, scenario.voters, scenario.batches)
 
     def _client(self, name: str, think_time: float) -> Client:
         return Client(name, self, self._random(name), self.scenario.machines, think_time)
