--- a/merlinbay/control/simulation/faults.py
+++ b/merlinbay/control/simulation/faults.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable, Iterable
 from itertools import product
 
-from merlinbay.control.simulation.host import Host
+from merlinbay.control.simulation.host import AfterVote, Host
 from merlinbay.control.simulation.network import Network
 from merlinbay.control.simulation.scenario import (
     Crash,
+    CrashAfterVote,
+    CrashLeaders,
     Cut,
     CutOff,
     DiskFull,
@@ -20,6 +22,8 @@
 )
 from merlinbay.control.simulation.scheduler import Scheduler
 
+CUT_AFTER_MOVE = 0.005  # seconds: a sync, so that the leader's word to its successor is out
+
 Pairs = list[tuple[str, str]]
 
 
@@ -33,7 +37,7 @@
         network: Network,
         hosts: dict[str, Host],
         leader: Callable[[], Host | None],
-        move_voter: Callable[[float], None],
+        move_voters: Callable[[tuple[float, ...]], None],
         trace: Callable[[str], None],
     ) -> None:
         """Plan the faults."""
@@ -42,7 +46,7 @@
         self.network = network
         self.hosts = hosts
         self.leader = leader
-        self.move_voter = move_voter
+        self.move_voters = move_voters
         self.trace = trace
         self.over = False
         for fault in scenario.faults:
@@ -60,11 +64,18 @@
         match fault:
             case Crash():
                 self._crash(fault)
+            case CrashAfterVote():
+                for name in fault.voters:
+                    self.hosts[name].crash_after_vote = AfterVote(fault.down_for, fault.loses_disk)
+            case CrashLeaders():
+                leader = self.leader() if fault.spares_leader else None
+                for name, effects, down_for in fault.victims:
+                    if self.hosts[name] is not leader:
+                        self.hosts[name].crash_as_leader(effects, down_for)
             case Pause():
                 self._pause(fault)
             case Cut():
-                pairs = list(product(fault.senders, fault.receivers))
-                self._cut(pairs, fault.two_way, fault.span)
+                self._cut_machines(fault)
             case CutOff():
                 self._cut_off(fault)
             case DiskFull():
@@ -72,20 +83,29 @@
                 disk.full = True
                 self.scheduler.after(fault.span, lambda: setattr(disk, "full", False))
             case MoveLeadership():
-                leader = self.leader()
-                if leader is not None:
-                    leader.give(lambda voter, now: voter.transfer_leadership(now))
+                self._move_leadership(fault)
             case MoveVoter():
-                self.move_voter(fault.choice)
+                self.move_voters(fault.choices)
 
     def _crash(self, fault: Crash) -> None:
-        host = self.hosts[fault.voter]
+        host = self.hosts[fault.voter] if fault.voter else self.leader()
+        if host is None:
+            return
         if not fault.loses_disk:
             host.crash_within(fault.effects, fault.down_for)
             return
-        host.crash(None)
+        host.crash(fault.down_for)
         host.disk.lose()
-        self.scheduler.after(fault.down_for, host.start)
+
+    def _move_leadership(self, fault: MoveLeadership) -> None:
+        leader = self.leader()
+        if leader is None:
+            return
+        leader.give(lambda voter, now: voter.transfer_leadership(now))
+        if fault.cut_for:
+            others = sorted(self.hosts.keys() - {leader.name})
+            pairs = [*product([leader.name], others), *product(others, [leader.name])]
+            self.scheduler.after(CUT_AFTER_MOVE, lambda: self._cut(pairs, fault.cut_for))
 
     def _pause(self, fault: Pause) -> None:
         host = self.hosts[fault.voter] if fault.voter else self.leader()
@@ -98,11 +118,22 @@
         regions = self.scenario.regions
         inside = [place for place, region in regions.items() if region == fault.region]
         outside = [place for place, region in regions.items() if region != fault.region]
-        self._cut(list(product(inside, outside)), True, fault.span)
-
-    def _cut(self, pairs: Pairs, two_way: bool, span: float) -> None:
-        if two_way:
-            pairs = pairs + [(receiver, sender) for sender, receiver in pairs]
+        self._cut([*product(inside, outside), *product(outside, inside)], fault.span)
+
+    def _cut_machines(self, fault: Cut) -> None:
+        inside = set(fault.inside)
+        leader = self.leader()
+        if fault.with_leader and leader is not None:
+            inside.add(leader.name)
+        outside = sorted(self.hosts.keys() - inside)
+        pairs: Pairs = []
+        if fault.stops_outgoing:
+            pairs += product(sorted(inside), outside)
+        if fault.stops_incoming:
+            pairs += product(outside, sorted(inside))
+        self._cut(pairs, fault.span)
+
+    def _cut(self, pairs: Pairs, span: float) -> None:
         self.network.cut(pairs)
         self.scheduler.after(span, lambda: self._heal(pairs))
 
@@ -117,6 +148,6 @@
         self.network.heal_all()
         for host in self.hosts.values():
             host.disk.full = False
-            host.crash_in = None
+            host.disarm()
             host.resume()
             host.start()
--- a/merlinbay/control/simulation/history.py
+++ b/merlinbay/control/simulation/history.py
@@ -64,9 +64,22 @@
     last_index: int
 
 
+@dataclass(frozen=True)
+class VoteSeen:
+    """A vote that a voter has sent; ``voter`` names its disk too."""
+
+    time: float
+    voter: str
+    term: int
+    candidate: str
+
+
 @dataclass(frozen=True)
 class EntrySeen:
-    """An entry in a voter's log. ``content`` identifies the payload."""
+    """An entry in a voter's log. ``content`` identifies the payload.
+
+    ``voter_term`` is the voter's term: what it takes for committed was committed in that term or before.
+    """
 
     time: float
     voter: str
@@ -75,13 +88,14 @@
     content: bytes
     previous_term: int | None  # None where the entry before it was compacted
     committed: bool
+    voter_term: int = 0
 
 
 @dataclass(frozen=True)
 class LogSeen:
     """The extent of a voter's log, and a digest of all that it has applied.
 
-    ``disk`` counts the disks that the voter has had.
+    ``disk`` and ``start`` count the disks that the voter has had, and its starts.
     """
 
     time: float
@@ -90,6 +104,7 @@
     last_index: int
     commit_index: int
     state_digest: str = ""
+    start: int = 1
 
 
 @dataclass(frozen=True)
@@ -128,6 +143,7 @@
     operations: list[Operation] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     leaders: list[LeaderSeen] = field(default_factory=list)
+    votes: list[VoteSeen] = field(default_factory=list)
     entries: list[EntrySeen] = field(default_factory=list)
     logs: list[LogSeen] = field(default_factory=list)
     states: list[StateSeen] = field(default_factory=list)
--- a/merlinbay/control/simulation/host.py
+++ b/merlinbay/control/simulation/host.py
@@ -1,8 +1,9 @@
 """One simulated voter process: carries the core's effects out in order, and stops anywhere between them.
 
-The rules of a host, which a real one has to keep too: inputs are handled one at a time, and the next one only
-when all effects of the last are carried out; a record that cannot be made durable ends the voter, since what
-the core holds in memory is then ahead of its disk.
+The rules of a host, which a real one has to keep too: effects are carried out in order, or all records first;
+the next input is handled only when all effects of the last are carried out; a record that cannot be made
+durable ends the voter, since what the core holds in memory is then ahead of its disk. A host may hand the
+inputs that wait to the core at once and take the effects of all of them (``batches``).
 """
 
 from __future__ import annotations
@@ -36,8 +37,8 @@
 
     scheduler: Scheduler
 
-    def send(self, sender: str, receiver: str, message: bytes) -> None:
-        """Send a message to another voter."""
+    def send(self, sender: str, receiver: str, message: bytes) -> bool:
+        """Send a message to another voter; return whether it is a vote."""
 
     def observe(self, host: Host) -> None:
         """Look at a voter whose effects are all carried out."""
@@ -60,11 +61,26 @@
     attempt: Attempt | None
 
 
+@dataclass(frozen=True)
+class AfterVote:
+    """An armed crash: how long the process is down then, and whether its disk is empty after."""
+
+    down_for: float
+    loses_disk: bool
+
+
 class Host:
     """One process, its clock and its disk, over all its starts."""
 
     def __init__(
-        self, name: str, core: Core, world: World, clock: Clock, random: Random, first_voters: tuple[str, ...]
+        self,
+        name: str,
+        core: Core,
+        world: World,
+        clock: Clock,
+        random: Random,
+        first_voters: tuple[str, ...],
+        batches: bool,
     ) -> None:
         """Set the process up; ``start`` starts it."""
         self.name = name
@@ -73,6 +89,7 @@
         self.clock = clock
         self.random = random
         self.first_voters = first_voters
+        self.batches = batches
         self.disk = Disk()
         self.voter: VoterPort | None = None
         self.starts = 0
@@ -81,6 +98,8 @@
         self.working = False
         self.crash_in: int | None = None  # effects until an armed crash
         self.crash_for = 0.0
+        self.crash_after_vote: AfterVote | None = None
+        self.leader_crash_in: int | None = None  # effects until a crash, once it leads
         self.effects: deque[Effect] = deque()
         self.inputs: deque[Input] = deque()
         self.pending: dict[int, Pending] = {}
@@ -122,7 +141,7 @@
         self.voter = None
         self.syncing = False
         self.paused = False
-        self.crash_in = None
+        self.disarm()
         self.tick_at = math.inf
         self.effects.clear()
         self.inputs.clear()
@@ -135,6 +154,15 @@
         self.crash_in = effects
         self.crash_for = down_for
 
+    def crash_as_leader(self, effects: int, down_for: float) -> None:
+        """Crash before so many effects are carried out from the moment on at which the voter leads."""
+        self.leader_crash_in = effects
+        self.crash_for = down_for
+
+    def disarm(self) -> None:
+        """Take armed crashes back."""
+        self.crash_in = self.crash_after_vote = self.leader_crash_in = None
+
     def pause(self) -> None:
         """Stop the process as by SIGSTOP: its inputs wait, its clock runs on."""
         self.paused = self.voter is not None
@@ -188,21 +216,37 @@
         try:
             self._carry_out()
             while self.inputs and self.idle:
-                self._call(self.inputs.popleft())
+                self._handle()
                 self._carry_out()
         finally:
             self.working = False
         if self.idle:
             self._plan_tick()
 
-    def _call(self, call: Input) -> None:
+    def _handle(self) -> None:
+        """Handle the next input, or all that wait, and take the effects."""
+        if not self.batches:
+            self._call([self.inputs.popleft()])
+            return
+        calls = list(self.inputs)
+        self.inputs.clear()
+        self._call(calls)
+        # Records first, so that one sync does for all of them.
+        self.effects = deque(sorted(self.effects, key=lambda effect: not isinstance(effect, Persist)))
+
+    def _call(self, calls: list[Input]) -> None:
         assert self.voter is not None
+        now = self.now()
         try:
-            call(self.voter, self.now())
+            for call in calls:
+                call(self.voter, now)
             self.effects.extend(self.voter.take_effects())
         except Exception:
             self.world.failed(self, traceback.format_exc(limit=-3))
             self.crash(RESTART_AFTER)
+            return
+        if self.leader_crash_in is not None and self.core.leading_term(self.voter) is not None:
+            self.crash_in, self.leader_crash_in = self.leader_crash_in, None
 
     def _carry_out(self) -> None:
         while self.effects and self.voter is not None and not (self.paused or self.syncing):
@@ -255,7 +299,7 @@
         dropped = tuple(self.effects)
         self.effects.clear()
         self.syncing = False
-        self._call(lambda voter, now: voter.storage_failed(now, dropped))
+        self._call([lambda voter, now: voter.storage_failed(now, dropped)])
         for effect in self.effects:
             if isinstance(effect, ProposalDone | ReadDone):
                 self._answer(effect)
@@ -264,12 +308,21 @@
     def _carry_one(self, effect: Effect) -> None:
         match effect:
             case Send():
-                self.world.send(self.name, effect.receiver, effect.message)
+                voted = self.world.send(self.name, effect.receiver, effect.message)
+                if voted:
+                    self._has_voted()
             case ProposalDone() | ReadDone():
                 self._answer(effect)
             case RevisionAdvanced() | Persist():
                 pass  # followers are served once all effects are carried out
 
+    def _has_voted(self) -> None:
+        after = self.crash_after_vote
+        if after is not None:
+            self.crash(after.down_for)
+            if after.loses_disk:
+                self.disk.lose()
+
     def _answer(self, effect: ProposalDone | ReadDone) -> None:
         pending = self.pending.pop(effect.token, None)
         if pending is None:
