--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -38,7 +38,10 @@
         made.handle(now + 40_000, [api.AttemptEnded(number, attempt, api.Outcome.OK, 40_000, True,
                                                     [2.0, 2.0], action.worker)])
 job_us = (time.process_time() - started) / jobs * 1e6
-from merlinbay.platform import messages
+try:
+    from merlinbay.platform import messages
+except ImportError:  # a tree from before it was renamed
+    from merlinbay.platform import words as messages
 rows = [{"id": f"w{n}", "addr": "10.1.0.18:8081", "zone": "z", "kind": "k", "cell": n // 6,
          "state": "SERVING", "weight": 1.0, "started_ms": 0} for n in range(entries)]
 text = json.dumps({"version": 1, "full": True, "servers": rows}, indent=2).encode()
