--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -249,12 +249,22 @@
         if event.outcome == api.Outcome.OK:
             self.probe_us += (event.took_us - self.probe_us) * RUN_WEIGHT
         job, worker = self.next_probing(event.worker), self.workers.get(event.worker)
+        if worker is not None:
+            self._answers_probes(worker, event.outcome == api.Outcome.OK)
         self._report(event, waited_for=job is not None)
         if job is not None:
             job.probes_pending -= 1
             job.probe_replies += [worker] if worker is not None and event.outcome == api.Outcome.OK else []
             self._settle(job)
 
+    def _answers_probes(self, worker: Worker, answered: bool) -> None:
+        """Leave out a worker that doesn't answer a probe, for a while or until it answers one."""
+        # Guards against jobs lost at a worker that has fallen silent, until the first of them is overdue.
+        if not answered:
+            worker.bench_until = max(worker.bench_until, self.now + BENCH_US)
+        elif not worker.fails:
+            worker.bench_until = 0
+
     def _settle(self, job: Job) -> None:
         """Send the job if its class allows it and a worker is found, else give its final answer."""
         worker = self._pick(job, job.probes_pending > 0 or job.room_only)
--- a/tests/test_copies_and_probes.py
+++ b/tests/test_copies_and_probes.py
@@ -260,3 +260,16 @@
     assert made.copy_pays(job, attempt, target)
     target.held = 4.0
     assert not made.copy_pays(job, attempt, target)
+
+
+def test_a_worker_that_answers_no_probe_gets_no_job_until_it_does() -> None:
+    """Found as jobs lost at a silent worker until the first of them was overdue."""
+    made = probing(0.002)
+    workers = [made.workers[f"w{n}"] for n in range(8)]
+    made.handle(made.now, [api.ProbeEnded("w0", int(api.Outcome.TIMEOUT), 120_000)])
+    assert workers[0] not in made.eligible(job_of(made), workers)
+    made.handle(made.now, [api.ProbeEnded("w0", 1, 900, [1, 3])])
+    assert workers[0] in made.eligible(job_of(made), workers)
+    made.handle(made.now, [api.ProbeEnded("w0", int(api.Outcome.TIMEOUT), 120_000)])
+    made.now += 1_500_000  # one answer may get lost where no more probes go out
+    assert workers[0] in made.eligible(job_of(made), workers)
