Simulation of the control log: every voter has to have a vote again at the end

Need: the mutant "what a lost disk had stored still counts" was not found: the voter with the new disk is never admitted again, which breaks no safety rule with a minority of disks, and nothing looked at it.

--- a/bench/control_mutants.py
+++ b/bench/control_mutants.py
@@ -216,6 +216,15 @@
         self.enter(Mode.PROBE)
 
 
+def votes_count_by_name(self: Election) -> bool:
+    """Count a vote for the voter's name, whatever its disk has forgotten."""
+    if self.founding:
+        return {member.name for member in self.granted} >= set(self.founding)
+    configuration = self.core.log.configuration
+    names = {member.name for member in self.granted}
+    return len(names.intersection(configuration.names)) >= configuration.quorum
+
+
 def endless_lease(self: Leadership) -> float:
     """Lead until somebody else is heard of."""
     return math.inf
@@ -267,6 +276,7 @@
     Mutant(
         "two changes of voters at once", ((Reconfiguration, "drive", drives_at_once),), voters_of_two_leaders
     ),
+    Mutant("votes count by name, also of a lost disk", ((Election, "is_won", votes_count_by_name),)),
     Mutant(
         "what a lost disk had stored still counts",
         ((Replication, "_answered", counts_lost_disks), (Progress, "disagreed", sends_again)),
--- a/merlinbay/control/simulation/checker.py
+++ b/merlinbay/control/simulation/checker.py
@@ -227,6 +227,9 @@
         yield f"{len(history.finals)} of {history.expected_finals} voters run at the end"
     if len({(final.revision, final.digest) for final in history.finals}) > 1:
         yield f"the voters end at revisions {sorted(final.revision for final in history.finals)}"
+    for final in history.finals:
+        if not final.admitted:
+            yield f"{final.voter} has no vote at the end"
     last = [one for one in history.operations if one.client == "final"]
     if not all(one.complete for one in last):
         yield "the log takes no changes or reads after the faults"
--- a/merlinbay/control/simulation/core.py
+++ b/merlinbay/control/simulation/core.py
@@ -42,7 +42,7 @@
             settings = replace(settings, max_batch_bytes=ONE_ENTRY, max_messages_in_flight=1)
         return Voter(boot.name, settings, boot.records, boot.random, boot.now)
 
-    return Core(start, _snapshot, _leading_term, _voters, _extent, _log, _vote)
+    return Core(start, _snapshot, _leading_term, _voters, _admitted, _extent, _log, _vote)
 
 
 def _snapshot(voter: VoterPort) -> StateSnapshot:
@@ -58,6 +58,10 @@
     return frozenset(cast(Voter, voter).voters)
 
 
+def _admitted(voter: VoterPort) -> bool:
+    return cast(Voter, voter)._core.is_member
+
+
 def _extent(voter: VoterPort) -> Extent:
     raft_voter = cast(Voter, voter)
     log = raft_voter._core.log
--- a/merlinbay/control/simulation/history.py
+++ b/merlinbay/control/simulation/history.py
@@ -134,6 +134,7 @@
     revision: int
     digest: bytes
     entries: tuple[KeyValue, ...]
+    admitted: bool = True  # whether its vote counts, with the disk that it has now
 
 
 @dataclass
--- a/merlinbay/control/simulation/observer.py
+++ b/merlinbay/control/simulation/observer.py
@@ -103,6 +103,8 @@
         for host in hosts:
             if host.voter is not None:
                 snapshot = self.core.snapshot(host.voter)
+                digest = state_digest(snapshot.entries)
+                admitted = self.core.admitted(host.voter)
                 self.history.finals.append(
-                    FinalState(host.name, snapshot.revision, state_digest(snapshot.entries), snapshot.entries)
+                    FinalState(host.name, snapshot.revision, digest, snapshot.entries, admitted)
                 )
--- a/merlinbay/control/simulation/ports.py
+++ b/merlinbay/control/simulation/ports.py
@@ -114,6 +114,7 @@
     snapshot: Callable[[VoterPort], StateSnapshot]
     leading_term: Callable[[VoterPort], int | None]  # the term that the voter takes itself for the leader of
     voters: Callable[[VoterPort], frozenset[str]]  # the configuration that the voter goes by
+    admitted: Callable[[VoterPort], bool]  # whether its vote counts, with the disk that it has
     extent: Callable[[VoterPort], Extent | None]  # None: it shows no log
     log: Callable[[VoterPort, int], LogView]  # from an index on
     vote: Callable[[str, bytes], Vote | None]  # what a message of a sender says, if it is a vote
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -192,6 +192,10 @@
         "voters_agree_at_the_end",
         History(expected_finals=2, finals=[FinalState("a", 1, b"x", ()), FinalState("b", 2, b"y", ())]),
     ),
+    (
+        "voters_agree_at_the_end",
+        History(expected_finals=1, finals=[FinalState("a", 0, b"", (), admitted=False)]),
+    ),
     (
         "voters_agree_at_the_end",
         History(expected_finals=1, finals=[FinalState("a", 0, b"", ())], operations=[open_final()]),
@@ -316,6 +320,7 @@
         snapshot=snapshot,
         leading_term=lambda voter: None,
         voters=lambda voter: names,
+        admitted=lambda voter: True,
         extent=lambda voter: None,
         log=lambda voter, index: LogView(0, 0, "", None, ()),
         vote=lambda sender, message: None,
