A node that follows the configuration reads its keys again on SIGHUP and ends its watch on purpose

The test replaces the key of a cluster and a node without a restart of the node, then has all connections made anew under it.

--- a/merlinbay/control_service/node_follower.py
+++ b/merlinbay/control_service/node_follower.py
@@ -14,32 +14,47 @@
 from merlinbay.control_service.settings import Section, load_keys
 from merlinbay.control_service.transport import Endpoint
 from merlinbay.counters import Counters
+from merlinbay.fleet.wire import Keys
 from merlinbay.log import Log
 from merlinbay.problems import BadConfig
 
 
-def start(section: Section, name: str, nursery: trio.Nursery, counters: Counters, log: Log) -> FollowerHost:
-    """Follow the configuration in a node's nursery. Raises ``BadConfig``."""
-    try:
-        keys = load_keys(section.keys)
-    except BadConfig as error:
-        raise BadConfig(f"control.{error}") from None
-    endpoint = Endpoint(name, "follower", section.fleet, keys, section.bind)
-
-    def advanced(effect: StateAdvanced) -> None:
-        counters.add("control_revisions")
-        counters.counts["control_bytes_received"] = endpoint.traffic.bytes_received
-        counters.counts["control_bytes_sent"] = endpoint.traffic.bytes_sent
-        log.event("control_revision", level="debug", revision=effect.revision, replaced=effect.replaced)
-
-    host = FollowerHost(
-        endpoint,
-        Location(section.region, section.zone),
-        [machine.upstream(machine_name) for machine_name, machine in section.machines.items()],
-        FollowerSettings(),
-        Random(secrets.randbits(64)),
-        nursery,
-        advanced,
-    )
-    host.start()
-    return host
+class ConfigurationFollower:
+    """Follows the configuration in a node's nursery, from its making on."""
+
+    def __init__(
+        self, section: Section, name: str, nursery: trio.Nursery, counters: Counters, log: Log
+    ) -> None:
+        """Begin to follow. Raises ``BadConfig``."""
+        self.section, self.counters, self.log = section, counters, log
+        self.endpoint = Endpoint(name, "follower", section.fleet, self._keys(), section.bind)
+        self.host = FollowerHost(
+            self.endpoint,
+            Location(section.region, section.zone),
+            [machine.upstream(machine_name) for machine_name, machine in section.machines.items()],
+            FollowerSettings(),
+            Random(secrets.randbits(64)),
+            nursery,
+            self._advanced,
+        )
+        self.host.start()
+
+    def _keys(self) -> Keys:
+        try:
+            return load_keys(self.section.keys)
+        except BadConfig as error:
+            raise BadConfig(f"control.{error}") from None
+
+    def reload(self) -> None:
+        """Read the keys again. Raises ``BadConfig``; what cannot be used changes nothing."""
+        self.endpoint.keys = self._keys()
+
+    def stop(self) -> None:
+        """End the watch on purpose."""
+        self.host.stop()
+
+    def _advanced(self, effect: StateAdvanced) -> None:
+        self.counters.add("control_revisions")
+        self.counters.counts["control_bytes_received"] = self.endpoint.traffic.bytes_received
+        self.counters.counts["control_bytes_sent"] = self.endpoint.traffic.bytes_sent
+        self.log.event("control_revision", level="debug", revision=effect.revision, replaced=effect.replaced)
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -31,6 +31,7 @@
 from merlinbay.problems import BadConfig, address
 
 if TYPE_CHECKING:
+    from merlinbay.control_service.node_follower import ConfigurationFollower
     from merlinbay.dnssd.directory import DnsSdDirectory
     from merlinbay.drmaa.wiring import DrmaaParts
     from merlinbay.fleet.wiring import FleetParts
@@ -43,11 +44,12 @@
 
     drmaa: DrmaaParts | None = None
     fleet: FleetParts | None = None
+    control: ConfigurationFollower | None = None
     takeover: Takeover | None = None  # the process before or after this one
 
     def reload(self) -> None:
         """Read keys and certificates again. Raises ``BadConfig``."""
-        for part in (self.drmaa, self.fleet):
+        for part in (self.drmaa, self.fleet, self.control):
             if part is not None:
                 part.reload()
 
@@ -58,6 +60,8 @@
             self.drmaa.close_idle()
         if self.fleet is not None:
             self.fleet.stop()
+        if self.control is not None:
+            self.control.stop()
 
 
 early: list[int] = []  # the SIGTERMs that came before trio took signals, or after
@@ -161,9 +165,9 @@
         if sides.fleet is not None:
             await sides.fleet.listen(nursery)
         if operator is not None and operator.control is not None:
-            from merlinbay.control_service.node_follower import start as follow_configuration
+            from merlinbay.control_service.node_follower import ConfigurationFollower
 
-            follow_configuration(operator.control, config.name, nursery, counters, log)
+            sides.control = ConfigurationFollower(operator.control, config.name, nursery, counters, log)
         nursery.start_soon(signals, config, listener, discovery, send, nursery, counters, log, sides)
         admin.serving = True
         log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
--- a/tests/test_control_cli.py
+++ b/tests/test_control_cli.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import os
+import signal
 import subprocess
 import sys
 from functools import partial
@@ -14,6 +16,7 @@
 from click.testing import CliRunner
 
 from merlinbay.cli.main import main
+from merlinbay.fleet.wire import Keys
 from merlinbay.operator_file import read
 from merlinbay.problems import BadConfig
 from tests.control_cluster import Cluster, Machine, Scenario, cluster, run_side_by_side
@@ -270,11 +273,41 @@
                 return view is not None and [revision, 1] in view["below"][0]
 
             await found.until("the node is counted", in_force)
+            await keys_replaced(found, leader, node)
         finally:
             node.kill()
             node.wait()
 
 
+async def keys_replaced(found: Cluster, leader: Machine, node: subprocess.Popen[bytes]) -> None:
+    """Replace the key without a restart: both are believed in between, then the first alone."""
+    keys = found.folder / "keys"
+    old, new = keys.read_text().strip(), base64.b64encode(b"n" * 32).decode()
+    running = [one.process for one in found.voters if one.process is not None] + [node]
+    for text in (f"{new}\n{old}\n", f"{new}\n"):
+        keys.write_text(text)
+        for process in running:
+            process.send_signal(signal.SIGHUP)
+    found.keys = Keys((b"n" * 32,))
+    follower = found.follow("new-key", [leader])
+
+    async def followed() -> bool:
+        return follower.core.revision > 0
+
+    await found.until("a follower with the new key", followed)
+    # Every machine is started again, so that all connections are made under the new key.
+    for machine in found.voters:
+        machine.kill()
+        machine.start()
+    revision = await found.change("teams/k", {"tasks_running": 1}, "k")
+
+    async def in_force() -> bool:
+        view = await found.status(leader)
+        return view is not None and sum(count for at, count in view["below"][0] if at >= revision) == 2
+
+    await found.until("both followers have come back", in_force)
+
+
 SCENARIOS: list[Scenario] = [operators_calls, unknown_ends, voter_replaced, node_follows]
 
 
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -264,21 +264,22 @@
         )
         seen: list[str] = []
 
+        async def applied(identity: str) -> bool:
+            return isinstance(await host.propose(Change(identity, "teams/a", b"{}")), ChangeApplied)
+
         async def propose() -> None:
-            result = await host.propose(Change("id", "teams/a", b"{}"))
-            assert isinstance(result, ChangeApplied)
+            assert await applied("second")
             seen.append("answer")
 
         async def read() -> None:
-            assert await host.watches.local(lambda keyspace: keyspace.revision) == 1
+            assert await host.watches.local(lambda keyspace: keyspace.revision) == 2
             seen.append("read")
 
         async with trio.open_nursery() as nursery:
             await nursery.start(host.run, await listen_at("127.0.0.1:0"))
             with trio.fail_after(60):
-                while host.voter.leader != "v0":
+                while not await applied("first"):  # once it is, all that the election wrote is on the disk
                     await trio.sleep(0.02)
-            await trio.testing.wait_all_tasks_blocked()
             gate.clear()
             writing.clear()
             nursery.start_soon(propose)
