Slots are seen from held less waiting requests where reports tell no free ones

Cause: a report's values there are waiting, held and busy share. Ruled out: the count of the others (as reported), the gate's aim. Lines at fault: `_report` in `rules.py`, which passed over a report without free slots.

Change: what is held less what waits has been running: a kind has at least as many slots.

--- a/merlinbay/decision/beliefs.py
+++ b/merlinbay/decision/beliefs.py
@@ -12,7 +12,7 @@
 
 from merlinbay.decision.api import Outcome
 from merlinbay.decision.calls import GOLDEN
-from merlinbay.decision.records import Memory, Worker
+from merlinbay.decision.records import Kind, Memory, Worker
 
 PACE_WEIGHT = 0.15  # weight of one job in its worker's pace: a few jobs tell a slowed machine
 PACE_TAU_US = 20_000_000  # and how long that lasts without news, for one that is passed over gets no jobs
@@ -119,6 +119,12 @@
         for other in self.kinds.values():
             other.slots = other.slots if other.told else max(other.most, kind.slots)
 
+    def _counted_slots(self, kind: Kind, running: float) -> None:
+        """Learn a kind's slots where reports tell what is held and what of it waits, not what is free."""
+        # Guards against one slot believed where nobody is ever refused: no 'full' tells that it is more.
+        kind.most = max(kind.most, float(math.floor(running + 1 - SPARE)))
+        kind.slots = max(kind.slots, kind.most)
+
     def _shown_slots(self, worker: Worker, free: float) -> None:
         """Learn a kind's slots where reports tell the free ones only."""
         # Guards against noise: the most that was ever reported free is too much. The free ones and our
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -493,6 +493,8 @@
             held = held if self.settings.held_field else worker.kind.slots - free + queued
         if held is None:
             return
+        if free is None and self.settings.queued_field in readings and not self.cold(worker):
+            self._counted_slots(worker.kind, held - readings[self.settings.queued_field])
         self.hear(worker, held)
         own = worker.held
         if self.settings.asks_first and not waited_for:
--- a/tests/test_copies_and_probes.py
+++ b/tests/test_copies_and_probes.py
@@ -273,3 +273,20 @@
     made.handle(made.now, [api.ProbeEnded("w0", int(api.Outcome.TIMEOUT), 120_000)])
     made.now += 1_500_000  # one answer may get lost where no more probes go out
     assert workers[0] in made.eligible(job_of(made), workers)
+
+
+def test_slots_are_seen_from_what_runs_where_free_ones_are_not_told() -> None:
+    """Found as a third refused at a low load: three held, none waiting, and one slot believed."""
+    made = balancer(
+        report_fields=["waiting", "active"],
+        free_slots_field="",
+        held_field="active",
+        queued_field="waiting",
+        tells_start=False,
+    )
+    for kind in made.kinds.values():
+        kind.slots, kind.told = 1.0, False
+    made.handle(made.now, [api.ProbeEnded("w0", 1, 900, [0.0, 3.1])])
+    assert made.workers["w0"].kind.slots == 3
+    made.handle(made.now, [api.ProbeEnded("w0", 1, 900, [4.0, 6.9])])
+    assert made.workers["w0"].kind.slots == 3
