--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -65,7 +65,7 @@
     bench_until: int = 0  # left out until then,
     fault: int = 0  # the outcome that counted as a failure last,
     fault_at: int = 0  # and when
-    asked_at: int = 0  # the first send since it was last heard
+    unheard_since: int = 0  # the first send since it was last heard
     heard_at: int = 0
     cold_next: int = 0  # our turn to send to it while it is cold; before this it gets nothing more from us
     last_report: list[object] | None = None
@@ -81,7 +81,7 @@
     def restart(self, at: int) -> None:
         """Take it that it started anew: what was known of its health is of another process."""
         self.ready_at, self.pace = at, 1.0
-        self.fails, self.bench_until, self.asked_at, self.cold_next = 0, 0, 0, 0
+        self.fails, self.bench_until, self.unheard_since, self.cold_next = 0, 0, 0, 0
 
     def count(self, now: int, slots: float) -> None:
         """Count slots of ours that are taken there, or less than 0 that are free again."""
@@ -342,7 +342,7 @@
 
     def hangs(self, worker: Worker, silent_us: int) -> bool:
         """Tell whether a worker has taken jobs and answered none for so long."""
-        return worker.asked_at > 0 and worker.held > 0 and self.now - worker.asked_at > silent_us
+        return worker.unheard_since > 0 and worker.held > 0 and self.now - worker.unheard_since > silent_us
 
     def count_slots(self, silent_us: int) -> None:
         """Count the slots of the workers in use, and our jobs at those that are gone or hang."""
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -291,7 +291,7 @@
         # Guards against a copy that goes by the replies to an earlier attempt's probes.
         job.probe_replies, job.probes_pending = [], 0
         self.hold(job, Attempt(worker, self.now, self._free(worker) >= job.slots))
-        worker.asked_at = worker.asked_at or self.now
+        worker.unheard_since = worker.unheard_since or self.now
         self.crossed += ((worker.zone != self.settings.zone) - self.crossed) * CROSSED_STEP
         self.returned = [w for w in self.returned if w is not worker] if self.returned else []
         if self.cold(worker):
@@ -369,7 +369,7 @@
         if job is None or attempt is None:
             return
         worker = attempt.worker
-        worker.asked_at, worker.heard_at = 0, self.now  # it is there, but the job may fail yet
+        worker.unheard_since, worker.heard_at = 0, self.now  # it is there, but the job may fail yet
         if attempt.started:
             return
         attempt.started = self.now
@@ -435,7 +435,7 @@
         run = max(now - attempt.started if attempt.started else event.took_us, 1000.0)
         erring = self._erring(worker, event)
         if outcome in (api.Outcome.OK, api.Outcome.FULL):
-            worker.asked_at, worker.heard_at, worker.fails = 0, self.now, worker.fails if erring else 0
+            worker.unheard_since, worker.heard_at, worker.fails = 0, self.now, worker.fails if erring else 0
         if attempt.room and outcome in (api.Outcome.OK, api.Outcome.FULL):
             # Guards against reports that are frozen or lie: where room is answered with 'full', the mean
             # counts for more, and what they say for less.
--- a/tests/test_copies_and_probes.py
+++ b/tests/test_copies_and_probes.py
@@ -212,6 +212,35 @@
     worker.count(made.now - 50_000, 2.0)
     assert worker.held == 3.0 and worker.held_at(made.now - 120_000) == 1.0
     assert worker.held_at(0) == 1.0
+    made.handle(made.now, [api.ProbeEnded("w0", 1, 900, [0.0])])  # four held, one of them ours then
+    assert worker.others_mean == pytest.approx(3.0)
+
+
+def test_what_others_hold_is_learned_for_each_worker() -> None:
+    """Found as room not used: the mean over both zones counted where the other balancers hardly send."""
+    made = probing(0.002, report_fields=["x0"])
+    made.mean_held = 8.0
+    assert made._others(made.workers["w0"]) > 2
+    for number in range(30):
+        made.now += 100_000
+        made.handle(made.now, [api.ProbeEnded("w0", 1, 900, [4.0 - number / 1000])])
+    made.now += 10_000_000  # the last report is forgotten
+    assert made._others(made.workers["w0"]) < 0.5 < made._others(made.workers["w2"])
+
+
+def test_a_reply_from_beyond_the_border_does_not_win_by_being_first() -> None:
+    """Where crossings cost, workers away count once those nearby have answered too."""
+    made = probing(0.002, balancers=100, tells_start=False, cross_zone_price=0.01)
+    made.misjudged = 0.5
+    actions = made.handle(made.now, [api.JobArrived(1, "safe", 5_000_000)])
+    probed = [action.worker for action in actions if isinstance(action, api.Probe)]
+    away = [name for name in probed if made.workers[name].zone == "b"]
+    near = [name for name in probed if made.workers[name].zone == "a"]
+    assert away and near
+    for name in away:
+        assert not made.handle(made.now, [api.ProbeEnded(name, 1, 900, [0, 4])])
+    (placed, *_) = made.handle(made.now, [api.ProbeEnded(near[0], 1, 900, [0, 4])])
+    assert isinstance(placed, api.Place) and placed.worker == near[0]
 
 
 def test_a_job_of_two_slots_waits_less_where_others_overtake_it() -> None:
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -299,7 +299,7 @@
     assert allowed(made, job, workers) == "0246"
     workers[0].state = "draining"
     workers[2].bench_until = made.now + 1
-    workers[4].held, workers[4].asked_at = 1.0, 1_000_000
+    workers[4].held, workers[4].unheard_since = 1.0, 1_000_000
     assert allowed(made, job, workers) == "6"
     workers[6].free_memory, workers[6].memory_at = 1.0, made.now
     assert allowed(made, job, workers) == ""
