--- a/merlinbay/decision/beliefs.py
+++ b/merlinbay/decision/beliefs.py
@@ -12,7 +12,8 @@
 
 from merlinbay.decision.api import Outcome
 from merlinbay.decision.calls import GOLDEN
-from merlinbay.decision.records import Kind, Memory, Worker
+from merlinbay.decision.memory import Memory
+from merlinbay.decision.records import Kind, Worker
 
 PACE_WEIGHT = 0.15  # weight of one job in its worker's pace: a few jobs tell a slowed machine
 PACE_TAU_US = 20_000_000  # and how long that lasts without news, for one that is passed over gets no jobs
--- a/merlinbay/decision/learned.py
+++ b/merlinbay/decision/learned.py
@@ -4,7 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from merlinbay.decision.records import Class, Memory
+from merlinbay.decision.memory import Memory
+from merlinbay.decision.records import Class
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/merlinbay/decision/memory.py
@@ -0,0 +1,262 @@
+"""All that a balancer remembers, with its look-ups and indexes; no decisions.
+
+Times are microseconds, counts are slots.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import math
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from merlinbay.decision.api import BalancersCounted, ListChanged, Maintained, Settings, SlotsKept
+from merlinbay.decision.records import Attempt, Job, Kind, Rate, Worker
+
+
+@dataclass(eq=False)
+class Memory:
+    """All that a balancer remembers."""
+
+    settings: Settings
+    rng: Random
+    now: int
+    rate: Rate  # of offered jobs, refused included
+    kinds: dict[str, Kind] = field(default_factory=dict)
+    workers: dict[str, Worker] = field(default_factory=dict)
+    kept: dict[str, float] = field(default_factory=dict)  # slots kept free, by worker
+    banned: dict[str, int] = field(default_factory=dict)  # workers that operators took out, and since when
+    returned: list[Worker] = field(default_factory=list)  # put back, and not sent anything since
+    usable: list[Worker] = field(default_factory=list)  # those that are up, shuffled
+    colds: list[Worker] = field(default_factory=list)  # and of these, the ones started lately
+    pools: dict[int, tuple[list[Worker], list[Worker]]] = field(default_factory=dict)  # by kind: near, far
+    groups: dict[str | int, list[Worker]] = field(default_factory=dict)  # by zone and by cell
+    affine: dict[str, list[Worker]] = field(default_factory=dict)  # by key: its few workers, in order
+    tenants: dict[str, Rate] = field(default_factory=dict)  # offered rate of each
+    jobs: dict[int, Job] = field(default_factory=dict)
+    probing: dict[str, list[Job]] = field(default_factory=dict)  # by worker: the jobs whose probes are out
+    watches: list[tuple[int, int, int]] = field(default_factory=list)  # heap: due, job, attempt
+    timer_at: int = 0
+    misjudged: float = 0.5  # how often a report to a probe has shown room where none was believed, or none,
+    probe_us: float = 0.0  # and what a probe takes
+    crossed: float = 0.0  # share of our jobs that went over the zone border
+    trust: float = 1.0  # how often a worker that seemed to have room took the job
+    offered: int = 0
+    own_held: float = 0.0  # our outstanding slots, now
+    own_running: float = 0.0  # and of these, the started ones
+    own_stuck: float = 0.0  # held at workers that are gone or answer nothing, when last counted
+    slots: float = 1.0  # learned slots of a worker, where no report tells them,
+    late: float = 0.0  # from the smoothed share of starts that were late
+    starts: int = 0
+    mean_held: float = 0.0  # and smoothed
+    slots_total: float = 1.0
+    slots_at: int = 0  # when to count them again
+    heard: deque[tuple[int, float, Kind]] = field(default_factory=deque)  # when, what others held, where,
+    shown: float = 0.0  # and the median share of a worker's slots
+    mean_run: float = 1000.0  # slots x run time of the mean job offered
+    mean_worth: float = 1.0
+    mean_slots: float = 1.0
+
+    def find(self, job_id: int, number: int) -> tuple[Job | None, Attempt | None]:
+        """Return a job and its open attempt, or neither."""
+        job = self.jobs.get(job_id)
+        if job is None or not 0 <= number < len(job.attempts) or not job.attempts[number].open:
+            return None, None
+        return job, job.attempts[number]
+
+    def remind(self, job_id: int, number: int, wait: int) -> list[int]:
+        """Remember to look at an attempt after a while; return the timer to set, if one is needed."""
+        heapq.heappush(self.watches, (self.now + wait, job_id, number))
+        if self.now < self.timer_at <= self.now + wait:
+            return []
+        self.timer_at = self.now + wait
+        return [wait]
+
+    def due(self) -> Iterator[tuple[Job, int]]:
+        """Take the jobs and attempts that are due to be looked at."""
+        while self.watches and self.watches[0][0] <= self.now:
+            _, job_id, number = heapq.heappop(self.watches)
+            if job_id in self.jobs:
+                yield self.jobs[job_id], number
+
+    def remind_next(self) -> list[int]:
+        """Return the timer to set for what is due next, if one is needed."""
+        if not self.watches or self.timer_at > self.now:
+            return []
+        self.timer_at = self.watches[0][0]
+        return [self.timer_at - self.now]
+
+    def probes_sent(self, job: Job, workers: list[str]) -> None:
+        """Remember that probes are out for a job."""
+        self.jobs[job.id] = job
+        for name in workers:
+            self.probing.setdefault(name, []).append(job)
+        job.probes_pending += len(workers)
+
+    def tenant_rate(self, tenant: str, tau_us: int) -> float:
+        """Count a request of a tenant; return its rate."""
+        if not tenant:
+            return 0.0
+        rate = self.tenants.setdefault(tenant, Rate(self.now))
+        rate.add(self.now, tau_us)
+        return rate.value
+
+    def next_probing(self, worker: str) -> Job | None:
+        """Return the first job that still waits for a probe of this worker."""
+        queue = self.probing.pop(worker, [])
+        waiting = [job for job in queue if job.probes_pending and not job.done]
+        if len(waiting) > 1:
+            self.probing[worker] = waiting[1:]
+        return waiting[0] if waiting else None
+
+    def hold(self, job: Job, attempt: Attempt) -> None:
+        """Count an attempt that is sent."""
+        self.jobs[job.id] = job
+        job.attempts.append(attempt)
+        job.pending += 1
+        attempt.worker.count(self.now, job.slots)
+        attempt.worker.kept -= job.slots * job.reserved
+        self.own_held += job.slots
+
+    def release(self, job: Job, attempt: Attempt) -> None:
+        """Count an attempt that has ended."""
+        attempt.open = False
+        job.pending -= 1
+        attempt.worker.count(self.now, -job.slots)
+        attempt.worker.kept += job.slots * job.reserved
+        self.own_held -= job.slots
+        if attempt.started:
+            attempt.worker.running -= job.slots
+            self.own_running -= job.slots
+
+    def relist(self, event: ListChanged) -> list[Worker]:
+        """Take a list of workers; return those that have started since they were last listed."""
+        if event.scope != "changes":  # a worker that a complete list does not name is gone
+            for worker in self.workers.values():
+                worker.state = worker.listed = "removed"
+        started = []
+        for entry in event.entries:
+            kind = self.kinds.setdefault(entry.kind, Kind())
+            worker = self.workers.setdefault(entry.worker, Worker(entry.worker, kind))
+            worker.kind, worker.zone, worker.cell, worker.listed = kind, entry.zone, entry.cell, entry.state
+            worker.state = self.standing(worker)
+            worker.kept = self.kept.get(entry.worker, 0.0)
+            if entry.ready_at_us > worker.ready_at:
+                worker.restart(entry.ready_at_us)
+                started.append(worker)
+        self.workers = {w.name: w for w in self.workers.values() if w.state != "removed" or w.held > 0}
+        self.reindex()
+        return started
+
+    def knows(self, name: str) -> bool:
+        """Tell whether a worker is listed, or was taken out by operators."""
+        worker = self.workers.get(name)
+        return name in self.banned or (worker is not None and worker.listed != "removed")
+
+    def standing(self, worker: Worker) -> str:
+        """Return a worker's state: as listed, but draining while operators have it out."""
+        return "draining" if worker.name in self.banned and worker.listed == "up" else worker.listed
+
+    def maintain(self, event: Maintained) -> Worker | None:
+        """Take a worker out or put it back; return one that is back in use.
+
+        Guards against a server that is cold for having been restarted meanwhile, of which nothing was listed
+        yet: it counts as started when it is put back.
+        """
+        worker = self.workers.get(event.worker)
+        if event.on:
+            self.banned.setdefault(event.worker, self.now)
+        since = 0 if event.on else self.banned.pop(event.worker, None)
+        if worker is None or since is None:
+            return None
+        worker.state = self.standing(worker)
+        if not event.on and worker.ready_at < since:
+            worker.restart(self.now)
+        self.reindex()
+        self.returned = [w for w in self.returned if w is not worker] + [worker] * (not event.on)
+        return None if event.on else worker
+
+    def sample(self, pool: list[Worker], most: int) -> list[Worker]:
+        """Return a few workers at a random place of the shuffled pool."""
+        at = self.rng.randrange(len(pool)) if len(pool) > most else 0
+        return pool[at : at + most] + pool[: max(0, at + most - len(pool))] if at else pool[:most]
+
+    def hangs(self, worker: Worker, silent_us: int) -> bool:
+        """Tell whether a worker has taken jobs and answered none for so long."""
+        return worker.unheard_since > 0 and worker.held > 0 and self.now - worker.unheard_since > silent_us
+
+    def count_slots(self, silent_us: int) -> None:
+        """Count the slots of the workers in use, and our jobs at those that are gone or hang."""
+        # Guards against cold workers that get nothing: they would count as holding what the warm ones do.
+        self.slots_total = max(1.0, sum(w.kind.slots * self.capacity(w) for w in self.usable))
+        self.own_stuck = sum(
+            w.held for w in self.workers.values() if w.held and (w.state != "up" or self.hangs(w, silent_us))
+        )
+
+    def cold(self, worker: Worker) -> bool:
+        """Tell whether a worker has started too lately to have its full capacity."""
+        return worker.ready_at > 0 and self.now - worker.ready_at < self.settings.safety.cold_us
+
+    def capacity(self, worker: Worker) -> float:
+        """Return the share of its capacity that a worker has by now, at the least: it grows evenly."""
+        safety, age = self.settings.safety, max(0, self.now - worker.ready_at)
+        if not self.cold(worker):
+            return 1.0
+        return safety.cold_from + (1 - safety.cold_from) * age / safety.cold_us
+
+    def warmed(self, worker: Worker, since: int, amount: float) -> int:
+        """Return when the worker's share of its capacity, summed over time since then, reaches an amount."""
+        safety, grows = self.settings.safety, self._grows()
+        amount += self.grown(worker, since)
+        past = math.sqrt(safety.cold_from**2 + 2 * grows * amount) - safety.cold_from
+        return worker.ready_at + int(past / grows)
+
+    def grown(self, worker: Worker, until: int) -> float:
+        """Return the worker's share of its capacity, summed over time from its start."""
+        age = max(0, until - worker.ready_at)
+        return self.settings.safety.cold_from * age + self._grows() * age * age / 2
+
+    def _grows(self) -> float:
+        return (1 - self.settings.safety.cold_from) / max(self.settings.safety.cold_us, 1) + 1e-12
+
+    def recount(self, event: BalancersCounted) -> None:
+        """Take it that so many balancers share the work by now."""
+        self.settings = dataclasses.replace(self.settings, balancers=max(event.count, 1), me=event.me)
+
+    def keep(self, event: SlotsKept) -> None:
+        """Keep so many slots of a worker free from now on, also of one that is not listed at present."""
+        self.kept[event.worker] = event.slots
+        if not event.slots:
+            del self.kept[event.worker]
+        worker = self.workers.get(event.worker)
+        if worker is not None:
+            worker.kept = event.slots
+            if not worker.kind.told:  # Guards against slots not yet learned: what is kept looks like all.
+                worker.kind.most = max(worker.kind.most, event.of)
+                worker.kind.slots = max(worker.kind.slots, event.of)
+
+    def kind_names(self) -> dict[Kind, str]:
+        """Return the kinds' names."""
+        return {kind: name for name, kind in self.kinds.items()}
+
+    def reindex(self) -> None:
+        """Index the workers that are up, shuffled so that a slice of a pool is a random sample."""
+        self.usable = [w for w in self.workers.values() if w.state == "up"]
+        self.rng.shuffle(self.usable)
+        self.slots_at = self.now
+        self.colds = [w for w in self.usable if self.cold(w)]
+        self.affine.clear()
+        self.groups = {}
+        for worker in self.usable:
+            self.groups.setdefault(worker.cell, []).append(worker)
+            self.groups.setdefault(worker.zone, []).append(worker)
+        away = self.settings.cross_zone_price > 0
+        for index, name in enumerate(["", *self.settings.kinds]):
+            fit = [w for w in self.usable if not index or w.kind is self.kinds[name]]
+            self.pools[index - 1] = (
+                [w for w in fit if not away or w.zone == self.settings.zone],
+                [w for w in fit if away and w.zone != self.settings.zone],
+            )
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -1,8 +1,9 @@
 """Every decision of the balancer. Its interface (settings, events, actions) is ``merlinbay/decision/api.py``.
 
-Top to bottom: estimators, pick, a request's life, worker health, list. Records are in
-``records.py``, beliefs about workers and peers in ``beliefs.py``, calls for the list in ``calls.py``; which
-workers may take a job is in ``eligibility.py``, which every send asks.
+Top to bottom: estimators, pick, a request's life, worker health, list. Records are in ``records.py`` and
+``memory.py``, beliefs about workers and peers in ``beliefs.py``, calls for the list in ``calls.py``; which
+workers may take a job is in ``eligibility.py``, which every send asks; what copies, probes and crossings are
+worth is in ``worth.py``.
 Departures from the design say "Guards against". Times are microseconds.
 """
 
