--- a/merlinbay/control_service/operator_calls.py
+++ b/merlinbay/control_service/operator_calls.py
@@ -216,13 +216,14 @@
 
     async def _voters(self, wanted: VotersRequest, request: Request) -> Response:
         """Change the voters. A repeat of what was done already, or is under way, does nothing further."""
-        if wanted.add is not None and not self.machines.address_of(wanted.add):
-            raise BadCall(f"no address of {wanted.add} is known: set machines/{wanted.add} first")
         if wanted.add is None and wanted.remove is None:
             raise BadCall("nobody to add or to remove")
         confirmed = await self.host.read(f"machines/{wanted.add}")
         if confirmed.failed:
             return self._to_leader(confirmed.leader, request)
+        # Only now: another voter than the leader may not have the address yet that was set just before.
+        if wanted.add is not None and not self.machines.address_of(wanted.add):
+            raise BadCall(f"no address of {wanted.add} is known: set machines/{wanted.add} first")
         voter = self.host.voter
         if wanted.add in voter.joining:
             return _problem(503, f"{wanted.add} is joining", retry=True, reason="joining")
