--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -22,7 +22,7 @@
     KeyValue,
     StateSnapshot,
 )
-from merlinbay.control.simulation.checker import check
+from merlinbay.control.simulation.checker import CHECKS, check
 from merlinbay.control.simulation.core import raft
 from merlinbay.control.simulation.history import (
     AppliedSeen,
@@ -209,6 +209,11 @@
     assert name in {violation.check for violation in check(history)}
 
 
+def test_every_check_has_a_bad_history() -> None:
+    """None is left out above."""
+    assert {name for name, _ in BAD} == {one.__name__ for one in CHECKS}
+
+
 def test_a_leader_seen_late_is_no_fault() -> None:
     """A leader that was stopped lacks what was committed in later terms."""
     entry = EntrySeen(0, "a", 2, 1, b"x", None, True, voter_term=3)
