Plans may have real processes among the hollow members at every size

Change: `real` of a role: so many of its members are processes of the program, with a row of their own.

--- a/merlinbay/scale/plan.py
+++ b/merlinbay/scale/plan.py
@@ -50,6 +50,7 @@
     role: str
     members: Count = 0  # 0: what the other roles leave of the size
     members_per_process: Positive = 100
+    real: Annotated[int, msgspec.Meta(ge=0, le=200)] = 0  # of them, at every size: processes of the program
     settings: dict[str, int | float | str | bool] = {}
 
 
@@ -106,9 +107,9 @@
         taken = 0 if self.fixed_beside_size else sum(other.members for other in self.role)
         return role.members or size - taken
 
-    def all_members(self, size: int) -> int:
-        """Return how many members run at a size."""
-        return sum(self.members_of(role, size) for role in self.role)
+    def real_members(self) -> dict[str, int]:
+        """Return how many members of each role are processes of the program at every size."""
+        return {role.role: role.real for role in self.role if role.real}
 
 
 def _wrong(plan: Plan, known: frozenset[str]) -> str:
@@ -122,6 +123,9 @@
         return "role: each role once"
     if not plan.fixed_beside_size and min(plan.sizes) < sum(role.members or 1 for role in plan.role):
         return f"sizes: {min(plan.sizes)} is less than the roles' members"
+    for number, role in enumerate(plan.role):
+        if role.real >= plan.members_of(role, min(plan.sizes)):
+            return f"role[{number}].real: not less than its members, so that nothing is hollow"
     if max(plan.sizes) > MOST_MEMBERS:
         return f"sizes: over {MOST_MEMBERS}, there are no more addresses"
     if plan.topology.zones < plan.topology.regions:
--- a/merlinbay/scale/run.py
+++ b/merlinbay/scale/run.py
@@ -36,7 +36,7 @@
 def misfits(plan: Plan) -> dict[int, str]:
     """Return the sizes that do not fit the plan's limits, and why."""
     needs = {role.role: ROLES[role.role].need(role) for role in plan.role}
-    found = {size: unfit(plan, size, {}, needs) for size in plan.sizes}
+    found = {size: unfit(plan, size, plan.real_members(), needs) for size in plan.sizes}
     if (wanted := plan.calibration) is not None and not found.get(wanted.size):
         found[wanted.size] = unfit(plan, wanted.size, {wanted.role: wanted.real}, needs)
     return {size: why for size, why in found.items() if why}
@@ -102,7 +102,9 @@
             await self._watch_idle(folder / "idle")
             await self._calibrate(folder / "calibration")
             for size in sizes:
-                rows = await self._step(size, {}, folder / f"size-{size}", self.plan.measured_s)
+                rows = await self._step(
+                    size, self.plan.real_members(), folder / f"size-{size}", self.plan.measured_s
+                )
                 self.rows += [self._marked(row) for row in rows]
                 self.write()
         except Failed as error:
@@ -133,8 +135,11 @@
             self.idle.hollow = meters.idle_share(before.process, after.process)
         finally:
             await host.end()
+        real = set(self.plan.real_members())
         if self.plan.calibration is not None:
-            await self._watch_real_idle(folder, self.plan.calibration.role)
+            real.add(self.plan.calibration.role)
+        for name in sorted(real):
+            await self._watch_real_idle(folder, name)
 
     async def _watch_real_idle(self, folder: Path, name: str) -> None:
         """Measure what the program takes without the role, and in memory with the role but no others."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -38,6 +38,7 @@
         (GOOD + ROLE + "members = 3\n", "role: each role once"),
         (GOOD + "[limits]\nmemory_mib = 12289\n", "$.limits.memory_mib"),
         (GOOD + "[limits]\nprocesses = 301\n", "$.limits.processes"),
+        (GOOD + "real = 10\n", "role[0].real: not less"),
         (GOOD + "[topology]\nregions = 3\n", "topology.zones: fewer than regions"),
         (GOOD + "[disturbances]\nfailures = 3\n", "`failures`"),
         (GOOD + '[calibration]\nrole = "x"\n', "calibration.role: 'x'"),
