--- a/merlinbay/scale/control_writer.py
+++ b/merlinbay/scale/control_writer.py
@@ -21,10 +21,6 @@
 TEAMS = 660  # of the plan: keys are changed in turn
 
 
-class NobodyAnswered(Exception):
-    """No voter answered."""
-
-
 class ControlWriter:
     """Repeats a change with its id, at one voter after the other, until it is applied."""
 
@@ -54,15 +50,16 @@
             at = self.operators[turn]
 
     async def leader(self) -> int:
-        """Return the member that leads. Raises ``NobodyAnswered``."""
-        for operator in self.operators:
-            reply = await self._call(operator, "GET", "status")
-            if reply is None or reply.status != 200:
-                continue
-            voting = msgspec.json.decode(reply.body, type=ProcessStatus).voting
-            if voting is not None and voting.leader:
-                return self.voters[voting.leader]
-        raise NobodyAnswered("no voter names a leader")
+        """Return the member that leads; while one is being elected, wait."""
+        while True:
+            for operator in self.operators:
+                reply = await self._call(operator, "GET", "status")
+                if reply is None or reply.status != 200:
+                    continue
+                voting = msgspec.json.decode(reply.body, type=ProcessStatus).voting
+                if voting is not None and voting.leader:
+                    return self.voters[voting.leader]
+            await trio.sleep(AGAIN_S)
 
     async def _call(self, operator: str, method: str, path: str, body: bytes = b"") -> Reply | None:
         """Make one call; None: no answer came."""
