A test that a view with a suspect is not at rest

Seen: with that rule taken out of `progress` no test failed; it is a function of a view now, and the test fails without it.

--- a/merlinbay/scale/membership.py
+++ b/merlinbay/scale/membership.py
@@ -16,6 +16,7 @@
 from merlinbay.fleet.agreeing import AgreeingView
 from merlinbay.fleet.members import Health
 from merlinbay.fleet.settings import Fleet
+from merlinbay.fleet.view import View
 from merlinbay.fleet.wiring import FleetParts
 from merlinbay.limits import Limits
 from merlinbay.log import Log
@@ -78,6 +79,16 @@
     return msgspec.convert({**about, **section_keys(plan)}, Fleet)
 
 
+def members_alive(view: View) -> int:
+    """Return how many are there; 0 while one is suspected, or an epoch is of another number of members."""
+    here = view.here()
+    if any(member.health is not Health.ALIVE for member in here):
+        return 0
+    if isinstance(view, AgreeingView) and len(view.epochs.epoch.members) != len(here):
+        return 0
+    return len(here)
+
+
 class HollowViewMember:
     """One member of the view, without the node around it."""
 
@@ -128,14 +139,8 @@
                 del self.awaited[name]
 
     def progress(self) -> int:
-        """Return how many are alive in this view; with epochs, 0 until the last one has just as many."""
-        view = self.parts.view
-        here = view.here()
-        if any(member.health is not Health.ALIVE for member in here):
-            return 0
-        if isinstance(view, AgreeingView) and len(view.epochs.epoch.members) != len(here):
-            return 0
-        return len(here)
+        """Return how many the view has, as ``members_alive``."""
+        return members_alive(self.parts.view)
 
     async def act(self, action: str, text: str) -> float:
         """Leave on purpose; tell a gauge; await another member's gauge."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,15 +5,22 @@
 import subprocess
 import sys
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
+from random import Random
 
 import msgspec
 import pytest
 import trio
 
+from merlinbay.fleet.members import Health
+from merlinbay.fleet.settings import Fleet
+from merlinbay.fleet.view import View, fresh
+from merlinbay.fleet.wire import Keys
 from merlinbay.scale import calibration, meters, plan, schedule
 from merlinbay.scale.layout import address_of, delay_s, layout, number_of
 from merlinbay.scale.limits import unfit
+from merlinbay.scale.membership import members_alive
 from merlinbay.scale.meters import ProcessReading, Traffic
 from merlinbay.scale.registry import NAMES
 from merlinbay.scale.results import RoleMeasurement, ScaleRun
@@ -148,6 +155,16 @@
     assert "cpu_share real / hollow = 2.000, NOT USABLE" in calibration.lines("r", ratios, False)[4]
 
 
+def test_a_view_is_at_rest_when_nobody_is_suspected() -> None:
+    """A suspect is still there, but a run that began now would measure its refutation."""
+    view = View(Fleet(), Keys((b"k" * 16,)), fresh("n0", "a:1", "", 1, 1, {}), Random(1), 0.0)
+    other = fresh("n1", "a:2", "", 1, 2, {})
+    view.apply(other)
+    assert members_alive(view) == 2
+    view.apply(replace(other, health=Health.SUSPECT, by="n0"))
+    assert len(view.here()) == 2 and members_alive(view) == 0
+
+
 def test_sockets_count_delay_in_order_and_end_with_their_member() -> None:
     """A stream and datagrams between two members a delay apart; what is closed at once still comes."""
     topology = plan.Topology(regions=2, zones=2, between_regions_ms=5)
