Epochs of all members by a fit over four sizes; fit takes metrics and runs of several plans

Need: three probes of the epochs' bytes were too few for a fit, and the row rested on them. Ruled out: runs at 150 and 200 members, cut short by their time limits at load 37.

--- a/merlinbay/capacity/runs.py
+++ b/merlinbay/capacity/runs.py
@@ -83,7 +83,7 @@
             return None if times is None else float(getattr(times, percentile))
         if self.name not in METRICS:
             raise BadRun(f"there is no metric {self.name!r}")
-        return float(getattr(row, self.name, 0))
+        return float(getattr(row, self.name))
 
 
 @dataclass(frozen=True)
@@ -157,8 +157,8 @@
                     row.hollow,
                     value,
                     bool(row.counts.get(CALIBRATION)),
-                    getattr(row, "ratios_applied", False),
-                    getattr(row, "base_memory_bytes", 0),
+                    row.ratios_applied,
+                    row.base_memory_bytes,
                 )
 
 
--- a/merlinbay/cli/capacity.py
+++ b/merlinbay/cli/capacity.py
@@ -27,18 +27,23 @@
 @click.command("fit")
 @click.argument("files", nargs=-1, required=True, type=FILE)
 @click.option("--role", default="", help="This role alone.")
+@click.option("--metric", "metrics", multiple=True, help="These alone, such as times.time_to_force.p999.")
+@click.option("--together", is_flag=True, help="Fit the runs of all plans together.")
 @click.option("--plot", type=FOLDER, help="Write an SVG of each fit into this folder.")
-def fit_runs(files: tuple[Path, ...], role: str, plot: Path | None) -> None:
+def fit_runs(
+    files: tuple[Path, ...], role: str, metrics: tuple[str, ...], together: bool, plot: Path | None
+) -> None:
     """Fit each metric of each role in FILES over the sizes: form, slope with its interval, residuals."""
     from merlinbay.capacity.fit import TooFewSizes, choose
     from merlinbay.capacity.runs import BadRun, read_run
 
     try:
         runs = [read_run(path) for path in files]
+        found = list(_all_series(runs, role, metrics, together))
     except BadRun as error:
         refuse(error)
     fitted = False
-    for name, sizes, values in _all_series(runs, role):
+    for name, sizes, values in found:
         try:
             choice = choose(sizes, values)
         except TooFewSizes as error:
@@ -55,30 +60,25 @@
         refuse(ValueError("nothing could be fitted: at least four different sizes are needed"))
 
 
-def _all_series(runs: Sequence[RunFile], role: str) -> Iterator[tuple[str, list[float], list[float]]]:
-    """Yield the name, sizes and values of each plan, role, kind of member and metric."""
+def _all_series(
+    runs: Sequence[RunFile], role: str, metrics: Sequence[str], together: bool
+) -> Iterator[tuple[str, list[float], list[float]]]:
+    """Yield the name, sizes and values of each plan, role, kind of member and metric that has any."""
     from merlinbay.capacity.runs import METRICS, Metric
 
-    kinds = sorted(
-        {
-            (file.run.plan, row.role, row.hollow)
-            for file in runs
-            for row in file.run.rows
-            if role in ("", row.role)
-        }
-    )
-    for plan, name, hollow in kinds:
-        rows = [
-            row
-            for file in runs
-            for row in file.run.rows
-            if (file.run.plan, row.role, row.hollow) == (plan, name, hollow)
-        ]
-        for metric in METRICS:
-            values = [Metric(metric).of(row) or 0.0 for row in rows]
-            if any(values):
-                title = f"{plan} {name} {'hollow' if hollow else 'real'} {metric}"
-                yield title, [float(row.size) for row in rows], values
+    rows = [
+        ("all" if together else file.run.plan, row.role, "hollow" if row.hollow else "real", row)
+        for file in runs
+        for row in file.run.rows
+        if role in ("", row.role)
+    ]
+    for kind in sorted({(plan, name, hollow) for plan, name, hollow, _ in rows}):
+        own = [row for *parts, row in rows if tuple(parts) == kind]
+        for metric in metrics or METRICS:
+            read = [(row.size, Metric(metric).of(row)) for row in own]
+            known = [(float(size), value) for size, value in read if value is not None]
+            if any(value for _, value in known):
+                yield " ".join((*kind, metric)), [size for size, _ in known], [value for _, value in known]
 
 
 def _show(name: str, choice: Choice) -> None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -231,6 +231,25 @@
     assert found.correction == "+30,000,000 B of a process"
 
 
+def test_memory_without_what_a_process_holds_is_multiplied() -> None:
+    """The run has taken it off both."""
+    rows = [measurement(size, True, memory_bytes=1000 * size) for size in SIZES]
+    rows.append(measurement(100, False, memory_bytes=150_000, base_memory_bytes=30_000_000))
+    found = Reckoner(plan_of(n=800.0), [run_file(*rows)]).predictions["memory"]
+    assert found.estimate is not None and found.estimate.value == pytest.approx(1_200_000)
+
+
+def test_what_the_run_has_corrected_is_not_corrected_again() -> None:
+    """Its rows say so; the step that the ratio is of is not corrected, and no value of the fit."""
+    step = {"counts": {"calibration": 1}}
+    rows = [measurement(size, True, bytes_sent_per_s=1.5 * size, ratios_applied=True) for size in SIZES]
+    rows.append(measurement(100, True, bytes_sent_per_s=100.0, **step))
+    rows.append(measurement(100, False, bytes_sent_per_s=150.0, **step))
+    found = Reckoner(plan_of(n=800.0), [run_file(*rows)]).predictions["sent"]
+    assert found.estimate is not None and found.estimate.value == pytest.approx(1200)
+    assert found.correction == "hollow x 1.50 in the run, the ratio to real"
+
+
 def test_a_row_says_what_it_rests_on() -> None:
     """Measured, from runs, reckoned or not known; without a fit the other formula counts, or nothing."""
     plan = plan_of(
@@ -389,6 +408,10 @@
     )
     assert lines[-1] == "single r real bytes_sent_per_s: refused: sizes that differ: 1, but a fit needs 4"
     assert [one.name for one in plots.iterdir()] == ["p-r-real-bytes_sent_per_s.svg"]
+    words = ["--metric", "bytes_sent_per_s", "--together"]
+    code, lines = called(fit_runs, str(path), str(single), *words)
+    assert code == 0 and len([one for one in lines if "residual" in one]) == 6
+    assert called(fit_runs, str(path), "--metric", "speed")[1] == ["merlinbay: there is no metric 'speed'"]
     code, lines = called(fit_runs, str(single))
     assert code == 2 and lines[-1].startswith("merlinbay: nothing could be fitted")
     path.write_text("{}")
