The capacity page names its runs with their conditions and load

Need: times on a clock, measured while other work ran, follow its load as much as the size, and the page did not say so.

--- a/merlinbay/capacity/needs.py
+++ b/merlinbay/capacity/needs.py
@@ -97,7 +97,7 @@
     """The plan's rows over a set of runs."""
 
     def __init__(self, plan: Plan, files: Sequence[RunFile]) -> None:
-        self.plan = plan
+        self.plan, self.files = plan, files
         self.series = {
             one.name: series(files, one.plan, one.role, Metric(one.metric, one.per))
             for one in plan.roles.measure
--- a/merlinbay/capacity/page.py
+++ b/merlinbay/capacity/page.py
@@ -85,6 +85,28 @@
     return value if result.margin is None else f"{value}, margin {margin(result.margin)}"
 
 
+def runs_table(reckoner: Reckoner) -> list[str]:
+    """Return each run: what ran, when, under which conditions and load, and what was cut short."""
+    rows = []
+    for file in reckoner.files:
+        run = file.run
+        sizes = sorted({row.size for row in run.rows})
+        rows.append(
+            [
+                f"`{file.name}`",
+                run.plan.removesuffix(".toml"),
+                ", ".join(f"{size:,}" for size in sizes),
+                run.commit,
+                run.started[:16],
+                run.machine,
+                run.conditions,
+                run.incomplete,
+            ]
+        )
+    header = ["file", "plan", "sizes", "commit", "started, UTC", "machine", "conditions", "not whole"]
+    return table(header, rows)
+
+
 def fits_table(reckoner: Reckoner) -> list[str]:
     """Return each measure: form, slope, residuals, prediction, and the runs behind it."""
     header = [
@@ -177,10 +199,16 @@
         _budget(row),
         margins(row),
         carrier(reckoner, row.need.mechanism),
-        filled(row.need.note, reckoner.inputs),
+        filled(note(row), reckoner.inputs),
     ]
 
 
+def note(row: Row) -> str:
+    """Return a row's notes: that on the other formula only where it is used."""
+    other = row.formula == row.need.otherwise and row.basis is not Basis.NOT_KNOWN
+    return "; ".join(filter(None, (row.need.note, row.need.otherwise_note if other else "")))
+
+
 def basis(row: Row) -> str:
     """Return what a figure rests on: its runs, its formula, or nothing."""
     if row.basis is Basis.NOT_KNOWN:
@@ -276,6 +304,7 @@
     "inputs": inputs_table,
     "sensitivity": sensitivity_table,
     "fits": fits_table,
+    "runs": runs_table,
     "roles": roles_table,
     "failures": failures_table,
     "ranking": ranking_table,
--- a/merlinbay/capacity/plan.py
+++ b/merlinbay/capacity/plan.py
@@ -75,6 +75,7 @@
     budget: str = ""  # a formula over the inputs; empty: the plan has none
     budget_is: Literal["most", "least"] = "most"  # "least": a rate that has to be reached
     note: str = ""
+    otherwise_note: str = ""  # where ``otherwise`` is used
 
 
 class Role(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -229,6 +230,7 @@
     """Yield the texts that placeholders may be in."""
     for role in plan.roles.role:
         yield from (role.state, role.messages, *(need.note for need in role.needs))
+        yield from (need.otherwise_note for need in role.needs)
     for failure in plan.failures:
         yield failure.size
         yield from (one.what for one in failure.consequence)
