--- a/merlinbay/capacity/needs.py
+++ b/merlinbay/capacity/needs.py
@@ -11,6 +11,7 @@
 from merlinbay.capacity.plan import Measure, Need, Plan
 from merlinbay.capacity.runs import MEMORY, Metric, RunFile, Series, series
 
+MOST_REACH = 10  # times the largest size measured: sizes over one decade do not tell a form over two
 NOTICEABLE = 0.01  # a result that moves by less does not turn on an input
 
 
@@ -163,6 +164,10 @@
         found, choice = self.series[measure.name], self.choices[measure.name]
         if isinstance(choice, str):
             return Prediction(measure, size, found, None, None, choice)
+        reach = size / max(choice.sizes)
+        if reach > MOST_REACH:
+            missing = f"{size:,.0f} is {reach:.1f} times the largest size, {MOST_REACH} at the most"
+            return Prediction(measure, size, found, choice, None, missing)
         made = Prediction(measure, size, found, choice, choice.predict(size))
         made = _corrected(made)
         assert made.estimate is not None
@@ -233,6 +238,8 @@
         evaluate(formula, {**inputs, **{name: _parts(one)[part] for name, one in known.items()}})
         for part in range(3)
     )
+    if used and value <= 0:  # a difference of two fits, below their noise
+        return Basis.NOT_KNOWN, None
     return _basis(formula, used), Estimate(value, min(value, *ends), max(value, *ends))
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -277,6 +277,16 @@
     assert without[0].formula == "n" and without[1].estimate is None
 
 
+def test_a_prediction_far_beyond_the_sizes_is_no_figure() -> None:
+    """Ten times the largest size, and no further; nor is a difference of fits that comes out below zero."""
+    file = run_file(*(measurement(size, bytes_sent_per_s=2.0 * size) for size in SIZES))
+    for size, basis in ((8000.0, Basis.MEASURED), (8001.0, Basis.NOT_KNOWN)):
+        (row,) = rows_of(plan_of(Need("a", "B/s", "m", formula="sent"), n=size), file)
+        assert row.basis is basis
+    (row,) = rows_of(plan_of(Need("a", "B/s", "m", formula="n - sent", otherwise="n"), n=500.0), file)
+    assert row.basis is Basis.RECKONED and row.estimate is not None and row.estimate.value == 500
+
+
 def test_a_fit_that_falls_to_nothing_is_no_figure() -> None:
     """A share that falls with the size does not become negative need."""
     file = run_file(*(measurement(size, bytes_sent_per_s=1000.0 - size) for size in SIZES))
