--- a/merlinbay/capacity/runs.py
+++ b/merlinbay/capacity/runs.py
@@ -141,7 +141,8 @@
     hollow = [point for point in points if point.hollow]
     real = [point for point in points if not point.hollow]
     corrected = [point for point in hollow if point.corrected]
-    return Series(tuple(corrected or hollow or real), _calibrate(hollow, real))
+    measured = [point for point in hollow if not point.calibration]  # that step has other conditions
+    return Series(tuple(corrected or measured or real), _calibrate(hollow, real))
 
 
 def _points(files: Iterable[RunFile], plan: str, role: str, metric: Metric) -> Iterable[Point]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -199,8 +199,10 @@
 def predicted(hollow: float, real: float | None, metric: str, base: int = 0) -> Prediction:
     """Return the prediction at 800 of hollow members, which real ones were compared with at 100."""
     rows = [measurement(size, True, **{metric: hollow * size}) for size in SIZES]
+    step = {"counts": {"calibration": 1}}  # its members are half as busy, and no value of the fit
     if real is not None:
-        rows.append(measurement(100, False, **{metric: real * 100 + base}))
+        rows.append(measurement(100, True, **{metric: hollow * 50}, **step))
+        rows.append(measurement(100, False, **{metric: real * 50 + base}, **step))
     reckoner = Reckoner(plan_of(n=800.0), [run_file(*rows)])
     return reckoner.predictions["memory" if metric == "memory_bytes" else "sent"]
 
