A class of which no run was seen yet is not taken for late: copies go out as before

Cause: decision/worth.py, served_share: before the first answer the run time of a class counts as its aim, so that a job of a class without stretch can never start in time, and no copy pays. Ruled out: the hold and the recall, which no copy crossed any more. Change: until a run has been seen, it counts as half the aim at the most; a test, seen to fail without it.

--- a/merlinbay/decision/worth.py
+++ b/merlinbay/decision/worth.py
@@ -13,6 +13,7 @@
 
 LEAST_US = 1000.0  # no slack, wait or run time counts as less
 LEAST_SPARE = 0.01  # the least share of the slots that counts as spare
+UNSEEN_RUN = 0.5  # the most of its aim that a class of which no run was seen is taken to run
 PROBE_MOST_OFTEN = 0.25  # mean run times between two probes of a worker, at the least
 
 
@@ -64,6 +65,9 @@
         It takes ``run_us`` by what is seen of it, else what was expected when it came.
         """
         spec, run = job.cls.spec, run_us or job.run
+        if not job.cls.seen:
+            # Guards against jobs that seem late from the start: a run not seen yet counts as the aim.
+            run = min(run, UNSEEN_RUN * spec.aim_us)
         in_time = share_started(wait_us, job.arrived + spec.aim_us + (spec.stretch - 1) * run - self.now)
         at_all = max(share_started(wait_us, job.deadline - run - self.now), in_time)
         return in_time + spec.late_worth * (at_all - in_time)
--- a/tests/test_copies_and_probes.py
+++ b/tests/test_copies_and_probes.py
@@ -73,6 +73,16 @@
     assert made.copy_pays(job, attempt, target) is pays
 
 
+def test_a_job_of_a_class_not_seen_yet_is_not_taken_for_late() -> None:
+    """Until an answer has come, a run counts as the aim, which leaves no time to start."""
+    made = balancer()
+    offer(made, 0.1)
+    job = job_of(made)
+    job.cls.spec.stretch, job.cls.seen, job.run = 0.0, 0, job.cls.spec.aim_us
+    attempt, target = waiting(made, job, 30_000)
+    assert made.copy_pays(job, attempt, target)
+
+
 def test_a_copy_over_the_border_pays_for_the_crossing() -> None:
     """The same copy, to the other zone, where that has a price."""
     for price, pays in ((0.0, True), (0.9, False)):
