A second copy counts half its work where the attempt that waits can be cancelled

Cause: worth.py, copy_pays, counted a copy's work in full, as if no cancel dropped any; with twenty to thirty nodes that do not hear of each other, copies went out late or not at all. Change: of an attempt that waits and can be cancelled, half the work counts; a test; two tests that are about work in full have cancels off now, as their words say.

--- a/merlinbay/decision/worth.py
+++ b/merlinbay/decision/worth.py
@@ -11,6 +11,7 @@
 from merlinbay.decision.eligibility import Eligibility
 from merlinbay.decision.records import Attempt, Job, Kind, Worker
 
+CANCELLED_WORK = 0.5  # share of its work that a cancelled waiting attempt is taken to cost
 LEAST_US = 1000.0  # no slack, wait or run time counts as less
 LEAST_SPARE = 0.01  # the least share of the slots that counts as spare
 UNSEEN_RUN = 0.5  # the most of its aim that a class of which no run was seen is taken to run
@@ -93,7 +94,7 @@
         return gain * job.worth > self.settings.cross_zone_price * self.mean_worth
 
     def copy_pays(self, job: Job, attempt: Attempt, target: Worker) -> bool:
-        """Tell whether a second copy is worth the work that it adds, as if no cancel dropped any work."""
+        """Tell whether a second copy is worth the work that it adds."""
         run = job.run
         if attempt.started:  # it runs at a slow worker, and would start over elsewhere
             run = max(run, (self.now - attempt.started) / self._pace(attempt.worker))
@@ -104,7 +105,9 @@
         gain = (1 - waiting) * self.trust * self.served_share(job, wait, run)
         gain *= job.worth / max(self.mean_worth, 1e-9)
         displaced = 1.0 if wait else self.displaced(target.kind)  # what waits there keeps others waiting
-        price = run * job.slots / self.mean_run * (displaced + self.settings.waste_price)
+        # A cancel drops what waits or does not, and no setting says which: either is as likely.
+        added = CANCELLED_WORK if self.limits.cancelling and not attempt.started else 1.0
+        price = run * job.slots / self.mean_run * added * (displaced + self.settings.waste_price)
         if target.zone != self.settings.zone:
             price += self.settings.cross_zone_price
         return gain > price
--- a/tests/test_copies_and_probes.py
+++ b/tests/test_copies_and_probes.py
@@ -67,6 +67,7 @@
 ) -> None:
     """With nothing dropped by a cancel, a copy is work twice over."""
     made = balancer()
+    made.limits.cancelling = False
     offer(made, load)
     job = job_of(made, slots=slots)
     attempt, target = waiting(made, job, since_us)
@@ -83,6 +84,17 @@
     assert made.copy_pays(job, attempt, target)
 
 
+def test_what_a_cancel_may_drop_counts_half() -> None:
+    """A copy that does not pay as work twice over may pay where the attempt that waits can be cancelled."""
+    for cancelling in (False, True):
+        made = balancer()
+        made.limits.cancelling = cancelling
+        offer(made, 1.0)
+        job = job_of(made)
+        attempt, target = waiting(made, job, 150_000)
+        assert made.copy_pays(job, attempt, target) is cancelling
+
+
 def test_a_copy_over_the_border_pays_for_the_crossing() -> None:
     """The same copy, to the other zone, where that has a price."""
     for price, pays in ((0.0, True), (0.9, False)):
@@ -293,6 +305,7 @@
 def test_a_copy_that_would_wait_itself_displaces_other_work() -> None:
     """At a low load in the mean, but where the target has no room either."""
     made = balancer(balancers=1)
+    made.limits.cancelling = False
     offer(made, 0.2)
     job = job_of(made)
     attempt, target = waiting(made, job, 150_000)
