--- a/merlinbay/decision/worth.py
+++ b/merlinbay/decision/worth.py
@@ -106,7 +106,7 @@
         gain *= job.worth / max(self.mean_worth, 1e-9)
         displaced = 1.0 if wait else self.displaced(target.kind)  # what waits there keeps others waiting
         # A cancel drops what waits or does not, and no setting says which: either is as likely.
-        added = CANCELLED_WORK if self.limits.cancelling and not attempt.started else 1.0
+        added = CANCELLED_WORK if self.settings.limits.cancelling and not attempt.started else 1.0
         price = run * job.slots / self.mean_run * added * (displaced + self.settings.waste_price)
         if target.zone != self.settings.zone:
             price += self.settings.cross_zone_price
