Copies are weighed only where load is reported to probes alone

Cause: worth.py, copy_pays: the price rests on a load that a node of a large fleet hardly hears of. Change: where each answer reports what its worker holds, copies go out as before; where only probes tell load they are weighed, half their work counted where what waits can be cancelled.

--- a/merlinbay/decision/worth.py
+++ b/merlinbay/decision/worth.py
@@ -95,6 +95,10 @@
 
     def copy_pays(self, job: Job, attempt: Attempt, target: Worker) -> bool:
         """Tell whether a second copy is worth the work that it adds."""
+        if not self.settings.asks_first:
+            # Guards against fleets whose nodes hear little of each other, where weighed copies lost more than
+            # copies cost: each answer reports what its worker holds, work that no cancel dropped included.
+            return True
         run = job.run
         if attempt.started:  # it runs at a slow worker, and would start over elsewhere
             run = max(run, (self.now - attempt.started) / self._pace(attempt.worker))
