--- a/bench/standin.py
+++ b/bench/standin.py
@@ -42,8 +42,14 @@
         if addr not in self.pool.servers:
             self.pool.entries_changed("changes", [ServiceEntry(addr, addr)])
         for state in ("RUNNING", "DONE"):
-            note = {"event": "NEW_STATE", "sessionName": self.name, "jobName": name, "jobState": state,
-                    "jobId": job_id, "jobInfo": {"jobId": job_id, "jobState": state, "exitStatus": 0}}
+            note = {
+                "event": "NEW_STATE",
+                "sessionName": self.name,
+                "jobName": name,
+                "jobState": state,
+                "jobId": job_id,
+                "jobInfo": {"jobId": job_id, "jobState": state, "exitStatus": 0},
+            }
             await self.pool.exchange(addr, "POST", f"/{path}", [], json.dumps(note).encode())
 
     def gone(self, connection: Connection) -> None:
@@ -74,8 +80,9 @@
         for index in range(number):
             listener = Listener(Scheduler(f"s-{index}", mode, nursery, pool), LIMITS, counters, log)
             sock = await listener.bind("127.0.0.1", 0)
-            discovery.rows.append({"id": f"s-{index}", "addr": f"127.0.0.1:{sock.getsockname()[1]}",
-                                   "zone": "z", "kind": "k"})
+            discovery.rows.append(
+                {"id": f"s-{index}", "addr": f"127.0.0.1:{sock.getsockname()[1]}", "zone": "z", "kind": "k"}
+            )
             nursery.start_soon(listener.serve, sock)
         listener = Listener(discovery, LIMITS, counters, log)
         sock = await listener.bind("127.0.0.1", 0)
--- a/merlinbay/__main__.py
+++ b/merlinbay/__main__.py
@@ -9,8 +9,10 @@
     """Serve; with arguments, hand over to the command line."""
     if len(sys.argv) > 1:
         from merlinbay.cli.main import main as command_line
+
         command_line(prog_name="merlinbay")
     from merlinbay.node import serve
+
     return serve()
 
 
--- a/merlinbay/access/tokens.py
+++ b/merlinbay/access/tokens.py
@@ -111,8 +111,14 @@
 def issue(ring: Ring, account: str, scopes: Iterable[Scope], life_s: int, now_s: int) -> str:
     """Make a token with the first key."""
     key = ring.keys[0]
-    claims = {"sub": account, "aud": AUDIENCE, "iat": now_s, "exp": now_s + life_s,
-              "scope": " ".join(sorted(scopes)), "jti": secrets.token_hex(8)}
+    claims = {
+        "sub": account,
+        "aud": AUDIENCE,
+        "iat": now_s,
+        "exp": now_s + life_s,
+        "scope": " ".join(sorted(scopes)),
+        "jti": secrets.token_hex(8),
+    }
     return jwt.encode(claims, key.raw(), algorithm="HS256", headers={"kid": key.kid})
 
 
@@ -144,8 +150,11 @@
         key, grant = found
         if now_us >= grant.until_us or 0 < key.until * 1_000_000 <= now_us:
             raise denied("the token is not valid")
-        return Grant(grant.account, grant.scopes,
-                     min(grant.until_us, key.until * 1_000_000) if key.until else grant.until_us)
+        return Grant(
+            grant.account,
+            grant.scopes,
+            min(grant.until_us, key.until * 1_000_000) if key.until else grant.until_us,
+        )
 
     def _read(self, token: str) -> tuple[Key, Grant]:
         bad = denied("the token is not valid")
@@ -157,12 +166,26 @@
             if key is None:
                 raise bad
             # The times are checked by the node's own clock, which never jumps.
-            claims = jwt.decode(token, key.raw(), algorithms=["HS256"], audience=AUDIENCE,
-                                options={"require": ["sub", "exp", "scope", "aud"], "verify_exp": False,
-                                         "verify_iat": False, "verify_nbf": False})
+            claims = jwt.decode(
+                token,
+                key.raw(),
+                algorithms=["HS256"],
+                audience=AUDIENCE,
+                options={
+                    "require": ["sub", "exp", "scope", "aud"],
+                    "verify_exp": False,
+                    "verify_iat": False,
+                    "verify_nbf": False,
+                },
+            )
             account, until, words = claims["sub"], claims["exp"], claims["scope"]
-            if not (isinstance(account, str) and account and isinstance(words, str)
-                    and isinstance(until, int) and 0 < until < 2**40):
+            if not (
+                isinstance(account, str)
+                and account
+                and isinstance(words, str)
+                and isinstance(until, int)
+                and 0 < until < 2**40
+            ):
                 raise bad
             scopes = frozenset(Scope(word) for word in words.split())
         except (jwt.PyJWTError, ValueError, TypeError, RecursionError, UnicodeError):
--- a/merlinbay/batch/book.py
+++ b/merlinbay/batch/book.py
@@ -117,8 +117,9 @@
 
     # Sessions.
 
-    def create(self, name: str, contact: str, allowance: Allowance, backlog: Backlog | None,
-               now_us: int) -> Session:
+    def create(
+        self, name: str, contact: str, allowance: Allowance, backlog: Backlog | None, now_us: int
+    ) -> Session:
         """Create a session, and open it."""
         if name in self.sessions:
             raise invalid_argument(f"session {name!r} exists")
@@ -173,8 +174,12 @@
                 job.waits = {}
             job.waits[wait] = None
         if until_us:
-            wait.timer = self.timers.at(until_us, lambda now: self._end_wait(
-                wait, error=DrmaaError("TimeoutException", "not within the time given")))
+            wait.timer = self.timers.at(
+                until_us,
+                lambda now: self._end_wait(
+                    wait, error=DrmaaError("TimeoutException", "not within the time given")
+                ),
+            )
 
     def forget_call(self, call: object) -> None:
         """Take it that the caller has left: nothing is left of its wait."""
@@ -231,8 +236,11 @@
     def _trim(self, now_us: int) -> None:
         while self.kept:
             ended, until = next(iter(self.kept.items()))
-            if (until > now_us and len(self.kept) <= self.bounds.finished
-                    and self.kept_bytes <= self.bounds.finished_bytes):
+            if (
+                until > now_us
+                and len(self.kept) <= self.bounds.finished
+                and self.kept_bytes <= self.bounds.finished_bytes
+            ):
                 return
             self._drop(ended)
 
--- a/merlinbay/batch/engine.py
+++ b/merlinbay/batch/engine.py
@@ -38,11 +38,15 @@
     def submit(self, session: Session, what: Submission, now_us: int, call: object = None) -> Job:
         """Take a job. Without a backlog it is offered at once, and ``call`` answered when that is settled."""
         if session.backlog is None:
-            for name, wanted in (("submitAsHold", what.held), ("startTime", what.start_us),
-                                 ("priority", what.priority)):
+            for name, wanted in (
+                ("submitAsHold", what.held),
+                ("startTime", what.start_us),
+                ("priority", what.priority),
+            ):
                 if wanted:
-                    raise DrmaaError("UnsupportedAttributeException",
-                                     f"{name}: session {session.name!r} {NO_BACKLOG}")
+                    raise DrmaaError(
+                        "UnsupportedAttributeException", f"{name}: session {session.name!r} {NO_BACKLOG}"
+                    )
         self._admit(session, 1, what, now_us)
         self.orders += 1
         job = Job(self.new_id(), session, what, self.orders, self._rank(session, what, now_us), now_us)
@@ -60,8 +64,16 @@
             self._queue(job, now_us)
         return job
 
-    def submit_array(self, session: Session, what: Submission, begin: int, end: int, step: int,
-                     max_parallel: int, now_us: int) -> JobArray:
+    def submit_array(
+        self,
+        session: Session,
+        what: Submission,
+        begin: int,
+        end: int,
+        step: int,
+        max_parallel: int,
+        now_us: int,
+    ) -> JobArray:
         """Take an array."""
         if session.backlog is None:
             raise unsupported(f"session {session.name!r} {NO_BACKLOG}, which arrays wait in")
@@ -69,8 +81,16 @@
             raise invalid_argument("maxParallel")
         found = indices(begin, end, step, self.bounds.array)
         self._admit(session, len(found), what, now_us)
-        array = JobArray(self.new_id(), session, what, found, max_parallel,
-                         self._rank(session, what, now_us), now_us, held=what.held)
+        array = JobArray(
+            self.new_id(),
+            session,
+            what,
+            found,
+            max_parallel,
+            self._rank(session, what, now_us),
+            now_us,
+            held=what.held,
+        )
         session.arrays[array.id] = array
         self._arm_array(array, now_us)
         self._feed(array, now_us)
@@ -80,14 +100,20 @@
         if self.stopping:
             raise try_later("the node stops", STOP_RETRY_US)
         if self.jobs + jobs > self.bounds.jobs:
-            raise try_later(f"the front has {self.jobs} jobs of {self.bounds.jobs}",
-                            session.quota.drain.wait_us(1))
-        if (session.backlog is not None and what.account not in session.lanes
-                and len(session.lanes) >= self.bounds.accounts):
+            raise try_later(
+                f"the front has {self.jobs} jobs of {self.bounds.jobs}", session.quota.drain.wait_us(1)
+            )
+        if (
+            session.backlog is not None
+            and what.account not in session.lanes
+            and len(session.lanes) >= self.bounds.accounts
+        ):
             self._forget_lanes(session)
             if len(session.lanes) >= self.bounds.accounts:
-                raise try_later(f"the session has {self.bounds.accounts} accounts with jobs",
-                                session.quota.drain.wait_us(1))
+                raise try_later(
+                    f"the session has {self.bounds.accounts} accounts with jobs",
+                    session.quota.drain.wait_us(1),
+                )
         refusal = session.quota.refusal(jobs, what.size, what.account, now_us)
         if refusal is not None:
             text, wait_us = refusal
@@ -224,8 +250,11 @@
         error: DrmaaError | None = invalid_state(f"no member can {action}")
         if action == "terminate" and self._end_unmade(array, "terminated", now_us):
             error = None
-        elif action in ("hold", "release") and array.held is (action == "release") and any(
-                True for _ in array.unmade()):
+        elif (
+            action in ("hold", "release")
+            and array.held is (action == "release")
+            and any(True for _ in array.unmade())
+        ):
             error = None
         if action == "hold":  # Guards against members that enter the lane while the others are held.
             array.held = True
@@ -321,8 +350,16 @@
         job.exit_status, job.cpu_us = exit_status, cpu_us
         self._end(job, Event.FINISH, now_us, output=output)
 
-    def failed(self, job: Job, exception: str, annotation: str, now_us: int, exit_status: int | None = None,
-               signal: str = "", output: bytes = b"") -> None:
+    def failed(
+        self,
+        job: Job,
+        exception: str,
+        annotation: str,
+        now_us: int,
+        exit_status: int | None = None,
+        signal: str = "",
+        output: bytes = b"",
+    ) -> None:
         """End it as failed; it may have run."""
         job.exit_status, job.signal = exit_status, signal
         self._end(job, Event.FAIL, now_us, exception, annotation, output=output)
@@ -351,8 +388,10 @@
         if not done:
             calls, job.hold_calls = job.hold_calls or [], None
             for call in calls:
-                self.reply(call, error=invalid_state(
-                    f"its server does not give it back; the job is {job.state.value}"))
+                self.reply(
+                    call,
+                    error=invalid_state(f"its server does not give it back; the job is {job.state.value}"),
+                )
         elif job.session.destroyed:
             self._end(job, Event.FAIL, now_us, annotation="the session was destroyed")
         elif job.state not in (State.QUEUED, State.REQUEUED):
@@ -379,4 +418,3 @@
         self._arm(job)
         for call in calls:
             self.reply(call, job)
-
--- a/merlinbay/batch/errors.py
+++ b/merlinbay/batch/errors.py
@@ -6,8 +6,9 @@
 class DrmaaError(Exception):
     """One of the standard's exceptions. ``retry_after_us`` says when asking again may help; 0: it won't."""
 
-    def __init__(self, name: str, message: str, retry_after_us: int = 0, missing: bool = False,
-                 nobody: bool = False) -> None:
+    def __init__(
+        self, name: str, message: str, retry_after_us: int = 0, missing: bool = False, nobody: bool = False
+    ) -> None:
         super().__init__(message)
         self.name, self.retry_after_us = name, retry_after_us
         self.missing = missing  # what the call is about is not there
--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -158,8 +158,9 @@
         if self.state in (State.QUEUED_HELD, State.REQUEUED_HELD):
             return "held in the front"
         if self.stage is Stage.PARKED:
-            return "waits for its turn in its array" if self.array is not None else (
-                "not before its start time")
+            return (
+                "waits for its turn in its array" if self.array is not None else ("not before its start time")
+            )
         return "offered" if self.stage is Stage.OFFERED else "waits in the backlog"
 
 
@@ -224,8 +225,16 @@
         if job is not None:
             return job
         code = self.codes[self.position(index)]
-        job = Job(f"{self.id}.{index}", self.session, self.what, order, self.rank, self.submitted_us,
-                  array=self, index=index)
+        job = Job(
+            f"{self.id}.{index}",
+            self.session,
+            self.what,
+            order,
+            self.rank,
+            self.submitted_us,
+            array=self,
+            index=index,
+        )
         if code:
             job.state, job.stage = CODES[code], Stage.ENDED
             job.annotation = self.annotation or "its record is no longer kept"
@@ -260,4 +269,3 @@
         if unmade:
             found["QUEUED_HELD" if self.held else "QUEUED"] += unmade
         return {name: number for name, number in sorted(found.items()) if number}
-
--- a/merlinbay/batch/quota.py
+++ b/merlinbay/batch/quota.py
@@ -76,8 +76,11 @@
         # Guards against an account that floods: it would leave the others no room to wait in.
         over = self.accounts[account] + jobs - (most.jobs - self.jobs - jobs + 1)
         if over > 0:
-            return (f"account {account!r} has {self.accounts[account]} jobs, and the session {self.jobs}"
-                    f" of {most.jobs}", self.drain.wait_us(over))
+            return (
+                f"account {account!r} has {self.accounts[account]} jobs, and the session {self.jobs}"
+                f" of {most.jobs}",
+                self.drain.wait_us(over),
+            )
         if self.size + size > most.size:
             return f"the session's templates take {self.size} bytes of {most.size}", self.drain.wait_us(1)
         if most.rate and (wait_us := self.bucket.wait_us(now_us)):
--- a/merlinbay/batch/turns.py
+++ b/merlinbay/batch/turns.py
@@ -166,8 +166,9 @@
             self.jobs -= number
             self.ends[State.FAILED] += number
             self.ended += number
-            array.session.quota.give_back(number, 0 if array.left else array.what.size,
-                                          array.what.account, now_us)
+            array.session.quota.give_back(
+                number, 0 if array.left else array.what.size, array.what.account, now_us
+            )
             if not array.left:
                 self._array_ended(array, now_us)
         return number
@@ -184,8 +185,11 @@
     def give_up_us(self, session: Session, what: Submission, submitted_us: int) -> int:
         """Return when a job that has not been placed is given up; 0: never."""
         backlog = session.backlog
-        late = (max(submitted_us, what.start_us) + backlog.wait_most_us
-                if backlog is not None and backlog.wait_most_us else 0)
+        late = (
+            max(submitted_us, what.start_us) + backlog.wait_most_us
+            if backlog is not None and backlog.wait_most_us
+            else 0
+        )
         return min(late, what.deadline_us) if late and what.deadline_us else late or what.deadline_us
 
     def _arm(self, job: Job, not_before_us: int = 0) -> None:
@@ -216,8 +220,14 @@
         if 0 < job.what.deadline_us <= now_us:
             self._end(job, Event.FAIL, now_us, "TimeoutException", "its deadline passed before it was placed")
         else:
-            self._end(job, Event.FAIL, now_us, "TryLaterException", "it has waited for as long as jobs may",
-                      job.session.quota.drain.wait_us(1))
+            self._end(
+                job,
+                Event.FAIL,
+                now_us,
+                "TryLaterException",
+                "it has waited for as long as jobs may",
+                job.session.quota.drain.wait_us(1),
+            )
 
     def _array_late(self, array: JobArray, now_us: int) -> None:
         """Give up the members of an array that were never made."""
@@ -225,8 +235,16 @@
 
     # The end.
 
-    def _end(self, job: Job, event: Event, now_us: int, exception: str = "", annotation: str = "",
-             retry_after_us: int = 0, output: bytes = b"") -> None:
+    def _end(
+        self,
+        job: Job,
+        event: Event,
+        now_us: int,
+        exception: str = "",
+        annotation: str = "",
+        retry_after_us: int = 0,
+        output: bytes = b"",
+    ) -> None:
         """Reach the final state. The table has no way on from it, so this is done once."""
         if job.timer is not None:
             self.timers.cancel(job.timer)
@@ -259,8 +277,9 @@
             self.reply(call, error=invalid_state(f"the job is {job.state.value}"))
         if submit_call is not None:  # runJob itself raises; there is no job to ask for
             del session.jobs[job.id]
-            self.reply(submit_call, error=DrmaaError(exception or "InternalException", annotation,
-                                                     retry_after_us))
+            self.reply(
+                submit_call, error=DrmaaError(exception or "InternalException", annotation, retry_after_us)
+            )
         elif session.destroyed:
             self._drop(job)
         else:
--- a/merlinbay/cli/caller.py
+++ b/merlinbay/cli/caller.py
@@ -16,8 +16,13 @@
 
 # Documented in docs/CLI.md: what a command exits with.
 DONE, JOB_FAILED, TRY_LATER, TIMED_OUT, WRONG_STATE, UNKNOWN, UNREACHABLE, OTHER = 0, 3, 4, 5, 6, 7, 8, 9
-EXITS = {"TryLaterException": TRY_LATER, "OutOfResourceException": TRY_LATER, "TimeoutException": TIMED_OUT,
-         "InvalidStateException": WRONG_STATE, "InvalidSessionException": WRONG_STATE}
+EXITS = {
+    "TryLaterException": TRY_LATER,
+    "OutOfResourceException": TRY_LATER,
+    "TimeoutException": TIMED_OUT,
+    "InvalidStateException": WRONG_STATE,
+    "InvalidSessionException": WRONG_STATE,
+}
 
 
 @dataclass
@@ -66,5 +71,7 @@
     """Return rows in columns."""
     texts = [heads, *([str("" if cell is None else cell) for cell in row] for row in rows)]
     widths = [max(len(row[column]) for row in texts) for column in range(len(heads))]
-    return "\n".join("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-                     for row in texts)
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in texts
+    )
--- a/merlinbay/cli/conformance.py
+++ b/merlinbay/cli/conformance.py
@@ -19,12 +19,20 @@
 @click.option("--patience", default=20.0, show_default=True, help="Seconds within which a short job ends.")
 @click.option("--list", "list_only", is_flag=True, help="List the clauses, and play none.")
 @click.pass_obj
-def conformance(caller: Caller, form: str, output: Path | None, only: tuple[str, ...], category: str,
-                patience: float, list_only: bool) -> None:
+def conformance(
+    caller: Caller,
+    form: str,
+    output: Path | None,
+    only: tuple[str, ...],
+    category: str,
+    patience: float,
+    list_only: bool,
+) -> None:
     """Play every clause against the endpoint of --url; exits with 3 if one is missed."""
     from merlinbay.conformance import report
     from merlinbay.conformance.clauses import CLAUSES
     from merlinbay.conformance.probe import Miss, Probe
+
     if list_only:
         for found in CLAUSES:
             click.echo(f"{found.name}  {found.section} -- {found.text}")
@@ -33,8 +41,9 @@
     if unknown:
         raise click.BadParameter(f"no clause {', '.join(sorted(unknown))}", param_hint="--only")
     wanted = [found for found in CLAUSES if not only or found.name in (*only, "creates_sessions")]
-    probe = Probe(Door(caller.url, caller.token, caller.ca, caller.certificate), category=category,
-                  patience=patience)
+    probe = Probe(
+        Door(caller.url, caller.token, caller.ca, caller.certificate), category=category, patience=patience
+    )
     try:
         results = report.play(probe, wanted, lambda found: click.echo(report.line(found), err=form != "text"))
         probe.call("DELETE", f"/sessions/{probe.session}")
@@ -42,9 +51,11 @@
         pass  # the session could not be destroyed: clauses have said so
     finally:
         probe.close()
-    text = {"text": lambda: "\n".join([*map(report.line, results), "", report.table(results)]),
-            "junit": lambda: report.as_junit(caller.url, results),
-            "json": lambda: report.as_json(caller.url, results)}[form]()
+    text = {
+        "text": lambda: "\n".join([*map(report.line, results), "", report.table(results)]),
+        "junit": lambda: report.as_junit(caller.url, results),
+        "json": lambda: report.as_json(caller.url, results),
+    }[form]()
     if output is not None:
         output.write_text(text + "\n")
     click.echo(report.table(results) if form == "text" else text)
--- a/merlinbay/cli/jobs.py
+++ b/merlinbay/cli/jobs.py
@@ -68,12 +68,17 @@
     click.option("--output", "outputPath", help="A file there for its standard output."),
     click.option("--error", "errorPath", help="A file there for its standard error."),
     click.option("--join", "joinFiles", is_flag=True, help="Standard error goes where the output goes."),
-    click.option("--stdin", "payload", type=click.Path(exists=True, dir_okay=False, allow_dash=True),
-                 help="A small file here that becomes its standard input."),
+    click.option(
+        "--stdin",
+        "payload",
+        type=click.Path(exists=True, dir_okay=False, allow_dash=True),
+        help="A small file here that becomes its standard input.",
+    ),
     click.option("--hold", "submitAsHold", is_flag=True, help="Held until it is released."),
     click.option("--start", "startTime", callback=when, help="Not before: a time, or +SECONDS."),
     click.option("--deadline", "deadlineTime", callback=when, help="Ended then: a time, or +SECONDS."),
-    click.argument("command", nargs=-1, required=True, type=click.UNPROCESSED)]
+    click.argument("command", nargs=-1, required=True, type=click.UNPROCESSED),
+]
 
 
 def template_options(function: F) -> F:
@@ -91,8 +96,9 @@
     if "candidateMachines" in found:
         found["candidateMachines"] = list(found["candidateMachines"])
     try:
-        found["resourceLimits"] = {name: int(value)
-                                   for name, value in found.get("resourceLimits", {}).items()}
+        found["resourceLimits"] = {
+            name: int(value) for name, value in found.get("resourceLimits", {}).items()
+        }
     except ValueError:
         raise click.BadParameter("NAME=NUMBER", param_hint="--limit") from None
     if "payload" in found:
@@ -160,13 +166,19 @@
     after: int | None = 0
     while after is not None and len(found) < limit:
         query = "".join(f"&state={name}" for name in state)
-        page = caller.call("GET", f"{caller.path('jobs')}?after={after}&limit={min(limit - len(found), 1000)}"
-                                  + query)
+        page = caller.call(
+            "GET", f"{caller.path('jobs')}?after={after}&limit={min(limit - len(found), 1000)}" + query
+        )
         found += page["jobs"]
         after = page.get("next")
     names = ["jobId", "jobState", "jobOwner", "queueName", "submissionTime", "jobSubState"]
-    caller.show(found, table(([row.get(name) for name in names] for row in found),
-                             ["JOB", "STATE", "ACCOUNT", "CLASS", "SUBMITTED", ""]))
+    caller.show(
+        found,
+        table(
+            ([row.get(name) for name in names] for row in found),
+            ["JOB", "STATE", "ACCOUNT", "CLASS", "SUBMITTED", ""],
+        ),
+    )
 
 
 @job.command()
@@ -187,8 +199,9 @@
 @click.option("--timeout", type=click.FloatRange(min=0), help="Seconds; without it, as long as it takes.")
 @as_json
 @click.pass_obj
-def wait(caller: Caller, job_ids: tuple[str, ...], started: bool, timeout: float | None,
-         as_json: bool) -> None:
+def wait(
+    caller: Caller, job_ids: tuple[str, ...], started: bool, timeout: float | None, as_json: bool
+) -> None:
     """Wait for a job, or for the first of several; the exit code says how it ended."""
     caller.as_json = as_json
     sys.exit(ended(caller, wait_for(caller, job_ids, started, timeout)))
@@ -196,6 +209,7 @@
 
 def add_verb(verb: str, text: str) -> None:
     """Add a command that does something to jobs, one after the other."""
+
     @job.command(verb, help=text)
     @click.argument("job_ids", nargs=-1, required=True)
     @as_json
@@ -214,10 +228,14 @@
             raise failed
 
 
-for _verb, _text in {"hold": "Keep jobs from starting.", "release": "Let held jobs go on.",
-                     "suspend": "Stop running jobs where they stand.", "resume": "Let suspended jobs go on.",
-                     "terminate": "End jobs, wherever they are.",
-                     "reap": "Drop the records of jobs that have ended."}.items():
+for _verb, _text in {
+    "hold": "Keep jobs from starting.",
+    "release": "Let held jobs go on.",
+    "suspend": "Stop running jobs where they stand.",
+    "resume": "Let suspended jobs go on.",
+    "terminate": "End jobs, wherever they are.",
+    "reap": "Drop the records of jobs that have ended.",
+}.items():
     add_verb(_verb, _text)
 
 
@@ -240,13 +258,22 @@
 @template_options
 @as_json
 @click.pass_obj
-def submit_array(caller: Caller, /, begin: int, end: int, step: int, max_parallel: int, as_json: bool,
-                 **options: Any) -> None:
+def submit_array(
+    caller: Caller, /, begin: int, end: int, step: int, max_parallel: int, as_json: bool, **options: Any
+) -> None:
     """Submit COMMAND once for each index; $DRMAA2_INDEX in its environment tells which it is."""
     caller.as_json = as_json
-    info = caller.call("POST", caller.path("arrays"), {
-        "jobTemplate": template(options), "beginIndex": begin, "endIndex": end, "step": step,
-        "maxParallel": max_parallel})
+    info = caller.call(
+        "POST",
+        caller.path("arrays"),
+        {
+            "jobTemplate": template(options),
+            "beginIndex": begin,
+            "endIndex": end,
+            "step": step,
+            "maxParallel": max_parallel,
+        },
+    )
     caller.show(info, array_line(info))
 
 
--- a/merlinbay/cli/keys.py
+++ b/merlinbay/cli/keys.py
@@ -51,8 +51,13 @@
 
 @keys.command()
 @click.argument("file", type=PATH)
-@click.option("--overlap", default=86_400, show_default=True, type=click.IntRange(0),
-              help="Seconds for which the old key's tokens stay good.")
+@click.option(
+    "--overlap",
+    default=86_400,
+    show_default=True,
+    type=click.IntRange(0),
+    help="Seconds for which the old key's tokens stay good.",
+)
 def rotate(file: Path, overlap: int) -> None:
     """Put a new key first. Then send the node SIGHUP."""
     ring = rotated(ring_of(file), overlap, int(time.time()))
@@ -75,13 +80,21 @@
 @keys.command()
 @click.argument("file", type=PATH)
 @click.option("--account", required=True, help=f"Whose jobs it is for; {ANY!r}: an operator's, for all.")
-@click.option("--scope", "scopes", multiple=True, type=click.Choice([scope.value for scope in Scope]),
-              help="Repeatable; all by default.")
+@click.option(
+    "--scope",
+    "scopes",
+    multiple=True,
+    type=click.Choice([scope.value for scope in Scope]),
+    help="Repeatable; all by default.",
+)
 @click.option("--life", default=86_400, show_default=True, type=click.IntRange(1), help="Seconds.")
 def token(file: Path, account: str, scopes: tuple[str, ...], life: int) -> None:
     """Print a token, signed by the first key of FILE."""
-    click.echo(issue(ring_of(file), account, [Scope(scope) for scope in scopes] or list(Scope), life,
-                     int(time.time())))
+    click.echo(
+        issue(
+            ring_of(file), account, [Scope(scope) for scope in scopes] or list(Scope), life, int(time.time())
+        )
+    )
 
 
 @click.group()
@@ -103,6 +116,7 @@
 def new_authority(folder: Path, names: tuple[str, ...]) -> None:
     """Make an authority in FOLDER, and a server's certificate of it."""
     import trustme  # Guards against a slow command line: it brings the cryptography library.
+
     if (folder / "ca.key").exists():
         stop(BadKeys(f"{folder}: has an authority; rotate its certificate instead"))
     folder.mkdir(mode=0o700, parents=True, exist_ok=True)
@@ -115,6 +129,7 @@
 def server(folder: Path, ca: object, names: tuple[str, ...]) -> None:
     """Write a server's certificate and key; a reload between the two fails, and keeps what it has."""
     import trustme
+
     assert isinstance(ca, trustme.CA)
     made = ca.issue_cert(*names)
     write(folder / "server.key", made.private_key_pem.bytes())
@@ -136,6 +151,7 @@
 def client_certificate(folder: Path, name: str) -> None:
     """Make a client's certificate, for fronts with client_ca."""
     import trustme
+
     ca = authority(folder)
     assert isinstance(ca, trustme.CA)
     made = ca.issue_cert(common_name=name)
@@ -146,6 +162,7 @@
 def authority(folder: Path) -> object:
     """Read the authority back, or end."""
     import trustme
+
     try:
         return trustme.CA.from_pem((folder / "ca.pem").read_bytes(), (folder / "ca.key").read_bytes())
     except (OSError, ValueError) as error:
--- a/merlinbay/cli/local.py
+++ b/merlinbay/cli/local.py
@@ -23,15 +23,32 @@
 from merlinbay.problems import BadConfig
 
 SETTINGS: dict[str, Any] = {
-    "balancers": 1, "me": 0, "az": "local", "kinds": ["executor"], "discovery": "subscribe",
+    "balancers": 1,
+    "me": 0,
+    "az": "local",
+    "kinds": ["executor"],
+    "discovery": "subscribe",
     # A command is run once: nothing is known of what it does, so nothing is ever repeated.
-    "classes": [{"name": "batch", "aimUs": 1_000_000, "deadlineUs": 86_400_000_000, "worth": 1.0,
-                 "effect": "once"}],
-    "limits": {"cancelling": True, "secondCopies": False, "sendCap": 5, "retryAfter": True,
-               "maxRetryAfterUs": 500_000},
+    "classes": [
+        {"name": "batch", "aimUs": 1_000_000, "deadlineUs": 86_400_000_000, "worth": 1.0, "effect": "once"}
+    ],
+    "limits": {
+        "cancelling": True,
+        "secondCopies": False,
+        "sendCap": 5,
+        "retryAfter": True,
+        "maxRetryAfterUs": 500_000,
+    },
     "extra": {"tellsStart": True},
-    "safety": {"drainGraceUs": 500_000, "coldFrom": 1.0, "coldUs": 0, "tipMultiple": 100.0,
-               "overloadForUs": 2_000_000, "mustAskInUs": 10_000_000}}
+    "safety": {
+        "drainGraceUs": 500_000,
+        "coldFrom": 1.0,
+        "coldUs": 0,
+        "tipMultiple": 100.0,
+        "overloadForUs": 2_000_000,
+        "mustAskInUs": 10_000_000,
+    },
+}
 OPERATOR = """\
 [drmaa]
 front = true
@@ -67,8 +84,14 @@
         """Owe nothing."""
 
 
-async def play(config: Config, counters: Counters, executors: int, slots: int, folder: Path,
-               directory_sock: trio.socket.SocketType) -> None:
+async def play(
+    config: Config,
+    counters: Counters,
+    executors: int,
+    slots: int,
+    folder: Path,
+    directory_sock: trio.socket.SocketType,
+) -> None:
     """Run all of it in one nursery, until the node ends."""
     limits, log, clock = config.limits, log_for(config), Clock()
     async with trio.open_nursery() as nursery:
@@ -77,8 +100,14 @@
             executor = Executor(f"local-{number}", Slots(slots), folder, limits, counters, log, clock)
             listener = Listener(executor, limits, counters, log)
             sock = await listener.bind("127.0.0.1", 0)
-            rows.append({"id": executor.name, "addr": f"127.0.0.1:{sock.getsockname()[1]}", "zone": "local",
-                         "kind": "executor"})
+            rows.append(
+                {
+                    "id": executor.name,
+                    "addr": f"127.0.0.1:{sock.getsockname()[1]}",
+                    "zone": "local",
+                    "kind": "executor",
+                }
+            )
             nursery.start_soon(executor.run)
             nursery.start_soon(listener.serve, sock)
         directory = Listener(Directory(rows), limits, counters, log)
@@ -87,25 +116,41 @@
         nursery.cancel_scope.cancel()
 
 
-async def prepare(port: int, executors: int, slots: int, log_format: str, folder: Path,
-                  counters: Counters) -> None:
+async def prepare(
+    port: int, executors: int, slots: int, log_format: str, folder: Path, counters: Counters
+) -> None:
     """Write the node's files, as an operator would, and start."""
     with tempfile.TemporaryDirectory(prefix="merlinbay-") as name, trio.socket.socket() as sock:
         await sock.bind(("127.0.0.1", 0))
         sock.listen(16)
         files = Path(name)
         (files / "operator.toml").write_text(OPERATOR.format(log_format=log_format, slots=slots))
-        (files / "config.json").write_text(json.dumps({
-            "name": "local", "listen": f"127.0.0.1:{port}", "seed": os.urandom(8).hex(),
-            "discovery": f"127.0.0.1:{sock.getsockname()[1]}", "settings": SETTINGS,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}}))
+        (files / "config.json").write_text(
+            json.dumps(
+                {
+                    "name": "local",
+                    "listen": f"127.0.0.1:{port}",
+                    "seed": os.urandom(8).hex(),
+                    "discovery": f"127.0.0.1:{sock.getsockname()[1]}",
+                    "settings": SETTINGS,
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                }
+            )
+        )
         config = load({"LB_CONFIG": str(files / "config.json"), "LB_OPERATOR": str(files / "operator.toml")})
         # A person who types Ctrl-C waits for nothing: there is no front layer that still sends clients here.
-        config = replace(config, limits=replace(
-            config.limits, stop_serving=0.0, stop_arrivals=0.0, stop_answers_us=50_000, stop_most=1.0))
-        print(f"merlinbay: local: {executors} executors of {slots} slots; jobs run in {folder}\n"
-              f"merlinbay: submit with: merlinbay --url http://127.0.0.1:{port} job submit --wait -- sleep 1",
-              file=sys.stderr, flush=True)
+        config = replace(
+            config,
+            limits=replace(
+                config.limits, stop_serving=0.0, stop_arrivals=0.0, stop_answers_us=50_000, stop_most=1.0
+            ),
+        )
+        print(
+            f"merlinbay: local: {executors} executors of {slots} slots; jobs run in {folder}\n"
+            f"merlinbay: submit with: merlinbay --url http://127.0.0.1:{port} job submit --wait -- sleep 1",
+            file=sys.stderr,
+            flush=True,
+        )
         await play(config, counters, executors, slots, folder, sock)
 
 
--- a/merlinbay/cli/looks.py
+++ b/merlinbay/cli/looks.py
@@ -26,8 +26,9 @@
 @click.option("--until", type=click.Choice(["DONE", "FAILED", "RUNNING"]), help="End at such a state.")
 @as_json
 @click.pass_obj
-def watch(caller: Caller, after: str, kinds: tuple[str, ...], job_id: str, until: str | None,
-          as_json: bool) -> None:
+def watch(
+    caller: Caller, after: str, kinds: tuple[str, ...], job_id: str, until: str | None, as_json: bool
+) -> None:
     """Print events as they come, one a line, until Ctrl-C."""
     with caller.client() as client:
         cursor = after
@@ -54,8 +55,13 @@
     caller.as_json = as_json
     rows = caller.call("GET", caller.path("listeners"))["listeners"]
     names = ["listenerId", "url", "state", "delivered", "missed", "behind", "lastFailure"]
-    caller.show(rows, table(([row[name] for name in names] for row in rows),
-                            ["LISTENER", "URL", "STATE", "DELIVERED", "MISSED", "BEHIND", "LAST FAILURE"]))
+    caller.show(
+        rows,
+        table(
+            ([row[name] for name in names] for row in rows),
+            ["LISTENER", "URL", "STATE", "DELIVERED", "MISSED", "BEHIND", "LAST FAILURE"],
+        ),
+    )
 
 
 @events.command()
@@ -108,8 +114,13 @@
     with caller.client() as client:
         found = client.jobs(filter_text=text or "jobId is set", limit=limit)
     names = ["jobId", "jobState", "jobOwner", "queueName", "submissionTime", "jobSubState"]
-    caller.show(found, table(([row.get(name) for name in names] for row in found),
-                             ["JOB", "STATE", "ACCOUNT", "CLASS", "SUBMITTED", ""]))
+    caller.show(
+        found,
+        table(
+            ([row.get(name) for name in names] for row in found),
+            ["JOB", "STATE", "ACCOUNT", "CLASS", "SUBMITTED", ""],
+        ),
+    )
 
 
 def pages(caller: Caller, path: str, key: str) -> list[dict[str, Any]]:
@@ -131,8 +142,13 @@
     """List the queues: the classes of jobs."""
     caller.as_json = as_json
     rows = caller.call("GET", "/drmaa2/monitor/queues")["queues"]
-    caller.show(rows, table(([row["name"], row["effect"], row["deadline"], row.get("waiting", "")]
-                             for row in rows), ["QUEUE", "EFFECT", "DEADLINE", "WAITING"]))
+    caller.show(
+        rows,
+        table(
+            ([row["name"], row["effect"], row["deadline"], row.get("waiting", "")] for row in rows),
+            ["QUEUE", "EFFECT", "DEADLINE", "WAITING"],
+        ),
+    )
 
 
 @monitor.command()
@@ -143,6 +159,10 @@
     caller.as_json = as_json
     rows = pages(caller, "/drmaa2/monitor/machines", "machines")
     names = ["name", "state", "slots", "held", "heldByOthers", "pace"]
-    caller.show(rows, table(([*(row[name] for name in names), row.get("leftOut", {}).get("why", "")]
-                             for row in rows),
-                            ["MACHINE", "STATE", "SLOTS", "HELD", "BY OTHERS", "PACE", "LEFT OUT"]))
+    caller.show(
+        rows,
+        table(
+            ([*(row[name] for name in names), row.get("leftOut", {}).get("why", "")] for row in rows),
+            ["MACHINE", "STATE", "SLOTS", "HELD", "BY OTHERS", "PACE", "LEFT OUT"],
+        ),
+    )
--- a/merlinbay/cli/main.py
+++ b/merlinbay/cli/main.py
@@ -29,8 +29,13 @@
 
 @click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
 @click.option("--url", envvar="MERLINBAY_URL", default=LOCAL, show_default=True, help="The front's address.")
-@click.option("--session", envvar="MERLINBAY_SESSION", default="default", show_default=True,
-              help="The job session that is meant.")
+@click.option(
+    "--session",
+    envvar="MERLINBAY_SESSION",
+    default="default",
+    show_default=True,
+    help="The job session that is meant.",
+)
 @click.option("--token", envvar="MERLINBAY_TOKEN", default="", help="The bearer token.")
 @click.option("--ca", envvar="MERLINBAY_CA", default="", help="PEM file of who signs its certificate.")
 @click.option("--cert", envvar="MERLINBAY_CERT", default="", help="PEM file of our certificate and its key.")
@@ -48,6 +53,7 @@
 def serve(config: str | None, operator: str | None) -> None:
     """Run one node until SIGTERM."""
     from merlinbay.node import serve as run_node
+
     for name, value in (("LB_CONFIG", config), ("LB_OPERATOR", operator)):
         if value is not None:
             os.environ[name] = value
@@ -65,13 +71,21 @@
     """Read an operator's FILE as a node would, and say what is wrong with it in one line."""
     from merlinbay.operator_file import read
     from merlinbay.problems import BadConfig
+
     try:
         operator = read(file)
     except BadConfig as error:
         click.echo(f"merlinbay: {error}", err=True)
         sys.exit(2)
-    on = [name for name, is_on in (("drmaa.front", operator.drmaa.front), ("drmaa.servers",
-          operator.drmaa.servers), ("dnssd", operator.dnssd is not None)) if is_on]
+    on = [
+        name
+        for name, is_on in (
+            ("drmaa.front", operator.drmaa.front),
+            ("drmaa.servers", operator.drmaa.servers),
+            ("dnssd", operator.dnssd is not None),
+        )
+        if is_on
+    ]
     click.echo(f"{file}: good; on: {', '.join(on) or 'nothing'}")
 
 
@@ -79,6 +93,7 @@
 def print_schema() -> None:
     """Print the JSON schema of the operator's file."""
     from merlinbay.operator_file import schema
+
     click.echo(json.dumps(schema(), indent=2))
 
 
@@ -96,11 +111,16 @@
 @click.option("--executors", default=2, show_default=True, type=click.IntRange(1, 16))
 @click.option("--slots", default=4, show_default=True, type=click.IntRange(1, 1024), help="Of each executor.")
 @click.option("--log", "log_format", default="console", type=click.Choice(["plain", "console", "json"]))
-@click.option("--folder", type=click.Path(file_okay=False, exists=True, path_type=Path), default=Path.cwd,
-              help="Where jobs run; this folder by default.")
+@click.option(
+    "--folder",
+    type=click.Path(file_okay=False, exists=True, path_type=Path),
+    default=Path.cwd,
+    help="Where jobs run; this folder by default.",
+)
 def local(port: int, executors: int, slots: int, log_format: str, folder: Path) -> None:
     """Start a front and executors that run jobs as processes on this machine, until Ctrl-C."""
     from merlinbay.cli.local import start
+
     sys.exit(start(port, executors, slots, log_format, folder))
 
 
@@ -116,6 +136,7 @@
     from merlinbay.cli.rig import rig
     from merlinbay.cli.sessions import session
     from merlinbay.cli.store import store
+
     try:
         from merlinbay.cli.keys import keys, tls
     except ModuleNotFoundError:  # without the libraries of the front, there is nothing to make keys for
--- a/merlinbay/cli/reservations.py
+++ b/merlinbay/cli/reservations.py
@@ -30,20 +30,49 @@
 @click.option("--most", type=click.IntRange(1), help="and as many as there are up to these.")
 @click.option("--start", callback=when, help="A time, or +SECONDS.")
 @click.option("--end", callback=when, help="A time, or +SECONDS.")
-@click.option("--duration", type=click.FloatRange(min=0, min_open=True),
-              help="Seconds; with --start and --end, at some time between them.")
+@click.option(
+    "--duration",
+    type=click.FloatRange(min=0, min_open=True),
+    help="Seconds; with --start and --end, at some time between them.",
+)
 @click.option("--machine", "machines", multiple=True, help="At these; repeatable.")
 @click.option("--name", default="", help="For people.")
 @as_json
 @click.pass_obj
-def request(caller: Caller, slots: int, most: int | None, start: str | None, end: str | None,
-            duration: float | None, machines: tuple[str, ...], name: str, as_json: bool) -> None:
+def request(
+    caller: Caller,
+    slots: int,
+    most: int | None,
+    start: str | None,
+    end: str | None,
+    duration: float | None,
+    machines: tuple[str, ...],
+    name: str,
+    as_json: bool,
+) -> None:
     """Reserve, at the earliest time that the options allow; the id goes into job submit --reservation."""
     caller.as_json = as_json
-    wish = {"reservationName": name, "startTime": start, "endTime": end, "duration": duration,
-            "minSlots": slots, "maxSlots": most, "candidateMachines": list(machines)}
-    show_info(caller, caller.call("POST", PATH, {"reservationTemplate": {
-        key: value for key, value in wish.items() if value not in (None, "", [])}}))
+    wish = {
+        "reservationName": name,
+        "startTime": start,
+        "endTime": end,
+        "duration": duration,
+        "minSlots": slots,
+        "maxSlots": most,
+        "candidateMachines": list(machines),
+    }
+    show_info(
+        caller,
+        caller.call(
+            "POST",
+            PATH,
+            {
+                "reservationTemplate": {
+                    key: value for key, value in wish.items() if value not in (None, "", [])
+                }
+            },
+        ),
+    )
 
 
 @reservation.command("list")
--- a/merlinbay/cli/rig.py
+++ b/merlinbay/cli/rig.py
@@ -49,8 +49,11 @@
 @click.option("--seed", type=int, help="In place of the script's.")
 @click.option("--nodes", type=click.IntRange(1, 60), help="In place of the script's.")
 @click.option("--folder", type=click.Path(file_okay=False, path_type=Path), help="For logs and the history.")
-@click.option("--former", type=click.Path(exists=True, file_okay=False, path_type=Path),
-              help="The folder of another version of the program, which every second node is.")
+@click.option(
+    "--former",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    help="The folder of another version of the program, which every second node is.",
+)
 def run(name: str, seed: int | None, nodes: int | None, folder: Path | None, former: Path | None) -> None:
     """Play a script; exit with 3 where something did not hold."""
     import msgspec
--- a/merlinbay/cli/sessions.py
+++ b/merlinbay/cli/sessions.py
@@ -25,21 +25,36 @@
 @session.command()
 @click.argument("name")
 @click.option("--contact", default="")
-@click.option("--backlog/--no-backlog", default=True, show_default=True,
-              help="What cannot be placed at once waits, or is refused at once.")
+@click.option(
+    "--backlog/--no-backlog",
+    default=True,
+    show_default=True,
+    help="What cannot be placed at once waits, or is refused at once.",
+)
 @click.option("--share", default=1.0, show_default=True, help="Of the servers, against the other sessions.")
 @click.option("--wait-most", type=float, help="Seconds after which a waiting job is given up.")
 @as_json
 @click.pass_obj
-def create(caller: Caller, name: str, contact: str, backlog: bool, share: float, wait_most: float | None,
-           as_json: bool) -> None:
+def create(
+    caller: Caller,
+    name: str,
+    contact: str,
+    backlog: bool,
+    share: float,
+    wait_most: float | None,
+    as_json: bool,
+) -> None:
     """Create a job session, and open it."""
     caller.as_json = as_json
     settings: dict[str, Any] = {"backlog": backlog, "share": share}
     if wait_most is not None:
         settings["waitMost"] = wait_most
-    shown(caller, caller.call("POST", "/drmaa2/sessions", {"sessionName": name, "contact": contact,
-                                                           "settings": settings}))
+    shown(
+        caller,
+        caller.call(
+            "POST", "/drmaa2/sessions", {"sessionName": name, "contact": contact, "settings": settings}
+        ),
+    )
 
 
 @session.command("list")
--- a/merlinbay/cli/store.py
+++ b/merlinbay/cli/store.py
@@ -53,8 +53,10 @@
     """Read all of it: every record and snapshot as it was written, none missing. Exit 3: not so."""
     with opened(file) as engine:
         first, last = engine.check()
-        click.echo(f"records {first} to {last}, snapshots at "
-                   f"{', '.join(str(one.number) for one in engine.snapshots()) or 'none'}: all as written")
+        click.echo(
+            f"records {first} to {last}, snapshots at "
+            f"{', '.join(str(one.number) for one in engine.snapshots()) or 'none'}: all as written"
+        )
 
 
 @store.command()
@@ -67,8 +69,15 @@
         base = {one.number: one.checksum for one in engine.snapshots()}
         for record in engine.read(first - 1, base.get(first - 1, 0)):
             if record.number > after:
-                click.echo(json.dumps({"number": record.number, "version": record.version,
-                                       "body": record.body.decode("utf-8", "backslashreplace")}))
+                click.echo(
+                    json.dumps(
+                        {
+                            "number": record.number,
+                            "version": record.version,
+                            "body": record.body.decode("utf-8", "backslashreplace"),
+                        }
+                    )
+                )
 
 
 @store.command()
--- a/merlinbay/client/__init__.py
+++ b/merlinbay/client/__init__.py
@@ -10,5 +10,13 @@
 from merlinbay.client.sync import Client
 from merlinbay.drmaa.words import JobInfo, JobTemplate
 
-__all__ = ["AsyncClient", "Client", "DrmaaRemote", "JobInfo", "JobTemplate", "MayHaveRun", "Policy",
-           "Unreachable"]
+__all__ = [
+    "AsyncClient",
+    "Client",
+    "DrmaaRemote",
+    "JobInfo",
+    "JobTemplate",
+    "MayHaveRun",
+    "Policy",
+    "Unreachable",
+]
--- a/merlinbay/client/aio.py
+++ b/merlinbay/client/aio.py
@@ -20,18 +20,27 @@
 class AsyncClient:
     """A client of one front, with kept connections. For trio; any number of tasks may use it."""
 
-    def __init__(self, url: str, session: str = "default", token: str = "", ca: str = "",
-                 certificate: str = "", policy: Policy | None = None) -> None:
+    def __init__(
+        self,
+        url: str,
+        session: str = "default",
+        token: str = "",
+        ca: str = "",
+        certificate: str = "",
+        policy: Policy | None = None,
+    ) -> None:
         door = Door(url, token, ca, certificate)
         self.operations = Operations(session, policy or Policy())
-        self.http = httpx.AsyncClient(base_url=url, headers=door.headers(), verify=door.verify(),
-                                      trust_env=False)
+        self.http = httpx.AsyncClient(
+            base_url=url, headers=door.headers(), verify=door.verify(), trust_env=False
+        )
 
     async def __aenter__(self) -> AsyncClient:
         return self
 
-    async def __aexit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                        trace: TracebackType | None) -> None:
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
         await self.close()
 
     async def close(self) -> None:
@@ -60,22 +69,37 @@
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             return failed(error)
 
-    async def call(self, method: str, path: str, value: object = None, harmless: bool | None = None,
-                   within: float | None = None) -> Any:
+    async def call(
+        self,
+        method: str,
+        path: str,
+        value: object = None,
+        harmless: bool | None = None,
+        within: float | None = None,
+    ) -> Any:
         """Have one call of the binding; return the answer's JSON."""
         return await self._do(self.operations.call(method, path, value, harmless, within))
 
-    async def run_job(self, template: JobTemplate, within: float | None = None,
-                      may_repeat: bool = False) -> str:
+    async def run_job(
+        self, template: JobTemplate, within: float | None = None, may_repeat: bool = False
+    ) -> str:
         """Submit; return the job's id. ``within``: seconds in which refusals are waited out."""
         return await self._do(self.operations.run_job(template, within, may_repeat))
 
-    async def run_bulk_jobs(self, template: JobTemplate, begin: int, end: int, step: int = 1,
-                            max_parallel: int = 0,
-                            within: float | None = None, may_repeat: bool = False) -> str:
+    async def run_bulk_jobs(
+        self,
+        template: JobTemplate,
+        begin: int,
+        end: int,
+        step: int = 1,
+        max_parallel: int = 0,
+        within: float | None = None,
+        may_repeat: bool = False,
+    ) -> str:
         """Submit an array; return its id."""
-        return await self._do(self.operations.run_bulk_jobs(
-            template, begin, end, step, max_parallel, within, may_repeat))
+        return await self._do(
+            self.operations.run_bulk_jobs(template, begin, end, step, max_parallel, within, may_repeat)
+        )
 
     async def job_info(self, job: str, within: float | None = None) -> JobInfo:
         """Return what is known of a job."""
@@ -89,8 +113,9 @@
         """Wait for a job's end."""
         return await self._do(self.operations.wait(job, False, timeout))
 
-    async def wait_any(self, jobs: Iterable[str], started: bool = False,
-                       timeout: float | None = None) -> JobInfo:
+    async def wait_any(
+        self, jobs: Iterable[str], started: bool = False, timeout: float | None = None
+    ) -> JobInfo:
         """Wait for the first of several jobs."""
         return await self._do(self.operations.wait_any(jobs, started, timeout))
 
@@ -98,13 +123,20 @@
         """Hold, release, suspend, resume, terminate or reap a job."""
         return await self._do(self.operations.act(job, verb))
 
-    async def jobs(self, states: Iterable[str] = (), filter_text: str = "",
-                   limit: int = 1000) -> list[dict[str, Any]]:
+    async def jobs(
+        self, states: Iterable[str] = (), filter_text: str = "", limit: int = 1000
+    ) -> list[dict[str, Any]]:
         """Return jobs: the session's, or with a filter those of all sessions."""
         return await self._do(self.operations.jobs(states, filter_text, limit))
 
-    async def events(self, cursor: str = "", timeout: float = POLL, limit: int = 100,
-                     events: Iterable[str] = (), job: str = "") -> EventPage:
+    async def events(
+        self,
+        cursor: str = "",
+        timeout: float = POLL,
+        limit: int = 100,
+        events: Iterable[str] = (),
+        job: str = "",
+    ) -> EventPage:
         """Return the next events after a cursor; ``now`` gives the present one."""
         return await self._do(self.operations.events(cursor, timeout, limit, events, job))
 
--- a/merlinbay/client/operations.py
+++ b/merlinbay/client/operations.py
@@ -101,8 +101,15 @@
         start = "/drmaa2" if self.session == "default" else f"/drmaa2/sessions/{quote(self.session, '')}"
         return "/".join([start, *(quote(part, "") for part in parts)])
 
-    def call(self, method: str, path: str, value: object = None, harmless: bool | None = None,
-             within: float | None = None, timeout: float = 30.0) -> Doing[Any]:
+    def call(
+        self,
+        method: str,
+        path: str,
+        value: object = None,
+        harmless: bool | None = None,
+        within: float | None = None,
+        timeout: float = 30.0,
+    ) -> Doing[Any]:
         """Have one call, repeated as the policy allows; return the answer's JSON.
 
         ``harmless``: it may be carried out twice; GET by default. ``within``: seconds in which refused and
@@ -110,8 +117,12 @@
         Raises ``DrmaaRemote``, ``Unreachable`` and ``MayHaveRun``.
         """
         body = None if value is None else msgspec.json.encode(value)
-        trial = Trial(self.policy, self.rng, method == "GET" if harmless is None else harmless,
-                      None if within is None else self.clock() + within)
+        trial = Trial(
+            self.policy,
+            self.rng,
+            method == "GET" if harmless is None else harmless,
+            None if within is None else self.clock() + within,
+        )
         while True:
             got = yield Ask(method, path, body, timeout)
             assert got is not None
@@ -129,29 +140,50 @@
 
     # Jobs.
 
-    def run_job(self, template: JobTemplate, within: float | None = None,
-                may_repeat: bool = False) -> Doing[str]:
+    def run_job(
+        self, template: JobTemplate, within: float | None = None, may_repeat: bool = False
+    ) -> Doing[str]:
         """Submit; return the job's id. ``may_repeat``: its class allows that it runs twice."""
         found = yield from self.call("POST", self.path("jobs"), {"jobTemplate": template}, may_repeat, within)
         return msgspec.convert(found, Taken).jobId
 
-    def run_bulk_jobs(self, template: JobTemplate, begin: int, end: int, step: int = 1, max_parallel: int = 0,
-                      within: float | None = None, may_repeat: bool = False) -> Doing[str]:
+    def run_bulk_jobs(
+        self,
+        template: JobTemplate,
+        begin: int,
+        end: int,
+        step: int = 1,
+        max_parallel: int = 0,
+        within: float | None = None,
+        may_repeat: bool = False,
+    ) -> Doing[str]:
         """Submit an array; return its id."""
-        found = yield from self.call("POST", self.path("arrays"), {
-            "jobTemplate": template, "beginIndex": begin, "endIndex": end, "step": step,
-            "maxParallel": max_parallel}, may_repeat, within)
+        found = yield from self.call(
+            "POST",
+            self.path("arrays"),
+            {
+                "jobTemplate": template,
+                "beginIndex": begin,
+                "endIndex": end,
+                "step": step,
+                "maxParallel": max_parallel,
+            },
+            may_repeat,
+            within,
+        )
         return str(found["jobArrayId"])
 
     def job_info(self, job: str, within: float | None = None) -> Doing[JobInfo]:
         """Return what is known of a job."""
-        return msgspec.convert((yield from self.call("GET", self.path("jobs", job), within=within)), JobInfo,
-                               strict=False)
+        return msgspec.convert(
+            (yield from self.call("GET", self.path("jobs", job), within=within)), JobInfo, strict=False
+        )
 
     def act(self, job: str, verb: str) -> Doing[JobInfo]:
         """Hold, release, suspend, resume, terminate or reap a job."""
-        return msgspec.convert((yield from self.call("POST", self.path("jobs", job, verb))), JobInfo,
-                               strict=False)
+        return msgspec.convert(
+            (yield from self.call("POST", self.path("jobs", job, verb))), JobInfo, strict=False
+        )
 
     def wait(self, job: str, started: bool = False, timeout: float | None = None) -> Doing[JobInfo]:
         """Wait for a job's start or end; a node that restarts meanwhile is asked again.
@@ -161,8 +193,9 @@
         verb = "waitStarted" if started else "waitTerminated"
         return (yield from self._wait("GET", self.path("jobs", job, verb), None, timeout))
 
-    def wait_any(self, jobs: Iterable[str], started: bool = False,
-                 timeout: float | None = None) -> Doing[JobInfo]:
+    def wait_any(
+        self, jobs: Iterable[str], started: bool = False, timeout: float | None = None
+    ) -> Doing[JobInfo]:
         """Wait for the first of several jobs."""
         verb = "waitAnyStarted" if started else "waitAnyTerminated"
         return (yield from self._wait("POST", self.path(verb), list(jobs), timeout))
@@ -174,8 +207,9 @@
             target = path if jobs is not None else f"{path}?timeout={left:.3f}"
             value = {"jobIds": jobs, "timeout": left} if jobs is not None else None
             try:
-                found = yield from self.call(method, target, value, True, None if until is None else left + 1,
-                                             left + SLACK)
+                found = yield from self.call(
+                    method, target, value, True, None if until is None else left + 1, left + SLACK
+                )
                 return msgspec.convert(found, JobInfo, strict=False)
             except DrmaaRemote as error:
                 # The end of one call of a longer wait, or too many calls that wait there just now.
@@ -187,8 +221,9 @@
 
     # The rest.
 
-    def jobs(self, states: Iterable[str] = (), filter_text: str = "",
-             limit: int = 1000) -> Doing[list[dict[str, Any]]]:
+    def jobs(
+        self, states: Iterable[str] = (), filter_text: str = "", limit: int = 1000
+    ) -> Doing[list[dict[str, Any]]]:
         """Return jobs in order of submission: the session's, or with a filter those of all sessions."""
         rows: list[dict[str, Any]] = []
         after: int | None = 0
@@ -203,18 +238,30 @@
             after = page.get("next")
         return rows
 
-    def events(self, cursor: str = "", timeout: float = POLL, limit: int = 100,
-               events: Iterable[str] = (), job: str = "") -> Doing[EventPage]:
+    def events(
+        self,
+        cursor: str = "",
+        timeout: float = POLL,
+        limit: int = 100,
+        events: Iterable[str] = (),
+        job: str = "",
+    ) -> Doing[EventPage]:
         """Return the next events after a cursor; ``now`` gives the present one."""
-        query = [("after", cursor), ("timeout", f"{timeout:.3f}"), ("limit", str(limit)), ("job", job),
-                 *(("event", name) for name in events)]
+        query = [
+            ("after", cursor),
+            ("timeout", f"{timeout:.3f}"),
+            ("limit", str(limit)),
+            ("job", job),
+            *(("event", name) for name in events),
+        ]
         path = f"{self.path('events')}?{urlencode([(name, value) for name, value in query if value])}"
         return msgspec.convert((yield from self.call("GET", path, timeout=timeout + SLACK)), EventPage)
 
     def create_session(self, name: str, **settings: object) -> Doing[dict[str, Any]]:
         """Create a session."""
-        found: dict[str, Any] = yield from self.call("POST", "/drmaa2/sessions",
-                                                     {"sessionName": name, "settings": settings})
+        found: dict[str, Any] = yield from self.call(
+            "POST", "/drmaa2/sessions", {"sessionName": name, "settings": settings}
+        )
         return found
 
     def destroy_session(self, name: str) -> Doing[None]:
--- a/merlinbay/client/sync.py
+++ b/merlinbay/client/sync.py
@@ -20,18 +20,25 @@
 class Client:
     """A client of one front, with kept connections. Not for several threads at once."""
 
-    def __init__(self, url: str, session: str = "default", token: str = "", ca: str = "",
-                 certificate: str = "", policy: Policy | None = None) -> None:
+    def __init__(
+        self,
+        url: str,
+        session: str = "default",
+        token: str = "",
+        ca: str = "",
+        certificate: str = "",
+        policy: Policy | None = None,
+    ) -> None:
         door = Door(url, token, ca, certificate)
         self.operations = Operations(session, policy or Policy())
-        self.http = httpx.Client(base_url=url, headers=door.headers(), verify=door.verify(),
-                                 trust_env=False)
+        self.http = httpx.Client(base_url=url, headers=door.headers(), verify=door.verify(), trust_env=False)
 
     def __enter__(self) -> Client:
         return self
 
-    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                 trace: TracebackType | None) -> None:
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
         self.close()
 
     def close(self) -> None:
@@ -60,8 +67,14 @@
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             return failed(error)
 
-    def call(self, method: str, path: str, value: object = None, harmless: bool | None = None,
-             within: float | None = None) -> Any:
+    def call(
+        self,
+        method: str,
+        path: str,
+        value: object = None,
+        harmless: bool | None = None,
+        within: float | None = None,
+    ) -> Any:
         """Have one call of the binding; return the answer's JSON."""
         return self._do(self.operations.call(method, path, value, harmless, within))
 
@@ -69,11 +82,20 @@
         """Submit; return the job's id. ``within``: seconds in which refusals are waited out."""
         return self._do(self.operations.run_job(template, within, may_repeat))
 
-    def run_bulk_jobs(self, template: JobTemplate, begin: int, end: int, step: int = 1, max_parallel: int = 0,
-                      within: float | None = None, may_repeat: bool = False) -> str:
+    def run_bulk_jobs(
+        self,
+        template: JobTemplate,
+        begin: int,
+        end: int,
+        step: int = 1,
+        max_parallel: int = 0,
+        within: float | None = None,
+        may_repeat: bool = False,
+    ) -> str:
         """Submit an array; return its id."""
-        return self._do(self.operations.run_bulk_jobs(
-            template, begin, end, step, max_parallel, within, may_repeat))
+        return self._do(
+            self.operations.run_bulk_jobs(template, begin, end, step, max_parallel, within, may_repeat)
+        )
 
     def job_info(self, job: str, within: float | None = None) -> JobInfo:
         """Return what is known of a job."""
@@ -95,13 +117,20 @@
         """Hold, release, suspend, resume, terminate or reap a job."""
         return self._do(self.operations.act(job, verb))
 
-    def jobs(self, states: Iterable[str] = (), filter_text: str = "", limit: int = 1000) -> list[dict[str,
-             Any]]:
+    def jobs(
+        self, states: Iterable[str] = (), filter_text: str = "", limit: int = 1000
+    ) -> list[dict[str, Any]]:
         """Return jobs: the session's, or with a filter those of all sessions."""
         return self._do(self.operations.jobs(states, filter_text, limit))
 
-    def events(self, cursor: str = "", timeout: float = POLL, limit: int = 100,
-               events: Iterable[str] = (), job: str = "") -> EventPage:
+    def events(
+        self,
+        cursor: str = "",
+        timeout: float = POLL,
+        limit: int = 100,
+        events: Iterable[str] = (),
+        job: str = "",
+    ) -> EventPage:
         """Return the next events after a cursor; ``now`` gives the present one."""
         return self._do(self.operations.events(cursor, timeout, limit, events, job))
 
--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -69,6 +69,7 @@
     from merlinbay.operator_file import (
         read,  # Guards against a slow start: without a file, nothing of it is used.
     )
+
     return read(path)
 
 
@@ -87,9 +88,14 @@
         settings = settings_from(file.settings)
         seed = int(file.seed, 16)
         extra = file.settings.get("limits", {})
-        limits = limits_from(file.limits.sockets, file.limits.memory_mb, settings,
-                             int(extra.get("dialTimeoutUs") or 0), int(extra.get("keepaliveUs") or 0),
-                             int(extra.get("mostHeld") or Limits.most_held))
+        limits = limits_from(
+            file.limits.sockets,
+            file.limits.memory_mb,
+            settings,
+            int(extra.get("dialTimeoutUs") or 0),
+            int(extra.get("keepaliveUs") or 0),
+            int(extra.get("mostHeld") or Limits.most_held),
+        )
     except (ValueError, TypeError, OverflowError) as error:
         raise BadConfig(f"{path}: {error}") from None
     admin = environ.get("LB_ADMIN_ADDR") or file.admin_addr
@@ -102,11 +108,23 @@
     if operator is not None and operator.drmaa.front:
         limits = replace(limits, body_bytes=max(limits.body_bytes, operator.drmaa.body_kib * 1024))
         if operator.drmaa.access.tls:  # two listeners share the descriptors
-            limits = replace(limits, edge_connections=limits.edge_connections // 2,
-                             most_held=min(limits.most_held, limits.edge_connections * 3 // 8),
-                             waits=max(limits.waits // 2, 1))
-    return Config(environ.get("LB_NAME", file.name), listen, discovery, seed, file.known, settings, limits,
-                  operator, desk)
+            limits = replace(
+                limits,
+                edge_connections=limits.edge_connections // 2,
+                most_held=min(limits.most_held, limits.edge_connections * 3 // 8),
+                waits=max(limits.waits // 2, 1),
+            )
+    return Config(
+        environ.get("LB_NAME", file.name),
+        listen,
+        discovery,
+        seed,
+        file.known,
+        settings,
+        limits,
+        operator,
+        desk,
+    )
 
 
 def accept_fd(text: str) -> int:
@@ -129,7 +147,10 @@
     """
     new = load({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
     was, now = old.operator, new.operator
-    if was is not None and now is not None and (
-            (now.dnssd is None) != (was.dnssd is None) or now.drmaa != was.drmaa):
+    if (
+        was is not None
+        and now is not None
+        and ((now.dnssd is None) != (was.dnssd is None) or now.drmaa != was.drmaa)
+    ):
         raise BadConfig("the operator's file: fronts and the kind of discovery change by a restart only")
     return new
--- a/merlinbay/conformance/report.py
+++ b/merlinbay/conformance/report.py
@@ -41,8 +41,9 @@
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             # An answer without what the binding says is in it.
             verdict, why = MISSED, f"the answer is not as the binding says: {error!r}"
-        results.append(Result(clause.name, clause.section, clause.text, verdict, why,
-                              round(time.monotonic() - began, 3)))
+        results.append(
+            Result(clause.name, clause.section, clause.text, verdict, why, round(time.monotonic() - began, 3))
+        )
         told(results[-1])
     return results
 
@@ -61,8 +62,12 @@
     rows["in all"] = Counter(result.verdict for result in results)
     width = max(map(len, rows))
     head = f"{'':{width}}  {KEPT:>8}{MISSED:>8}{SKIPPED:>9}"
-    return "\n".join([head, *(f"{name:{width}}  {row[KEPT]:8}{row[MISSED]:8}{row[SKIPPED]:9}"
-                              for name, row in rows.items())])
+    return "\n".join(
+        [
+            head,
+            *(f"{name:{width}}  {row[KEPT]:8}{row[MISSED]:8}{row[SKIPPED]:9}" for name, row in rows.items()),
+        ]
+    )
 
 
 def as_json(url: str, results: list[Result]) -> str:
@@ -73,12 +78,19 @@
 def as_junit(url: str, results: list[Result]) -> str:
     """Return the results as JUnit XML."""
     counts = Counter(result.verdict for result in results)
-    suite = ElementTree.Element("testsuite", name="drmaa2", tests=str(len(results)), hostname=url,
-                                failures=str(counts[MISSED]), skipped=str(counts[SKIPPED]),
-                                time=f"{sum(result.seconds for result in results):.3f}")
+    suite = ElementTree.Element(
+        "testsuite",
+        name="drmaa2",
+        tests=str(len(results)),
+        hostname=url,
+        failures=str(counts[MISSED]),
+        skipped=str(counts[SKIPPED]),
+        time=f"{sum(result.seconds for result in results):.3f}",
+    )
     for result in results:
-        case = ElementTree.SubElement(suite, "testcase", classname=result.section, name=result.name,
-                                      time=f"{result.seconds:.3f}")
+        case = ElementTree.SubElement(
+            suite, "testcase", classname=result.section, name=result.name, time=f"{result.seconds:.3f}"
+        )
         if result.verdict != KEPT:
             kind = "failure" if result.verdict == MISSED else "skipped"
             ElementTree.SubElement(case, kind, message=result.why)
--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -36,8 +36,16 @@
 class Owner:
     """Owns flows, schedulings, timers and the module. Only its own task calls it."""
 
-    def __init__(self, balancer: Balancer, clock: Clock, limits: Limits, counters: Counters, log: Log,
-                 servers: ports.ServerSide, directory: ports.Directory) -> None:
+    def __init__(
+        self,
+        balancer: Balancer,
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+        servers: ports.ServerSide,
+        directory: ports.Directory,
+    ) -> None:
         self.balancer, self.clock, self.limits = balancer, clock, limits
         self.counters, self.log = counters, log
         self.servers, self.directory = servers, directory
@@ -82,8 +90,9 @@
                 actions = self.balancer.handle(now, events)
             except Exception as error:  # Guards against one bad event that would end every other flow.
                 self.counters.add("module_errors")
-                self.log.event("module_failed", level="error",
-                               error="".join(traceback.format_exception(error)))
+                self.log.event(
+                    "module_failed", level="error", error="".join(traceback.format_exception(error))
+                )
                 return
             events = []
             for action in actions:
@@ -91,8 +100,10 @@
 
     def gauges(self) -> dict[str, float]:
         """Return what is held here: jobs not yet answered, and slots of real servers."""
-        return {"jobs": float(sum(not flow.done for flow in self.flows.values())),
-                "slots": round(self.balancer.own_held, 1)}
+        return {
+            "jobs": float(sum(not flow.done for flow in self.flows.values())),
+            "slots": round(self.balancer.own_held, 1),
+        }
 
     # Messages.
 
@@ -112,8 +123,11 @@
             case ports.SchedulingStarted():
                 if (found := self.open.get((message.name, message.server))) is not None:
                     found.started = True
-                    events.append(api.JobPaused(found.flow, found.number, False) if found.paused
-                                  else api.JobStarted(found.flow, found.number))
+                    events.append(
+                        api.JobPaused(found.flow, found.number, False)
+                        if found.paused
+                        else api.JobStarted(found.flow, found.number)
+                    )
                     found.paused = False
                     if not self.flows[found.flow].done:
                         self.flows[found.flow].edge.started(found.server)
@@ -127,8 +141,14 @@
             case ports.Relayed():
                 if (message.message.name, message.message.server) in self.open:
                     self._take(message.message, now, events)
-            case (ports.FlowRecalled() | ports.FlowControlled() | ports.SchedulingRecalled()
-                  | ports.SchedulingControlled() | ports.SchedulingSuspended() | ports.SchedulingUnseen()):
+            case (
+                ports.FlowRecalled()
+                | ports.FlowControlled()
+                | ports.SchedulingRecalled()
+                | ports.SchedulingControlled()
+                | ports.SchedulingSuspended()
+                | ports.SchedulingUnseen()
+            ):
                 self._control(message, now, events)
             case ports.SlotsKept():
                 events.append(api.SlotsKept(message.server, message.slots, message.of))
@@ -149,16 +169,27 @@
                 if flow is not None and flow.edge is message.edge and not flow.done:
                     self._withdraw(flow, events)
             case ports.ServerProbed():
-                events.append(api.ProbeEnded(message.server, message.outcome, message.took_us,
-                                             self._row(message.report)))
+                events.append(
+                    api.ProbeEnded(
+                        message.server, message.outcome, message.took_us, self._row(message.report)
+                    )
+                )
             case ports.EntriesChanged():
                 self.counters.add(f"entries_{message.scope}")
                 self.servers.entries_changed(message.scope, message.entries)
                 for watcher in self.watchers:
                     watcher.entries_changed(message.scope, message.entries)
-                events.append(api.ListChanged(message.scope, [
-                    api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us)
-                    for e in message.entries], message.heard_us, message.answered))
+                events.append(
+                    api.ListChanged(
+                        message.scope,
+                        [
+                            api.WorkerEntry(e.server, e.zone, e.kind, e.cell, e.state, e.weight, e.started_us)
+                            for e in message.entries
+                        ],
+                        message.heard_us,
+                        message.answered,
+                    )
+                )
             case ports.BalancersCounted():
                 events.append(api.BalancersCounted(message.count, message.me))
             case ports.DirectoryMoved():
@@ -193,12 +224,32 @@
         flow = Flow(spec, self.count, message.edge, deadline)
         self.flows[flow.number] = self.names[spec.name] = flow
         self._at(deadline, flow)
-        events.append(api.JobArrived(
-            flow.number, spec.job_class, max(deadline - now, 0), spec.slots, spec.memory, spec.key,
-            spec.tenant, spec.retried, spec.hint_us, spec.only, spec.room_only, spec.reserved))
-
-    def _ended(self, scheduling: ports.Scheduling, outcome: api.Outcome, now: int, events: list[api.Event],
-               result: bytes = b"", report: dict[str, float] | None = None) -> None:
+        events.append(
+            api.JobArrived(
+                flow.number,
+                spec.job_class,
+                max(deadline - now, 0),
+                spec.slots,
+                spec.memory,
+                spec.key,
+                spec.tenant,
+                spec.retried,
+                spec.hint_us,
+                spec.only,
+                spec.room_only,
+                spec.reserved,
+            )
+        )
+
+    def _ended(
+        self,
+        scheduling: ports.Scheduling,
+        outcome: api.Outcome,
+        now: int,
+        events: list[api.Event],
+        result: bytes = b"",
+        report: dict[str, float] | None = None,
+    ) -> None:
         """End a scheduling, once; the first success answers its flow."""
         if scheduling.started and outcome in api.NEVER_RAN:
             # Guards against a server that tells of a start and hands the job back: it may have run.
@@ -213,12 +264,22 @@
             self._answer(flow, Answer(Verdict.SERVED, result, ending=flow.ending))
         elif scheduling.started and not flow.done and not any(s.started for s in flow.open.values()):
             flow.edge.unplaced()
-        events.append(api.AttemptEnded(scheduling.flow, scheduling.number, outcome, now - scheduling.sent_us,
-                                       flow.done, self._row(report), scheduling.server))
+        events.append(
+            api.AttemptEnded(
+                scheduling.flow,
+                scheduling.number,
+                outcome,
+                now - scheduling.sent_us,
+                flow.done,
+                self._row(report),
+                scheduling.server,
+            )
+        )
         self._forget(flow)
 
-    def _unfit(self, scheduling: ports.Scheduling, now: int, events: list[api.Event],
-               message: ports.SchedulingEnded) -> None:
+    def _unfit(
+        self, scheduling: ports.Scheduling, now: int, events: list[api.Event], message: ports.SchedulingEnded
+    ) -> None:
         """Fail a flow whose job a real server cannot use."""
         # Guards against one bad job that goes from server to server and has each left out as failing: it
         # is tried no more, and its attempt ends as one that was called off, which tells nothing of health.
@@ -246,8 +307,9 @@
                 if len(flow.open) == 1:
                     self.servers.control(next(iter(flow.open.values())), message.action)
                 else:  # Guards against a copy that runs on while the other is suspended.
-                    flow.edge.controlled(message.action, "TryLaterException",
-                                         f"{len(flow.open)} servers have the job")
+                    flow.edge.controlled(
+                        message.action, "TryLaterException", f"{len(flow.open)} servers have the job"
+                    )
             case ports.SchedulingRecalled():
                 found = self.open.get((message.name, message.server))
                 if found is not None and not self.flows[found.flow].done:
@@ -272,8 +334,9 @@
                     edge = self.flows[found.flow].edge
                     edge.found_queued() if message.found else edge.lost_sight()
 
-    def _recalled(self, flow: Flow, scheduling: ports.Scheduling, done: bool, now: int,
-                  events: list[api.Event]) -> None:
+    def _recalled(
+        self, flow: Flow, scheduling: ports.Scheduling, done: bool, now: int, events: list[api.Event]
+    ) -> None:
         """Take a server's word on an attempt that is to come back unstarted."""
         if flow.recalling and (not done or scheduling.started):
             flow.recalling = False
@@ -333,9 +396,12 @@
             case api.Refuse() | api.Fail():
                 flow = self.flows.get(action.id)
                 if flow is not None and not flow.done:
-                    self._answer(flow, Answer(Verdict.FAILED, ending=flow.ending)
-                                 if isinstance(action, api.Fail)
-                                 else Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
+                    self._answer(
+                        flow,
+                        Answer(Verdict.FAILED, ending=flow.ending)
+                        if isinstance(action, api.Fail)
+                        else Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us),
+                    )
                     self._forget(flow)
             case api.SetTimer():
                 self._at(now + action.in_us, action.token)
@@ -355,15 +421,17 @@
             return
         number, flow.sent = flow.sent, flow.sent + 1
         until = min(flow.deadline_us, now + action.timeout_us) if action.timeout_us else flow.deadline_us
-        scheduling = ports.Scheduling(flow.spec, flow.number, number, action.worker, now, until,
-                                      edge=flow.edge)
+        scheduling = ports.Scheduling(
+            flow.spec, flow.number, number, action.worker, now, until, edge=flow.edge
+        )
         if not flow.done and flow.edge.left():
             # Guards against an attempt for a client that has left, while the word of it is still on its way.
             self._withdraw(flow, events)
         if flow.done or now >= flow.deadline_us or (flow.spec.name, action.worker) in self.open:
             self.counters.add("schedulings_moot")
-            events.append(api.AttemptEnded(flow.number, number, api.Outcome.MOOT, 0, flow.done, None,
-                                           action.worker))
+            events.append(
+                api.AttemptEnded(flow.number, number, api.Outcome.MOOT, 0, flow.done, None, action.worker)
+            )
             return
         self.counters.add("schedulings_sent")
         flow.open[number] = self.open[flow.spec.name, action.worker] = scheduling
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -374,8 +374,26 @@
     """Refuse what is new, and end once the last flow is answered."""
 
 
-Message = (FlowArrived | FlowWithdrawn | FlowRecalled | FlowControlled | SchedulingRecalled
-           | SchedulingControlled | SchedulingSuspended | SchedulingUnseen | SchedulingStarted
-           | SchedulingProgress | SchedulingEnded | ServerProbed | EntriesChanged | DirectoryMoved
-           | BalancersCounted | FleetAsked | MaintenanceAsked
-           | LearnedAsked | Relayed | SlotsKept | Stopping)
+Message = (
+    FlowArrived
+    | FlowWithdrawn
+    | FlowRecalled
+    | FlowControlled
+    | SchedulingRecalled
+    | SchedulingControlled
+    | SchedulingSuspended
+    | SchedulingUnseen
+    | SchedulingStarted
+    | SchedulingProgress
+    | SchedulingEnded
+    | ServerProbed
+    | EntriesChanged
+    | DirectoryMoved
+    | BalancersCounted
+    | FleetAsked
+    | MaintenanceAsked
+    | LearnedAsked
+    | Relayed
+    | SlotsKept
+    | Stopping
+)
--- a/merlinbay/decision/__init__.py
+++ b/merlinbay/decision/__init__.py
@@ -33,7 +33,8 @@
     TimerFired,
     WorkerEntry,
 )
-from merlinbay.decision.rules import Balancer, threshold
+from merlinbay.decision.rules import Balancer
+from merlinbay.decision.threshold import threshold
 
 __all__ = [
     "Action",
--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -142,13 +142,19 @@
         _need(self.balancers >= 1, "balancers", self.balancers)
         _need(0 <= self.me, "me", self.me)
         for job_class in self.classes:
-            _need(-1 <= job_class.kind < max(1, len(self.kinds)), f"classes[{job_class.name}].kind",
-                  job_class.kind)
+            _need(
+                -1 <= job_class.kind < max(1, len(self.kinds)),
+                f"classes[{job_class.name}].kind",
+                job_class.kind,
+            )
 
     def read(self, report: list[object]) -> dict[str, float]:
         """Return a load report's values by field; those that make no sense are left out."""
-        return {name: float(value) for name, value in zip(self.report_fields, report, strict=False)
-                if isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value < 1e6}
+        return {
+            name: float(value)
+            for name, value in zip(self.report_fields, report, strict=False)
+            if isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value < 1e6
+        }
 
 
 @dataclass(slots=True)
@@ -306,9 +312,23 @@
     body: bytes
 
 
-Event = (ListChanged | ListMoved | BalancersCounted | Maintained | JobArrived | JobWithdrawn | JobStarted
-         | JobProgress | JobPaused | StreamStarted | AttemptEnded | ProbeEnded | TimerFired | PeerMessage
-         | SlotsKept)
+Event = (
+    ListChanged
+    | ListMoved
+    | BalancersCounted
+    | Maintained
+    | JobArrived
+    | JobWithdrawn
+    | JobStarted
+    | JobProgress
+    | JobPaused
+    | StreamStarted
+    | AttemptEnded
+    | ProbeEnded
+    | TimerFired
+    | PeerMessage
+    | SlotsKept
+)
 
 
 # Actions: what the balancer wants done. A job with no action is held.
--- a/merlinbay/decision/beliefs.py
+++ b/merlinbay/decision/beliefs.py
@@ -158,13 +158,23 @@
         found = []
         for worker in self.workers.values():
             out = worker.bench_until > now_us
-            found.append({
-                "name": worker.name, "zone": worker.zone, "kind": self.kind_names().get(worker.kind, ""),
-                "state": worker.state, "slots": worker.kind.slots, "held": worker.held,
-                "others": self._others(worker), "pace": worker.pace,
-                "failures": worker.fails, "cold": self.cold(worker),
-                "out_since_us": worker.fault_at if out else 0,
-                "out_until_us": worker.bench_until if out else 0,
-                "why": f"{Outcome(worker.fault).name.lower().replace('_', ' ')}, {worker.fails} in a row"
-                       if out else ""})
+            found.append(
+                {
+                    "name": worker.name,
+                    "zone": worker.zone,
+                    "kind": self.kind_names().get(worker.kind, ""),
+                    "state": worker.state,
+                    "slots": worker.kind.slots,
+                    "held": worker.held,
+                    "others": self._others(worker),
+                    "pace": worker.pace,
+                    "failures": worker.fails,
+                    "cold": self.cold(worker),
+                    "out_since_us": worker.fault_at if out else 0,
+                    "out_until_us": worker.bench_until if out else 0,
+                    "why": f"{Outcome(worker.fault).name.lower().replace('_', ' ')}, {worker.fails} in a row"
+                    if out
+                    else "",
+                }
+            )
         return found
--- a/merlinbay/decision/learned.py
+++ b/merlinbay/decision/learned.py
@@ -80,11 +80,18 @@
     """Return what has been learned up to now."""
     load = LearnedLoad(memory.rate.value, memory.rate.at, *(getattr(memory, name) for name in LOAD))
     return Learned(
-        load, {name: LearnedKind(*(getattr(kind, at) for at in LearnedKind.__slots__))
-               for name, kind in memory.kinds.items()},
-        {name: LearnedClass(cls.run, cls.seen) for name, cls in classes.items()}, dict(memory.banned),
-        [LearnedWorker(*(getattr(worker, at) for at in LearnedWorker.__slots__))
-         for worker in memory.workers.values()])
+        load,
+        {
+            name: LearnedKind(*(getattr(kind, at) for at in LearnedKind.__slots__))
+            for name, kind in memory.kinds.items()
+        },
+        {name: LearnedClass(cls.run, cls.seen) for name, cls in classes.items()},
+        dict(memory.banned),
+        [
+            LearnedWorker(*(getattr(worker, at) for at in LearnedWorker.__slots__))
+            for worker in memory.workers.values()
+        ],
+    )
 
 
 def adopt(memory: Memory, classes: dict[str, Class], told: Learned) -> None:
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -297,7 +297,7 @@
     def sample(self, pool: list[Worker], most: int) -> list[Worker]:
         """Return a few workers at a random place of the shuffled pool."""
         at = self.rng.randrange(len(pool)) if len(pool) > most else 0
-        return pool[at:at + most] + pool[:max(0, at + most - len(pool))] if at else pool[:most]
+        return pool[at : at + most] + pool[: max(0, at + most - len(pool))] if at else pool[:most]
 
     def hangs(self, worker: Worker, silent_us: int) -> bool:
         """Tell whether a worker has taken jobs and answered none for so long."""
@@ -307,8 +307,9 @@
         """Count the slots of the workers in use, and our jobs at those that are gone or hang."""
         # Guards against cold workers that get nothing: they would count as holding what the warm ones do.
         self.slots_total = max(1.0, sum(w.kind.slots * self.capacity(w) for w in self.usable))
-        self.own_stuck = sum(w.held for w in self.workers.values()
-                             if w.held and (w.state != "up" or self.hangs(w, silent_us)))
+        self.own_stuck = sum(
+            w.held for w in self.workers.values() if w.held and (w.state != "up" or self.hangs(w, silent_us))
+        )
 
     def cold(self, worker: Worker) -> bool:
         """Tell whether a worker has started too lately to have its full capacity."""
@@ -325,7 +326,7 @@
         """Return when the worker's share of its capacity, summed over time since then, reaches an amount."""
         safety, grows = self.settings.safety, self._grows()
         amount += self.grown(worker, since)
-        past = math.sqrt(safety.cold_from ** 2 + 2 * grows * amount) - safety.cold_from
+        past = math.sqrt(safety.cold_from**2 + 2 * grows * amount) - safety.cold_from
         return worker.ready_at + int(past / grows)
 
     def grown(self, worker: Worker, until: int) -> float:
@@ -370,5 +371,7 @@
         away = self.settings.cross_zone_price > 0
         for index, name in enumerate(["", *self.settings.kinds]):
             fit = [w for w in self.usable if not index or w.kind is self.kinds[name]]
-            self.pools[index - 1] = ([w for w in fit if not away or w.zone == self.settings.zone],
-                                     [w for w in fit if away and w.zone != self.settings.zone])
+            self.pools[index - 1] = (
+                [w for w in fit if not away or w.zone == self.settings.zone],
+                [w for w in fit if away and w.zone != self.settings.zone],
+            )
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -1,6 +1,6 @@
 """Every decision of the balancer. Its interface (settings, events, actions) is ``merlinbay/decision/api.py``.
 
-Top to bottom: threshold, estimators, pick, a request's life, worker health, list. Records are in
+Top to bottom: estimators, pick, a request's life, worker health, list. Records are in
 ``records.py``, beliefs about workers and peers in ``beliefs.py``, calls for the list in ``calls.py``.
 Departures from the design say "Guards against". Times are microseconds.
 """
@@ -10,15 +10,14 @@
 import math
 import zlib
 from collections.abc import Callable
-from functools import lru_cache
 from random import Random
 from typing import Any
 
 from merlinbay.decision import api
 from merlinbay.decision.beliefs import RUN_WEIGHT, Beliefs
 from merlinbay.decision.calls import Calls
-from merlinbay.decision.lambert import lambertw
 from merlinbay.decision.records import Attempt, Class, Job, Kind, Rate, Worker
+from merlinbay.decision.threshold import threshold
 
 SCAN = 8  # workers sampled for one request: bounds its cost at any fleet size
 ASK = 3  # workers probed for one request of those nearby, and as many of those away
@@ -43,38 +42,9 @@
 BENCH_DOUBLINGS = 3  # so often at the most: none is shut out for good
 LET_PASS = {api.Outcome.ERROR: 1, api.Outcome.RESET: 2}  # failures in a row that tell nothing yet of a worker
 ERRING = 0.1  # errors reported, over the jobs that a full worker ends, from which one error leaves it out
-MOST_SUMMED = 10_000  # beyond so many waiting jobs the threshold's fraction decides nothing
 KEYS_KEPT = 4096  # keys whose preferred workers are remembered, to save hashing the zone anew
 
 
-@lru_cache(maxsize=65536)
-def threshold(r: float, k: float) -> tuple[float, float]:
-    """Return O2A's N and q for r = offered load / service rate and k = (R-p)/c.
-
-    Admit below N waiting jobs, with probability q at N. The paper's Algorithm 1 swaps the Lambert
-    branches: W-1 serves r < 1 and W0 serves r > 1. Near r = 1 the closed form cancels and its terms
-    overflow for large r, so the weighted sum of utilities, scaled by r^-n, settles the floor and q.
-    """
-    r = max(r, 1e-9)
-    if k < 1:
-        return 0.0, 0.0
-    if k > 1 and r <= 1 - 1 / k:
-        return math.inf, 0.0
-    n = 2 * k - 1
-    if abs(r - 1) >= 1e-4:
-        y = (k - 1 / (1 - r)) * math.log(r)
-        n = (lambertw(-y * math.exp(-y), -1 if r < 1 else 0) + y) / math.log(r)
-    if not n < MOST_SUMMED:
-        return float(MOST_SUMMED), 0.0
-    top, sums = max(0, math.floor(n)), [0.0]
-    while len(sums) <= top + 1 or sums[-1] >= 0:
-        sums.append((sums[-1] + k - len(sums)) / r)
-    top = len(sums) - 2
-    while top and sums[top] < 0:
-        top -= 1
-    return float(top), min(1.0, max(0.0, sums[top] / (top + 1 - k)))
-
-
 class Balancer(Beliefs):
     """The decisions of one scheduler."""
 
@@ -86,12 +56,22 @@
         self.mean_run = min(cls.run for cls in self.classes.values())  # or starting ones flood cold workers
         self.out: list[api.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
-            api.JobArrived: self._arrived, api.AttemptEnded: self._ended, api.JobStarted: self._noted,
-            api.JobProgress: self._noted, api.StreamStarted: self._noted, api.JobWithdrawn: self._withdrawn,
-            api.TimerFired: self._timer, api.ListChanged: self._list, api.ProbeEnded: self._probed,
-            api.JobPaused: self._paused, api.PeerMessage: lambda event: None, api.SlotsKept: self.keep,
+            api.JobArrived: self._arrived,
+            api.AttemptEnded: self._ended,
+            api.JobStarted: self._noted,
+            api.JobProgress: self._noted,
+            api.StreamStarted: self._noted,
+            api.JobWithdrawn: self._withdrawn,
+            api.TimerFired: self._timer,
+            api.ListChanged: self._list,
+            api.ProbeEnded: self._probed,
+            api.JobPaused: self._paused,
+            api.PeerMessage: lambda event: None,
+            api.SlotsKept: self.keep,
             api.ListMoved: self._moved,
-            api.BalancersCounted: self._recounted, api.Maintained: self._maintained}
+            api.BalancersCounted: self._recounted,
+            api.Maintained: self._maintained,
+        }
         self.calls = Calls(settings.me, settings.balancers, self.safety.must_ask_in_us, self.rng, now_us)
         if settings.must_subscribe:
             self.out += self.calls.start(now_us)
@@ -160,8 +140,11 @@
 
     def _may(self, worker: Worker, job: Job) -> bool:
         """Tell whether the worker may be sent this job at all now."""
-        if worker.state != "up" or worker.bench_until > self.now or (
-                job.only and worker.name not in job.only):
+        if (
+            worker.state != "up"
+            or worker.bench_until > self.now
+            or (job.only and worker.name not in job.only)
+        ):
             return False
         if self.hangs(worker, SILENT_US):
             return False  # Guards against a hung worker, which takes jobs and answers none.
@@ -202,7 +185,8 @@
             for worker in batch:
                 free = worker.kept if job.reserved else self._free(worker, caution)
                 if (slow := self._pace(worker) >= SLOW, -free) >= (best_slow, -best_free) or (
-                        not self._may(worker, job) or self._lacks_memory(worker, job)):
+                    not self._may(worker, job) or self._lacks_memory(worker, job)
+                ):
                     continue
                 if free < job.slots:
                     if room_only or worker.kept or job.reserved:  # nobody waits for what is kept
@@ -234,9 +218,20 @@
         run = max(float(event.hint_us), 1000.0) if event.hint_us else cls.run
         worth = cls.spec.worth * (self.settings.over_share_worth if self._over_share(event.tenant) else 1)
         worth *= run if self.settings.worth_by_work else 1
-        job = Job(event.id, cls, max(event.slots, 0.0), max(event.memory, 0.0), event.key, run, worth,
-                  self.now + event.budget_us, max(PATIENCE_MIN_US, PATIENCE * cls.spec.aim_us),
-                  event.only, event.room_only, event.reserved)
+        job = Job(
+            event.id,
+            cls,
+            max(event.slots, 0.0),
+            max(event.memory, 0.0),
+            event.key,
+            run,
+            worth,
+            self.now + event.budget_us,
+            max(PATIENCE_MIN_US, PATIENCE * cls.spec.aim_us),
+            event.only,
+            event.room_only,
+            event.reserved,
+        )
         self._count_offered(job)
         self._try(job)
 
@@ -307,8 +302,12 @@
                 waiting.awaited = 0
                 self._settle(waiting)
             job, attempt = self.find(waiting.id, number)
-            if job is None or attempt is None or job.done or (
-                    job.pending > 1 and any(a.open and a.started for a in job.attempts)):
+            if (
+                job is None
+                or attempt is None
+                or job.done
+                or (job.pending > 1 and any(a.open and a.started for a in job.attempts))
+            ):
                 continue
             if attempt.started:
                 if self.now >= attempt.look_at and not attempt.paused_at:  # else it was watched to start
@@ -363,8 +362,11 @@
         spec, first = job.cls.spec, job.maybe
         if self.now >= job.deadline or len(job.attempts) >= self.limits.send_cap:
             return False
-        return (first is None or spec.effect == "repeatable"
-                or (spec.effect == "by_key" and self.now < first.at + spec.window_us))
+        return (
+            first is None
+            or spec.effect == "repeatable"
+            or (spec.effect == "by_key" and self.now < first.at + spec.window_us)
+        )
 
     def _noted(self, event: api.JobStarted | api.JobProgress | api.StreamStarted) -> None:
         job, attempt = self.find(event.id, event.attempt)
@@ -398,8 +400,11 @@
     def _cancel(self, job: Job, keep: Attempt | None) -> None:
         """Cancel the job's other attempts; but one that runs goes on until the first has ended."""
         if self.limits.cancelling and job.pending > (keep is not None and keep.open):
-            self.out += [api.Cancel(job.id, number) for number, other in enumerate(job.attempts)
-                         if other.open and other is not keep and not (keep and other.started)]
+            self.out += [
+                api.Cancel(job.id, number)
+                for number, other in enumerate(job.attempts)
+                if other.open and other is not keep and not (keep and other.started)
+            ]
 
     def _ended(self, event: api.AttemptEnded) -> None:
         job, attempt = self.find(event.id, event.attempt)
@@ -458,7 +463,8 @@
                 worker.kind.slots = max(worker.kind.slots, count * (1 - worker.kind.queued))
             worker.observe(self.now, max(self._others(worker), 2 * worker.kind.slots - worker.held))
         elif outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT) and (
-                outcome != api.Outcome.TIMEOUT or worker.heard_at <= attempt.at):
+            outcome != api.Outcome.TIMEOUT or worker.heard_at <= attempt.at
+        ):
             # Guards against a worker that fails at once and so looks free: each failure in a row leaves
             # it out for longer. A single error, or a time-out on a worker that works, is let pass. So are
             # two resets: a network that breaks connections says nothing of the workers behind it.
@@ -466,8 +472,8 @@
             if erring or worker.fails > LET_PASS.get(api.Outcome(outcome), 0):
                 worker.bench_until = self.now + (BENCH_US << min(worker.fails - 1, BENCH_DOUBLINGS))
                 if worker.fails in (2, 3):
-                    self.out.append(api.Note(
-                        f"left out {worker.name}: outcome {int(outcome)}, {worker.fails} failures in a row"))
+                    failures = f"outcome {int(outcome)}, {worker.fails} failures in a row"
+                    self.out.append(api.Note(f"left out {worker.name}: {failures}"))
         self._report(event)
 
     def _erring(self, worker: Worker, event: api.AttemptEnded) -> bool:
--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -25,8 +25,15 @@
 class DnsSdDirectory:
     """Tells the whole list after every change. A name that it lacks is removed."""
 
-    def __init__(self, server: tuple[str, int], service: str, inbox: trio.MemorySendChannel[ports.Message],
-                 limits: Limits, counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        server: tuple[str, int],
+        service: str,
+        inbox: trio.MemorySendChannel[ports.Message],
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self.server, self.service = server, dns.name.from_text(service)
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
         self.last: dict[str, ServiceEntry] | None = None  # what was told
@@ -74,7 +81,7 @@
         """Return the entries by name, and the least TTL of all that they rest on."""
         found, least = await self._query(self.service, dns.rdatatype.PTR)
         listed: dict[str, ServiceEntry] = {}
-        for instance in records.instances(found)[:self.limits.dns_instances]:
+        for instance in records.instances(found)[: self.limits.dns_instances]:
             try:
                 services, srv_ttl = await self._query(instance, dns.rdatatype.SRV)
                 target = records.best_target(services)
@@ -83,8 +90,9 @@
                 entry = records.entry(instance, target, records.address(hosts), records.attributes(texts))
             except records.NoEntry as error:  # one bad instance hides no other
                 self.counters.add("dns_bad_instances")
-                self.log.event("dnssd_instance_failed", level="warning", instance=str(instance),
-                               error=repr(error))
+                self.log.event(
+                    "dnssd_instance_failed", level="warning", instance=str(instance), error=repr(error)
+                )
                 continue
             listed[entry.server] = entry
             least = min(least, srv_ttl, txt_ttl, host_ttl)
@@ -93,8 +101,9 @@
     async def _query(self, name: dns.name.Name, kind: dns.rdatatype.RdataType) -> tuple[list[object], int]:
         host, port = self.server
         query = dns.message.make_query(name, kind)
-        answer, _ = await dns.asyncquery.udp_with_fallback(query, host, timeout=self.limits.dns_query,
-                                                           port=port)
+        answer, _ = await dns.asyncquery.udp_with_fallback(
+            query, host, timeout=self.limits.dns_query, port=port
+        )
         if answer.rcode() not in (dns.rcode.NOERROR, dns.rcode.NXDOMAIN):
             raise Failed(f"{name}: {dns.rcode.to_text(answer.rcode())}")
         return records.records(answer, name, kind)
--- a/merlinbay/dnssd/records.py
+++ b/merlinbay/dnssd/records.py
@@ -21,8 +21,9 @@
     """An instance whose records do not make an entry."""
 
 
-def records(message: dns.message.Message, name: dns.name.Name,
-            kind: dns.rdatatype.RdataType) -> tuple[list[object], int]:
+def records(
+    message: dns.message.Message, name: dns.name.Name, kind: dns.rdatatype.RdataType
+) -> tuple[list[object], int]:
     """Return the records of a name in an answer, and their TTL."""
     found = message.get_rrset(message.answer, name, dns.rdataclass.IN, kind)
     return ([], 0) if found is None else (list(found), int(found.ttl))
@@ -66,8 +67,13 @@
     try:
         return ServiceEntry(
             server=txt.get("id") or instance.labels[0].decode("utf-8", "replace"),
-            addr=f"{host}:{service.port}", zone=txt.get("zone", ""), kind=txt.get("kind", ""),
-            cell=int(txt.get("cell") or 0), state=state if state in STATES else "draining",
-            weight=float(service.weight or 1), started_us=int(txt.get("started_ms") or 0) * 1000)
+            addr=f"{host}:{service.port}",
+            zone=txt.get("zone", ""),
+            kind=txt.get("kind", ""),
+            cell=int(txt.get("cell") or 0),
+            state=state if state in STATES else "draining",
+            weight=float(service.weight or 1),
+            started_us=int(txt.get("started_ms") or 0) * 1000,
+        )
     except ValueError as error:
         raise NoEntry(str(error)) from None
--- a/merlinbay/dnssd/wiring.py
+++ b/merlinbay/dnssd/wiring.py
@@ -13,7 +13,8 @@
 from merlinbay.problems import address
 
 
-def wire(section: DnsSd, inbox: trio.MemorySendChannel[ports.Message], limits: Limits, counters: Counters,
-         log: Log) -> DnsSdDirectory:
+def wire(
+    section: DnsSd, inbox: trio.MemorySendChannel[ports.Message], limits: Limits, counters: Counters, log: Log
+) -> DnsSdDirectory:
     """Make the directory. Raises ``BadConfig``."""
     return DnsSdDirectory(address(section.nameserver), section.service, inbox, limits, counters, log)
--- a/merlinbay/drmaa/answers.py
+++ b/merlinbay/drmaa/answers.py
@@ -59,6 +59,6 @@
         headers.append((b"retry-after", f"{error.retry_after_us / 1e6:.3f}".encode()))
     if error.nobody:
         headers.append((b"www-authenticate", b"Bearer"))
-    return Response(words.status_of(error), words.error_body(error.name, str(error), error.retry_after_us),
-                    headers)
-
+    return Response(
+        words.status_of(error), words.error_body(error.name, str(error), error.retry_after_us), headers
+    )
--- a/merlinbay/drmaa/calls.py
+++ b/merlinbay/drmaa/calls.py
@@ -23,8 +23,14 @@
 
 DEFAULT = "default"  # the session of the paths that name none
 ACTIONS = ("hold", "release", "suspend", "resume", "terminate", "reap")
-PLAIN = ("jobs", "arrays", "waitAnyStarted", "waitAnyTerminated", "events",
-         "listeners")  # in the session that need not be named
+PLAIN = (
+    "jobs",
+    "arrays",
+    "waitAnyStarted",
+    "waitAnyTerminated",
+    "events",
+    "listeners",
+)  # in the session that need not be named
 
 
 class Calls:
@@ -54,8 +60,13 @@
             case "GET", ["reflective"]:
                 return ok(info.REFLECTIVE)
             case "GET", ["sessions"]:
-                return ok({"sessionNames": sorted(name for name, session in engine.sessions.items()
-                                                  if ask.grant.sees(session.owner))})
+                return ok(
+                    {
+                        "sessionNames": sorted(
+                            name for name, session in engine.sessions.items() if ask.grant.sees(session.owner)
+                        )
+                    }
+                )
             case "POST", ["sessions"]:
                 return self._create(ask)
             case "GET", ["sessions", name]:
@@ -118,8 +129,9 @@
         if wish.backlog and not limits.backlog:
             raise DrmaaError("DeniedByDrmsException", "sessions of clients keep no backlog here")
         section = session_section(wish, limits)
-        session = self.engine.create(call.sessionName, call.contact, section.allowance(),
-                                     section.waits(), ask.now)
+        session = self.engine.create(
+            call.sessionName, call.contact, section.allowance(), section.waits(), ask.now
+        )
         session.owner = ask.grant.account
         self.front.log.event("session_created", session=session.name, backlog=section.backlog)
         return ok(info.session_info(session), 201)
@@ -149,8 +161,9 @@
                 template = self._job(ask, session, job_id).what.template
                 return ok({"jobTemplate": msgspec.Raw(template)})
             case "GET", ["jobs", job_id, ("wait" | "waitTerminated" | "waitStarted") as verb]:
-                return self._wait(ask, [self._job(ask, session, job_id)], verb == "waitStarted",
-                                  ask.timeout())
+                return self._wait(
+                    ask, [self._job(ask, session, job_id)], verb == "waitStarted", ask.timeout()
+                )
             case "POST", ["jobs", job_id, verb] if verb in ACTIONS:
                 return self._act(ask, self._job(ask, session, job_id), verb)
             case "DELETE", ["jobs", job_id]:
@@ -159,20 +172,34 @@
                 wanted = words.read_wait_any(body)
                 if wanted.timeout is not None and not wanted.timeout >= 0:
                     raise invalid_argument("timeout")
-                return self._wait(ask, self._known(ask, session, wanted.jobIds), verb == "waitAnyStarted",
-                                  wanted.timeout)
+                return self._wait(
+                    ask, self._known(ask, session, wanted.jobIds), verb == "waitAnyStarted", wanted.timeout
+                )
             case "POST", ["arrays"]:
                 ask.grant.need(Scope.SUBMIT)
                 bulk = words.read_run_bulk(body)
-                array = self.engine.submit_array(session, self._submission(ask, bulk.jobTemplate),
-                                                 bulk.beginIndex, bulk.endIndex, bulk.step, bulk.maxParallel,
-                                                 ask.now)
+                array = self.engine.submit_array(
+                    session,
+                    self._submission(ask, bulk.jobTemplate),
+                    bulk.beginIndex,
+                    bulk.endIndex,
+                    bulk.step,
+                    bulk.maxParallel,
+                    ask.now,
+                )
                 self.counters.add("drmaa_arrays_taken")
                 return ok(info.array_info(array), 201)
             case "GET", ["arrays"]:
                 ask.grant.need(Scope.MONITOR)
-                return ok({"jobArrayIds": [found.id for found in session.arrays.values()
-                                           if ask.grant.sees(found.what.account)]})
+                return ok(
+                    {
+                        "jobArrayIds": [
+                            found.id
+                            for found in session.arrays.values()
+                            if ask.grant.sees(found.what.account)
+                        ]
+                    }
+                )
             case "GET", ["arrays", array_id]:
                 ask.grant.need(Scope.MONITOR)
                 return ok(info.array_info(self._array(ask, session, array_id)))
@@ -290,9 +317,18 @@
         if not states <= {state.value for state in State}:
             raise invalid_argument("state")
         (after, limit), sees = ask.page(), ask.grant.sees
-        found = list(islice((job for job in session.jobs.values() if job.order > after
-                             and sees(job.what.account)
-                             and (not states or job.state.value in states)), limit + 1))
+        found = list(
+            islice(
+                (
+                    job
+                    for job in session.jobs.values()
+                    if job.order > after
+                    and sees(job.what.account)
+                    and (not states or job.state.value in states)
+                ),
+                limit + 1,
+            )
+        )
         jobs = [info.job_brief(job) for job in found[:limit]]
         more = {"next": found[limit - 1].order} if len(found) > limit else {}
         return ok({"jobs": jobs, **more})
@@ -302,5 +338,3 @@
     """Return runJob's answer."""
     assert job is not None
     return ok({"jobId": job.id, "jobState": str(job.state)}, 201)
-
-
--- a/merlinbay/drmaa/edges.py
+++ b/merlinbay/drmaa/edges.py
@@ -84,9 +84,15 @@
             exception, note = self._why_failed(ending, now)
             front.engine.failed(job, exception, note, now, ending.exit_status, ending.signal, ending.output)
         if front.log.debug:
-            front.log.event("job_ended" if job.ended else "job_refused", level="debug", job=job.id,
-                            session=job.session.name, state=str(job.state), server=job.server,
-                            exception=job.exception)
+            front.log.event(
+                "job_ended" if job.ended else "job_refused",
+                level="debug",
+                job=job.id,
+                session=job.session.name,
+                state=str(job.state),
+                server=job.server,
+                exception=job.exception,
+            )
         front.flush(now)
 
     def _why_failed(self, ending: Ending, now_us: int) -> tuple[str, str]:
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -44,9 +44,19 @@
 class DrmaaFront:
     """Handles the paths below ``/drmaa2`` but for the schedulers' notifications."""
 
-    def __init__(self, inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
-                 counters: Counters, log: Log, classes: list[api.JobClass], settings: Drmaa,
-                 machine: str, gate: Gate | None = None, own: tuple[tuple[str, int], ...] = ()) -> None:
+    def __init__(
+        self,
+        inbox: trio.MemorySendChannel[ports.Message],
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+        classes: list[api.JobClass],
+        settings: Drmaa,
+        machine: str,
+        gate: Gate | None = None,
+        own: tuple[tuple[str, int], ...] = (),
+    ) -> None:
         self.inbox, self.clock, self.limits = inbox, clock, limits
         self.counters, self.log, self.settings, self.machine = counters, log, settings, machine
         self.rules = templates.Rules({spec.name: spec for spec in classes}, settings.memory_unit_kib)
@@ -63,8 +73,9 @@
             self._keep_events(own)
         self.reserving: Reserving | None = None
         if settings.reservations.slots:
-            self.reserving = Reserving(settings.reservations, self.engine.timers, self.post,
-                                       self._reservation, clock.now_us)
+            self.reserving = Reserving(
+                settings.reservations, self.engine.timers, self.post, self._reservation, clock.now_us
+            )
             self.engine.watcher = self
         self.calls = Calls(self)
         now = clock.now_us()
@@ -75,10 +86,25 @@
     def _keep_events(self, own: tuple[tuple[str, int], ...]) -> None:
         wish = self.settings.events
         journal = Journal(wish.keep, wish.keep_kib * 1024, lambda: secrets.token_hex(4))
-        self.hub = Hub(journal, wish.bounds(), self.limits.waits, Allowed.read(wish.to, own),
-                       self.engine.timers, lambda: secrets.token_hex(8), Random(secrets.randbits(64)))
-        self.sender = Sender(self.hub.listeners, listening.write_batch, self.flush, self.clock, self.limits,
-                             self.counters, self.log, wish.timeout)
+        self.hub = Hub(
+            journal,
+            wish.bounds(),
+            self.limits.waits,
+            Allowed.read(wish.to, own),
+            self.engine.timers,
+            lambda: secrets.token_hex(8),
+            Random(secrets.randbits(64)),
+        )
+        self.sender = Sender(
+            self.hub.listeners,
+            listening.write_batch,
+            self.flush,
+            self.clock,
+            self.limits,
+            self.counters,
+            self.log,
+            wish.timeout,
+        )
         self.engine.watcher = self
 
     def changed(self, change: Change, job: Job) -> None:
@@ -87,8 +113,15 @@
             self.reserving.changed(job)
         if self.hub is None:
             return
-        self.hub.tell(job.session.name, News(change.value), job.id, job.state.value, job.what.account,
-                      self.clock.now_us(), job.server)
+        self.hub.tell(
+            job.session.name,
+            News(change.value),
+            job.id,
+            job.state.value,
+            job.what.account,
+            self.clock.now_us(),
+            job.server,
+        )
 
     def back(self, job: Job) -> None:
         """Take it that a job is not with the core any more, whatever its state."""
@@ -99,8 +132,15 @@
         """Take it that members of an array have ended unmade: one event for all."""
         if self.hub is None:
             return
-        self.hub.tell(array.session.name, News.NEW_STATE, array.id, State.FAILED.value, array.what.account,
-                      self.clock.now_us(), members=number)
+        self.hub.tell(
+            array.session.name,
+            News.NEW_STATE,
+            array.id,
+            State.FAILED.value,
+            array.what.account,
+            self.clock.now_us(),
+            members=number,
+        )
 
     def forget_edge(self, job: Job) -> None:
         """Take it that a job's flow is over."""
@@ -108,12 +148,19 @@
 
     def _reservation(self, found: Reservation, what: str) -> None:
         """Tell at once what became of a reservation: an event of the default session."""
-        self.log.event("reservation", id=found.id, what=what, slots=found.total, lost=found.lost,
-                       why=found.why)
+        self.log.event(
+            "reservation", id=found.id, what=what, slots=found.total, lost=found.lost, why=found.why
+        )
         self.counters.add("reservations_reduced", what == "REDUCED")
         if self.hub is not None:
-            self.hub.tell(DEFAULT, News.ATTRIBUTE_CHANGE, f"reservation:{found.id}", what,
-                          found.account or "", self.clock.now_us())
+            self.hub.tell(
+                DEFAULT,
+                News.ATTRIBUTE_CHANGE,
+                f"reservation:{found.id}",
+                what,
+                found.account or "",
+                self.clock.now_us(),
+            )
 
     # The engine's side.
 
--- a/merlinbay/drmaa/listening.py
+++ b/merlinbay/drmaa/listening.py
@@ -51,10 +51,17 @@
             case "POST", ["listeners"]:
                 return self._register(ask, hub, session)
             case "GET", ["listeners"]:
-                return ok({"listeners": [
-                    listener_info(found) for found in hub.listeners.all.values()
-                    if found.stream.session == session.name and not found.stream.ended
-                    and account in (None, found.owner)]})
+                return ok(
+                    {
+                        "listeners": [
+                            listener_info(found)
+                            for found in hub.listeners.all.values()
+                            if found.stream.session == session.name
+                            and not found.stream.ended
+                            and account in (None, found.owner)
+                        ]
+                    }
+                )
             case "GET", ["listeners", listener_id]:
                 return ok(listener_info(hub.listener(session.name, listener_id, account)))
             case "DELETE", ["listeners", listener_id]:
@@ -71,8 +78,15 @@
         limit, timeout = ask.page_limit(), ask.timeout()
         wanted = wanted_of(ask.query.get("event", []), ask.grant.account, ask.query.get("job", [""])[0])
         call = ask.later(self.front.clock)
-        hub.poll(call, session.name, ask.query.get("after", [""])[0], limit, wanted,
-                 ask.until_us(min(WAIT_MOST if timeout is None else timeout, 3600.0)), ask.now)
+        hub.poll(
+            call,
+            session.name,
+            ask.query.get("after", [""])[0],
+            limit,
+            wanted,
+            ask.until_us(min(WAIT_MOST if timeout is None else timeout, 3600.0)),
+            ask.now,
+        )
         return call
 
     def _register(self, ask: Ask, hub: Hub, session: Session) -> Response:
@@ -85,27 +99,40 @@
         except ValueError as error:
             raise invalid_argument(f"key: {error}") from None
         account = ask.grant.account
-        found = hub.register(session.name, wish.url, wanted_of(wish.events, account), key, wish.cursor,
-                             account or "")
+        found = hub.register(
+            session.name, wish.url, wanted_of(wish.events, account), key, wish.cursor, account or ""
+        )
         self.front.counters.add("listeners_registered")
         return ok({**listener_info(found), "key": signing.write_key(key)}, 201)
 
 
 def listener_info(listener: Listener) -> dict[str, object]:
     """Return what is told of a listener; never its key."""
-    return {"listenerId": listener.id, "url": listener.url, "events": sorted(listener.wanted.news),
-            "state": listener.state, "cursor": listener.stream.cursor(listener.after),
-            "delivered": listener.delivered, "missed": listener.missed, "failures": listener.failures,
-            "lastFailure": listener.why,
-            "behind": listener.stream.last - listener.after}
+    return {
+        "listenerId": listener.id,
+        "url": listener.url,
+        "events": sorted(listener.wanted.news),
+        "state": listener.state,
+        "cursor": listener.stream.cursor(listener.after),
+        "delivered": listener.delivered,
+        "missed": listener.missed,
+        "failures": listener.failures,
+        "lastFailure": listener.why,
+        "behind": listener.stream.last - listener.after,
+    }
 
 
 def event_text(entry: Entry, session: str) -> bytes:
     """Write one event, once."""
     if not entry.text:
         value: dict[str, object] = {
-            "number": entry.number, "event": entry.news, "sessionName": session, "jobId": entry.job,
-            "jobState": entry.state, "time": words.when(entry.at_us)}
+            "number": entry.number,
+            "event": entry.news,
+            "sessionName": session,
+            "jobId": entry.job,
+            "jobState": entry.state,
+            "time": words.when(entry.at_us),
+        }
         if entry.machine:
             value["machine"] = entry.machine
         if entry.account:
@@ -118,8 +145,12 @@
 
 def events_of(stream: Stream, entries: list[Entry], upto: int, missed: int) -> dict[str, object]:
     """Return what a poll's answer and a call-back have in common."""
-    return {"sessionName": stream.session, "cursor": stream.cursor(upto), "missed": missed,
-            "events": [msgspec.Raw(event_text(entry, stream.session)) for entry in entries]}
+    return {
+        "sessionName": stream.session,
+        "cursor": stream.cursor(upto),
+        "missed": missed,
+        "events": [msgspec.Raw(event_text(entry, stream.session)) for entry in entries],
+    }
 
 
 def page(stream: Stream, found: Page) -> Response:
@@ -130,5 +161,10 @@
 def write_batch(batch: Batch) -> bytes:
     """Write a call-back's body."""
     stream = batch.listener.stream
-    return words.write({"type": "drmaa2.events", "listenerId": batch.listener.id,
-                        **events_of(stream, batch.entries, batch.upto, batch.missed)})
+    return words.write(
+        {
+            "type": "drmaa2.events",
+            "listenerId": batch.listener.id,
+            **events_of(stream, batch.entries, batch.upto, batch.missed),
+        }
+    )
--- a/merlinbay/drmaa/monitoring.py
+++ b/merlinbay/drmaa/monitoring.py
@@ -35,6 +35,7 @@
 
     def _jobs(self, ask: Ask) -> Response:
         from merlinbay.monitor import filters, view  # Guards against a slow start: a grammar is built
+
         grant, text = ask.grant, ask.query.get("filter", [""])[0]
         try:
             test = filters.compiled(text, view.KINDS) if text else None
@@ -57,11 +58,18 @@
         for name, spec in self.front.rules.classes.items():
             if names and name not in names:
                 continue
-            row: dict[str, object] = {"name": name, "effect": spec.effect, "aim": spec.aim_us / 1e6,
-                                      "deadline": spec.deadline_us / 1e6}
+            row: dict[str, object] = {
+                "name": name,
+                "effect": spec.effect,
+                "aim": spec.aim_us / 1e6,
+                "deadline": spec.deadline_us / 1e6,
+            }
             if ask.grant.account is None:
-                row["waiting"] = sum(number for shape, number in engine.waiting.items()
-                                     if isinstance(shape, tuple) and shape[0] == name)
+                row["waiting"] = sum(
+                    number
+                    for shape, number in engine.waiting.items()
+                    if isinstance(shape, tuple) and shape[0] == name
+                )
             rows.append(row)
         return ok({"queues": rows})
 
@@ -69,8 +77,9 @@
         reserving, (after, limit) = self.front.reserving, (ask.query.get("after", [""])[0], ask.page_limit())
         if reserving is None:
             raise unsupported("nothing is reserved here")
-        found = sorted(name for name, row in reserving.book.all.items()
-                       if name > after and ask.grant.sees(row.account))
+        found = sorted(
+            name for name, row in reserving.book.all.items() if name > after and ask.grant.sees(row.account)
+        )
         more = {"next": found[limit - 1]} if len(found) > limit else {}
         rows = [reservation_info(reserving.book.all[name]) for name in found[:limit]]
         return ok({"reservations": rows, **more})
@@ -81,8 +90,10 @@
         call = ask.later(self.front.clock)
 
         def told(machines: list[ports.MachineView]) -> None:
-            found = sorted((row for row in machines if row.name > after and (not names or row.name in names)),
-                           key=lambda row: row.name)
+            found = sorted(
+                (row for row in machines if row.name > after and (not names or row.name in names)),
+                key=lambda row: row.name,
+            )
             more = {"next": found[limit - 1].name} if len(found) > limit else {}
             call.done(ok({"machines": [machine_info(row, ask.now) for row in found[:limit]], **more}))
 
@@ -93,13 +104,20 @@
 def machine_info(row: ports.MachineView, now_us: int) -> dict[str, object]:
     """Return MachineInfo (GFD.194, 5.7), as far as it is known, and what the node believes."""
     found: dict[str, object] = {
-        "name": row.name, "available": row.state == "up" and not row.out_until_us, "state": row.state,
-        "zone": row.zone, "kind": row.kind, "slots": round(row.slots, 1), "held": row.held,
-        "heldByOthers": round(row.others, 1), "load": round((row.held + row.others) / max(row.slots, 1), 3),
-        "pace": round(row.pace, 3), "failures": row.failures}
+        "name": row.name,
+        "available": row.state == "up" and not row.out_until_us,
+        "state": row.state,
+        "zone": row.zone,
+        "kind": row.kind,
+        "slots": round(row.slots, 1),
+        "held": row.held,
+        "heldByOthers": round(row.others, 1),
+        "load": round((row.held + row.others) / max(row.slots, 1), 3),
+        "pace": round(row.pace, 3),
+        "failures": row.failures,
+    }
     if row.cold:
         found["cold"] = True
     if row.out_until_us:
-        found["leftOut"] = {"why": row.why, "since": when(row.out_since_us),
-                            "until": when(row.out_until_us)}
+        found["leftOut"] = {"why": row.why, "since": when(row.out_since_us), "until": when(row.out_until_us)}
     return found
--- a/merlinbay/drmaa/reserving.py
+++ b/merlinbay/drmaa/reserving.py
@@ -70,8 +70,14 @@
 class Reserving:
     """The book at work: told of real servers and jobs, it says what is to be kept free."""
 
-    def __init__(self, settings: Reservations, timers: Timers, post: Callable[[ports.Message], None],
-                 told: Callable[[Reservation, str], None], now_us: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        settings: Reservations,
+        timers: Timers,
+        post: Callable[[ports.Message], None],
+        told: Callable[[Reservation, str], None],
+        now_us: Callable[[], int],
+    ) -> None:
         self.settings, self.post, self.told, self.now_us = settings, post, told, now_us
         self.book = SlotBook(settings.bounds(), timers, lambda: secrets.token_hex(8), self._changed)
         self.sessions: dict[str, str | None] = {DEFAULT: None}  # and whose each is
@@ -134,8 +140,9 @@
         kept = self.book.kept()
         for server in self.kept.keys() | kept.keys():
             if kept.get(server, 0) != self.kept.get(server, 0):
-                self.post(ports.SlotsKept(server, float(kept.get(server, 0)),
-                                          float(self.sizes.get(server, 0))))
+                self.post(
+                    ports.SlotsKept(server, float(kept.get(server, 0)), float(self.sizes.get(server, 0)))
+                )
         self.kept = kept
 
     def _changed(self, found: Reservation, what: str) -> None:
@@ -163,8 +170,13 @@
             return self._in_session(ask, DEFAULT, parts[1:])
         match ask.request.method, parts[1:]:
             case "GET", []:
-                return ok({"sessionNames": sorted(name for name, owner in self.sessions.items()
-                                                  if ask.grant.sees(owner))})
+                return ok(
+                    {
+                        "sessionNames": sorted(
+                            name for name, owner in self.sessions.items() if ask.grant.sees(owner)
+                        )
+                    }
+                )
             case "POST", []:
                 name = read(_create, ask.request.body).sessionName
                 if not NAME.fullmatch(name) or name in self.sessions:
@@ -197,12 +209,15 @@
                 wish = wish_of(read(_request, ask.request.body).reservationTemplate)
                 return ok(info(self.book.reserve(wish, ask.grant.account, session, ask.now)), 201)
             case "GET", []:
-                names = [found.id for found in self.book.all.values()
-                         if found.session == session and ask.grant.sees(found.account)]
+                names = [
+                    found.id
+                    for found in self.book.all.values()
+                    if found.session == session and ask.grant.sees(found.account)
+                ]
                 after, limit = ask.query.get("after", [""])[0], ask.page_limit()
                 start = names.index(after) + 1 if after in names else 0
                 more = {"next": names[start + limit - 1]} if len(names) > start + limit else {}
-                return ok({"reservationIds": names[start:start + limit], **more})
+                return ok({"reservationIds": names[start : start + limit], **more})
             case "GET", [name]:
                 return ok(info(self._found(ask, session, name)))
             case ("POST", [name, "terminate"]) | ("DELETE", [name]):
@@ -251,18 +266,29 @@
     if not 1 <= low <= high <= 1_000_000:
         raise invalid_argument("minSlots and maxSlots")
     start, end = template.startTime, template.endTime
-    return Wish(low, high, 0 if start is None else moment("startTime", start),
-                0 if end is None else moment("endTime", end),
-                int((template.duration or 0) * 1e6), tuple(template.candidateMachines),
-                template.reservationName)
+    return Wish(
+        low,
+        high,
+        0 if start is None else moment("startTime", start),
+        0 if end is None else moment("endTime", end),
+        int((template.duration or 0) * 1e6),
+        tuple(template.candidateMachines),
+        template.reservationName,
+    )
 
 
 def info(found: Reservation) -> dict[str, object]:
     """Return ReservationInfo, and (of this binding) its state and what became of its slots."""
-    return {"reservationId": found.id, "reservationName": found.wish.name,
-            "reservedStartTime": when(found.start_us), "reservedEndTime": when(found.end_us),
-            "reservedSlots": found.total,
-            "reservedMachines": [{"machineName": name, "slots": slots}
-                                 for name, slots in found.slots.items()],
-            "state": found.phase.value, "used": sum(slots for _, slots in found.used.values()),
-            "movedSlots": found.moved, "lostSlots": found.lost, "annotation": found.why}
+    return {
+        "reservationId": found.id,
+        "reservationName": found.wish.name,
+        "reservedStartTime": when(found.start_us),
+        "reservedEndTime": when(found.end_us),
+        "reservedSlots": found.total,
+        "reservedMachines": [{"machineName": name, "slots": slots} for name, slots in found.slots.items()],
+        "state": found.phase.value,
+        "used": sum(slots for _, slots in found.used.values()),
+        "movedSlots": found.moved,
+        "lostSlots": found.lost,
+        "annotation": found.why,
+    }
--- a/merlinbay/drmaa/servers.py
+++ b/merlinbay/drmaa/servers.py
@@ -26,9 +26,18 @@
 class DrmaaServers(PooledServers):
     """Sends schedulings to schedulers."""
 
-    def __init__(self, nursery: trio.Nursery, pool: ConnectionPool,
-                 inbox: trio.MemorySendChannel[ports.Message], clock: Clock, limits: Limits,
-                 counters: Counters, log: Log, notify: str, ask: AskLimits) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        pool: ConnectionPool,
+        inbox: trio.MemorySendChannel[ports.Message],
+        clock: Clock,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+        notify: str,
+        ask: AskLimits,
+    ) -> None:
         super().__init__(nursery, pool, inbox, clock, limits, counters, log)
         self.notify = notify
         self.sending: set[Scheduling] = set()  # their runJob is unanswered,
@@ -86,7 +95,8 @@
             changed = set(self.started_us) - {entry.server for entry in entries}
         for entry in entries:
             if self.started_us.get(entry.server, entry.started_us) != entry.started_us or (
-                    entry.state == "removed"):
+                entry.state == "removed"
+            ):
                 changed.add(entry.server)
             self.started_us[entry.server] = entry.started_us
         for server in changed:
@@ -108,8 +118,9 @@
         """Ask for the state of jobs that nothing was heard of, for ever."""
         while True:
             due = self.asking.next_us()
-            with trio.CancelScope(deadline=float("inf") if due is None else self.clock.to_trio(due)
-                                  ) as self.nap:
+            with trio.CancelScope(
+                deadline=float("inf") if due is None else self.clock.to_trio(due)
+            ) as self.nap:
                 await trio.sleep_forever()
             for key in self.asking.take(self.clock.now_us()):
                 assert isinstance(key, Scheduling)
@@ -122,13 +133,19 @@
             self.nap.deadline = self.clock.to_trio(due)
 
     async def _send(self, scheduling: Scheduling) -> None:
-        call = words.RunJob(templates.template_for(scheduling.spec, scheduling.deadline_us),
-                            scheduling.server, self.notify)
+        call = words.RunJob(
+            templates.template_for(scheduling.spec, scheduling.deadline_us), scheduling.server, self.notify
+        )
         reply: Reply | Outcome = Outcome.TIMEOUT
         with trio.move_on_at(self.clock.to_trio(scheduling.deadline_us) + self.limits.late_answer):
-            reply = await self.attempt(scheduling.server, "POST", JOBS,
-                                       [("content-type", "application/json")], words.write(call),
-                                       scheduling.wanted)
+            reply = await self.attempt(
+                scheduling.server,
+                "POST",
+                JOBS,
+                [("content-type", "application/json")],
+                words.write(call),
+                scheduling.wanted,
+            )
         outcome, job_id = outcome_of(reply) if isinstance(reply, Reply) else (reply, "")
         self.sending.discard(scheduling)
         gave_up, recall = scheduling in self.given_up, scheduling in self.recalls
@@ -144,8 +161,11 @@
             if recall:
                 await self._recall(scheduling, job_id)
         elif not job_id and not gave_up:
-            await self.ended(scheduling, outcome, unfit=(
-                isinstance(reply, Reply) and outcome is Outcome.ERROR and reply.status == 400))
+            await self.ended(
+                scheduling,
+                outcome,
+                unfit=(isinstance(reply, Reply) and outcome is Outcome.ERROR and reply.status == 400),
+            )
 
     async def _terminate(self, server: str, job_id: str) -> None:
         with trio.move_on_after(self.limits.cancel_exchange):
@@ -167,8 +187,9 @@
             if isinstance(reply, Reply):
                 error, message = error_of(reply)
         self.counters.add("drmaa_controls_failed" if error else "drmaa_controls")
-        await self.post(ports.SchedulingControlled(scheduling.spec.name, scheduling.server, action,
-                                                   error, message))
+        await self.post(
+            ports.SchedulingControlled(scheduling.spec.name, scheduling.server, action, error, message)
+        )
 
     async def _ask(self, scheduling: Scheduling, job_id: str) -> None:
         """Ask for one job's state, and tell what differs from what is known."""
@@ -267,13 +288,23 @@
     if note.jobState == words.SUSPENDED:
         return ports.SchedulingSuspended(note.jobName, note.sessionName)
     info = note.jobInfo or words.JobInfo(note.jobId, note.jobState)
-    ending = Ending(info.exitStatus, info.terminatingSignal, int((info.cpuTime or 0) * 1e6),
-                    info.annotation, info.output if note.jobState == words.FAILED else b"")
+    ending = Ending(
+        info.exitStatus,
+        info.terminatingSignal,
+        int((info.cpuTime or 0) * 1e6),
+        info.annotation,
+        info.output if note.jobState == words.FAILED else b"",
+    )
     if note.jobState == words.DONE:
         return ports.SchedulingEnded(note.jobName, note.sessionName, Outcome.OK, info.output, ending=ending)
     if note.jobState == words.FAILED:
-        outcome = (Outcome.FULL if info.exception in UNSTARTED  # handed back unstarted, by a drain for one
-                   else Outcome.RESET if info.terminatingSignal else Outcome.ERROR)
+        outcome = (
+            Outcome.FULL
+            if info.exception in UNSTARTED  # handed back unstarted, by a drain for one
+            else Outcome.RESET
+            if info.terminatingSignal
+            else Outcome.ERROR
+        )
         # Guards against a job that fails by itself and is run again and again: it has told its exit status.
         ran = outcome is Outcome.ERROR and info.exitStatus is not None and not info.exception
         return ports.SchedulingEnded(note.jobName, note.sessionName, outcome, unfit=ran, ending=ending)
--- a/merlinbay/drmaa/settings.py
+++ b/merlinbay/drmaa/settings.py
@@ -46,8 +46,7 @@
         """Return its backlog's settings, if it keeps one."""
         if not self.backlog:
             return None
-        return Backlog(self.share, self.wait_most * 1_000_000, self.priority_step * 1_000_000,
-                       self.room_only)
+        return Backlog(self.share, self.wait_most * 1_000_000, self.priority_step * 1_000_000, self.room_only)
 
 
 def session_section(wish: SessionSettings, limits: SessionSection) -> SessionSection:
@@ -59,9 +58,14 @@
     if wish.rate is not None and wish.rate > 0:
         rate = min(wish.rate, rate or wish.rate)
     return msgspec.structs.replace(
-        limits, backlog=wish.backlog, share=wish.share, wait_most=wait, rate=rate,
+        limits,
+        backlog=wish.backlog,
+        share=wish.share,
+        wait_most=wait,
+        rate=rate,
         priority_step=int(min(max(wish.priorityStep, 0), 86_400)),
-        jobs=min(wish.jobs, limits.jobs) if wish.jobs and wish.jobs > 0 else limits.jobs)
+        jobs=min(wish.jobs, limits.jobs) if wish.jobs and wish.jobs > 0 else limits.jobs,
+    )
 
 
 class NamedSession(SessionSection, forbid_unknown_fields=True, kw_only=True):
@@ -95,7 +99,8 @@
     ask_most: Seconds = 30.0  # and again within this time at the latest
     ask_gone: Seconds = 60.0  # one that has not answered for so long is taken to have lost the job
     default: SessionSection = msgspec.field(
-        default_factory=lambda: SessionSection(jobs=1_000_000, bytes=1 << 40))  # the session of /drmaa2/jobs
+        default_factory=lambda: SessionSection(jobs=1_000_000, bytes=1 << 40)
+    )  # the session of /drmaa2/jobs
     sessions: Sessions = msgspec.field(default_factory=Sessions)
     session: list[NamedSession] = []
     access: Access = msgspec.field(default_factory=Access)
@@ -104,11 +109,20 @@
 
     def bounds(self, limits: Limits) -> Bounds:
         """Return what the front keeps at the most."""
-        return Bounds(sessions=self.sessions.most + len(self.session) + 1, jobs=self.jobs, array=self.array,
-                      finished=self.finished, finished_keep_us=int(self.finished_keep * 1e6),
-                      finished_bytes=limits.finished_bytes, waits=limits.waits)
+        return Bounds(
+            sessions=self.sessions.most + len(self.session) + 1,
+            jobs=self.jobs,
+            array=self.array,
+            finished=self.finished,
+            finished_keep_us=int(self.finished_keep * 1e6),
+            finished_bytes=limits.finished_bytes,
+            waits=limits.waits,
+        )
 
     def asking(self) -> AskLimits:
         """Return how eagerly schedulers are asked."""
-        return AskLimits(first_us=int(self.ask_first * 1e6), most_us=int(self.ask_most * 1e6),
-                         gone_after_us=int(self.ask_gone * 1e6))
+        return AskLimits(
+            first_us=int(self.ask_first * 1e6),
+            most_us=int(self.ask_most * 1e6),
+            gone_after_us=int(self.ask_gone * 1e6),
+        )
--- a/merlinbay/drmaa/templates.py
+++ b/merlinbay/drmaa/templates.py
@@ -21,10 +21,25 @@
 PRIORITIES = range(-100, 101)
 
 # GFD.194's attributes that this binding knows but does not carry: they are refused, never dropped silently.
-UNSUPPORTED = ("email", "emailOnStarted", "emailOnTerminated", "machineOS", "machineArch", "stageInFiles",
-               "stageOutFiles")
-RESOURCE_LIMITS = ("CORE_FILE_SIZE", "CPU_TIME", "DATA_SIZE", "FILE_SIZE", "OPEN_FILES", "STACK_SIZE",
-                   "VIRTUAL_MEMORY", "WALLCLOCK_TIME")
+UNSUPPORTED = (
+    "email",
+    "emailOnStarted",
+    "emailOnTerminated",
+    "machineOS",
+    "machineArch",
+    "stageInFiles",
+    "stageOutFiles",
+)
+RESOURCE_LIMITS = (
+    "CORE_FILE_SIZE",
+    "CPU_TIME",
+    "DATA_SIZE",
+    "FILE_SIZE",
+    "OPEN_FILES",
+    "STACK_SIZE",
+    "VIRTUAL_MEMORY",
+    "WALLCLOCK_TIME",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,10 +83,20 @@
     if deadline_us and start_us >= deadline_us:
         raise invalid_argument("deadlineTime comes before startTime")
     body = write(template)
-    return Submission(body, job_class.name, float(low), len(body), template.accountingId,
-                      template.priority, template.submitAsHold, start_us if start_us > now_us else 0,
-                      deadline_us, (template.minPhysMemory, tuple(template.candidateMachines)),
-                      template.jobName, template.reservationId)
+    return Submission(
+        body,
+        job_class.name,
+        float(low),
+        len(body),
+        template.accountingId,
+        template.priority,
+        template.submitAsHold,
+        start_us if start_us > now_us else 0,
+        deadline_us,
+        (template.minPhysMemory, tuple(template.candidateMachines)),
+        template.jobName,
+        template.reservationId,
+    )
 
 
 def _class_of(template: JobTemplate, rules: Rules) -> api.JobClass:
@@ -111,20 +136,32 @@
     memory = 0.0 if memory_kib is None else memory_kib / rules.memory_unit_kib
     # Guards against what a scheduler tells late of an earlier offer: each has a name of its own. The key by
     # which it knows a repeat stays the job's.
-    return JobSpec(name=job.id if job.offer == 1 else f"{job.id}~{job.offer}", job_class=what.job_class,
-                   arrived_us=now_us, budget_us=max(budget_us, 1000), target=f"/{what.job_class}",
-                   body=body, body_type=TEMPLATE_TYPE, repeat_key=job.id, tenant=what.account,
-                   slots=what.slots, memory=memory, only=machines,
-                   room_only=job.session.backlog is not None and job.session.backlog.room_only)
+    return JobSpec(
+        name=job.id if job.offer == 1 else f"{job.id}~{job.offer}",
+        job_class=what.job_class,
+        arrived_us=now_us,
+        budget_us=max(budget_us, 1000),
+        target=f"/{what.job_class}",
+        body=body,
+        body_type=TEMPLATE_TYPE,
+        repeat_key=job.id,
+        tenant=what.account,
+        slots=what.slots,
+        memory=memory,
+        only=machines,
+        room_only=job.session.backlog is not None and job.session.backlog.room_only,
+    )
 
 
 def for_member(template: JobTemplate, index: int) -> JobTemplate:
     """Return an array member's template: its index in the paths, and in ``DRMAA2_INDEX``."""
     number = str(index)
-    paths = {name: value.replace(INDEX, number) for name in INDEXED if INDEX in (value := getattr(
-        template, name))}
-    return msgspec.structs.replace(template, **paths, jobEnvironment={
-        **template.jobEnvironment, "DRMAA2_INDEX": number})
+    paths = {
+        name: value.replace(INDEX, number) for name in INDEXED if INDEX in (value := getattr(template, name))
+    }
+    return msgspec.structs.replace(
+        template, **paths, jobEnvironment={**template.jobEnvironment, "DRMAA2_INDEX": number}
+    )
 
 
 def template_for(spec: JobSpec, deadline_us: int) -> JobTemplate:
--- a/merlinbay/drmaa/wiring.py
+++ b/merlinbay/drmaa/wiring.py
@@ -31,8 +31,15 @@
 class DrmaaParts:
     """The front, the schedulers' notifications and the schedulers' side, as far as they are on."""
 
-    def __init__(self, settings: Drmaa, facts: ports.NodeFacts, inbox: trio.MemorySendChannel[ports.Message],
-                 clock: Clock, counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        settings: Drmaa,
+        facts: ports.NodeFacts,
+        inbox: trio.MemorySendChannel[ports.Message],
+        clock: Clock,
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self.settings, self.facts, self.inbox = settings, facts, inbox
         self.clock, self.counters, self.log = clock, counters, log
         self.listeners: list[Listener] = []
@@ -42,14 +49,29 @@
         access = settings.access
         if settings.front and access.keys:
             from merlinbay.access.tokens import TokenGate  # Guards against PyJWT where nobody needs it.
+
             self.tokens = TokenGate(self._keys())
         elif settings.front:
             log.event("front_open", level="warning", says="everybody may do everything on the front")
         if settings.front and access.tls:
             self.handshakes = self._certificates()
         own = (facts.listen, address(access.tls)) if access.tls else (facts.listen,)
-        self.front = DrmaaFront(inbox, clock, facts.limits, counters, log, facts.settings.classes, settings,
-                                facts.name, self.tokens, own) if settings.front else None
+        self.front = (
+            DrmaaFront(
+                inbox,
+                clock,
+                facts.limits,
+                counters,
+                log,
+                facts.settings.classes,
+                settings,
+                facts.name,
+                self.tokens,
+                own,
+            )
+            if settings.front
+            else None
+        )
         self.notifications = NotificationHandler(inbox, counters) if settings.servers else None
 
     def routes(self, platform: Handler) -> Handler:
@@ -63,6 +85,7 @@
 
     def _keys(self) -> Ring:
         from merlinbay.access.tokens import BadKeys, load
+
         try:
             return load(Path(self.settings.access.keys))
         except BadKeys as error:
@@ -70,10 +93,15 @@
 
     def _certificates(self) -> Handshakes:
         from merlinbay.access.tls import BadCertificate, Files, Handshakes
+
         access = self.settings.access
         try:
-            return Handshakes(Files(access.certificate, access.certificate_key, access.client_ca),
-                              access.handshakes, access.handshake, self.counters)
+            return Handshakes(
+                Files(access.certificate, access.certificate_key, access.client_ca),
+                access.handshakes,
+                access.handshake,
+                self.counters,
+            )
         except BadCertificate as error:
             raise BadConfig(f"drmaa.access.certificate: {error}") from None
 
@@ -116,13 +144,27 @@
         if self.notifications is None:
             return None
         servers = self.notifications.servers = DrmaaServers(
-            nursery, pool, self.inbox, self.clock, self.facts.limits, self.counters, self.log,
-            f"http://{self.at}{NOTIFICATIONS}", self.settings.asking())
+            nursery,
+            pool,
+            self.inbox,
+            self.clock,
+            self.facts.limits,
+            self.counters,
+            self.log,
+            f"http://{self.at}{NOTIFICATIONS}",
+            self.settings.asking(),
+        )
         nursery.start_soon(servers.run)
         return servers
 
 
-def wire(settings: Drmaa, facts: ports.NodeFacts, inbox: trio.MemorySendChannel[ports.Message], clock: Clock,
-         counters: Counters, log: Log) -> DrmaaParts:
+def wire(
+    settings: Drmaa,
+    facts: ports.NodeFacts,
+    inbox: trio.MemorySendChannel[ports.Message],
+    clock: Clock,
+    counters: Counters,
+    log: Log,
+) -> DrmaaParts:
     """Make the parts that the section turns on. Raises ``BadConfig``."""
     return DrmaaParts(settings, facts, inbox, clock, counters, log)
--- a/merlinbay/drmaa/words.py
+++ b/merlinbay/drmaa/words.py
@@ -13,10 +13,19 @@
 T = TypeVar("T")
 QUEUED, RUNNING, SUSPENDED, DONE, FAILED = "QUEUED", "RUNNING", "SUSPENDED", "DONE", "FAILED"
 
-STATUSES = {"TryLaterException": 503, "OutOfResourceException": 503, "InvalidArgumentException": 400,
-            "UnsupportedAttributeException": 400, "UnsupportedOperationException": 405,
-            "InvalidStateException": 409, "InvalidSessionException": 409, "TimeoutException": 504,
-            "InternalException": 500, "DrmCommunicationException": 502, "DeniedByDrmsException": 403}
+STATUSES = {
+    "TryLaterException": 503,
+    "OutOfResourceException": 503,
+    "InvalidArgumentException": 400,
+    "UnsupportedAttributeException": 400,
+    "UnsupportedOperationException": 405,
+    "InvalidStateException": 409,
+    "InvalidSessionException": 409,
+    "TimeoutException": 504,
+    "InternalException": 500,
+    "DrmCommunicationException": 502,
+    "DeniedByDrmsException": 403,
+}
 
 
 class JobTemplate(msgspec.Struct, omit_defaults=True, forbid_unknown_fields=True):
--- a/merlinbay/emulator/directory.py
+++ b/merlinbay/emulator/directory.py
@@ -137,8 +137,12 @@
             if self.watcher is not None:
                 self.watcher.list_silent(node)
             heard_us = self.loop.now - int(self.rng.uniform(0, self.spec.watch) * 1e6)
-            self.loop.at(heard_us + int(self.spec.notice_silent * 1e6), Order.DISCOVERY, told,
-                         api.ListChanged("refused", [], heard_us))
+            self.loop.at(
+                heard_us + int(self.spec.notice_silent * 1e6),
+                Order.DISCOVERY,
+                told,
+                api.ListChanged("refused", [], heard_us),
+            )
 
     def fail(self) -> None:
         """Go down: every watch ends."""
--- a/merlinbay/emulator/gate.py
+++ b/merlinbay/emulator/gate.py
@@ -59,10 +59,13 @@
 def script(name: str, nodes: int = 0, servers: int = 0, seconds: float = 0) -> spec.Script:
     """Return a day, at another size if that is asked for. Raises ``BadScript``."""
     day = spec.load(name)
-    hall = msgspec.structs.replace(day.hall, nodes=nodes or day.hall.nodes,
-                                   servers=servers or day.hall.servers)
-    troubles = [msgspec.structs.replace(trouble, nodes=[node for node in trouble.nodes if node < hall.nodes])
-                for trouble in day.trouble]
+    hall = msgspec.structs.replace(
+        day.hall, nodes=nodes or day.hall.nodes, servers=servers or day.hall.servers
+    )
+    troubles = [
+        msgspec.structs.replace(trouble, nodes=[node for node in trouble.nodes if node < hall.nodes])
+        for trouble in day.trouble
+    ]
     day = msgspec.structs.replace(day, hall=hall, trouble=troubles, seconds=seconds or day.seconds)
     spec.check(day)
     return day
--- a/merlinbay/emulator/host.py
+++ b/merlinbay/emulator/host.py
@@ -94,8 +94,9 @@
         # What is compared with the module sees true states: how it asks is no part of the comparison.
         if isinstance(policy, Balancer):
             self.checker.node_started(self.number, bool(stale))
-        self._listed(api.ListChanged("remembered", list(self.known.values())) if stale
-                     else self.directory.remembered())
+        self._listed(
+            api.ListChanged("remembered", list(self.known.values())) if stale else self.directory.remembered()
+        )
         if not isinstance(policy, Balancer):  # the module says itself when to ask
             self._subscribe(self.life)
 
