--- a/tests/duplicate_judge.py
+++ b/tests/duplicate_judge.py
@@ -1,8 +1,8 @@
-"""A judge of repeated attempts, by the protocol page alone: it shares no code with the node.
+"""A judge of repeated attempts, by the protocol page alone; it shares no code with the node.
 
 Stand-in executors tell it what happens at their side of the wire; it knows the settings as the configuration
-file has them (nested JSON). An attempt counts once its last byte has arrived. It is a second copy if an earlier
-attempt has neither ended nor been given up. Times are seconds on one clock.
+file has them (nested JSON). An attempt counts once its last byte has arrived. It is a second copy if an
+earlier attempt has neither ended nor been given up. Times are seconds on one clock.
 """
 
 from __future__ import annotations
