One filter for repeats up to the first byte; outcomes that prove nothing no longer free a job

Change: eligibility has may_send, may_begin (the last look) and may_refuse over one _may_repeat; an attempt remembers zone and cell; never_ran in decision/api.py is the one place that says whether an outcome proves it; replies.py is the table of statuses; connections rest after every answer; the time told to servers is taken with the last look; a request withheld ends as MOOT, which says nothing against its server; unknown effects and groups count as unsafe, with a note.

Tests changed for a reason: test_connections_to_servers_are_used_again and the drain during the dial wait for the rest of the connection; a withheld attempt ends as MOOT and not as CONNECT_FAILED, which benched a server for a client's leaving; the table of answers has more rows.

--- a/merlinbay/core/owner.py
+++ b/merlinbay/core/owner.py
@@ -43,7 +43,7 @@
         self.fields = balancer.settings.report_fields
         self.classes = {spec.name for spec in balancer.settings.classes}
         self.other: ports.OtherProcess | None = None  # the one that this replaces, or that replaces this
-        self.requests = RequestTable()
+        self.requests = RequestTable(limits.names_remembered)
         self.timers = Timers()
         self.request_count = 0
         self.stopping = False
@@ -137,7 +137,8 @@
     def _on_request_arrived(self, message: ports.RequestArrived) -> None:
         spec = message.spec
         self.counters.add("requests_taken")
-        if spec.job_class not in self.classes or spec.name in self.requests.by_name:
+        # Guards against a name that comes again: real servers would take its attempts for repeats.
+        if spec.job_class not in self.classes or self.requests.has_used(spec.name):
             self.counters.add("answers_failed")
             message.edge.answer(Answer(Verdict.FAILED))
             return
@@ -164,6 +165,7 @@
                 spec.only,
                 spec.room_only,
                 spec.reserved,
+                keyless=not spec.repeat_key,
             )
         )
 
@@ -193,6 +195,7 @@
         if attempt is None:
             self._pass_on(message)
             return
+        attempt.started = True  # the report of the start may come later, or never
         self._tell_module(api.JobProgress(attempt.request_number, attempt.number, message.share))
 
     def _on_attempt_finished(self, message: ports.AttemptFinished) -> None:
@@ -233,10 +236,10 @@
         report: dict[str, float] | None = None,
     ) -> None:
         """End an attempt, once; the first success answers its request."""
-        if attempt.started and outcome in api.NEVER_RAN:
-            # Guards against a server that tells of a start and hands the job back: it may have run.
+        if outcome in api.NEVER_RAN and not api.never_ran(outcome, attempt.started):
             outcome = api.Outcome.RESET
         request = self.requests.close_attempt(attempt)
+        request.may_have_run = request.may_have_run or outcome not in api.NEVER_RAN
         attempt.ended = True
         self.servers.forget(attempt)
         self.counters.add(f"attempts_{outcome.name.lower()}")
@@ -329,7 +332,14 @@
             return
         self.counters.add("attempts_sent")
         attempt = ports.ServerAttempt(
-            request.spec, request.number, number, action.worker, self.now, until, edge=request.edge
+            request.spec,
+            request.number,
+            number,
+            action.worker,
+            self.now,
+            until,
+            edge=request.edge,
+            allowed=self._may_begin,
         )
         self.requests.open_attempt(request, attempt)
         if until < request.deadline_us:
@@ -339,6 +349,13 @@
             self.servers.recall(attempt)
         request.edge.sent(attempt.server)
 
+    def _may_begin(self, attempt: ports.ServerAttempt) -> bool:
+        """Tell whether an attempt still keeps the rules: its dial may have lasted longer than they allow."""
+        now = self.clock.now_us()
+        return now < attempt.deadline_us and self.balancer.may_begin(
+            attempt.request_number, attempt.number, now
+        )
+
     def _cancel(self, action: api.Cancel) -> None:
         request = self.requests.by_number.get(action.id)
         attempt = request.open.get(action.attempt) if request is not None else None
@@ -347,7 +364,12 @@
             self._end_attempt(attempt, api.Outcome.CANCELLED)
 
     def _refuse(self, action: api.Refuse) -> None:
-        self._answer_open(action.id, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
+        request = self.requests.by_number.get(action.id)
+        if request is not None:
+            wait, may_have_run = action.retry_after_us, request.may_have_run
+            self._answer_open(
+                action.id, Answer(Verdict.REFUSED, retry_after_us=wait, may_have_run=may_have_run)
+            )
 
     def _fail(self, action: api.Fail) -> None:
         request = self.requests.by_number.get(action.id)
--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -40,6 +40,7 @@
     result: bytes = b""
     retry_after_us: int = 0
     ending: Ending | None = None  # of the attempt that ended last, where its server told one
+    may_have_run: bool = False  # of one that is refused: trying again is harmless for a while only
 
 
 class JobSpec(msgspec.Struct, frozen=True):
@@ -137,10 +138,15 @@
     started: bool = False
     paused: bool = False  # suspended by its real server
     edge: Edge | None = None  # of its request
-
-    def wanted(self) -> bool:
-        """Tell whether it is still to be begun."""
-        return not self.ended and (self.edge is None or not self.edge.left())
+    allowed: Callable[[ServerAttempt], bool] = lambda attempt: (
+        True
+    )  # the module's last word, see ``may_begin``
+
+    def may_begin(self) -> bool:
+        """Tell, right before its first byte, whether it is still to be begun."""
+        if self.ended or (self.edge is not None and self.edge.left()):
+            return False
+        return self.allowed(self)
 
 
 class ServerSide(Protocol):
--- a/merlinbay/core/requests.py
+++ b/merlinbay/core/requests.py
@@ -19,6 +19,7 @@
     deadline_us: int
     done: bool = False  # answered or withdrawn
     sent: int = 0
+    may_have_run: bool = False  # an attempt of it has ended in a way that does not exclude it
     recalling: bool = False  # the client's side wants it back, if it has not started
     ending: ports.Ending | None = None
     open: dict[int, ports.ServerAttempt] = field(default_factory=dict)
@@ -27,10 +28,12 @@
 class RequestTable:
     """Open requests by number and by name, and their open attempts by name and server."""
 
-    def __init__(self) -> None:
+    def __init__(self, remembered: int) -> None:
+        self.remembered = remembered
         self.by_number: dict[int, OpenRequest] = {}
         self.by_name: dict[str, OpenRequest] = {}
         self.attempts: dict[tuple[str, str], ports.ServerAttempt] = {}
+        self.sent_lately: dict[str, None] = {}  # names of requests that are over, oldest first
 
     def __len__(self) -> int:
         return len(self.by_number)
@@ -42,6 +45,10 @@
         """Keep a request."""
         self.by_number[request.number] = self.by_name[request.spec.name] = request
 
+    def has_used(self, name: str) -> bool:
+        """Tell whether a request of that name is open, or had attempts lately."""
+        return name in self.by_name or name in self.sent_lately
+
     def waiting(self, name: str, edge: ports.Edge) -> OpenRequest | None:
         """Return the request of that name and client that still waits for its answer."""
         request = self.by_name.get(name)
@@ -53,6 +60,14 @@
         """Drop a request that is answered or withdrawn and has no attempt open."""
         if request.done and not request.open and self.by_number.pop(request.number, None) is not None:
             del self.by_name[request.spec.name]
+            if request.may_have_run:
+                self._remember(request.spec.name)
+
+    def _remember(self, name: str) -> None:
+        """Keep the name of a request that is over, so that what repeats it is not sent as another one."""
+        self.sent_lately[name] = None
+        if len(self.sent_lately) > self.remembered:
+            del self.sent_lately[next(iter(self.sent_lately))]
 
     def open_attempt(self, request: OpenRequest, attempt: ports.ServerAttempt) -> None:
         """Keep an attempt of a request."""
--- a/merlinbay/decision/api.py
+++ b/merlinbay/decision/api.py
@@ -26,6 +26,16 @@
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
 
 
+def never_ran(outcome: int, started: bool) -> bool:
+    """Tell whether an outcome proves that its attempt never ran, given whether a start was reported."""
+    # Guards against a worker that reports a start, or progress, and hands the job back all the same.
+    return outcome in NEVER_RAN and not started
+
+
+EFFECTS = ("repeatable", "by_key", "once")
+GROUPS = ("all", "zone", "cell")
+
+
 def _need(ok: bool, name: str, value: object) -> None:
     """Raise ``ValueError`` naming the setting unless ``ok``."""
     if not ok:
@@ -55,8 +65,8 @@
         _need(self.aim_us >= 0, f"{at}.aim_us", self.aim_us)
         _need(self.deadline_us > 0, f"{at}.deadline_us", self.deadline_us)
         _need(self.worth >= 0, f"{at}.worth", self.worth)
-        _need(self.effect in ("repeatable", "by_key", "once"), f"{at}.effect", self.effect)
-        _need(self.group in ("all", "zone", "cell"), f"{at}.group", self.group)
+        _need(self.effect in EFFECTS, f"{at}.effect", self.effect)
+        _need(self.group in GROUPS, f"{at}.group", self.group)
         _need(self.window_us >= 0, f"{at}.window_us", self.window_us)
         _need(0 <= self.late_worth <= 1, f"{at}.late_worth", self.late_worth)
         _need(self.stretch >= 0, f"{at}.stretch", self.stretch)
@@ -138,6 +148,7 @@
     probe_price: float = 0.0  # of one probe for each request
     waste_price: float = 0.0  # of as much work without an answer as was asked for
     worth_by_work: bool = False  # a job's worth grows with its work
+    doubts: list[str] = field(default_factory=list)  # what was not understood, and what it is taken for
 
     def __post_init__(self) -> None:
         _need(bool(self.classes), "classes", self.classes)
@@ -224,6 +235,7 @@
     only: tuple[str, ...] = ()  # the workers that may run it; empty: any
     room_only: bool = False  # it takes free slots, and no place behind others
     reserved: bool = False  # the slots that are kept are for it
+    keyless: bool = False  # it carries no key by which workers could know a repeat
 
 
 @dataclass(slots=True)
--- a/merlinbay/decision/eligibility.py
+++ b/merlinbay/decision/eligibility.py
@@ -1,7 +1,9 @@
 """Which workers may take a job now: the rules of its class and the workers' condition, and no choice.
 
 Every send goes through ``eligible``: the first attempt, probe replies, second copies, retries, reserved and
-bound jobs, swaps. A path that looks at workers of its own, without asking here, is a fault.
+bound jobs, swaps. A path that looks at workers of its own, without asking here, is a fault. ``may_begin``
+asks again right before the first byte, since a dial lies between, and ``may_refuse`` before a refusal, after
+which the client sends the job again.
 """
 
 from __future__ import annotations
@@ -22,33 +24,62 @@
         """Tell whether a further attempt of the job keeps the rules of its class now, wherever it goes."""
         if self.now >= job.deadline or len(job.attempts) >= self.settings.limits.send_cap:
             return False
-        if job.pending and not self.settings.limits.second_copies:
+        return self._may_repeat(job, job.attempts, self.now)
+
+    def may_begin(self, job_id: int, number: int, now: int) -> bool:
+        """Tell whether an attempt that was decided on, and is open, still keeps the rules of its class.
+
+        Only other attempts count, whichever was decided on first: a later one may have gone out before it.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or not 0 <= number < len(job.attempts):
             return False
+        attempt = job.attempts[number]
+        others = [other for other in job.attempts if other is not attempt]
+        if not attempt.open or not self._may_repeat(job, others, now):
+            return False
+        unresolved = [other for other in others if other.may_have_run]
+        return job.effect == "repeatable" or all(
+            self._same_group(job, other, attempt.zone, attempt.cell) for other in unresolved
+        )
+
+    def may_refuse(self, job: Job, wait_us: int = 0) -> bool:
+        """Tell whether the job may be refused, and so be sent again by its client after a wait."""
         unresolved = job.unresolved
-        if unresolved is None or job.cls.spec.effect == "repeatable":
+        if unresolved is None or job.effect == "repeatable":
             return True
-        return job.cls.spec.effect == "by_key" and self.now < unresolved.at + job.cls.spec.window_us
+        if job.effect != "by_key" or job.cls.spec.group != "all":
+            return False
+        return self.now + wait_us < unresolved.at + job.cls.spec.window_us
 
     def eligible(self, job: Job, workers: Iterable[Worker]) -> list[Worker]:
         """Return those of the workers, in their order, that may be sent the job now."""
         if not self.may_send(job):
             return []
-        unresolved = job.unresolved if job.cls.spec.effect == "by_key" else None
+        unresolved = job.unresolved if job.effect == "by_key" else None
         return [
             worker
             for worker in workers
             if self._ready(worker)
             and self._suits(worker, job)
-            and (unresolved is None or self._drops_repeats(worker, job, unresolved))
+            and (unresolved is None or self._same_group(job, unresolved, worker.zone, worker.cell))
         ]
 
     def repeat_group(self, job: Job) -> list[Worker] | None:
         """Return the usable workers that drop a repeat of the job, or None where any worker may take it."""
         spec, unresolved = job.cls.spec, job.unresolved
-        if unresolved is None or spec.effect != "by_key" or spec.group == "all":
+        if unresolved is None or job.effect != "by_key" or spec.group == "all":
             return None
-        first = unresolved.worker
-        return self.groups.get(first.cell if spec.group == "cell" else first.zone, [])
+        return self.groups.get(unresolved.cell if spec.group == "cell" else unresolved.zone, [])
+
+    def _may_repeat(self, job: Job, others: list[Attempt], now: int) -> bool:
+        """Tell whether an attempt beside the others keeps the rules of its class, wherever it goes."""
+        if not self.settings.limits.second_copies and any(other.open for other in others):
+            return False
+        unresolved = next((other for other in others if other.may_have_run), None)
+        if unresolved is None or job.effect == "repeatable":
+            return True
+        return job.effect == "by_key" and now < unresolved.at + job.cls.spec.window_us
 
     def _ready(self, worker: Worker) -> bool:
         """Tell whether the worker may be sent any job now."""
@@ -65,7 +96,8 @@
         kind = job.cls.spec.kind
         if kind >= 0 and self.kinds[self.settings.kinds[kind]] is not worker.kind:
             return False
-        if any(attempt.worker is worker for attempt in job.attempts):
+        # Guards against a worker that was forgotten and listed anew: the names match, the records do not.
+        if any(attempt.worker.name == worker.name for attempt in job.attempts):
             return False
         return not self._lacks_memory(worker, job)
 
@@ -74,9 +106,9 @@
         # Guards against a worker shut out for good: it gets no job, so no report says that memory is free.
         return worker.free_memory < job.memory and self.now < worker.memory_at + MEMORY_RUNS * self.mean_run
 
-    def _drops_repeats(self, worker: Worker, job: Job, unresolved: Attempt) -> bool:
-        """Tell whether the worker drops a repeat of an attempt that may have run."""
-        group, first = job.cls.spec.group, unresolved.worker
+    def _same_group(self, job: Job, unresolved: Attempt, zone: str, cell: int) -> bool:
+        """Tell whether workers of a zone and cell drop a repeat of an attempt that may have run."""
+        group = job.cls.spec.group
         if group == "zone":
-            return worker.zone == first.zone
-        return group == "all" or worker.cell == first.cell
+            return unresolved.zone == zone
+        return group == "all" or unresolved.cell == cell
--- a/merlinbay/decision/records.py
+++ b/merlinbay/decision/records.py
@@ -107,6 +107,8 @@
 
     worker: Worker
     at: int
+    zone: str = field(init=False)  # of its worker as it was sent: a later list may say another one,
+    cell: int = field(init=False)  # and so may it here
     room: bool = False  # there seemed to be room
     started: int = 0
     look_at: int = 0  # once it has started: when to see whether it still runs
@@ -114,6 +116,14 @@
     open: bool = True
     ran: bool = False  # it has ended, and may have run
 
+    def __post_init__(self) -> None:
+        self.zone, self.cell = self.worker.zone, self.worker.cell
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it is out, or has ended in a way that does not exclude that it has run."""
+        return self.open or self.ran
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -133,6 +143,7 @@
     reserved: bool = False  # the slots that are kept are for it
     arrived: int = 0
     hint: float = 0.0  # the run time that its request told; 0: none
+    keyless: bool = False  # it carries no key by which workers could know a repeat
     attempts: list[Attempt] = field(default_factory=list)
     pending: int = 0
     done: bool = False
@@ -140,10 +151,16 @@
     probe_replies: list[Worker] = field(default_factory=list)  # workers that answered probes of this attempt,
     probes_pending: int = 0  # how many have not yet
 
+    @property
+    def effect(self) -> str:
+        """What a repeat does, by the class; one that no worker can tell from a new job must not be sent."""
+        spec = self.cls.spec
+        return "once" if spec.effect == "by_key" and self.keyless else spec.effect
+
     @property
     def unresolved(self) -> Attempt | None:
-        """The first attempt that may have run: it is out, or has ended in a way that does not exclude it."""
-        return next((attempt for attempt in self.attempts if attempt.open or attempt.ran), None)
+        """The first attempt that may have run."""
+        return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
 
 
 @dataclass(slots=True, eq=False)
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -12,6 +12,7 @@
 import math
 import zlib
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -54,9 +55,11 @@
         super().__init__(settings, Random(seed), now_us, Rate(now_us))
         self.limits, self.safety = settings.limits, settings.safety
         self.classes = {spec.name: Class(spec, max(spec.aim_us, 1000.0)) for spec in settings.classes}
+        first = settings.classes[0]  # Guards against a repeat of a job whose class nobody knows.
+        self.unknown_class = Class(replace(first, name="unknown", effect="once"), max(first.aim_us, 1000.0))
         self.kinds = {name: Kind() for name in settings.kinds}
         self.mean_run = min(cls.run for cls in self.classes.values())  # or starting ones flood cold workers
-        self.out: list[api.Action] = []
+        self.out: list[api.Action] = [api.Note(doubt) for doubt in settings.doubts]
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.JobArrived: self._arrived,
             api.AttemptEnded: self._ended,
@@ -191,7 +194,7 @@
     # A request's life.
 
     def _arrived(self, event: api.JobArrived) -> None:
-        cls = self.classes.get(event.job_class) or next(iter(self.classes.values()))
+        cls = self.classes.get(event.job_class) or self.unknown_class
         run = max(event.hint_us * cls.over_hint, 1000.0) if event.hint_us else cls.run
         worth = cls.spec.worth * (self.settings.over_share_worth if self._over_share(event.tenant) else 1)
         worth *= run if self.settings.worth_by_work else 1
@@ -210,6 +213,7 @@
             event.reserved,
             self.now,
             float(event.hint_us),
+            event.keyless,
         )
         self._count_offered(job)
         self._try(job)
@@ -278,14 +282,10 @@
     def _answer(self, job: Job) -> None:
         """Refuse the job where trying again is harmless, else fail it."""
         job.done = True
-        spec, wait = job.cls.spec, 0
-        bound = spec.effect == "once" or (spec.effect == "by_key" and spec.group != "all")
-        if bound and job.unresolved:
-            self.out.append(api.Fail(job.id))
-            return
-        if self.limits.retry_after:  # spread, or refused clients return in step
+        wait = 0
+        if self.limits.retry_after and self.may_refuse(job):  # spread, or refused clients return in step
             wait = int(min(job.cls.spec.aim_us * self.rng.uniform(0.1, 0.5), self.limits.max_retry_after_us))
-        self.out.append(api.Refuse(job.id, wait))
+        self.out.append(api.Refuse(job.id, wait) if self.may_refuse(job, wait) else api.Fail(job.id))
 
     def _place(self, job: Job, worker: Worker) -> None:
         self.out.append(api.Place(job.id, worker.name))
@@ -297,7 +297,7 @@
         self.returned = [w for w in self.returned if w is not worker] if self.returned else []
         if self.cold(worker):
             worker.cold_next = self._cold_until(job.run * job.slots, worker)
-        if self.settings.tells_start and self.limits.second_copies and job.cls.spec.effect != "once":
+        if self.settings.tells_start and self.limits.second_copies and job.effect != "once":
             self._watch(job, len(job.attempts) - 1, job.patience * len(job.attempts))
 
     def _watch(self, job: Job, attempt: int, wait: float) -> None:
@@ -410,7 +410,7 @@
             return
         self.release(job, attempt)
         self._judge(attempt.worker, job, attempt, event)
-        attempt.ran = event.outcome not in api.NEVER_RAN
+        attempt.ran = not api.never_ran(event.outcome, attempt.started > 0)
         if (event.final or event.outcome == api.Outcome.OK) and not job.done:
             job.done = True
             self._cancel(job, None)
--- a/merlinbay/drmaa/job_client.py
+++ b/merlinbay/drmaa/job_client.py
@@ -68,6 +68,11 @@
         """Take what came of suspend or resume."""
         self._tell(self.front.engine.controlled, action, DrmaaError(error, message) if error else None)
 
+    def _repeats_late(self, answer: Answer) -> bool:
+        """Tell whether the job may have run, and its next offer might come after servers forget its key."""
+        spec = self.front.rules.classes[self.job.job_class]
+        return answer.may_have_run and spec.effect != "repeatable"
+
     def answer(self, answer: Answer) -> None:
         """Take the request's answer: the job's final state, or what sends it back into the backlog."""
         self.front.forget_edge(self.job)
@@ -77,7 +82,7 @@
         now = front.clock.now_us()
         if answer.verdict is Verdict.SERVED:
             front.engine.finished(job, answer.result, now, ending.exit_status or 0, ending.cpu_us)
-        elif answer.verdict is Verdict.REFUSED:
+        elif answer.verdict is Verdict.REFUSED and not self._repeats_late(answer):
             front.engine.refused(job, answer.retry_after_us, now)
             front.back(job)
         else:
--- a/merlinbay/drmaa/servers.py
+++ b/merlinbay/drmaa/servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
 import trio
 
@@ -15,7 +17,7 @@
 from merlinbay.http.client import Reply
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.servers import PooledServers
+from merlinbay.http.servers import PooledServers, check_may_begin
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
@@ -144,7 +146,7 @@
                 JOBS,
                 [("content-type", "application/json")],
                 schema.write(call),
-                attempt.wanted,
+                partial(check_may_begin, attempt),
             )
         outcome, job_id = outcome_of(reply) if isinstance(reply, Reply) else (reply, "")
         self.sending.discard(attempt)
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -19,10 +19,17 @@
     """No connection in time: the server is gone silently, or holds as many as it accepts."""
 
 
+class Withheld(NotSent):
+    """The last look before the first byte found that the request is not to be sent any more."""
+
+
 class ConnectionBroken(Exception):
     """The connection broke, or spoke no HTTP, after the request's last byte was written."""
 
 
+Headers = list[tuple[str, str]]
+
+
 @dataclass(slots=True)
 class Reply:
     """A whole response. Header names are in lower case."""
@@ -78,9 +85,7 @@
         """Close it."""
         self.sock.close()
 
-    async def exchange(
-        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes = b""
-    ) -> Reply:
+    async def exchange(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Reply:
         """Send a request and return its answer. Raises ``NotSent`` or ``ConnectionBroken``."""
         # Guards against header bytes beyond ASCII, which pass on as they came.
         everything = [
--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -9,9 +9,12 @@
 
 from merlinbay.core.ports import ServiceEntry
 from merlinbay.counters import Counters
-from merlinbay.http.client import ClientConnection, DialTimedOut, NotSent, Reply
+from merlinbay.http.client import ClientConnection, DialTimedOut, Headers, NotSent, Reply, Withheld
 from merlinbay.limits import Limits
 
+LastLook = Callable[[], Headers]
+"""Called right before the first byte. Returns the headers that tell of that moment; raises ``Withheld``."""
+
 
 @dataclass(slots=True, eq=False)
 class RealServer:
@@ -30,10 +33,8 @@
         limits: Limits,
         counters: Counters,
         serves: Callable[[str], bool] = lambda name: True,
-        refuses: Callable[[Reply], bool] = lambda reply: False,
     ) -> None:
         self.limits, self.counters = limits, counters
-        self.refuses = refuses  # whether an answer proves that a job never ran
         self.serves = serves  # whether a real server is up by the newest list, heard but not yet taken in
         self.servers: dict[str, RealServer] = {}
         self.connections = 0
@@ -59,33 +60,39 @@
         name: str,
         method: str,
         target: str,
-        headers: list[tuple[str, str]],
+        headers: Headers,
         body: bytes = b"",
-        wanted: Callable[[], bool] | None = None,
+        last_look: LastLook | None = None,
+        keeps_after: Callable[[Reply], bool] = lambda reply: True,
     ) -> Reply:
         """Have one exchange, and keep the connection if it can carry another.
 
-        One that places a job tells by ``wanted`` whether it still is: it goes to no server that has left
-        since it was chosen, and for no client that has.
+        One that places a job has a ``last_look``: it goes to no server that has left since it was chosen,
+        and not if the look raises ``Withheld``. The connection ends after an answer that ``keeps_after``
+        does not accept.
         """
         server = self.servers.get(name)
         if server is None:
             raise NotSent("not listed")
         connection = await self._connection(server)
-        # Guards against a drain told between placing and the first byte: a dial, or a long turn, lay between.
-        if wanted is not None and not (self.serves(name) and self.servers.get(name) is server and wanted()):
-            self.counters.add("sends_withheld")
-            self._keep(name, server, connection, connection.rests_until)
-            raise NotSent("its server or its client has left since it was chosen")
+        if last_look is not None:
+            try:
+                headers = headers + self._look(name, server, last_look)
+            except Withheld:
+                self.counters.add("sends_withheld")
+                self._keep(name, server, connection, connection.rests_until)
+                raise
         try:
             reply = await connection.exchange(method, target, headers, body)
         except BaseException:
             self._close(connection)
             raise
-        # Guards against a refusal that comes twice, the second time some milliseconds late: it would pass for
-        # the answer to the next request on the connection, and a job that was taken for one that never ran.
-        rest = self.limits.pool_rest if self.refuses(reply) else 0.0
-        self._keep(name, server, connection, trio.current_time() + rest)
+        if keeps_after(reply):
+            # Guards against an answer that comes twice, the second time some milliseconds late: it would pass
+            # for the answer to the next request, be it that a job which was taken never ran.
+            self._keep(name, server, connection, trio.current_time() + self.limits.pool_rest)
+        else:
+            self._close(connection)
         return reply
 
     async def sweep(self) -> None:
@@ -97,6 +104,13 @@
                 while server.idle and server.idle[0].idle_since < before:
                     self._close(server.idle.pop(0))
 
+    def _look(self, name: str, server: RealServer, last_look: LastLook) -> Headers:
+        """Look at the server, then at the request. Raises ``Withheld``."""
+        # Guards against a drain told between placing and the first byte: a dial, or a long turn, lay between.
+        if not self.serves(name) or self.servers.get(name) is not server:
+            raise Withheld("its server has left since it was chosen")
+        return last_look()
+
     async def _connection(self, server: RealServer) -> ClientConnection:
         """Return the connection that was used last but has rested, or a new one."""
         now = trio.current_time()
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -11,12 +11,19 @@
 from merlinbay.core.ports import ServerAttempt, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.http.client import ConnectionBroken, NotSent, Reply
-from merlinbay.http.pool import ConnectionPool
+from merlinbay.http.client import ConnectionBroken, Headers, NotSent, Reply, Withheld
+from merlinbay.http.pool import ConnectionPool, LastLook
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
 
+def check_may_begin(attempt: ServerAttempt) -> Headers:
+    """Look at an attempt right before its first byte, as a pool's last look. Raises ``Withheld``."""
+    if not attempt.may_begin():
+        raise Withheld("its client has left, or its class allows it no more")
+    return []
+
+
 class PooledServers:
     """Tasks of one nursery, so many at the most, that have exchanges and post what came of them."""
 
@@ -56,13 +63,16 @@
         server: str,
         method: str,
         target: str,
-        headers: list[tuple[str, str]],
+        headers: Headers,
         body: bytes = b"",
-        wanted: Callable[[], bool] | None = None,
+        last_look: LastLook | None = None,
+        keeps_after: Callable[[Reply], bool] = lambda reply: True,
     ) -> Reply | Outcome:
         """Have one exchange; return its answer, or the outcome where none came."""
         try:
-            return await self.pool.exchange(server, method, target, headers, body, wanted)
+            return await self.pool.exchange(server, method, target, headers, body, last_look, keeps_after)
+        except Withheld:
+            return Outcome.MOOT
         except NotSent:
             return Outcome.CONNECT_FAILED
         except ConnectionBroken:
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -20,6 +20,7 @@
     server_connections: int = 400
     server_tasks: int = 4000  # exchanges with real servers under way, refused ones and cancels included
     most_held: int = 300  # requests
+    names_remembered: int = 1024  # of requests that are over: the same name is not sent on again
     linger: float = 0.3  # after an answer to what can't be read,
     linger_bytes: int = 256 * 1024  # and so much more is taken in
     ahead_bytes: int = 96 * 1024  # read behind a request that is not answered yet: over one whole request
@@ -29,7 +30,7 @@
     write_answer: float = 5.0
     dial: float = 0.12
     pool_idle: float = 8.0  # below the real servers' keep-alive
-    pool_rest: float = 0.05  # one that has brought a refusal is not used again for so long
+    pool_rest: float = 0.05  # one that has brought an answer is not used again for so long
     evict_after: float = 0.1  # a connection has stood idle so long before it may be closed for another
     evict_at_once: int = 16  # connections never served that are closed for others at one look
     accept_pause: float = 0.02  # after an accept that failed for want of descriptors
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -27,7 +27,7 @@
 from merlinbay.platform.admin_listener import AdminListener
 from merlinbay.platform.client_adapter import ClientAdapter
 from merlinbay.platform.discovery import Discovery
-from merlinbay.platform.servers import PlatformServers, refuses
+from merlinbay.platform.servers import PlatformServers
 from merlinbay.problems import BadConfig, address
 
 if TYPE_CHECKING:
@@ -125,7 +125,7 @@
 
         discovery = wire_dnssd(operator.dnssd, send, limits, counters, log)
     async with trio.open_nursery() as nursery:
-        pool = ConnectionPool(limits, counters, discovery.serves, refuses)
+        pool = ConnectionPool(limits, counters, discovery.serves)
         drmaa = sides.drmaa
         servers: ServerSide | None = drmaa.start(nursery, pool) if drmaa is not None else None
         if servers is None:
--- a/merlinbay/notify/sender.py
+++ b/merlinbay/notify/sender.py
@@ -9,8 +9,8 @@
 
 from merlinbay.clock import Clock
 from merlinbay.counters import Counters
-from merlinbay.http.client import ConnectionBroken, NotSent, Reply
-from merlinbay.http.pool import ConnectionPool, RealServer
+from merlinbay.http.client import ConnectionBroken, Headers, NotSent, Reply
+from merlinbay.http.pool import ConnectionPool, LastLook, RealServer
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.notify import signing
@@ -27,9 +27,10 @@
         name: str,
         method: str,
         target: str,
-        headers: list[tuple[str, str]],
+        headers: Headers,
         body: bytes = b"",
-        wanted: Callable[[], bool] | None = None,
+        last_look: LastLook | None = None,
+        keeps_after: Callable[[Reply], bool] = lambda reply: True,
     ) -> Reply:
         """Have one exchange with the address ``name``."""
         if name not in self.servers:
@@ -38,7 +39,7 @@
             if len(self.servers) >= KEPT_MOST:
                 self._drop_idle(self.servers.pop(next(iter(self.servers))))
             self.servers[name] = RealServer(name)
-        return await super().exchange(name, method, target, headers, body, wanted)
+        return await super().exchange(name, method, target, headers, body, last_look, keeps_after)
 
 
 class Sender:
@@ -58,7 +59,10 @@
         self.listeners, self.write, self.flush = listeners, write, flush
         self.clock, self.counters, self.log, self.timeout = clock, counters, log, timeout
         most = listeners.bounds.quick + listeners.bounds.trial
-        self.limits = replace(limits, server_connections=max(most, 2), dial=min(1.0, timeout), pool_idle=4.0)
+        # No rest between: listeners get many batches a second, and a wrong answer costs one told twice.
+        self.limits = replace(
+            limits, server_connections=max(most, 2), dial=min(1.0, timeout), pool_idle=4.0, pool_rest=0.0
+        )
         self.pool = AddressPool(self.limits, Counters())
         self.nursery: trio.Nursery | None = None
 
--- a/merlinbay/platform/messages.py
+++ b/merlinbay/platform/messages.py
@@ -131,6 +131,10 @@
         raise BadRequest("idempotency-key")
     if not DIGITS.fullmatch(headers.get("x-timeout-ms", "")):
         raise BadRequest("x-timeout-ms")
+    path_class = path.strip("/").partition("/")[0]
+    # Guards against a job that is held for one of a class which allows more repeats than its own.
+    if (headers.get("x-priority-class") or path_class) != path_class:
+        raise BadRequest("x-priority-class is not the class of the path")
     try:
         extras = pairs(headers.get("x-attrs", ""))
         budget_ms = int(headers["x-timeout-ms"])
@@ -145,7 +149,7 @@
         raise BadRequest("x-attrs")
     return JobSpec(
         name=name,
-        job_class=headers.get("x-priority-class") or path.strip("/").partition("/")[0],
+        job_class=path_class,
         arrived_us=now_us,
         budget_us=budget_ms * 1000,
         target=target,
--- a/merlinbay/platform/servers.py
+++ b/merlinbay/platform/servers.py
@@ -9,12 +9,13 @@
 from merlinbay.core.ports import ServerAttempt
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.http.client import Reply
+from merlinbay.http.client import Headers, Reply
 from merlinbay.http.pool import ConnectionPool
-from merlinbay.http.servers import PooledServers
+from merlinbay.http.servers import PooledServers, check_may_begin
 from merlinbay.limits import Limits
 from merlinbay.log import Log
-from merlinbay.platform import messages
+from merlinbay.platform import messages, replies
+from merlinbay.platform.replies import JobReply
 
 
 class PlatformServers(PooledServers):
@@ -49,7 +50,7 @@
         if scope is not None:
             scope.cancel()
         else:
-            self.spawn(self._delete, attempt)
+            self.spawn(self._give_up_taken, attempt)
 
     def forget(self, attempt: ServerAttempt) -> None:
         """Keep an exchange that is under way: its answer frees the connection."""
@@ -77,38 +78,62 @@
 
     async def _send(self, attempt: ServerAttempt, scope: trio.CancelScope) -> None:
         spec = attempt.spec
-        wait_ms = max((attempt.deadline_us - self.clock.now_us()) // 1000, 1)
-        headers = [("x-request-id", spec.name), ("x-timeout-ms", str(wait_ms))]
+        headers = [("x-request-id", spec.name)]
         if spec.repeat_key:
             headers.append(("idempotency-key", spec.repeat_key))
         reply: Reply | Outcome | None = None
         begun = False
 
-        def wanted() -> bool:
+        def last_look() -> Headers:
             nonlocal begun
-            begun = attempt.wanted()
-            return begun
+            check_may_begin(attempt)
+            begun = True
+            return [("x-timeout-ms", str(self._wait_ms(attempt)))]
 
         with scope:
-            reply = await self.exchange(attempt.server, "POST", spec.target, headers, spec.body, wanted)
+            reply = await self.exchange(
+                attempt.server, "POST", spec.target, headers, spec.body, last_look, replies.settles
+            )
         given_up = self.sending.pop(attempt, None) is None
-        if given_up and begun and reply is None:
-            # Guards against a 202 that crosses the close: the job was taken then, and would run on.
-            await self._delete(attempt)
+        if given_up:
+            if begun and may_be_held(reply):
+                # Guards against an answer that crosses the close: the job was taken then, and would run on.
+                await self._delete(attempt)
         elif isinstance(reply, Outcome):
             await self.ended(attempt, reply)
-        elif reply is not None and (outcome := outcome_of(reply)) is not None:
-            await self.ended(
-                attempt,
-                outcome,
-                messages.load_from(reply.headers.get("x-server-load", "")),
-                unfit=400 <= reply.status < 500,
-            )
-
-    async def _delete(self, attempt: ServerAttempt) -> None:
+        elif reply is not None:
+            await self._take(attempt, reply)
+
+    def _wait_ms(self, attempt: ServerAttempt) -> int:
+        """Return how long the attempt is waited for from now on."""
+        # Guards against a dial that eats from the client's time and is not taken off what servers are told.
+        return max((attempt.deadline_us - self.clock.now_us()) // 1000, 1)
+
+    async def _take(self, attempt: ServerAttempt, reply: Reply) -> None:
+        """Tell what an answer says of its attempt."""
+        found = replies.classify(reply)
+        if found is JobReply.TAKEN:
+            return
+        report = messages.load_from(reply.headers.get("x-server-load", ""))
+        if found is JobReply.UNKNOWN:
+            self.counters.add("answers_unknown")
+            self.log.event("answer_unknown", level="warning", server=attempt.server, status=reply.status)
+            # Guards against a job that runs on beside its repeat: the attempt ends once it is given up, and
+            # where the server does not confirm that, it is waited for like one that was taken.
+            if not await self._delete(attempt):
+                return
+        await self.ended(attempt, replies.OUTCOMES[found], report, unfit=found is JobReply.REJECTED)
+
+    async def _give_up_taken(self, attempt: ServerAttempt) -> None:
+        await self._delete(attempt)
+
+    async def _delete(self, attempt: ServerAttempt) -> bool:
+        """Give up an attempt at its server; tell whether the server has answered."""
+        reply: Reply | Outcome | None = None
         with trio.move_on_after(self.limits.cancel_exchange):
             reply = await self.exchange(attempt.server, "DELETE", f"/jobs/{attempt.spec.name}", [])
             self.counters.add("deletes" if isinstance(reply, Reply) else "deletes_failed")
+        return isinstance(reply, Reply)
 
     async def _probe(self, name: str) -> None:
         began = self.clock.now_us()
@@ -122,15 +147,8 @@
         await self.post(ports.ServerProbed(name, outcome, self.clock.now_us() - began, report))
 
 
-def refuses(reply: Reply) -> bool:
-    """Tell whether an answer proves that its job never ran."""
-    return outcome_of(reply) is Outcome.FULL
-
-
-def outcome_of(reply: Reply) -> Outcome | None:
-    """Return what an answer says of its attempt; None: the job is taken, call-backs tell the rest."""
-    if reply.status == 202:
-        return None
-    if reply.status in (503, 504) and reply.headers.get("x-not-processed") == "1":
-        return Outcome.FULL
-    return Outcome.ERROR
+def may_be_held(reply: Reply | Outcome | None) -> bool:
+    """Tell whether a server may hold a job of which this came back; None: the exchange was cancelled."""
+    if reply is None:
+        return True
+    return isinstance(reply, Reply) and replies.classify(reply) in (JobReply.TAKEN, JobReply.UNKNOWN)
--- a/merlinbay/site_settings.py
+++ b/merlinbay/site_settings.py
@@ -41,6 +41,19 @@
 NUMBER = (int, float)
 
 
+def repeats_of(row: object, at: str, doubts: list[str]) -> tuple[str, str]:
+    """Read a class's effect and group. What this version does not know counts as unsafe to repeat."""
+    effect = get_of(row, f"{at}.effect", str)
+    group = get_of(row, f"{at}.group", str, "all")
+    if effect not in api.EFFECTS:
+        doubts.append(f"{at}.effect: unknown value {effect!r}, taken for 'once'")
+        effect = "once"
+    if group not in api.GROUPS:
+        doubts.append(f"{at}.group: unknown value {group!r}, the class is not repeated")
+        effect, group = ("once" if effect == "by_key" else effect), "cell"
+    return effect, group
+
+
 def settings_from(conf: object) -> api.Settings:
     """Translate the ``conf`` of a ``Create``."""
     extra = get_of(conf, "extra", dict, {})
@@ -55,16 +68,18 @@
         return num_of(values[at], default) if at < len(values) else default
 
     classes = []
+    doubts: list[str] = []
     for i, row in enumerate(rows):
         at = f"classes[{i}]"
+        effect, group = repeats_of(row, at, doubts)
         classes.append(
             api.JobClass(
                 name=get_of(row, f"{at}.name", str),
                 aim_us=int(get_of(row, f"{at}.aimUs", NUMBER)),
                 deadline_us=int(get_of(row, f"{at}.deadlineUs", NUMBER)),
                 worth=float(get_of(row, f"{at}.worth", NUMBER)),
-                effect=get_of(row, f"{at}.effect", str),
-                group=get_of(row, f"{at}.group", str, "all"),
+                effect=effect,
+                group=group,
                 window_us=int(get_of(row, f"{at}.windowUs", NUMBER, 0)),
                 late_worth=float(get_of(row, f"{at}.lateWorth", NUMBER, 0.0)),
                 stretch=per_class("classStretch", i, num_of(get_of(row, f"{at}.aimStretch", NUMBER, 0.0))),
@@ -126,4 +141,5 @@
         waste_price=float(get_of(prices, "prices.waste", NUMBER, 0.0)),
         worth_by_work=get_of(conf, "worthBy", str, "") == "work",
         cross_zone_price=float(get_of(prices, "prices.crossZone", NUMBER, 0.0)),
+        doubts=doubts,
     )
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,13 +23,12 @@
 from merlinbay.core.ports import Answer, Edge, JobSpec, RequestArrived, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision import api
-from merlinbay.http.client import NotSent
+from merlinbay.http.client import Withheld
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.server import Listener
 from merlinbay.log import Log
 from merlinbay.platform.client_adapter import ClientRequest
-from merlinbay.platform.servers import refuses
 from tests.net import CONF, LIMITS, StandIn, admission, bound, play, stage
 from tests.support import settings
 
@@ -442,8 +441,14 @@
                 return made
 
             pool._connection = left  # type: ignore[method-assign,assignment]
-            with pytest.raises(NotSent):
-                await pool.exchange("s", "POST", "/", [], b"x", lambda: wanted)
+
+            def last_look() -> list[tuple[str, str]]:
+                if not wanted:
+                    raise Withheld("its client has left")
+                return []
+
+            with pytest.raises(Withheld):
+                await pool.exchange("s", "POST", "/", [], b"x", last_look)
             assert not server.seen and len(pool.servers["s"].idle) == 1
 
     play(scene)
@@ -484,25 +489,31 @@
     return serve
 
 
-REFUSED = b"HTTP/1.1 503 No\r\nx-not-processed: 1\r\ncontent-length: 0\r\n\r\n"
+ANSWERS = {
+    "refusal": b"HTTP/1.1 503 No\r\nx-not-processed: 1\r\ncontent-length: 0\r\n\r\n",
+    "taken": b"HTTP/1.1 202 Yes\r\ncontent-length: 0\r\n\r\n",
+    "probe": b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    "error": b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n",
+}
 
 
+@pytest.mark.parametrize("answer", ANSWERS)
 @pytest.mark.parametrize("late", [0.0, 0.01])
-def test_a_second_answer_never_passes_for_that_of_the_next_request(late: float) -> None:
+def test_a_second_answer_never_passes_for_that_of_the_next_request(late: float, answer: str) -> None:
     """A job that was taken would be held for one that never ran, and be sent again."""
 
     async def scene() -> None:
         with trio.fail_after(10):
             async with trio.open_nursery() as nursery:
-                listeners = await nursery.start(trio.serve_tcp, twice(REFUSED, late), 0)
+                listeners = await nursery.start(trio.serve_tcp, twice(ANSWERS[answer], late), 0)
                 host, port = listeners[0].socket.getsockname()[:2]
                 counters = Counters()
-                pool = ConnectionPool(LIMITS, counters, refuses=refuses)
+                pool = ConnectionPool(LIMITS, counters)
                 pool.entries_changed("all", [ServiceEntry("s", f"127.0.0.1:{port}")])
-                assert refuses(await pool.exchange("s", "POST", "/", [], b"x"))
+                first = await pool.exchange("s", "POST", "/", [], b"x")
                 if not late:  # both are read at once
                     await trio.sleep(2 * LIMITS.pool_rest)
-                assert refuses(await pool.exchange("s", "POST", "/", [], b"x"))
+                assert (await pool.exchange("s", "POST", "/", [], b"x")).status == first.status
                 assert counters.counts["server_connections"] == 2  # on a connection of its own
                 nursery.cancel_scope.cancel()
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -501,10 +501,11 @@
             counters = Counters()
             pool = ConnectionPool(LIMITS, counters, lambda name: not leaves)
             pool.entries_changed("all", [ServiceEntry("s", server.addr)])
-            assert (await pool.exchange("s", "POST", "/", [], b"x", wanted=lambda: True)).status == 202
+            assert (await pool.exchange("s", "POST", "/", [], b"x", last_look=list)).status == 202
+            await trio.sleep(1.2 * LIMITS.pool_rest)
             leaves = True
             with pytest.raises(NotSent):
-                await pool.exchange("s", "POST", "/", [], b"x", wanted=lambda: True)
+                await pool.exchange("s", "POST", "/", [], b"x", last_look=list)
             assert (await pool.exchange("s", "DELETE", "/jobs/x", [])).status == 202
             assert server.targets() == ["/"] and len(server.connections) == 1
             assert counters.counts["sends_withheld"] == 1
@@ -526,7 +527,7 @@
             now = clock.now_us()
             servers.start(ServerAttempt(JobSpec("j", "admit", now, SECOND), 1, 0, "s", now, now + SECOND))
             ended = await inbox.receive()
-            assert isinstance(ended, AttemptFinished) and ended.outcome is api.Outcome.CONNECT_FAILED
+            assert isinstance(ended, AttemptFinished) and ended.outcome is api.Outcome.MOOT
             assert not server.seen
 
     play(scene)
@@ -550,7 +551,7 @@
 
             pool._connection = moved  # type: ignore[method-assign,assignment]
             with pytest.raises(NotSent):
-                await pool.exchange("s", "POST", "/", [], b"x", wanted=lambda: True)
+                await pool.exchange("s", "POST", "/", [], b"x", last_look=list)
             assert not server.targets()
 
     play(scene)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -245,7 +245,7 @@
 
 
 def test_connections_to_servers_are_used_again(tmp_path: Path) -> None:
-    """The 202 frees the connection, so jobs in turn need one, though each runs on for a while."""
+    """The 202 frees the connection, so jobs in turn need one: each comes once it has rested."""
 
     async def scene() -> None:
         async with stage(tmp_path) as s:
@@ -253,6 +253,7 @@
             await s.start()
             for number in range(10):
                 assert (await s.admit(f"a{number}")).status == 200
+                await trio.sleep(1.2 * LIMITS.pool_rest)
             assert len(server.connections) == 1
 
     play(scene)
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -17,7 +17,7 @@
 from merlinbay.http.client import Reply
 from merlinbay.limits import limits_from
 from merlinbay.platform import messages
-from merlinbay.platform.servers import outcome_of
+from merlinbay.platform.replies import OUTCOMES, JobReply, classify, settles
 from merlinbay.problems import BadConfig, address
 from tests.net import ROOT
 
@@ -45,6 +45,8 @@
         },
     ),
     ("/admit", {"x-priority-class": ""}, {"job_class": "admit"}),
+    ("/admit", {"x-priority-class": "seat"}, None),
+    ("/admit", {"x-priority-class": "Admit"}, None),
     (
         "/admit",
         {"x-retried": "1", "x-route-key": "r", "x-cost": "1200.5"},
@@ -79,19 +81,29 @@
 
 
 @pytest.mark.parametrize(
-    "status, headers, expected",
+    "status, headers, expected, outcome",
     [
-        (202, {}, None),
-        (503, {"x-not-processed": "1"}, Outcome.FULL),
-        (504, {"x-not-processed": "1"}, Outcome.FULL),
-        (503, {}, Outcome.ERROR),
-        (500, {"x-not-processed": "1"}, Outcome.ERROR),
-        (200, {}, Outcome.ERROR),
+        (202, {}, JobReply.TAKEN, None),
+        (503, {"x-not-processed": "1"}, JobReply.NOT_PROCESSED, Outcome.FULL),
+        (504, {"x-not-processed": "1"}, JobReply.NOT_PROCESSED, Outcome.FULL),
+        (503, {}, JobReply.UNKNOWN, Outcome.ERROR),
+        (503, {"x-not-processed": "0"}, JobReply.UNKNOWN, Outcome.ERROR),
+        (504, {}, JobReply.UNKNOWN, Outcome.ERROR),
+        (500, {"x-not-processed": "1"}, JobReply.FAILED, Outcome.ERROR),
+        (200, {}, JobReply.UNKNOWN, Outcome.ERROR),
+        (302, {}, JobReply.UNKNOWN, Outcome.ERROR),
+        (501, {}, JobReply.UNKNOWN, Outcome.ERROR),
+        (404, {"x-not-processed": "1"}, JobReply.REJECTED, Outcome.ERROR),
+        (429, {}, JobReply.REJECTED, Outcome.ERROR),
     ],
 )
-def test_an_answer_becomes_an_outcome(status: int, headers: dict[str, str], expected: Outcome | None) -> None:
-    """Only 503 and 504 with the header prove that it never ran."""
-    assert outcome_of(Reply(status, headers, b"")) is expected
+def test_an_answer_becomes_an_outcome(
+    status: int, headers: dict[str, str], expected: JobReply, outcome: Outcome | None
+) -> None:
+    """Only 503 and 504 with the header prove that it never ran; what is not named leaves that open."""
+    reply = Reply(status, headers, b"")
+    assert classify(reply) is expected and OUTCOMES.get(expected) is outcome
+    assert settles(reply) == (expected not in (JobReply.UNKNOWN, JobReply.REJECTED))
 
 
 @pytest.mark.parametrize(
