An answer that is no HTTP or too large leaves open whether its job runs: DELETE, then the class

Cause: http/client.py, exchange and _reply raised ConnectionBroken for a too large answer and for bytes that are no HTTP, and http/servers.py read that as a reset; the executor had not broken the connection, and where it had said 202 the job ran on beside its repeat (forced: a 202 with a body over 64 KiB, second copies off). Ruled out: an end of the connection in the middle of an answer, which stays a reset (h11 tells the two apart by trailing_data). Change: UnreadableAnswer, which real-server sides turn into an answer of status UNREADABLE; the platform side classes it as unknown, has the attempt deleted and ended after that.

--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -27,6 +27,10 @@
     """The connection broke, or spoke no HTTP, after the request's last byte was written."""
 
 
+class UnreadableAnswer(ConnectionBroken):
+    """The answer is no HTTP, or larger than is taken: the other side has not broken the connection."""
+
+
 Headers = list[tuple[str, str]]
 
 
@@ -109,8 +113,11 @@
             raise NotSent(str(error)) from None
         try:
             return await self._reply()
-        except (OSError, h11.RemoteProtocolError) as error:
+        except OSError as error:
             raise ConnectionBroken(str(error)) from None
+        except h11.RemoteProtocolError as error:
+            ended = self.h11.trailing_data[1]
+            raise (ConnectionBroken if ended else UnreadableAnswer)(str(error)) from None
 
     async def _reply(self) -> Reply:
         head: h11.Response | None = None
@@ -124,7 +131,7 @@
             elif type(event) is h11.Data:
                 body += event.data
                 if len(body) > self.body_bytes:
-                    raise ConnectionBroken("the answer is too large")
+                    raise UnreadableAnswer("the answer is too large")
             elif type(event) is h11.EndOfMessage and head is not None:
                 if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
                     self.h11.start_next_cycle()
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -11,11 +11,13 @@
 from merlinbay.core.ports import ServerAttempt, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.http.client import ConnectionBroken, Headers, NotSent, Reply, Withheld
+from merlinbay.http.client import ConnectionBroken, Headers, NotSent, Reply, UnreadableAnswer, Withheld
 from merlinbay.http.pool import ConnectionPool, LastLook
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
+UNREADABLE = 0  # the status of an answer that is no HTTP, or larger than is taken
+
 
 def check_may_begin(attempt: ServerAttempt) -> Headers:
     """Look at an attempt right before its first byte, as a pool's last look. Raises ``Withheld``."""
@@ -68,13 +70,15 @@
         last_look: LastLook | None = None,
         keeps_after: Callable[[Reply], bool] = lambda reply: True,
     ) -> Reply | Outcome:
-        """Have one exchange; return its answer, or the outcome where none came."""
+        """Have one exchange; return its answer, be it an unreadable one, or the outcome where none came."""
         try:
             return await self.pool.exchange(server, method, target, headers, body, last_look, keeps_after)
         except Withheld:
             return Outcome.MOOT
         except NotSent:
             return Outcome.CONNECT_FAILED
+        except UnreadableAnswer:
+            return Reply(UNREADABLE, {}, b"")
         except ConnectionBroken:
             return Outcome.RESET
 
