Property tests of repeats drawn over more settings; tables for the last look and refusals

Need: the users saw rule duplicate broken under other settings only. Change: tests/support.py judges the group by the worker's zone and cell at the send, counts a reported start or progress against a hand-back, and a refusal as a repeat within the window; tests/test_eligibility.py draws windows of 0, lists asked for and pushed, workers listed in another zone or cell, jobs without a key, progress; tables for may_begin, may_refuse, moved and forgotten workers, unknown classes, effects and groups. An unknown group is noted only where it counts.

--- a/merlinbay/site_settings.py
+++ b/merlinbay/site_settings.py
@@ -49,8 +49,10 @@
         doubts.append(f"{at}.effect: unknown value {effect!r}, taken for 'once'")
         effect = "once"
     if group not in api.GROUPS:
-        doubts.append(f"{at}.group: unknown value {group!r}, the class is not repeated")
-        effect, group = ("once" if effect == "by_key" else effect), "cell"
+        if effect == "by_key":
+            doubts.append(f"{at}.group: unknown value {group!r}, the class is taken for one of effect 'once'")
+            effect = "once"
+        group = "all"  # which counts for keyed classes only
     return effect, group
 
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -63,7 +63,15 @@
 
     worker: str
     at: int
+    cell: int  # of the worker when it was sent
+    zone: str
     outcome: int = 0
+    started: bool = False  # a start, or progress, was reported
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether nothing proves that it never ran."""
+        return self.started or self.outcome not in NEVER
 
 
 @dataclass
@@ -77,6 +85,16 @@
     answers: int = 0
     over: bool = False  # settled, as far as the module has been told
 
+    @property
+    def effect(self) -> str:
+        """What a repeat does: no worker knows one that carries no key."""
+        return "once" if self.cls.effect == "by_key" and self.event.keyless else self.cls.effect
+
+    @property
+    def unsure(self) -> list[Sent]:
+        """The attempts that may have run, in the order they were sent."""
+        return [sent for sent in self.attempts if sent.may_have_run]
+
 
 @dataclass
 class Checker:
@@ -115,6 +133,9 @@
             job.attempts[event.attempt].outcome = event.outcome
             if event.final:
                 job.over = True
+        elif isinstance(event, (api.JobStarted, api.JobProgress)) and event.id in self.jobs:
+            sent = self.jobs[event.id].attempts[event.attempt]
+            sent.started = sent.started or not sent.outcome
         elif isinstance(event, api.JobWithdrawn) and event.id in self.jobs:
             ended_now.add(event.id)
         elif isinstance(event, api.ListChanged):
@@ -147,31 +168,34 @@
             if action.id in ended_now:
                 return
             job.over = True
-            unsure = any(sent.outcome not in NEVER for sent in job.attempts)
-            if (
-                isinstance(action, api.Refuse)
-                and unsure
-                and (job.cls.effect == "once" or (job.cls.effect == "by_key" and job.cls.group != "all"))
-            ):
+            if isinstance(action, api.Refuse) and not self._may_refuse(job, action.retry_after_us):
                 self.broken.append("2: refused though it may have run")
         elif isinstance(action, api.Cancel):
             assert action.attempt < len(self.jobs[action.id].attempts), "cancelled an attempt never sent"
 
+    def _may_refuse(self, job: Seen, wait_us: int) -> bool:
+        """Tell whether the client, which sends a refused job again after a wait, does no harm by it."""
+        if not job.unsure or job.effect == "repeatable":
+            return True
+        ends = job.unsure[0].at + job.cls.window_us
+        return job.effect == "by_key" and job.cls.group == "all" and self.now + wait_us <= ends
+
     def _placed(self, job: Seen, action: api.Place) -> None:
         if job.over:
             self.broken.append("1: sent after the end")
-        unsure = [sent for sent in job.attempts if sent.outcome not in NEVER]
+        unsure = job.unsure
         pending = [sent for sent in job.attempts if not sent.outcome]
         if pending and not self.conf.limits.second_copies:
             self.broken.append("2: second copy where none is allowed")
-        if unsure and job.cls.effect == "once":
+        if unsure and job.effect == "once":
             self.broken.append("2: once sent again")
-        if unsure and job.cls.effect == "by_key":
-            here, home = self.cell[action.worker], self.cell[unsure[0].worker]
-            same = {"all": True, "cell": here[0] == home[0], "zone": here[1] == home[1]}[job.cls.group]
-            if not same or self.now - unsure[0].at > job.cls.window_us:
+        cell, zone = self.cell[action.worker]
+        if unsure and job.effect == "by_key":
+            home = unsure[0]
+            same = {"all": True, "cell": cell == home.cell, "zone": zone == home.zone}[job.cls.group]
+            if not same or self.now - home.at > job.cls.window_us:
                 self.broken.append("2: keyed sent outside its group or window")
-        job.attempts.append(Sent(action.worker, self.now))
+        job.attempts.append(Sent(action.worker, self.now, cell, zone))
         if len(job.attempts) > self.conf.limits.send_cap:
             self.broken.append("send cap passed")
         off = self.told_off.get(action.worker)
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -21,11 +21,11 @@
 from tests.support import Checker, Seen, entry, settings
 from tests.test_sites import SITES, conf_of
 
-ACTIONS = [*["job", "replies", "time", "end"] * 2, "start", "list", "operators"]
+ACTIONS = [*["job", "replies", "time", "end"] * 2, "start", "progress", "list", "operators"]
 STEPS = st.lists(
     st.tuples(st.sampled_from(ACTIONS), st.integers(0, 2**16), st.integers(0, 7)), min_size=10, max_size=60
 )
-WINDOWS_US = (40_000, 250_000, 3_000_000, 12_000_000)
+WINDOWS_US = (0, 40_000, 250_000, 3_000_000, 12_000_000)
 OUTCOMES = (1, 1, 2, 3, 4, 5, 6, 7)
 PASSING_US = (5_000, 20_000, 60_000, 160_000, 400_000, 1_600_000, 3_000_000, 9_000_000)
 
@@ -100,9 +100,10 @@
     conf = settings(
         classes=[*keyed, api.JobClass("safe", 150_000, 5_000_000), unsafe],
         balancers=draw(st.integers(1, 4)),
+        must_subscribe=draw(st.booleans()),
         tells_start=draw(st.booleans()),
         cross_zone_price=draw(st.sampled_from([0.0, 0.01, 0.16])),
-        asks_first=probes,
+        asks_first=probes and draw(st.booleans()),
         probe_price=draw(st.sampled_from([0.0, 0.002])),
         limits=api.Limits(
             cancelling=draw(st.booleans()),
@@ -134,9 +135,18 @@
         only=bound,
         room_only=pick % 11 == 0,
         reserved=bool(bound) and pick % 2 == 0,
+        keyless=pick % 4 == 0,
     )
 
 
+def relisted(row: api.WorkerEntry, now: int, pick: int, small: int) -> api.WorkerEntry:
+    """Return a worker's next line of the list: another state, a new start, at times another zone and cell."""
+    state = ("up", "up", "draining", "removed")[small % 4]
+    ready = now - 100_000 if small >= 4 else 0
+    zone, cell = ("abc"[pick % 3], pick % 7) if pick % 5 == 0 else (row.zone, row.cell)
+    return api.WorkerEntry(row.worker, zone, row.kind, cell, state, 1.0, ready)
+
+
 def attempt_step(check: StrictChecker, what: str, pick: int, small: int) -> None:
     """Start or end one of the attempts that are out."""
     pending = [
@@ -148,8 +158,8 @@
     if not pending:
         return
     number, job, at, sent = pending[pick % len(pending)]
-    if what == "start":
-        check.act(api.JobStarted(number, at))
+    if what in ("start", "progress"):
+        check.act(api.JobStarted(number, at) if what == "start" else api.JobProgress(number, at, 0.5))
         return
     outcome = OUTCOMES[small]
     over = job.over or outcome == api.Outcome.OK
@@ -172,10 +182,7 @@
         elif what == "time":
             check.pass_time(PASSING_US[small])
         elif what == "list":
-            state = ("up", "up", "draining", "removed")[small % 4]
-            ready = check.now - 100_000 if small >= 4 else 0
-            changed = api.WorkerEntry(row.worker, row.zone, row.kind, row.cell, state, 1.0, ready)
-            check.act(api.ListChanged("changes", [changed]))
+            check.act(api.ListChanged("changes", [relisted(row, check.now, pick, small)]))
         elif what == "operators":
             check.act(
                 api.SlotsKept(row.worker, float(small % 3), 4.0)
@@ -288,6 +295,136 @@
     assert allowed(made, job, workers) == expected
 
 
+def job_of(made: Balancer, job_class: str, *sent: tuple[Worker, int], keyless: bool = False) -> Job:
+    """Return a job of a class whose attempts went to these workers at these times, and are out."""
+    state = made.classes[job_class]
+    job = Job(1, state, 1.0, 0.0, "", state.run, 1.0, 90_000_000, keyless=keyless)
+    job.attempts, job.pending = [Attempt(worker, at) for worker, at in sent], len(sent)
+    made.jobs[job.id] = job
+    return job
+
+
+def keyed_settings(group: str, window_us: int = 3_000_000, second_copies: bool = True) -> api.Settings:
+    """Return settings with a class that workers of a group know repeats of for so long."""
+    conf = settings()
+    conf.classes[1].group, conf.classes[1].window_us = group, window_us
+    conf.limits.second_copies = second_copies
+    return conf
+
+
+MOVES = ["relisted", "forgotten and listed anew"]
+
+
+@pytest.mark.parametrize("how", MOVES)
+@pytest.mark.parametrize(("group", "expected"), [("zone", "246"), ("cell", "1")])
+def test_the_group_is_that_of_the_send_whatever_is_listed_later(group: str, expected: str, how: str) -> None:
+    """The first attempt's worker is listed in another zone and cell, or gone and back as another record."""
+    made, workers = eight_workers(keyed_settings(group))
+    job = job_of(made, "keyed", (workers[0], made.now))
+    if how != "relisted":
+        made.handle(made.now, [api.ListChanged("changes", [entry(0, "removed")])])
+        workers[0].held = 0.0
+    made.handle(made.now, [api.ListChanged("changes", [api.WorkerEntry("w0", "b", "k1", 3)])])
+    now_listed = sorted(made.workers.values(), key=lambda worker: worker.name)
+    assert now_listed[0].zone == "b" and (now_listed[0] is workers[0]) == (how == "relisted")
+    assert allowed(made, job, now_listed) == expected
+    group_by_index = made.repeat_group(job)
+    assert group_by_index is not None
+    assert "".join(sorted(w.name[1:] for w in group_by_index if w.name != "w0")) == expected
+
+
+def test_a_worker_that_was_forgotten_and_is_back_gets_no_second_attempt() -> None:
+    """Its record is another one, but it may still hold the first attempt."""
+    made, workers = eight_workers(settings())
+    job = job_of(made, "safe", (workers[0], made.now))
+    made.workers["w0"] = Worker("w0", workers[0].kind, "a")
+    assert allowed(made, job, list(made.workers.values())) == "1234567"
+
+
+@pytest.mark.parametrize(
+    ("job_class", "keyless", "group", "second_copies", "after_us", "expected"),
+    [
+        ("safe", False, "all", True, 9_000_000, True),
+        ("safe", False, "all", False, 0, False),
+        ("unsafe", False, "all", True, 0, False),
+        ("keyed", False, "zone", True, 2_999_999, True),
+        ("keyed", False, "zone", True, 3_000_000, False),
+        ("keyed", False, "all", True, 2_999_999, True),
+        ("keyed", False, "all", True, 3_000_000, False),
+        ("keyed", False, "zone", False, 0, False),
+        ("keyed", False, "cell", True, 0, False),  # w2 is of the zone, and of another cell
+        ("keyed", True, "all", True, 0, False),
+    ],
+)
+def test_the_look_before_the_first_byte(
+    job_class: str, keyless: bool, group: str, second_copies: bool, after_us: int, expected: bool
+) -> None:
+    """The second attempt's dial has lasted so long; the first one is out."""
+    made, workers = eight_workers(keyed_settings(group, second_copies=second_copies))
+    at = made.now
+    job_of(made, job_class, (workers[0], at), (workers[2], at), keyless=keyless)
+    assert made.may_begin(1, 1, at + after_us) == expected
+
+
+def test_the_look_counts_later_attempts_that_went_out_before() -> None:
+    """The first attempt's dial lasts; its copy goes out, and the window counts from there."""
+    made, workers = eight_workers(keyed_settings("zone"))
+    at = made.now
+    job = job_of(made, "keyed", (workers[0], at), (workers[2], at + 40_000))
+    assert made.may_begin(1, 0, at + 3_039_999)
+    assert not made.may_begin(1, 0, at + 3_040_000)
+    job.attempts[1].open = False  # it has come back unstarted
+    assert made.may_begin(1, 0, at + 3_040_000)
+    job.attempts[0].open = False
+    assert not made.may_begin(1, 0, at), "an attempt that has ended is not begun"
+    assert not made.may_begin(2, 0, at) and not made.may_begin(1, 2, at)
+
+
+@pytest.mark.parametrize(
+    ("job_class", "keyless", "group", "after_us", "wait_us", "expected"),
+    [
+        ("safe", False, "all", 60_000_000, 0, True),
+        ("unsafe", False, "all", 0, 0, False),
+        ("keyed", False, "zone", 0, 0, False),
+        ("keyed", False, "cell", 0, 0, False),
+        ("keyed", False, "all", 2_999_999, 0, True),
+        ("keyed", False, "all", 3_000_000, 0, False),
+        ("keyed", False, "all", 2_900_000, 100_000, False),  # it comes again when the window is over
+        ("keyed", True, "all", 0, 0, False),
+    ],
+)
+def test_a_refusal_counts_as_a_repeat(
+    job_class: str, keyless: bool, group: str, after_us: int, wait_us: int, expected: bool
+) -> None:
+    """The client sends it again, at once or after the wait that it is told."""
+    made, workers = eight_workers(keyed_settings(group))
+    job = job_of(made, job_class, (workers[0], made.now), keyless=keyless)
+    made.now += after_us
+    assert made.may_refuse(job, wait_us) == expected
+    job.attempts[0].open = False
+    assert made.may_refuse(job, wait_us), "it has come back unstarted"
+
+
+@pytest.mark.parametrize("told", [api.JobStarted(1, 0), api.JobProgress(1, 0, 0.5), None])
+def test_a_hand_back_after_a_start_proves_nothing(told: api.Event | None) -> None:
+    """A job that is unsafe to repeat is failed then, and tried elsewhere if no start was reported."""
+    made, _ = eight_workers(settings())
+    made.handle(made.now, [api.JobArrived(1, "unsafe", 8_000_000)])
+    if told is not None:
+        made.handle(made.now, [told])
+    actions = made.handle(made.now, [api.AttemptEnded(1, 0, api.Outcome.FULL, 900)])
+    kinds = [type(action) for action in actions]
+    assert (api.Fail in kinds) == (told is not None) and (api.Place in kinds) == (told is None)
+
+
+def test_a_class_that_nobody_knows_is_unsafe_to_repeat() -> None:
+    """It does not take the rules of another one."""
+    made, _ = eight_workers(settings())
+    made.handle(made.now, [api.JobArrived(1, "another", 8_000_000)])
+    actions = made.handle(made.now, [api.AttemptEnded(1, 0, api.Outcome.RESET, 900)])
+    assert [type(action) for action in actions if not isinstance(action, api.SetTimer)] == [api.Fail]
+
+
 def test_the_condition_of_each_worker_counts() -> None:
     """Drained, failing, hanging, short of memory, of another kind, not one that the job is bound to."""
     conf = settings()
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -118,3 +118,29 @@
             check.give(api.ListChanged("refused", [], check.now - 1_000_000))
     check.finish()
     assert check.broken == []
+
+
+@pytest.mark.parametrize(
+    ("row", "effect", "doubt"),
+    [
+        ({"effect": "idempotent"}, "once", "classes[0].effect: unknown value 'idempotent', taken for 'once'"),
+        (
+            {"effect": "by_key", "group": "rack"},
+            "once",
+            "classes[0].group: unknown value 'rack', the class is taken for one of effect 'once'",
+        ),
+        ({"effect": "repeatable", "group": "rack"}, "repeatable", ""),
+        ({"effect": "by_key", "group": "zone"}, "by_key", ""),
+    ],
+)
+def test_what_settings_say_in_unknown_words_is_not_repeated(
+    row: dict[str, str], effect: str, doubt: str
+) -> None:
+    """The node starts, says so in its log, and keeps to the cautious meaning."""
+    conf = conf_of(SITES[0], False)
+    conf["classes"][0].update(row)
+    found = settings_from(conf)
+    doubts = [doubt] if doubt else []
+    assert (found.classes[0].effect, found.doubts) == (effect, doubts)
+    noted = Balancer(found, 1, 0).handle(0, [])
+    assert [action.text for action in noted if isinstance(action, api.Note)] == doubts
