--- a/tests/duplicate_judge.py
+++ b/tests/duplicate_judge.py
@@ -40,6 +40,7 @@
     has_repeat_key: bool = True
     attempts: list[ArrivedAttempt] = field(default_factory=list)
     answers: list[int] = field(default_factory=list)
+    left: bool = False  # its client has gone, and nothing is owed any more
 
 
 class DuplicateJudge:
--- /dev/null
+++ b/tests/executor_faults.py
@@ -0,0 +1,98 @@
+"""The faults that a stand-in executor can be told to have, attempt by attempt."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+REASONS = {200: "OK", 202: "Accepted", 302: "Found", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+class BreakPoint(Enum):
+    """Where in its exchange a connection breaks off."""
+
+    BEFORE_ANSWER = "before the 202"
+    IN_ANSWER = "in the middle of the 202"
+    AFTER_ANSWER = "after the 202"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A whole HTTP answer."""
+
+    status: int = 202
+    not_processed: bool = False
+    body: bytes = b""
+
+    @property
+    def never_ran(self) -> bool:
+        """Tell whether the protocol page has it prove that the job never ran."""
+        return self.not_processed and self.status in (503, 504)
+
+    def encode(self) -> bytes:
+        """Return its bytes."""
+        lines = [f"HTTP/1.1 {self.status} {REASONS.get(self.status, 'Other')}"]
+        if self.not_processed:
+            lines.append("X-Not-Processed: 1")
+        if self.status == 302:
+            lines.append("Location: /elsewhere")
+        lines += [f"Content-Length: {len(self.body)}", "", ""]
+        return "\r\n".join(lines).encode() + self.body
+
+
+@dataclass(frozen=True)
+class NotHttp:
+    """Bytes that are no HTTP, in the place of an answer."""
+
+    data: bytes = b"\x16\x03\x01\x00\x05 this is no HTTP\r\n\r\n"
+
+
+@dataclass(frozen=True)
+class BreakOff:
+    """The connection breaks, by a reset or in good order."""
+
+    at: BreakPoint
+    reset: bool = True
+
+
+@dataclass(frozen=True)
+class NoAnswer:
+    """The executor hangs: the attempt is read and nothing is said."""
+
+
+FirstAnswer = Answer | NotHttp | BreakOff | NoAnswer
+TAKEN = Answer(202)
+REFUSED = Answer(503, not_processed=True)
+TOO_LARGE = Answer(202, body=b"x" * (64 * 1024 + 1))
+
+
+@dataclass(frozen=True)
+class CallBack:
+    """A call-back, made after a delay or once the attempt was given up."""
+
+    state: str
+    share: float = 0.0
+    delay: float = 0.0
+    after_given_up: bool = False
+    gate: trio.Event | None = None  # waited for before the call
+
+
+STARTED = CallBack("started")
+RUNNING = CallBack("running", share=0.4)
+DONE = CallBack("done")
+
+
+@dataclass(frozen=True)
+class Behaviour:
+    """What an executor does with one attempt."""
+
+    answer: FirstAnswer = TAKEN
+    before: tuple[CallBack, ...] = ()  # made before the answer
+    after: tuple[CallBack, ...] = (STARTED, DONE)
+    second_answer: Answer | None = None
+    gate: trio.Event | None = None  # waited for before the answer
+
+
+HEALTHY = Behaviour()
