Tests of rule duplicate: call-backs, hangs, slow dials, restarts, keys, replays, several nodes

Need: each suspected cause of rule duplicate forced on whole nodes, over settings. Change: second answers forced onto the connection's next request; jobs handed back, late call-backs, lost deletes, executors that hang or start anew elsewhere, requests without their key or of two classes, replayed ids, faults by chance at two and three nodes.

--- a/tests/faulty_cluster.py
+++ b/tests/faulty_cluster.py
@@ -178,6 +178,19 @@
         self.judge.answered(name, status)
         return status
 
+    async def replay(self, name: str) -> int:
+        """Hand in a request's id once more; return the status of the answer, 0 where none came."""
+        job_class = self.judge.requests[name].job_class
+        return await self._exchange(self.node_of[name], name, job_class, 1500, True, "", (), "")
+
+    async def named(self, job_class: str) -> str:
+        """Return the name of a class's first request that has reached an executor."""
+        while True:
+            for held in self.board.attempts:
+                if self.judge.requests[held.name].job_class == job_class:
+                    return held.name
+            await self.board.arrival.wait()
+
     async def leave_after_start(self, job_class: str, name: str, route: str = "") -> None:
         """Hand in a request and close its connection once an executor has the job."""
         self.node_of[name] = self.nodes[0]
--- a/tests/faulty_executor.py
+++ b/tests/faulty_executor.py
@@ -55,6 +55,8 @@
     judged: ArrivedAttempt
     answered: bool = False  # a whole 202 is written, so a close gives nothing up
     begun: bool = False  # a start or progress was told
+    call_backs_made: int = 0
+    answer_over: trio.Event = field(default_factory=trio.Event)  # its answer is written, or broken off
     given_up: trio.Event = field(default_factory=trio.Event)
 
     def note_given_up(self, judge: DuplicateJudge) -> None:
@@ -298,6 +300,7 @@
             self._answer_again(connection, behaviour.second_answer)
         except (OSError, trio.ClosedResourceError):
             pass  # the node has closed it, and the job goes on
+        held.answer_over.set()
         for call_back in behaviour.after:
             await self._call_back(held, call_back)
 
@@ -360,6 +363,7 @@
         elif call_back.state == "done":
             event["result"] = f"{self.identity.name}:{held.name}"
         await self.board.post_call_back(held.name, json.dumps(event).encode())
+        held.call_backs_made += 1
 
     def _tell_judge(self, held: HeldAttempt, state: str) -> None:
         if state in ("started", "running"):
