--- a/tests/duplicate_judge.py
+++ b/tests/duplicate_judge.py
@@ -49,6 +49,7 @@
     def __init__(self, settings: dict[str, Any]) -> None:
         self.classes: dict[str, dict[str, Any]] = {row["name"]: row for row in settings["classes"]}
         self.second_copies = bool(settings["limits"]["secondCopies"])
+        self.send_cap = int(settings["limits"]["sendCap"])
         self.requests: dict[str, SeenRequest] = {}
         self.breaks: list[str] = []
 
@@ -65,6 +66,8 @@
             self._broken(name, f"a second attempt at {executor.name}, which still has the first")
         if any(other.out for other in before) and not self.second_copies:
             self._broken(name, "a second copy where none is allowed")
+        if len(before) >= self.send_cap:
+            self._broken(name, f"attempt {len(before) + 1}, where {self.send_cap} are allowed")
         uncertain = [other for other in before if other.may_have_run]
         if uncertain:
             self._judge_repeat(name, request, uncertain[0], attempt)
