Tests of rule duplicate: lost deletes after odd answers, call-backs of strangers, 429 with the header

Need: where a DELETE is not confirmed, nothing says that an attempt is given up. Change: odd answers with a lost DELETE; call-backs in the name of an executor that has no attempt; a hand-back told twice; 429 with X-Not-Processed.

--- a/tests/faulty_cluster.py
+++ b/tests/faulty_cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -192,6 +193,11 @@
                     return held.name
             await self.board.arrival.wait()
 
+    async def call_back_as(self, executor: str, name: str, state: str) -> None:
+        """Make a call-back in an executor's name, whether or not it has the job."""
+        event = {"id": name, "from": executor, "state": state, "result": f"{executor}:{name}"}
+        await self._post_call_back(name, json.dumps(event).encode())
+
     def classes_sent(self) -> set[str]:
         """Return the classes of which an executor has got a job."""
         return {self.judge.requests[held.name].job_class for held in self.board.attempts}
--- a/tests/test_duplicates.py
+++ b/tests/test_duplicates.py
@@ -246,6 +246,7 @@
     "302": Answer(302),
     "404": Answer(404),
     "409": Answer(409),
+    "429 with the header": Answer(429, not_processed=True),
     "bare 503": Answer(503),
     "bare 504": Answer(504),
     "500": Answer(500),
@@ -282,6 +283,24 @@
     play(scene)
 
 
+@pytest.mark.parametrize("name", ["200", "bare 503", "202 too large", "no HTTP"])
+def test_an_answer_that_proves_nothing_and_a_lost_delete_leave_the_job_where_it_is(
+    tmp_path: Path, name: str
+) -> None:
+    """Where copies are not allowed: nothing says that the first attempt is given up."""
+
+    async def scene() -> None:
+        async def one(rules: ClassRules) -> None:
+            await at.request(rules.name, timeout_ms=400)
+
+        async with scattered(tmp_path, SINGLE) as at:
+            at.board.loses_deletes = True
+            at.board.script = first_only(Behaviour(ODD_ANSWERS[name], after=(STARTED,)))
+            await for_each_class(one)
+
+    play(scene)
+
+
 @pytest.mark.parametrize("answer", [REFUSED, Answer(504, not_processed=True)], ids=["503", "504"])
 @pytest.mark.parametrize("profile", [SINGLE, COPIES, ONE_SEND], ids=lambda profile: profile.name)
 def test_a_refusal_that_proves_a_job_unrun_is_tried_elsewhere(
@@ -313,6 +332,7 @@
     "after progress alone": (Behaviour(after=(RUNNING, RETURNED)), False),
     "unstarted": (Behaviour(after=(RETURNED,)), True),
     "unstarted, before the 202": (Behaviour(before=(RETURNED,), after=()), True),
+    "unstarted, told twice": (Behaviour(after=(RETURNED, RETURNED)), True),
     "unstarted, with a start told late": (Behaviour(after=(RETURNED, STARTED)), True),
 }
 
@@ -407,6 +427,34 @@
     play(scene)
 
 
+@pytest.mark.parametrize("state", ["started", "returned", "failed", "lost", "done"])
+def test_a_call_back_of_an_executor_that_has_no_attempt_ends_none(tmp_path: Path, state: str) -> None:
+    """It names a job that another executor has."""
+
+    async def scene() -> None:
+        statuses: dict[str, int] = {}
+        stranger_has_spoken = trio.Event()
+
+        async def one(rules: ClassRules) -> None:
+            statuses[rules.name] = await at.request(rules.name)
+
+        async def speak() -> None:
+            for rules in EVERY_CLASS:
+                held = await at.board.wait_for(await at.named(rules.name), 0)
+                stranger = next(name for name in at.executors if name != held.executor.identity.name)
+                await at.call_back_as(stranger, held.name, state)
+            stranger_has_spoken.set()
+
+        async with scattered(tmp_path, SINGLE) as at, trio.open_nursery() as nursery:
+            at.board.script = lambda held: Behaviour(after=(CallBack("done", gate=stranger_has_spoken),))
+            nursery.start_soon(speak)
+            await for_each_class(one)
+            assert len(at.board.attempts) == len(EVERY_CLASS)
+        assert set(statuses.values()) == {200}
+
+    play(scene)
+
+
 @pytest.mark.parametrize("state", ["returned", "failed", "done"])
 def test_an_attempt_whose_delete_was_lost_may_speak_late(tmp_path: Path, state: str) -> None:
     """A copy has started, the first attempt is given up, and its executor never hears of it."""
