--- a/tests/duplicate_judge.py
+++ b/tests/duplicate_judge.py
@@ -40,6 +40,7 @@
     has_repeat_key: bool = True
     attempts: list[ArrivedAttempt] = field(default_factory=list)
     answers: list[int] = field(default_factory=list)
+    left: bool = False  # its client has gone, and nothing is owed any more
 
 
 class DuplicateJudge:
@@ -48,6 +49,7 @@
     def __init__(self, settings: dict[str, Any]) -> None:
         self.classes: dict[str, dict[str, Any]] = {row["name"]: row for row in settings["classes"]}
         self.second_copies = bool(settings["limits"]["secondCopies"])
+        self.send_cap = int(settings["limits"]["sendCap"])
         self.requests: dict[str, SeenRequest] = {}
         self.breaks: list[str] = []
 
@@ -64,6 +66,8 @@
             self._broken(name, f"a second attempt at {executor.name}, which still has the first")
         if any(other.out for other in before) and not self.second_copies:
             self._broken(name, "a second copy where none is allowed")
+        if len(before) >= self.send_cap:
+            self._broken(name, f"attempt {len(before) + 1}, where {self.send_cap} are allowed")
         uncertain = [other for other in before if other.may_have_run]
         if uncertain:
             self._judge_repeat(name, request, uncertain[0], attempt)
@@ -79,7 +83,7 @@
         """Note a DELETE that has arrived, or the node's close of the connection before the 202."""
         attempt.out = False
 
-    def answered(self, name: str, status: int) -> None:
+    def answered(self, name: str, status: int, at: float) -> None:
         """Judge the node's final answer to a client, or a close with no answer (status 0)."""
         request = self.requests[name]
         request.answers.append(status)
@@ -90,6 +94,11 @@
         # The client sends a refused request again, so the refusal counts as a repeat.
         if not self._repeatable_anywhere(request):
             self._broken(name, f"answered {status} though it may have run")
+            return
+        row = self.classes[request.job_class]
+        first = next(other for other in request.attempts if other.may_have_run)
+        if row["effect"] == "by_key" and at - first.at > row["windowUs"] / 1e6 + SLACK_S:
+            self._broken(name, f"answered {status} {at - first.at:.3f} s after the first, outside its window")
 
     def _repeatable_anywhere(self, request: SeenRequest) -> bool:
         row = self.classes[request.job_class]
