Clients: what was read is answered, nobody who left is served, deadlines from the last byte

Causes, each forced in tests/test_client_terms.py: - A read that succeeds at once lets other tasks run before its bytes come back (trio's recv ends with a checkpoint). The connection looks idle then: evict closed it, and end_idle and expire shut it over a whole request. - A connection told to end parted before it looked at what it had read; a request whose rest lay in the system at the end of its time was cut off. - A resting connection was read for 0.3 s after its shutdown, and whole requests thrown away.

Ruled out: MSG_PEEK (not used); evicting in two steps (the place must be free at once); waiting for readability without a look first (new connections were read later, and usual ones evicted in their stead: test_node showed it).

A test was wrong under the new terms: read_after_the_shutdown half-closed the client after the request, which the reset now forbids. It asks for the reset in its stead; that nothing is read is a new test.

--- a/merlinbay/clock.py
+++ b/merlinbay/clock.py
@@ -15,8 +15,12 @@
 
     def now_us(self) -> int:
         """Return the time."""
-        return int((self.unix + trio.current_time() - self.started) * 1e6)
+        return self.from_trio(trio.current_time())
 
     def to_trio(self, at_us: int) -> float:
         """Return the same moment on trio's clock."""
         return at_us / 1e6 - self.unix + self.started
+
+    def from_trio(self, at: float) -> int:
+        """Return the Unix time of a moment on trio's clock."""
+        return int((self.unix + at - self.started) * 1e6)
--- a/merlinbay/drmaa/job_client.py
+++ b/merlinbay/drmaa/job_client.py
@@ -34,6 +34,10 @@
             news(self.job, *args, now)
             self.front.flush(now)
 
+    def left(self) -> bool:
+        """Tell whether the job was ended by its client, be it that the owner has yet to hear of it."""
+        return self.job.ended
+
     def sent(self, server: str) -> None:
         """Take it that a real server has been chosen."""
         self._tell(self.front.engine.placed, server)
--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -38,6 +39,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    received: float | None = None  # when its last byte was read, by trio's clock
 
 
 @dataclass(slots=True)
@@ -102,7 +104,10 @@
         self.has_writer = False  # most connections carry one call-back and need none
         self.waiting = False  # a request is with the handler
         self.ended = False
-        self.ending = False  # it is to be shut, and what still comes is not begun
+        self.ending = False  # it is to be shut, and what comes after the shutdown is not begun
+        self.receiving = False  # bytes may have been read that are not looked at yet
+        self.received = 0  # bytes in all,
+        self.arrivals: deque[tuple[int, float]] = deque()  # and how many there were when: the last reads
         self.writing = False
         self.attending = False  # the reader reads on behind a request that is not answered yet
         self.head_only = False  # the request is a HEAD: its answer has no body
@@ -113,6 +118,7 @@
         self.scope = trio.CancelScope()
         self.idle_since = trio.current_time()
         self.proven = False  # set by a front: a job was served on it, so it is worth keeping
+        self.has_answered = False
         self.expires = self.idle_since + limits.read_request  # watched by the listener's sweep
 
     @property
@@ -134,7 +140,7 @@
 
     def end_idle(self) -> bool:
         """End it unless a request is under way or has come; tell whether it ends."""
-        if not self.idle or readable(self.sock):
+        if not self.idle or self.receiving or readable(self.sock):
             return False
         self.end()
         return True
@@ -147,8 +153,9 @@
 
     def evict(self) -> bool:
         """Close it here and now unless a request is under way or has come; tell whether it did."""
-        # Guards against a request that comes between the look and the close: no task runs in between.
-        if not self.unfinished and (not self.idle or readable(self.sock)):
+        # Guards against a request that comes between the look and the close: no task runs in between. One
+        # whose bytes have been read by a task that has not run on since shows by ``receiving`` alone.
+        if self.receiving or readable(self.sock) or not (self.idle or self.unfinished):
             return False
         self.raw.close()
         self.scope.cancel()
@@ -185,15 +192,10 @@
         head: h11.Request | None = None
         body = bytearray()
         while True:
-            if self.ending:
-                if self.idle and readable(self.sock):
-                    # Guards against a request that crosses the end: it is answered, and the end comes after.
-                    self.ending, self.close_after = False, True
-                    self.expires = trio.current_time() + self.limits.read_request
-                else:
+            if self._has_answered_last():
+                if self.ending:
                     await self._part()
                     return
-            if self.h11.our_state is h11.MUST_CLOSE:
                 # Guards against a close over the last answer, which is being written: what comes behind it
                 # is no request any more.
                 if not await self._attend():
@@ -202,20 +204,32 @@
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
+                if self.waiting:
+                    # Guards against a request that fails for bytes behind it: it said that it was the last.
+                    if not await self._attend():
+                        return
+                    continue
                 await self._last_words(error.error_status_hint if error.error_status_hint >= 400 else 400)
                 return
             if event is h11.NEED_DATA:
-                was_idle = self.idle
-                if was_idle and self.give is not None and self.give(self):
+                if self.ending and not self._reads_on():
+                    # Guards against a request that is read and gets no answer: it closes at once, and what
+                    # comes from now on is reset unread, by which its client knows that it was not taken.
                     return
+                if self.idle and self.give is not None and self.give(self):
+                    return
+                self.arrivals.clear()  # none of what was read before is the last byte of what is to come
                 # Guards against bytes read and thrown away: cancelled by itself, this has read none.
                 with trio.CancelScope() as self.reading:
-                    data = await self.sock.recv(self.limits.receive_bytes)
+                    data = await self._receive()
                 if self.reading.cancelled_caught:
                     continue
+                if self.idle and self.has_answered:
+                    # Guards against a request that dribbles in: all of it has so long. The first one's time
+                    # runs from the accept. The look is after the read, which may have begun before the
+                    # answer to the request before.
+                    self.expires = trio.current_time() + self.limits.read_request
                 self.h11.receive_data(data)
-                if was_idle:  # Guards against a request that dribbles in: all of it has so long.
-                    self.expires = min(self.expires, trio.current_time() + self.limits.read_request)
             elif type(event) is h11.Request:
                 head, body = event, bytearray()
                 if status := self._unwanted(event):
@@ -233,7 +247,11 @@
             elif type(event) is h11.EndOfMessage and head is not None:
                 await self._handle(
                     Request(
-                        head.method.decode(), head.target.decode("latin-1"), header_table(head), bytes(body)
+                        head.method.decode(),
+                        head.target.decode("latin-1"),
+                        header_table(head),
+                        bytes(body),
+                        self._when_received(),
                     )
                 )
             elif event is h11.PAUSED:
@@ -242,6 +260,46 @@
             elif type(event) is h11.ConnectionClosed:
                 return
 
+    async def _receive(self) -> bytes:
+        """Read some; nothing at the end."""
+        if self.sock is not self.raw:  # TLS keeps what it has read, and tells nobody
+            data = await self.sock.recv(self.limits.receive_bytes)
+        else:
+            await wait_readable(self.raw)
+            # Guards against a connection closed as idle over a whole request: a read that succeeds at once
+            # lets other tasks run before its bytes come back.
+            self.receiving = True
+            try:
+                data = await self.sock.recv(self.limits.receive_bytes)
+            finally:
+                self.receiving = False
+        self.received += len(data)
+        self.arrivals.append((self.received, trio.current_time()))
+        return data
+
+    def _when_received(self) -> float:
+        """Return when the last byte of the request that has just ended was read."""
+        end = self.received - len(self.h11.trailing_data[0])
+        while self.arrivals[0][0] < end:
+            self.arrivals.popleft()
+        return self.arrivals[0][1]
+
+    def _has_answered_last(self) -> bool:
+        """Tell whether the last answer that this connection carries is written, or being written."""
+        return self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE, h11.DONE)
+
+    def _reads_on(self) -> bool:
+        """Tell whether a connection that is to end has more to read first: the end comes after it."""
+        if not readable(self.sock):
+            return False
+        if self.idle:
+            # Guards against a request that crosses the end: it is answered, and the end comes after.
+            self.ending, self.close_after = False, True
+            self.expires = trio.current_time() + self.limits.read_request
+        # Guards also against a request whose rest has come in time and was not read yet. Nothing is waited
+        # for, and a request has a bound, so a client that dribbles or floods is cut off all the same.
+        return True
+
     async def _attend(self) -> bool:
         """Read on while an answer is awaited; tell whether the client is still there."""
         # Guards against a client whose going is not seen: bytes behind its request would hide it.
@@ -255,7 +313,7 @@
                 await self._last_words(400)
                 return False
             with trio.CancelScope() as self.reading:
-                data = await self.sock.recv(self.limits.receive_bytes)
+                data = await self._receive()
             if self.reading.cancelled_caught:
                 continue
             if not data:
@@ -279,7 +337,14 @@
         """Hand a request on; write its answer if it has come at once, else leave it to the writer."""
         self.expires = float("inf")
         self.waiting, self.head_only = True, request.method == "HEAD"
-        response = await self.handler.request(self, request)
+        if self.ending:  # it was whole in time; the end comes after its answer
+            self.ending, self.close_after = False, True
+        try:
+            response = await self.handler.request(self, request)
+        except Exception:
+            # Guards against a request that is read and gets no answer: the fault is noted by the listener.
+            await self._last_words(500)
+            raise
         if response is not None:
             await self._answer(response)
         elif not self.has_writer:
@@ -288,14 +353,14 @@
 
     async def _last_words(self, status: int) -> None:
         """Answer what can't be served, then let the connection end."""
-        self.waiting = False
+        self.waiting, self.ending = False, True  # nobody evicts it before these words are written
         if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.expires = trio.current_time() + self.limits.write_answer
             await self._send(Response(status), close=True)
             await self._part()
 
     async def _part(self) -> None:
-        """Say that no more is sent, and let the client close: the way in which every connection ends."""
+        """Say that the last answer was the last, and let the client close."""
         # Guards against a reset that overtakes the last answer, as a close over unread bytes would send one:
         # what still comes is read and not begun, for a moment, and not much of it, since a client that sends
         # at full speed would take the CPU from the others.
@@ -314,7 +379,7 @@
             response, self.response = self.response, None
             if self.ended:
                 return
-            if response is not None:
+            if response is not None and self.waiting:
                 try:
                     await self._answer(response)
                 except (OSError, h11.ProtocolError, trio.ClosedResourceError):
@@ -325,8 +390,10 @@
         """Write an answer, and make ready for the next request or end the connection."""
         self.expires = trio.current_time() + self.limits.write_answer
         # Guards against clients that ask for what there is not, and stay: each would hold a descriptor.
-        await self._send(response, (self.close_after and not self.calls_back) or 400 <= response.status < 500)
-        self.waiting = False
+        close = (self.close_after and not self.calls_back) or 400 <= response.status < 500
+        # Guards against a request that is read behind this one and gets no answer: the end comes after it.
+        await self._send(response, close and not self.h11.trailing_data[0])
+        self.waiting, self.has_answered = False, True
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
             self.idle_since = trio.current_time()
@@ -405,3 +472,9 @@
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLRDHUP)
     return bool(poll.poll(0))
+
+
+async def wait_readable(sock: trio.socket.SocketType) -> None:
+    """Wait until there is something to read, be it the end; not for a socket that is closed."""
+    if sock.fileno() >= 0 and not readable(sock):
+        await trio.lowlevel.wait_readable(sock)
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -172,7 +172,7 @@
         admin.serving = True
         log.event("serves", at=f"{config.listen[0]}:{config.listen[1]}", node=config.name)
         await owner.run(receive)
-        edge.over = True
+        edge.end()
         await listener.finish(limits.stop_part)
         nursery.cancel_scope.cancel()
 
--- a/merlinbay/platform/client_adapter.py
+++ b/merlinbay/platform/client_adapter.py
@@ -29,16 +29,29 @@
 class ClientRequest(ports.Edge):
     """The client's side of one request: this wire tells clients the end only."""
 
-    def __init__(self, connection: Connection, name: str) -> None:
+    def __init__(
+        self, connection: Connection, name: str, unanswered: set[ClientRequest] | None = None
+    ) -> None:
         self.connection, self.name = connection, name
+        self.withdrawn = False  # its connection has ended, or its client was told that it failed
+        self.entering = trio.CancelScope()  # its way into the owner's inbox
+        self.unanswered = unanswered if unanswered is not None else set()  # it is one of them till its end
+        self.unanswered.add(self)
+
+    def withdraw(self) -> None:
+        """Take it that nobody waits for its answer any more."""
+        self.withdrawn = True
+        self.entering.cancel()
+        self.unanswered.discard(self)
 
     def left(self) -> bool:
         """Tell whether the client has left, as its connection looks now."""
-        return hung_up(self.connection.sock)
+        return self.withdrawn or hung_up(self.connection.sock)
 
     def answer(self, answer: Answer) -> None:
         """Write the request's answer to its edge connection."""
         self.connection.context = None
+        self.unanswered.discard(self)
         if answer.verdict is Verdict.SERVED:
             self.connection.proven = True
             self.connection.respond(Response(200, answer.result))
@@ -64,6 +77,15 @@
         self.scarce: Callable[[], bool] = lambda: False  # whether kept edge connections run out
         self.wanted: Callable[[], bool] = lambda: True  # whether new clients are
         self.over = False  # the owner has ended: there is nobody behind the inbox any more
+        self.unanswered: set[ClientRequest] = set()
+
+    def end(self) -> None:
+        """Take it that the owner has ended: refuse what it has not taken, and all that is still to come."""
+        self.over = True
+        # Guards against requests lost in the inbox, or on their way into it: the owner ends when all that it
+        # has taken is answered, so nobody has begun these.
+        for client_request in list(self.unanswered):
+            client_request.answer(Answer(Verdict.REFUSED, retry_after_us=self.limits.retry_when_stopping_us))
 
     async def request(self, connection: Connection, request: Request) -> Response | None:
         """Take a call-back, a job or a check."""
@@ -83,7 +105,7 @@
         if request.method != "POST":
             return Response(405)
         try:
-            spec = messages.job_spec(request.target, request.headers, request.body, self.clock.now_us())
+            spec = messages.job_spec(request.target, request.headers, request.body, self._arrived_us(request))
         except messages.BadRequest as error:
             self.counters.add("requests_bad")
             return Response(400, f"bad request: {error}\n".encode())
@@ -94,14 +116,30 @@
             # one from a node that leaves, gives the node up though it still serves.
             self.counters.add("jobs_spared")
             return refusal(self.limits.retry_when_stopping_us)
-        client_request = connection.context = ClientRequest(connection, spec.name)
-        await self.inbox.send(ports.RequestArrived(spec, client_request))
+        client_request = connection.context = ClientRequest(connection, spec.name, self.unanswered)
+        arrived = ports.RequestArrived(spec, client_request)
+        try:
+            self.inbox.send_nowait(arrived)
+        except trio.WouldBlock:
+            # Guards against a client whose going is not seen: its connection is read on while it waits here,
+            # or what it has sent behind its request would hold the end of the connection back.
+            connection.nursery.start_soon(self._enter, arrived, client_request.entering)
         return None
 
+    async def _enter(self, arrived: ports.RequestArrived, scope: trio.CancelScope) -> None:
+        with scope:
+            await self.inbox.send(arrived)
+
+    def _arrived_us(self, request: Request) -> int:
+        """Return when a request's last byte had come."""
+        # Guards against a deadline that is too long by the time that a request was read ahead of its turn.
+        return self.clock.now_us() if request.received is None else self.clock.from_trio(request.received)
+
     def gone(self, connection: Connection) -> None:
         """Withdraw the request of a client that hung up."""
         client_request = connection.context
         if isinstance(client_request, ClientRequest):
+            client_request.withdraw()
             # Guards against a word that is lost where the inbox is full: it waits, as all else does.
             connection.nursery.start_soon(self._withdraw, client_request)
 
