The server's connection in three modules, its reading in short steps

connection.py had grown to 480 lines, with one function of 70 that read. Whole requests and responses are in http/messages.py, what is needed of sockets in http/sockets.py; _read takes one event a step. Behaviour as before. Names that other modules import from connection.py stay there by __all__, so that http/client.py is left as it is.

--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -2,70 +2,18 @@
 
 from __future__ import annotations
 
-import select
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 import h11
 import trio
 
+from merlinbay.http.messages import Request, Response, encode_response, header_table
+from merlinbay.http.sockets import Sock, readable, send_all, wait_readable
 from merlinbay.limits import Limits
 
-REASONS = {
-    200: b"OK",
-    201: b"Created",
-    204: b"No Content",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    403: b"Forbidden",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    500: b"Internal Server Error",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
-
-@dataclass(slots=True)
-class Request:
-    """A whole request. Header names are in lower case."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    received: float | None = None  # when its last byte was read, by trio's clock
-
-
-@dataclass(slots=True)
-class Response:
-    """A whole response."""
-
-    status: int
-    body: bytes = b""
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-
-
-class Sock(Protocol):
-    """What a connection needs of a socket."""
-
-    def recv(self, most: int, /) -> Awaitable[bytes]:
-        """Read some; nothing at the end."""
-
-    def send(self, data: bytes | memoryview, /) -> Awaitable[int]:
-        """Write some; return how much."""
-
-    def shutdown(self, how: int, /) -> None:
-        """Write no more."""
-
-    def fileno(self) -> int:
-        """Return the descriptor."""
-
+__all__ = ["Connection", "Give", "Handler", "Prepare", "Request", "Response", "readable", "send_all"]
 
 Prepare = Callable[[trio.socket.SocketType], Awaitable[Sock]]
 
@@ -102,6 +50,8 @@
         self.response: Response | None = None
         self.context: object = None  # the handler's own
         self.has_writer = False  # most connections carry one call-back and need none
+        self.head: h11.Request | None = None  # of the request that is being read,
+        self.body = bytearray()  # and what has come of its body
         self.waiting = False  # a request is with the handler
         self.ended = False
         self.ending = False  # it is to be shut, and what comes after the shutdown is not begun
@@ -189,77 +139,82 @@
             self.handler.gone(self)
 
     async def _read(self) -> None:
-        head: h11.Request | None = None
-        body = bytearray()
-        while True:
-            if self._has_answered_last():
-                if self.ending:
-                    await self._part()
-                    return
+        """Read requests until the connection ends."""
+        goes_on = True
+        while goes_on:
+            if not self._has_answered_last():
+                goes_on = await self._take_next()
+            elif not self.ending:
                 # Guards against a close over the last answer, which is being written: what comes behind it
                 # is no request any more.
-                if not await self._attend():
-                    return
-                continue
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as error:
-                if self.waiting:
-                    # Guards against a request that fails for bytes behind it: it said that it was the last.
-                    if not await self._attend():
-                        return
-                    continue
-                await self._last_words(error.error_status_hint if error.error_status_hint >= 400 else 400)
-                return
-            if event is h11.NEED_DATA:
-                if self.ending and not self._reads_on():
-                    # Guards against a request that is read and gets no answer: it closes at once, and what
-                    # comes from now on is reset unread, by which its client knows that it was not taken.
-                    return
-                if self.idle and self.give is not None and self.give(self):
-                    return
-                self.arrivals.clear()  # none of what was read before is the last byte of what is to come
-                # Guards against bytes read and thrown away: cancelled by itself, this has read none.
-                with trio.CancelScope() as self.reading:
-                    data = await self._receive()
-                if self.reading.cancelled_caught:
-                    continue
-                if self.idle and self.has_answered:
-                    # Guards against a request that dribbles in: all of it has so long. The first one's time
-                    # runs from the accept. The look is after the read, which may have begun before the
-                    # answer to the request before.
-                    self.expires = trio.current_time() + self.limits.read_request
-                self.h11.receive_data(data)
-            elif type(event) is h11.Request:
-                head, body = event, bytearray()
-                if status := self._unwanted(event):
-                    await self._last_words(status)
-                    return
-                if self.h11.they_are_waiting_for_100_continue:
-                    await self._write_out(
-                        self.h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
-                    )
-            elif type(event) is h11.Data:
-                body += event.data
-                if len(body) > self.limits.body_bytes:
-                    await self._last_words(413)
-                    return
-            elif type(event) is h11.EndOfMessage and head is not None:
-                await self._handle(
-                    Request(
-                        head.method.decode(),
-                        head.target.decode("latin-1"),
-                        header_table(head),
-                        bytes(body),
-                        self._when_received(),
-                    )
-                )
-            elif event is h11.PAUSED:
-                if not await self._attend():
-                    return
-            elif type(event) is h11.ConnectionClosed:
+                goes_on = await self._attend()
+            else:
+                await self._part()
                 return
 
+    async def _take_next(self) -> bool:
+        """Take the next part of what was read, or read more; tell whether the connection goes on."""
+        try:
+            event = self.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            if self.waiting:
+                # Guards against a request that fails for bytes behind it: it said that it was the last.
+                return await self._attend()
+            await self._last_words(error.error_status_hint if error.error_status_hint >= 400 else 400)
+            return False
+        if event is h11.NEED_DATA:
+            return await self._read_more()
+        if event is h11.PAUSED:
+            return await self._attend()
+        if type(event) is h11.Request:
+            return await self._take_head(event)
+        if type(event) is h11.Data:
+            return await self._take_data(event)
+        if type(event) is h11.EndOfMessage:
+            await self._handle_whole()
+        return type(event) is not h11.ConnectionClosed
+
+    async def _read_more(self) -> bool:
+        """Read on; tell whether the connection goes on."""
+        if self.ending and not self._reads_on():
+            # Guards against a request that is read and gets no answer: it closes at once, and what comes from
+            # now on is reset unread, by which its client knows that it was not taken.
+            return False
+        if self.idle and self.give is not None and self.give(self):
+            return False
+        self.arrivals.clear()  # none of what was read before is the last byte of what is to come
+        # Guards against bytes read and thrown away: cancelled by itself, this has read none.
+        with trio.CancelScope() as self.reading:
+            data = await self._receive()
+        if self.reading.cancelled_caught:
+            return True
+        if self.idle and self.has_answered:
+            # Guards against a request that dribbles in: all of it has so long. The first one's time runs from
+            # the accept. The look is after the read, which may have begun before the last answer.
+            self.expires = trio.current_time() + self.limits.read_request
+        self.h11.receive_data(data)
+        return True
+
+    async def _take_head(self, head: h11.Request) -> bool:
+        """Begin a request; tell whether the rest of it is wanted."""
+        self.head, self.body = head, bytearray()
+        if status := self._unwanted(head):
+            await self._last_words(status)
+            return False
+        if self.h11.they_are_waiting_for_100_continue:
+            await self._write_out(
+                self.h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+            )
+        return True
+
+    async def _take_data(self, part: h11.Data) -> bool:
+        """Take a part of a request's body; tell whether the rest of it is wanted."""
+        self.body += part.data
+        if len(self.body) > self.limits.body_bytes:
+            await self._last_words(413)
+            return False
+        return True
+
     async def _receive(self) -> bytes:
         """Read some; nothing at the end."""
         if self.sock is not self.raw:  # TLS keeps what it has read, and tells nobody
@@ -333,6 +288,19 @@
             return 413  # Guards against megabytes read for nothing.
         return 0
 
+    async def _handle_whole(self) -> None:
+        """Hand the request that has ended on."""
+        assert self.head is not None  # h11 tells of a head before an end
+        await self._handle(
+            Request(
+                self.head.method.decode(),
+                self.head.target.decode("latin-1"),
+                header_table(self.head),
+                bytes(self.body),
+                self._when_received(),
+            )
+        )
+
     async def _handle(self, request: Request) -> None:
         """Hand a request on; write its answer if it has come at once, else leave it to the writer."""
         self.expires = float("inf")
@@ -407,22 +375,7 @@
             self.end()
 
     async def _send(self, response: Response, close: bool) -> None:
-        headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
-        if close:
-            headers.append((b"connection", b"close"))
-        send = self.h11.send
-        data = (
-            send(
-                h11.Response(
-                    status_code=response.status, headers=headers, reason=REASONS.get(response.status, b"")
-                )
-            )
-            or b""
-        )
-        if response.body and not self.head_only:
-            data += send(h11.Data(data=response.body)) or b""
-        data += send(h11.EndOfMessage()) or b""
-        await self._write_out(data)
+        await self._write_out(encode_response(self.h11, response, close, self.head_only))
 
     async def _write_out(self, data: bytes) -> None:
         self.writing = True
@@ -432,49 +385,3 @@
     def _count_write_progress(self) -> None:
         """Restart the write timeout, which bounds how long a client may take no bytes at all."""
         self.expires = trio.current_time() + self.limits.write_answer
-
-
-def header_table(head: h11.Request) -> dict[str, str]:
-    """Return the headers by name; those that come more than once are joined, so none hides another."""
-    table: dict[str, str] = {}
-    for name, value in head.headers:
-        key, text = name.decode(), value.decode("latin-1")
-        table[key] = f"{table[key]}, {text}" if key in table else text
-    return table
-
-
-async def send_all(sock: Sock, data: bytes, on_progress: Callable[[], None] | None = None) -> None:
-    """Write all of it, and call ``on_progress`` after each part that leaves more to write."""
-    sent = await sock.send(data)
-    if sent == len(data):
-        return
-    rest = memoryview(data)
-    while sent < len(data):
-        if on_progress is not None:
-            on_progress()
-        sent += await sock.send(rest[sent:])
-
-
-def readable(sock: Sock) -> bool:
-    """Tell whether there is something to read, be it the end."""
-    # Guards against closing on a request that is written but not yet read: it would be lost.
-    if sock.fileno() < 0:
-        return False
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
-def hung_up(sock: Sock) -> bool:
-    """Tell whether the other side sends no more, whatever of it is still unread."""
-    if sock.fileno() < 0:
-        return True
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
-async def wait_readable(sock: trio.socket.SocketType) -> None:
-    """Wait until there is something to read, be it the end; not for a socket that is closed."""
-    if sock.fileno() >= 0 and not readable(sock):
-        await trio.lowlevel.wait_readable(sock)
--- /dev/null
+++ b/merlinbay/http/messages.py
@@ -0,0 +1,66 @@
+"""A server's requests and responses: whole ones, as handlers take and give them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import h11
+
+REASONS = {
+    200: b"OK",
+    201: b"Created",
+    204: b"No Content",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    403: b"Forbidden",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    500: b"Internal Server Error",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclass(slots=True)
+class Request:
+    """A whole request. Header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    received: float | None = None  # when its last byte was read, by trio's clock
+
+
+@dataclass(slots=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    body: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+
+
+def header_table(head: h11.Request) -> dict[str, str]:
+    """Return the headers by name; those that come more than once are joined, so none hides another."""
+    table: dict[str, str] = {}
+    for name, value in head.headers:
+        key, text = name.decode(), value.decode("latin-1")
+        table[key] = f"{table[key]}, {text}" if key in table else text
+    return table
+
+
+def encode_response(state: h11.Connection, response: Response, close: bool, head_only: bool) -> bytes:
+    """Return a response's bytes; with ``close`` it says that it is the connection's last."""
+    headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
+    if close:
+        headers.append((b"connection", b"close"))
+    reason = REASONS.get(response.status, b"")
+    head = h11.Response(status_code=response.status, headers=headers, reason=reason)
+    data = state.send(head) or b""
+    if response.body and not head_only:
+        data += state.send(h11.Data(data=response.body)) or b""
+    return data + (state.send(h11.EndOfMessage()) or b"")
--- /dev/null
+++ b/merlinbay/http/sockets.py
@@ -0,0 +1,62 @@
+"""What connections need of sockets, and looks at them that read nothing."""
+
+from __future__ import annotations
+
+import select
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import trio
+
+
+class Sock(Protocol):
+    """What a connection needs of a socket."""
+
+    def recv(self, most: int, /) -> Awaitable[bytes]:
+        """Read some; nothing at the end."""
+
+    def send(self, data: bytes | memoryview, /) -> Awaitable[int]:
+        """Write some; return how much."""
+
+    def shutdown(self, how: int, /) -> None:
+        """Write no more."""
+
+    def fileno(self) -> int:
+        """Return the descriptor."""
+
+
+async def send_all(sock: Sock, data: bytes, on_progress: Callable[[], None] | None = None) -> None:
+    """Write all of it, and call ``on_progress`` after each part that leaves more to write."""
+    sent = await sock.send(data)
+    if sent == len(data):
+        return
+    rest = memoryview(data)
+    while sent < len(data):
+        if on_progress is not None:
+            on_progress()
+        sent += await sock.send(rest[sent:])
+
+
+def readable(sock: Sock) -> bool:
+    """Tell whether there is something to read, be it the end."""
+    # Guards against closing on a request that is written but not yet read: it would be lost.
+    if sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def hung_up(sock: Sock) -> bool:
+    """Tell whether the other side sends no more, whatever of it is still unread."""
+    if sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+async def wait_readable(sock: trio.socket.SocketType) -> None:
+    """Wait until there is something to read, be it the end; not for a socket that is closed."""
+    if sock.fileno() >= 0 and not readable(sock):
+        await trio.lowlevel.wait_readable(sock)
--- a/merlinbay/platform/admin_listener.py
+++ b/merlinbay/platform/admin_listener.py
@@ -9,7 +9,7 @@
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.http.attendance import Attendance
-from merlinbay.http.connection import send_all
+from merlinbay.http.sockets import send_all
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
--- a/merlinbay/platform/client_adapter.py
+++ b/merlinbay/platform/client_adapter.py
@@ -12,7 +12,8 @@
 from merlinbay.core.ports import Answer, Verdict
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.http.connection import Connection, Request, Response, hung_up
+from merlinbay.http.connection import Connection, Request, Response
+from merlinbay.http.sockets import hung_up
 from merlinbay.limits import Limits
 from merlinbay.platform import messages
 
