Client connections are read and looked at in one step, without a pause between

Change: a listener keeps the plain socket beneath trio's and reads from it without a pause; a read that did not wait pauses before the next one instead. The mark is gone. TLS connections are read as before: over TLS the pause after a read that succeeds at once is still there, and open. The test that put a socket of its own beneath the reader is replaced by one that acts after each of the reader's steps, by a trio instrument.

--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -10,7 +11,7 @@
 import trio
 
 from merlinbay.http.messages import Request, Response, encode_response, header_table
-from merlinbay.http.sockets import Sock, readable, send_all, wait_readable
+from merlinbay.http.sockets import Sock, readable, send_all
 from merlinbay.limits import Limits
 
 __all__ = ["Connection", "Give", "Handler", "Prepare", "Request", "Response", "readable", "send_all"]
@@ -41,8 +42,11 @@
         handler: Handler,
         nursery: trio.Nursery,
         prepare: Prepare | None = None,
+        plain: socket.socket | None = None,
     ) -> None:
         self.raw, self.limits, self.handler, self.nursery = sock, limits, handler, nursery
+        self.plain = plain  # the same socket beneath trio's, to be read without a pause after the read
+        self.read_at_once = False  # the last read did not wait, so others have not run since
         self.sock: Sock = sock
         self.prepare = prepare
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
@@ -55,7 +59,6 @@
         self.waiting = False  # a request is with the handler
         self.ended = False
         self.ending = False  # it is to be shut, and what comes after the shutdown is not begun
-        self.receiving = False  # bytes may have been read that are not looked at yet
         self.received = 0  # bytes in all,
         self.arrivals: deque[tuple[int, float]] = deque()  # and how many there were when: the last reads
         self.writing = False
@@ -90,7 +93,7 @@
 
     def end_idle(self) -> bool:
         """End it unless a request is under way or has come; tell whether it ends."""
-        if not self.idle or self.receiving or readable(self.sock):
+        if not self.idle or readable(self.sock):
             return False
         self.end()
         return True
@@ -103,9 +106,8 @@
 
     def evict(self) -> bool:
         """Close it here and now unless a request is under way or has come; tell whether it did."""
-        # Guards against a request that comes between the look and the close: no task runs in between. One
-        # whose bytes have been read by a task that has not run on since shows by ``receiving`` alone.
-        if self.receiving or readable(self.sock) or not (self.idle or self.unfinished):
+        # Guards against a request that comes between the look and the close: no task runs in between.
+        if readable(self.sock) or not (self.idle or self.unfinished):
             return False
         self.raw.close()
         self.scope.cancel()
@@ -217,21 +219,28 @@
 
     async def _receive(self) -> bytes:
         """Read some; nothing at the end."""
-        if self.sock is not self.raw:  # TLS keeps what it has read, and tells nobody
+        if self.plain is None or self.sock is not self.raw:
             data = await self.sock.recv(self.limits.receive_bytes)
         else:
-            await wait_readable(self.raw)
-            # Guards against a connection closed as idle over a whole request: a read that succeeds at once
-            # lets other tasks run before its bytes come back.
-            self.receiving = True
-            try:
-                data = await self.sock.recv(self.limits.receive_bytes)
-            finally:
-                self.receiving = False
+            data = await self._receive_plain(self.plain)
         self.received += len(data)
         self.arrivals.append((self.received, trio.current_time()))
         return data
 
+    async def _receive_plain(self, plain: socket.socket) -> bytes:
+        # Guards against a connection closed as idle over a whole request: where trio's read succeeds at once,
+        # it lets other tasks run before the bytes come back. Here they run before the next read instead.
+        if self.read_at_once:
+            self.read_at_once = False  # cancelled in this pause, it reads without another one
+            await trio.lowlevel.checkpoint()
+        self.read_at_once = True
+        while True:
+            try:
+                return plain.recv(self.limits.receive_bytes)
+            except BlockingIOError:
+                self.read_at_once = False
+                await trio.lowlevel.wait_readable(plain)
+
     def _when_received(self) -> float:
         """Return when the last byte of the request that has just ended was read."""
         end = self.received - len(self.h11.trailing_data[0])
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -83,7 +83,11 @@
             return
         # Guards against small writes that the system holds back: a reset would take them with it.
         sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        connection = Connection(sock, self.limits, self.handler, self.nursery, self.prepare)
+        plain = None
+        if isinstance(sock, trio.socket.SocketType):
+            plain = socket.socket(fileno=sock.detach())
+            sock = trio.socket.from_stdlib_socket(plain)
+        connection = Connection(sock, self.limits, self.handler, self.nursery, self.prepare, plain)
         connection.close_after, connection.give = self.closing, self.give
         connection.proven, connection.calls_back = proven, calls_back
         if proven:
--- a/merlinbay/http/sockets.py
+++ b/merlinbay/http/sockets.py
@@ -6,8 +6,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-import trio
-
 
 class Sock(Protocol):
     """What a connection needs of a socket."""
@@ -54,9 +52,3 @@
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLRDHUP)
     return bool(poll.poll(0))
-
-
-async def wait_readable(sock: trio.socket.SocketType) -> None:
-    """Wait until there is something to read, be it the end; not for a socket that is closed."""
-    if sock.fileno() >= 0 and not readable(sock):
-        await trio.lowlevel.wait_readable(sock)
--- a/tests/test_client_terms.py
+++ b/tests/test_client_terms.py
@@ -58,19 +58,16 @@
 
 
 class InterposedSocket:
-    """A connection's socket whose reads and writes let others run before their task learns of them."""
+    """A connection's socket that counts what is read, and whose writes let others run before they return."""
 
     def __init__(self, inner: trio.socket.SocketType) -> None:
         self.inner, self.bytes_read = inner, 0
-        self.after_receive: Callable[[], None] = lambda: None
         self.after_send: Callable[[], None] = lambda: None
 
     async def recv(self, most: int) -> bytes:
-        """Read some, and have something else happen while nobody has looked at it."""
+        """Read some, and count it."""
         data = await self.inner.recv(most)
         self.bytes_read += len(data)
-        hook, self.after_receive = self.after_receive, lambda: None
-        hook()
         return data
 
     async def send(self, data: bytes | memoryview) -> int:
@@ -94,66 +91,59 @@
     """Put such a socket under a connection."""
     interposed = InterposedSocket(connection.raw)
     connection.raw = connection.sock = interposed  # type: ignore[assignment]
+    connection.plain = None
     return interposed
 
 
-@pytest.mark.parametrize("how", ["end_idle", "evict", "expire", "hand_over", "make_room"])
-@pytest.mark.parametrize("first", [True, False])
-def test_a_request_that_is_read_as_its_connection_is_to_end_is_answered(how: str, first: bool) -> None:
-    """Its bytes have left the system, and the task that read them has not run on: it looks idle."""
-    given: list[Connection] = []
+class Meddler(trio.abc.Instrument):
+    """Has something happen after each step of a connection's reader, as another task may."""
 
-    def give(connection: Connection) -> bool:
-        given.append(connection)
-        return True
+    def __init__(self, reader: trio.lowlevel.Task, act: Callable[[], object]) -> None:
+        self.reader, self.act = reader, act
 
-    async def scene() -> None:
-        async with door(evict_after=-1.0) as at:
-            if not first:
-                await at.client.send(ASK)
-                await at.heard.wait()
-                at.connection.respond(Response(200))
-                await at.client.recv(1000)
-            asked = len(at.asked)
-            await until(lambda: at.connection.idle)
+    def after_task_step(self, task: trio.lowlevel.Task) -> None:
+        """Act after the reader's steps."""
+        if task is self.reader:
+            self.act()
 
-            def act() -> None:
-                if how == "end_idle":
-                    assert not at.connection.end_idle()
-                elif how == "evict":
-                    assert not at.connection.evict()
-                elif how == "make_room":
-                    assert not at.listener._make_room()
-                elif how == "hand_over":
-                    at.connection.hand_over(give)
-                else:
-                    at.connection.expire()
-
-            interpose(at.connection).after_receive = act
-            await at.client.send(ASK)
-            await until(lambda: len(at.asked) == asked + 1)
-            assert not given
-            at.connection.respond(Response(200, b"served"))
-            assert (await at.client.recv(1000)).endswith(b"served")
-            if how == "expire":
-                assert await at.client.recv(1000) == b""
-            await until(lambda: bool(given) == (how == "hand_over"))
 
-    play(scene)
+class MeddledDoor(Door):
+    """A listener whose client's second request is there as the first is answered."""
 
+    how = ""
 
-def test_a_request_whose_rest_is_being_read_is_not_evicted() -> None:
-    """It is whole, though it looks like one that stays half done."""
+    async def request(self, connection: Connection, request: Request) -> Response | None:
+        """Answer; from the first answer on, try to end the connection after each step."""
+        self.asked.append(connection)
+        if len(self.asked) == 1:
+            send_now(self.client, ASK)
+            trio.lowlevel.add_instrument(Meddler(trio.lowlevel.current_task(), self.meddle))
+        return Response(200, b"served")
+
+    def meddle(self) -> None:
+        """Try to end the connection where it carries no request."""
+        if not self.connection.waiting:
+            if self.how == "make_room":
+                self.listener._make_room()
+            else:
+                getattr(self.connection, self.how)()
+
+
+@pytest.mark.parametrize("how", ["end_idle", "evict", "expire", "make_room"])
+@pytest.mark.parametrize("at_once", [10, 32 * 1024])
+def test_a_request_that_is_read_as_its_connection_is_to_end_is_answered(how: str, at_once: int) -> None:
+    """Others that run between its reader's steps never meet bytes that nobody has looked at."""
 
     async def scene() -> None:
-        async with door() as at:
-            await at.client.send(ASK[:10])
-            await until(lambda: at.connection.unfinished)
-            evicted: list[bool] = []
-            interpose(at.connection).after_receive = lambda: evicted.append(at.connection.evict())
-            await at.client.send(ASK[10:])
-            await at.heard.wait()
-            assert evicted == [False]
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                at = MeddledDoor(nursery)
+                at.how = how
+                await at.open(evict_after=-1.0, receive_bytes=at_once)
+                await at.client.send(ASK)
+                got = await at.answered()
+                assert got.count(b"HTTP/1.1 200") == 2 and got.endswith(b"served")
+                nursery.cancel_scope.cancel()
 
     play(scene)
 
