--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -9,6 +9,7 @@
 
 from merlinbay.counters import Counters
 from merlinbay.http.connection import Connection, Give, Handler, Prepare
+from merlinbay.http.sockets import with_plain_socket
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
@@ -83,10 +84,7 @@
             return
         # Guards against small writes that the system holds back: a reset would take them with it.
         sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        plain = None
-        if isinstance(sock, trio.socket.SocketType):
-            plain = socket.socket(fileno=sock.detach())
-            sock = trio.socket.from_stdlib_socket(plain)
+        sock, plain = with_plain_socket(sock)
         connection = Connection(sock, self.limits, self.handler, self.nursery, self.prepare, plain)
         connection.close_after, connection.give = self.closing, self.give
         connection.proven, connection.calls_back = proven, calls_back
--- a/merlinbay/http/sockets.py
+++ b/merlinbay/http/sockets.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import select
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
+import trio
+
 
 class Sock(Protocol):
     """What a connection needs of a socket."""
@@ -52,3 +55,22 @@
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLRDHUP)
     return bool(poll.poll(0))
+
+
+def _trio_socket_type() -> type[trio.socket.SocketType]:
+    """Return the type of trio's own sockets, which has no public name."""
+    with socket.socket() as sample:
+        return type(trio.socket.from_stdlib_socket(sample))
+
+
+TRIO_SOCKET = _trio_socket_type()
+
+
+def with_plain_socket(
+    sock: trio.socket.SocketType,
+) -> tuple[trio.socket.SocketType, socket.socket | None]:
+    """Return trio's socket and the plain one beneath it; None beneath sockets that are not trio's own."""
+    if type(sock) is not TRIO_SOCKET:  # such a one would be passed by, and does something of its own
+        return sock, None
+    plain = socket.socket(sock.family, sock.type, sock.proto, sock.detach())
+    return trio.socket.from_stdlib_socket(plain), plain
