--- a/tests/test_client_terms.py
+++ b/tests/test_client_terms.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import sys
+import termios
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -26,6 +30,7 @@
 from merlinbay.http.client import ClientConnection
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.server import Listener
+from merlinbay.http.sockets import hung_up
 from merlinbay.log import Log
 from merlinbay.platform.client_adapter import ClientAdapter
 from tests import net
@@ -48,6 +53,18 @@
     assert client._sock.send(data) == len(data)  # type: ignore[attr-defined]
 
 
+def wait_for_system(true: Callable[[], bool]) -> None:
+    """Wait until the system has passed on what was written or closed: no task runs in between."""
+    end = time.monotonic() + 5
+    while not true():
+        assert time.monotonic() < end
+
+
+def unread(connection: Connection) -> int:
+    """Return how many bytes of a connection nobody has read yet."""
+    return int.from_bytes(fcntl.ioctl(connection.raw.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
+
+
 def reset(client: trio.socket.SocketType) -> None:
     """Close a connection by a reset."""
     client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -117,6 +134,7 @@
         self.asked.append(connection)
         if len(self.asked) == 1:
             send_now(self.client, ASK)
+            wait_for_system(lambda: unread(connection) == len(ASK))
             trio.lowlevel.add_instrument(Meddler(trio.lowlevel.current_task(), self.meddle))
         return Response(200, b"served")
 
@@ -157,6 +175,7 @@
             await at.client.send(ASK[:10])
             await until(lambda: at.connection.unfinished)
             send_now(at.client, ASK[10:])
+            wait_for_system(lambda: unread(at.connection) == len(ASK) - 10)
             if how == "expire":
                 at.connection.expire()
             else:
@@ -180,6 +199,7 @@
             await at.client.send(head)
             await until(lambda: at.connection.unfinished)
             send_now(at.client, b"x" * body)
+            wait_for_system(lambda: unread(at.connection) == body)
             at.connection.expire()
             await at.heard.wait()
             assert len(at.asked) == 1
@@ -414,6 +434,11 @@
         self.owner.turn(taken)
         return taken
 
+    def wait_until_left(self) -> None:
+        """Wait until the system has told of the client's end: no task runs in between."""
+        connection = next(iter(self.listener.connections))
+        wait_for_system(lambda: hung_up(connection.raw))
+
     @property
     def started(self) -> list[ServerAttempt]:
         """Return the attempts that were handed to the servers' side."""
@@ -455,6 +480,7 @@
             await node.arrived()
             send_now(client, behind)
             leave(client)
+            node.wait_until_left()
             assert [type(message) for message in node.take()] == [RequestArrived]
             assert not node.started
 
@@ -494,6 +520,7 @@
             node.take()
             assert len(node.started) == 1
             leave(client)
+            node.wait_until_left()
             first = node.started[0]
             node.owner.turn([AttemptFinished("a", first.server, api.Outcome.FULL)])
             await trio.testing.wait_all_tasks_blocked(0.05)
@@ -531,6 +558,7 @@
             node.take()
             assert node.started[0].wanted()
             leave(client)
+            node.wait_until_left()
             assert not node.started[0].wanted()
 
     play(scene)
