--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -2,68 +2,19 @@
 
 from __future__ import annotations
 
-import select
+import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 import h11
 import trio
 
+from merlinbay.http.messages import Request, Response, encode_response, header_table
+from merlinbay.http.sockets import Sock, readable, send_all
 from merlinbay.limits import Limits
 
-REASONS = {
-    200: b"OK",
-    201: b"Created",
-    204: b"No Content",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    403: b"Forbidden",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    500: b"Internal Server Error",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
-
-@dataclass(slots=True)
-class Request:
-    """A whole request. Header names are in lower case."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-
-@dataclass(slots=True)
-class Response:
-    """A whole response."""
-
-    status: int
-    body: bytes = b""
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-
-
-class Sock(Protocol):
-    """What a connection needs of a socket."""
-
-    def recv(self, most: int, /) -> Awaitable[bytes]:
-        """Read some; nothing at the end."""
-
-    def send(self, data: bytes | memoryview, /) -> Awaitable[int]:
-        """Write some; return how much."""
-
-    def shutdown(self, how: int, /) -> None:
-        """Write no more."""
-
-    def fileno(self) -> int:
-        """Return the descriptor."""
-
+__all__ = ["Connection", "Give", "Handler", "Prepare", "Request", "Response", "readable", "send_all"]
 
 Prepare = Callable[[trio.socket.SocketType], Awaitable[Sock]]
 
@@ -91,8 +42,11 @@
         handler: Handler,
         nursery: trio.Nursery,
         prepare: Prepare | None = None,
+        plain: socket.socket | None = None,
     ) -> None:
         self.raw, self.limits, self.handler, self.nursery = sock, limits, handler, nursery
+        self.plain = plain  # the same socket beneath trio's, to be read without a pause after the read
+        self.read_at_once = False  # the last read did not wait, so others have not run since
         self.sock: Sock = sock
         self.prepare = prepare
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
@@ -100,9 +54,13 @@
         self.response: Response | None = None
         self.context: object = None  # the handler's own
         self.has_writer = False  # most connections carry one call-back and need none
+        self.head: h11.Request | None = None  # of the request that is being read,
+        self.body = bytearray()  # and what has come of its body
         self.waiting = False  # a request is with the handler
         self.ended = False
-        self.ending = False  # it is to be shut, and what still comes is not begun
+        self.ending = False  # it is to be shut, and what comes after the shutdown is not begun
+        self.received = 0  # bytes in all,
+        self.arrivals: deque[tuple[int, float]] = deque()  # and how many there were when: the last reads
         self.writing = False
         self.attending = False  # the reader reads on behind a request that is not answered yet
         self.head_only = False  # the request is a HEAD: its answer has no body
@@ -113,6 +71,7 @@
         self.scope = trio.CancelScope()
         self.idle_since = trio.current_time()
         self.proven = False  # set by a front: a job was served on it, so it is worth keeping
+        self.has_answered = False
         self.expires = self.idle_since + limits.read_request  # watched by the listener's sweep
 
     @property
@@ -148,7 +107,7 @@
     def evict(self) -> bool:
         """Close it here and now unless a request is under way or has come; tell whether it did."""
         # Guards against a request that comes between the look and the close: no task runs in between.
-        if not self.unfinished and (not self.idle or readable(self.sock)):
+        if readable(self.sock) or not (self.idle or self.unfinished):
             return False
         self.raw.close()
         self.scope.cancel()
@@ -182,66 +141,129 @@
             self.handler.gone(self)
 
     async def _read(self) -> None:
-        head: h11.Request | None = None
-        body = bytearray()
-        while True:
-            if self.ending:
-                if self.idle and readable(self.sock):
-                    # Guards against a request that crosses the end: it is answered, and the end comes after.
-                    self.ending, self.close_after = False, True
-                    self.expires = trio.current_time() + self.limits.read_request
-                else:
-                    await self._part()
-                    return
-            if self.h11.our_state is h11.MUST_CLOSE:
+        """Read requests until the connection ends."""
+        goes_on = True
+        while goes_on:
+            if not self._has_answered_last():
+                goes_on = await self._take_next()
+            elif not self.ending:
                 # Guards against a close over the last answer, which is being written: what comes behind it
                 # is no request any more.
-                if not await self._attend():
-                    return
-                continue
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as error:
-                await self._last_words(error.error_status_hint if error.error_status_hint >= 400 else 400)
-                return
-            if event is h11.NEED_DATA:
-                was_idle = self.idle
-                if was_idle and self.give is not None and self.give(self):
-                    return
-                # Guards against bytes read and thrown away: cancelled by itself, this has read none.
-                with trio.CancelScope() as self.reading:
-                    data = await self.sock.recv(self.limits.receive_bytes)
-                if self.reading.cancelled_caught:
-                    continue
-                self.h11.receive_data(data)
-                if was_idle:  # Guards against a request that dribbles in: all of it has so long.
-                    self.expires = min(self.expires, trio.current_time() + self.limits.read_request)
-            elif type(event) is h11.Request:
-                head, body = event, bytearray()
-                if status := self._unwanted(event):
-                    await self._last_words(status)
-                    return
-                if self.h11.they_are_waiting_for_100_continue:
-                    await self._write_out(
-                        self.h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
-                    )
-            elif type(event) is h11.Data:
-                body += event.data
-                if len(body) > self.limits.body_bytes:
-                    await self._last_words(413)
-                    return
-            elif type(event) is h11.EndOfMessage and head is not None:
-                await self._handle(
-                    Request(
-                        head.method.decode(), head.target.decode("latin-1"), header_table(head), bytes(body)
-                    )
-                )
-            elif event is h11.PAUSED:
-                if not await self._attend():
-                    return
-            elif type(event) is h11.ConnectionClosed:
+                goes_on = await self._attend()
+            else:
+                await self._part()
                 return
 
+    async def _take_next(self) -> bool:
+        """Take the next part of what was read, or read more; tell whether the connection goes on."""
+        try:
+            event = self.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            if self.waiting:
+                # Guards against a request that fails for bytes behind it: it said that it was the last.
+                return await self._attend()
+            await self._last_words(error.error_status_hint if error.error_status_hint >= 400 else 400)
+            return False
+        if event is h11.NEED_DATA:
+            return await self._read_more()
+        if event is h11.PAUSED:
+            return await self._attend()
+        if type(event) is h11.Request:
+            return await self._take_head(event)
+        if type(event) is h11.Data:
+            return await self._take_data(event)
+        if type(event) is h11.EndOfMessage:
+            await self._handle_whole()
+        return type(event) is not h11.ConnectionClosed
+
+    async def _read_more(self) -> bool:
+        """Read on; tell whether the connection goes on."""
+        if self.ending and not self._reads_on():
+            # Guards against a request that is read and gets no answer: it closes at once, and what comes from
+            # now on is reset unread, by which its client knows that it was not taken.
+            return False
+        if self.idle and self.give is not None and self.give(self):
+            return False
+        self.arrivals.clear()  # none of what was read before is the last byte of what is to come
+        # Guards against bytes read and thrown away: cancelled by itself, this has read none.
+        with trio.CancelScope() as self.reading:
+            data = await self._receive()
+        if self.reading.cancelled_caught:
+            return True
+        if self.idle and self.has_answered:
+            # Guards against a request that dribbles in: all of it has so long. The first one's time runs from
+            # the accept. The look is after the read, which may have begun before the last answer.
+            self.expires = trio.current_time() + self.limits.read_request
+        self.h11.receive_data(data)
+        return True
+
+    async def _take_head(self, head: h11.Request) -> bool:
+        """Begin a request; tell whether the rest of it is wanted."""
+        self.head, self.body = head, bytearray()
+        if status := self._unwanted(head):
+            await self._last_words(status)
+            return False
+        if self.h11.they_are_waiting_for_100_continue:
+            await self._write_out(
+                self.h11.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+            )
+        return True
+
+    async def _take_data(self, part: h11.Data) -> bool:
+        """Take a part of a request's body; tell whether the rest of it is wanted."""
+        self.body += part.data
+        if len(self.body) > self.limits.body_bytes:
+            await self._last_words(413)
+            return False
+        return True
+
+    async def _receive(self) -> bytes:
+        """Read some; nothing at the end."""
+        if self.plain is None or self.sock is not self.raw:
+            data = await self.sock.recv(self.limits.receive_bytes)
+        else:
+            data = await self._receive_plain(self.plain)
+        self.received += len(data)
+        self.arrivals.append((self.received, trio.current_time()))
+        return data
+
+    async def _receive_plain(self, plain: socket.socket) -> bytes:
+        # Guards against a connection closed as idle over a whole request: where trio's read succeeds at once,
+        # it lets other tasks run before the bytes come back. Here they run before the next read instead.
+        if self.read_at_once:
+            self.read_at_once = False  # cancelled in this pause, it reads without another one
+            await trio.lowlevel.checkpoint()
+        self.read_at_once = True
+        while True:
+            try:
+                return plain.recv(self.limits.receive_bytes)
+            except BlockingIOError:
+                self.read_at_once = False
+                await trio.lowlevel.wait_readable(plain)
+
+    def _when_received(self) -> float:
+        """Return when the last byte of the request that has just ended was read."""
+        end = self.received - len(self.h11.trailing_data[0])
+        while self.arrivals[0][0] < end:
+            self.arrivals.popleft()
+        return self.arrivals[0][1]
+
+    def _has_answered_last(self) -> bool:
+        """Tell whether the last answer that this connection carries is written, or being written."""
+        return self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE, h11.DONE)
+
+    def _reads_on(self) -> bool:
+        """Tell whether a connection that is to end has more to read first: the end comes after it."""
+        if not readable(self.sock):
+            return False
+        if self.idle:
+            # Guards against a request that crosses the end: it is answered, and the end comes after.
+            self.ending, self.close_after = False, True
+            self.expires = trio.current_time() + self.limits.read_request
+        # Guards also against a request whose rest has come in time and was not read yet. Nothing is waited
+        # for, and a request has a bound, so a client that dribbles or floods is cut off all the same.
+        return True
+
     async def _attend(self) -> bool:
         """Read on while an answer is awaited; tell whether the client is still there."""
         # Guards against a client whose going is not seen: bytes behind its request would hide it.
@@ -255,7 +277,7 @@
                 await self._last_words(400)
                 return False
             with trio.CancelScope() as self.reading:
-                data = await self.sock.recv(self.limits.receive_bytes)
+                data = await self._receive()
             if self.reading.cancelled_caught:
                 continue
             if not data:
@@ -275,11 +297,31 @@
             return 413  # Guards against megabytes read for nothing.
         return 0
 
+    async def _handle_whole(self) -> None:
+        """Hand the request that has ended on."""
+        assert self.head is not None  # h11 tells of a head before an end
+        await self._handle(
+            Request(
+                self.head.method.decode(),
+                self.head.target.decode("latin-1"),
+                header_table(self.head),
+                bytes(self.body),
+                self._when_received(),
+            )
+        )
+
     async def _handle(self, request: Request) -> None:
         """Hand a request on; write its answer if it has come at once, else leave it to the writer."""
         self.expires = float("inf")
         self.waiting, self.head_only = True, request.method == "HEAD"
-        response = await self.handler.request(self, request)
+        if self.ending:  # it was whole in time; the end comes after its answer
+            self.ending, self.close_after = False, True
+        try:
+            response = await self.handler.request(self, request)
+        except Exception:
+            # Guards against a request that is read and gets no answer: the fault is noted by the listener.
+            await self._last_words(500)
+            raise
         if response is not None:
             await self._answer(response)
         elif not self.has_writer:
@@ -288,14 +330,14 @@
 
     async def _last_words(self, status: int) -> None:
         """Answer what can't be served, then let the connection end."""
-        self.waiting = False
+        self.waiting, self.ending = False, True  # nobody evicts it before these words are written
         if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.expires = trio.current_time() + self.limits.write_answer
             await self._send(Response(status), close=True)
             await self._part()
 
     async def _part(self) -> None:
-        """Say that no more is sent, and let the client close: the way in which every connection ends."""
+        """Say that the last answer was the last, and let the client close."""
         # Guards against a reset that overtakes the last answer, as a close over unread bytes would send one:
         # what still comes is read and not begun, for a moment, and not much of it, since a client that sends
         # at full speed would take the CPU from the others.
@@ -314,7 +356,7 @@
             response, self.response = self.response, None
             if self.ended:
                 return
-            if response is not None:
+            if response is not None and self.waiting:
                 try:
                     await self._answer(response)
                 except (OSError, h11.ProtocolError, trio.ClosedResourceError):
@@ -325,8 +367,10 @@
         """Write an answer, and make ready for the next request or end the connection."""
         self.expires = trio.current_time() + self.limits.write_answer
         # Guards against clients that ask for what there is not, and stay: each would hold a descriptor.
-        await self._send(response, (self.close_after and not self.calls_back) or 400 <= response.status < 500)
-        self.waiting = False
+        close = (self.close_after and not self.calls_back) or 400 <= response.status < 500
+        # Guards against a request that is read behind this one and gets no answer: the end comes after it.
+        await self._send(response, close and not self.h11.trailing_data[0])
+        self.waiting, self.has_answered = False, True
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
             self.idle_since = trio.current_time()
@@ -340,22 +384,7 @@
             self.end()
 
     async def _send(self, response: Response, close: bool) -> None:
-        headers = [*response.headers, (b"content-length", str(len(response.body)).encode())]
-        if close:
-            headers.append((b"connection", b"close"))
-        send = self.h11.send
-        data = (
-            send(
-                h11.Response(
-                    status_code=response.status, headers=headers, reason=REASONS.get(response.status, b"")
-                )
-            )
-            or b""
-        )
-        if response.body and not self.head_only:
-            data += send(h11.Data(data=response.body)) or b""
-        data += send(h11.EndOfMessage()) or b""
-        await self._write_out(data)
+        await self._write_out(encode_response(self.h11, response, close, self.head_only))
 
     async def _write_out(self, data: bytes) -> None:
         self.writing = True
@@ -365,43 +394,3 @@
     def _count_write_progress(self) -> None:
         """Restart the write timeout, which bounds how long a client may take no bytes at all."""
         self.expires = trio.current_time() + self.limits.write_answer
-
-
-def header_table(head: h11.Request) -> dict[str, str]:
-    """Return the headers by name; those that come more than once are joined, so none hides another."""
-    table: dict[str, str] = {}
-    for name, value in head.headers:
-        key, text = name.decode(), value.decode("latin-1")
-        table[key] = f"{table[key]}, {text}" if key in table else text
-    return table
-
-
-async def send_all(sock: Sock, data: bytes, on_progress: Callable[[], None] | None = None) -> None:
-    """Write all of it, and call ``on_progress`` after each part that leaves more to write."""
-    sent = await sock.send(data)
-    if sent == len(data):
-        return
-    rest = memoryview(data)
-    while sent < len(data):
-        if on_progress is not None:
-            on_progress()
-        sent += await sock.send(rest[sent:])
-
-
-def readable(sock: Sock) -> bool:
-    """Tell whether there is something to read, be it the end."""
-    # Guards against closing on a request that is written but not yet read: it would be lost.
-    if sock.fileno() < 0:
-        return False
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
-def hung_up(sock: Sock) -> bool:
-    """Tell whether the other side sends no more, whatever of it is still unread."""
-    if sock.fileno() < 0:
-        return True
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
