The budget of a server in slow start binds for any count of nodes, also with little known

Now what was shown alone, one slot at the least (Memory.shown_slots); and a report of free slots alone from a server in slow start no longer makes a guess count as told (_told_slots). - mean_run as a turn's length (_cold_after): the first job's guess in a new process. Now the longest guess, what runs on counts, and turns of a node that knows nothing are worked out when asked for. - a send was charged its work alone (_cold_until): jobs of next to no slots went out without end. Now one call at the least. - a count of nodes that grows (BalancersCounted) left turns given out by the old one: now they are given out anew. - the look back for a turn that was not used went to before the process began: its former self may have used it. Two tests of test_estimators.py set slots and jobs as known, which they had assumed; what they require is unchanged.

--- a/merlinbay/decision/beliefs.py
+++ b/merlinbay/decision/beliefs.py
@@ -10,7 +10,7 @@
 import zlib
 from typing import Any
 
-from merlinbay.decision.api import Outcome
+from merlinbay.decision.api import BalancersCounted, Outcome
 from merlinbay.decision.calls import GOLDEN
 from merlinbay.decision.memory import Memory
 from merlinbay.decision.records import Kind, Worker
@@ -26,6 +26,8 @@
 HEARD_MOST = 64  # reports that the median of what the others hold rests on, at the most
 HEARD_US = 2_000_000  # and how old the oldest of them may be: a queue is gone within a second
 OTHERS_WEIGHT = 0.1  # weight of one report in what the others hold at a worker in the mean
+KNOWN_JOBS = 20  # offered jobs from which the mean job is known,
+KNOWN_RUNS = 3  # and ended ones from which the run times are
 FEW_REPORTS = 5  # reports that a worker's slots rest on, at the least
 HEARD_HALF = 4  # so many count as much as the count of balancers that was told
 
@@ -112,8 +114,9 @@
                 kind.slots = min(kind.slots, free + held) if kind.told else free + held
         elif not kind.counts:
             self._shown_slots(worker, free)
-        # Guards against a full worker's report: that nothing is free says nothing of how much there is.
-        kind.told = kind.told or held is None or free >= SPARE
+        # Guards against a full worker's report: that nothing is free says nothing of how much there is. Nor
+        # does what is free at a cold one, where the count held is not told beside it.
+        kind.told = kind.told or (free >= SPARE if held is not None else not self.cold(worker))
         if not kind.told:
             return
         # Guards against a kind never tried: held to have one slot, it would get no job, and so no report.
@@ -162,28 +165,68 @@
 
     def _cold_share(self, worker: Worker) -> float:
         """Return our share of the slots' worth of work that a worker may be sent while it warms."""
-        return self.settings.safety.tip_multiple * worker.kind.slots * COLD_SAFE / self.settings.balancers
+        slots = self.shown_slots(worker.kind)
+        return self.settings.safety.tip_multiple * slots * COLD_SAFE / self.settings.balancers
+
+    def _knows_jobs(self) -> bool:
+        """Tell whether enough jobs were seen to know the work of the mean one."""
+        runs = sum(cls.seen for cls in self.classes.values())
+        return self.offered >= KNOWN_JOBS and runs >= KNOWN_RUNS
+
+    def _call_work(self) -> float:
+        """Return the work of a call of mean work; while few jobs are known, the most that it may be."""
+        if self._knows_jobs():
+            # Guards against a mean that still rests on the run times that were guessed at first.
+            seen = [cls.run for cls in self.classes.values() if cls.seen >= KNOWN_RUNS]
+            return max(self.mean_run, min(seen, default=0.0))
+        # Guards against a mean of one or two small jobs, and against guesses: what runs on takes longer.
+        runs = [cls.run for cls in self.classes.values() if cls.seen]
+        runs = runs or [cls.run for cls in self.classes.values()]
+        oldest = next((sent for job in self.jobs.values() for sent in job.attempts if sent.open), None)
+        return max(self.mean_run, *runs, self.now - oldest.at if oldest else 0.0)
 
     def _cold_until(self, work: float, worker: Worker) -> int:
         """Return when our share of what the worker takes while it warms has grown by ``work``."""
+        # Guards against many small jobs: the budget is one of calls as well as of work.
+        work = max(work, self._call_work())
         return self.warmed(worker, max(self.now, worker.cold_next), work / self._cold_share(worker))
 
+    def recount(self, event: BalancersCounted) -> None:
+        """Take the new count; turns that were given out by a smaller one are given out anew."""
+        fewer = self.settings.balancers
+        super().recount(event)
+        if self.settings.balancers > fewer:
+            for worker in self.colds:
+                worker.cold_next = max(worker.cold_next, self._cold_after(worker, self.now))
+
     def _cold_after(self, worker: Worker, since: int) -> int:
+        """Return our first turn from then on to send to a worker that warms, or one that has lapsed."""
+        # Guards against a turn by guesses, far too early or late: it is worked out when a job asks for it.
+        if not self._knows_jobs():
+            return self.now - self.settings.safety.overload_for_us - 1
+        return self._next_turn(worker, since)
+
+    def _next_turn(self, worker: Worker, since: int) -> int:
         """Return our first turn from then on to send to a worker that warms."""
         # Guards against a joint push: turns by number part the schedulers evenly, another way at each worker;
         # and against a process that starts anew and sends in the turn that its former self has used.
-        turn = self.mean_run / self._cold_share(worker)
+        turn = self._call_work() / self._cold_share(worker)
         phase = (self.settings.me * GOLDEN + zlib.crc32(worker.name.encode()) / 2**32) % 1
         turns = max(0, math.ceil(self.grown(worker, since) / turn - phase))
         return self.warmed(worker, worker.ready_at, turn * (phase + turns))
 
     def cold_turn(self, worker: Worker) -> bool:
         """Tell whether it is our turn to send to a cold worker."""
+        if worker.cold_next > self.now:
+            return False
         # Guards against a burst of shares that were not used for a while, by all schedulers at once: what is
         # not used within the span that the rules count lapses. So in any span there are the shares that grow
         # in it and those of the span before, each COLD_SAFE of the budget; chance has what is allowed beyond.
         if worker.cold_next + self.settings.safety.overload_for_us < self.now:
-            worker.cold_next = self._cold_after(worker, self.now - self.settings.safety.overload_for_us)
+            turn = self._next_turn(worker, max(self.now - self.settings.safety.overload_for_us, self.began))
+            if turn > self.now and not self._knows_jobs():  # it is worked out anew, by what is known then
+                return False
+            worker.cold_next = turn
         return worker.cold_next <= self.now
 
     def starting(self, most: int) -> list[Worker]:
--- a/merlinbay/decision/memory.py
+++ b/merlinbay/decision/memory.py
@@ -14,7 +14,7 @@
 from random import Random
 
 from merlinbay.decision.api import BalancersCounted, ListChanged, Maintained, Settings, SlotsKept
-from merlinbay.decision.records import Attempt, Job, Kind, Rate, Worker
+from merlinbay.decision.records import Attempt, Class, Job, Kind, Rate, Worker
 
 
 @dataclass(eq=False)
@@ -25,6 +25,8 @@
     rng: Random
     now: int
     rate: Rate  # of offered jobs, refused included
+    began: int = field(init=False)  # when this process started
+    classes: dict[str, Class] = field(default_factory=dict)
     kinds: dict[str, Kind] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     kept: dict[str, float] = field(default_factory=dict)  # slots kept free, by worker
@@ -60,6 +62,10 @@
     mean_worth: float = 1.0
     mean_slots: float = 1.0
 
+    def __post_init__(self) -> None:
+        """Note when this began."""
+        self.began = self.now
+
     def find(self, job_id: int, number: int) -> tuple[Job | None, Attempt | None]:
         """Return a job and its open attempt, or neither."""
         job = self.jobs.get(job_id)
@@ -200,6 +206,10 @@
         """Tell whether a worker has started too lately to have its full capacity."""
         return worker.ready_at > 0 and self.now - worker.ready_at < self.settings.safety.cold_us
 
+    def shown_slots(self, kind: Kind) -> float:
+        """Return the slots that a kind was seen to have, one at the least: no guess, nor another kind's."""
+        return kind.slots if kind.told else max(kind.most, 1.0)
+
     def capacity(self, worker: Worker) -> float:
         """Return the share of its capacity that a worker has by now, at the least: it grows evenly."""
         safety, age = self.settings.safety, max(0, self.now - worker.ready_at)
--- a/tests/test_estimators.py
+++ b/tests/test_estimators.py
@@ -171,6 +171,7 @@
     """A new start time makes a worker cold and empty, and forgets its failures."""
     made = balancer()
     made.workers["w0"].fails, made.workers["w0"].bench_until = 3, 10**9
+    made.offered, made.classes["safe"].seen = 100, 100
     made.handle(2_000_000, [api.ListChanged("changes", [entry(0, "up", 1_900_000)])])
     worker = made.workers["w0"]
     assert made.cold(worker) and worker.bench_until == 0 and worker.cold_next >= 1_900_000
@@ -192,7 +193,8 @@
     made.now = 50_000_000
     made.handle(50_000_000, [api.ListChanged("changes", [entry(0, "up", 50_000_000)])])
     worker, safety = made.workers["w0"], made.safety
-    worker.kind.slots, worker.cold_next = 4.0, 0
+    worker.kind.slots, worker.kind.told, worker.cold_next = 4.0, True, 0
+    made.offered, made.classes["safe"].seen = 100, 100
     work, sends = 100_000.0, []
     while worker.cold_next < 50_000_000 + safety.cold_us:
         worker.cold_next = made._cold_until(work, worker)
