--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -16,6 +17,8 @@
 
 __all__ = ["Connection", "Give", "Handler", "Prepare", "Request", "Response", "readable", "send_all"]
 
+HEAD_END = re.compile(rb"\n\r?\n")  # without one, what was read is no whole request
+
 Prepare = Callable[[trio.socket.SocketType], Awaitable[Sock]]
 
 
@@ -369,7 +372,7 @@
         # Guards against clients that ask for what there is not, and stay: each would hold a descriptor.
         close = (self.close_after and not self.calls_back) or 400 <= response.status < 500
         # Guards against a request that is read behind this one and gets no answer: the end comes after it.
-        await self._send(response, close and not self.h11.trailing_data[0])
+        await self._send(response, close and not HEAD_END.search(self.h11.trailing_data[0]))
         self.waiting, self.has_answered = False, True
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
