Give-ups use any open connection: only answers that prove something wait for a rested one

A DELETE's answer proves nothing, and the rest begins anew with it. Change: ConnectionPool.exchange takes rested=False.

--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -64,17 +64,18 @@
         body: bytes = b"",
         last_look: LastLook | None = None,
         keeps_after: Callable[[Reply], bool] = lambda reply: True,
+        rested: bool = True,
     ) -> Reply:
         """Have one exchange, and keep the connection if it can carry another.
 
         One that places a job has a ``last_look``: it goes to no server that has left since it was chosen,
         and not if the look raises ``Withheld``. The connection ends after an answer that ``keeps_after``
-        does not accept.
+        does not accept. One whose answer proves nothing needs no ``rested`` connection.
         """
         server = self.servers.get(name)
         if server is None:
             raise NotSent("not listed")
-        connection = await self._connection(server)
+        connection = await self._connection(server, rested)
         if last_look is not None:
             try:
                 headers = headers + self._look(name, server, last_look)
@@ -111,10 +112,10 @@
             raise Withheld("its server has left since it was chosen")
         return last_look()
 
-    async def _connection(self, server: RealServer) -> ClientConnection:
-        """Return the connection that was used last but has rested, or a new one."""
+    async def _connection(self, server: RealServer, rested: bool) -> ClientConnection:
+        """Return the connection that was used last, and has ``rested`` if it must have, or a new one."""
         now = trio.current_time()
-        for connection in [kept for kept in reversed(server.idle) if kept.rests_until <= now]:
+        for connection in [kept for kept in reversed(server.idle) if not rested or kept.rests_until <= now]:
             server.idle.remove(connection)
             fresh = now - connection.idle_since < self.limits.pool_idle
             if fresh and connection.usable():
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -69,10 +69,13 @@
         body: bytes = b"",
         last_look: LastLook | None = None,
         keeps_after: Callable[[Reply], bool] = lambda reply: True,
+        rested: bool = True,
     ) -> Reply | Outcome:
         """Have one exchange; return its answer, be it an unreadable one, or the outcome where none came."""
         try:
-            return await self.pool.exchange(server, method, target, headers, body, last_look, keeps_after)
+            return await self.pool.exchange(
+                server, method, target, headers, body, last_look, keeps_after, rested
+            )
         except Withheld:
             return Outcome.MOOT
         except NotSent:
--- a/merlinbay/notify/sender.py
+++ b/merlinbay/notify/sender.py
@@ -31,6 +31,7 @@
         body: bytes = b"",
         last_look: LastLook | None = None,
         keeps_after: Callable[[Reply], bool] = lambda reply: True,
+        rested: bool = True,
     ) -> Reply:
         """Have one exchange with the address ``name``."""
         if name not in self.servers:
@@ -39,7 +40,7 @@
             if len(self.servers) >= KEPT_MOST:
                 self._drop_idle(self.servers.pop(next(iter(self.servers))))
             self.servers[name] = RealServer(name)
-        return await super().exchange(name, method, target, headers, body, last_look, keeps_after)
+        return await super().exchange(name, method, target, headers, body, last_look, keeps_after, rested)
 
 
 class Sender:
--- a/merlinbay/platform/servers.py
+++ b/merlinbay/platform/servers.py
@@ -131,7 +131,8 @@
         """Give up an attempt at its server; tell whether the server has answered."""
         reply: Reply | Outcome | None = None
         with trio.move_on_after(self.limits.cancel_exchange):
-            reply = await self.exchange(attempt.server, "DELETE", f"/jobs/{attempt.spec.name}", [])
+            target = f"/jobs/{attempt.spec.name}"
+            reply = await self.exchange(attempt.server, "DELETE", target, [], rested=False)
             self.counters.add("deletes" if isinstance(reply, Reply) else "deletes_failed")
         return isinstance(reply, Reply)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -436,9 +436,9 @@
             pool.entries_changed("all", [ServiceEntry("s", server.addr)])
             dial = pool._connection
 
-            async def left(known: object) -> object:
+            async def left(known: object, rested: bool) -> object:
                 nonlocal wanted
-                made = await dial(known)  # type: ignore[arg-type]
+                made = await dial(known, rested)  # type: ignore[arg-type]
                 wanted = False
                 return made
 
@@ -517,6 +517,10 @@
                     await trio.sleep(2 * LIMITS.pool_rest)
                 assert (await pool.exchange("s", "POST", "/", [], b"x")).status == first.status
                 assert counters.counts["server_connections"] == 2  # on a connection of its own
+                # A give-up takes any connection, but the next job not the one that it used.
+                await pool.exchange("s", "DELETE", "/jobs/x", [], rested=False)
+                assert counters.counts["server_connections"] == (3 if not late else 2)
+                assert (await pool.exchange("s", "POST", "/", [], b"x")).status == first.status
                 nursery.cancel_scope.cancel()
 
     play(scene)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -544,8 +544,8 @@
             pool.entries_changed("all", [ServiceEntry("s", server.addr)])
             dial = pool._connection
 
-            async def moved(known: object) -> object:
-                made = await dial(known)  # type: ignore[arg-type]
+            async def moved(known: object, rested: bool) -> object:
+                made = await dial(known, rested)  # type: ignore[arg-type]
                 pool.entries_changed("changes", [ServiceEntry("s", "127.0.0.2:1")])
                 return made
 
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -41,6 +41,7 @@
         body: bytes = b"",
         last_look: LastLook | None = None,
         keeps_after: Callable[[Reply], bool] = lambda reply: True,
+        rested: bool = True,
     ) -> Reply:
         """Dial, look, send, and answer by the script."""
         await trio.sleep(self.dial)
