Bad and keyless requests have a log line with their cause

Need: a request of two classes is answered 400 and one without its key is kept from repeats, both without a word in the log. Change: ClientAdapter logs request_bad with its cause and request_keyless with its class, within the limit of lines a second; a check that could no longer fail is gone (the class is the path's).

--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -73,7 +73,9 @@
     log = log_for(config)
     send: trio.MemorySendChannel[Message]
     send, receive = trio.open_memory_channel[Message](limits.inbox)
-    edge = ClientAdapter(send, clock, limits, counters, {spec.name for spec in config.settings.classes})
+    classes = config.settings.classes
+    keyed = frozenset(spec.name for spec in classes if spec.effect == "by_key")
+    edge = ClientAdapter(send, clock, limits, counters, {spec.name for spec in classes}, log, keyed)
     handler: Handler = edge
     sides = Sides()
     if operator is not None:
--- a/merlinbay/platform/client_adapter.py
+++ b/merlinbay/platform/client_adapter.py
@@ -15,6 +15,7 @@
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.sockets import hung_up
 from merlinbay.limits import Limits
+from merlinbay.log import Log
 from merlinbay.platform import messages
 
 OUTCOMES = {"done": Outcome.OK, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
@@ -72,9 +73,12 @@
         limits: Limits,
         counters: Counters,
         classes: set[str],
+        log: Log,
+        keyed: frozenset[str] = frozenset(),
     ) -> None:
-        self.inbox, self.clock, self.limits = inbox, clock, limits
+        self.inbox, self.clock, self.limits, self.log = inbox, clock, limits, log
         self.counters, self.classes = counters, classes
+        self.keyed = keyed  # the classes whose jobs carry a key
         self.scarce: Callable[[], bool] = lambda: False  # whether kept edge connections run out
         self.wanted: Callable[[], bool] = lambda: True  # whether new clients are
         self.over = False  # the owner has ended: there is nobody behind the inbox any more
@@ -109,9 +113,11 @@
             spec = messages.job_spec(request.target, request.headers, request.body, self._arrived_us(request))
         except messages.BadRequest as error:
             self.counters.add("requests_bad")
+            self.log.event("request_bad", level="warning", cause=str(error))
             return Response(400, f"bad request: {error}\n".encode())
-        if spec.job_class not in self.classes:
-            return Response(404)
+        if spec.job_class in self.keyed and not spec.repeat_key:
+            self.counters.add("requests_keyless")
+            self.log.event("request_keyless", level="warning", job_class=spec.job_class, kept="unrepeated")
         if connection.proven and self.scarce():
             # Guards against the last kept connection being busy: a client that finds none, and gets no new
             # one from a node that leaves, gives the node up though it still serves.
--- a/merlinbay/platform/messages.py
+++ b/merlinbay/platform/messages.py
@@ -134,7 +134,7 @@
     path_class = path.strip("/").partition("/")[0]
     # Guards against a job that is held for one of a class which allows more repeats than its own.
     if (headers.get("x-priority-class") or path_class) != path_class:
-        raise BadRequest("x-priority-class is not the class of the path")
+        raise BadRequest("x-priority-class differs from the path")
     try:
         extras = pairs(headers.get("x-attrs", ""))
         budget_ms = int(headers["x-timeout-ms"])
--- a/tests/test_client_terms.py
+++ b/tests/test_client_terms.py
@@ -405,7 +405,7 @@
         workers = [api.WorkerEntry(f"w{number}", "a", "k1") for number in range(4)]
         balancer.handle(self.clock.now_us(), [api.ListChanged("all", workers)])
         self.owner = Owner(balancer, self.clock, LIMITS, self.counters, Log(9), self.servers, Mock())
-        self.adapter = ClientAdapter(send, self.clock, LIMITS, self.counters, {"safe"})
+        self.adapter = ClientAdapter(send, self.clock, LIMITS, self.counters, {"safe"}, Log(9))
         self.listener = Listener(self.adapter, LIMITS, self.counters, Log(9))
         sock = bound()
         sock.listen(8)
@@ -917,3 +917,37 @@
             assert s.counters.counts["server_tasks_faulty"] > 0
 
     play(scene)
+
+
+# What a request says against what the settings say.
+
+
+@pytest.mark.parametrize(
+    ("headers", "status", "line"),
+    [
+        (
+            {"x-priority-class": "other"},
+            400,
+            "request_bad cause=x-priority-class differs from the path",
+        ),
+        ({"x-request-id": "a b"}, 400, "request_bad cause=x-request-id"),
+        ({}, None, "request_keyless job_class=keyed kept=unrepeated"),
+        ({"idempotency-key": "k"}, None, ""),
+    ],
+)
+def test_what_a_request_says_wrongly_is_logged_with_its_cause(
+    headers: dict[str, str], status: int | None, line: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """One line each; the request is answered 400, or taken as one that is unsafe to repeat."""
+
+    async def scene() -> None:
+        send, inbox = trio.open_memory_channel[ports.Message](9)
+        classes = {"keyed", "other"}
+        adapter = ClientAdapter(send, Clock(), LIMITS, Counters(), classes, Log(9), frozenset({"keyed"}))
+        asked = Request("POST", "/keyed", {"x-request-id": "a", "x-timeout-ms": "900", **headers}, b"")
+        response = await adapter.request(Mock(proven=False), asked)
+        assert (response.status if response is not None else None) == status
+        assert inbox.statistics().current_buffer_used == (status is None)
+
+    play(scene)
+    assert capsys.readouterr().err.strip() == (f"merlinbay: {line}" if line else "")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -549,7 +549,7 @@
         from merlinbay.platform.client_adapter import ClientAdapter
 
         send, inbox = trio.open_memory_channel[object](9)
-        edge = ClientAdapter(send, Clock(), LIMITS, Counters(), {"admit"})
+        edge = ClientAdapter(send, Clock(), LIMITS, Counters(), {"admit"}, Log(9))
         edge.over = True
         head = {name.lower(): value for name, value in admission("j")}
         refused = await edge.request(Mock(proven=False), Request("POST", "/admit", head, b""))
--- a/tests/test_duplicates.py
+++ b/tests/test_duplicates.py
@@ -55,6 +55,7 @@
 ONE_SEND = Profile("one attempt in all", send_cap=1)
 PROBES = Profile("probes, pushed lists", probes=True)
 TWO_NODES = Profile("two nodes, one attempt out, asked lists", pushed=False, nodes=2)
+PROBED_COPIES = Profile("probes and second copies", probes=True, second_copies=True)
 PROFILES = (SINGLE, ASKED, COPIES, COPIES_KEPT, ONE_SEND, PROBES, TWO_NODES)
 SLOW_DONE = CallBack("done", delay=0.1)
 
@@ -456,6 +457,27 @@
     play(scene)
 
 
+JOBS_PROBED = 4  # of each class
+
+
+@pytest.mark.parametrize("seed_of_names", range(3))
+def test_a_copy_goes_by_no_probe_reply_of_another_group(tmp_path: Path, seed_of_names: int) -> None:
+    """All executors were probed for the first attempt, which waits unstarted; its copy stays in the group."""
+
+    async def scene() -> None:
+        async def one(rules: ClassRules) -> None:
+            for number in range(JOBS_PROBED):
+                await at.request(rules.name, f"{seed_of_names}-{number}-{rules.name}")
+
+        async with scattered(tmp_path, PROBED_COPIES) as at:
+            at.board.script = first_only(Behaviour(after=(CallBack("started", delay=0.2), DONE)))
+            await for_each_class(one)
+            assert at.board.probes > len(EVERY_CLASS)
+        assert len(at.board.attempts) > JOBS_PROBED * len(EVERY_CLASS), "no copy was sent"
+
+    play(scene)
+
+
 @pytest.mark.parametrize("state", ["returned", "failed", "done"])
 def test_an_attempt_whose_delete_was_lost_may_speak_late(tmp_path: Path, state: str) -> None:
     """A copy has started, the first attempt is given up, and its executor never hears of it."""
