--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,9 +20,9 @@
 from merlinbay.clock import Clock
 from merlinbay.config import load
 from merlinbay.core.owner import Owner
-from merlinbay.core.ports import Answer, Edge, JobSpec, RequestArrived, ServiceEntry
+from merlinbay.core.ports import Answer, Edge, JobSpec, RequestArrived, ServiceEntry, Stopping, Verdict
 from merlinbay.counters import Counters
-from merlinbay.decision import api
+from merlinbay.decision import Balancer, api
 from merlinbay.http.client import Withheld
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool
@@ -392,8 +392,6 @@
     """The word of it may still wait behind others; the look before the attempt counts."""
     servers, clock, counters = Mock(), Mock(), Counters()
     clock.now_us.return_value = 1_000_000
-    from merlinbay.decision import Balancer
-
     made = Balancer(settings(balancers=1), 1, 0)
     made.handle(0, [api.ListChanged("all", [api.WorkerEntry("w", "a", "k1")])])
     owner, edge = Owner(made, clock, LIMITS, counters, Log(9), servers, Mock()), Leaver(left)
@@ -402,6 +400,40 @@
     assert (len(owner.requests), counters.counts["requests_withdrawn"]) == ((0, 1) if left else (1, 0))
 
 
+@pytest.mark.parametrize(
+    ("job_class", "group", "verdict"),
+    [
+        ("safe", "all", Verdict.REFUSED),
+        ("keyed", "all", Verdict.REFUSED),
+        ("keyed", "zone", Verdict.FAILED),
+        ("keyed", "cell", Verdict.FAILED),
+        ("unsafe", "all", Verdict.FAILED),
+    ],
+)
+def test_a_node_that_stops_cuts_an_attempt_short_and_sends_no_other(
+    job_class: str, group: str, verdict: Verdict
+) -> None:
+    """The owner's deadline is earlier than the module's, which would send the job again."""
+    servers, clock, edge = Mock(), Mock(), Mock()
+    edge.left.return_value = False
+    clock.now_us.return_value = 1_000_000
+    conf = settings(balancers=1)
+    conf.classes[1].group = group
+    made = Balancer(conf, 1, 0)
+    made.handle(
+        0, [api.ListChanged("all", [api.WorkerEntry(f"w{n}", "a", f"k{n % 2 + 1}") for n in range(4)])]
+    )
+    owner = Owner(made, clock, LIMITS, Counters(), Log(9), servers, Mock())
+    spec = JobSpec("j", job_class, 1_000_000, 5_000_000, repeat_key="k")
+    owner.turn([RequestArrived(spec, edge), Stopping()])
+    assert servers.start.call_count == 1
+    clock.now_us.return_value += LIMITS.stop_answers_us
+    owner.turn([])
+    assert servers.start.call_count == servers.give_up.call_count == 1
+    (answer,) = [call.args[0] for call in edge.answer.call_args_list]
+    assert answer.verdict is verdict
+
+
 @pytest.mark.parametrize("unread", [b"", b"x"])
 def test_a_connection_shows_that_its_client_has_left(unread: bytes) -> None:
     """Whatever of it is still unread."""
