--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -7,6 +7,7 @@
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 import trio
@@ -19,6 +20,7 @@
 from merlinbay.core.ports import Answer, AttemptFinished, AttemptStarted, JobSpec, Verdict
 from merlinbay.decision.api import JobClass, Outcome
 from merlinbay.drmaa import schema, templates
+from merlinbay.drmaa.job_client import JobClient
 from merlinbay.drmaa.servers import message_of, outcome_of
 from merlinbay.http.client import Reply
 from merlinbay.http.connection import Request, Response
@@ -471,3 +473,27 @@
         if f"merlinbay.{name}" in text or f"import {name}" in text
     ]
     assert JobSpec("j", "c", 0, 1).budget_us == 1 and Answer(Verdict.FAILED).retry_after_us == 0
+
+
+@pytest.mark.parametrize(
+    ("effect", "may_have_run", "offered_again"),
+    [
+        ("repeatable", True, True),
+        ("by_key", False, True),
+        ("by_key", True, False),
+        ("once", False, True),
+        ("once", True, False),
+    ],
+)
+def test_a_refused_job_that_may_have_run_is_offered_again_only_if_safe(
+    effect: str, may_have_run: bool, offered_again: bool
+) -> None:
+    """Its next offer could come when servers have forgotten the key of this one."""
+    front, job = Mock(), Mock(ended=False, job_class="c")
+    front.rules.classes = {"c": JobClass("c", 1000, 9_000_000, effect=effect, group="all", window_us=400_000)}
+    front.clock.now_us.return_value = 1_000
+    client = JobClient(front, job, JobSpec("j", "c", 0, 9_000_000))
+    client.answer(Answer(Verdict.REFUSED, may_have_run=may_have_run))
+    assert (front.engine.refused.call_count, front.engine.failed.call_count) == (
+        (1, 0) if offered_again else (0, 1)
+    )
