--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -491,7 +491,7 @@
     """Its next offer could come when servers have forgotten the key of this one."""
     front, job = Mock(), Mock(ended=False, job_class="c")
     front.rules.classes = {"c": JobClass("c", 1000, 9_000_000, effect=effect, group="all", window_us=400_000)}
-    front.clock.now_us.return_value = 1_000
+    front.clock.now_us.return_value, front.limits = 1_000, Limits()
     client = JobClient(front, job, JobSpec("j", "c", 0, 9_000_000))
     client.answer(Answer(Verdict.REFUSED, may_have_run=may_have_run))
     assert (front.engine.refused.call_count, front.engine.failed.call_count) == (
