--- a/bench/duplicate_mutants.py
+++ b/bench/duplicate_mutants.py
@@ -11,7 +11,18 @@
 from typing import Any
 from unittest.mock import patch
 
-ENDLESS_US = 10**12
+from merlinbay.core import ports
+from merlinbay.core.owner import Owner
+from merlinbay.core.ports import ServerAttempt
+from merlinbay.core.requests import RequestTable
+from merlinbay.decision import api
+from merlinbay.decision.eligibility import Eligibility
+from merlinbay.decision.records import Attempt, Job, Worker
+from merlinbay.http.client import ClientConnection, Reply
+from merlinbay.http.pool import ConnectionPool, RealServer
+from merlinbay.http.servers import PooledServers
+from merlinbay.platform import replies
+from merlinbay.platform.replies import JobReply
 
 
 @dataclass(frozen=True)
@@ -30,4 +41,138 @@
             yield
 
 
-MUTANTS: tuple[Mutant, ...] = ()
+_may_repeat = Eligibility._may_repeat
+_may_begin = Eligibility.may_begin
+_keep = ConnectionPool._keep
+_exchange = PooledServers.exchange
+_classify = replies.classify
+
+
+def repeats_at_any_time(self: Eligibility, job: Job, others: list[Attempt], now: int) -> bool:
+    """Take no notice of the window, neither at the decision nor at the last look."""
+    return _may_repeat(self, job, others, min([now, *(other.at for other in others)]))
+
+
+def counts_from_the_latest(self: Eligibility, job: Job, others: list[Attempt], now: int) -> bool:
+    """Have the window begin anew with each attempt."""
+    return _may_repeat(self, job, others[::-1], now)
+
+
+def any_group(self: Eligibility, job: Job, unresolved: Attempt, zone: str, cell: int) -> bool:
+    """Take every worker for one that drops repeats."""
+    return True
+
+
+def no_group(self: Eligibility, job: Job) -> list[Worker] | None:
+    """Look for workers everywhere."""
+    return None
+
+
+def once_is_repeatable(self: Job) -> str:
+    """Take jobs that must run once for repeatable ones."""
+    return "repeatable" if self.cls.spec.effect == "once" else self.cls.spec.effect
+
+
+def key_goes_unread(self: Job) -> str:
+    """Go by the class alone, whether or not the job carries a key."""
+    return self.cls.spec.effect
+
+
+def never_ran_after_all(outcome: int, started: bool) -> bool:
+    """Take a hand-back for a proof, whatever was reported before."""
+    return outcome in api.NEVER_RAN
+
+
+def looks_for_the_client_only(self: ServerAttempt) -> bool:
+    """Ask before the first byte whether the client is still there, and nothing else."""
+    return not self.ended and (self.edge is None or not self.edge.left())
+
+
+def looks_at_the_old_time(self: Eligibility, job_id: int, number: int, now: int) -> bool:
+    """Have the last look judge the window by when the attempt was decided on."""
+    job = self.jobs.get(job_id)
+    decided = job.attempts[number].at if job is not None and number < len(job.attempts) else now
+    return _may_begin(self, job_id, number, decided)
+
+
+def keeps_without_rest(
+    self: ConnectionPool, name: str, server: RealServer, connection: ClientConnection, rests_until: float
+) -> None:
+    """Use a connection again at once."""
+    _keep(self, name, server, connection, 0.0)
+
+
+def refuses_anything(self: Eligibility, job: Job, wait_us: int = 0) -> bool:
+    """Refuse jobs that may have run."""
+    return True
+
+
+def zone_of_now(self: Attempt) -> str:
+    """Return the zone that the list says now."""
+    return self.worker.zone
+
+
+def cell_of_now(self: Attempt) -> int:
+    """Return the cell that the list says now."""
+    return self.worker.cell
+
+
+def forget_value(self: Attempt, value: object) -> None:
+    """Keep nothing of the moment of the send."""
+
+
+async def broken_is_unsent(self: PooledServers, *args: Any, **named: Any) -> Reply | api.Outcome:
+    """Take a connection that broke before the 202 for one that never came up."""
+    result = await _exchange(self, *args, **named)
+    return api.Outcome.CONNECT_FAILED if result is api.Outcome.RESET else result
+
+
+def bare_503_refuses(reply: Reply) -> JobReply:
+    """Take every 503 for a proof that the job never ran."""
+    return JobReply.NOT_PROCESSED if reply.status == 503 else _classify(reply)
+
+
+def unnamed_status_fails(reply: Reply) -> JobReply:
+    """Take a status that the protocol does not name for the attempt's end."""
+    found = _classify(reply)
+    return JobReply.FAILED if found is JobReply.UNKNOWN else found
+
+
+def progress_is_no_start(self: Owner, message: ports.AttemptProgress) -> None:
+    """Pass progress on, and forget that the job must have started."""
+    attempt = self.requests.attempts.get((message.name, message.server))
+    if attempt is not None:
+        self._tell_module(api.JobProgress(attempt.request_number, attempt.number, message.share))
+
+
+def forgets_names(self: RequestTable, name: str) -> bool:
+    """Know the names of open requests only."""
+    return name in self.by_name
+
+
+MUTANTS = (
+    Mutant("window: none", ((Eligibility, "_may_repeat", repeats_at_any_time),)),
+    Mutant("window: from the latest attempt", ((Eligibility, "_may_repeat", counts_from_the_latest),)),
+    Mutant("group: any", ((Eligibility, "_same_group", any_group), (Eligibility, "repeat_group", no_group))),
+    Mutant("effect: once is repeatable", ((Job, "effect", property(once_is_repeatable)),)),
+    Mutant("effect: a job without its key is keyed", ((Job, "effect", property(key_goes_unread)),)),
+    Mutant("outcome: a reset never ran", ((api, "NEVER_RAN", api.NEVER_RAN | {api.Outcome.RESET}),)),
+    Mutant("outcome: an error never ran", ((api, "NEVER_RAN", api.NEVER_RAN | {api.Outcome.ERROR}),)),
+    Mutant("outcome: returned after a start never ran", ((api, "never_ran", never_ran_after_all),)),
+    Mutant("outcome: progress is no start", ((Owner, "_on_attempt_progress", progress_is_no_start),)),
+    Mutant("outcome: broken before the 202 is unsent", ((PooledServers, "exchange", broken_is_unsent),)),
+    Mutant("answer: a bare 503 is a refusal", ((replies, "classify", bare_503_refuses),)),
+    Mutant("answer: an unnamed status is an end", ((replies, "classify", unnamed_status_fails),)),
+    Mutant("last look: for the client only", ((ServerAttempt, "may_begin", looks_for_the_client_only),)),
+    Mutant("last look: not at the window", ((Eligibility, "may_begin", looks_at_the_old_time),)),
+    Mutant("stray answer: connections do not rest", ((ConnectionPool, "_keep", keeps_without_rest),)),
+    Mutant("refusal: of a job that may have run", ((Eligibility, "may_refuse", refuses_anything),)),
+    Mutant(
+        "cell and zone: of now, not of the send",
+        (
+            (Attempt, "zone", property(zone_of_now, forget_value)),
+            (Attempt, "cell", property(cell_of_now, forget_value)),
+        ),
+    ),
+    Mutant("name: used again after its request is over", ((RequestTable, "has_used", forgets_names),)),
+)
