--- a/bench/duplicates.py
+++ b/bench/duplicates.py
@@ -19,6 +19,7 @@
 
 BATCH = 50  # cases in one run: they share the jumps of the clock
 MOST_STORIES = 8
+SHOWN_COUNTERS = ("sends_withheld", "dials_timed_out", "attempts_moot", "answers_unknown", "deletes")
 MOST_MUTANT_SEEDS = 600
 
 
@@ -34,6 +35,8 @@
         self.repeated_faults: Counter[Fault] = Counter()
         self.attempts_by_effect: Counter[str] = Counter()
         self.repeats_by_effect: Counter[str] = Counter()
+        self.copies_by_effect: Counter[str] = Counter()
+        self.node_counters: Counter[str] = Counter()
         self.disturbances: Counter[str] = Counter()
 
     def add(self, result: CaseResult) -> None:
@@ -42,24 +45,27 @@
         self.cases += 1
         self.jobs += len(result.case.jobs)
         self.attempts += len(result.attempts)
-        self.repeats += len(result.repeats)
+        self.repeats += len(result.repeated)
         self.answers += result.answers
         self.breaks.update(kind_of_break(line) for line in result.breaks)
-        self.faults.update(fault for _, fault in result.attempts)
-        self.repeated_faults.update(fault for _, fault in result.repeats)
-        self.attempts_by_effect.update(classes[job] for job, _ in result.attempts)
-        self.repeats_by_effect.update(classes[job] for job, _ in result.repeats)
+        self.faults.update(attempt.fault for attempt in result.attempts)
+        self.repeated_faults.update(attempt.fault for attempt in result.repeated)
+        self.attempts_by_effect.update(classes[attempt.job] for attempt in result.attempts)
+        self.repeats_by_effect.update(classes[attempt.job] for attempt in result.repeated)
+        self.copies_by_effect.update(classes[attempt.job] for attempt in result.attempts if attempt.is_copy)
+        self.node_counters += result.node_counters
         self.disturbances.update(str(drawn.what) for drawn in result.case.disturbances)
         if result.breaks:
-            self.failing.append(result.seed)
+            self.failing.append(result.case.seed)
 
     def lines(self) -> Iterator[str]:
         """Yield what was counted."""
         yield f"{self.cases} cases, {self.jobs} jobs, {self.attempts} attempts, {self.repeats} repeats"
         yield f"answers: {dict(sorted(self.answers.items()))}"
-        yield "attempts, and those that were followed by another of the same job:"
+        yield f"of the nodes' counters: { ({name: self.node_counters[name] for name in SHOWN_COUNTERS}) }"
+        yield "attempts, those followed by another of the same job, and those sent while another was out:"
         for effect, count in sorted(self.attempts_by_effect.items()):
-            yield f"  {effect:30}{count:8}{self.repeats_by_effect[effect]:8}"
+            yield f"  {effect:30}{count:8}{self.repeats_by_effect[effect]:8}{self.copies_by_effect[effect]:8}"
         for fault in Fault:
             yield f"  {fault:30}{self.faults[fault]:8}{self.repeated_faults[fault]:8}"
         yield f"disturbances: {dict(self.disturbances)}"
@@ -82,7 +88,7 @@
             broken = [line for line in result.breaks if line.startswith(f"{name} ")]
             yield "\n".join(
                 [
-                    f"seed {result.seed}: {'; '.join(broken)}",
+                    f"seed {result.case.seed}: {'; '.join(broken)}",
                     f"  {settings['limits']}",
                     f"  {settings['extra']}",
                 ]
--- a/tests/duplicate_case.py
+++ b/tests/duplicate_case.py
@@ -13,6 +13,7 @@
 FIRST_JOB_S = 0.4  # by then, each node has its list
 LAST_JOB_S = 2.8
 LONGEST_TIMEOUT_MS = 2500
+ROUTE_KEYS = ("", "", "", "u1", "u2")
 
 
 class Fault(StrEnum):
@@ -43,6 +44,16 @@
     DELETE_LOST = "loses the DELETE"
 
 
+PROVOKING = (  # these are followed by a further attempt most often
+    Fault.START_LATE,
+    Fault.REFUSED_LATE,
+    Fault.SECOND_ANSWER,
+    Fault.RETURNED,
+    Fault.LOST,
+    Fault.BREAK_BEFORE,
+)
+
+
 class Disturbance(StrEnum):
     """What happens to a whole executor, or to a node."""
 
@@ -73,6 +84,8 @@
     timeout_ms: int
     node: int
     has_repeat_key: bool
+    route_key: str
+    slots: int
     leaves_after_s: float  # 0: the client waits for its answer
     replayed_after_s: float  # after its answer the same request is sent again; 0: never
 
@@ -100,6 +113,7 @@
     executors: list[DrawnExecutor]
     jobs: list[DrawnJob]
     disturbances: list[DrawnDisturbance]
+    slow_connects: float  # share of connections that come up late, whatever else happens
     faults: dict[Fault, float]  # weights
 
     def node_settings(self, me: int) -> dict[str, Any]:
@@ -136,6 +150,7 @@
         executors,
         [_job(rng, f"j{seed}-{i}", settings, nodes) for i in range(rng.randint(20, 40))],
         [_disturbance(rng, len(executors), nodes, zones) for _ in range(rng.choice((0, 2, 4, 7, 10)))],
+        rng.choice((0.0, 0.0, 0.3, 0.8)),
         _faults(rng),
     )
 
@@ -207,6 +222,8 @@
         rng.choice((200, 600, 1500, LONGEST_TIMEOUT_MS)),
         rng.randrange(nodes),
         keyed and rng.random() > 0.1,
+        rng.choice(ROUTE_KEYS),
+        rng.choice((1, 1, 1, 2)),
         milliseconds(rng, 3, 500) if rng.random() < 0.08 else 0.0,
         milliseconds(rng, 2, 300) if rng.random() < 0.03 else 0.0,
     )
@@ -228,7 +245,8 @@
 
 def _faults(rng: Random) -> dict[Fault, float]:
     """Draw which faults a case has, and how often: few of them at a time leave room for repeats."""
-    kinds = rng.sample([fault for fault in Fault if fault is not Fault.NONE], rng.randint(3, 8))
+    drawn = rng.sample([fault for fault in Fault if fault is not Fault.NONE], rng.randint(3, 8))
+    kinds: list[Fault] = list(dict.fromkeys([*rng.sample(PROVOKING, 2), *drawn]))
     share = rng.choice((0.2, 0.4, 0.7))
     weights = {fault: rng.random() + 0.1 for fault in kinds}
     whole = sum(weights.values())
--- a/tests/duplicate_executor.py
+++ b/tests/duplicate_executor.py
@@ -105,6 +105,7 @@
     fault: Fault
     judged: ArrivedAttempt
     connection: ExecutorConnection
+    is_copy: bool  # another attempt was out as it arrived
     answered: bool = False
     told_start: bool = False
     ended: bool = False
@@ -241,8 +242,9 @@
         case, job = self.world.case, message.headers["x-request-id"]
         rng = Random(f"{case.seed} {job} {self.identity.name} {len(self.attempts_of(job))}")
         fault = rng.choices(list(case.faults), list(case.faults.values()))[0]
+        is_copy = any(other.out for other in self.world.judge.requests[job].attempts)
         judged = self.world.judge.arrived(job, self.identity, trio.current_time())
-        attempt = PlayedAttempt(job, fault, judged, connection)
+        attempt = PlayedAttempt(job, fault, judged, connection, is_copy)
         self.attempts.append(attempt)
         where = f"{self.identity.name} (cell {self.identity.cell}, zone {self.identity.zone})"
         self.world.note(job, f"arrives at {where}: {fault}")
--- a/tests/duplicate_world.py
+++ b/tests/duplicate_world.py
@@ -15,6 +15,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 from unittest.mock import patch
@@ -27,7 +28,7 @@
 from merlinbay.counters import Counters
 from merlinbay.http.server import Listener
 from merlinbay.log import Log
-from tests.duplicate_case import Case, Disturbance, DrawnDisturbance, DrawnJob, Fault, draw
+from tests.duplicate_case import Case, Disturbance, DrawnDisturbance, DrawnJob, Fault, draw, milliseconds
 from tests.duplicate_executor import HOST, Message, SimulatedExecutor, read_message, response
 from tests.duplicate_judge import DuplicateJudge, Executor
 from tests.net import bound
@@ -36,26 +37,37 @@
 END_S = 6.5  # of a case: by then every request is answered and every report is made
 DRAINED_S = 0.06  # between a drain that is told and the death of the process
 KILLED_TOLD_SHARE = 0.8  # of the jobs that die with their executor, the agent tells so many
+USUAL_DELAY_MS = (10, 450)  # of a connection, where a case has slow ones
 NODE_SEED = "2a"
 UNIX_AT_START = 1_800_000_000.0
 
 
+@dataclass(frozen=True)
+class AttemptRecord:
+    """An attempt that has arrived."""
+
+    at: float
+    job: str
+    fault: Fault
+    is_copy: bool  # another attempt was out then
+
+
 @dataclass
 class CaseResult:
     """What came of one case."""
 
-    seed: int
     case: Case
     breaks: list[str]
     stories: dict[str, list[str]]
-    attempts: list[tuple[str, Fault]]  # job and fault, in the order of arrival
+    attempts: list[AttemptRecord]  # in the order of arrival
     answers: Tally[int]
+    node_counters: Tally[str]
 
     @property
-    def repeats(self) -> list[tuple[str, Fault]]:
+    def repeated(self) -> list[AttemptRecord]:
         """Return each attempt that was followed by another of the same job."""
-        last: dict[str, int] = {job: i for i, (job, _) in enumerate(self.attempts)}
-        return [(job, fault) for i, (job, fault) in enumerate(self.attempts) if i < last[job]]
+        last = {attempt.job: index for index, attempt in enumerate(self.attempts)}
+        return [attempt for index, attempt in enumerate(self.attempts) if index < last[attempt.job]]
 
     def broken_jobs(self) -> Iterator[tuple[str, list[str]]]:
         """Yield each job that broke a rule, with its story."""
@@ -68,11 +80,24 @@
     return re.sub(r" at s\d+|: s\d+, then s\d+| -?[\d.]+ s\b", "", line.partition("): ")[2])
 
 
+@dataclass
+class UsualDelay:
+    """How long connections to one executor take, some of them."""
+
+    rng: Random
+    share: float
+
+    def draw(self) -> float:
+        """Return the delay of one connection."""
+        return milliseconds(self.rng, *USUAL_DELAY_MS) if self.rng.random() < self.share else 0.0
+
+
 class Network:
     """How long connections to an address take, in virtual time."""
 
     def __init__(self) -> None:
         self.slow: dict[int, tuple[float, float]] = {}  # by port: until when, and the delay
+        self.usual: dict[int, UsualDelay] = {}  # by port
 
     def slow_down(self, port: int, until: float, delay: float) -> None:
         """Have connections come up late."""
@@ -81,7 +106,9 @@
     def delay(self, port: int) -> float:
         """Return how long a connection takes now."""
         until, delay = self.slow.get(port, (0.0, 0.0))
-        return delay if trio.current_time() < until else 0.0
+        if trio.current_time() < until:
+            return delay
+        return self.usual[port].draw() if port in self.usual else 0.0
 
 
 class SlowSockets(trio.abc.SocketFactory):
@@ -139,10 +166,10 @@
         self.judge = DuplicateJudge(case.settings)
         self.jobs = {job.name: job for job in case.jobs}
         self.stories: dict[str, list[str]] = {job.name: [] for job in case.jobs}
-        self.attempts: list[tuple[str, Fault]] = []
         self.answers: Tally[int] = Tally()
         self.held = [bound() for _ in range(case.nodes)]  # ports kept for the nodes
         self.ports = [sock.getsockname()[1] for sock in self.held]
+        self.counters: list[Counters] = []
         self.executors: dict[str, SimulatedExecutor] = {}
         self.processes: list[SimulatedExecutor] = []
         self.rows: dict[str, dict[str, Any]] = {}
@@ -175,19 +202,16 @@
             self.nursery.cancel_scope.cancel()
         for sock in self.held:
             sock.close()
-        attempts = sorted(
-            (attempt.judged.at, attempt.job, attempt.fault)
+        attempts = [
+            AttemptRecord(attempt.judged.at, attempt.job, attempt.fault, attempt.is_copy)
             for process in self.processes
             for attempt in process.attempts
-        )
-        return CaseResult(
-            self.case.seed,
-            self.case,
-            self.judge.breaks,
-            self.stories,
-            [(job, fault) for _, job, fault in attempts],
-            self.answers,
-        )
+        ]
+        attempts.sort(key=lambda attempt: attempt.at)
+        counted: Tally[str] = Tally()
+        for counters in self.counters:
+            counted.update(counters.counts)
+        return CaseResult(self.case, self.judge.breaks, self.stories, attempts, self.answers, counted)
 
     # Nodes and discovery.
 
@@ -207,7 +231,8 @@
         self.switches.switches[name] = trio.Event()
         config = load({"LB_CONFIG": str(path)})
         path.unlink()
-        self.nursery.start_soon(node.run, config, Counters())
+        self.counters.append(Counters())
+        self.nursery.start_soon(node.run, config, self.counters[-1])
 
     async def _discover(self, sock: socket.socket) -> None:
         sock.listen(50)
@@ -245,6 +270,8 @@
         self.processes.append(process)
         self.nursery.start_soon(process.run)
         host, port = sock.getsockname()
+        delays = Random(f"connections {self.case.seed} {identity.name} {number}")
+        self.network.usual[port] = UsualDelay(delays, self.case.slow_connects)
         self._relist(
             identity.name,
             id=identity.name,
@@ -330,6 +357,9 @@
             f"POST /{job.job_class}?x=1 HTTP/1.1\r\nhost: n\r\nx-request-id: {job.name}\r\n"
             f"x-priority-class: {job.job_class}\r\nx-timeout-ms: {job.timeout_ms}\r\ncontent-length: 4\r\n"
         )
+        head += f"x-attrs: slots={job.slots}\r\n"
+        if job.route_key:
+            head += f"x-route-key: {job.route_key}\r\n"
         if job.has_repeat_key:
             head += f"idempotency-key: key-{job.name}\r\n"
         with trio.socket.socket() as sock:
--- a/tests/test_duplicate_world.py
+++ b/tests/test_duplicate_world.py
@@ -19,9 +19,9 @@
     """Drawn settings and faults break no rule; ``python -m bench.duplicates seeds N`` plays more of them."""
     results = play_cases(SEEDS)
     stories = [
-        "\n".join([*result.breaks, f"seed {result.seed}, {name}", *story])
+        "\n".join([*result.breaks, f"seed {result.case.seed}, {name}", *story])
         for result in results
         for name, story in result.broken_jobs()
     ]
     assert not stories, "\n".join(stories)
-    assert sum(len(result.repeats) for result in results) > LEAST_REPEATS
+    assert sum(len(result.repeated) for result in results) > LEAST_REPEATS
