--- a/tests/duplicate_executor.py
+++ b/tests/duplicate_executor.py
@@ -292,8 +292,9 @@
         await attempt.connection.write(self._response(step)[: len(HEAD_END) * 4])
 
     async def _close(self, attempt: PlayedAttempt, step: Step) -> None:
-        if not attempt.answered:
-            self._end(attempt, "connection broken", never_ran=False)
+        for other in self.attempts:  # the connection may carry a later request by now
+            if other.connection is attempt.connection and not other.answered:
+                self._end(other, "connection broken", never_ran=False)
         attempt.connection.close()
 
     async def _report_start(self, attempt: PlayedAttempt, step: Step) -> None:
