--- a/bench/duplicates.py
+++ b/bench/duplicates.py
@@ -2,7 +2,7 @@
 
 Usage: ``python -m bench.duplicates COMMAND``.
 ``seeds N [--first K]``: N cases; prints what they met and broke, and the stories of the first failing jobs.
-``mutants``: rules of the node broken one at a time, each of which the judge has to find.
+``mutants [--only TEXT]``: rules of the node broken one at a time, each of which the judge has to find.
 """
 
 from __future__ import annotations
@@ -145,11 +145,11 @@
     seeds = commands.add_parser("seeds")
     seeds.add_argument("number", type=int)
     seeds.add_argument("--first", type=int, default=0)
-    commands.add_parser("mutants").add_argument("--name", default="", help="only those whose name has this")
+    commands.add_parser("mutants").add_argument("--only", default="", metavar="TEXT")
     arguments = parser.parse_args()
     if arguments.command == "seeds":
         return play_seeds(arguments.first, arguments.number)
-    return play_mutants([mutant for mutant in MUTANTS if arguments.name in mutant.name])
+    return play_mutants([mutant for mutant in MUTANTS if arguments.only in mutant.name])
 
 
 if __name__ == "__main__":
--- a/tests/test_duplicate_world.py
+++ b/tests/test_duplicate_world.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
+
+from bench.duplicate_mutants import MUTANTS, Mutant
 from tests.duplicate_case import draw
 from tests.duplicate_world import play_cases
 
 SEEDS = range(60)
+FEW_SEEDS = range(12)  # enough for rules that matter often
+PLAIN_MUTANTS = [mutant for mutant in MUTANTS if mutant.name in ("group: any", "effect: once is repeatable")]
 LEAST_REPEATS = 150  # below, the faults would have met too little to say anything
 
 
@@ -25,3 +30,10 @@
     ]
     assert not stories, "\n".join(stories)
     assert sum(len(result.repeated) for result in results) > LEAST_REPEATS
+
+
+@pytest.mark.parametrize("mutant", PLAIN_MUTANTS, ids=lambda mutant: mutant.name)
+def test_a_broken_rule_is_found(mutant: Mutant) -> None:
+    """The cases are not vacuous; ``python -m bench.duplicates mutants`` plays the other mutants too."""
+    with mutant.applied():
+        assert any(result.breaks for result in play_cases(FEW_SEEDS))
