A request's id is not sent on again once it had an attempt, whatever became of that

Ruled out: batch jobs, whose offers have names of their own, and requests refused unsent, which are not remembered. Change: every request that had an attempt is remembered; the simulation tells the judge the time of an answer.

--- a/merlinbay/core/requests.py
+++ b/merlinbay/core/requests.py
@@ -60,7 +60,7 @@
         """Drop a request that is answered or withdrawn and has no attempt open."""
         if request.done and not request.open and self.by_number.pop(request.number, None) is not None:
             del self.by_name[request.spec.name]
-            if request.may_have_run:
+            if request.sent:
                 self._remember(request.spec.name)
 
     def _remember(self, name: str) -> None:
--- a/tests/duplicate_world.py
+++ b/tests/duplicate_world.py
@@ -345,7 +345,7 @@
         status = answer.status if answer.first_line else 0
         self.answers[status] += 1
         self.note(job.name, f"answered {status}")
-        self.judge.answered(job.name, status)
+        self.judge.answered(job.name, status, trio.current_time())
         if job.replayed_after_s:
             await trio.sleep(job.replayed_after_s)
             self.note(job.name, "sent again by its client")
