--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -51,10 +51,10 @@
     stop_arrivals: float = 0.3  # after which no new connection is expected any more
     stop_retiring: float = 0.5  # where others serve, clients are sent there so long before jobs are refused
     spare_connections: int = 3  # and so many of the kept ones stay free, where no other balancer serves
-    stop_answers_us: int = 400_000  # and then have the requests under way end within so long
+    stop_answers_us: int = 300_000  # and then have the requests under way end within so long
     stop_tail: float = 0.1  # refuse for so long after the last answer, for what crossed the closing
-    stop_part: float = 0.2  # then wait so long for connections to end in good order,
-    stop_most: float = 3.6  # and leave after so long at the latest, before SIGKILL
+    stop_part: float = 0.15  # then wait so long for connections to end in good order,
+    stop_most: float = 3.65  # and leave after so long at the latest, before SIGKILL
     retry_when_stopping_us: int = 100_000
     admin_connections: int = 16  # operators' calls that wait for their line
     admin_line: int = 1024  # bytes of one
@@ -102,5 +102,5 @@
         dns_most=min(Limits.dns_most, ask_in / 3) if ask_in else Limits.dns_most,
         # Guards against SIGKILL, which comes 0.7 s after the longest deadline, counted as 3 s at the most.
         stop_serving=min(longest, 3.0) + 0.1,
-        stop_most=min(longest, 3.0) + 0.6,
+        stop_most=min(longest, 3.0) + 0.65,
     )
