--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -181,7 +181,7 @@
     assert 0 < limits.most_held < limits.edge_connections
     assert 0 < limits.waits < limits.edge_connections
     assert (limits.dial, limits.pool_idle < 10, limits.stop_most) == (0.12, True, 3.65)
-    # Each step of the end has its time before the process cuts off what is left, and that comes before SIGKILL.
+    # Each step of the end has its time before the cut-off, and that comes before SIGKILL.
     steps = limits.stop_serving + limits.stop_answers_us / 1e6 + limits.stop_tail + limits.stop_part
     assert steps <= limits.stop_most + 1e-9 < 3.7
     assert limits.watch_wait + limits.watch_slack < 10
