--- a/merlinbay/decision/beliefs.py
+++ b/merlinbay/decision/beliefs.py
@@ -26,6 +26,7 @@
 HEARD_MOST = 64  # reports that the median of what the others hold rests on, at the most
 HEARD_US = 2_000_000  # and how old the oldest of them may be: a queue is gone within a second
 OTHERS_WEIGHT = 0.1  # weight of one report in what the others hold at a worker in the mean
+LARGE_CALLS = 3.0  # a job of more than so many calls' work takes its own share of a starting worker's turns
 KNOWN_JOBS = 20  # offered jobs from which the mean job is known,
 KNOWN_RUNS = 3  # and ended ones from which the run times are
 FEW_REPORTS = 5  # reports that a worker's slots rest on, at the least
@@ -187,8 +188,10 @@
 
     def _cold_until(self, work: float, worker: Worker) -> int:
         """Return when our share of what the worker takes while it warms has grown by ``work``."""
-        # Guards against many small jobs: the budget is one of calls as well as of work.
-        work = max(work, self._call_work())
+        # Guards against many small jobs: the budget is one of calls as well as of work. Each is charged so
+        # much of a call of mean work that no more than the whole budget's count of calls can be sent. While
+        # little is known of jobs, it may be that one of mean work is all there is.
+        work = max(work, self._call_work() * (COLD_SAFE if self._knows_jobs() else 1.0))
         return self.warmed(worker, max(self.now, worker.cold_next), work / self._cold_share(worker))
 
     def recount(self, event: BalancersCounted) -> None:
@@ -220,7 +223,7 @@
         # Guards against turns that all go to large jobs: a job of eight calls' work may use each eighth turn,
         # and other ones at other schedulers. It is paid for afterwards all the same.
         call = self._call_work()
-        if work <= call:
+        if work <= LARGE_CALLS * call:
             return True
         turns = int(self.grown(worker, worker.cold_next) * self._cold_share(worker) / call)
         place = self.settings.me * math.sqrt(2) + turns * GOLDEN + zlib.crc32(worker.name.encode(), 1) / 2**32
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -44,6 +44,9 @@
         """Leave the order as it is."""
         return 1.0
 
+    def shuffle(self, tasks: list[object]) -> None:
+        """Leave the order as it is, where a test before has had trio schedule by an order of its own."""
+
 
 async def _advance(clock: trio.testing.MockClock) -> None:
     """Jump to the next deadline whenever every task waits for it."""
