The owner's word on hand-backs has a test of its own; two leftovers of the split tidied

Change: a table of reports before a hand-back for the owner alone; the import from http/sockets.py; a named default.

--- a/merlinbay/core/ports.py
+++ b/merlinbay/core/ports.py
@@ -124,6 +124,11 @@
         """Take what came of ``suspend`` or ``resume``; ``error`` is empty where it was done."""
 
 
+def always(attempt: ServerAttempt) -> bool:
+    """Allow any attempt."""
+    return True
+
+
 @dataclass(slots=True, eq=False)
 class ServerAttempt:
     """One attempt of a request on a real server."""
@@ -138,9 +143,7 @@
     started: bool = False
     paused: bool = False  # suspended by its real server
     edge: Edge | None = None  # of its request
-    allowed: Callable[[ServerAttempt], bool] = lambda attempt: (
-        True
-    )  # the module's last word, see ``may_begin``
+    allowed: Callable[[ServerAttempt], bool] = always  # whether its class allows it still, see ``may_begin``
 
     def may_begin(self) -> bool:
         """Tell, right before its first byte, whether it is still to be begun."""
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from merlinbay.http.connection import readable, send_all
+from merlinbay.http.sockets import readable, send_all
 from merlinbay.limits import Limits
 
 
--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -15,7 +15,7 @@
 from merlinbay.http.sockets import Sock, readable, send_all
 from merlinbay.limits import Limits
 
-__all__ = ["Connection", "Give", "Handler", "Prepare", "Request", "Response", "readable", "send_all"]
+__all__ = ["Connection", "Give", "Handler", "Prepare", "Request", "Response"]
 
 HEAD_END = re.compile(rb"\n\r?\n")  # without one, what was read is no whole request
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,7 +20,19 @@
 from merlinbay.clock import Clock
 from merlinbay.config import load
 from merlinbay.core.owner import Owner
-from merlinbay.core.ports import Answer, Edge, JobSpec, RequestArrived, ServiceEntry, Stopping, Verdict
+from merlinbay.core.ports import (
+    Answer,
+    AttemptFinished,
+    AttemptProgress,
+    AttemptStarted,
+    Edge,
+    JobSpec,
+    Message,
+    RequestArrived,
+    ServiceEntry,
+    Stopping,
+    Verdict,
+)
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer, api
 from merlinbay.http.client import Withheld
@@ -434,6 +446,31 @@
     assert answer.verdict is verdict
 
 
+@pytest.mark.parametrize(
+    ("reported", "outcome"),
+    [
+        ([], api.Outcome.FULL),
+        ([AttemptStarted("j", "w")], api.Outcome.RESET),
+        ([AttemptProgress("j", "w", 0.4)], api.Outcome.RESET),
+    ],
+)
+def test_the_owner_takes_no_hand_back_after_a_start_or_progress_for_unstarted(
+    reported: list[Message], outcome: api.Outcome
+) -> None:
+    """Whatever the module makes of it: counters and fronts go by the owner's word."""
+    clock, counters, edge = Mock(), Counters(), Mock()
+    edge.left.return_value = False
+    clock.now_us.return_value = 1_000_000
+    made = Balancer(settings(balancers=1), 1, 0)
+    made.handle(0, [api.ListChanged("all", [api.WorkerEntry("w", "a", "k1")])])
+    owner = Owner(made, clock, LIMITS, counters, Log(9), Mock(), Mock())
+    owner.turn([RequestArrived(JobSpec("j", "unsafe", 1_000_000, 5_000_000), edge)])
+    owner.turn([*reported, AttemptFinished("j", "w", api.Outcome.FULL)])
+    assert counters.counts[f"attempts_{outcome.name.lower()}"] == 1
+    (answer,) = [call.args[0] for call in edge.answer.call_args_list]
+    assert answer.verdict is (Verdict.FAILED if reported else Verdict.REFUSED)
+
+
 @pytest.mark.parametrize("unread", [b"", b"x"])
 def test_a_connection_shows_that_its_client_has_left(unread: bytes) -> None:
     """Whatever of it is still unread."""
