Logs tell each call to discovery, its wait, and what each list version changed

The incident's logs told none of the calls to discovery, so its hypotheses could not be told apart. Kept: discovery_called, discovery_failed with place, wait and whether a watch ended, list_changed with versions and names.

--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -13,6 +13,8 @@
 from merlinbay.log import Log
 from merlinbay.platform import messages
 
+NAMES_LOGGED = 4  # of the servers that a list has changed
+
 
 class Unexpected(Exception):
     """An answer with a status other than 200."""
@@ -46,6 +48,7 @@
         self.asked = trio.Event()
         self.had = trio.Event()  # the list has come, for the first time
         self.heard_us = -1  # when the last answer on this watch came; -1: none yet
+        self.called_at = 0.0  # when the call that is under way began
         self.watch = trio.CancelScope()
 
     def subscribe(self) -> None:
@@ -85,7 +88,14 @@
                     Unexpected,
                 ) as error:
                     self.counters.add("watches_failed")
-                    self.log.event("discovery_failed", level="warning", error=repr(error))
+                    self.log.event(
+                        "discovery_failed",
+                        level="warning",
+                        at=self.addr,
+                        watching=self.heard_us >= 0,
+                        after=f"{trio.current_time() - self.called_at:.3f}s",
+                        error=repr(error),
+                    )
                     await self.inbox.send(
                         ports.EntriesChanged(
                             "refused", [], self.heard_us, not isinstance(error, trio.TooSlowError)
@@ -104,21 +114,44 @@
         return self.version, list(self.entries.values())
 
     def _learn(self, version: int, full: bool, entries: list[ports.ServiceEntry]) -> None:
-        if full:
-            self.entries = {}
+        before = self.entries
+        self.entries = {} if full else dict(before)
         self.entries.update((entry.server, entry) for entry in entries)
         for name in [name for name, entry in self.entries.items() if entry.state == "removed"]:
             del self.entries[name]
+        if version != self.version:
+            self._log_change(version, full, before)
         self.version = version
 
+    def _log_change(self, version: int, full: bool, before: dict[str, ports.ServiceEntry]) -> None:
+        """Log what a new version of the list has changed, the first few names of each kind of change."""
+        leaving = [name for name, entry in before.items() if entry.state == "up" and not self.serves(name)]
+        joining = [
+            name
+            for name in self.entries
+            if self.serves(name) and (name not in before or before[name].state != "up")
+        ]
+        self.log.event(
+            "list_changed",
+            at=self.addr,
+            version=f"{self.version}->{version}",
+            full=full,
+            after=f"{trio.current_time() - self.called_at:.3f}s",
+            leaving=f"{len(leaving)}:{','.join(leaving[:NAMES_LOGGED])}",
+            joining=f"{len(joining)}:{','.join(joining[:NAMES_LOGGED])}",
+        )
+
     async def _watch(self) -> None:
         """Tell what the watch tells, call after call on one connection."""
+        self.called_at = trio.current_time()
+        self.log.event("discovery_called", at=self.addr, version=self.version)
         connection = await ClientConnection.dial(self.addr, self.limits, self.limits.listing_bytes)
         try:
             # The first call waits for nothing: the module learns from it what a call takes discovery.
             wait_ms, most = 0, self.limits.push_first if self.pushed else self.limits.watch_first
             spoilt = False
             while True:
+                self.called_at = trio.current_time()
                 query = "" if self.version is None else f"?after={self.version}&wait_ms={wait_ms}"
                 with trio.fail_after(most):
                     reply = await connection.exchange("GET", f"/api/targets{query}", [])
