An outage shows by when a call began: lists stay usable in it, calls follow each other in time

Cause: half of what is left as patience, and a second call planned past the lease. Ruled out: a call pending at the outage's end is answered (one that began at 7.3 s failed at 10.3 s, discovery was back at 8.3 s), so only the call's beginning proves anything.

--- a/merlinbay/decision/calls.py
+++ b/merlinbay/decision/calls.py
@@ -29,7 +29,7 @@
 CROWD_US = 2_500_000  # their calls together make no more work than this
 PATIENCE_MOST_US = 4_500_000  # so long a first answer is waited for at the most,
 PATIENCE_LEAST_US = 250_000  # and over what a turn behind all other schedulers takes
-PATIENCE_SHARE = 0.5  # of what is left: the rest is for another call
+PATIENCE_SHARE = 0.6  # of what is left: the rest is for another call
 
 
 @dataclass(slots=True)
@@ -80,13 +80,17 @@
         else:
             self.lease.watch_broke(now, heard_at)
             self.outage = failure is CallFailure.UNAVAILABLE
-        self._learn_outage(now, failure)
-        self.out = False
+        proven = self._learn_outage(now, failure)
+        waited, self.out = now - self.asked_at if self.out else 0, False
         # Guards against a second call that comes too late where few schedulers call: all their calls together
         # fit into the time that one may wait, so there is no herd to keep apart after the first failure.
         crowded = self.fleet > FEW_SCHEDULERS or self.work_us > CROWD_US
         doublings = max(self.failures, 1) if crowded else max(self.failures - 1, 0)
-        return self._plan(now, self.work_us * 2**doublings)
+        width = self.work_us * 2**doublings
+        if proven:
+            # Guards against a lease that runs out in an outage, before the next call shows that it lasts.
+            width = min(width, max(self.lease.usable_until() - now - waited, 0.0))
+        return self._plan(now, width)
 
     def reloaded(self, now: int, told_us: int, moved: bool) -> list[api.Action]:
         """Take a new configuration; plan the call to the other discovery that it names, if it does."""
@@ -135,20 +139,25 @@
         wanted = max(left * PATIENCE_SHARE, self.work_us * 1.25 + PATIENCE_LEAST_US)
         return int(min(wanted * 2 ** min(self.silences, DOUBLINGS), PATIENCE_MOST_US))
 
-    def _learn_outage(self, now: int, failure: CallFailure) -> None:
-        """Take what a failure proves of an outage, in which nobody is notified of anything.
+    def _learn_outage(self, now: int, failure: CallFailure) -> bool:
+        """Take what a failure proves of an outage, in which nobody is notified of anything; tell if it does.
 
         Guards against a node that stops for as long as discovery is down. Discovery says the same of a call
         that has waited too long among others, so that alone proves nothing: but one that has waited longer
-        than the calls of all schedulers take would have been answered, had discovery been there.
+        than the calls of all schedulers take would have been answered, had discovery been there as it began.
         """
-        if failure is CallFailure.UNREACHABLE or (failure is CallFailure.UNAVAILABLE and not self.out):
+        waited = now - self.asked_at
+        if failure is CallFailure.UNREACHABLE:
+            self.lease.unreachable(now)
+        elif failure is not CallFailure.UNAVAILABLE:
+            return False
+        elif not self.out or waited < WAIT_US:
             self.lease.unreachable(now)
-        elif failure is CallFailure.UNAVAILABLE:
-            if now - self.asked_at > self.work_us:
-                self.lease.unreachable(now - self.work_us)
-            elif self.outage:
-                self.lease.unreachable(self.asked_at)
+        elif self.outage or waited > self.work_us:
+            self.lease.unreachable(self.asked_at)
+        else:
+            return False
+        return True
 
     def _plan(self, now: int, width: float) -> list[api.Action]:
         # Guards against a herd: discovery works through what has timed out too, and tells nobody anything.
@@ -166,7 +175,7 @@
             left = waited if self.overrun else float(notified_us)
         known, work = self.cost_us != GUESS_US, self.fleet * self.cost_us
         most = min(width, (ASK_SHARE if known else GUESS_SHARE) * left)
-        if known and most < work and not overdue:
+        if known and most < work <= width and not overdue:
             most = min(max(most, work - WAIT_US), FULL_SHARE * left)
         if 0 <= self.due_at <= now + most:  # a call is planned already, and soon enough
             return []
