Wall clock steps, shortages of this machine, failed accepts; pushed lists have the lease too

Searched by the incident's class, a moment that is stored and not looked at, or read off another clock. Seen in the code: starts of servers were compared with a clock set once by the wall (a step of an hour back made a cold server warm); a hand-over moved times between clocks set at different moments; a failed accept ended the wait for a successor for good; a connect that failed for want of a port left its server out as failing; TCP_NODELAY on a connection that had ended could end the listener. Ruled out: deadlines, windows and waits, which run on the monotonic clock.

--- a/merlinbay/decision/list_lease.py
+++ b/merlinbay/decision/list_lease.py
@@ -21,6 +21,8 @@
 import math
 from dataclasses import dataclass
 
+from merlinbay.decision.api import CallFailure
+
 NOTIFIED_US = 6_000_000  # so long after discovery has it and can be reached, news count as notified
 HELD_UP_US = 150_000  # a node may be held up for so long between a look at its clock and a send
 MARGIN_US = 50_000  # for what the first byte of a send takes to leave
@@ -68,6 +70,17 @@
         since = heard_at if heard_at >= 0 else now
         self.runs_out_at = min(self.runs_out_at, since + self.notified_us)
 
+    def agent_failed(self, now: int, heard_at: int, failure: CallFailure) -> None:
+        """Take it that a call to the machine's own agent has failed, where lists are pushed.
+
+        An agent that is silent, or not there, has learned nothing: what it gets later counts from then on,
+        and it is called again all the time. One that answers what cannot be read may have news.
+        """
+        if failure is CallFailure.BROKEN:
+            self.watch_broke(now, heard_at)
+        else:
+            self.runs_out_at = self.reload_due = math.inf
+
     def reload(self, now: int, notified_us: int) -> None:
         """Take a new configuration: all that its discovery has counts as notified after so long."""
         self.reloaded_at = now
--- a/merlinbay/decision/rules.py
+++ b/merlinbay/decision/rules.py
@@ -514,14 +514,16 @@
     # The list.
 
     def _moved(self, event: api.ListMoved) -> None:
-        if self.settings.must_subscribe:
-            self.out += self.calls.reloaded(self.now, event.told_us, event.moved)
+        moved = event.moved and self.settings.must_subscribe  # a pushed list is watched again by itself
+        self.out += self.calls.reloaded(self.now, event.told_us, moved)
 
     def _list(self, event: api.ListChanged) -> None:
         if event.scope == "refused":
-            if self.settings.must_subscribe and event.former:
+            if not self.settings.must_subscribe:
+                self.list_lease.agent_failed(self.now, event.heard_us, event.failure)
+            elif event.former:
                 self.calls.former_ended(self.now, event.heard_us)
-            elif self.settings.must_subscribe:
+            else:
                 self.out += self.calls.broken(self.now, event.heard_us, event.failure)
             return
         if event.former:
--- a/merlinbay/handover/messages.py
+++ b/merlinbay/handover/messages.py
@@ -30,6 +30,7 @@
     version: int | None  # of discovery's list
     learned: Learned  # without the workers, which came in parts
     away: bool  # whether clients are sent away
+    clock_us: int = 0  # the clock of all times in it; 0: an older program, which does not tell
 
 
 class Serves(msgspec.Struct, tag=True, frozen=True):
@@ -68,10 +69,12 @@
 decode = msgspec.msgpack.Decoder(Word).decode
 
 
-def told(version: int | None, entries: list[ServiceEntry], learned: Learned, away: bool) -> list[Word]:
+def told(
+    version: int | None, entries: list[ServiceEntry], learned: Learned, away: bool, clock_us: int = 0
+) -> list[Word]:
     """Return the words that tell all, in packets of a bounded size."""
     workers = learned.workers
     words: list[Word] = [Part(entries=entries[at : at + PART]) for at in range(0, len(entries), PART)]
     words += [Part(workers=workers[at : at + PART]) for at in range(0, len(workers), PART)]
     bare = Learned(learned.load, learned.kinds, learned.classes, learned.banned)
-    return [*words, Whole(version, bare, away)]
+    return [*words, Whole(version, bare, away, clock_us)]
--- a/merlinbay/handover/takeover.py
+++ b/merlinbay/handover/takeover.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from merlinbay.clock import Clock
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.decision.learned import Learned
@@ -35,6 +36,7 @@
     version: int | None
     away: bool
     learned: Learned
+    clock_us: int  # the predecessor's clock as it told; 0: it has not told
     entries: list[ports.ServiceEntry] = field(default_factory=list)
 
 
@@ -50,7 +52,9 @@
         limits: Limits,
         counters: Counters,
         log: Log,
+        clock: Clock,
     ) -> None:
+        self.clock = clock
         self.path, self.inbox, self.listener, self.attendance = path, inbox, listener, attendance
         self.limits, self.counters, self.log = limits, counters, log
         self.predecessor: ControlSocket | None = None
@@ -93,7 +97,7 @@
                     self.predecessor = end
                     word.learned.workers = parts.workers
                     self.log.event("inherited", entries=len(parts.entries), banned=len(word.learned.banned))
-                    return Inherited(word.version, word.away, word.learned, parts.entries)
+                    return Inherited(word.version, word.away, word.learned, word.clock_us, parts.entries)
         # Guards against a start that hangs on an old process: without its word the new one starts alone.
         self.log.event("not_inherited", level="warning", path=self.path)
         sock.close()
@@ -129,7 +133,7 @@
                     if not met:
                         met = True
                         task_status.started()
-                    sock, _ = await listening.accept()
+                    sock = await self._accept(listening)
             except OSError as error:
                 self.log.event("no_hand_over", level="warning", error=error.strerror)
                 if not met:
@@ -139,6 +143,19 @@
                 if control_socket.same_user(sock):
                     await self._succeed(ControlSocket(sock, self.limits), listing)
 
+    async def _accept(self, listening: trio.socket.SocketType) -> trio.socket.SocketType:
+        """Return the successor's connection.
+
+        Guards against one failed accept after which no successor is ever heard.
+        """
+        while True:
+            try:
+                sock, _ = await listening.accept()
+                return sock
+            except OSError as error:
+                self.log.event("successor_not_accepted", level="warning", error=error.strerror)
+                await trio.sleep(self.limits.accept_pause)
+
     async def _succeed(self, end: ControlSocket, listing: Listing) -> None:
         heard = await end.read()
         if heard is None or heard[0] != messages.Hello(messages.SPEAKS):
@@ -147,7 +164,7 @@
 
         def told(learned: Learned) -> None:
             # Called in the owner's turn: bans after it are passed on behind what is told here.
-            for word in messages.told(*listing(), learned, self.attendance.away):
+            for word in messages.told(*listing(), learned, self.attendance.away, self.clock.now_us()):
                 end.post(word)
             self.successor = end
 
--- a/merlinbay/handover/wiring.py
+++ b/merlinbay/handover/wiring.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from merlinbay.clock import Clock
 from merlinbay.core import ports
 from merlinbay.counters import Counters
 from merlinbay.handover.takeover import Takeover
@@ -26,8 +27,9 @@
     limits: Limits,
     counters: Counters,
     log: Log,
+    clock: Clock,
 ) -> Takeover:
     """Return this process's side. Nodes that share a ``$TMPDIR`` are told apart by name and address."""
     key = zlib.crc32(f"{name} {listen[0]}:{listen[1]}".encode())
     path = Path(tempfile.gettempdir()) / f"merlinbay-{key:08x}.sock"
-    return Takeover(path, inbox, listener, attendance, limits, counters, log)
+    return Takeover(path, inbox, listener, attendance, limits, counters, log, clock)
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -11,7 +11,7 @@
 from merlinbay.http.sockets import readable, send_all
 from merlinbay.limits import Limits
 
-# What the other side, or the way to it, is the cause of; all else lies with this machine.
+# What the other side, or the way to it, is the cause of,
 REFUSALS = (
     errno.ECONNREFUSED,
     errno.ECONNRESET,
@@ -20,6 +20,16 @@
     errno.EHOSTDOWN,
     errno.ENETUNREACH,
 )
+# and what this machine lacks.
+SHORTAGES = (
+    errno.EADDRNOTAVAIL,
+    errno.EADDRINUSE,
+    errno.EAGAIN,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+)
 
 
 class NotSent(Exception):
@@ -34,6 +44,10 @@
     """Nothing listens there, or there is no way to it."""
 
 
+class LocalShortage(NotSent):
+    """A descriptor, a port or memory is missing on this machine: that says nothing of the server."""
+
+
 class Withheld(NotSent):
     """The last look before the first byte found that the request is not to be sent any more."""
 
@@ -46,6 +60,14 @@
     """The answer is no HTTP, or larger than is taken: the other side has not broken the connection."""
 
 
+def dial_error(error: OSError | ValueError) -> type[NotSent]:
+    """Return what a connection that failed to come up stands for."""
+    number = error.errno if isinstance(error, OSError) else None
+    if number in SHORTAGES:
+        return LocalShortage
+    return ConnectionRefused if number in REFUSALS else NotSent
+
+
 Headers = list[tuple[str, str]]
 
 
@@ -77,7 +99,7 @@
         try:
             sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
         except OSError as error:  # Guards against running out of descriptors: nothing was sent.
-            raise NotSent(f"socket: {error}") from None
+            raise LocalShortage(f"socket: {error}") from None
         try:
             sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
             with trio.fail_after(timeout):
@@ -87,8 +109,7 @@
             raise DialTimedOut(f"dial {addr}: no answer in {timeout} s") from None
         except (OSError, ValueError) as error:
             sock.close()
-            refused = isinstance(error, OSError) and error.errno in REFUSALS
-            raise (ConnectionRefused if refused else NotSent)(f"dial {addr}: {error}") from None
+            raise dial_error(error)(f"dial {addr}: {error}") from None
         except BaseException:
             sock.close()
             raise
--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -9,7 +9,15 @@
 
 from merlinbay.core.ports import ServiceEntry
 from merlinbay.counters import Counters
-from merlinbay.http.client import ClientConnection, DialTimedOut, Headers, NotSent, Reply, Withheld
+from merlinbay.http.client import (
+    ClientConnection,
+    DialTimedOut,
+    Headers,
+    LocalShortage,
+    NotSent,
+    Reply,
+    Withheld,
+)
 from merlinbay.limits import Limits
 
 LastLook = Callable[[], Headers]
@@ -125,13 +133,15 @@
         if self.connections >= self.limits.server_connections:
             self._make_room()
         if self.connections >= self.limits.server_connections:
-            raise NotSent("no descriptor left for real servers")
+            raise LocalShortage("no descriptor left for real servers")
         self.connections += 1
         try:
             connection = await ClientConnection.dial(server.addr, self.limits)
         except BaseException as error:
             self.connections -= 1
-            if isinstance(error, NotSent):
+            if isinstance(error, LocalShortage):
+                self.counters.add("dials_short")
+            elif isinstance(error, NotSent):
                 self.counters.add("dials_timed_out" if isinstance(error, DialTimedOut) else "dials_refused")
             raise
         self.counters.add("server_connections")
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -13,6 +13,9 @@
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 
+# The client's connection was at fault, and is gone: the next one is accepted at once.
+GONE_BEFORE_ACCEPT = (errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH, errno.EHOSTUNREACH)
+
 
 async def bound(host: str, port: int, backlog: int) -> trio.socket.SocketType:
     """Return a socket that listens at an address."""
@@ -70,6 +73,8 @@
                     self.counters.add("accepts_failed")
                     if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                         self._make_room()
+                    if error.errno not in GONE_BEFORE_ACCEPT:
+                        # Guards against a loop that takes the whole core while the cause lasts.
                         await trio.sleep(self.limits.accept_pause)
                     continue
                 if accepted is not None:
@@ -82,8 +87,13 @@
         if self.nursery is None:
             sock.close()
             return
-        # Guards against small writes that the system holds back: a reset would take them with it.
-        sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        try:
+            # Guards against small writes that the system holds back: a reset would take them with it.
+            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        except OSError:  # Guards against one connection that has ended already, and would end the listener.
+            self.counters.add("accepts_failed")
+            sock.close()
+            return
         sock, plain = with_plain_socket(sock)
         connection = Connection(sock, self.limits, self.handler, self.nursery, self.prepare, plain)
         connection.close_after, connection.give = self.closing, self.give
--- a/merlinbay/http/servers.py
+++ b/merlinbay/http/servers.py
@@ -11,7 +11,15 @@
 from merlinbay.core.ports import ServerAttempt, ServiceEntry
 from merlinbay.counters import Counters
 from merlinbay.decision.api import Outcome
-from merlinbay.http.client import ConnectionBroken, Headers, NotSent, Reply, UnreadableAnswer, Withheld
+from merlinbay.http.client import (
+    ConnectionBroken,
+    Headers,
+    LocalShortage,
+    NotSent,
+    Reply,
+    UnreadableAnswer,
+    Withheld,
+)
 from merlinbay.http.pool import ConnectionPool, LastLook
 from merlinbay.limits import Limits
 from merlinbay.log import Log
@@ -76,7 +84,8 @@
             return await self.pool.exchange(
                 server, method, target, headers, body, last_look, keeps_after, rested
             )
-        except Withheld:
+        except (Withheld, LocalShortage):
+            # Guards against servers that are left out as failing for what this machine lacks.
             return Outcome.MOOT
         except NotSent:
             return Outcome.CONNECT_FAILED
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -101,9 +101,12 @@
         from merlinbay.handover.wiring import wire as wire_handover
 
         sides.takeover = wire_handover(
-            config.name, config.listen, send, listener, attendance, limits, counters, log
+            config.name, config.listen, send, listener, attendance, limits, counters, log, clock
         )
         inherited = await sides.takeover.inherit()
+        if inherited is not None and inherited.clock_us:
+            # Guards against a wall clock stepped between the two starts: spans that go on would be off by it.
+            clock.carry_on(inherited.clock_us)
     discovery: Discovery | DnsSdDirectory
     if operator is None or operator.dnssd is None:
         version, entries = (
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -19,6 +19,7 @@
 from merlinbay.limits import Limits
 from merlinbay.log import Log
 from merlinbay.platform import messages
+from merlinbay.platform.start_times import StartTimes
 
 SERVICE_UNAVAILABLE = 503  # discovery is down, or the call has waited too long
 NAMES_LOGGED = 4  # of the servers that a list has changed
@@ -68,6 +69,7 @@
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
         self.next_addr = addr  # where to watch from the next subscription on
         self.entries = {entry.server: entry for entry in entries}  # as told up to that version
+        self.start_times = StartTimes(clock, entries)
         self.asked = trio.Event()
         self.had = trio.Event()  # the list has come, for the first time
         self.heard_us = -1  # when the last answer on this watch came; -1: none yet
@@ -230,7 +232,8 @@
     async def _hear(self, listing: messages.Listing) -> None:
         """Take an answer, and tell what it says."""
         self.heard_us = self.clock.now_us()
-        self._learn(listing.version, listing.full, messages.entries(listing))
+        entries = self.start_times.translate(messages.entries(listing))
+        self._learn(listing.version, listing.full, entries)
         self.counters.add("watch_answers")
         if wrong := messages.odd(listing):
             self.counters.add("entries_odd", len(wrong))
@@ -238,5 +241,5 @@
         if listing.servers or listing.full or self.report_next:
             self.report_next = False
             scope = "all" if listing.full else "changes"
-            await self.inbox.send(ports.EntriesChanged(scope, messages.entries(listing), former=self.former))
+            await self.inbox.send(ports.EntriesChanged(scope, entries, former=self.former))
         self.had.set()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -344,6 +344,8 @@
             )
         if what == "empty":
             rows = []
+        if what == "nothing":
+            return Response(200, json.dumps({"version": self.lists, "full": False, "servers": []}).encode())
         self.lists += 1
         return Response(
             200,
@@ -398,6 +400,36 @@
     play(scene)
 
 
+def test_a_new_configuration_at_the_same_place_is_answered_though_nothing_has_changed(tmp_path: Path) -> None:
+    """Else the moment that it has set would never be lifted. The watch stays as it is."""
+
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            told = Told(at, False, ["up", *["nothing"] * 999])
+            told.discovery.subscribe()
+            assert (await told.news()).entries[0].state == "up"
+            assert not told.discovery.move(told.asked.addr)
+            news = await told.news()
+            assert (news.scope, news.entries, news.former) == ("changes", [], False)
+            assert len(told.asked.connections) == 1
+
+    play(scene)
+
+
+def test_an_answer_that_crosses_a_new_configuration_is_marked_as_a_former_one_s(tmp_path: Path) -> None:
+    """It comes from where the configuration points no more."""
+
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            told = Told(at, False, ["up", "draining"])
+            told.discovery.subscribe()
+            assert not (await told.news()).former
+            told.discovery.move("127.0.0.2:9")
+            assert (await told.news()).former
+
+    play(scene)
+
+
 def test_a_whole_list_that_no_longer_names_a_server_ends_it(tmp_path: Path) -> None:
     """Gone without a word of its own."""
 
