A process that was never answered takes two calls in vain for an outage

Change: two calls in a row in vain count as an outage for a process that has no answer yet; one that has watched stays strict.

--- a/merlinbay/decision/calls.py
+++ b/merlinbay/decision/calls.py
@@ -48,6 +48,7 @@
     overrun: bool = False  # the last call had waited in turn in vain
     silences: int = 0  # calls in a row that nothing came of in time
     outage: bool = False  # discovery has ended our watch itself, and has not answered since
+    has_list: bool = False  # a call of this process was answered
     plans: int = 0  # made so far
 
     @property
@@ -125,7 +126,7 @@
         if self.out:
             self.cost_us = max(float(now - self.asked_at), LEAST_US)
             self.out, self.failures, self.overrun, self.silences = False, 0, False, 0
-        self.outage, self.due_at = False, -1
+        self.outage, self.has_list, self.due_at = False, True, -1
         self.lease.renew()
         return late
 
@@ -145,6 +146,8 @@
         Guards against a node that stops for as long as discovery is down. Discovery says the same of a call
         that has waited too long among others, so that alone proves nothing: but one that has waited longer
         than the calls of all schedulers take would have been answered, had discovery been there as it began.
+        A process that has never been answered knows neither what a call takes nor of an outage before its
+        start: two calls in a row that have waited in vain count for it.
         """
         waited = now - self.asked_at
         if failure is CallFailure.UNREACHABLE:
@@ -153,7 +156,7 @@
             return False
         elif not self.out or waited < WAIT_US:
             self.lease.unreachable(now)
-        elif self.outage or waited > self.work_us:
+        elif self.outage or waited > self.work_us or (not self.has_list and self.failures >= 2):
             self.lease.unreachable(self.asked_at)
         else:
             return False
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -108,6 +108,22 @@
     assert made.deadline == 6 * SECOND
 
 
+def test_a_process_that_was_never_answered_takes_two_calls_in_vain_for_an_outage() -> None:
+    """It may have started in one. One that was answered before knows better."""
+    made = calls(fleet=200)
+    fail_call(made, CallFailure.UNAVAILABLE, 2 * SECOND)
+    assert made.deadline == 6 * SECOND
+    at = fail_call(made, CallFailure.UNAVAILABLE, 2 * SECOND)
+    assert made.deadline == at + 6 * SECOND
+    made.due(made.due_at)
+    made.answered(20 * SECOND)
+    made.cost_us = 30_000.0
+    made.broken(30 * SECOND, 29 * SECOND, CallFailure.SILENT)
+    for _ in range(3):
+        fail_call(made, CallFailure.UNAVAILABLE, 2 * SECOND)
+    assert made.deadline == 35 * SECOND
+
+
 def test_a_crowd_is_no_outage_unless_discovery_has_ended_the_watch() -> None:
     """Two hundred calls take six seconds, so a failure after two tells nothing by itself."""
     made = calls(fleet=200, cost_us=30_000.0)
