A new configuration's moment is confirmed by an answer that comes then, not before

Timeline: configuration at 2.99 s, a server listed as leaving at 4.71, an answer that was older than that at 5.48, then the watch silent; all counts as notified at 6.99. Ruled out: load, it broke alone on the machine too. Cause: any answer of the new discovery lifted the moment (decision/list_lease.py renew), and a watch that falls silent after it is noticed 1.75 s later.

Change: the moment stands until an answer at it or after it; the watch's call then ends 50 ms after it, so nobody refuses while all is well; DNS-SD and a hand-over likewise.

--- a/merlinbay/decision/calls.py
+++ b/merlinbay/decision/calls.py
@@ -127,7 +127,7 @@
             self.cost_us = max(float(now - self.asked_at), LEAST_US)
             self.out, self.failures, self.overrun, self.silences = False, 0, False, 0
         self.outage, self.has_list, self.due_at = False, True, -1
-        self.lease.renew()
+        self.lease.renew(now)
         return late
 
     def _patience(self, now: int) -> int:
--- a/merlinbay/decision/list_lease.py
+++ b/merlinbay/decision/list_lease.py
@@ -9,7 +9,8 @@
 an answer                       renews it; it stands while the watch does
 a watch that broke              it runs out so long after the last answer on that watch
 a new configuration             it runs out at a fixed moment, which only an answer of the new
-                                discovery lifts
+                                discovery lifts that comes then or later: all that it has by
+                                then counts as notified
 proof of an outage              news made before count from then on: a list that nobody could
                                 have does not stop a node that serves
 a call that failed otherwise    nothing: it gives no more time
@@ -19,7 +20,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from merlinbay.decision.api import CallFailure
 
@@ -35,8 +36,7 @@
     ask_us: int  # the rules' time to ask; 0: none is stated
     grace_us: int  # after being notified, sends to a draining worker are allowed for so long
     runs_out_at: float = math.inf  # when what discovery had last counts as notified
-    reloaded_at: int = -1  # when the last new configuration came,
-    reload_due: float = math.inf  # and when all that its discovery has counts as notified
+    reloads_due: list[int] = field(default_factory=list)  # when all that discovery has counts as notified
 
     @property
     def notified_us(self) -> int:
@@ -46,7 +46,7 @@
     @property
     def due_at(self) -> float:
         """Return by when an answer must have come."""
-        return min(self.runs_out_at, self.reload_due)
+        return min([self.runs_out_at, *self.reloads_due])
 
     def usable_until(self) -> float:
         """Return until when attempts may begin by the list."""
@@ -61,9 +61,13 @@
         """Start with a list that is known from before."""
         self.runs_out_at = now + self.notified_us
 
-    def renew(self) -> None:
-        """Take an answer of the configured discovery: the watch tells from now on."""
-        self.runs_out_at = self.reload_due = math.inf
+    def renew(self, now: int) -> None:
+        """Take an answer of the configured discovery: the watch tells from now on.
+
+        Guards against a watch that answers soon after a new configuration, and falls silent.
+        """
+        self.runs_out_at = math.inf
+        self.reloads_due = [due_at for due_at in self.reloads_due if due_at > now]
 
     def watch_broke(self, now: int, heard_at: int) -> None:
         """Have the lease run out: what came after the last answer on the watch may not have arrived."""
@@ -79,12 +83,11 @@
         if failure is CallFailure.BROKEN:
             self.watch_broke(now, heard_at)
         else:
-            self.runs_out_at = self.reload_due = math.inf
+            self.runs_out_at, self.reloads_due = math.inf, []
 
     def reload(self, now: int, notified_us: int) -> None:
         """Take a new configuration: all that its discovery has counts as notified after so long."""
-        self.reloaded_at = now
-        self.reload_due = min(self.reload_due, now + notified_us)
+        self.reloads_due.append(now + notified_us)
 
     def unreachable(self, at: float) -> None:
         """Take it as proven that nobody could reach discovery at that moment."""
--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import dns.asyncquery
 import dns.exception
 import dns.message
@@ -40,6 +42,7 @@
         self.last: dict[str, ServiceEntry] | None = None  # what was told
         self.asked = trio.Event()
         self.watch = trio.CancelScope()
+        self.confirm_at = math.inf  # then the list is told once more: all counts as notified
         self.failed = False  # or cut short: the next look that works is told, whatever it finds
 
     def subscribe(self, patience_us: int = 0) -> None:
@@ -50,6 +53,8 @@
         """Ask at once, be it another name server or for another service; what is known stays until then."""
         self.server, self.service = server, dns.name.from_text(service)
         self.failed = True
+        told_s = self.limits.reload_told_us / 1e6 + self.limits.watch_confirm
+        self.confirm_at = trio.current_time() + told_s
         self.asked.set()
         self.watch.cancel()
 
@@ -67,11 +72,15 @@
                 try:
                     while True:
                         listed, ttl = await self.look()
-                        if listed != self.last or self.failed:
+                        due = trio.current_time() >= self.confirm_at
+                        if listed != self.last or self.failed or due:
                             self.last, self.failed = listed, False
+                            self.confirm_at = math.inf if due else self.confirm_at
                             await self.inbox.send(ports.EntriesChanged("all", list(listed.values())))
                         self.counters.add("dns_listings")
-                        await trio.sleep(min(max(ttl, self.limits.dns_least), self.limits.dns_most))
+                        wait = min(max(ttl, self.limits.dns_least), self.limits.dns_most)
+                        until = min(trio.current_time() + wait, self.confirm_at)
+                        await trio.sleep_until(until)
                 except (Failed, OSError, dns.exception.DNSException, trio.TooSlowError) as error:
                     # Guards against an outage that empties the list: what was heard last still stands.
                     self.counters.add("dns_failed")
--- a/merlinbay/emulator/directory.py
+++ b/merlinbay/emulator/directory.py
@@ -16,6 +16,7 @@
 
 
 MOVED_US, CLOSES_US = 4_000_000, 1_500_000  # told after a move; the old one closes
+CONFIRMS_US = 50_000  # after the former, nodes have a call answered
 TOLD_US = 6_000_000  # so long after it is listed and can be asked for, a change counts as told
 
 
@@ -128,6 +129,12 @@
                 self.watcher.list_moved(node, MOVED_US)
             told(node)
             self.loop.at(self.loop.now + CLOSES_US, Order.DISCOVERY, self._close, node, watch)
+            self.loop.at(self.loop.now + MOVED_US + CONFIRMS_US, Order.DISCOVERY, self._confirm, node)
+
+    def _confirm(self, node: int) -> None:
+        """Answer the call of a watch that ends right after all counts as told."""
+        if node in self.watchers:
+            self._tell(node, self.watchers[node], api.ListChanged("changes", []))
 
     def _close(self, node: int, watch: Told) -> None:
         if self.watchers.get(node) is watch:
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -39,6 +39,7 @@
     watch_dial: float = 0.5  # longer than for real servers: a crowd of callers must not pass for an outage
     watch_first: float = 4.5  # a first call waits in turn, behind those of all other nodes
     watch_wait: float = 1.0  # discovery may hold a call so long: a shorter one shows a silent watch sooner,
+    watch_confirm: float = 0.05  # after the moment by which all counts as notified
     watch_slack: float = 0.75  # as its answer is waited for so long after that
     watch_spoilt: float = 0.1  # after an answer that makes no sense, below the 0.2 s that continue a watch
     push_first: float = 0.25  # the machine's own agent answers a call that waits for nothing within so long,
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -147,6 +147,8 @@
         if sides.fleet is not None:
             sides.fleet.gauges = owner.gauges
         if inherited is not None:
+            if isinstance(discovery, Discovery):
+                discovery.confirm_after(limits.inherit_told_us)
             attendance.turn(inherited.away, relayed=True)
             owner.turn(
                 [EntriesChanged("remembered", inherited.entries), DirectoryMoved(limits.inherit_told_us)]
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 import trio
 
@@ -76,7 +78,8 @@
         self.called_at = 0.0  # when the call that is under way began
         self.patience = limits.watch_first  # so long the first answer on a watch is waited for
         self.watching = False  # a watch is under way
-        self.report_next = True  # the next answer is told even if it changes nothing
+        self.report_next = True  # the next answer is told even if it changes nothing,
+        self.confirm_at: list[float] = []  # and so is the first from each of these moments on
         self.watch = trio.CancelScope()
 
     def subscribe(self, patience_us: int = 0) -> None:
@@ -96,11 +99,15 @@
         Returns whether there is anything to move. Guards against a herd: all nodes are sent there at once.
         """
         self.next_addr = addr
-        self.report_next = True
+        self.confirm_after(self.limits.reload_told_us)
         if self.pushed and self.former:  # Guards against the list of an agent that nobody calls any more.
             self.subscribe()
         return self.former
 
+    def confirm_after(self, told_us: int) -> None:
+        """Have a call answered right after that time: by then all that discovery has counts as notified."""
+        self.confirm_at.append(trio.current_time() + told_us / 1e6)
+
     async def run(self) -> None:
         """Watch for ever."""
         while True:
@@ -214,10 +221,8 @@
                     await trio.sleep(self.limits.watch_spoilt)
                 else:
                     await self._hear(listing)
-                    wait_ms, most = (
-                        int(self.limits.watch_wait * 1000),
-                        (self.limits.watch_wait + self.limits.watch_slack),
-                    )
+                    wait = self._wait()
+                    wait_ms, most = int(wait * 1000), wait + self.limits.watch_slack
                     spoilt = False
                 if not connection.reusable:
                     connection.close()
@@ -225,6 +230,12 @@
         finally:
             connection.close()
 
+    def _wait(self) -> float:
+        """Return how long the next call of a watch waits: not past a moment that has to be confirmed."""
+        now = trio.current_time()
+        soonest = min((at for at in self.confirm_at), default=math.inf)
+        return min(self.limits.watch_wait, max(soonest + self.limits.watch_confirm - now, 0.0))
+
     async def _dial(self) -> ClientConnection:
         limits = self.limits
         return await ClientConnection.dial(self.addr, limits, limits.listing_bytes, limits.watch_dial)
@@ -238,8 +249,11 @@
         if wrong := messages.odd(listing):
             self.counters.add("entries_odd", len(wrong))
             self.log.event("entries_odd", level="warning", number=len(wrong), first=wrong[0])
-        if listing.servers or listing.full or self.report_next:
+        now = trio.current_time()
+        due = [at for at in self.confirm_at if at <= now]
+        if listing.servers or listing.full or self.report_next or due:
             self.report_next = False
+            self.confirm_at = [at for at in self.confirm_at if at > now]
             scope = "all" if listing.full else "changes"
             await self.inbox.send(ports.EntriesChanged(scope, entries, former=self.former))
         self.had.set()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -42,7 +42,15 @@
 from tests.support import entry, settings
 
 SECOND = 1_000_000
-QUICK = replace(LIMITS, watch_wait=0.05, watch_slack=0.05, watch_first=0.1, push_first=0.1, watch_spoilt=0.01)
+QUICK = replace(
+    LIMITS,
+    watch_wait=0.05,
+    watch_slack=0.05,
+    watch_first=0.1,
+    push_first=0.1,
+    watch_spoilt=0.01,
+    reload_told_us=200_000,
+)
 
 
 # The module: when the next call goes out.
@@ -401,15 +409,17 @@
 
 
 def test_a_new_configuration_at_the_same_place_is_answered_though_nothing_has_changed(tmp_path: Path) -> None:
-    """Else the moment that it has set would never be lifted. The watch stays as it is."""
+    """Right after the moment that it has set, which would never be lifted else. The watch stays as it is."""
 
     async def scene() -> None:
         async with stage(tmp_path) as at:
             told = Told(at, False, ["up", *["nothing"] * 999])
             told.discovery.subscribe()
             assert (await told.news()).entries[0].state == "up"
+            moved_at = trio.current_time()
             assert not told.discovery.move(told.asked.addr)
             news = await told.news()
+            assert 0.2 <= trio.current_time() - moved_at < 0.4
             assert (news.scope, news.entries, news.former) == ("changes", [], False)
             assert len(told.asked.connections) == 1
 
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -140,7 +140,7 @@
 
 @pytest.mark.parametrize("failure", list(CallFailure))
 def test_nothing_but_an_answer_lifts_the_moment_of_a_new_configuration(failure: CallFailure) -> None:
-    """Neither an outage, nor a second configuration a moment later."""
+    """Neither an outage, nor a second configuration a moment later; and the answer has to come then."""
     made = calls()
     made.due(made.due_at)
     made.answered(SECOND)
@@ -150,6 +150,10 @@
     assert made.deadline == 34 * SECOND
     made.due(32 * SECOND)
     made.answered(33 * SECOND)
+    assert made.deadline == 34 * SECOND  # the watch may fall silent before all counts as notified
+    made.answered(34 * SECOND)
+    assert made.deadline == 35 * SECOND
+    made.answered(35 * SECOND)
     assert made.lease.usable(99 * SECOND)
 
 
