--- a/merlinbay/decision/calls.py
+++ b/merlinbay/decision/calls.py
@@ -99,16 +99,19 @@
         return self._plan(now, self.work_us) if moved else []
 
     def former_ended(self, now: int, heard_at: int) -> None:
-        """Take it that the watch, or a call, at a former discovery has failed. One at the new is planned."""
+        """Take it that the watch, or a call, at a former discovery has failed.
+
+        One at the new is planned, or out already: that goes on.
+        """
         if not self.out:
             self.lease.watch_broke(now, heard_at)
-        self.out = False
+        self.out = self.out and self.due_at < 0
 
     def former_answered(self, now: int) -> None:
         """Take an answer of a former discovery: it says nothing of what the new one has."""
-        if self.out:
+        if self.out and self.due_at >= 0:
             self.cost_us = max(float(now - self.asked_at), LEAST_US)
-        self.out = False
+        self.out = self.out and self.due_at < 0
 
     def due(self, now: int) -> list[api.Action]:
         """Make the planned call, if it is time."""
--- a/merlinbay/platform/start_times.py
+++ b/merlinbay/platform/start_times.py
@@ -29,8 +29,6 @@
         offset_us = self.clock.wall_offset_us()
         if abs(offset_us - self.offsets_us[-1]) >= STEP_US:
             self.offsets_us = [*self.offsets_us, offset_us][-OFFSETS_KEPT:]
-        if self.offsets_us == [0]:
-            return entries
         return [self._translated(entry) if entry.started_us else entry for entry in entries]
 
     def _translated(self, entry: ServiceEntry) -> ServiceEntry:
--- a/tests/test_dnssd.py
+++ b/tests/test_dnssd.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 
 import dns.message
@@ -110,6 +111,28 @@
     assert records.attributes(dns.rrset.from_text("x.", 1, "IN", "TXT", data)) == expected
 
 
+def test_a_new_configuration_has_the_list_told_at_once_and_when_all_counts_as_notified() -> None:
+    """Though nothing has changed: else the moment that it has set would never be lifted."""
+
+    async def scene() -> None:
+        async with trio.open_nursery() as nursery:
+            send, receive = trio.open_memory_channel[Message](8)
+            at = await listen(nursery, NameServer(ONE + TWO))
+            limits = replace(LIMITS, reload_told_us=300_000)
+            directory = DnsSdDirectory(at, SERVICE, send, limits, Counters(), Log(9))
+            nursery.start_soon(directory.run)
+            directory.subscribe()
+            assert await receive.receive() == EntriesChanged("all", [S1, S2])
+            moved_at = trio.current_time()
+            directory.move(at, SERVICE)
+            for least, most in ((0.0, 0.3), (0.3, 0.8)):
+                assert await receive.receive() == EntriesChanged("all", [S1, S2])
+                assert least <= trio.current_time() - moved_at < most
+            nursery.cancel_scope.cancel()
+
+    play(scene)
+
+
 def test_an_outage_keeps_the_list_and_a_gone_name_is_removed() -> None:
     """SERVFAIL is told as refused, with no entries; once a name is gone, the list lacks it."""
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -440,6 +440,38 @@
     play(scene)
 
 
+def test_a_watch_s_call_ends_right_after_the_moment_that_has_to_be_confirmed(tmp_path: Path) -> None:
+    """Else a node would refuse until the call ends by itself."""
+
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            discovery = Told(at, False, []).discovery
+            discovery.limits = LIMITS
+            assert discovery._wait() == LIMITS.watch_wait
+            discovery.confirm_after(300_000)
+            assert 0.3 < discovery._wait() <= 0.3 + LIMITS.watch_confirm
+
+    play(scene)
+
+
+def test_news_that_were_taken_in_and_not_told_are_asked_for_again(tmp_path: Path) -> None:
+    """A new call ends the watch while it waits to tell them: the next asks for the whole list."""
+
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            told = Told(at, False, ["up", "draining"], room=0)
+            told.discovery.subscribe()
+            assert (await told.news()).entries[0].state == "up"
+            while told.discovery.serves("s"):
+                await trio.sleep(0.01)
+            calls = len(told.asked.seen)
+            told.discovery.subscribe()
+            assert (await told.news()).entries[0].state == "draining"
+            assert "after=" not in told.asked.seen[calls][1].target
+
+    play(scene)
+
+
 def test_a_whole_list_that_no_longer_names_a_server_ends_it(tmp_path: Path) -> None:
     """Gone without a word of its own."""
 
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -66,6 +66,25 @@
     assert made.list_lease.due_at == 34 * SECOND and made.calls.due_at == planned > 0
 
 
+@pytest.mark.parametrize("scope", ["all", "refused"])
+def test_what_crosses_the_call_to_the_new_discovery_leaves_that_call_alone(scope: str) -> None:
+    """It is out: no other call is planned, and its own answer tells what it took."""
+    made = watched(balancers=6)
+    made.handle(30 * SECOND, [api.ListMoved(4 * SECOND)])
+    called_at = made.calls.due_at
+    assert subscribes(made.handle(called_at, [api.TimerFired("subscribe")]))
+    former = api.ListChanged(scope, [entry(0)] * (scope != "refused"), failure=CallFailure.UNAVAILABLE)
+    former.former = True
+    assert made.handle(called_at + 1, [former]) == [] and made.calls.out and not made.calls.outage
+    made.handle(called_at + SECOND // 4, [api.ListChanged("all", [entry(0)])])
+    assert made.calls.cost_us == SECOND // 4 and not made.calls.out
+
+
+def subscribes(actions: list[api.Action]) -> bool:
+    """Tell whether the list is asked for."""
+    return any(isinstance(action, api.Subscribe) for action in actions)
+
+
 def calls(fleet: int = 6, cost_us: float = 300_000.0) -> Calls:
     """Return the calls of a scheduler that starts, and knows what a call takes."""
     made = Calls(3, fleet, ListLease(10 * SECOND, GRACE_US), Random(1), 0, cost_us)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -6,17 +6,26 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 import pytest
 import trio
 
 from merlinbay.clock import Clock
 from merlinbay.core.ports import ServiceEntry
+from merlinbay.counters import Counters
 from merlinbay.decision import Balancer, api
 from merlinbay.decision.api import CallFailure
-from merlinbay.http.client import ClientConnection, ConnectionRefused, LocalShortage, NotSent
+from merlinbay.handover.takeover import Takeover
+from merlinbay.http.client import (
+    ClientConnection,
+    ConnectionBroken,
+    ConnectionRefused,
+    LocalShortage,
+    NotSent,
+)
 from merlinbay.http.sockets import TRIO_SOCKET
+from merlinbay.log import Log
 from merlinbay.platform.discovery import Unexpected, failure_of
 from merlinbay.platform.start_times import StartTimes
 from tests.net import LIMITS, play, stage
@@ -63,6 +72,47 @@
     play(scene)
 
 
+def test_a_connection_that_has_ended_by_its_accept_ends_no_listener(tmp_path: Path) -> None:
+    """Options cannot be set on it any more; the next client is served."""
+
+    async def scene() -> None:
+        async with stage(tmp_path) as at:
+            at.add("s")
+            await at.start()
+            setsockopt = TRIO_SOCKET.setsockopt
+            ended: list[Any] = []
+
+            def shim(sock: Any, *args: Any) -> None:
+                if not ended and sock.getsockname()[1] == at.port:
+                    ended.append(sock)
+                    raise OSError(errno.EINVAL, "ended")
+                setsockopt(sock, *args)
+
+            with patch.object(TRIO_SOCKET, "setsockopt", shim):
+                with pytest.raises(ConnectionBroken):
+                    await at.call("GET", "/-/ready")
+                assert ended and (await at.admit("j")).status == 200
+
+    play(scene)
+
+
+def test_a_failed_accept_does_not_end_the_wait_for_a_successor() -> None:
+    """The connection after it is the successor's."""
+    successor: Any = Mock()
+
+    async def accept() -> tuple[Any, str]:
+        return successor, ""
+
+    async def scene() -> None:
+        inbox, listener, attendance, clock = Mock(), Mock(), Mock(), Mock()
+        takeover = Takeover(Path("x"), inbox, listener, attendance, LIMITS, Counters(), Log(9), clock)
+        listening = Mock(accept=failing(accept, [errno.ECONNABORTED, errno.EMFILE]))
+        with trio.fail_after(5):
+            assert await takeover._accept(listening) is successor
+
+    trio.run(scene)
+
+
 @pytest.mark.parametrize(
     ("number", "kind", "failure"),
     [
@@ -144,6 +194,20 @@
     trio.run(scene)
 
 
+def test_a_step_makes_no_warm_server_start_anew() -> None:
+    """It was listed before, an hour ago by its start: a step of an hour back would make that just now."""
+
+    async def scene() -> None:
+        made = Clock()
+        times = StartTimes(made, [])
+        warm = ServiceEntry("s", "a:1", started_us=made.now_us() - 3602 * SECOND)
+        assert times.translate([warm]) == [warm]
+        with patch("merlinbay.clock.time.time", lambda: made.now_us() / 1e6 - 3600):
+            assert times.translate([warm]) == [warm]
+
+    trio.run(scene)
+
+
 def test_a_process_carries_on_the_clock_of_the_one_before() -> None:
     """The wall clock was stepped by an hour between their starts: spans that go on are not off by it."""
 
