--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,103 +1,63 @@
-"""One answer of discovery has one damaged byte: the node has to keep its list and to go on serving."""
+"""A keyed job is killed at one scheduler; its repeat, still waiting at another, is held and released.
+
+The class is keyed: servers drop a repeat for a window after the first send that may have run. A repeat must
+not be sent after that window.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import secrets
+import os
+import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins import (
-    TROUBLE,
-    BridgeBox,
-    Case,
-    Discovery,
-    HttpClient,
-    Message,
-    Node,
-    entry,
-    request,
-    run_case,
-    settings,
-)
-
-SERVERS, RATE_PER_S, BEFORE_S, AFTER_S = 4, 20, 4.0, 8.0
-TIMEOUT_MS, SLACK_S = 5000, 0.55  # half a second after its time a request is lost; 50 ms for sockets
-
-
-def damage(body: bytes) -> bytes:
-    """Return the answer with the highest bit of one byte set: a letter in the zone of the first entry."""
-    at = body.index(b"hall-a")
-    return body[:at] + bytes([body[at] | 0x80]) + body[at + 1 :]
-
-
-class Clients:
-    """Clients that send jobs at a steady rate, and what each was answered."""
-
-    def __init__(self, case: Case, addr: str) -> None:
-        self.record, self.http = case.record, HttpClient(addr)
-        self.sent: dict[str, str] = {}  # by id: what became of it
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    async def send_for(self, seconds: float) -> None:
-        """Send jobs for a time."""
-        for _ in range(int(seconds * RATE_PER_S)):
-            task = asyncio.create_task(self._job())
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-            await asyncio.sleep(1 / RATE_PER_S)
+from drmaa import OPERATOR, DrmaaClient, start, until
+from standins import TROUBLE, CannotRunError, Case, Discovery, Node, admit, run_case, settings
 
-    async def _job(self) -> None:
-        name = secrets.token_hex(8)
-        headers = {
-            "X-Request-ID": name,
-            "X-Priority-Class": "admit",
-            "X-Timeout-Ms": str(TIMEOUT_MS),
-            "Idempotency-Key": secrets.token_hex(16),
-        }
-        self.sent[name] = "unanswered"
-        self.record.write("client", "sends", id=name)
-        answer = await self.http.exchange(
-            request("POST", "/admit", b"seat", headers), TIMEOUT_MS / 1000 + SLACK_S
-        )
-        self.sent[name] = str(answer.status) if isinstance(answer, Message) else answer.value
-        self.record.write("client", "answered", id=name, by=self.sent[name])
+WINDOW_S = 7.5
+# Transcription runs carry a key; the servers of one rack drop a repeat for 7.5 s.
+TRANSCRIBE = admit(name="transcribe", deadlineUs=600_000_000, aimUs=60_000_000, windowUs=int(WINDOW_S * 1e6))
+JOB_RUNS_S, BUSY_S = 4, 30
+SLACK_S = 0.05  # every time limit is 50 ms longer
 
 
 async def play(case: Case) -> list[str]:
-    """Serve, damage one answer of discovery, serve on; return the breaks."""
+    """Run the job, kill it once, hold and release its repeat; return the breaks."""
     discovery = Discovery(case.record)
-    await discovery.server.start()
-    node = Node(case, discovery.server.addr, settings())
-    boxes = [BridgeBox(f"s-{number}", case.record, node.addr) for number in range(SERVERS)]
-    for box in boxes:
-        await box.server.start()
-        discovery.update(box.name, **entry(box.name, box.server.addr))
+    await start(case, discovery, {"s-1": 1, "s-2": 1})
+    node = Node(case, discovery.server.addr, settings(classes=[admit(), TRANSCRIBE]), OPERATOR)
     await node.start()
-    clients = Clients(case, node.addr)
-    await clients.send_for(BEFORE_S)
+    client = DrmaaClient(case, "client", node)
+    # Another job keeps s-2 busy, so that the repeat waits there.
+    busy = case.folder / "busy.pid"
+    await client.submit(f"echo $$ > {busy}; sleep {BUSY_S}", "s-2")
+    await until(busy)
+    pid, effects = case.folder / "job.pid", case.folder / "job.effects"
+    # Each run of the job writes down when it took effect.
+    job = await client.submit(f"date +%s.%N >> {effects}; echo $$ > {pid}; sleep {JOB_RUNS_S}", "s-1", "s-2")
+    await until(pid)
+    sent_at = time.time()
+    await asyncio.sleep(1.0)
     if TROUBLE:
-        discovery.spoil = damage
-    # The next change of the list: one server has another weight. It is listed on all days.
-    discovery.update("s-0", weight=2.0)
-    await clients.send_for(AFTER_S)
-    await asyncio.gather(*clients.tasks)
-    breaks = []
-    assert node.process is not None
-    if node.process.exit_status is not None:
-        for line in node.process.last_lines(6):
-            case.record.write("node", "log", line=line)
-        breaks.append(f"the node has crashed with exit status {node.process.exit_status}")
-    lost = [name for name, outcome in clients.sent.items() if outcome in ("unanswered", "no answer")]
-    if lost:
-        breaks.append(f"{len(lost)} requests that the node had taken got no answer, the first is {lost[0]}")
-    refused = sum(outcome == "not sent" for outcome in clients.sent.values())
-    case.record.write("case", "counts", sent=len(clients.sent), lost=len(lost), not_connected=refused)
-    for box in boxes:
-        box.server.stop()
-    return breaks
+        os.kill(int(pid.read_text()), signal.SIGKILL)
+        case.record.write("s-1", "job_killed", job=job, process=int(pid.read_text()))
+    await asyncio.sleep(1.0)
+    was_held = await client.act(job, "hold")
+    if TROUBLE and not was_held:
+        raise CannotRunError("the repeat could not be held")
+    await asyncio.sleep(max(sent_at + WINDOW_S + 2.0 - time.time(), 0.0))
+    await client.act(job, "release")
+    told = await client.wait(job)
+    runs = [float(line) for line in effects.read_text().split()]
+    for number, at in enumerate(runs):
+        case.record.write("scheduler", "ran", job=job, run=number + 1, after_first_s=f"{at - runs[0]:.3f}")
+    case.record.write("case", "told", state=told.get("jobState"))
+    late = [at - runs[0] for at in runs[1:] if at - runs[0] > WINDOW_S + SLACK_S]
+    return [f"the job ran again {after:.1f} s after its first run, window {WINDOW_S} s" for after in late]
 
 
 if __name__ == "__main__":
