Review cases: all processes of jobs are ended with the case

The job processes of the schedulers, which have process groups of their own, outlived a play by up to 30 s.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import signal
 import sys
 import time
 from pathlib import Path
@@ -16,7 +14,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from drmaa import OPERATOR, DrmaaClient, start, until
-from standins import TROUBLE, CannotRunError, Case, Discovery, Node, admit, run_case, settings
+from standins import TROUBLE, CannotRunError, Case, Discovery, Node, admit, end_group, run_case, settings
 
 WINDOW_S = 7.5
 # Transcription runs carry a key; the servers of one rack drop a repeat for 7.5 s.
@@ -43,8 +41,8 @@
     sent_at = time.time()
     await asyncio.sleep(1.0)
     if TROUBLE:
-        os.kill(int(pid.read_text()), signal.SIGKILL)
-        case.record.write("s-1", "job_killed", job=job, process=int(pid.read_text()))
+        end_group(pid.read_text())
+        case.record.write("s-1", "job_killed", job=job, process=pid.read_text().strip())
     await asyncio.sleep(1.0)
     was_held = await client.act(job, "hold")
     if TROUBLE and not was_held:
--- a/review/standins.py
+++ b/review/standins.py
@@ -361,6 +361,13 @@
         return self.log.read_text(errors="replace").splitlines()[-number:]
 
 
+def end_group(pid: str) -> None:
+    """Kill the process group that a process leads."""
+    if pid.strip().isdigit():
+        with contextlib.suppress(ProcessLookupError):
+            os.killpg(int(pid), signal.SIGKILL)
+
+
 def free_port() -> int:
     """Return a port that is free at present."""
     import socket
@@ -433,10 +440,12 @@
         return process
 
     def end(self) -> None:
-        """End all processes, and remove the temporary folder."""
+        """End all processes, jobs of schedulers included, and remove the temporary folder."""
         for process in self.processes:
             process.end()
         self.processes.clear()
+        for path in self.folder.glob("*.pid"):  # jobs of schedulers, each in a process group of its own
+            end_group(path.read_text())
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
