The debug log tells a job's offers, placements, recalls and requeues

Cause: of a job that was held and released the log said job_taken and job_ended alone. A second send of the same offer, a second offer after a refusal, a second offer after a recall and a late start of an old send looked the same. Change: job_offered, job_placed, job_requeued, job_recalled and job_recall_failed, with the number of the offer, on the debug level; job_refused and job_ended carry the number as well.

--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -245,6 +245,7 @@
                 return
             spec = msgspec.structs.replace(spec, allowed_servers=only, uses_reserved_slots=True)
         responder = self.edges[job] = JobClient(self, job, spec)
+        responder.log_offer()
         self.counters.add("drmaa_offers")
         self.post(RequestArrived(spec, responder))
 
--- a/merlinbay/drmaa/job_client.py
+++ b/merlinbay/drmaa/job_client.py
@@ -38,9 +38,29 @@
         """Tell whether the job was ended by its client, be it that the owner has yet to hear of it."""
         return self.job.ended
 
+    def _log(self, event: str, **values: object) -> None:
+        """Write an event about the job, with the offer that it belongs to."""
+        log, job = self.front.log, self.job
+        if log.writes_debug:
+            log.event(
+                event,
+                level="debug",
+                job=job.id,
+                offer=job.offer,
+                session=job.session.name,
+                state=str(job.state),
+                server=job.server,
+                **values,
+            )
+
+    def log_offer(self) -> None:
+        """Write that the job is offered to the core."""
+        self._log("job_offered")
+
     def on_dispatched(self, server: str) -> None:
         """Take it that a real server has been chosen."""
         self._tell(self.front.engine.placed, server)
+        self._log("job_placed")
 
     def on_started(self, server: str) -> None:
         """Take it that a real server runs it."""
@@ -53,6 +73,7 @@
     def on_requeued(self) -> None:
         """Take it that no server has it any more."""
         self._tell(self.front.engine.unplaced)
+        self._log("job_requeued")
 
     def on_status_unknown(self) -> None:
         """Take it that its server cannot be asked."""
@@ -67,6 +88,7 @@
         if was_recalled:
             self.front.forget_edge(self.job)
         self._tell(self.front.engine.recalled, was_recalled)
+        self._log("job_recalled" if was_recalled else "job_recall_failed")
 
     def on_control_ended(self, action: str, error: str, message: str) -> None:
         """Take what came of suspend or resume."""
@@ -92,16 +114,7 @@
         else:
             exception, note = self._why_failed(ending, now)
             front.engine.failed(job, exception, note, now, ending.exit_status, ending.signal, ending.output)
-        if front.log.writes_debug:
-            front.log.event(
-                "job_ended" if job.ended else "job_refused",
-                level="debug",
-                job=job.id,
-                session=job.session.name,
-                state=str(job.state),
-                server=job.server,
-                exception=job.exception,
-            )
+        self._log("job_ended" if job.ended else "job_refused", exception=job.exception)
         front.flush(now)
 
     def _why_failed(self, ending: ExitDetails, now_us: int) -> tuple[str, str]:
