A held batch job's later offers know which of its earlier attempts may have run

What callers saw: a job of a class by_key ran at one scheduler and was lost; its repeat waited at another, was held, and was released when schedulers had forgotten its key. It ran twice, and the client was told DONE. Cause: what may have run was kept with the request, and a request is one offer of a job. A recall ends the request; the release makes a new one, for which the decision module knew no earlier attempt: it kept neither the window nor the group nor the names of the servers that had the job. Ruled out: a second send of the first offer (the second has a name of its own); a refusal (none was made); a late start of the recalled send (the second run was at s-1); a lost job taken for one that never ran (its state was REQUEUED, and it was repeated within the window). Change: the core tells the responder of each attempt that may have run (on_possibly_run), with zone, cell and time as the module knew them at the dispatch. The job keeps these, each further offer carries them to the module (RequestReceived.earlier_attempts), and all rules on repeats count them. A job that waits is given up when its key is forgotten, and says so; jobSubState says until when. A hold after that is refused and leaves the repeat where it is; one that is settled after that is told that the job has failed. An attempt that was given back in a recall beside others counts as never run. The making of a request's record moved from balancer.py to request_intake.py. Why it works: the module asks the same questions before each send, whichever offer an attempt was of.

--- a/merlinbay/batch/engine.py
+++ b/merlinbay/batch/engine.py
@@ -4,8 +4,8 @@
 once is any object of the caller's; it comes back in exactly one ``Reply``.
 
     client's calls  ->  submit, submit_array, hold, release, control, terminate, reap, wait; on_array
-    the core's news ->  placed, started, suspended, unplaced, lost_sight, found_queued, finished, refused,
-                        failed, recalled, controlled
+    the core's news ->  placed, started, suspended, possibly_ran, unplaced, lost_sight, found_queued,
+                        finished, refused, failed, recalled, controlled
     effects         ->  OfferJob, WithdrawJob, RecallJob, ControlJob, CallReply
 
 News may only be told of a job that is with the core: the caller drops what belongs to an earlier offer.
@@ -30,6 +30,7 @@
     WithdrawJob,
 )
 from merlinbay.batch.states import JobState, JobTransition
+from merlinbay.decision.events import UnresolvedAttempt
 
 STOP_RETRY_US = 1_000_000  # when a client of a node that stops may try another, or this one again
 
@@ -182,6 +183,9 @@
         if job.stage in (JobStage.OFFERED, JobStage.PLACED):
             if job.session.backlog is None:
                 raise unsupported(f"session {job.session.name!r} {NO_BACKLOG}, which held jobs wait in")
+            if not job.may_repeat(now_us):
+                # A recall would end the job, because it could never be sent again.
+                raise invalid_state("it may have run, and the time in which it may be sent again has passed")
             # Guards against a hold that crosses the placement: the placement is settled first.
             if job.hold_calls is None:
                 job.hold_calls = []
@@ -331,6 +335,20 @@
         if job.state in (JobState.RUNNING, JobState.UNDETERMINED):
             self._move(job, JobTransition.SUSPEND)
 
+    def possibly_ran(
+        self, job: Job, attempt: UnresolvedAttempt | None, repeat_until_us: int, now_us: int
+    ) -> None:
+        """Note that an attempt of it has ended that may have run.
+
+        It may be sent again until ``repeat_until_us``, 0 for at any time, in this offer and in later ones.
+        """
+        if not repeat_until_us:
+            return
+        if attempt is not None:
+            attempts = (*job.unresolved, attempt)
+            job.unresolved = tuple(sorted(attempts, key=lambda one: one.dispatched_at_us))
+        job.repeat_until_us = min(job.repeat_until_us or repeat_until_us, repeat_until_us)
+
     def unplaced(self, job: Job, now_us: int) -> None:
         """Note that no server has it any more; the core decides anew."""
         job.running_us = 0
@@ -420,6 +438,10 @@
         self.reply(call, job, error)
 
     def _now_held(self, job: Job, now_us: int) -> None:
+        if self._is_late(job, now_us):
+            # A held job that can never be sent would be told as held and end at once.
+            self._late(job, now_us)
+            return
         calls, job.hold_calls = job.hold_calls or [], None
         self._move(job, JobTransition.HOLD)
         self._arm(job)
--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 from enum import Enum
 
 import msgspec
@@ -17,6 +18,7 @@
 from merlinbay.batch.quota import SessionQuota
 from merlinbay.batch.states import ENDED, JobState
 from merlinbay.batch.timers import Timer
+from merlinbay.decision.events import UnresolvedAttempt
 
 CODES = list(JobState)  # the first, UNDETERMINED, is never final: 0 stands for a member that has not ended
 CODE = {state: number for number, state in enumerate(CODES)}
@@ -107,7 +109,10 @@
     running_us: int = 0  # the last start,
     booked: float = 0.0  # and the work that was booked for it when it was offered
     finished_us: int = 0
-    ran: bool = False  # it may have had an effect
+    ran: bool = False  # a server has told of its start, in this offer or an earlier one
+    # Attempts of any offer that may have run, the first dispatched first; none where any repeat is harmless.
+    unresolved: tuple[UnresolvedAttempt, ...] = ()
+    repeat_until_us: int = 0  # servers drop a repeat of these until then
     output: bytes = b""
     exit_status: int | None = None
     signal: str = ""
@@ -156,13 +161,24 @@
         if self.stage is JobStage.PLACED:
             return f"at {self.server}"
         if self.state in (JobState.QUEUED_HELD, JobState.REQUEUED_HELD):
-            return "held in the front"
+            return "held in the front" + self._time_for_repeat
         if self.stage is JobStage.PARKED:
             return (
                 "waits for its turn in its array" if self.array is not None else ("not before its start time")
             )
         return "offered" if self.stage is JobStage.OFFERED else "waits in the backlog"
 
+    @property
+    def _time_for_repeat(self) -> str:
+        if not self.repeat_until_us:
+            return ""
+        until = datetime.fromtimestamp(self.repeat_until_us / 1e6, UTC)
+        return f"; it may have run, and may be sent again until {until.isoformat()}"
+
+    def may_repeat(self, now_us: int) -> bool:
+        """Tell whether it may still be sent again, by what is known of all its offers."""
+        return not self.repeat_until_us or now_us < self.repeat_until_us
+
 
 @dataclass(slots=True, eq=False)
 class PendingWait:
--- a/merlinbay/batch/queue.py
+++ b/merlinbay/batch/queue.py
@@ -196,7 +196,7 @@
         """Have the job looked at when it may wait in its lane, or when it is given up."""
         self.timers.cancel(job.timer)
         job.timer = None
-        late = self.give_up_us(job.session, job.what, job.submitted_us)
+        late = self._job_given_up_us(job)
         if not_before_us and (not late or not_before_us < late):
             job.timer = self.timers.at(not_before_us, lambda now: self._due(job, now))
         elif late:
@@ -209,15 +209,28 @@
         else:
             self._ready(job, now_us)
 
-    def _is_late(self, job: Job, now_us: int) -> bool:
+    def _job_given_up_us(self, job: Job) -> int:
+        """Return when a job that waits is given up; 0: never."""
         late = self.give_up_us(job.session, job.what, job.submitted_us)
+        return min(late, job.repeat_until_us) if late and job.repeat_until_us else late or job.repeat_until_us
+
+    def _is_late(self, job: Job, now_us: int) -> bool:
+        late = self._job_given_up_us(job)
         return 0 < late <= now_us
 
     def _late(self, job: Job, now_us: int) -> None:
         """Give up a job that was not placed in time, and say so at once."""
         if job.ended or job.stage in (JobStage.OFFERED, JobStage.PLACED):
             return  # its request has a deadline of its own
-        if 0 < job.what.deadline_us <= now_us:
+        if not job.may_repeat(now_us):
+            self._end(
+                job,
+                JobTransition.FAIL,
+                now_us,
+                "InternalException",
+                "it may have run, and the time in which it may be sent again has passed",
+            )
+        elif 0 < job.what.deadline_us <= now_us:
             self._end(
                 job,
                 JobTransition.FAIL,
--- a/merlinbay/core/attempt_lifecycle.py
+++ b/merlinbay/core/attempt_lifecycle.py
@@ -195,13 +195,18 @@
         outcome: Outcome,
         result: bytes = b"",
         report: dict[str, float] | None = None,
+        was_returned: bool = False,
     ) -> None:
-        """End an attempt, exactly once; the first successful attempt answers its request."""
+        """End an attempt, exactly once; the first successful attempt answers its request.
+
+        ``was_returned`` says that its server gave it back, so that it never ran although it is cancelled.
+        """
         # An attempt whose start was reported may have run, even if its server rejects it afterwards.
         if outcome in NEVER_RAN and not never_ran(outcome, attempt.has_started):
             outcome = Outcome.RESET
         request = self.requests.close_attempt(attempt)
-        request.may_have_run = request.may_have_run or outcome not in NEVER_RAN
+        if outcome not in NEVER_RAN and not was_returned:
+            self._note_possible_run(request, attempt, outcome)
         attempt.has_ended = True
         self.servers.forget(attempt)
         self.counters.add(f"attempts_{outcome.name.lower()}")
@@ -219,6 +224,12 @@
         )
         self.requests.remove_if_finished(request)
 
+    def _note_possible_run(self, request: OpenRequest, attempt: ServerAttempt, outcome: Outcome) -> None:
+        request.may_have_run = True
+        if outcome is not Outcome.OK and not request.is_answered:
+            unresolved = self.balancer.unresolved_attempt(attempt.request_number, attempt.number)
+            request.responder.on_possibly_run(unresolved)
+
     def _notify_responder(
         self, request: OpenRequest, attempt: ServerAttempt, outcome: Outcome, result: bytes
     ) -> None:
--- a/merlinbay/core/attempts.py
+++ b/merlinbay/core/attempts.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from merlinbay.core.values import Answer, RequestSpec
+from merlinbay.decision.events import UnresolvedAttempt
 
 
 class Responder:
@@ -35,6 +36,12 @@
     def on_requeued(self) -> None:
         """Handle that no server runs the request any more; the decision module decides on it again."""
 
+    def on_possibly_run(self, attempt: UnresolvedAttempt | None) -> None:
+        """Handle the end of an attempt that may have run; None if its server's group is not known.
+
+        A front that sends the request again as a new one must name the attempt in its ``earlier_attempts``.
+        """
+
     def on_status_unknown(self) -> None:
         """Handle that the request's status is unknown, because its server cannot be reached at present."""
 
--- a/merlinbay/core/controls.py
+++ b/merlinbay/core/controls.py
@@ -87,12 +87,12 @@
         if not request.is_recalling:
             self.attempt_lifecycle.end(attempt, Outcome.FULL)
         elif len(request.open_attempts) > 1:  # The reply for the last open attempt decides.
-            self.attempt_lifecycle.end(attempt, Outcome.CANCELLED)
+            self.attempt_lifecycle.end(attempt, Outcome.CANCELLED, was_returned=True)
         else:
             # The request is closed first, so that the module learns that it is final and does not retry it.
             self.request_lifecycle.mark_recalled(request)
             request.responder.on_recall_ended(True)
-            self.attempt_lifecycle.end(attempt, Outcome.CANCELLED)
+            self.attempt_lifecycle.end(attempt, Outcome.CANCELLED, was_returned=True)
 
     def _on_controlled(self, message: AttemptControlled) -> None:
         if (match := self._find(message)) is None:
--- a/merlinbay/core/request_lifecycle.py
+++ b/merlinbay/core/request_lifecycle.py
@@ -128,4 +128,5 @@
         spec.needs_free_slot,
         spec.uses_reserved_slots,
         keyless=not spec.idempotency_key,
+        earlier_attempts=spec.earlier_attempts,
     )
--- a/merlinbay/core/requests.py
+++ b/merlinbay/core/requests.py
@@ -23,11 +23,14 @@
     deadline_at_us: int
     is_answered: bool = False  # also set when the client has left or recalled the request
     attempt_count: int = 0  # attempts dispatched so far, including those that were not sent
-    may_have_run: bool = False  # whether an attempt ended without proof that it never ran
+    may_have_run: bool = False  # whether an attempt, or an earlier one, ended without proof that it never ran
     is_recalling: bool = False  # its client has asked for a recall, which is in progress
     exit_details: ExitDetails | None = None  # exit details of the attempt that ended last
     open_attempts: dict[int, ServerAttempt] = field(default_factory=dict)  # by attempt number
 
+    def __post_init__(self) -> None:
+        self.may_have_run = self.may_have_run or bool(self.spec.earlier_attempts)
+
 
 class RequestTable:
     """Open requests by number and by name, and open attempts by request name and server."""
--- a/merlinbay/core/values.py
+++ b/merlinbay/core/values.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from merlinbay.decision.events import UnresolvedAttempt
 from merlinbay.decision.settings import Settings
 from merlinbay.limits import ResourceLimits
 
@@ -60,6 +61,8 @@
     allowed_servers: tuple[str, ...] = ()  # servers that may run it; empty: any server
     needs_free_slot: bool = False  # whether it must not wait in a server's queue
     uses_reserved_slots: bool = False  # whether it may use the reserved slots of its servers
+    # Attempts of earlier requests for the same work that may have run, the first dispatched first.
+    earlier_attempts: tuple[UnresolvedAttempt, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/merlinbay/decision/balancer.py
+++ b/merlinbay/decision/balancer.py
@@ -34,11 +34,12 @@
     SlotsReserved,
     StreamStarted,
     TimerFired,
+    UnresolvedAttempt,
 )
 from merlinbay.decision.handover_snapshot import HandoverSnapshot
-from merlinbay.decision.hedging import hedging_delay_us
 from merlinbay.decision.outcomes import Outcome, never_ran
 from merlinbay.decision.parts import Parts
+from merlinbay.decision.request_intake import tracked_request
 from merlinbay.decision.request_state import TrackedRequest
 from merlinbay.decision.settings import Settings
 
@@ -85,6 +86,10 @@
         """Return whether an attempt still keeps the rules. Called right before its first byte is sent."""
         return self.parts.eligibility.may_begin(request_id, number, now_us)
 
+    def unresolved_attempt(self, request_id: int, number: int) -> UnresolvedAttempt | None:
+        """Return what a later offer of a request must know of an attempt; None if the attempt is unknown."""
+        return self.parts.requests.unresolved_attempt(request_id, number)
+
     def knows(self, name: str) -> bool:
         """Return whether an endpoint is listed or disabled by operators."""
         return self.parts.endpoints.knows(name)
@@ -117,7 +122,7 @@
     # Events about requests.
 
     def _on_request_received(self, event: RequestReceived) -> None:
-        request = self._new_request(event)
+        request = tracked_request(event, self.parts)
         decay = self.parts.offered.count_arrival()
         self.parts.load.smooth_in_flight(decay)
         self.parts.load.update_median_peer_share()
@@ -125,30 +130,6 @@
         self.parts.offered.learn_mean_request(request)
         self._decide(request)
 
-    def _new_request(self, event: RequestReceived) -> TrackedRequest:
-        settings, now_us = self.parts.context.settings, self.parts.context.now_us
-        state = self.parts.run_times.class_state(event.job_class)
-        run_time_us = self.parts.run_times.expected_us(state, event.hint_us)
-        is_over_quota = self.parts.offered.count_tenant_request(event.tenant)
-        weight = state.spec.worth * (settings.over_share_worth if is_over_quota else 1)
-        return TrackedRequest(
-            id=event.id,
-            class_state=state,
-            run_time_us=run_time_us,
-            priority_weight=weight * run_time_us if settings.worth_by_work else weight,
-            deadline_at_us=now_us + event.budget_us,
-            arrived_at_us=now_us,
-            slots=max(event.slots, 0.0),
-            memory=max(event.memory, 0.0),
-            key=event.key,
-            allowed_endpoints=event.only,
-            needs_free_slots=event.room_only,
-            uses_reservation=event.reserved,
-            hint_us=float(event.hint_us),
-            lacks_idempotency_key=event.keyless,
-            hedging_delay_us=hedging_delay_us(state.spec.aim_us),
-        )
-
     def _decide(self, request: TrackedRequest) -> None:
         """Decide on a first attempt or a retry, after the answers to any worthwhile health checks."""
         if not self.parts.health_checks.begin(request):
--- a/merlinbay/decision/eligibility.py
+++ b/merlinbay/decision/eligibility.py
@@ -17,6 +17,7 @@
 from merlinbay.decision.endpoint_lease import EndpointLease
 from merlinbay.decision.endpoint_state import Endpoint
 from merlinbay.decision.endpoints import Endpoints
+from merlinbay.decision.events import UnresolvedAttempt
 from merlinbay.decision.load_reports import LoadReports
 from merlinbay.decision.outlier_detection import OutlierDetection
 from merlinbay.decision.request_state import Attempt, TrackedRequest
@@ -75,8 +76,7 @@
             return False
         return request.idempotency is Idempotency.ALWAYS or all(
             self._is_in_scope(request, other, attempt.zone, attempt.cell)
-            for other in other_attempts
-            if other.may_have_run
+            for other in request.unresolved_among(other_attempts)
         )
 
     def may_reject(self, request: TrackedRequest, wait_us: int = 0) -> bool:
@@ -118,7 +118,7 @@
         second_copies = self._context.settings.limits.second_copies
         if not second_copies and any(other.is_open for other in other_attempts):
             return False
-        unresolved = next((other for other in other_attempts if other.may_have_run), None)
+        unresolved = next(request.unresolved_among(other_attempts), None)
         if unresolved is None or request.idempotency is Idempotency.ALWAYS:
             return True
         window_us = request.class_state.spec.window_us
@@ -141,12 +141,13 @@
         kind = request.class_state.spec.kind
         if kind >= 0 and self._endpoints.kinds[self._context.settings.kinds[kind]] is not endpoint.kind:
             return False
-        # Compares names, not records: an endpoint that was forgotten and listed again has a new record.
-        if any(attempt.endpoint.name == endpoint.name for attempt in request.attempts):
+        if request.was_sent_to(endpoint.name):
             return False
         return not self._reports.lacks_memory(endpoint, request.memory)
 
-    def _is_in_scope(self, request: TrackedRequest, unresolved: Attempt, zone: str, cell: int) -> bool:
+    def _is_in_scope(
+        self, request: TrackedRequest, unresolved: Attempt | UnresolvedAttempt, zone: str, cell: int
+    ) -> bool:
         """Return whether endpoints of this zone and cell drop a repeat of an attempt that may have run."""
         scope = request.class_state.spec.group
         if scope == "zone":
--- a/merlinbay/decision/events.py
+++ b/merlinbay/decision/events.py
@@ -66,6 +66,16 @@
     on: bool
 
 
+@dataclass(frozen=True, slots=True)
+class UnresolvedAttempt:
+    """An attempt of an earlier offer of a request that has ended, and does not exclude that it has run."""
+
+    endpoint: str
+    zone: str  # zone of the endpoint at the dispatch
+    cell: int  # cell of the endpoint at the dispatch
+    dispatched_at_us: int
+
+
 @dataclass(slots=True)
 class RequestReceived:
     """A request of a client. It gets one final answer within ``budget_us``."""
@@ -83,6 +93,7 @@
     room_only: bool = False  # whether it may take free slots only, and no place in a queue
     reserved: bool = False  # whether it runs on reserved slots
     keyless: bool = False  # whether it has no key by which endpoints recognise a repeat
+    earlier_attempts: tuple[UnresolvedAttempt, ...] = ()  # of its earlier offers, the first dispatched first
 
 
 @dataclass(slots=True)
--- a/merlinbay/decision/request_state.py
+++ b/merlinbay/decision/request_state.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from merlinbay.decision.endpoint_state import Endpoint
+from merlinbay.decision.events import UnresolvedAttempt
 from merlinbay.decision.settings import Idempotency, RequestClass
 
 
@@ -64,6 +66,7 @@
     hint_us: float = 0.0  # run time that the client expects; 0: no hint came
     lacks_idempotency_key: bool = False  # whether it has no key by which endpoints recognise a repeat
     hedging_delay_us: float = 0.0  # how long an attempt may wait unstarted before a hedge
+    earlier_attempts: tuple[UnresolvedAttempt, ...] = ()  # of its earlier offers, those that may have run
     attempts: list[Attempt] = field(default_factory=list)
     open_attempts: int = 0
     is_done: bool = False  # whether it has its final answer or its client has disconnected
@@ -78,7 +81,21 @@
         declared = self.class_state.spec.idempotency
         return Idempotency.NONE if declared is Idempotency.BY_KEY and self.lacks_idempotency_key else declared
 
+    def unresolved_among(self, attempts: Iterable[Attempt]) -> Iterator[Attempt | UnresolvedAttempt]:
+        """Yield those that may have run, of earlier offers and of these attempts, in order of dispatch."""
+        yield from self.earlier_attempts
+        for attempt in attempts:
+            if attempt.may_have_run:
+                yield attempt
+
     @property
-    def first_that_may_have_run(self) -> Attempt | None:
+    def first_that_may_have_run(self) -> Attempt | UnresolvedAttempt | None:
         """The first attempt that may have run."""
-        return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
+        return next(self.unresolved_among(self.attempts), None)
+
+    def was_sent_to(self, endpoint: str) -> bool:
+        """Return whether an attempt went to this endpoint, or one of an earlier offer that may have run."""
+        # Compares names, not records: an endpoint that was forgotten and listed again has a new record.
+        return any(attempt.endpoint.name == endpoint for attempt in self.attempts) or any(
+            attempt.endpoint == endpoint for attempt in self.earlier_attempts
+        )
--- a/merlinbay/decision/requests.py
+++ b/merlinbay/decision/requests.py
@@ -8,6 +8,7 @@
 
 from merlinbay.decision.context import Context
 from merlinbay.decision.endpoint_state import Endpoint
+from merlinbay.decision.events import UnresolvedAttempt
 from merlinbay.decision.request_state import Attempt, TrackedRequest
 
 IN_FLIGHT_HISTORY_US = 1_000_000  # how long past counts of an endpoint's slots in flight are kept
@@ -30,6 +31,14 @@
         attempt = request.attempts[number]
         return (request, attempt) if attempt.is_open else None
 
+    def unresolved_attempt(self, request_id: int, number: int) -> UnresolvedAttempt | None:
+        """Return what a later offer of a request must know of an attempt; None if the attempt is unknown."""
+        request = self.by_id.get(request_id)
+        if request is None or not 0 <= number < len(request.attempts):
+            return None
+        attempt = request.attempts[number]
+        return UnresolvedAttempt(attempt.endpoint.name, attempt.zone, attempt.cell, attempt.dispatched_at_us)
+
     def add(self, request: TrackedRequest) -> None:
         """Add a request to the table."""
         self.by_id[request.id] = request
--- a/merlinbay/drmaa/front.py
+++ b/merlinbay/drmaa/front.py
@@ -247,6 +247,7 @@
         responder = self.edges[job] = JobClient(self, job, spec)
         responder.log_offer()
         self.counters.add("drmaa_offers")
+        self.counters.add("drmaa_offers_repeated", bool(job.unresolved))
         self.post(RequestArrived(spec, responder))
 
     def post(self, message: Message) -> None:
--- a/merlinbay/drmaa/job_client.py
+++ b/merlinbay/drmaa/job_client.py
@@ -8,6 +8,7 @@
 from merlinbay.batch.jobs import Job
 from merlinbay.core.attempts import Responder
 from merlinbay.core.values import Answer, AnswerStatus, ExitDetails, RequestSpec
+from merlinbay.decision.events import UnresolvedAttempt
 from merlinbay.drmaa.shared_state import SharedState
 
 NOTHING = ExitDetails()
@@ -75,6 +76,20 @@
         self._tell(self.front.engine.unplaced)
         self._log("job_requeued")
 
+    def on_possibly_run(self, attempt: UnresolvedAttempt | None) -> None:
+        """Take it that an attempt has ended that may have run."""
+        self._tell(self.front.engine.possibly_ran, attempt, self._repeat_until_us(attempt))
+        self._log("job_may_have_run")
+
+    def _repeat_until_us(self, attempt: UnresolvedAttempt | None) -> int:
+        """Return until when the job may be sent again after this attempt; 0: at any time."""
+        spec = self.front.rules.classes[self.job.job_class]
+        if spec.effect == "repeatable":
+            return 0
+        if attempt is None or spec.effect != "by_key":
+            return self.front.clock.now_us()
+        return attempt.dispatched_at_us + spec.window_us
+
     def on_status_unknown(self) -> None:
         """Take it that its server cannot be asked."""
         self._tell(self.front.engine.lost_sight)
--- a/merlinbay/drmaa/templates.py
+++ b/merlinbay/drmaa/templates.py
@@ -150,6 +150,7 @@
         memory=memory,
         allowed_servers=machines,
         needs_free_slot=job.session.backlog is not None and job.session.backlog.room_only,
+        earlier_attempts=job.unresolved,
     )
 
 
--- /dev/null
+++ b/tests/test_earlier_attempts.py
@@ -0,0 +1,122 @@
+"""Attempts of a job's earlier offers that may have run: in the batch engine, and in the decision module."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from merlinbay.batch.errors import DrmaaError
+from merlinbay.batch.jobs import Job, JobStage
+from merlinbay.batch.states import JobState
+from merlinbay.decision import Balancer
+from merlinbay.decision.actions import Dispatch, Fail, Reject
+from merlinbay.decision.events import EndpointEntry, EndpointsChanged, RequestReceived, UnresolvedAttempt
+from merlinbay.decision.settings import DispatchLimits, RequestClass, Settings
+from tests.test_batch import T0, engine, offers, opened, replies, what
+
+SECOND = 1_000_000
+WINDOW_US = 3 * SECOND
+PASSED = "the time in which it may be sent again has passed"
+
+
+def lost(job: Job, until_us: int) -> UnresolvedAttempt:
+    """Return an attempt of a job that was sent before the end of its window."""
+    return UnresolvedAttempt("s-1", "", 0, until_us - 2 * SECOND)
+
+
+def placed_repeat(until_us: int = T0 + 2 * SECOND) -> tuple[Any, Job]:
+    """Return an engine, and its job: it may have run, and its repeat waits at a server."""
+    e = engine()
+    job = e.submit(opened(e), what(), T0)
+    assert offers(e.take(T0)) == [job]
+    e.placed(job, "s-1", T0)
+    e.possibly_ran(job, lost(job, until_us), until_us, T0)
+    e.placed(job, "s-2", T0)
+    e.take(T0)
+    return e, job
+
+
+def test_a_hold_after_the_window_leaves_the_repeat_where_it_is() -> None:
+    """Guards against a hold that ends a job: taken back from its server, it could never be sent again."""
+    e, job = placed_repeat()
+    with pytest.raises(DrmaaError, match=PASSED):
+        e.hold(job, T0 + 2 * SECOND, "call")
+    assert e.take(T0 + 2 * SECOND) == [] and (job.state, job.stage) == (JobState.QUEUED, JobStage.PLACED)
+
+
+def test_a_hold_that_is_settled_after_the_window_is_told_that_the_job_has_failed() -> None:
+    """Guards against a job that is told as held and fails at once."""
+    e, job = placed_repeat()
+    e.hold(job, T0, "call")
+    e.take(T0)
+    e.recalled(job, True, T0 + 2 * SECOND)
+    assert replies(e.take(T0 + 2 * SECOND)) == {"call": "InvalidStateException"}
+    assert (job.state, job.exception) == (JobState.FAILED, "InternalException")
+
+
+def test_the_earliest_end_of_all_windows_binds_the_job() -> None:
+    """Guards against a later attempt that lengthens the time for a repeat."""
+    e, job = placed_repeat()
+    e.possibly_ran(job, lost(job, T0 + 9 * SECOND), T0 + 9 * SECOND, T0)
+    e.possibly_ran(job, lost(job, T0 + SECOND), T0 + SECOND, T0)
+    assert job.repeat_until_us == T0 + SECOND
+    sent = [attempt.dispatched_at_us for attempt in job.unresolved]
+    assert sent == sorted(sent) and len(sent) == 3
+
+
+# The decision module alone.
+
+
+def balancer(effect: str = "by_key", group: str = "cell", seed: int = 1) -> Balancer:
+    """Return a balancer with eight endpoints w0 to w7: two zones in turn, four cells of two."""
+    spec = RequestClass("c", 300_000, 4 * SECOND, effect=effect, group=group, window_us=WINDOW_US)
+    limits = DispatchLimits(cancelling=True, send_cap=4, retry_after=True)
+    made = Balancer(Settings(classes=[spec], kinds=["k"], tells_start=True, limits=limits), seed, SECOND)
+    rows = [EndpointEntry(f"w{n}", f"z{n % 2}", "k", n // 2) for n in range(8)]
+    made.handle(SECOND, [EndpointsChanged("all", rows)])
+    return made
+
+
+LOST_AT_W2 = UnresolvedAttempt("w2", "z0", 1, SECOND)
+
+
+@pytest.mark.parametrize(
+    ("group", "expected"), [("all", {0, 1, 3, 4, 5, 6, 7}), ("zone", {0, 4, 6}), ("cell", {3})]
+)
+def test_a_later_offer_stays_in_the_group_of_the_first(group: str, expected: set[int]) -> None:
+    """Guards against a new request for the same work that goes where its key is not known."""
+    seen: set[int] = set()
+    for seed in range(60):
+        event = RequestReceived(1, "c", 4 * SECOND, earlier_attempts=(LOST_AT_W2,))
+        actions = balancer(group=group, seed=seed).handle(2 * SECOND, [event])
+        seen |= {int(action.endpoint[1:]) for action in actions if isinstance(action, Dispatch)}
+    assert seen == expected
+
+
+@pytest.mark.parametrize(
+    ("effect", "group", "at_us", "expected"),
+    [
+        ("by_key", "cell", SECOND + WINDOW_US - 1, Dispatch),
+        ("by_key", "cell", SECOND + WINDOW_US, Fail),
+        ("by_key", "all", SECOND + WINDOW_US, Fail),
+        ("once", "all", SECOND + 1, Fail),
+        ("repeatable", "all", SECOND + 2 * WINDOW_US, Dispatch),
+    ],
+)
+def test_a_later_offer_is_sent_only_within_the_window_of_the_first(
+    effect: str, group: str, at_us: int, expected: type
+) -> None:
+    """Guards against a window that is known to one offer only. What may not be repeated is not rejected."""
+    made = balancer(effect, group)
+    event = RequestReceived(1, "c", 4 * SECOND, earlier_attempts=(LOST_AT_W2,))
+    actions = made.handle(at_us, [event])
+    assert [type(action) for action in actions if isinstance(action, (Dispatch, Fail, Reject))] == [expected]
+
+
+def test_the_pre_send_check_knows_earlier_offers() -> None:
+    """Guards against a dial that outlasts the window of an earlier offer."""
+    made = balancer()
+    made.handle(2 * SECOND, [RequestReceived(1, "c", 4 * SECOND, earlier_attempts=(LOST_AT_W2,))])
+    assert made.may_begin(1, 0, SECOND + WINDOW_US - 1)
+    assert not made.may_begin(1, 0, SECOND + WINDOW_US)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -38,6 +38,7 @@
 
 SECOND = 1_000_000
 T0 = 1_800_000_000 * SECOND
+WINDOW_US = 3 * SECOND  # idempotency window of the class ``keyed``
 ENDS = ("DONE", "FAILED")
 CLASS = st.sampled_from(["keyed", "once"])
 NEWS = [
@@ -70,10 +71,16 @@
         return at_us / 1e6
 
 
+def cell_of(server: str) -> int:
+    """Return the cell of one of the servers s-0 to s-3."""
+    return int(server.removeprefix("s-")) // 2
+
+
 class Servers(ServerTransport):
     """Schedulers that do nothing by themselves."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
         self.open: dict[tuple[str, str], ServerAttempt] = {}
         self.recalls: list[ServerAttempt] = []
         self.controls: list[tuple[ServerAttempt, str]] = []
@@ -84,8 +91,13 @@
         """Take an attempt."""
         key = attempt.spec.name, attempt.server
         assert key not in self.open
+        earlier = self.runs[attempt.spec.idempotency_key]  # of all offers of the job
         if attempt.spec.job_class == "once":  # it may go out only while nothing of it may have run
-            assert not self.runs[attempt.spec.idempotency_key]
+            assert not earlier
+        if earlier:  # by key: only to servers that know the key, and only while they know it
+            first_sent_at_us = min(other.sent_at_us for other in earlier)
+            assert {cell_of(other.server) for other in earlier} == {cell_of(attempt.server)}
+            assert self.clock.now < first_sent_at_us + WINDOW_US
         self.open[key] = attempt
 
     def cancel(self, attempt: ServerAttempt) -> None:
@@ -127,9 +139,10 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.clock, self.inbox, self.servers, counters = FakeClock(), Inbox(), Servers(), Counters()
+        self.clock, self.inbox, counters = FakeClock(), Inbox(), Counters()
+        self.servers = Servers(self.clock)
         classes = [
-            RequestClass("keyed", 300_000, 4 * SECOND, effect="by_key", group="cell", window_us=3 * SECOND),
+            RequestClass("keyed", 300_000, 4 * SECOND, effect="by_key", group="cell", window_us=WINDOW_US),
             RequestClass("once", 300_000, 4 * SECOND, effect="once"),
         ]
         conf = Settings(
@@ -151,7 +164,7 @@
         self.dispatcher = Dispatcher(
             Balancer(conf, 7, T0), clock, limits, counters, Log(1), self.servers, self
         )
-        self.rows = [ServiceEntry(f"s-{n}", "", "", "k", n // 2) for n in range(4)]
+        self.rows = [ServiceEntry(f"s-{n}", "", "", "k", cell_of(f"s-{n}")) for n in range(4)]
         self.dispatcher.run_batch([EndpointListReceived("all", self.rows)])
         self.answers: list[tuple[FakeConnection, str]] = []  # of calls that wait
         self.finals: dict[str, str] = {}
