A job that may have run is never told as one that was refused and never ran

What callers saw: a job of a repeatable class that its scheduler lost goes back into the backlog when it is refused. Change: the job keeps may_have_run over its offers; JobQueue._fail_unplaced is the one place that ends a job that no server has, and tells such a job with InternalException and 'it may have run'. At its deadline it stays TimeoutException, with the same words. Found by reading.

--- a/merlinbay/batch/engine.py
+++ b/merlinbay/batch/engine.py
@@ -147,7 +147,7 @@
         self._feed(array, now_us)
 
     def stop(self, now_us: int) -> None:
-        """Take nothing new, and end what waits: it was never placed, and will not be."""
+        """Take nothing new, and end what waits: it will not be placed any more."""
         self.stopping = True
         for session in self.sessions.values():
             for array in list(session.arrays.values()):
@@ -157,7 +157,7 @@
                     self._give_up(job, now_us)
 
     def _give_up(self, job: Job, now_us: int) -> None:
-        self._end(job, JobTransition.FAIL, now_us, "TryLaterException", "the node stops", STOP_RETRY_US)
+        self._fail_unplaced(job, now_us, "TryLaterException", "the node stops", STOP_RETRY_US)
 
     def destroy(self, session: JobSession, now_us: int) -> None:
         """Destroy a session: what has not been placed ends; what is placed goes on, with nobody to ask."""
@@ -342,6 +342,7 @@
 
         It may be sent again until ``repeat_until_us``, 0 for at any time, in this offer and in later ones.
         """
+        job.may_have_run = True
         if not repeat_until_us:
             return
         if attempt is not None:
@@ -393,7 +394,7 @@
         """Let it wait again: nothing was done, or nothing that a repeat would harm."""
         if job.session.backlog is None or job.session.destroyed:
             text = "refused unsent or handed back"
-            self._end(job, JobTransition.FAIL, now_us, "TryLaterException", text, retry_after_us)
+            self._fail_unplaced(job, now_us, "TryLaterException", text, retry_after_us)
             return
         if job.stage is JobStage.PLACED:
             self.unplaced(job, now_us)
--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -110,6 +110,7 @@
     booked: float = 0.0  # and the work that was booked for it when it was offered
     finished_us: int = 0
     ran: bool = False  # a server has told of its start, in this offer or an earlier one
+    may_have_run: bool = False  # an attempt of any offer has ended in a way that does not exclude it
     # Attempts of any offer that may have run, the first dispatched first; none where any repeat is harmless.
     unresolved: tuple[UnresolvedAttempt, ...] = ()
     repeat_until_us: int = 0  # servers drop a repeat of these until then
--- a/merlinbay/batch/queue.py
+++ b/merlinbay/batch/queue.py
@@ -231,22 +231,20 @@
                 "it may have run, and the time in which it may be sent again has passed",
             )
         elif 0 < job.what.deadline_us <= now_us:
-            self._end(
-                job,
-                JobTransition.FAIL,
-                now_us,
-                "TimeoutException",
-                "its deadline passed before it was placed",
-            )
+            self._fail_unplaced(job, now_us, "TimeoutException", "its deadline passed before it was placed")
         else:
-            self._end(
-                job,
-                JobTransition.FAIL,
-                now_us,
-                "TryLaterException",
-                "it has waited for as long as jobs may",
-                job.session.quota.drain.wait_us(1),
-            )
+            text, wait_us = "it has waited for as long as jobs may", job.session.quota.drain.wait_us(1)
+            self._fail_unplaced(job, now_us, "TryLaterException", text, wait_us)
+
+    def _fail_unplaced(
+        self, job: Job, now_us: int, exception: str, annotation: str, retry_after_us: int = 0
+    ) -> None:
+        """End a job that no server has, and say if it may have run in an earlier offer."""
+        if job.may_have_run:
+            annotation = f"{annotation}; it may have run"
+            if exception == "TryLaterException":  # Clients take this for a promise that it never ran.
+                exception, retry_after_us = "InternalException", 0
+        self._end(job, JobTransition.FAIL, now_us, exception, annotation, retry_after_us)
 
     def _array_late(self, array: JobArray, now_us: int) -> None:
         """Give up the members of an array that were never made."""
--- a/tests/test_earlier_attempts.py
+++ b/tests/test_earlier_attempts.py
@@ -81,6 +81,44 @@
 LOST_AT_W2 = UnresolvedAttempt("w2", "z0", 1, SECOND)
 
 
+NEVER_RAN, RAN, LATE = "TryLaterException", "InternalException", "TimeoutException"
+
+
+@pytest.mark.parametrize(
+    ("end", "ran", "expected"),
+    [
+        ("waits too long", False, NEVER_RAN),
+        ("waits too long", True, RAN),
+        ("node stops", False, NEVER_RAN),
+        ("node stops", True, RAN),
+        ("session destroyed", False, NEVER_RAN),
+        ("session destroyed", True, RAN),
+        ("deadline passes", False, LATE),
+        ("deadline passes", True, LATE),
+    ],
+)
+def test_a_job_that_may_have_run_is_not_told_as_one_that_never_ran(
+    end: str, ran: bool, expected: str
+) -> None:
+    """Guards against a lost job that ends with TryLaterException: clients take it for one that never ran."""
+    e = engine()
+    session = opened(e, wait_most_us=8 * SECOND)
+    deadline_us = T0 + 4 * SECOND if end == "deadline passes" else 0
+    job = e.submit(session, what(deadline_us=deadline_us), T0)
+    e.take(T0)
+    e.placed(job, "s-1", T0)
+    if ran:
+        e.possibly_ran(job, None, 0, T0)
+    if end == "session destroyed":
+        e.destroy(session, T0)
+    e.refused(job, SECOND, T0)
+    if end == "node stops":
+        e.stop(T0)
+    e.tick(T0 + 10 * SECOND)
+    assert (job.state, job.exception) == (JobState.FAILED, expected)
+    assert ("it may have run" in job.annotation) == ran
+
+
 @pytest.mark.parametrize(
     ("group", "expected"), [("all", {0, 1, 3, 4, 5, 6, 7}), ("zone", {0, 4, 6}), ("cell", {3})]
 )
