--- a/tests/test_earlier_attempts.py
+++ b/tests/test_earlier_attempts.py
@@ -4,16 +4,25 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
 from merlinbay.batch.errors import DrmaaError
 from merlinbay.batch.jobs import Job, JobStage
 from merlinbay.batch.states import JobState
+from merlinbay.core.attempts import Responder
+from merlinbay.core.dispatcher import Dispatcher
+from merlinbay.core.messages import RequestArrived
+from merlinbay.core.values import Answer, AnswerStatus, RequestSpec
+from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
 from merlinbay.decision.actions import Dispatch, Fail, Reject
 from merlinbay.decision.events import EndpointEntry, EndpointsChanged, RequestReceived, UnresolvedAttempt
 from merlinbay.decision.settings import DispatchLimits, RequestClass, Settings
+from merlinbay.limits import ResourceLimits
+from merlinbay.log import Log
 from tests.test_batch import T0, engine, offers, opened, replies, what
+from tests.test_world import FakeClock, Servers
 
 SECOND = 1_000_000
 WINDOW_US = 3 * SECOND
@@ -158,3 +167,29 @@
     made.handle(2 * SECOND, [RequestReceived(1, "c", 4 * SECOND, earlier_attempts=(LOST_AT_W2,))])
     assert made.may_begin(1, 0, SECOND + WINDOW_US - 1)
     assert not made.may_begin(1, 0, SECOND + WINDOW_US)
+
+
+class RecordingResponder(Responder):
+    """Keeps the answer."""
+
+    answered: Answer | None = None
+
+    def answer(self, answer: Answer) -> None:
+        """Keep it."""
+        self.answered = answer
+
+
+def test_a_rejection_of_a_later_offer_says_that_the_request_may_have_run() -> None:
+    """Guards against a front that takes a rejected later offer for a request that never ran."""
+    clock, responder = FakeClock(), RecordingResponder()
+    core_clock: Any = clock
+    discovery: Any = None
+    clock.now = 2 * SECOND
+    dispatcher = Dispatcher(
+        balancer(group="all"), core_clock, ResourceLimits(), Counters(), Log(1), Servers(clock), discovery
+    )
+    spec = RequestSpec("j~2", "c", clock.now, 4 * SECOND, idempotency_key="j", allowed_servers=("w2",))
+    spec = msgspec.structs.replace(spec, earlier_attempts=(LOST_AT_W2,))
+    dispatcher.run_batch([RequestArrived(spec, responder)])
+    assert responder.answered is not None
+    assert (responder.answered.status, responder.answered.may_have_run) == (AnswerStatus.REJECTED, True)
