The drawn world loses, holds and releases jobs, and judges keyed jobs over all their offers

Change: a rule that loses a job, holds its repeat, gives it back, lets up to 4 s pass and releases it. The test of the earliest window has its losses in the order that a wrong minimum does not survive.

--- a/tests/test_earlier_attempts.py
+++ b/tests/test_earlier_attempts.py
@@ -67,8 +67,8 @@
 def test_the_earliest_end_of_all_windows_binds_the_job() -> None:
     """Guards against a later attempt that lengthens the time for a repeat."""
     e, job = placed_repeat()
-    e.possibly_ran(job, lost(job, T0 + 9 * SECOND), T0 + 9 * SECOND, T0)
     e.possibly_ran(job, lost(job, T0 + SECOND), T0 + SECOND, T0)
+    e.possibly_ran(job, lost(job, T0 + 9 * SECOND), T0 + 9 * SECOND, T0)
     assert job.repeat_until_us == T0 + SECOND
     sent = [attempt.dispatched_at_us for attempt in job.unresolved]
     assert sent == sorted(sent) and len(sent) == 3
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -266,6 +266,21 @@
         if arrays := list(self.front.engine.sessions["q"].arrays):
             self.call("POST", f"/sessions/q/arrays/{data.draw(st.sampled_from(arrays))}/{verb}")
 
+    @precondition(lambda self: self.servers.open)
+    @rule(data=st.data(), losses=st.integers(0, 2), held_us=st.integers(0, 4 * SECOND))
+    def lose_hold_and_release(self, data: st.DataObject, losses: int, held_us: int) -> None:
+        """Lose a job at its servers, hold its repeat, let the servers give it back, and release it."""
+        job_id = data.draw(st.sampled_from(list(self.servers.open.values()))).spec.idempotency_key
+        for attempt in list(self.servers.open.values())[:losses]:
+            if attempt.spec.idempotency_key == job_id:
+                self.ran(attempt)
+                self.tell(AttemptFinished(attempt.spec.name, attempt.server, Outcome.RESET))
+        self.call("POST", f"/sessions/q/jobs/{job_id}/hold")
+        while self.servers.recalls:
+            self.answer_server_call(True)
+        self.pass_time(held_us)
+        self.call("POST", f"/sessions/q/jobs/{job_id}/release")
+
     @rule(data=st.data())
     def hang_up(self, data: st.DataObject) -> None:
         """Leave a call that waits."""
