--- a/tests/test_earlier_attempts.py
+++ b/tests/test_earlier_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 import pytest
@@ -19,6 +20,7 @@
 from merlinbay.decision.actions import Dispatch, Fail, Reject
 from merlinbay.decision.events import EndpointEntry, EndpointsChanged, RequestReceived, UnresolvedAttempt
 from merlinbay.decision.settings import DispatchLimits, RequestClass, Settings
+from merlinbay.drmaa.job_client import JobClient
 from merlinbay.limits import ResourceLimits
 from merlinbay.log import Log
 from tests.test_batch import T0, engine, offers, opened, replies, what
@@ -169,6 +171,35 @@
     assert not made.may_begin(1, 0, SECOND + WINDOW_US)
 
 
+def test_an_attempt_is_told_as_it_was_at_the_dispatch() -> None:
+    """Guards against a window that counts from the loss, and a group that a later list has changed."""
+    made = balancer()
+    made.handle(2 * SECOND, [RequestReceived(1, "c", 4 * SECOND, only=("w2",))])
+    made.handle(3 * SECOND, [EndpointsChanged("changes", [EndpointEntry("w2", "z9", "k", 9)])])
+    assert made.unresolved_attempt(1, 0) == UnresolvedAttempt("w2", "z0", 1, 2 * SECOND)
+    assert made.unresolved_attempt(1, 1) is None and made.unresolved_attempt(2, 0) is None
+
+
+@pytest.mark.parametrize(
+    ("effect", "attempt", "expected"),
+    [
+        ("repeatable", LOST_AT_W2, 0),
+        ("by_key", LOST_AT_W2, SECOND + WINDOW_US),
+        ("by_key", None, 5 * SECOND),
+        ("once", LOST_AT_W2, 5 * SECOND),
+    ],
+)
+def test_the_class_says_until_when_a_lost_job_may_be_sent_again(
+    effect: str, attempt: UnresolvedAttempt | None, expected: int
+) -> None:
+    """Guards against a repeat that its class forbids: a key that is forgotten, or no key; 0 is no limit."""
+    front, job = Mock(), Mock(ended=False, job_class="c")
+    front.rules.classes = {"c": RequestClass("c", 1, 4 * SECOND, effect=effect, window_us=WINDOW_US)}
+    front.clock.now_us.return_value = 5 * SECOND
+    JobClient(front, job, RequestSpec("j", "c", 0, 4 * SECOND)).on_possibly_run(attempt)
+    front.engine.possibly_ran.assert_called_once_with(job, attempt, expected, 5 * SECOND)
+
+
 class RecordingResponder(Responder):
     """Keeps the answer."""
 
--- a/tests/test_held_repeats.py
+++ b/tests/test_held_repeats.py
@@ -152,6 +152,18 @@
     assert world.call("GET", f"{JOBS}/{job_id}")["jobState"] == "FAILED"
 
 
+def test_a_job_that_is_done_is_not_told_as_one_whose_fate_is_unknown() -> None:
+    """Guards against a served attempt that counts as one that only may have run."""
+    world = World()
+    template = {"remoteCommand": "x", "jobCategory": "keyed"}
+    job_id = world.call("POST", JOBS, {"jobTemplate": template})["jobId"]
+    (attempt,) = world.servers.open.values()
+    world.ran(attempt)
+    world.tell(AttemptFinished(attempt.spec.name, attempt.server, Outcome.OK))
+    job = world.front.engine.sessions["q"].jobs[job_id]
+    assert job.ended and not job.may_have_run and not job.unresolved
+
+
 def test_a_job_that_its_servers_gave_back_unstarted_is_held_without_an_end() -> None:
     """Guards against a hedge that was recalled as well counting as an attempt that may have run."""
     world = World()
