--- a/merlinbay/batch/jobs.py
+++ b/merlinbay/batch/jobs.py
@@ -150,6 +150,12 @@
         """Tell whether its state is final."""
         return self.state in ENDED
 
+    @property
+    def allocated_machines(self) -> list[str]:
+        """Return the server that has the job, or had it when the job ended."""
+        has_server = self.server and self.stage in (JobStage.PLACED, JobStage.ENDED)
+        return [self.server] if has_server else []
+
     @property
     def substate(self) -> str:
         """Return what the state leaves open, in words."""
--- a/merlinbay/drmaa/info.py
+++ b/merlinbay/drmaa/info.py
@@ -104,7 +104,7 @@
         job.exit_status,
         job.signal,
         job.annotation,
-        [job.server] if job.server else [],
+        job.allocated_machines,
         machine,
         job.what.account,
         int(job.what.slots),
--- a/merlinbay/monitor/view.py
+++ b/merlinbay/monitor/view.py
@@ -30,7 +30,7 @@
     "exitStatus": (float, lambda job: job.exit_status),
     "terminatingSignal": (str, lambda job: job.signal or None),
     "annotation": (str, lambda job: job.annotation or None),
-    "allocatedMachines": (list, lambda job: [job.server] if job.server else None),
+    "allocatedMachines": (list, lambda job: job.allocated_machines or None),
     "jobOwner": (str, lambda job: job.what.account or None),
     "accountingId": (str, lambda job: job.what.account or None),
     "sessionName": (str, lambda job: job.session.name),
--- a/tests/test_held_repeats.py
+++ b/tests/test_held_repeats.py
@@ -90,7 +90,8 @@
     """Guards against a client that is told of a held job though the job can never go on."""
     job = LostJob(starts)
     held = "REQUEUED_HELD" if starts else "QUEUED_HELD"
-    assert job.call("hold")["jobState"] == held
+    told = job.call("hold")
+    assert told["jobState"] == held and "allocatedMachines" not in told
     job.pass_until_after_first_send(WINDOW_US - 1)
     assert job.info()["jobState"] == held and "may be sent again until" in job.info()["jobSubState"]
     job.pass_until_after_first_send(WINDOW_US)
