--- a/merlinbay/decision/eligibility.py
+++ b/merlinbay/decision/eligibility.py
@@ -74,9 +74,11 @@
         other_attempts = [other for other in request.attempts if other is not attempt]
         if not attempt.is_open or not self._may_repeat(request, other_attempts, now_us):
             return False
+        others: list[Attempt | UnresolvedAttempt] = [*request.earlier_attempts, *other_attempts]
         return request.idempotency is Idempotency.ALWAYS or all(
             self._is_in_scope(request, other, attempt.zone, attempt.cell)
-            for other in request.unresolved_among(other_attempts)
+            for other in others
+            if other.may_have_run
         )
 
     def may_reject(self, request: TrackedRequest, wait_us: int = 0) -> bool:
@@ -118,7 +120,7 @@
         second_copies = self._context.settings.limits.second_copies
         if not second_copies and any(other.is_open for other in other_attempts):
             return False
-        unresolved = next(request.unresolved_among(other_attempts), None)
+        unresolved = request.first_unresolved(other_attempts)
         if unresolved is None or request.idempotency is Idempotency.ALWAYS:
             return True
         window_us = request.class_state.spec.window_us
--- a/merlinbay/decision/events.py
+++ b/merlinbay/decision/events.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import ClassVar
 
 
 @dataclass(slots=True)
@@ -74,6 +75,7 @@
     zone: str  # zone of the endpoint at the dispatch
     cell: int  # cell of the endpoint at the dispatch
     dispatched_at_us: int
+    may_have_run: ClassVar[bool] = True
 
 
 @dataclass(slots=True)
--- a/merlinbay/decision/request_state.py
+++ b/merlinbay/decision/request_state.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from merlinbay.decision.endpoint_state import Endpoint
@@ -81,21 +81,24 @@
         declared = self.class_state.spec.idempotency
         return Idempotency.NONE if declared is Idempotency.BY_KEY and self.lacks_idempotency_key else declared
 
-    def unresolved_among(self, attempts: Iterable[Attempt]) -> Iterator[Attempt | UnresolvedAttempt]:
-        """Yield those that may have run, of earlier offers and of these attempts, in order of dispatch."""
-        yield from self.earlier_attempts
+    def first_unresolved(self, attempts: Iterable[Attempt]) -> Attempt | UnresolvedAttempt | None:
+        """Return the first of the earlier offers' attempts and of these that may have run."""
+        if self.earlier_attempts:
+            return self.earlier_attempts[0]
         for attempt in attempts:
             if attempt.may_have_run:
-                yield attempt
+                return attempt
+        return None
 
     @property
     def first_that_may_have_run(self) -> Attempt | UnresolvedAttempt | None:
         """The first attempt that may have run."""
-        return next(self.unresolved_among(self.attempts), None)
+        return self.first_unresolved(self.attempts)
 
     def was_sent_to(self, endpoint: str) -> bool:
         """Return whether an attempt went to this endpoint, or one of an earlier offer that may have run."""
         # Compares names, not records: an endpoint that was forgotten and listed again has a new record.
-        return any(attempt.endpoint.name == endpoint for attempt in self.attempts) or any(
-            attempt.endpoint == endpoint for attempt in self.earlier_attempts
-        )
+        for attempt in self.attempts:
+            if attempt.endpoint.name == endpoint:
+                return True
+        return bool(self.earlier_attempts) and endpoint in [one.endpoint for one in self.earlier_attempts]
