The log follows requests by id, and counts each end of a connection by its cause

Cause: the logs of the incident hold nothing before a process died. They tell neither memory nor why a connection ended, and no line follows a platform request by its id. The reading of the resident memory, which stood twice in `scale/`, is one module.

--- a/merlinbay/core/action_executor.py
+++ b/merlinbay/core/action_executor.py
@@ -86,13 +86,13 @@
                 retry_after_us=action.retry_after_us,
                 may_have_run=request.may_have_run,
             )
-            self.request_lifecycle.answer_if_open(request, answer)
+            self.request_lifecycle.answer_if_open(request, answer, action.reason)
 
     def _fail(self, action: Fail) -> None:
         request = self.requests.by_number.get(action.id)
         if request is not None:
             answer = Answer(AnswerStatus.FAILED, exit_details=request.exit_details)
-            self.request_lifecycle.answer_if_open(request, answer)
+            self.request_lifecycle.answer_if_open(request, answer, "given up")
 
     def _set_timer(self, action: SetTimer) -> None:
         self.timers.add(self.batch.now_us + action.in_us, ModuleTimer(action.token))
--- a/merlinbay/core/attempt_lifecycle.py
+++ b/merlinbay/core/attempt_lifecycle.py
@@ -23,6 +23,7 @@
     CallbackRelayed,
 )
 from merlinbay.core.request_lifecycle import RequestLifecycle
+from merlinbay.core.request_trace import RequestTrace
 from merlinbay.core.requests import OpenRequest, RequestTable
 from merlinbay.core.timers import AttemptDeadline, Timers
 from merlinbay.core.values import Answer, AnswerStatus
@@ -51,10 +52,11 @@
         balancer: Balancer,
         clock: Clock,
         counters: Counters,
+        trace: RequestTrace,
     ) -> None:
         self.requests, self.request_lifecycle = requests, request_lifecycle
         self.timers, self.batch, self.servers = timers, batch, servers
-        self.balancer, self.clock, self.counters = balancer, clock, counters
+        self.balancer, self.clock, self.counters, self.trace = balancer, clock, counters, trace
         self.peer: PeerProcess | None = None  # the node's other process during a handover
         self.handlers: dict[type, Callable[[Any], None]] = {
             AttemptStarted: self._on_started,
@@ -103,6 +105,7 @@
             is_permitted=self._is_permitted,
         )
         self.requests.open_attempt(request, attempt)
+        self.trace.attempt_sent(attempt)
         if deadline_at_us < request.deadline_at_us:
             self.timers.add(deadline_at_us, AttemptDeadline(attempt))
         self.servers.start(attempt)
@@ -184,7 +187,7 @@
         self.counters.add("requests_unfit")
         if not request.is_answered:
             answer = Answer(AnswerStatus.FAILED, exit_details=message.exit_details)
-            self.request_lifecycle.answer(request, answer)
+            self.request_lifecycle.answer(request, answer, "a server found it invalid")
         self.end(attempt, Outcome.CANCELLED, report=message.report)
 
     # End of attempts.
@@ -210,6 +213,7 @@
         attempt.has_ended = True
         self.servers.forget(attempt)
         self.counters.add(f"attempts_{outcome.name.lower()}")
+        self.trace.attempt_ended(attempt, outcome)
         self._notify_responder(request, attempt, outcome, result)
         self.batch.add(
             AttemptEnded(
@@ -237,7 +241,7 @@
             return
         if outcome is Outcome.OK:
             answer = Answer(AnswerStatus.SERVED, result, exit_details=request.exit_details)
-            self.request_lifecycle.answer(request, answer)
+            self.request_lifecycle.answer(request, answer, f"attempt {attempt.number}")
         elif attempt.has_started and not any(
             open_attempt.has_started for open_attempt in request.open_attempts.values()
         ):
--- a/merlinbay/core/dispatcher.py
+++ b/merlinbay/core/dispatcher.py
@@ -28,6 +28,7 @@
 from merlinbay.core.interfaces import EndpointDiscovery, EndpointObserver, PeerProcess, ServerTransport
 from merlinbay.core.messages import Message
 from merlinbay.core.request_lifecycle import RequestLifecycle
+from merlinbay.core.request_trace import RequestTrace
 from merlinbay.core.requests import RequestTable
 from merlinbay.core.timers import Timers
 from merlinbay.counters import Counters
@@ -56,12 +57,13 @@
         requests = self.requests = RequestTable(limits.finished_request_names)
         timers = self.timers = Timers()
         batch = self.batch = EventBatch()
+        trace = RequestTrace(log)
         class_names = {job_class.name for job_class in balancer.settings.classes}
         request_lifecycle = self.request_lifecycle = RequestLifecycle(
-            requests, timers, batch, limits, counters, class_names
+            requests, timers, batch, limits, counters, class_names, trace
         )
         attempt_lifecycle = self.attempt_lifecycle = AttemptLifecycle(
-            requests, request_lifecycle, timers, batch, servers, balancer, clock, counters
+            requests, request_lifecycle, timers, batch, servers, balancer, clock, counters, trace
         )
         self.deadlines = Deadlines(requests, request_lifecycle, attempt_lifecycle, timers, batch, limits)
         self.actions = ActionExecutor(
--- a/merlinbay/core/request_lifecycle.py
+++ b/merlinbay/core/request_lifecycle.py
@@ -11,6 +11,7 @@
 
 from merlinbay.core.event_batch import EventBatch
 from merlinbay.core.messages import RequestArrived, RequestWithdrawn, ShutdownRequested
+from merlinbay.core.request_trace import RequestTrace
 from merlinbay.core.requests import OpenRequest, RequestTable
 from merlinbay.core.timers import RequestDeadline, Timers
 from merlinbay.core.values import Answer, AnswerStatus, RequestSpec
@@ -32,9 +33,10 @@
         limits: ResourceLimits,
         counters: Counters,
         class_names: set[str],
+        trace: RequestTrace,
     ) -> None:
         self.requests, self.timers, self.batch = requests, timers, batch
-        self.limits, self.counters = limits, counters
+        self.limits, self.counters, self.trace = limits, counters, trace
         self.class_names = class_names  # names of the job classes in the settings
         self.request_count = 0
         self.is_shutting_down = False
@@ -44,21 +46,23 @@
             ShutdownRequested: self._on_shutdown_requested,
         }
 
-    def answer(self, request: OpenRequest, answer: Answer) -> None:
-        """Give a request its one final answer."""
+    def answer(self, request: OpenRequest, answer: Answer, cause: str) -> None:
+        """Give a request its one final answer; ``cause`` is for the log."""
         request.is_answered = True
+        self.trace.answered(request, answer, cause)
         self.counters.add(f"answers_{answer.status.value}")
         request.responder.answer(answer)
 
-    def answer_if_open(self, request: OpenRequest, answer: Answer) -> None:
+    def answer_if_open(self, request: OpenRequest, answer: Answer, cause: str) -> None:
         """Answer a request unless it has been answered, and remove it if it has no open attempt."""
         if not request.is_answered:
-            self.answer(request, answer)
+            self.answer(request, answer, cause)
             self.requests.remove_if_finished(request)
 
     def withdraw(self, request: OpenRequest) -> None:
         """Close a request whose client has disconnected, without an answer."""
         self.counters.add("requests_withdrawn")
+        self.trace.withdrawn(request)
         request.is_answered = True
         self._close_in_module(request)
 
@@ -68,7 +72,7 @@
 
     def fail_overdue(self, request: OpenRequest) -> None:
         """Answer a request that is still open after its deadline as failed."""
-        self.answer(request, Answer(AnswerStatus.FAILED))
+        self.answer(request, Answer(AnswerStatus.FAILED), "overdue")
         self._close_in_module(request)
 
     def _close_in_module(self, request: OpenRequest) -> None:
@@ -81,10 +85,12 @@
         # A name must not be used again: servers would treat the new request's attempts as repeats.
         if spec.job_class not in self.class_names or self.requests.has_used(spec.name):
             self.counters.add("answers_failed")
+            self.trace.not_taken(spec, "its id was used before, or its class is unknown")
             message.responder.answer(Answer(AnswerStatus.FAILED))
             return
         if self.is_shutting_down or len(self.requests) >= self.limits.max_open_requests:
             self.counters.add("answers_refused")
+            self.trace.not_taken(spec, "shutdown" if self.is_shutting_down else "too many open requests")
             retry_after_us = self.limits.stop_retry_after_us
             message.responder.answer(Answer(AnswerStatus.REJECTED, retry_after_us=retry_after_us))
             return
@@ -95,6 +101,7 @@
         self.requests.add(request)
         self.timers.add(deadline_at_us, RequestDeadline(request))
         remaining_us = max(deadline_at_us - self.batch.now_us, 0)
+        self.trace.taken(spec, remaining_us)
         self.batch.add(received_event(request.number, spec, remaining_us))
 
     def _on_withdrawn(self, message: RequestWithdrawn) -> None:
--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from merlinbay.http.close_reasons import CloseReason
 from merlinbay.http.late_responses import LateResponses
 from merlinbay.http.lifetime import ConnectionLifetime
 from merlinbay.http.messages import Request, Response
@@ -73,6 +74,7 @@
         self.is_reading_ahead = False  # whether it reads while a response is awaited
         self.is_closing = False  # whether it ends instead of reading another request
         self.has_ended = False
+        self.close_reason: CloseReason | None = None  # the first cause of its end; None while it is open
         self.scope = trio.CancelScope()  # the scope of the task that reads
         self.read_scope = trio.CancelScope()  # the scope of the current read
         self.late_responses = LateResponses()
@@ -103,8 +105,13 @@
             if self.is_idle:
                 self.read_scope.cancel()
 
-    def close_gracefully(self) -> None:
+    def _note_close(self, reason: CloseReason) -> None:
+        """Keep the first cause of the connection's end."""
+        self.close_reason = self.close_reason or reason
+
+    def close_gracefully(self, reason: CloseReason) -> None:
         """Ask the connection's own task to end it cleanly. Does not wait."""
+        self._note_close(reason)
         self.is_closing = True
         self.read_scope.cancel()
 
@@ -112,7 +119,7 @@
         """Close it gracefully unless a request is in progress or readable. Return whether it closes."""
         if not self.is_idle or is_readable(self.sock):
             return False
-        self.close_gracefully()
+        self.close_gracefully(CloseReason.DRAINED)
         return True
 
     def close_if_unused(self) -> bool:
@@ -120,19 +127,21 @@
         # Checks and closes without a checkpoint, so that no task reads a request in between.
         if is_readable(self.sock) or not (self.is_idle or self.is_receiving_request):
             return False
+        self._note_close(CloseReason.EVICTED)
         self.stream.raw.close()
         self.scope.cancel()
         return True
 
     def expire(self) -> None:
         """End the connection because its client was idle or too slow for too long."""
+        self._note_close(CloseReason.EXPIRED)
         is_preparing = self.prepare_socket is not None and self.sock is self.stream.raw
         if self.stream.is_writing or is_preparing:
             # The task writes to a client that reads nothing, or still prepares the stream. It is not in a
             # read that a graceful close could end.
             self.scope.cancel()
         else:
-            self.close_gracefully()
+            self.close_gracefully(CloseReason.EXPIRED)
 
     # Requests.
 
@@ -145,6 +154,14 @@
                 await self._read_requests()
             except (OSError, h11.ProtocolError, trio.ClosedResourceError):
                 pass
+            except trio.Cancelled:
+                self._note_close(CloseReason.NODE_ENDED)
+                raise
+            except Exception:
+                self._note_close(CloseReason.FAILED)
+                raise
+            finally:
+                self._note_close(CloseReason.CLIENT_LEFT)
         self.has_ended = True
         self.late_responses.end()
         if self.has_request_in_progress:
@@ -208,7 +225,7 @@
         self.has_request_in_progress = True
         self.stream.is_head_request = request.method == "HEAD"
         if self.is_closing:  # The request was complete in time: the connection ends after its response.
-            self.is_closing, self.closes_after_response = False, True
+            self.is_closing, self.closes_after_response, self.close_reason = False, True, None
         try:
             response = await self.handler.request(self, request)
         except Exception:
@@ -230,6 +247,7 @@
             # not processed; a request that was read would need a response.
             return False
         if self.is_idle and self.send_to_successor is not None and self.send_to_successor(self):
+            self._note_close(CloseReason.HANDED_OVER)
             return False
         self.stream.forget_reads()
         # The scope holds nothing but the read, so that a cancelled read has consumed no bytes.
@@ -251,7 +269,7 @@
             return False
         if self.is_idle:
             # A request has arrived while the connection was closing. It is answered before the end.
-            self.is_closing, self.closes_after_response = False, True
+            self.is_closing, self.closes_after_response, self.close_reason = False, True, None
             self.lifetime.begin_request()
         # The rest of a request that arrived in time, but was not read yet, is read too. The connection waits
         # for nothing, and a request is limited in size, so slow or flooding clients are still cut off.
@@ -266,6 +284,7 @@
         while self.has_request_in_progress and not self.is_closing:
             if ahead_bytes > self.limits.read_ahead_bytes:
                 # Ends an endless stream: usual clients send no second request before the first response.
+                self._note_close(CloseReason.READ_AHEAD)
                 self.handler.client_disconnected(self)
                 await self._reject(400)
                 return False
@@ -296,6 +315,7 @@
                 try:
                     await self._send_response(response)
                 except (OSError, h11.ProtocolError, trio.ClosedResourceError):
+                    self._note_close(CloseReason.CLIENT_LEFT)
                     self.scope.cancel()
                     return
 
@@ -313,10 +333,11 @@
             if self.is_reading_ahead or self.send_to_successor is not None:
                 self.read_scope.cancel()
         else:
-            self.close_gracefully()
+            self.close_gracefully(CloseReason.RESPONDED)
 
     async def _reject(self, status: int) -> None:
         """Answer a request that cannot be served, then end the connection."""
+        self._note_close(CloseReason.REJECTED)
         # Sets the state first, so that no other task closes the connection before the response is written.
         self.has_request_in_progress, self.is_closing = False, True
         if self.stream.may_respond:
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -12,6 +12,7 @@
 import trio
 
 from merlinbay.counters import Counters
+from merlinbay.http.close_reasons import CloseReason
 from merlinbay.http.connection import Connection, Handler, PrepareSocket, SendToSuccessor
 from merlinbay.http.sockets import split_plain_socket
 from merlinbay.limits import ResourceLimits
@@ -133,6 +134,21 @@
             self.log.event("connection_failed", level="error", error=repr(error))
         finally:
             self.connections.discard(connection)
+            self._report_close(connection)
+
+    def _report_close(self, connection: Connection) -> None:
+        """Count a connection that has ended by the cause, and log it."""
+        reason = connection.close_reason or CloseReason.FAILED
+        self.counters.add(f"edge_closed_{reason.value}")
+        if self.log.writes_debug:
+            self.log.event(
+                "connection_closed",
+                level="debug",
+                reason=reason.value,
+                had_answered=connection.has_answered,
+                unparsed_bytes=len(connection.stream.unconsumed),
+                open=len(self.connections),
+            )
 
     async def _sweep(self) -> None:
         """End connections whose client was idle or too slow for too long."""
--- a/merlinbay/scale/host.py
+++ b/merlinbay/scale/host.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from merlinbay.process_memory import resident_bytes
 from merlinbay.scale import messages
 from merlinbay.scale.layout import address_of, zone_of
 from merlinbay.scale.meters import ProcessReading
@@ -22,13 +23,6 @@
 from merlinbay.scale.roles import HollowMember, MemberContext, MemberRole, RunFacts
 from merlinbay.scale.sockets import CURRENT, MemberSockets, MeteredNetwork
 
-PAGE = os.sysconf("SC_PAGE_SIZE")
-
-
-def resident_bytes() -> int:
-    """Return what this process holds in memory."""
-    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE
-
 
 @dataclass
 class Hosted:
--- a/merlinbay/scale/processes.py
+++ b/merlinbay/scale/processes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import subprocess
 import sys
 import time
@@ -11,11 +10,11 @@
 
 import trio
 
+from merlinbay.process_memory import PAGE_BYTES
 from merlinbay.scale import messages
 from merlinbay.scale.layout import ProcessLayout
 from merlinbay.scale.meters import ProcessReading
 
-PAGE = os.sysconf("SC_PAGE_SIZE")
 END_S = 5.0  # for a process to end by itself
 QUIET_LOOKS, QUIET_LOOK_S = 3, 1.0
 QUIET_CPU_S = 0.02  # in a look,
@@ -119,7 +118,7 @@
     try:
         tasks = Path(f"/proc/{pid}/task").glob("*/schedstat")
         cpu_ns = sum(int(task.read_text().split()[0]) for task in tasks)
-        resident = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE
+        resident = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
     except OSError:
         raise ProcessFailedError("a real process has ended by itself") from None
     if not resident:  # ended, and not yet waited for
--- a/tests/test_client_terms.py
+++ b/tests/test_client_terms.py
@@ -36,6 +36,7 @@
 from merlinbay.decision.settings import RequestClass
 from merlinbay.drmaa.job_client import JobClient
 from merlinbay.http.client import ClientConnection
+from merlinbay.http.close_reasons import CloseReason
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.server import Listener
 from merlinbay.http.sockets import has_hung_up
@@ -244,7 +245,7 @@
                 await at.client.send(part)
                 await wait_until(lambda: at.connection.is_receiving_request)
             interposed = interpose(at.connection)
-            at.connection.close_gracefully()
+            at.connection.close_gracefully(CloseReason.DRAINED)
             assert await at.client.recv(10) == b""
             send_now(at.client, REQUEST_BYTES[len(part) :])
             await wait_until(lambda: not at.listener.connections)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -39,6 +39,7 @@
 from merlinbay.decision.events import EndpointEntry, EndpointsChanged
 from merlinbay.decision.outcomes import Outcome
 from merlinbay.http.client import AttemptWithheldError
+from merlinbay.http.close_reasons import CloseReason
 from merlinbay.http.connection import Connection, Request, Response
 from merlinbay.http.pool import ConnectionPool, OutgoingRequest
 from merlinbay.http.server import Listener
@@ -190,7 +191,7 @@
 
     async def scene() -> None:
         async with listener_harness() as at:
-            at.connection.close_gracefully()
+            at.connection.close_gracefully(CloseReason.DRAINED)
             assert await at.client.recv(10) == b""
             await at.client.send(REQUEST_BYTES)
             with pytest.raises(OSError):  # the reset
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,7 +26,7 @@
     {"platform", "drmaa", "fleet", "handover", "control_service"},
     {"http", "dnssd", "batch", "notify", "access", "reserve", "monitor", "store", "control"},
     {"core", "log", "event_log", "site_settings"},
-    {"decision", "limits", "counters", "clock", "errors", ""},
+    {"decision", "limits", "counters", "clock", "errors", "process_memory", ""},
 ]
 RANK = {name: rank for rank, layer in enumerate(LAYERS) for name in layer}
 
