--- a/tests/net.py
+++ b/tests/net.py
@@ -178,6 +178,7 @@
     counters: Counters = field(default_factory=Counters)
     process: trio.Process | None = None
     sockets: int = 256
+    memory_mb: int = 192
     settings: dict[str, Any] = field(default_factory=dict)
     operator: str = ""  # text of the operator's file; none by default
     admin_port: int = 0  # port for operators' calls; none by default
@@ -244,7 +245,7 @@
                     "listen": f"127.0.0.2:{self.port}",
                     "discovery": discovery,
                     "seed": "2a",
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+                    "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
                     "known": {"version": 0, "full": True, "servers": self.endpoint_rows},
                     "settings": self.settings,
                 }
--- /dev/null
+++ b/tests/test_memory_limit.py
@@ -0,0 +1,87 @@
+"""A node stays within its memory limit, whatever clients and servers send, and still answers usual clients.
+
+Each case plays the program as ``run`` starts it, with a limit of 64 MB and 1,024 descriptors.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import trio
+
+from merlinbay.http.client import ConnectionBrokenError, Reply, RequestNotSentError
+from merlinbay.http.connection import Request, Response
+from tests import slow_clients
+from tests.net import FakeServer, NodeFixture, completes_job, node_fixture, run_scenario
+from tests.slow_clients import QUICK, Talk, peak_memory_bytes, talk_for_ever
+
+MEMORY_MB = 64
+SOCKETS = 1024
+CLIENTS = 500
+PLAYED_S = 4.0
+USUAL_CLIENTS = 3
+USUAL_PAUSE_S = 0.2
+
+
+async def holds_job(server: FakeServer, request: Request) -> Response | None:
+    """Accept a job, and never report its end unless it is a quick one."""
+    if request.headers.get("x-request-id", "").startswith(QUICK):
+        return await completes_job(server, request)
+    return Response(202)
+
+
+async def usual_client(fixture: NodeFixture, name: str, replies: list[Reply | None]) -> None:
+    """Hand in one job after the other, each on a new connection."""
+    for number in range(1000):
+        try:
+            replies.append(await fixture.admit(f"{QUICK}{name}-{number}"))
+        except (ConnectionBrokenError, RequestNotSentError):
+            replies.append(None)
+        await trio.sleep(USUAL_PAUSE_S)
+
+
+def play(folder: Path, talk: Talk, clients: int = CLIENTS) -> tuple[int, list[Reply | None]]:
+    """Play a crowd of clients beside usual ones. Return the peak memory, and the usual clients' replies."""
+    peak, replies = 0, list[Reply | None]()
+
+    async def scenario() -> None:
+        nonlocal peak
+        async with node_fixture(folder) as fixture:
+            fixture.memory_mb, fixture.sockets = MEMORY_MB, SOCKETS
+            for number in range(4):
+                fixture.add_server(f"s-{number}", holds_job)
+            await fixture.start(program=True)
+            assert fixture.process is not None
+            with trio.move_on_after(PLAYED_S):
+                async with trio.open_nursery() as nursery:
+                    for number in range(clients):
+                        nursery.start_soon(talk_for_ever, fixture.port, f"c{number}", talk)
+                    for number in range(USUAL_CLIENTS):
+                        nursery.start_soon(usual_client, fixture, str(number), replies)
+            assert fixture.process.poll() is None, "the node has ended"
+            peak = peak_memory_bytes(fixture.process.pid)
+
+    run_scenario(scenario)
+    return peak, replies
+
+
+def check(peak: int, replies: list[Reply | None]) -> None:
+    """Check the limit, and that usual clients got whole answers, most of them results."""
+    assert peak < MEMORY_MB * 1024 * 1024, f"{peak / 1024 / 1024:.1f} MiB"
+    assert replies and None not in replies
+    served = sum(reply is not None and reply.status == 200 for reply in replies)
+    assert served * 2 > len(replies), f"{served} of {len(replies)} served"
+
+
+# Guards against memory that grows with the number of fields of heads, which stay until the next request.
+@pytest.mark.parametrize("talk", [slow_clients.many_fields, slow_clients.many_fields_answered])
+def test_heads_of_many_fields_stay_within_the_memory_limit(tmp_path: Path, talk: Talk) -> None:
+    """Hundreds of clients send heads of some thousand short fields."""
+    check(*play(tmp_path, talk))
+
+
+# Guards against requests that were answered, and are kept until their deadlines.
+def test_answered_requests_are_not_kept_until_their_deadlines(tmp_path: Path) -> None:
+    """Few clients send large requests one after the other, each with an hour for its answer."""
+    check(*play(tmp_path, slow_clients.large_requests, clients=8))
