Heads are checked before they are parsed, and kept as plain texts

Callers saw: a process passed its limit and was killed; usual clients had no answer in time beside such a crowd. Cause: the size of a head was limited in bytes only. Change: `http/parser.py` holds what the parser cannot use yet, gives it whole heads whose bytes and lines were counted before (100 fields, status 431), and limited parts of chunked bodies; server and client side use it. The head is kept as plain texts. Bytes behind a request are not copied any more to be looked at. Tests that looked at h11's trailing bytes look at the same count in the parser (tests/faulty_cluster.py too, whose check for bytes behind an answer would else have seen nothing).

--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -12,6 +12,7 @@
 import h11
 import trio
 
+from merlinbay.http.parser import HeadTooLargeError, HttpParser
 from merlinbay.http.sockets import is_readable, send_all
 from merlinbay.limits import ResourceLimits
 
@@ -91,7 +92,7 @@
         self, sock: trio.socket.SocketType, host: str, limits: ResourceLimits, body_bytes: int
     ) -> None:
         self.sock, self.host, self.limits, self.body_bytes = sock, host, limits, body_bytes
-        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.head_bytes)
+        self.parser = HttpParser(h11.CLIENT, limits)
         self.idle_since = 0.0
         self.quarantined_until = 0.0  # a stray response may arrive until this time
 
@@ -125,12 +126,17 @@
             raise
         return cls(sock, addr, limits, body_bytes or limits.body_bytes)
 
+    @property
+    def h11(self) -> h11.Connection:
+        """The state of the current exchange."""
+        return self.parser.h11
+
     @property
     def can_be_reused(self) -> bool:
         """Whether the last exchange has left the connection open and without unread bytes."""
         # Bytes after the response may be a second response, which would be read as the response to the next
         # request.
-        return self.h11.our_state is h11.IDLE and not self.h11.trailing_data[0]
+        return self.h11.our_state is h11.IDLE and not self.parser.unconsumed_bytes
 
     def is_available(self) -> bool:
         """Return whether another request can be sent: nothing is readable, not even the end of the stream."""
@@ -153,6 +159,8 @@
             return await self._read_reply()
         except OSError as error:
             raise ConnectionBrokenError(str(error)) from None
+        except HeadTooLargeError as error:
+            raise UnreadableResponseError(f"head of the response: {error}") from None
         except h11.RemoteProtocolError as error:
             has_ended = self.h11.trailing_data[1]
             raise (ConnectionBrokenError if has_ended else UnreadableResponseError)(str(error)) from None
@@ -173,25 +181,25 @@
         return data + (self.h11.send(h11.EndOfMessage()) or b"")
 
     async def _read_reply(self) -> Reply:
-        head: h11.Response | None = None
+        reply: Reply | None = None
         body = bytearray()
         while True:
             event = self.h11.next_event()
             if event is h11.NEED_DATA:
-                self.h11.receive_data(await self.sock.recv(self.limits.receive_bytes))
+                if not self.parser.feed():
+                    self.parser.receive(await self.sock.recv(self.limits.receive_bytes))
             elif type(event) is h11.Response:
-                head = event
+                # The parser's own form of the head takes several times the memory of these texts.
+                headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+                reply = Reply(event.status_code, headers, b"")
             elif type(event) is h11.Data:
                 body += event.data
                 if len(body) > self.body_bytes:
                     raise UnreadableResponseError("the response body exceeds the size limit")
-            elif type(event) is h11.EndOfMessage and head is not None:
+            elif type(event) is h11.EndOfMessage and reply is not None:
                 if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
-                    self.h11.start_next_cycle()
-                return Reply(
-                    head.status_code,
-                    {name.decode(): value.decode("latin-1") for name, value in head.headers},
-                    bytes(body),
-                )
+                    self.parser.start_next_cycle()
+                reply.body = bytes(body)
+                return reply
             elif type(event) is h11.ConnectionClosed:
                 raise ConnectionBrokenError("the connection was closed before the response was complete")
--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -18,6 +18,7 @@
 from merlinbay.http.late_responses import LateResponses
 from merlinbay.http.lifetime import ConnectionLifetime
 from merlinbay.http.messages import Request, Response
+from merlinbay.http.parser import HeadTooLargeError
 from merlinbay.http.request_buffer import RequestBuffer
 from merlinbay.http.server_stream import PrepareSocket, ServerStream
 from merlinbay.http.sockets import StreamSocket, is_readable
@@ -198,16 +199,19 @@
         if event is h11.PAUSED:
             return await self._read_ahead()
         if type(event) is h11.Request:
-            return await self._begin_request(event)
+            status = self.incoming.begin(event)
+            # The parser's form of a head is large, and a client that is rejected may stay for a while.
+            del event
+            return await self._begin_request(status)
         if type(event) is h11.Data:
             return await self._accept_or_reject(self.incoming.add(event.data))
         if type(event) is h11.EndOfMessage:
-            await self._handle_request(self.incoming.request(self.stream.when_request_read()))
+            await self._handle_request(self.incoming.take(self.stream.when_request_read()))
         return type(event) is not h11.ConnectionClosed
 
-    async def _begin_request(self, head: h11.Request) -> bool:
-        """Begin a request. Return whether its body may follow."""
-        if not await self._accept_or_reject(self.incoming.begin(head)):
+    async def _begin_request(self, status: int) -> bool:
+        """Begin a request, unless its head is rejected with a status. Return whether its body may follow."""
+        if not await self._accept_or_reject(status):
             return False
         if self.stream.h11.they_are_waiting_for_100_continue:
             await self.stream.write_continue()
@@ -242,6 +246,15 @@
 
     async def _read_more(self) -> bool:
         """Read more of a request. Return whether the connection goes on."""
+        parser = self.stream.parser
+        if self.has_request_in_progress and parser.unconsumed_bytes:
+            return await self._read_ahead()
+        try:
+            if parser.feed():
+                return True
+        except HeadTooLargeError:
+            await self._reject(431)
+            return False
         if self.is_closing and not self._has_more_to_read():
             # Closes without another read. Later bytes are reset unread, so the client knows that they were
             # not processed; a request that was read would need a response.
@@ -260,7 +273,7 @@
             # by byte. The limit of the first request runs from the accept. This comes after the read, which
             # may have begun before the last response.
             self.lifetime.begin_request()
-        self.stream.h11.receive_data(data)
+        parser.receive(data)
         return True
 
     def _has_more_to_read(self) -> bool:
@@ -278,11 +291,11 @@
     async def _read_ahead(self) -> bool:
         """Read on while a response is awaited. Return whether the client is still connected."""
         # Reads the bytes after the request too, because unread bytes would hide a disconnect.
-        ahead_bytes = len(self.stream.unconsumed)
+        parser = self.stream.parser
         self.is_reading_ahead = True
         await trio.lowlevel.checkpoint()
         while self.has_request_in_progress and not self.is_closing:
-            if ahead_bytes > self.limits.read_ahead_bytes:
+            if parser.unconsumed_bytes > self.limits.read_ahead_bytes:
                 # Ends an endless stream: usual clients send no second request before the first response.
                 self._note_close(CloseReason.READ_AHEAD)
                 self.handler.client_disconnected(self)
@@ -294,8 +307,7 @@
                 continue
             if not data:
                 return False
-            ahead_bytes += len(data)
-            self.stream.h11.receive_data(data)
+            parser.receive(data)
         self.is_reading_ahead = False
         return True
 
@@ -325,7 +337,7 @@
         # Closes after a 4xx, because each client that stays connected after one would hold a descriptor.
         close = (self.closes_after_response and not self.carries_callbacks) or 400 <= response.status < 500
         # A request that was already read behind this one must be answered, so the connection ends after it.
-        close = close and not self.stream.has_head_behind
+        close = close and not self.stream.parser.has_head_behind
         await self.stream.write_response(response, close)
         self.has_request_in_progress, self.has_answered = False, True
         if self.stream.start_next_cycle():
@@ -338,6 +350,8 @@
     async def _reject(self, status: int) -> None:
         """Answer a request that cannot be served, then end the connection."""
         self._note_close(CloseReason.REJECTED)
+        self.incoming.clear()
+        self.stream.parser.discard()
         # Sets the state first, so that no other task closes the connection before the response is written.
         self.has_request_in_progress, self.is_closing = False, True
         if self.stream.may_respond:
--- a/merlinbay/http/messages.py
+++ b/merlinbay/http/messages.py
@@ -18,6 +18,7 @@
     408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
--- a/merlinbay/http/request_buffer.py
+++ b/merlinbay/http/request_buffer.py
@@ -9,36 +9,39 @@
 
 
 class RequestBuffer:
-    """The head of the request that is being read, and the part of its body that has arrived."""
+    """The request that is being read: its head, and the part of its body that has arrived."""
 
     def __init__(self, limits: ResourceLimits) -> None:
         self.limits = limits
-        self.head: h11.Request | None = None
-        self.body = bytearray()
+        self._request: Request | None = None  # the request without its body
+        self._body = bytearray()
 
     def begin(self, head: h11.Request) -> int:
         """Begin a request with its head. Return the status to reject it with, or 0 if its body may follow."""
-        self.head, self.body = head, bytearray()
+        self.clear()
         headers = dict(head.headers)
         length = headers.get(b"content-length")
         if length is not None and b"transfer-encoding" in headers:
             return 400  # The two headers may disagree on the end, which can hide a request in the body.
         if length is not None and int(length) > self.limits.body_bytes:
             return 413  # Rejected at once, so that megabytes are not read first.
+        # The parser's own form of the head takes several times the memory of these texts.
+        self._request = Request(head.method.decode(), head.target.decode("latin-1"), header_table(head), b"")
         return 0
 
     def add(self, data: bytes | bytearray) -> int:
         """Add a part of the body. Return the status to reject the request with, or 0 if more may follow."""
-        self.body += data
-        return 413 if len(self.body) > self.limits.body_bytes else 0
-
-    def request(self, received_at: float) -> Request:
-        """Return the complete request; ``received_at`` is when its last byte was read."""
-        assert self.head is not None  # h11 reports a head before the end of a message.
-        return Request(
-            self.head.method.decode(),
-            self.head.target.decode("latin-1"),
-            header_table(self.head),
-            bytes(self.body),
-            received_at,
-        )
+        self._body += data
+        return 413 if len(self._body) > self.limits.body_bytes else 0
+
+    def take(self, received_at: float) -> Request:
+        """Remove and return the complete request; ``received_at`` is when its last byte was read."""
+        request = self._request
+        assert request is not None  # h11 reports a head before the end of a message.
+        request.body, request.received_at = bytes(self._body), received_at
+        self.clear()
+        return request
+
+    def clear(self) -> None:
+        """Drop what was collected."""
+        self._request, self._body = None, bytearray()
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -146,7 +146,7 @@
                 level="debug",
                 reason=reason.value,
                 had_answered=connection.has_answered,
-                unparsed_bytes=len(connection.stream.unconsumed),
+                unparsed_bytes=connection.stream.parser.unconsumed_bytes,
                 open=len(self.connections),
             )
 
--- a/merlinbay/http/server_stream.py
+++ b/merlinbay/http/server_stream.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import re
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -14,12 +13,11 @@
 
 from merlinbay.http.lifetime import ConnectionLifetime
 from merlinbay.http.messages import Response, encode_response
+from merlinbay.http.parser import HttpParser
 from merlinbay.http.socket_reader import SocketReader
 from merlinbay.http.sockets import StreamSocket, send_all
 from merlinbay.limits import ResourceLimits
 
-HEAD_END = re.compile(rb"\n\r?\n")
-
 PrepareSocket = Callable[[trio.socket.SocketType], Awaitable[StreamSocket]]
 """Wraps the socket of an accepted connection, for example in a TLS stream."""
 
@@ -41,15 +39,20 @@
         # The socket beneath ``raw``, which can be read without a checkpoint after the read.
         self.plain_socket = plain_socket
         self.sock: StreamSocket = sock  # the stream that is read and written: ``raw``, or a wrapper of it
-        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        self.parser = HttpParser(h11.SERVER, limits)
         self.is_head_request = False  # whether the request is a HEAD, whose response has no body
         self.is_writing = False
         self.reader = SocketReader(limits.receive_bytes)
 
+    @property
+    def h11(self) -> h11.Connection:
+        """The state of the current request and its response."""
+        return self.parser.h11
+
     @property
     def is_between_requests(self) -> bool:
         """Whether no part of a request was read."""
-        return self.h11.their_state is h11.IDLE and not self.unconsumed
+        return self.h11.their_state is h11.IDLE and not self.parser.unconsumed_bytes
 
     @property
     def is_within_request(self) -> bool:
@@ -66,20 +69,10 @@
         """Whether no response to the current request has been started."""
         return self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
-    @property
-    def unconsumed(self) -> bytes:
-        """The bytes that were read after the current request."""
-        return bytes(self.h11.trailing_data[0])
-
-    @property
-    def has_head_behind(self) -> bool:
-        """Whether the head of another request was read after the current request."""
-        return HEAD_END.search(self.unconsumed) is not None
-
     def start_next_cycle(self) -> bool:
         """Prepare for the next request. Return whether the connection can carry one."""
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
-            self.h11.start_next_cycle()
+            self.parser.start_next_cycle()
             return True
         return False
 
@@ -98,7 +91,7 @@
 
     def when_request_read(self) -> float:
         """Return when the last byte of the request that has just ended was read."""
-        return self.reader.when_read(len(self.unconsumed))
+        return self.reader.when_read(self.parser.unconsumed_bytes)
 
     async def write_response(self, response: Response, close: bool) -> None:
         """Write a response. With ``close``, it announces that the connection closes after it."""
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -15,6 +15,9 @@
     # HTTP messages
     body_bytes: int = 64 * 1024  # maximum size of the body of a request or response
     head_bytes: int = 16 * 1024  # maximum size of the head of a request or response
+    head_fields: int = 100  # maximum number of fields in a head, each of which costs far more than its bytes
+    # Maximum size of the part of a chunked body that is parsed at once; each chunk costs time of its own.
+    chunked_part_bytes: int = 1024
     receive_bytes: int = 32 * 1024  # maximum size of one read from a socket
     # Limit for reads behind a request that is in progress; larger than one complete request.
     read_ahead_bytes: int = 96 * 1024
--- a/tests/faulty_cluster.py
+++ b/tests/faulty_cluster.py
@@ -272,7 +272,7 @@
 
 def _has_more_to_read(client: ClientConnection) -> bool:
     """Tell whether a client's connection holds bytes behind the answer, its end aside."""
-    if client.h11.trailing_data[0]:
+    if client.parser.unconsumed_bytes:
         return True
     try:
         return bool(client.sock._sock.recv(1))  # type: ignore[attr-defined]
--- a/tests/test_client_terms.py
+++ b/tests/test_client_terms.py
@@ -666,8 +666,8 @@
             await trio.sleep(0.1)
             before = node.clock.now_us()
             await client.send(b"i")
-            connection = next(iter(node.listener.connections))
-            await wait_until(lambda: connection.stream.h11.trailing_data[0] == job("b", timeout_ms=900))
+            connection, second_bytes = next(iter(node.listener.connections)), len(job("b", timeout_ms=900))
+            await wait_until(lambda: connection.stream.parser.unconsumed_bytes == second_bytes)
             read_by = node.clock.now_us()
             await client.send(job("c")[:20])  # later data behind the request does not belong to it
             await trio.sleep(0.2)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -147,7 +147,7 @@
             await at.client.send(REQUEST_BYTES)
             await at.request_received.wait()
             await at.client.send(REQUEST_BYTES)
-            await wait_until(lambda: bool(at.connection.stream.h11.trailing_data[0]))
+            await wait_until(lambda: at.connection.stream.parser.unconsumed_bytes > 0)
             assert len(at.requested) == 1
             at.connection.respond(Response(200, b"one"))
             await wait_until(lambda: len(at.requested) == 2)
@@ -174,7 +174,7 @@
                 at.connection.lifetime.expires_at = 0.0
                 at.connection.expire()
             at.client._sock.send(REQUEST_BYTES[:10])  # type: ignore[attr-defined]  # no task runs in between
-            await wait_until(lambda: at.connection.stream.h11.trailing_data[0] == REQUEST_BYTES[:10])
+            await wait_until(lambda: at.connection.stream.parser.unconsumed_bytes == 10)
             # The request has its own time limit now.
             assert at.connection.lifetime.expires_at > trio.current_time()
             await at.client.send(REQUEST_BYTES[10:])
@@ -233,7 +233,7 @@
             at.connection.respond(Response(200, b"x" * 20_000_000))  # more than the socket buffers hold
             await wait_until(lambda: at.connection.stream.is_writing)
             await at.client.send(b"x" * 1000)
-            await wait_until(lambda: bool(at.connection.stream.h11.trailing_data[0]))
+            await wait_until(lambda: at.connection.stream.parser.unconsumed_bytes > 0)
             assert len(await at.answered()) > 20_000_000
 
     run_scenario(scene)
