Timers of requests and attempts are cancelled with their end

Callers saw: memory that grew with each answered request, until a process passed its limit. Cause: the dispatcher's timers could not be cancelled. The timer of a request's deadline holds the request, its body included, until then; X-Timeout-Ms allows an hour. Evidence: eight clients whose requests of 64 KiB are served at once: 102 MiB of 64 after 4 s. Looked at for the same mistake: the module's checks (decision/attempt_timers.py) and the polling of schedulers keep numbers and keys for some run times only; batch/timers.py takes back; fleet/timers.py holds only its own timers.

--- a/merlinbay/core/attempt_lifecycle.py
+++ b/merlinbay/core/attempt_lifecycle.py
@@ -107,7 +107,7 @@
         self.requests.open_attempt(request, attempt)
         self.trace.attempt_sent(attempt)
         if deadline_at_us < request.deadline_at_us:
-            self.timers.add(deadline_at_us, AttemptDeadline(attempt))
+            attempt.timer_keys.append(self.timers.add(deadline_at_us, AttemptDeadline(attempt)))
         self.servers.start(attempt)
         if request.is_recalling:  # A hedge must not start while the first attempt is being recalled.
             self.servers.recall(attempt)
@@ -211,6 +211,7 @@
         if outcome not in NEVER_RAN and not was_returned:
             self._note_possible_run(request, attempt, outcome)
         attempt.has_ended = True
+        self.timers.cancel(attempt.timer_keys)
         self.servers.forget(attempt)
         self.counters.add(f"attempts_{outcome.name.lower()}")
         self.trace.attempt_ended(attempt, outcome)
@@ -226,7 +227,7 @@
                 attempt.server,
             )
         )
-        self.requests.remove_if_finished(request)
+        self.request_lifecycle.remove_if_finished(request)
 
     def _note_possible_run(self, request: OpenRequest, attempt: ServerAttempt, outcome: Outcome) -> None:
         request.may_have_run = True
--- a/merlinbay/core/attempts.py
+++ b/merlinbay/core/attempts.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from merlinbay.core.values import Answer, RequestSpec
+from merlinbay.core.values import Answer, RequestSpec, TimerKey
 from merlinbay.decision.events import UnresolvedAttempt
 
 
@@ -73,6 +73,7 @@
     has_ended: bool = False
     has_started: bool = False
     is_suspended: bool = False
+    timer_keys: list[TimerKey] = field(default_factory=list)  # its timers, which are cancelled with its end
     responder: Responder | None = None  # responder of the request
     # Returns whether the decision module still allows the attempt; ``may_begin`` calls it.
     is_permitted: Callable[[ServerAttempt], bool] = is_always_permitted
--- a/merlinbay/core/deadlines.py
+++ b/merlinbay/core/deadlines.py
@@ -57,7 +57,7 @@
         for attempt in attempts:
             self.attempt_lifecycle.cancel(attempt, Outcome.TIMEOUT)
         if attempts:
-            self.timers.add(self.batch.now_us + self.limits.deadline_recheck_us, RequestDeadline(request))
+            self.request_lifecycle.set_deadline(request, self.batch.now_us + self.limits.deadline_recheck_us)
             return
         # The decision module has kept the request open past its deadline, or has raised an exception on it.
         self.request_lifecycle.fail_overdue(request)
--- a/merlinbay/core/request_lifecycle.py
+++ b/merlinbay/core/request_lifecycle.py
@@ -57,7 +57,17 @@
         """Answer a request unless it has been answered, and remove it if it has no open attempt."""
         if not request.is_answered:
             self.answer(request, answer, cause)
-            self.requests.remove_if_finished(request)
+            self.remove_if_finished(request)
+
+    def remove_if_finished(self, request: OpenRequest) -> None:
+        """Remove a request that is answered and has no open attempt, with its timers."""
+        # A timer would keep the request, with its body, until the deadline, which may be an hour away.
+        if self.requests.remove_if_finished(request):
+            self.timers.cancel(request.timer_keys)
+
+    def set_deadline(self, request: OpenRequest, due_at_us: int) -> None:
+        """Set a timer for the request's deadline."""
+        request.timer_keys.append(self.timers.add(due_at_us, RequestDeadline(request)))
 
     def withdraw(self, request: OpenRequest) -> None:
         """Close a request whose client has disconnected, without an answer."""
@@ -77,7 +87,7 @@
 
     def _close_in_module(self, request: OpenRequest) -> None:
         self.batch.add(ClientDisconnected(request.number))
-        self.requests.remove_if_finished(request)
+        self.remove_if_finished(request)
 
     def _on_arrived(self, message: RequestArrived) -> None:
         spec = message.spec
@@ -99,7 +109,7 @@
         deadline_at_us = spec.arrived_at_us + budget_us
         request = OpenRequest(spec, self.request_count, message.responder, deadline_at_us)
         self.requests.add(request)
-        self.timers.add(deadline_at_us, RequestDeadline(request))
+        self.set_deadline(request, deadline_at_us)
         remaining_us = max(deadline_at_us - self.batch.now_us, 0)
         self.trace.taken(spec, remaining_us)
         self.batch.add(received_event(request.number, spec, remaining_us))
@@ -116,7 +126,7 @@
         for request in self.requests:
             if not request.is_answered and request.deadline_at_us > latest_us:
                 request.deadline_at_us = latest_us
-                self.timers.add(latest_us, RequestDeadline(request))
+                self.set_deadline(request, latest_us)
 
 
 def received_event(number: int, spec: RequestSpec, remaining_us: int) -> RequestReceived:
--- a/merlinbay/core/requests.py
+++ b/merlinbay/core/requests.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from merlinbay.core.attempts import Responder, ServerAttempt
-from merlinbay.core.values import ExitDetails, RequestSpec
+from merlinbay.core.values import ExitDetails, RequestSpec, TimerKey
 
 
 @dataclass(slots=True, eq=False)
@@ -27,6 +27,7 @@
     is_recalling: bool = False  # its client has asked for a recall, which is in progress
     exit_details: ExitDetails | None = None  # exit details of the attempt that ended last
     open_attempts: dict[int, ServerAttempt] = field(default_factory=dict)  # by attempt number
+    timer_keys: list[TimerKey] = field(default_factory=list)  # its timers, which are cancelled with its end
 
     def __post_init__(self) -> None:
         self.may_have_run = self.may_have_run or bool(self.spec.earlier_attempts)
@@ -82,14 +83,16 @@
         del request.open_attempts[attempt.number]
         return request
 
-    def remove_if_finished(self, request: OpenRequest) -> None:
-        """Remove a request that is answered and has no open attempt."""
+    def remove_if_finished(self, request: OpenRequest) -> bool:
+        """Remove a request that is answered and has no open attempt. Return whether it was removed now."""
         if not request.is_answered or request.open_attempts:
-            return
-        if self.by_number.pop(request.number, None) is not None:
-            del self.by_name[request.spec.name]
-            if request.attempt_count:
-                self._remember(request.spec.name)
+            return False
+        if self.by_number.pop(request.number, None) is None:
+            return False
+        del self.by_name[request.spec.name]
+        if request.attempt_count:
+            self._remember(request.spec.name)
+        return True
 
     def _remember(self, name: str) -> None:
         # A client's repeat of a finished request must not be dispatched as a new one.
--- a/merlinbay/core/values.py
+++ b/merlinbay/core/values.py
@@ -11,6 +11,9 @@
 from merlinbay.decision.settings import Settings
 from merlinbay.limits import ResourceLimits
 
+TimerKey = tuple[int, int]
+"""When a timer of the dispatcher is due, and a sequence number of its own."""
+
 
 class AnswerStatus(Enum):
     """The kind of a final answer. The value is part of a counter's name."""
