--- /dev/null
+++ b/tests/test_kept_state.py
@@ -0,0 +1,122 @@
+"""What a node keeps of requests that have ended, whatever names their clients make up."""
+
+from __future__ import annotations
+
+import gc
+from collections import deque
+from dataclasses import replace
+from types import FunctionType, ModuleType
+from unittest.mock import Mock
+
+import pytest
+
+from merlinbay.core.attempts import Responder, ServerAttempt
+from merlinbay.core.dispatcher import Dispatcher
+from merlinbay.core.messages import AttemptFinished, RequestArrived, RequestWithdrawn
+from merlinbay.core.values import Answer, RequestSpec
+from merlinbay.counters import Counters
+from merlinbay.decision import Balancer
+from merlinbay.decision.events import EndpointEntry, EndpointsChanged
+from merlinbay.decision.outcomes import Outcome
+from merlinbay.log import Log
+from tests.net import LIMITS
+from tests.support import settings
+
+HOUR_US = 3_600_000_000
+REQUESTS = 600
+PAUSE_US = 20_000
+REMEMBERED = 200  # names of finished requests; less than the requests of one round
+TOLERANCE = 0.02  # what learned state may grow by between two rounds
+
+
+class Client(Responder):
+    """A client of one request."""
+
+    def __init__(self) -> None:
+        self.answers: list[Answer] = []
+
+    def answer(self, answer: Answer) -> None:
+        """Keep the answer."""
+        self.answers.append(answer)
+
+
+class Play:
+    """A dispatcher whose servers do what the play says."""
+
+    def __init__(self, cancelling: bool = True) -> None:
+        self.clock, self.servers = Mock(), Mock()
+        self.attempts: deque[ServerAttempt] = deque()
+        self.servers.start = self.attempts.append
+        self.clock.now_us.return_value = 1_000_000
+        conf = settings(balancers=1)
+        conf.limits.cancelling = cancelling
+        balancer = Balancer(conf, 1, 0)
+        balancer.handle(0, [EndpointsChanged("all", [EndpointEntry(f"w{n}", "a", "k1") for n in range(4)])])
+        limits = replace(LIMITS, finished_request_names=REMEMBERED)
+        self.dispatcher = Dispatcher(balancer, self.clock, limits, Counters(), Log(0), self.servers, Mock())
+        self.number = 0
+
+    def hand_in(self, budget_us: int = HOUR_US) -> tuple[RequestSpec, Client]:
+        """Hand in a request whose id, tenant and keys nobody has used before."""
+        self.number += 1
+        self.clock.now_us.return_value += PAUSE_US
+        now_us, name = self.clock.now_us(), f"job-{self.number}"
+        client = Client()
+        spec = RequestSpec(
+            name,
+            "safe",
+            now_us,
+            budget_us,
+            idempotency_key=f"key-{name}",
+            affinity_key=f"subject-{name}",
+            tenant=f"tenant-{name}",
+        )
+        self.dispatcher.run_batch([RequestArrived(spec, client)])
+        return spec, client
+
+    def finish(self) -> None:
+        """End all attempts that are out as done."""
+        while self.attempts:
+            attempt = self.attempts.popleft()
+            self.dispatcher.run_batch(
+                [AttemptFinished(attempt.spec.name, attempt.server, Outcome.OK, b"done")]
+            )
+
+
+def reachable_objects(root: object) -> int:
+    """Return how many objects can be reached from one, code aside."""
+    seen: set[int] = set()
+    open_objects = [root]
+    while open_objects:
+        found = open_objects.pop()
+        if id(found) in seen or isinstance(found, type | ModuleType | FunctionType | Mock):
+            continue
+        seen.add(id(found))
+        open_objects += gc.get_referents(found)
+    return len(seen)
+
+
+# Guards against memory that grows with requests that have ended, or with names that clients make up.
+def test_nothing_is_kept_for_each_request_that_has_ended() -> None:
+    """After as many requests again, as much is kept as before, though each might wait an hour."""
+    play, counts = Play(), []
+    for _ in range(3):
+        for _ in range(REQUESTS):
+            _, client = play.hand_in()
+            play.finish()
+            assert len(client.answers) == 1
+        counts.append(reachable_objects(play.dispatcher))
+    assert counts[2] < counts[1] * (1 + TOLERANCE), counts
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_an_attempt_whose_client_has_left_ends_with_its_deadline(cancelling: bool) -> None:
+    """Its server never reports again, and the settings may not allow cancels."""
+    play = Play(cancelling)
+    spec, client = play.hand_in(budget_us=2_000_000)
+    assert len(play.attempts) == 1
+    play.dispatcher.run_batch([RequestWithdrawn(spec.name, client)])
+    play.clock.now_us.return_value += 2_000_000
+    play.dispatcher.run_batch([])
+    assert len(play.dispatcher.requests) == 0
+    assert play.dispatcher.balancer.in_flight_slots == 0
