The cache of subjects holds hashes instead of the clients' keys

Callers saw: up to 64 MB more for 4,096 keys of X-Route-Key, which may be as long as a head. Cause: Placement cached the preferred endpoints by the key itself. They depend on its CRC alone. Change: the cache is by that CRC; the same endpoints are preferred (tests/test_decision_streams.py green).

--- a/merlinbay/decision/placement.py
+++ b/merlinbay/decision/placement.py
@@ -52,7 +52,8 @@
         self._load, self._slow_start, self._eligibility = load, slow_start, eligibility
         self._admission, self._costs = admission, costs
         self.cross_zone_share = 0.0
-        self._affinity: dict[str, list[Endpoint]] = {}  # by key: the endpoints that it prefers, in order
+        # By hash of a key, since clients may send long keys: the endpoints that it prefers, in order.
+        self._affinity: dict[int, list[Endpoint]] = {}
 
     def candidate_batches(self, request: TrackedRequest) -> list[list[Endpoint]]:
         """Return batches of candidate endpoints, the preferred ones first."""
@@ -153,17 +154,17 @@
 
     def _preferred(self, key: str, near: list[Endpoint], far: list[Endpoint]) -> list[Endpoint]:
         """Return the endpoints that a key prefers, highest hash first: the same ones at every balancer."""
-        if key not in self._affinity:
+        seed, own_zone = zlib.crc32(key.encode()), self._context.settings.zone
+        if seed not in self._affinity:
             if len(self._affinity) >= MAX_CACHED_KEYS:
                 self._affinity.clear()
-            seed, own_zone = zlib.crc32(key.encode()), self._context.settings.zone
             ranked = sorted(
                 near + far, key=lambda endpoint: zlib.crc32(endpoint.name.encode(), seed), reverse=True
             )
             first = [endpoint for endpoint in ranked if endpoint.zone == own_zone][:1]
             remaining = [endpoint for endpoint in ranked if endpoint not in first]
-            self._affinity[key] = first + remaining[:AFFINITY_ENDPOINTS]
-        return self._affinity[key]
+            self._affinity[seed] = first + remaining[:AFFINITY_ENDPOINTS]
+        return self._affinity[seed]
 
     def cached_key_count(self) -> int:
         """Return the number of keys whose endpoints are remembered."""
