Attempts of an answered request end with its deadline where cancels are not allowed

Callers saw: requests refused with every server idle, and memory that grew: slots and requests of clients that had left were never given back. Cause: at its deadline a request was looked at only while it was unanswered. Where the settings allow no cancels, a client that leaves (or a hedge behind the first answer) leaves an attempt open; if its server never reports again, the request, its body and the slots stayed for the life of the process, up to max_open_requests, and then everything was refused.

--- a/merlinbay/core/deadlines.py
+++ b/merlinbay/core/deadlines.py
@@ -44,7 +44,7 @@
             case AttemptDeadline(attempt):
                 self._end_attempt_if_open(attempt)
             case RequestDeadline(request):
-                if not request.is_answered and request.deadline_at_us <= self.batch.now_us:
+                if request.deadline_at_us <= self.batch.now_us:
                     self._end_request(request)
 
     def _end_attempt_if_open(self, attempt: ServerAttempt) -> None:
@@ -52,10 +52,16 @@
             self.attempt_lifecycle.cancel(attempt, Outcome.TIMEOUT)
 
     def _end_request(self, request: OpenRequest) -> None:
-        """Cancel a request's attempts; fail the request if the module has not answered it shortly after."""
+        """Cancel a request's attempts; fail the request if the module has not answered it shortly after.
+
+        A request that was answered, or whose client has left, may still have attempts: the settings may not
+        allow cancels, and their servers may never report again.
+        """
         attempts = list(request.open_attempts.values())
         for attempt in attempts:
             self.attempt_lifecycle.cancel(attempt, Outcome.TIMEOUT)
+        if request.is_answered:
+            return
         if attempts:
             self.request_lifecycle.set_deadline(request, self.batch.now_us + self.limits.deadline_recheck_us)
             return
