--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -81,6 +81,20 @@
     check(*play(tmp_path, talk))
 
 
+# Guards against memory that is bounded for each connection, and not for all of them together.
+@pytest.mark.parametrize(
+    "talk",
+    [
+        slow_clients.half_body,
+        slow_clients.bytes_behind,
+        slow_clients.large_callbacks,
+    ],
+)
+def test_unfinished_and_large_messages_stay_within_the_memory_limit(tmp_path: Path, talk: Talk) -> None:
+    """Hundreds of clients stop half way, write slowly, send behind a request, or send large call-backs."""
+    check(*play(tmp_path, talk))
+
+
 # Guards against requests that were answered, and are kept until their deadlines.
 def test_answered_requests_are_not_kept_until_their_deadlines(tmp_path: Path) -> None:
     """Few clients send large requests one after the other, each with an hour for its answer."""
