One budget for the bytes that all connections of a node hold

Callers saw: a process passed its limit while hundreds of clients wrote slowly, stopped half way, or sent on behind a request; large call-backs at once did the same. Cause: each connection was bounded (head, body, bytes behind, read size), and the sum over all of them by nothing: at 1,024 descriptors 644 connections may hold over 200 KiB each. Found with it: a connection that lingers after a rejection, or reads behind a request, kept the last 32 KiB that it had read while it waited for the next. Change: `http/memory_budget.py`, one for a node's listeners and its connections to servers: a sixth of what the limit leaves beside the process. While it is full, connections read on in large messages only once there is room, so that bytes wait in the kernel; messages that are still incomplete after 0.1 s, or pass the limit, are given up, the largest first: an incomplete request gets 503 (it was never forwarded), bytes behind a request count as an endless stream, as before. Messages up to 4 KiB never wait. Where memory is the shorter one, fewer connections are accepted.

--- a/merlinbay/config.py
+++ b/merlinbay/config.py
@@ -25,6 +25,8 @@
     from merlinbay.drmaa.settings import DrmaaSettings
     from merlinbay.operator_file import Operator
 
+LARGEST_AT_ONCE = 4  # requests of the submission front's largest size
+
 
 class FileLimits(msgspec.Struct):
     """The ``limits`` of the configuration file: the resources that the platform grants the process."""
@@ -116,7 +118,10 @@
 
 def _share_with_front(limits: ResourceLimits, drmaa: DrmaaSettings) -> ResourceLimits:
     """Return the limits of a node that also runs the DRMAA front."""
-    limits = replace(limits, body_bytes=max(limits.body_bytes, drmaa.body_kib * 1024))
+    body_bytes = max(limits.body_bytes, drmaa.body_kib * 1024)
+    # A few of the largest requests must have room at a time.
+    message_bytes = max(limits.message_bytes, LARGEST_AT_ONCE * body_bytes)
+    limits = replace(limits, body_bytes=body_bytes, message_bytes=message_bytes)
     if not drmaa.access.tls:
         return limits
     return replace(  # The two listeners share the descriptors.
--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -12,6 +12,7 @@
 import h11
 import trio
 
+from merlinbay.http.memory_budget import SMALL_MESSAGE_BYTES, MemoryBudget
 from merlinbay.http.parser import HeadTooLargeError, HttpParser
 from merlinbay.http.sockets import is_readable, send_all
 from merlinbay.limits import ResourceLimits
@@ -89,16 +90,30 @@
     """One connection to a server. Times are on trio's clock."""
 
     def __init__(
-        self, sock: trio.socket.SocketType, host: str, limits: ResourceLimits, body_bytes: int
+        self,
+        sock: trio.socket.SocketType,
+        host: str,
+        limits: ResourceLimits,
+        body_bytes: int,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.sock, self.host, self.limits, self.body_bytes = sock, host, limits, body_bytes
+        self.budget = budget  # counts what the responses take; None: this connection is not counted
+        self._body = bytearray()  # the part of a response's body that has arrived
+        self._is_released = False  # whether memory was short, and the response was given up
+        self._read_scope = trio.CancelScope()
         self.parser = HttpParser(h11.CLIENT, limits)
         self.idle_since = 0.0
         self.quarantined_until = 0.0  # a stray response may arrive until this time
 
     @classmethod
     async def connect(
-        cls, addr: str, limits: ResourceLimits, body_bytes: int = 0, timeout: float = 0.0
+        cls,
+        addr: str,
+        limits: ResourceLimits,
+        body_bytes: int = 0,
+        timeout: float = 0.0,
+        budget: MemoryBudget | None = None,
     ) -> ClientConnection:
         """Open a connection. Raises ``RequestNotSentError`` if it cannot be established.
 
@@ -124,7 +139,7 @@
         except BaseException:
             sock.close()
             raise
-        return cls(sock, addr, limits, body_bytes or limits.body_bytes)
+        return cls(sock, addr, limits, body_bytes or limits.body_bytes, budget)
 
     @property
     def h11(self) -> h11.Connection:
@@ -145,6 +160,24 @@
     def close(self) -> None:
         """Close the connection."""
         self.sock.close()
+        if self.budget is not None:
+            self.budget.set_held(self, 0)
+
+    def releasable_bytes(self) -> int:
+        """Return how many bytes the response takes so far."""
+        return len(self._body) + self.parser.unconsumed_bytes
+
+    def release_memory(self) -> None:
+        """Give up the response that is being received, because memory is short."""
+        self._is_released = True
+        self._body.clear()
+        self.parser.discard()
+        self._account()
+        self._read_scope.cancel()
+
+    def _account(self) -> None:
+        if self.budget is not None:
+            self.budget.set_held(self, self.releasable_bytes())
 
     async def exchange(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Reply:
         """Send a request and return its response.
@@ -182,24 +215,35 @@
 
     async def _read_reply(self) -> Reply:
         reply: Reply | None = None
-        body = bytearray()
+        self._body = bytearray()
         while True:
             event = self.h11.next_event()
             if event is h11.NEED_DATA:
                 if not self.parser.feed():
-                    self.parser.receive(await self.sock.recv(self.limits.receive_bytes))
+                    await self._receive()
             elif type(event) is h11.Response:
                 # The parser's own form of the head takes several times the memory of these texts.
                 headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
                 reply = Reply(event.status_code, headers, b"")
             elif type(event) is h11.Data:
-                body += event.data
-                if len(body) > self.body_bytes:
+                self._body += event.data
+                if len(self._body) > self.body_bytes:
                     raise UnreadableResponseError("the response body exceeds the size limit")
             elif type(event) is h11.EndOfMessage and reply is not None:
                 if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
                     self.parser.start_next_cycle()
-                reply.body = bytes(body)
+                reply.body, self._body = bytes(self._body), bytearray()
+                self._account()
                 return reply
             elif type(event) is h11.ConnectionClosed:
                 raise ConnectionBrokenError("the connection was closed before the response was complete")
+
+    async def _receive(self) -> None:
+        """Read more of a response. Raises ``UnreadableResponseError`` if memory is short."""
+        with trio.CancelScope() as self._read_scope:
+            if self.budget is not None and self.releasable_bytes() > SMALL_MESSAGE_BYTES:
+                await self.budget.wait_for_room()
+            self.parser.receive(await self.sock.recv(self.limits.receive_bytes))
+            self._account()
+        if self._is_released:
+            raise UnreadableResponseError("memory is short, and the response is not complete")
--- a/merlinbay/http/close_reasons.py
+++ b/merlinbay/http/close_reasons.py
@@ -12,6 +12,7 @@
     RESPONDED = "responded"  # a response has announced the end
     REJECTED = "rejected"  # a request could not be read, or was too large
     READ_AHEAD = "read_ahead"  # too many bytes came behind a request in progress
+    MEMORY_SHORT = "memory_short"  # its request was the largest incomplete one when memory was short
     EXPIRED = "expired"  # its client was idle, or too slow, for too long
     EVICTED = "evicted"  # its place was needed for another connection
     DRAINED = "drained"  # the node shuts down, or is in standby
--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -17,6 +17,7 @@
 from merlinbay.http.close_reasons import CloseReason
 from merlinbay.http.late_responses import LateResponses
 from merlinbay.http.lifetime import ConnectionLifetime
+from merlinbay.http.memory_budget import SMALL_MESSAGE_BYTES, MemoryBudget
 from merlinbay.http.messages import Request, Response
 from merlinbay.http.parser import HeadTooLargeError
 from merlinbay.http.request_buffer import RequestBuffer
@@ -49,6 +50,7 @@
         limits: ResourceLimits,
         handler: Handler,
         nursery: trio.Nursery,
+        budget: MemoryBudget,
         prepare_socket: PrepareSocket | None = None,
         plain_socket: socket.socket | None = None,
     ) -> None:
@@ -58,6 +60,7 @@
             nursery,
             prepare_socket,
         )
+        self.budget = budget
         self.lifetime = ConnectionLifetime(limits)
         self.stream = ServerStream(sock, plain_socket, limits, self.lifetime)
         self.incoming = RequestBuffer(limits)  # parts of the request that is being read
@@ -73,6 +76,8 @@
         self.has_request_in_progress = False  # from the call of the handler until its response is written
         self.has_answered = False  # whether at least one response was written
         self.is_reading_ahead = False  # whether it reads while a response is awaited
+        self.request_bytes = 0  # what the request in progress takes
+        self.is_released = False  # whether memory was short, and its incomplete message was given up
         self.is_closing = False  # whether it ends instead of reading another request
         self.has_ended = False
         self.close_reason: CloseReason | None = None  # the first cause of its end; None while it is open
@@ -144,6 +149,32 @@
         else:
             self.close_gracefully(CloseReason.EXPIRED)
 
+    # Memory.
+
+    def releasable_bytes(self) -> int:
+        """Return how many bytes an incomplete request, or the bytes behind a complete one, take."""
+        if self.is_released or self.stream.has_sent_last_response:
+            return 0
+        return self.incoming.held_bytes + self.stream.parser.unconsumed_bytes
+
+    @property
+    def _read_bytes(self) -> int:
+        """Maximum size of the next read."""
+        return SMALL_MESSAGE_BYTES if self.budget.is_full else self.limits.receive_bytes
+
+    def release_memory(self) -> None:
+        """Give up an incomplete request, or the bytes behind one in progress, because memory is short."""
+        self.is_released = True
+        self.incoming.clear()
+        self.stream.parser.discard()
+        self._account()
+        self.read_scope.cancel()
+
+    def _account(self) -> None:
+        """Tell the budget what the connection holds."""
+        received_bytes = self.incoming.held_bytes + self.stream.parser.unconsumed_bytes
+        self.budget.set_held(self, received_bytes + self.request_bytes)
+
     # Requests.
 
     async def serve(self) -> None:
@@ -164,6 +195,7 @@
             finally:
                 self._note_close(CloseReason.CLIENT_LEFT)
         self.has_ended = True
+        self.budget.set_held(self, 0)
         self.late_responses.end()
         if self.has_request_in_progress:
             self.has_request_in_progress = False
@@ -173,6 +205,10 @@
         """Read requests until the connection ends."""
         goes_on = True
         while goes_on:
+            if self.is_released and not self.has_request_in_progress:
+                self._note_close(CloseReason.MEMORY_SHORT)
+                await self._reject(503)
+                return
             if not self.stream.has_sent_last_response:
                 goes_on = await self._handle_next_event()
             elif not self.is_closing:
@@ -226,7 +262,9 @@
     async def _handle_request(self, request: Request) -> None:
         """Pass a request to the handler, and write its response unless it comes late."""
         self.lifetime.await_response()
-        self.has_request_in_progress = True
+        # The handler makes a form of its own of the request, or sends it on.
+        self.has_request_in_progress, self.request_bytes = True, 2 * len(request.body)
+        self._account()
         self.stream.is_head_request = request.method == "HEAD"
         if self.is_closing:  # The request was complete in time: the connection ends after its response.
             self.is_closing, self.closes_after_response, self.close_reason = False, True, None
@@ -265,7 +303,9 @@
         self.stream.forget_reads()
         # The scope holds nothing but the read, so that a cancelled read has consumed no bytes.
         with trio.CancelScope() as self.read_scope:
-            data = await self.stream.receive()
+            if self.budget.is_full and self.releasable_bytes() > SMALL_MESSAGE_BYTES:
+                await self.budget.wait_for_room()
+            data = await self.stream.receive(self._read_bytes)
         if self.read_scope.cancelled_caught:
             return True
         if self.is_idle and self.has_answered:
@@ -274,6 +314,7 @@
             # may have begun before the last response.
             self.lifetime.begin_request()
         parser.receive(data)
+        self._account()
         return True
 
     def _has_more_to_read(self) -> bool:
@@ -295,19 +336,22 @@
         self.is_reading_ahead = True
         await trio.lowlevel.checkpoint()
         while self.has_request_in_progress and not self.is_closing:
-            if parser.unconsumed_bytes > self.limits.read_ahead_bytes:
-                # Ends an endless stream: usual clients send no second request before the first response.
+            if self.is_released or parser.unconsumed_bytes > self.limits.read_ahead_bytes:
+                # Ends an endless stream: usual clients send no second request before the first response. The
+                # same holds for what is behind a request when memory is short.
                 self._note_close(CloseReason.READ_AHEAD)
                 self.handler.client_disconnected(self)
                 await self._reject(400)
                 return False
             with trio.CancelScope() as self.read_scope:
-                data = await self.stream.receive()
+                data = await self.stream.receive(self._read_bytes)
             if self.read_scope.cancelled_caught:
                 continue
             if not data:
                 return False
             parser.receive(data)
+            del data  # It would be held while the next bytes are awaited.
+            self._account()
         self.is_reading_ahead = False
         return True
 
@@ -340,6 +384,8 @@
         close = close and not self.stream.parser.has_head_behind
         await self.stream.write_response(response, close)
         self.has_request_in_progress, self.has_answered = False, True
+        self.request_bytes = 0
+        self._account()
         if self.stream.start_next_cycle():
             self.lifetime.begin_idle(self.has_served_request)
             if self.is_reading_ahead or self.send_to_successor is not None:
--- a/merlinbay/http/pool.py
+++ b/merlinbay/http/pool.py
@@ -22,6 +22,7 @@
     Reply,
     RequestNotSentError,
 )
+from merlinbay.http.memory_budget import MemoryBudget
 from merlinbay.limits import ResourceLimits
 
 PreSendCheck = Callable[[], Headers]
@@ -72,8 +73,10 @@
         limits: ResourceLimits,
         counters: Counters,
         is_serving: Callable[[str], bool] = lambda name: True,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.limits, self.counters = limits, counters
+        self.budget = budget or MemoryBudget(limits.message_bytes)
         # Returns whether a server is up in the latest list, which the decision module may not have yet.
         self.is_serving = is_serving
         self.servers: dict[str, PooledServer] = {}
@@ -174,7 +177,7 @@
             raise LocalResourceError("every connection to servers that the limit allows is in use")
         self.open_connections += 1
         try:
-            connection = await ClientConnection.connect(server.address, self.limits)
+            connection = await ClientConnection.connect(server.address, self.limits, budget=self.budget)
         except BaseException as error:
             self.open_connections -= 1
             if isinstance(error, LocalResourceError):
--- a/merlinbay/http/request_buffer.py
+++ b/merlinbay/http/request_buffer.py
@@ -7,6 +7,8 @@
 from merlinbay.http.messages import Request, header_table
 from merlinbay.limits import ResourceLimits
 
+FIELD_BYTES = 150  # what a field takes in a table of texts, beside its own characters
+
 
 class RequestBuffer:
     """The request that is being read: its head, and the part of its body that has arrived."""
@@ -14,8 +16,14 @@
     def __init__(self, limits: ResourceLimits) -> None:
         self.limits = limits
         self._request: Request | None = None  # the request without its body
+        self._head_bytes = 0
         self._body = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes the request takes so far."""
+        return self._head_bytes + len(self._body)
+
     def begin(self, head: h11.Request) -> int:
         """Begin a request with its head. Return the status to reject it with, or 0 if its body may follow."""
         self.clear()
@@ -27,6 +35,7 @@
             return 413  # Rejected at once, so that megabytes are not read first.
         # The parser's own form of the head takes several times the memory of these texts.
         self._request = Request(head.method.decode(), head.target.decode("latin-1"), header_table(head), b"")
+        self._head_bytes = sum(FIELD_BYTES + len(name) + len(value) for name, value in head.headers)
         return 0
 
     def add(self, data: bytes | bytearray) -> int:
@@ -44,4 +53,4 @@
 
     def clear(self) -> None:
         """Drop what was collected."""
-        self._request, self._body = None, bytearray()
+        self._request, self._head_bytes, self._body = None, 0, bytearray()
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -14,6 +14,7 @@
 from merlinbay.counters import Counters
 from merlinbay.http.close_reasons import CloseReason
 from merlinbay.http.connection import Connection, Handler, PrepareSocket, SendToSuccessor
+from merlinbay.http.memory_budget import MemoryBudget
 from merlinbay.http.sockets import split_plain_socket
 from merlinbay.limits import ResourceLimits
 from merlinbay.log import Log
@@ -35,8 +36,16 @@
 class Listener:
     """Accepts connections, up to a limit, and serves each in a task."""
 
-    def __init__(self, handler: Handler, limits: ResourceLimits, counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ResourceLimits,
+        counters: Counters,
+        log: Log,
+        budget: MemoryBudget | None = None,  # shared by all connections of a node; without one, its own
+    ) -> None:
         self.handler, self.limits, self.counters, self.log = handler, limits, counters, log
+        self.budget = budget or MemoryBudget(limits.message_bytes)
         self.connections: set[Connection] = set()
         self.prepare_socket: PrepareSocket | None = None  # wraps accepted sockets in TLS; None without TLS
         self.is_draining = False  # whether no new connections are expected; existing ones are still served
@@ -107,7 +116,9 @@
             sock.close()
             return
         sock, plain = split_plain_socket(sock)
-        connection = Connection(sock, self.limits, self.handler, self.nursery, self.prepare_socket, plain)
+        connection = Connection(
+            sock, self.limits, self.handler, self.nursery, self.budget, self.prepare_socket, plain
+        )
         connection.closes_after_response, connection.send_to_successor = (
             self.closes_after_response,
             self.send_to_successor,
--- a/merlinbay/http/server_stream.py
+++ b/merlinbay/http/server_stream.py
@@ -42,7 +42,7 @@
         self.parser = HttpParser(h11.SERVER, limits)
         self.is_head_request = False  # whether the request is a HEAD, whose response has no body
         self.is_writing = False
-        self.reader = SocketReader(limits.receive_bytes)
+        self.reader = SocketReader()
 
     @property
     def h11(self) -> h11.Connection:
@@ -80,10 +80,10 @@
         """Replace the stream with the wrapper that ``prepare_socket`` returns."""
         self.sock = await prepare_socket(self.raw)
 
-    async def receive(self) -> bytes:
+    async def receive(self, max_bytes: int) -> bytes:
         """Read some bytes. Returns no bytes at the end of the stream."""
         plain_socket = self.plain_socket if self.sock is self.raw else None
-        return await self.reader.receive(self.sock, plain_socket)
+        return await self.reader.receive(self.sock, plain_socket, max_bytes)
 
     def forget_reads(self) -> None:
         """Forget when earlier bytes were read, because none of them ends a request that is still to come."""
@@ -114,5 +114,6 @@
         self.sock.shutdown(trio.socket.SHUT_WR)
         remaining_bytes = self.limits.linger_bytes
         with trio.move_on_after(self.limits.linger_s):
-            while remaining_bytes > 0 and (data := await self.sock.recv(self.limits.receive_bytes)):
-                remaining_bytes -= len(data)
+            # The bytes are not kept under a name, which would hold them while the next ones are awaited.
+            while remaining_bytes > 0 and (count := len(await self.sock.recv(self.limits.receive_bytes))):
+                remaining_bytes -= count
--- a/merlinbay/http/socket_reader.py
+++ b/merlinbay/http/socket_reader.py
@@ -13,24 +13,23 @@
 class SocketReader:
     """Reads one socket. Times are on trio's clock."""
 
-    def __init__(self, receive_bytes: int) -> None:
-        self.receive_bytes = receive_bytes  # maximum size of one read
+    def __init__(self) -> None:
         # Whether the last read returned without waiting, so that no other task has run since then.
         self._has_read_without_wait = False
         self._received_bytes = 0  # total number of bytes received
         self.reads: deque[tuple[int, float]] = deque()  # total bytes received after each read, and its time
 
-    async def receive(self, sock: StreamSocket, plain_socket: socket.socket | None) -> bytes:
+    async def receive(self, sock: StreamSocket, plain_socket: socket.socket | None, max_bytes: int) -> bytes:
         """Read bytes, from the plain socket if there is one. Returns no bytes at the end of the stream."""
         if plain_socket is None:
-            data = await sock.recv(self.receive_bytes)
+            data = await sock.recv(max_bytes)
         else:
-            data = await self._receive_plain(plain_socket)
+            data = await self._receive_plain(plain_socket, max_bytes)
         self._received_bytes += len(data)
         self.reads.append((self._received_bytes, trio.current_time()))
         return data
 
-    async def _receive_plain(self, plain_socket: socket.socket) -> bytes:
+    async def _receive_plain(self, plain_socket: socket.socket, max_bytes: int) -> bytes:
         # Returns the bytes without a checkpoint after the read. A read by trio that succeeds at once lets
         # other tasks run before it returns, and one of them may close the connection as idle although a
         # whole request was read. Here the other tasks run before the next read instead.
@@ -41,7 +40,7 @@
         self._has_read_without_wait = True
         while True:
             try:
-                return plain_socket.recv(self.receive_bytes)
+                return plain_socket.recv(max_bytes)
             except BlockingIOError:
                 self._has_read_without_wait = False
                 await trio.lowlevel.wait_readable(plain_socket)
--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -21,6 +21,7 @@
     receive_bytes: int = 32 * 1024  # maximum size of one read from a socket
     # Limit for reads behind a request that is in progress; larger than one complete request.
     read_ahead_bytes: int = 96 * 1024
+    message_bytes: int = 16 * 1024 * 1024  # maximum size of all messages that connections hold at a time
 
     # Client connections
     accept_backlog: int = 1024  # length of the queue of connections that wait for ``accept``
@@ -121,6 +122,13 @@
     drmaa_waits: int = 100  # maximum number of DRMAA waits, each of which holds a client connection
 
 
+MEBIBYTE = 1024 * 1024
+PROCESS_BYTES = 36 * MEBIBYTE  # what a node holds before its first client connects
+CONNECTION_BYTES = 12 * 1024  # what a silent connection holds
+MIN_CONNECTIONS = 128
+MIN_MESSAGE_BYTES = 2 * MEBIBYTE
+
+
 def limits_from(
     sockets: int,
     memory_mb: int,
@@ -136,17 +144,22 @@
     usable = max(sockets - 32, 16)  # the rest is for the interpreter, trio, discovery and the listener
     longest_s = min(max(spec.deadline_us for spec in settings.classes) / 1e6, 3.0)
     poll_within_s = settings.safety.must_ask_in_us / 1e6 or math.inf
+    free_bytes = memory_mb * MEBIBYTE - PROCESS_BYTES
+    # Where memory is the shorter one, silent connections may take half of what is free.
+    client_connections = min(usable * 65 // 100, max(free_bytes // 2 // CONNECTION_BYTES, MIN_CONNECTIONS))
     defaults = ResourceLimits
     return ResourceLimits(
         # The shares for clients and servers add up to all usable descriptors. Slow or silent clients may hold
         # most of the clients' share while the node also serves its neighbour's clients, and new clients must
         # not be refused while descriptors are free.
-        client_connections=usable * 65 // 100,
+        client_connections=client_connections,
+        # The interpreter's heap grows by more than the messages' own size.
+        message_bytes=max(free_bytes // 6, MIN_MESSAGE_BYTES),
         server_connections=usable * 35 // 100,
         # Requests must not hold every client connection, because then no callback could arrive to end them.
-        max_open_requests=min(max_open_requests, usable * 55 // 100 * 3 // 4),
+        max_open_requests=min(max_open_requests, usable * 55 // 100 * 3 // 4, client_connections * 3 // 4),
         finished_output_bytes=memory_mb * 1024 * 1024 // 12,
-        drmaa_waits=usable * 55 // 100 // 8,
+        drmaa_waits=min(usable * 55 // 100, client_connections) // 8,
         inbox_messages=min(4096, max(256, memory_mb * 16)),
         connect_timeout_s=connect_timeout_us / 1e6 if connect_timeout_us > 0 else defaults.connect_timeout_s,
         pool_idle_timeout_s=keepalive_us / 1e6 * 0.7 if keepalive_us > 0 else defaults.pool_idle_timeout_s,
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -24,6 +24,7 @@
 from merlinbay.errors import ConfigurationError
 from merlinbay.http.client_steering import ClientSteering
 from merlinbay.http.connection import Handler
+from merlinbay.http.memory_budget import MemoryBudget
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.server import Listener, bind_socket
 from merlinbay.log import Log
@@ -58,7 +59,8 @@
         handler: Handler = self.client_adapter
         if self.optional.drmaa is not None:
             handler = self.optional.drmaa.routes(handler)
-        self.listener = Listener(handler, limits, counters, self.log)
+        self.budget = MemoryBudget(limits.message_bytes)
+        self.listener = Listener(handler, limits, counters, self.log, self.budget)
         self.steering = ClientSteering(self.listener, limits)
         self.admin = AdminListener(self.inbox, self.steering, limits, counters, self.log)
         if config.settings.balancers == 1:  # With more nodes, a new connection reaches another node.
@@ -131,7 +133,7 @@
     ) -> Dispatcher:
         """Create the dispatcher with its pool and servers, start discovery, and apply the first list."""
         config, drmaa = self.config, self.optional.drmaa
-        pool = ConnectionPool(config.limits, self.counters, discovery.is_up)
+        pool = ConnectionPool(config.limits, self.counters, discovery.is_up, self.budget)
         servers = self._make_servers(nursery, pool)
         balancer = Balancer(config.settings, config.seed, self.clock.now_us())
         dispatcher = Dispatcher(
--- a/merlinbay/platform/client_adapter.py
+++ b/merlinbay/platform/client_adapter.py
@@ -195,6 +195,7 @@
         except (msgspec.DecodeError, msgspec.ValidationError):
             self.counters.add("call_backs_bad")
             return Response(400)
+        request.body = b""  # What was read from it may have to wait for the inbox.
         self.counters.add("call_backs")
         if event.state == "started":
             await self.inbox.send(AttemptStarted(event.id, event.server))
