A connection gives others their turn after 32 events of the parser

Callers saw: while one client (or server) wrote very small pieces at full speed, the answers of all others came late. Cause: a connection's task parsed all that one read had brought, up to 5,500 chunks of 20 us, before others ran. Change: the task lets others run after 32 events, on both sides of HTTP. Since a whole request may now wait, read but not parsed, a place is only taken from a connection that waits for bytes and has parsed all it has.

--- a/merlinbay/http/client.py
+++ b/merlinbay/http/client.py
@@ -217,7 +217,9 @@
         reply: Reply | None = None
         self._body = bytearray()
         while True:
-            event = self.h11.next_event()
+            if self.parser.has_used_turn():
+                await trio.lowlevel.checkpoint()
+            event = self.parser.next_event()
             if event is h11.NEED_DATA:
                 if not self.parser.feed():
                     await self._receive()
--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -75,6 +75,7 @@
         # The state of the connection.
         self.has_request_in_progress = False  # from the call of the handler until its response is written
         self.has_answered = False  # whether at least one response was written
+        self.awaits_bytes = False  # whether it waits for bytes, and has parsed all that were read
         self.is_reading_ahead = False  # whether it reads while a response is awaited
         self.request_bytes = 0  # what the request in progress takes
         self.is_released = False  # whether memory was short, and its incomplete message was given up
@@ -130,8 +131,11 @@
 
     def close_if_unused(self) -> bool:
         """Close it at once unless a request is in progress or readable. Return whether it is closed."""
-        # Checks and closes without a checkpoint, so that no task reads a request in between.
-        if is_readable(self.sock) or not (self.is_idle or self.is_receiving_request):
+        # Checks and closes without a checkpoint, so that no task reads a request in between. Bytes that were
+        # read, and wait for their turn, may be a whole request.
+        if not self.awaits_bytes or is_readable(self.sock):
+            return False
+        if not (self.is_idle or self.is_receiving_request):
             return False
         self._note_close(CloseReason.EVICTED)
         self.stream.raw.close()
@@ -205,6 +209,8 @@
         """Read requests until the connection ends."""
         goes_on = True
         while goes_on:
+            if self.stream.parser.has_used_turn():
+                await trio.lowlevel.checkpoint()
             if self.is_released and not self.has_request_in_progress:
                 self._note_close(CloseReason.MEMORY_SHORT)
                 await self._reject(503)
@@ -222,7 +228,7 @@
     async def _handle_next_event(self) -> bool:
         """Handle the next h11 event, or read more bytes. Return whether the connection goes on."""
         try:
-            event = self.stream.h11.next_event()
+            event = self.stream.parser.next_event()
         except h11.RemoteProtocolError as error:
             if self.has_request_in_progress:
                 # The request in progress carried ``Connection: close`` and bytes follow it. It is answered as
@@ -305,7 +311,9 @@
         with trio.CancelScope() as self.read_scope:
             if self.budget.is_full and self.releasable_bytes() > SMALL_MESSAGE_BYTES:
                 await self.budget.wait_for_room()
+            self.awaits_bytes = True
             data = await self.stream.receive(self._read_bytes)
+        self.awaits_bytes = False
         if self.read_scope.cancelled_caught:
             return True
         if self.is_idle and self.has_answered:
--- a/merlinbay/http/parser.py
+++ b/merlinbay/http/parser.py
@@ -15,6 +15,7 @@
 HEAD_END = re.compile(rb"\n\r?\n")
 LINES_BESIDE_FIELDS = 2  # the first line of a head, and the empty one at its end
 FIRST_PRINTABLE = 0x21  # a head begins with no control character or space
+EVENTS_PER_TURN = 32  # after which other tasks get their turn
 Role = type[h11.CLIENT] | type[h11.SERVER]
 
 
@@ -30,6 +31,7 @@
         self.h11 = self._new_state()
         self._waiting = bytearray()  # bytes that the parser did not get yet
         self._searched_bytes = 0  # how many of them hold no end of a head
+        self._events_in_turn = 0  # events since other tasks had their turn
         self._is_chunked = False  # whether the head of the current message announces chunks
 
     def _new_state(self) -> h11.Connection:
@@ -46,6 +48,18 @@
         """Whether another whole head was received after the current message."""
         return HEAD_END.search(self.h11.trailing_data[0] + self._waiting) is not None
 
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event. Raises ``h11.RemoteProtocolError``."""
+        self._events_in_turn += 1
+        return self.h11.next_event()
+
+    def has_used_turn(self) -> bool:
+        """Return whether other tasks should get their turn, which the caller then gives them."""
+        if self._events_in_turn < EVENTS_PER_TURN:
+            return False
+        self._events_in_turn = 0
+        return True
+
     def receive(self, data: bytes) -> None:
         """Add received bytes, or the end of the stream if there are none."""
         if data:
