Before a request is sent on, what its client has sent behind it is read

Callers saw: requests sent on after their client had closed its connection with much still unread. Cause: whether a client has left was asked of the kernel alone, which tells of the end of a stream only once all bytes before it fit into the receive buffer. Up to some megabytes may be in between. Change: the check before a dispatch, and again before the first byte of an attempt, reads what has arrived, up to the limit on bytes behind a request; the end of the stream, or more bytes than that, count as a client that has left. A TLS connection cannot be read so without waiting, and is asked as before. Found with it: each read was noted until its request ended, 100 bytes and more for one byte; 256 notes are kept.

--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -15,14 +15,15 @@
 import trio
 
 from merlinbay.http.close_reasons import CloseReason
+from merlinbay.http.held_memory import HeldMemory
 from merlinbay.http.late_responses import LateResponses
 from merlinbay.http.lifetime import ConnectionLifetime
-from merlinbay.http.memory_budget import SMALL_MESSAGE_BYTES, MemoryBudget
+from merlinbay.http.memory_budget import MemoryBudget
 from merlinbay.http.messages import Request, Response
 from merlinbay.http.parser import HeadTooLargeError
 from merlinbay.http.request_buffer import RequestBuffer
 from merlinbay.http.server_stream import PrepareSocket, ServerStream
-from merlinbay.http.sockets import StreamSocket, is_readable
+from merlinbay.http.sockets import StreamSocket, has_hung_up, is_readable
 from merlinbay.limits import ResourceLimits
 
 __all__ = ["Connection", "Handler", "PrepareSocket", "Request", "Response", "SendToSuccessor"]
@@ -54,16 +55,12 @@
         prepare_socket: PrepareSocket | None = None,
         plain_socket: socket.socket | None = None,
     ) -> None:
-        self.limits, self.handler, self.nursery, self.prepare_socket = (
-            limits,
-            handler,
-            nursery,
-            prepare_socket,
-        )
-        self.budget = budget
+        self.limits, self.handler = limits, handler
+        self.nursery, self.prepare_socket = nursery, prepare_socket
         self.lifetime = ConnectionLifetime(limits)
         self.stream = ServerStream(sock, plain_socket, limits, self.lifetime)
         self.incoming = RequestBuffer(limits)  # parts of the request that is being read
+        self.memory = HeldMemory(budget, self.stream, self.incoming, lambda: self.read_scope.cancel())
         # These attributes are set by fronts.
         self.context: object = None  # state that the handler keeps for the request in progress
         self.carries_callbacks = False  # whether a server uses it; servers are never sent to another node
@@ -77,8 +74,6 @@
         self.has_answered = False  # whether at least one response was written
         self.awaits_bytes = False  # whether it waits for bytes, and has parsed all that were read
         self.is_reading_ahead = False  # whether it reads while a response is awaited
-        self.request_bytes = 0  # what the request in progress takes
-        self.is_released = False  # whether memory was short, and its incomplete message was given up
         self.is_closing = False  # whether it ends instead of reading another request
         self.has_ended = False
         self.close_reason: CloseReason | None = None  # the first cause of its end; None while it is open
@@ -153,31 +148,17 @@
         else:
             self.close_gracefully(CloseReason.EXPIRED)
 
-    # Memory.
-
-    def releasable_bytes(self) -> int:
-        """Return how many bytes an incomplete request, or the bytes behind a complete one, take."""
-        if self.is_released or self.stream.has_sent_last_response:
-            return 0
-        return self.incoming.held_bytes + self.stream.parser.unconsumed_bytes
-
-    @property
-    def _read_bytes(self) -> int:
-        """Maximum size of the next read."""
-        return SMALL_MESSAGE_BYTES if self.budget.is_full else self.limits.receive_bytes
-
-    def release_memory(self) -> None:
-        """Give up an incomplete request, or the bytes behind one in progress, because memory is short."""
-        self.is_released = True
-        self.incoming.clear()
-        self.stream.parser.discard()
-        self._account()
-        self.read_scope.cancel()
-
-    def _account(self) -> None:
-        """Tell the budget what the connection holds."""
-        received_bytes = self.incoming.held_bytes + self.stream.parser.unconsumed_bytes
-        self.budget.set_held(self, received_bytes + self.request_bytes)
+    def has_client_left(self) -> bool:
+        """Return whether the client has closed the connection, or has sent too much behind its request."""
+        if has_hung_up(self.sock):
+            return True
+        # Unread bytes would hide the end of the stream.
+        unread_before = self.stream.parser.unconsumed_bytes
+        is_at_end = self.stream.read_to_end(self.limits.read_ahead_bytes)
+        if self.stream.parser.unconsumed_bytes != unread_before:
+            self.memory.account()
+            self.read_scope.cancel()  # The task that reads has to look at these bytes.
+        return is_at_end
 
     # Requests.
 
@@ -199,7 +180,7 @@
             finally:
                 self._note_close(CloseReason.CLIENT_LEFT)
         self.has_ended = True
-        self.budget.set_held(self, 0)
+        self.memory.end()
         self.late_responses.end()
         if self.has_request_in_progress:
             self.has_request_in_progress = False
@@ -211,7 +192,7 @@
         while goes_on:
             if self.stream.parser.has_used_turn():
                 await trio.lowlevel.checkpoint()
-            if self.is_released and not self.has_request_in_progress:
+            if self.memory.is_released and not self.has_request_in_progress:
                 self._note_close(CloseReason.MEMORY_SHORT)
                 await self._reject(503)
                 return
@@ -268,9 +249,8 @@
     async def _handle_request(self, request: Request) -> None:
         """Pass a request to the handler, and write its response unless it comes late."""
         self.lifetime.await_response()
-        # The handler makes a form of its own of the request, or sends it on.
-        self.has_request_in_progress, self.request_bytes = True, 2 * len(request.body)
-        self._account()
+        self.has_request_in_progress = True
+        self.memory.begin_request(len(request.body))
         self.stream.is_head_request = request.method == "HEAD"
         if self.is_closing:  # The request was complete in time: the connection ends after its response.
             self.is_closing, self.closes_after_response, self.close_reason = False, True, None
@@ -309,10 +289,10 @@
         self.stream.forget_reads()
         # The scope holds nothing but the read, so that a cancelled read has consumed no bytes.
         with trio.CancelScope() as self.read_scope:
-            if self.budget.is_full and self.releasable_bytes() > SMALL_MESSAGE_BYTES:
-                await self.budget.wait_for_room()
+            if self.memory.must_wait:
+                await self.memory.wait_for_room()
             self.awaits_bytes = True
-            data = await self.stream.receive(self._read_bytes)
+            data = await self.stream.receive(self.memory.max_read_bytes(self.limits.receive_bytes))
         self.awaits_bytes = False
         if self.read_scope.cancelled_caught:
             return True
@@ -322,7 +302,7 @@
             # may have begun before the last response.
             self.lifetime.begin_request()
         parser.receive(data)
-        self._account()
+        self.memory.account()
         return True
 
     def _has_more_to_read(self) -> bool:
@@ -344,7 +324,7 @@
         self.is_reading_ahead = True
         await trio.lowlevel.checkpoint()
         while self.has_request_in_progress and not self.is_closing:
-            if self.is_released or parser.unconsumed_bytes > self.limits.read_ahead_bytes:
+            if self.memory.is_released or parser.unconsumed_bytes > self.limits.read_ahead_bytes:
                 # Ends an endless stream: usual clients send no second request before the first response. The
                 # same holds for what is behind a request when memory is short.
                 self._note_close(CloseReason.READ_AHEAD)
@@ -352,14 +332,14 @@
                 await self._reject(400)
                 return False
             with trio.CancelScope() as self.read_scope:
-                data = await self.stream.receive(self._read_bytes)
+                data = await self.stream.receive(self.memory.max_read_bytes(self.limits.receive_bytes))
             if self.read_scope.cancelled_caught:
                 continue
             if not data:
                 return False
             parser.receive(data)
             del data  # It would be held while the next bytes are awaited.
-            self._account()
+            self.memory.account()
         self.is_reading_ahead = False
         return True
 
@@ -392,8 +372,7 @@
         close = close and not self.stream.parser.has_head_behind
         await self.stream.write_response(response, close)
         self.has_request_in_progress, self.has_answered = False, True
-        self.request_bytes = 0
-        self._account()
+        self.memory.end_request()
         if self.stream.start_next_cycle():
             self.lifetime.begin_idle(self.has_served_request)
             if self.is_reading_ahead or self.send_to_successor is not None:
@@ -404,8 +383,7 @@
     async def _reject(self, status: int) -> None:
         """Answer a request that cannot be served, then end the connection."""
         self._note_close(CloseReason.REJECTED)
-        self.incoming.clear()
-        self.stream.parser.discard()
+        self.memory.discard()
         # Sets the state first, so that no other task closes the connection before the response is written.
         self.has_request_in_progress, self.is_closing = False, True
         if self.stream.may_respond:
--- a/merlinbay/http/server_stream.py
+++ b/merlinbay/http/server_stream.py
@@ -85,6 +85,23 @@
         plain_socket = self.plain_socket if self.sock is self.raw else None
         return await self.reader.receive(self.sock, plain_socket, max_bytes)
 
+    def read_to_end(self, max_bytes: int) -> bool:
+        """Read what has arrived, without waiting. Return whether the stream has ended, or exceeds a size.
+
+        A TLS stream cannot be read so, and seems to have nothing more.
+        """
+        if self.plain_socket is None or self.sock is not self.raw:
+            return False
+        while self.parser.unconsumed_bytes <= max_bytes:
+            try:
+                data = self.reader.receive_now(self.plain_socket, self.limits.receive_bytes)
+            except OSError:
+                return True
+            if not data:
+                return data is not None
+            self.parser.receive(data)
+        return True
+
     def forget_reads(self) -> None:
         """Forget when earlier bytes were read, because none of them ends a request that is still to come."""
         self.reader.forget_reads()
--- a/merlinbay/http/socket_reader.py
+++ b/merlinbay/http/socket_reader.py
@@ -9,6 +9,8 @@
 
 from merlinbay.http.sockets import StreamSocket
 
+MAX_RECORDED_READS = 256
+
 
 class SocketReader:
     """Reads one socket. Times are on trio's clock."""
@@ -25,10 +27,29 @@
             data = await sock.recv(max_bytes)
         else:
             data = await self._receive_plain(plain_socket, max_bytes)
-        self._received_bytes += len(data)
-        self.reads.append((self._received_bytes, trio.current_time()))
+        self._record(data)
         return data
 
+    def receive_now(self, plain_socket: socket.socket, max_bytes: int) -> bytes | None:
+        """Read bytes without waiting. Returns None if there are none, and no bytes at the end of the stream.
+
+        Raises ``OSError``.
+        """
+        try:
+            data = plain_socket.recv(max_bytes)
+        except BlockingIOError:
+            return None
+        self._record(data)
+        return data
+
+    def _record(self, data: bytes) -> None:
+        """Record when bytes were read."""
+        self._received_bytes += len(data)
+        if len(self.reads) < MAX_RECORDED_READS:
+            self.reads.append((self._received_bytes, trio.current_time()))
+        else:  # A client may write byte by byte: the last reads count from the first of them.
+            self.reads[-1] = (self._received_bytes, self.reads[-1][1])
+
     async def _receive_plain(self, plain_socket: socket.socket, max_bytes: int) -> bytes:
         # Returns the bytes without a checkpoint after the read. A read by trio that succeeds at once lets
         # other tasks run before it returns, and one of them may close the connection as idle although a
--- a/merlinbay/platform/client_adapter.py
+++ b/merlinbay/platform/client_adapter.py
@@ -27,7 +27,6 @@
 from merlinbay.counters import Counters
 from merlinbay.decision.outcomes import Outcome
 from merlinbay.http.connection import Connection, Request, Response
-from merlinbay.http.sockets import has_hung_up
 from merlinbay.limits import ResourceLimits
 from merlinbay.log import Log
 from merlinbay.platform import messages
@@ -70,7 +69,7 @@
 
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, according to its connection's current state."""
-        return self.is_withdrawn or has_hung_up(self.connection.sock)
+        return self.is_withdrawn or self.connection.has_client_left()
 
     def answer(self, answer: Answer) -> None:
         """Write the answer to the client's connection."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -491,12 +491,15 @@
     """It must also be visible while data of the client is still unread."""
 
     async def scene() -> None:
-        server_end, client_end = trio.socket.socketpair()
-        client_request = ClientRequest(Mock(sock=server_end), "j")
-        with server_end, client_end:
-            await client_end.send(b"y" + unread)
+        async with listener_harness() as at:
+            client_request = ClientRequest(at.connection, "j")
+            await at.client.send(REQUEST_BYTES)
+            await at.request_received.wait()
             assert not client_request.has_disconnected()
-            client_end.close()
+            at.client._sock.send(b"y" + unread)  # type: ignore[attr-defined]  # no task runs in between
+            assert not client_request.has_disconnected()
+            at.client._sock.send(unread)  # type: ignore[attr-defined]
+            at.client.close()
             assert client_request.has_disconnected()
 
     run_scenario(scene)
