--- a/tests/test_kept_state.py
+++ b/tests/test_kept_state.py
@@ -14,18 +14,20 @@
 from merlinbay.core.attempts import Responder, ServerAttempt
 from merlinbay.core.dispatcher import Dispatcher
 from merlinbay.core.messages import AttemptFinished, RequestArrived, RequestWithdrawn
-from merlinbay.core.values import Answer, RequestSpec
+from merlinbay.core.values import Answer, AnswerStatus, RequestSpec
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
 from merlinbay.decision.events import EndpointEntry, EndpointsChanged
 from merlinbay.decision.outcomes import Outcome
 from merlinbay.decision.placement import MAX_CACHED_KEYS
+from merlinbay.limits import limits_from
 from merlinbay.log import Log
 from tests.net import LIMITS
 from tests.support import settings
 
 HOUR_US = 3_600_000_000
 REQUESTS = MAX_CACHED_KEYS  # a round; the cache of subjects is cleared once in it
+REQUESTS_PER_S = 50  # a node sees some tens of requests a second
 LONG = "x" * 1000  # what clients add to the names that they make up
 PAUSE_US = 20_000
 REMEMBERED = 200  # names of finished requests; less than the requests of one round
@@ -47,7 +49,7 @@
 class Play:
     """A dispatcher whose servers do what the play says."""
 
-    def __init__(self, cancelling: bool = True) -> None:
+    def __init__(self, cancelling: bool = True, remembered: int = REMEMBERED) -> None:
         self.clock, self.servers = Mock(), Mock()
         self.attempts: deque[ServerAttempt] = deque()
         self.servers.start = self.attempts.append
@@ -56,15 +58,15 @@
         conf.limits.cancelling = cancelling
         balancer = Balancer(conf, 1, 0)
         balancer.handle(0, [EndpointsChanged("all", [EndpointEntry(f"w{n}", "a", "k1") for n in range(4)])])
-        limits = replace(LIMITS, finished_request_names=REMEMBERED)
+        limits = replace(LIMITS, finished_request_names=remembered)
         self.dispatcher = Dispatcher(balancer, self.clock, limits, Counters(), Log(0), self.servers, Mock())
         self.number = 0
 
-    def hand_in(self, budget_us: int = HOUR_US) -> tuple[RequestSpec, Client]:
-        """Hand in a request whose id, tenant and keys nobody has used before."""
+    def hand_in(self, budget_us: int = HOUR_US, name: str = "") -> tuple[RequestSpec, Client]:
+        """Hand in a request whose id, unless it is given, tenant and keys nobody has used before."""
         self.number += 1
         self.clock.now_us.return_value += PAUSE_US
-        now_us, name = self.clock.now_us(), f"job-{self.number}"
+        now_us, name = self.clock.now_us(), name or f"job-{self.number}"
         client = Client()
         spec = RequestSpec(
             name,
@@ -128,3 +130,19 @@
     play.dispatcher.run_batch([])
     assert len(play.dispatcher.requests) == 0
     assert play.dispatcher.balancer.in_flight_slots == 0
+
+
+# Guards against an id that runs twice because it comes again after its client has left.
+@pytest.mark.parametrize("memory_mb", [32, 64, 192])
+def test_an_id_that_comes_again_is_not_sent_again(memory_mb: int) -> None:
+    """Others send some tens of requests a second for as long as an idle client may stay connected."""
+    limits = limits_from(1024, memory_mb, settings(), 0, 0, 300)
+    play = Play(remembered=limits.finished_request_names)
+    spec, client = play.hand_in(name="again")
+    play.dispatcher.run_batch([RequestWithdrawn(spec.name, client)])
+    play.finish()
+    for _ in range(int(limits.client_idle_timeout_s * REQUESTS_PER_S)):
+        play.hand_in()
+        play.finish()
+    _, client = play.hand_in(name="again")
+    assert not play.attempts and [answer.status for answer in client.answers] == [AnswerStatus.FAILED]
