Ids of sent requests are remembered by the memory there is, not 1,024 at most

Callers saw: an id ran twice when it came again after its client had left. Cause: the names of finished requests were kept by a fixed number, 20 s of traffic at 50 requests a second. Change: 128 names for each MiB of the limit: 8,192 at 64 MB, 164 s at that rate; a name of 16 characters takes 90 bytes (tracemalloc), 1.1 % of the limit.

--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -126,6 +126,7 @@
 PROCESS_BYTES = 36 * MEBIBYTE  # what a node holds before its first client connects
 CONNECTION_BYTES = 12 * 1024  # what a silent connection holds
 MIN_CONNECTIONS = 128
+NAMES_PER_MEBIBYTE = 128  # a hundredth of the memory
 MIN_MESSAGE_BYTES = 2 * MEBIBYTE
 
 
@@ -158,6 +159,7 @@
         server_connections=usable * 35 // 100,
         # Requests must not hold every client connection, because then no callback could arrive to end them.
         max_open_requests=min(max_open_requests, usable * 55 // 100 * 3 // 4, client_connections * 3 // 4),
+        finished_request_names=memory_mb * NAMES_PER_MEBIBYTE,
         finished_output_bytes=memory_mb * 1024 * 1024 // 12,
         drmaa_waits=min(usable * 55 // 100, client_connections) // 8,
         inbox_messages=min(4096, max(256, memory_mb * 16)),
