--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -368,3 +368,25 @@
         == predecessor.parts.endpoints.kinds["k1"].capacity.slots
     )
     assert {w.name for w in successor.parts.endpoints.usable} == {"w0", "w2"}
+
+
+# Guards against an id that runs twice because it comes again at the other process of an upgrade.
+def test_an_id_that_comes_again_at_the_other_process_is_not_sent_again(tmp_path: Path) -> None:
+    """One id was used before the new process started, and one after it, on a connection of the old one."""
+
+    async def scenario(group: ProcessGroup) -> None:
+        s = group.fixture
+        old, _ = await group.start()
+        connection = await ClientConnection.connect(f"127.0.0.2:{s.port}", LIMITS)
+        assert await send_request(connection, "before") == 200
+        new, _ = await group.start()
+        assert await send_request(connection, "beside") == 200
+        old.send_signal(signal.SIGTERM)
+        await old.wait()
+        assert [await send_request(connection, name) for name in ("before", "beside")] == [500, 500]
+        assert new.poll() is None and await send_request(connection, "after") == 200
+        sent = [request.headers["x-request-id"] for _, request in s.servers[0].received if request.body]
+        assert sorted(sent) == ["after", "before", "beside"]
+        connection.close()
+
+    run_with_processes(tmp_path, scenario, text=completes_job)
