Both processes of an upgrade know which requests were sent to servers

Callers saw: an id ran twice when it came again at the other process of an upgrade. Cause: the names of sent requests were neither part of the state that is handed over nor told while both serve. Change: the old process sends the newest 1,000 names before the state, and each process tells the other of a request when it sends it first. It is told as the start of an attempt that the other does not have (CallbackForward), which earlier versions ignore, so that no encoded form changes. A first form with new fields and a new message was dropped: tests/test_stored_forms.py allows no field that earlier programs do not have. Open: ids that are older than the newest 1,000 (20 s at 50 requests a second) are not handed over, and a message that crosses the client's way to the other process comes too late.

--- a/merlinbay/core/attempt_lifecycle.py
+++ b/merlinbay/core/attempt_lifecycle.py
@@ -108,6 +108,8 @@
         self.trace.attempt_sent(attempt)
         if deadline_at_us < request.deadline_at_us:
             attempt.timer_keys.append(self.timers.add(deadline_at_us, AttemptDeadline(attempt)))
+        if self.peer is not None and not number:
+            self.peer.relay_sent(request.spec.name, action.endpoint)
         self.servers.start(attempt)
         if request.is_recalling:  # A hedge must not start while the first attempt is being recalled.
             self.servers.recall(attempt)
@@ -170,8 +172,11 @@
             self.end(attempt, message.outcome, message.result, message.report)
 
     def _on_relayed(self, message: CallbackRelayed) -> None:
-        if self.requests.find_attempt(message.message.name, message.message.server) is not None:
-            self.handlers[type(message.message)](message.message)
+        callback = message.message
+        if self.requests.find_attempt(callback.name, callback.server) is not None:
+            self.handlers[type(callback)](callback)
+        elif isinstance(callback, AttemptStarted):
+            self.requests.remember([callback.name])  # The other process has sent this request to a server.
 
     def _relay(self, message: Callback) -> None:
         """Relay a callback that matches no attempt here to the node's other process, if there is one."""
--- a/merlinbay/core/interfaces.py
+++ b/merlinbay/core/interfaces.py
@@ -53,6 +53,9 @@
     def relay_callback(self, message: Callback) -> bool:
         """Relay a callback that matches no request here; return whether there is a process to relay it to."""
 
+    def relay_sent(self, name: str, server: str) -> None:
+        """Relay that a request was sent to a server, so that the other process does not send it again."""
+
     def relay_maintenance(self, server: str, on: bool) -> None:
         """Relay an operator's command that disables a server (``on`` is true) or enables it."""
 
--- a/merlinbay/core/requests.py
+++ b/merlinbay/core/requests.py
@@ -91,14 +91,19 @@
             return False
         del self.by_name[request.spec.name]
         if request.attempt_count:
-            self._remember(request.spec.name)
+            self.remember([request.spec.name])
         return True
 
-    def _remember(self, name: str) -> None:
-        # A client's repeat of a finished request must not be dispatched as a new one.
-        self.recent_names[name] = None
-        if len(self.recent_names) > self.remembered_limit:
-            del self.recent_names[next(iter(self.recent_names))]
+    def remember(self, names: list[str]) -> None:
+        """Remember names that were used, so that a client's repeat is not dispatched as a new request."""
+        for name in names:
+            self.recent_names[name] = None
+            if len(self.recent_names) > self.remembered_limit:
+                del self.recent_names[next(iter(self.recent_names))]
+
+    def used_names(self) -> list[str]:
+        """Return the names that must not be dispatched again, oldest first."""
+        return [*self.recent_names, *(request.spec.name for request in self if request.attempt_count)]
 
     def all_answered(self) -> bool:
         """Return whether all open requests have been answered."""
--- a/merlinbay/handover/messages.py
+++ b/merlinbay/handover/messages.py
@@ -83,6 +83,14 @@
 decode = msgspec.msgpack.Decoder(HandoverMessage).decode
 
 
+def sent_request(name: str, server: str = "") -> CallbackForward:
+    """Return the message that a request was sent to a server; without its name if that is not known any more.
+
+    An earlier version takes it for the call-back of an attempt that it does not have, and ignores it.
+    """
+    return CallbackForward(AttemptStarted(name, server))
+
+
 def state_messages(
     version: int | None,
     entries: list[ServiceEntry],
--- a/merlinbay/handover/predecessor.py
+++ b/merlinbay/handover/predecessor.py
@@ -18,7 +18,7 @@
 from merlinbay.counters import Counters
 from merlinbay.decision.handover_snapshot import HandoverSnapshot
 from merlinbay.handover import control_socket, messages
-from merlinbay.handover.control_socket import ControlSocket
+from merlinbay.handover.control_socket import ControlSocket, Packet
 from merlinbay.handover.relayed_messages import RelayedMessages
 from merlinbay.http.client_steering import ClientSteering
 from merlinbay.http.connection import Connection
@@ -26,6 +26,7 @@
 from merlinbay.limits import ResourceLimits
 from merlinbay.log import Log
 
+MAX_NAMES = 1000  # names of requests that are handed over, so that the state arrives in time
 EndpointList = Callable[[], tuple[int | None, list[ServiceEntry]]]  # returns version and entries of the list
 
 
@@ -48,6 +49,8 @@
         self._relayed, self._limits, self._counters = relayed, limits, counters
         self._log, self._clock = log, clock
         self.successor: ControlSocket | None = None
+        # Returns the names of requests that were sent to servers, oldest first; set by the node.
+        self.used_names: Callable[[], list[str]] = list
         self._is_successor_ready = False  # whether the successor accepts clients
 
     async def await_successors(
@@ -93,9 +96,17 @@
         if packet is None or packet.message != messages.StateRequest(messages.PROTOCOL_VERSION):
             self._log.event("successor_refused", level="warning", said=ascii(packet)[:80])
             return
+        names = self.used_names()[-MAX_NAMES:]
+        try:
+            for name in names:
+                await link.send(Packet(messages.sent_request(name)))
+        except OSError:  # The successor has ended.
+            return
 
         def send_state(snapshot: HandoverSnapshot) -> None:
             # The dispatcher calls this function. Later maintenance commands are relayed after the state.
+            for name in set(self.used_names()[-MAX_NAMES:]) - set(names):
+                link.post(messages.sent_request(name))
             version, entries = endpoint_list()
             now_us = self._clock.now_us()
             for message in messages.state_messages(
--- a/merlinbay/handover/successor.py
+++ b/merlinbay/handover/successor.py
@@ -30,6 +30,7 @@
     snapshot: HandoverSnapshot  # learned state of the decisions
     clock_us: int  # the predecessor's clock when it sent the state; 0 if sent by an older version
     entries: list[ServiceEntry] = field(default_factory=list)  # the endpoint list
+    names: list[str] = field(default_factory=list)  # names of requests that were sent to servers
 
 
 class SuccessorSide:
@@ -62,12 +63,14 @@
         return None
 
     async def _receive_state(self, link: ControlSocket) -> Inherited | None:
-        chunks = messages.StateChunk([], [])
+        chunks, names = messages.StateChunk([], []), list[str]()
         while (packet := await link.receive()) is not None:
             message = packet.message
             if isinstance(message, messages.StateChunk):
                 chunks.entries.extend(message.entries)
                 chunks.endpoints.extend(message.endpoints)
+            elif isinstance(message, messages.CallbackForward):
+                names.append(message.message.name)
             elif isinstance(message, messages.StateComplete):
                 message.learned.endpoints = chunks.endpoints
                 return Inherited(
@@ -76,6 +79,7 @@
                     from_encoded(message.learned),
                     message.clock_us,
                     chunks.entries,
+                    names,
                 )
         return None
 
--- a/merlinbay/handover/takeover.py
+++ b/merlinbay/handover/takeover.py
@@ -52,6 +52,10 @@
         """Relay that a server was disabled for maintenance or enabled again."""
         self._relay(messages.MaintenanceForward(server, on))
 
+    def relay_sent(self, name: str, server: str) -> None:
+        """Relay that a request was sent to a server, so that the other processes do not send it again."""
+        self._relay(messages.sent_request(name, server))
+
     def _relay_standby(self, is_standby: bool) -> None:
         self._relay(messages.StandbyForward(is_standby))
 
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -144,6 +144,8 @@
         nursery.start_soon(pool.sweep)
         nursery.start_soon(discovery.run)
         dispatcher.set_peer_process(self.optional.takeover)
+        if self.optional.takeover is not None:
+            self.optional.takeover.as_predecessor.used_names = dispatcher.requests.used_names
         if self.optional.fleet is not None:
             self.optional.fleet.gauges = dispatcher.gauges
         if inherited is None:
@@ -156,6 +158,7 @@
         dispatcher.run_batch(
             [EndpointListReceived("remembered", inherited.entries), DiscoveryReloaded(notified_in_us)]
         )
+        dispatcher.requests.remember(inherited.names)
         balancer.restore_snapshot(inherited.snapshot)
         return dispatcher
 
