--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import json
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -102,3 +104,51 @@
 def test_answered_requests_are_not_kept_until_their_deadlines(tmp_path: Path) -> None:
     """Few clients send large requests one after the other, each with an hour for its answer."""
     check(*play(tmp_path, slow_clients.large_requests, clients=8))
+
+
+def endless_list(version: int) -> list[dict[str, object]]:
+    """Return as many entries as fit into the largest answer."""
+    return [{"id": f"made-up-{number}"} for number in range(150_000)]
+
+
+def ever_new_names(version: int) -> list[dict[str, object]]:
+    """Return servers that were never listed, and are gone already."""
+    return [
+        {"id": f"made-up-{version}-{number}", "addr": "127.0.0.9:1", "started_ms": 1, "state": "DELETED"}
+        for number in range(2000)
+    ]
+
+
+# Guards against an answer of discovery, or a series of them, that takes more memory than there is.
+@pytest.mark.parametrize("rows", [endless_list, ever_new_names])
+def test_made_up_lists_stay_within_the_memory_limit(
+    tmp_path: Path, rows: Callable[[int], list[dict[str, object]]]
+) -> None:
+    """The servers that are listed all the time are used throughout."""
+    peak, replies = 0, list[Reply | None]()
+
+    async def scenario() -> None:
+        nonlocal peak
+        async with node_fixture(tmp_path) as fixture:
+            fixture.memory_mb, answers = MEMORY_MB, 0
+
+            async def discovery(server: FakeServer, request: Request) -> Response:
+                nonlocal answers
+                answers += 1
+                listed = fixture.endpoint_rows if "after" not in request.target else rows(answers)
+                await trio.sleep(0.02)
+                return Response(
+                    200, json.dumps({"version": answers, "full": False, "servers": listed}).encode()
+                )
+
+            fixture.discovery = discovery  # type: ignore[method-assign]
+            fixture.add_server("s-0")
+            await fixture.start(program=True)
+            assert fixture.process is not None
+            with trio.move_on_after(PLAYED_S):
+                await usual_client(fixture, "0", replies)
+            assert fixture.process.poll() is None, "the node has ended"
+            peak = peak_memory_bytes(fixture.process.pid)
+
+    run_scenario(scenario)
+    check(peak, replies)
