Lists of servers are limited in entries, and servers that are gone are forgotten

Seen by our own test of the users' pictures at discovery; no caller reported it. Cause: an answer was limited in bytes only (4 MiB), of which 150,000 entries take 353 MiB of 64; and the start times of servers were kept by name for ever, also of those that had left the list. A server that is gone, or is not in a whole list, is forgotten. Open: changes that add living servers without end are believed.

--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -64,6 +64,7 @@
 
     # Discovery by the platform
     endpoint_list_bytes: int = 4 * 1024 * 1024  # maximum size of one response
+    endpoint_entries: int = 16 * 1024  # maximum number of entries in one response
     # Longer than the timeout for servers: slow connects when there are many callers must not look like an
     # outage.
     watch_connect_timeout_s: float = 0.5
@@ -126,6 +127,8 @@
 PROCESS_BYTES = 36 * MEBIBYTE  # what a node holds before its first client connects
 CONNECTION_BYTES = 12 * 1024  # what a silent connection holds
 MIN_CONNECTIONS = 128
+ENTRIES_PER_MEBIBYTE = 64  # an entry that is used takes some kilobytes
+MIN_ENTRIES = 4096  # more than the largest fleets have
 NAMES_PER_MEBIBYTE = 128  # a hundredth of the memory
 MIN_MESSAGE_BYTES = 2 * MEBIBYTE
 
@@ -159,6 +162,7 @@
         server_connections=usable * 35 // 100,
         # Requests must not hold every client connection, because then no callback could arrive to end them.
         max_open_requests=min(max_open_requests, usable * 55 // 100 * 3 // 4, client_connections * 3 // 4),
+        endpoint_entries=max(memory_mb * ENTRIES_PER_MEBIBYTE, MIN_ENTRIES),
         finished_request_names=memory_mb * NAMES_PER_MEBIBYTE,
         finished_output_bytes=memory_mb * 1024 * 1024 // 12,
         drmaa_waits=min(usable * 55 // 100, client_connections) // 8,
--- a/merlinbay/platform/discovery.py
+++ b/merlinbay/platform/discovery.py
@@ -190,7 +190,7 @@
             while True:
                 body = await self._poll(connection, wait_s, timeout_s)
                 try:
-                    listing = messages.read_listing(body)
+                    listing = messages.read_limited_listing(body, self.limits.endpoint_entries)
                 except msgspec.DecodeError as error:
                     # One malformed answer does not end the watch: the poll is repeated once.
                     self.counters.add("lists_spoilt")
@@ -242,7 +242,7 @@
     async def _apply(self, listing: messages.Listing) -> None:
         """Apply an answer to the list, and report it to the dispatcher if it changes or confirms the list."""
         self.last_answer_at_us = self.clock.now_us()
-        entries = self.start_times.translate(messages.entries(listing))
+        entries = self.start_times.translate(messages.entries(listing), listing.full)
         self._apply_to_list(listing, entries)
         self.counters.add("watch_answers")
         if malformed := messages.malformed_entries(listing):
--- a/merlinbay/platform/messages.py
+++ b/merlinbay/platform/messages.py
@@ -22,6 +22,7 @@
 REQUEST_ID = re.compile(r"[A-Za-z0-9._~-]{1,64}")
 IDEMPOTENCY_KEY = re.compile(r"[!-~]{0,255}")
 DIGITS = re.compile(r"[0-9]{1,7}")
+ENTRY_KEY = b'"id"'  # each entry of a list has it once
 MAX_TIME_BUDGET_MS = 3_600_000
 LOAD_NAMES = {  # names of a load report's values: the wire's name to the settings' name
     "eps": "err_rps",
@@ -73,6 +74,15 @@
 read_job_event = msgspec.json.Decoder(JobEvent).decode
 
 
+def read_limited_listing(body: bytes, max_entries: int) -> Listing:
+    """Read an answer of discovery. Raises ``msgspec.DecodeError``, also if it has too many entries."""
+    # Counted in the bytes: the entries of a list that is far too long would fill the memory.
+    count = body.count(ENTRY_KEY)
+    if count > max_entries:
+        raise msgspec.ValidationError(f"expected at most {max_entries} entries, got {count}")
+    return read_listing(body)
+
+
 def entries(listing: Listing) -> list[ServiceEntry]:
     """Translate the entries of a list.
 
--- a/merlinbay/platform/start_times.py
+++ b/merlinbay/platform/start_times.py
@@ -26,12 +26,24 @@
             entry.server: (entry.started_at_us, entry.started_at_us) for entry in entries
         }
 
-    def translate(self, entries: list[ServiceEntry]) -> list[ServiceEntry]:
-        """Return the entries with start times on the node's clock."""
+    def translate(self, entries: list[ServiceEntry], full: bool) -> list[ServiceEntry]:
+        """Return the entries of a whole list, or of changes, with start times on the node's clock."""
         offset_us = self.clock.wall_offset_us()
         if abs(offset_us - self.offsets_us[-1]) >= STEP_US:
             self.offsets_us = [*self.offsets_us, offset_us][-MAX_OFFSETS:]
-        return [self._translated(entry) if entry.started_at_us else entry for entry in entries]
+        translated = [self._translated(entry) if entry.started_at_us else entry for entry in entries]
+        self._forget_removed(entries, full)
+        return translated
+
+    def _forget_removed(self, entries: list[ServiceEntry], full: bool) -> None:
+        """Forget servers that are not listed any more, of which there may be ever new ones."""
+        if full:
+            listed = {entry.server for entry in entries if entry.state != "removed"}
+            self.translated = {name: times for name, times in self.translated.items() if name in listed}
+            return
+        for entry in entries:
+            if entry.state == "removed":
+                self.translated.pop(entry.server, None)
 
     def _translated(self, entry: ServiceEntry) -> ServiceEntry:
         listed_us, started_us = self.translated.get(entry.server, (0, 0))
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -186,13 +186,13 @@
         started_us, wall_us = clock.now_us() - 3 * SECOND, int(step_s * SECOND) * stepped_first
         listed = ServiceEntry("s", "a:1", started_at_us=started_us + wall_us)
         with patch("merlinbay.clock.time.time", lambda: clock.now_us() / 1e6 + step_s):
-            (first,) = times.translate([listed])
+            (first,) = times.translate([listed], False)
             await trio.sleep(0.02)
-            (second,) = times.translate([listed])
+            (second,) = times.translate([listed], False)
         age_us = clock.now_us() - first.started_at_us
         assert -SECOND // 10 <= age_us <= 3 * SECOND + SECOND // 10
         assert second == first  # The same start must stay the same time, or it would count as another start.
-        (long_started,) = times.translate([ServiceEntry("t", "a:1", started_at_us=0)])
+        (long_started,) = times.translate([ServiceEntry("t", "a:1", started_at_us=0)], False)
         assert long_started.started_at_us == 0
 
     trio.run(scenario)
@@ -205,9 +205,9 @@
         clock = Clock()
         times = StartTimes(clock, [])
         warm = ServiceEntry("s", "a:1", started_at_us=clock.now_us() - 3602 * SECOND)
-        assert times.translate([warm]) == [warm]
+        assert times.translate([warm], False) == [warm]
         with patch("merlinbay.clock.time.time", lambda: clock.now_us() / 1e6 - 3600):
-            assert times.translate([warm]) == [warm]
+            assert times.translate([warm], False) == [warm]
 
     trio.run(scenario)
 
