--- a/merlinbay/http/held_memory.py
+++ b/merlinbay/http/held_memory.py
@@ -12,6 +12,10 @@
 from merlinbay.http.server_stream import ServerStream
 
 
+def nothing() -> None:
+    """Do nothing: the connection has ended, and no read is in progress."""
+
+
 class HeldMemory:
     """The memory of one connection: bytes not parsed yet, an incomplete request, and one in progress."""
 
@@ -55,8 +59,12 @@
         self._budget.set_held(self, received_bytes + self._request_bytes)
 
     def end(self) -> None:
-        """Account for the end of the connection."""
-        self._budget.set_held(self, 0)
+        """Drop all that is held at the end of the connection."""
+        # The callback refers to the connection. Such a cycle would stay until the collector comes to it, and
+        # what was received with it.
+        self._on_release = nothing
+        self._request_bytes = 0
+        self.discard()
 
     def discard(self) -> None:
         """Drop an incomplete request, and the bytes that were not parsed."""
--- a/tests/soak_day.py
+++ b/tests/soak_day.py
@@ -21,6 +21,16 @@
     SLOW = "slow"
 
 
+class Crowd(Enum):
+    """What the connections of a crowd do, none of which hands in a job."""
+
+    SILENT = "silent"
+    HALF_BODY = "half body"  # the largest body but for its end
+    SLOW_BODY = "slow body"  # small pieces, with pauses
+    MANY_FIELDS = "many fields"  # heads of some thousand fields
+    CALLBACKS = "callbacks"  # the largest ones, of jobs that the node does not know
+
+
 class JobFault(Enum):
     """What a server does with a job."""
 
@@ -61,7 +71,9 @@
     list_faults: dict[ListFault, float]  # shares
     job_faults: dict[JobFault, float]
     call_s: tuple[float, float]  # what a call takes discovery
-    crowd: int  # silent connections
+    crowd: int  # connections of other clients
+    crowd_kind: Crowd
+    memory_mb: int  # the process's limit
     clients: int
     terminate: float
     counts: tuple[float, ...]  # when the counters are asked for, by a signal of its own
@@ -81,6 +93,12 @@
     return tuple(times)
 
 
+def _pressure(seed: int) -> tuple[Crowd, int]:
+    """Return what the crowd does, and the memory limit; drawn apart, so that seeds keep their days."""
+    rng = Random(f"soak pressure {seed}")
+    return rng.choice(list(Crowd)), rng.choice([64, 192])
+
+
 def draw(seed: int) -> SoakDay:
     """Draw a day."""
     rng = Random(f"soak {seed}")
@@ -111,6 +129,7 @@
         {kind: bad_jobs / len(troubles) for kind in troubles},
         rng.choice([(0.01, 0.05), (0.1, 0.4)]),
         rng.choice([0, 0, 200]),
+        *_pressure(seed),
         rng.randint(6, 12),
         rng.uniform(8.0, 14.0),
         tuple(sorted(rng.uniform(0.5, 12.0) for _ in range(rng.randint(0, 4)))),
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -21,9 +21,10 @@
 import trio
 
 from merlinbay.http.client import ClientConnection, ConnectionBrokenError, RequestNotSentError
+from tests import slow_clients
 from tests.duplicate_judge import DuplicateJudge
 from tests.net import CONF, LIMITS, ROOT, free_port
-from tests.soak_day import FLEET, SERVERS, JobFault, Leave, SoakDay, draw
+from tests.soak_day import FLEET, SERVERS, Crowd, JobFault, Leave, SoakDay, draw
 from tests.soak_discovery import SoakDiscovery
 from tests.soak_server import SoakServer
 
@@ -37,6 +38,12 @@
 HOLD_S = 0.1  # a node may be held up for 0.15 s
 LAG_KEPT_S = 1.0
 AIM_US = 400_000
+TALKS = {
+    Crowd.HALF_BODY: slow_clients.half_body,
+    Crowd.SLOW_BODY: slow_clients.slow_body,
+    Crowd.MANY_FIELDS: slow_clients.many_fields,
+    Crowd.CALLBACKS: slow_clients.large_callbacks,
+}
 
 
 @dataclass
@@ -79,6 +86,7 @@
     terminated_at: float = float("inf")
     ended_at: float = float("inf")
     killed: bool = False
+    crowd_scopes: list[trio.CancelScope] = field(default_factory=list)
     lags: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=64))
 
     def __post_init__(self) -> None:
@@ -144,7 +152,7 @@
             "listen": f"127.0.0.2:{self.port}",
             "discovery": self.discovery.move(),
             "seed": f"{self.day.seed:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
+            "limits": {"cores": 1.0, "memory_mb": self.day.memory_mb, "sockets": SOCKETS},
             "known": {"version": 0, "full": True, "servers": self.discovery.rows},
             "settings": self.settings,
         }
@@ -169,8 +177,8 @@
             async with trio.open_nursery() as clients:
                 for number in range(self.day.clients):
                     clients.start_soon(self._client, number)
-                for _ in range(self.day.crowd):
-                    clients.start_soon(self._bystander)
+                for number in range(self.day.crowd):
+                    clients.start_soon(self._bystander, number)
                 await self._timeline(process)
                 await trio.sleep(0.2)
                 clients.cancel_scope.cancel()
@@ -233,15 +241,27 @@
             else:
                 self.discovery.go_down(event is True)
         await trio.sleep(max(day.terminate - self.now(), 0))
+        self._judge_memory(process)
         process.send_signal(signal.SIGTERM)
         self.terminated_at = self.now()
         if day.terminated_twice:
             process.send_signal(signal.SIGTERM)
-        await trio.sleep(min(day.longest, 3.0) + KILL_S)
+        await trio.sleep(ARRIVALS_S)
+        for scope in self.crowd_scopes:
+            scope.cancel()
+        await trio.sleep(min(day.longest, 3.0) + KILL_S - ARRIVALS_S)
         if process.poll() is None:
+            self._judge_memory(process)
             self.killed = True
             process.kill()
 
+    def _judge_memory(self, process: trio.Process) -> None:
+        """Judge the highest memory so far."""
+        if process.poll() is None:
+            peak_mib = slow_clients.peak_memory_bytes(process.pid) / 1024 / 1024
+            if peak_mib > self.day.memory_mb:
+                self.breaks.append(f"limit: {peak_mib:.1f} MiB of {self.day.memory_mb}")
+
     async def _client(self, number: int) -> None:
         """Hand in one job after the other on one connection, as long as it stays open."""
         rng = Random(f"{self.day.seed} {number}")
@@ -286,8 +306,13 @@
             request.closed_at = self.now()
         return request
 
-    async def _bystander(self) -> None:
-        """Connect and say nothing, again and again."""
+    async def _bystander(self, number: int) -> None:
+        """Connect, again and again, and do what the day's crowd does."""
+        if self.day.crowd_kind in TALKS:
+            with trio.CancelScope() as scope:
+                self.crowd_scopes.append(scope)
+                await slow_clients.talk_for_ever(self.port, f"crowd-{number}", TALKS[self.day.crowd_kind])
+            return
         while self.now() < self.terminated_at + ARRIVALS_S:
             if (connection := await self._dial()) is not None:
                 with trio.move_on_after(self.rng.uniform(0.5, 4.0)):
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
 from dataclasses import dataclass
 
 import trio
 
 from merlinbay.http.memory_budget import FULL_AT, SMALL_MESSAGE_BYTES, WAIT_FOR_ROOM_S, MemoryBudget
 from tests.net import run_scenario
+from tests.slow_clients import request_head
+from tests.test_crossings import listener_harness, wait_until
 
 LIMIT_BYTES = 100_000
 
@@ -71,3 +75,25 @@
         assert slow.was_released and trio.current_time() - began >= WAIT_FOR_ROOM_S
 
     run_scenario(scenario)
+
+
+# Guards against connections that have ended, and keep what they received until the collector comes to them.
+def test_a_connection_that_has_ended_leaves_nothing_to_the_collector() -> None:
+    """With large bodies, many such connections would fill the memory long before a collection."""
+
+    async def scenario() -> None:
+        gc.collect()
+        gc.disable()
+        try:
+            async with listener_harness() as at:
+                await at.client.send(request_head("half", 1000) + b"x" * 999)
+                await wait_until(lambda: at.connection.is_receiving_request)
+                ended = weakref.ref(at.connection)
+                del at.connection
+                at.client.close()
+                await wait_until(lambda: not at.listener.connections)
+                assert ended() is None
+        finally:
+            gc.enable()
+
+    run_scenario(scenario)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from tests.soak_day import Outage, SoakDay, draw
+from tests.soak_day import Crowd, Outage, SoakDay, draw
 from tests.soak_discovery import Notified
 from tests.soak_world import play_in_process
 
@@ -31,6 +31,15 @@
     wanted: dict[str, Callable[[SoakDay], bool]] = {
         "outage": lambda day: day.outage is not None,
         "crowd": lambda day: day.crowd > 0,
+        **{
+            f"{kind} under 64 MB": lambda day, kind=kind: (
+                day.crowd > 0
+                and (  # type: ignore[misc]
+                    day.crowd_kind is kind and day.memory_mb == 64
+                )
+            )
+            for kind in Crowd
+        },
         "lost answers": lambda day: sum(day.list_faults.values()) >= 0.5,
         "faulty servers": lambda day: sum(day.job_faults.values()) >= 0.2,
         "short deadlines": lambda day: day.longest < 1,
