The submission front's own listener shares the node's budget; a test of servers' responses

Looked for the same mistake in related code: the TLS listener of the submission front had a limit of its own beside the node's, so that both together could pass it. It gets the node's budget.

--- a/merlinbay/drmaa/wiring.py
+++ b/merlinbay/drmaa/wiring.py
@@ -16,6 +16,7 @@
 from merlinbay.drmaa.settings import DrmaaSettings
 from merlinbay.errors import ConfigurationError, parse_address
 from merlinbay.http.connection import Handler
+from merlinbay.http.memory_budget import MemoryBudget
 from merlinbay.http.pool import ConnectionPool
 from merlinbay.http.routes import Routes
 from merlinbay.http.server import Listener
@@ -117,11 +118,11 @@
         if self.tokens is not None and keys is not None:
             self.tokens.use(keys)
 
-    async def listen(self, nursery: trio.Nursery, limits: ResourceLimits) -> None:
+    async def listen(self, nursery: trio.Nursery, limits: ResourceLimits, budget: MemoryBudget) -> None:
         """Serve the front over TLS as well. Raises ``ConfigurationError``."""
         if self.handshakes is None or self.front is None:
             return
-        listener = Listener(Routes([("/drmaa2", self.front)]), limits, self.counters, self.log)
+        listener = Listener(Routes([("/drmaa2", self.front)]), limits, self.counters, self.log, budget)
         listener.prepare_socket = self.handshakes
         host, port = parse_address(self.settings.access.tls)
         try:
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -196,7 +196,7 @@
         if admin_socket is not None:
             nursery.start_soon(self.admin.serve, admin_socket)
         if optional.drmaa is not None:
-            await optional.drmaa.listen(nursery, config.limits)
+            await optional.drmaa.listen(nursery, config.limits, self.budget)
         if optional.fleet is not None:
             await optional.fleet.listen(nursery)
         if config.operator is not None and config.operator.control is not None:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -152,3 +152,55 @@
 
     run_scenario(scenario)
     check(peak, replies)
+
+
+FIELDS_RESPONSE = b"HTTP/1.1 202 Accepted\r\n" + slow_clients.FIELD * 3900
+HALF_BODY = b"Content-Length: 65536\r\n\r\n" + b"x" * 60_000
+CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 60_000
+SERVERS = 100
+JOBS = 300
+
+
+# Guards against memory that servers fill in the ways of slow clients.
+@pytest.mark.parametrize(
+    "response",
+    [FIELDS_RESPONSE + HALF_BODY, b"HTTP/1.1 202 Accepted\r\n" + HALF_BODY, FIELDS_RESPONSE[:23] + CHUNKS],
+    ids=["many fields", "half a body", "small chunks"],
+)
+def test_responses_of_servers_stay_within_the_memory_limit(tmp_path: Path, response: bytes) -> None:
+    """Each of a hundred servers begins a response and stays; no client is served, and all are answered."""
+    peak, statuses = 0, list[int]()
+
+    async def serve(stream: trio.SocketStream) -> None:
+        try:
+            await stream.receive_some(10_000)
+            await stream.send_all(response)
+            await trio.sleep_forever()
+        except trio.BrokenResourceError:
+            pass
+
+    async def scenario() -> None:
+        nonlocal peak
+        async with node_fixture(tmp_path) as fixture:
+            fixture.memory_mb, fixture.sockets = MEMORY_MB, SOCKETS
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.3")
+            fixture.nursery.start_soon(trio.serve_listeners, serve, listeners)
+            address = f"127.0.0.3:{listeners[0].socket.getsockname()[1]}"
+            fixture.endpoint_rows = [
+                {"id": f"s-{number}", "addr": address, "zone": "hall-a", "kind": "k"}
+                for number in range(SERVERS)
+            ]
+            await fixture.start(program=True)
+
+            async def hand_in(number: int) -> None:
+                statuses.append((await fixture.admit(f"job-{number}")).status)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(JOBS):
+                    nursery.start_soon(hand_in, number)
+            assert fixture.process is not None and fixture.process.poll() is None
+            peak = peak_memory_bytes(fixture.process.pid)
+
+    run_scenario(scenario)
+    assert peak < MEMORY_MB * 1024 * 1024, f"{peak / 1024 / 1024:.1f} MiB"
+    assert len(statuses) == JOBS
