--- a/merlinbay/http/held_memory.py
+++ b/merlinbay/http/held_memory.py
@@ -28,6 +28,7 @@
     ) -> None:
         self._budget, self._stream, self._incoming, self._on_release = budget, stream, incoming, on_release
         self._request_bytes = 0  # what the request in progress takes
+        self._held_bytes = 0  # what the budget was told last
         self.is_released = False  # whether memory was short, and the incomplete message was given up
 
     @property
@@ -56,7 +57,10 @@
     def account(self) -> None:
         """Tell the budget what the connection holds."""
         received_bytes = self._incoming.held_bytes + self._stream.parser.unconsumed_bytes
-        self._budget.set_held(self, received_bytes + self._request_bytes)
+        held_bytes = received_bytes + self._request_bytes
+        if held_bytes != self._held_bytes:
+            self._held_bytes = held_bytes
+            self._budget.set_held(self, held_bytes)
 
     def end(self) -> None:
         """Drop all that is held at the end of the connection."""
--- a/merlinbay/http/parser.py
+++ b/merlinbay/http/parser.py
@@ -30,6 +30,7 @@
         self._role, self._limits = role, limits
         self.h11 = self._new_state()
         self._waiting = bytearray()  # bytes that the parser did not get yet
+        self._unparsed_bytes = 0  # bytes that the parser got and may not have used yet
         self._searched_bytes = 0  # how many of them hold no end of a head
         self._events_in_turn = 0  # events since other tasks had their turn
         self._is_chunked = False  # whether the head of the current message announces chunks
@@ -41,7 +42,7 @@
     @property
     def unconsumed_bytes(self) -> int:
         """How many bytes were received after what has been parsed."""
-        return len(self.h11.trailing_data[0]) + len(self._waiting)
+        return self._unparsed_bytes + len(self._waiting)
 
     @property
     def has_head_behind(self) -> bool:
@@ -51,7 +52,10 @@
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event. Raises ``h11.RemoteProtocolError``."""
         self._events_in_turn += 1
-        return self.h11.next_event()
+        event = self.h11.next_event()
+        if event is h11.NEED_DATA or type(event) is h11.EndOfMessage:
+            self._unparsed_bytes = len(self.h11.trailing_data[0])
+        return event
 
     def has_used_turn(self) -> bool:
         """Return whether other tasks should get their turn, which the caller then gives them."""
@@ -81,9 +85,11 @@
             part = self._take(limits.chunked_part_bytes if self._is_chunked else limits.receive_bytes)
         else:
             return False
-        if part:
-            self.h11.receive_data(part)
-        return bool(part)
+        if not part:
+            return False
+        self._unparsed_bytes += len(part)
+        self.h11.receive_data(part)
+        return True
 
     def discard(self) -> None:
         """Drop the bytes that the parser did not get yet."""
@@ -99,12 +105,15 @@
         # The parser has got bytes of the next message, which must be checked like all others.
         self.h11 = self._new_state()
         self._waiting[:0] = behind
+        self._unparsed_bytes = 0
         self._searched_bytes = 0
 
     def _take_head(self) -> bytes:
         """Remove and return a whole head; nothing if its end is missing. Raises ``HeadTooLargeError``."""
         waiting = self._waiting
-        if waiting and waiting[0] < FIRST_PRINTABLE:
+        if not waiting:
+            return b""
+        if waiting[0] < FIRST_PRINTABLE:
             return self._take(self._limits.head_bytes)  # The parser rejects it at once.
         match = HEAD_END.search(waiting, max(self._searched_bytes - len(b"\n\r"), 0))
         end = match.end() if match is not None else len(waiting)
--- a/tests/net.py
+++ b/tests/net.py
@@ -257,12 +257,12 @@
             "LB_ADMIN_ADDR": f"127.0.0.2:{self.admin_port}" if self.admin_port else "",
         }
 
-    async def start(self, program: bool = False, **conf: object) -> None:
-        """Start the node, in this process or as the program, and wait until it is ready."""
+    async def start(self, program: bool = False, cwd: Path = ROOT, **conf: object) -> None:
+        """Start the node, in this process or as the program of a folder, and wait until it is ready."""
         environ = self.configure(**conf)
         if program:
             self.process = await trio.lowlevel.open_process(
-                [sys.executable, "-B", "-m", "merlinbay"], cwd=ROOT, env={**os.environ, **environ}
+                [sys.executable, "-B", "-m", "merlinbay"], cwd=cwd, env={**os.environ, **environ}
             )
         else:
             self.nursery.start_soon(run, load(environ), self.counters)
--- a/tests/test_parser.py
+++ b/tests/test_parser.py
@@ -27,7 +27,7 @@
     target, body = b"", b""
     for part in parts:
         parser.receive(part)
-        while (event := parser.h11.next_event()) is not h11.NEED_DATA or parser.feed():
+        while (event := parser.next_event()) is not h11.NEED_DATA or parser.feed():
             if type(event) is h11.Request:
                 target, body = event.target, b""
             elif type(event) is h11.Data:
@@ -61,7 +61,7 @@
     most = LIMITS.head_fields - ONE_FIELD
     parser = HttpParser(h11.SERVER, LIMITS)
     parser.receive(FIRST_LINES + b"a:\r\n" * most + b"\r\n")
-    assert parser.feed() and type(parser.h11.next_event()) is h11.Request
+    assert parser.feed() and type(parser.next_event()) is h11.Request
     parser = HttpParser(h11.SERVER, LIMITS)
     parser.receive(FIRST_LINES + b"a:\r\n" * (most + 2) + end)
     with pytest.raises(HeadTooLargeError):
@@ -89,18 +89,18 @@
     parser.receive(sent)
     with pytest.raises(h11.RemoteProtocolError):
         while parser.feed():
-            parser.h11.next_event()
+            parser.next_event()
 
 
 def test_a_chunked_body_reaches_the_parser_in_small_parts() -> None:
     """Each chunk costs time, whatever its size, so that few of them are parsed at once."""
     parser = HttpParser(h11.SERVER, LIMITS)
     parser.receive(CHUNKED)
-    assert parser.feed() and type(parser.h11.next_event()) is h11.Request
+    assert parser.feed() and type(parser.next_event()) is h11.Request
     parts = 0
     while parser.feed():
         parts += 1
         assert len(parser.h11.trailing_data[0]) <= LIMITS.chunked_part_bytes
-        while parser.h11.next_event() not in (h11.NEED_DATA, h11.PAUSED):
+        while parser.next_event() not in (h11.NEED_DATA, h11.PAUSED):
             pass
     assert parts == -(-len(b"1\r\na\r\n" * 300 + b"0\r\n\r\n") // LIMITS.chunked_part_bytes)
