Small messages are not counted in the budget, and heads by their size

Cause: counting cost each usual message some microseconds (profile), though connections may hold up to 4 KiB uncounted by design: they never wait and are not given up. Change: what is up to 4 KiB counts as nothing; a head counts by its size and fields; the parser looks for bytes behind a message only after a body.

--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -222,7 +222,7 @@
         if event is h11.PAUSED:
             return await self._read_ahead()
         if type(event) is h11.Request:
-            status = self.incoming.begin(event)
+            status = self.incoming.begin(event, self.stream.parser.head_bytes)
             # The parser's form of a head is large, and a client that is rejected may stay for a while.
             del event
             return await self._begin_request(status)
--- a/merlinbay/http/held_memory.py
+++ b/merlinbay/http/held_memory.py
@@ -58,6 +58,8 @@
         """Tell the budget what the connection holds."""
         received_bytes = self._incoming.held_bytes + self._stream.parser.unconsumed_bytes
         held_bytes = received_bytes + self._request_bytes
+        if held_bytes <= SMALL_MESSAGE_BYTES:
+            held_bytes = 0  # Usual messages are not counted, which would cost more than they hold.
         if held_bytes != self._held_bytes:
             self._held_bytes = held_bytes
             self._budget.set_held(self, held_bytes)
--- a/merlinbay/http/memory_budget.py
+++ b/merlinbay/http/memory_budget.py
@@ -32,21 +32,18 @@
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes, self.held_bytes = limit_bytes, 0
+        self.is_full = False  # whether connections wait before they read on in a large message
         self.released_count = 0  # messages that were given up
         self._held_by: dict[BudgetMember, int] = {}
         self._is_releasing = False
         self._next_release_at = 0.0  # one of all that wait gives up slow messages, on trio's clock
         self._has_room = trio.Event()  # set, and replaced, when the budget is not full any more
 
-    @property
-    def is_full(self) -> bool:
-        """Whether connections wait before they read on in a large message."""
-        return self.held_bytes >= self.limit_bytes * FULL_AT
-
     def set_held(self, member: BudgetMember, held_bytes: int) -> None:
         """Set what a connection holds; 0 removes it. Gives up messages if the limit is passed."""
         was_full = self.is_full
         self.held_bytes += held_bytes - self._held_by.pop(member, 0)
+        self.is_full = self.held_bytes >= self.limit_bytes * FULL_AT
         if held_bytes:
             self._held_by[member] = held_bytes
         if self.held_bytes > self.limit_bytes:
--- a/merlinbay/http/parser.py
+++ b/merlinbay/http/parser.py
@@ -33,6 +33,8 @@
         self._unparsed_bytes = 0  # bytes that the parser got and may not have used yet
         self._searched_bytes = 0  # how many of them hold no end of a head
         self._events_in_turn = 0  # events since other tasks had their turn
+        self.head_bytes = 0  # size of the head of the current message
+        self._has_fed_body = False  # whether the parser got a part of the current message's body
         self._is_chunked = False  # whether the head of the current message announces chunks
 
     def _new_state(self) -> h11.Connection:
@@ -54,7 +56,8 @@
         self._events_in_turn += 1
         event = self.h11.next_event()
         if event is h11.NEED_DATA or type(event) is h11.EndOfMessage:
-            self._unparsed_bytes = len(self.h11.trailing_data[0])
+            # Without a body, the parser got no more than a whole head, and has used it.
+            self._unparsed_bytes = len(self.h11.trailing_data[0]) if self._has_fed_body else 0
         return event
 
     def has_used_turn(self) -> bool:
@@ -81,7 +84,7 @@
         if state in (h11.IDLE, h11.SEND_RESPONSE):
             part = self._take_head()
         elif state is h11.SEND_BODY:
-            limits = self._limits
+            limits, self._has_fed_body = self._limits, True
             part = self._take(limits.chunked_part_bytes if self._is_chunked else limits.receive_bytes)
         else:
             return False
@@ -124,6 +127,7 @@
         if match is None:
             return b""
         head = self._take(end)
+        self.head_bytes, self._has_fed_body = end, False
         self._is_chunked = b"transfer-encoding" in head.lower()
         return head
 
--- a/merlinbay/http/request_buffer.py
+++ b/merlinbay/http/request_buffer.py
@@ -24,8 +24,11 @@
         """How many bytes the request takes so far."""
         return self._head_bytes + len(self._body)
 
-    def begin(self, head: h11.Request) -> int:
-        """Begin a request with its head. Return the status to reject it with, or 0 if its body may follow."""
+    def begin(self, head: h11.Request, head_bytes: int) -> int:
+        """Begin a request with its head, of so many bytes.
+
+        Return the status to reject it with, or 0 if its body may follow.
+        """
         self.clear()
         headers = dict(head.headers)
         length = headers.get(b"content-length")
@@ -35,7 +38,7 @@
             return 413  # Rejected at once, so that megabytes are not read first.
         # The parser's own form of the head takes several times the memory of these texts.
         self._request = Request(head.method.decode(), head.target.decode("latin-1"), header_table(head), b"")
-        self._head_bytes = sum(FIELD_BYTES + len(name) + len(value) for name, value in head.headers)
+        self._head_bytes = head_bytes + FIELD_BYTES * len(head.headers)
         return 0
 
     def add(self, data: bytes | bytearray) -> int:
