Limits of durations and of resources are made by a function each

Change: what is divided of descriptors and memory is in a function of its own. Result: the same limits; tests of the configuration, the sites and the memory limit green.

--- a/merlinbay/limits.py
+++ b/merlinbay/limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from merlinbay.decision.settings import Settings
 
@@ -145,34 +145,41 @@
 
     A duration of 0 keeps the default.
     """
-    usable = max(sockets - 32, 16)  # the rest is for the interpreter, trio, discovery and the listener
     longest_s = min(max(spec.deadline_us for spec in settings.classes) / 1e6, 3.0)
     poll_within_s = settings.safety.must_ask_in_us / 1e6 or math.inf
+    defaults = ResourceLimits
+    return replace(
+        _divided(sockets, memory_mb, max_open_requests),
+        connect_timeout_s=connect_timeout_us / 1e6 if connect_timeout_us > 0 else defaults.connect_timeout_s,
+        pool_idle_timeout_s=keepalive_us / 1e6 * 0.7 if keepalive_us > 0 else defaults.pool_idle_timeout_s,
+        watch_wait_s=min(defaults.watch_wait_s, poll_within_s / 3),
+        dns_max_interval_s=min(defaults.dns_max_interval_s, poll_within_s / 3),
+        # SIGKILL follows 0.7 s after the longest deadline, which counts as 3 s at most. The process must end
+        # before that.
+        stop_serving_for_s=longest_s + 0.1,
+        stop_timeout_s=longest_s + 0.65,
+    )
+
+
+def _divided(sockets: int, memory_mb: int, max_open_requests: int) -> ResourceLimits:
+    """Divide the descriptors and the memory."""
+    usable = max(sockets - 32, 16)  # the rest is for the interpreter, trio, discovery and the listener
     free_bytes = memory_mb * MEBIBYTE - PROCESS_BYTES
     # Where memory is the shorter one, silent connections may take half of what is free.
     client_connections = min(usable * 65 // 100, max(free_bytes // 2 // CONNECTION_BYTES, MIN_CONNECTIONS))
-    defaults = ResourceLimits
     return ResourceLimits(
         # The shares for clients and servers add up to all usable descriptors. Slow or silent clients may hold
         # most of the clients' share while the node also serves its neighbour's clients, and new clients must
         # not be refused while descriptors are free.
         client_connections=client_connections,
-        # The interpreter's heap grows by more than the messages' own size.
-        message_bytes=max(free_bytes // 6, MIN_MESSAGE_BYTES),
         server_connections=usable * 35 // 100,
         # Requests must not hold every client connection, because then no callback could arrive to end them.
         max_open_requests=min(max_open_requests, usable * 55 // 100 * 3 // 4, client_connections * 3 // 4),
+        drmaa_waits=min(usable * 55 // 100, client_connections) // 8,
+        # The interpreter's heap grows by more than the messages' own size.
+        message_bytes=max(free_bytes // 6, MIN_MESSAGE_BYTES),
         endpoint_entries=max(memory_mb * ENTRIES_PER_MEBIBYTE, MIN_ENTRIES),
         finished_request_names=memory_mb * NAMES_PER_MEBIBYTE,
-        finished_output_bytes=memory_mb * 1024 * 1024 // 12,
-        drmaa_waits=min(usable * 55 // 100, client_connections) // 8,
+        finished_output_bytes=memory_mb * MEBIBYTE // 12,
         inbox_messages=min(4096, max(256, memory_mb * 16)),
-        connect_timeout_s=connect_timeout_us / 1e6 if connect_timeout_us > 0 else defaults.connect_timeout_s,
-        pool_idle_timeout_s=keepalive_us / 1e6 * 0.7 if keepalive_us > 0 else defaults.pool_idle_timeout_s,
-        watch_wait_s=min(defaults.watch_wait_s, poll_within_s / 3),
-        dns_max_interval_s=min(defaults.dns_max_interval_s, poll_within_s / 3),
-        # SIGKILL follows 0.7 s after the longest deadline, which counts as 3 s at most. The process must end
-        # before that.
-        stop_serving_for_s=longest_s + 0.1,
-        stop_timeout_s=longest_s + 0.65,
     )
