A call-back that is given up for lack of memory is not answered, so that it is repeated

Found by reading the change: servers repeat a call-back until it is answered, and a 503 is an answer. A job's end that was larger than 4 KiB and given up would have been lost, and its client would have waited until the deadline. Change: such a connection is closed without an answer; clients' requests get their refusal as before. Result: tests/test_memory_budget.py::test_a_call_back_that_is_given_up_is_not_answered green, both cases (the first one fails with a rejection in its place, by the second).

--- a/merlinbay/http/connection.py
+++ b/merlinbay/http/connection.py
@@ -69,6 +69,8 @@
         self.closes_after_response = False
         # Called as soon as no request is in progress.
         self.send_to_successor: SendToSuccessor | None = None
+        # Whether a request with a target is repeated until it is answered, so that a rejection would lose it.
+        self.is_repeated: Callable[[str], bool] = lambda target: False
         # The state of the connection.
         self.has_request_in_progress = False  # from the call of the handler until its response is written
         self.has_answered = False  # whether at least one response was written
@@ -128,9 +130,8 @@
         """Close it at once unless a request is in progress or readable. Return whether it is closed."""
         # Checks and closes without a checkpoint, so that no task reads a request in between. Bytes that were
         # read, and wait for their turn, may be a whole request.
-        if not self.awaits_bytes or is_readable(self.sock):
-            return False
-        if not (self.is_idle or self.is_receiving_request):
+        is_unused = self.awaits_bytes and (self.is_idle or self.is_receiving_request)
+        if not is_unused or is_readable(self.sock):
             return False
         self._note_close(CloseReason.EVICTED)
         self.stream.raw.close()
@@ -194,7 +195,8 @@
                 await trio.lowlevel.checkpoint()
             if self.memory.is_released and not self.has_request_in_progress:
                 self._note_close(CloseReason.MEMORY_SHORT)
-                await self._reject(503)
+                if not self.is_repeated(self.incoming.target):
+                    await self._reject(503)
                 return
             if not self.stream.has_sent_last_response:
                 goes_on = await self._handle_next_event()
--- a/merlinbay/http/request_buffer.py
+++ b/merlinbay/http/request_buffer.py
@@ -15,6 +15,7 @@
 
     def __init__(self, limits: ResourceLimits) -> None:
         self.limits = limits
+        self.target = ""  # target of the latest request whose head was read
         self._request: Request | None = None  # the request without its body
         self._head_bytes = 0
         self._body = bytearray()
@@ -37,7 +38,8 @@
         if length is not None and int(length) > self.limits.body_bytes:
             return 413  # Rejected at once, so that megabytes are not read first.
         # The parser's own form of the head takes several times the memory of these texts.
-        self._request = Request(head.method.decode(), head.target.decode("latin-1"), header_table(head), b"")
+        self.target = head.target.decode("latin-1")
+        self._request = Request(head.method.decode(), self.target, header_table(head), b"")
         self._head_bytes = head_bytes + FIELD_BYTES * len(head.headers)
         return 0
 
--- a/merlinbay/http/server.py
+++ b/merlinbay/http/server.py
@@ -8,6 +8,7 @@
 
 import errno
 import socket
+from collections.abc import Callable
 
 import trio
 
@@ -52,6 +53,7 @@
         self.closes_after_response = False  # whether connections close after a response, later ones included
         # Sends connections to the successor. While it is set, no connections are accepted.
         self.send_to_successor: SendToSuccessor | None = None
+        self.is_repeated: Callable[[str], bool] = lambda target: False  # see ``Connection``
         self.accept_scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None  # the nursery of the connections; None while not serving
 
@@ -123,6 +125,7 @@
             self.closes_after_response,
             self.send_to_successor,
         )
+        connection.is_repeated = self.is_repeated
         connection.has_served_request = has_served_request
         connection.carries_callbacks = carries_callbacks
         if has_served_request:
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -32,7 +32,7 @@
 from merlinbay.node_signals import SignalHandler, pending_sigterms
 from merlinbay.platform import messages
 from merlinbay.platform.admin_listener import AdminListener
-from merlinbay.platform.client_adapter import ClientAdapter
+from merlinbay.platform.client_adapter import ClientAdapter, is_callback
 from merlinbay.platform.discovery import Discovery
 from merlinbay.platform.servers import PlatformServers
 
@@ -61,6 +61,7 @@
             handler = self.optional.drmaa.routes(handler)
         self.budget = MemoryBudget(limits.message_bytes)
         self.listener = Listener(handler, limits, counters, self.log, self.budget)
+        self.listener.is_repeated = is_callback
         self.steering = ClientSteering(self.listener, limits)
         self.admin = AdminListener(self.inbox, self.steering, limits, counters, self.log)
         if config.settings.balancers == 1:  # With more nodes, a new connection reaches another node.
--- a/merlinbay/platform/client_adapter.py
+++ b/merlinbay/platform/client_adapter.py
@@ -48,6 +48,11 @@
     return Response(503, b"refused\n", [(b"retry-after", wait)] if retry_after_us else [])
 
 
+def is_callback(target: str) -> bool:
+    """Return whether a request with this target is a server's callback, which is repeated until answered."""
+    return target.partition("?")[0] == CALLBACK_PATH
+
+
 class ClientRequest(Responder):
     """The client's side of one request. This protocol reports the end of a request only."""
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -6,9 +6,11 @@
 import weakref
 from dataclasses import dataclass
 
+import pytest
 import trio
 
 from merlinbay.http.memory_budget import FULL_AT, SMALL_MESSAGE_BYTES, WAIT_FOR_ROOM_S, MemoryBudget
+from merlinbay.platform.client_adapter import CALLBACK_PATH, is_callback
 from tests.net import run_scenario
 from tests.slow_clients import request_head
 from tests.test_crossings import listener_harness, wait_until
@@ -97,3 +99,20 @@
             gc.enable()
 
     run_scenario(scenario)
+
+
+# Guards against a job's end that is lost because its call-back was answered though nobody has read it.
+@pytest.mark.parametrize(("target", "answer"), [(CALLBACK_PATH, b""), ("/admit", b"HTTP/1.1 503 ")])
+def test_a_call_back_that_is_given_up_is_not_answered(target: str, answer: bytes) -> None:
+    """Its server repeats it until it is answered; a client's request gets its refusal."""
+
+    async def scenario() -> None:
+        async with listener_harness() as at:
+            at.connection.is_repeated = is_callback
+            head = f"POST {target} HTTP/1.1\r\nHost: node\r\nContent-Length: 9999\r\n\r\n".encode()
+            await at.client.send(head + b"x" * 9000)
+            await wait_until(lambda: at.connection.memory.releasable_bytes() > SMALL_MESSAGE_BYTES)
+            at.connection.memory.release_memory()
+            assert (await at.answered())[: len(b"HTTP/1.1 503 ")] == answer
+
+    run_scenario(scenario)
