--- a/review/lib2.py
+++ b/review/lib2.py
@@ -1,6 +1,7 @@
 """Stand-ins and helpers for the cases of the second review. They use the standard library alone.
 
-Everything runs on loopback addresses with free ports. ``Case`` starts and ends processes and keeps the record.
+Everything runs on loopback addresses with free ports. ``Case`` starts and ends processes and keeps the
+record.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -261,7 +262,9 @@
     def __init__(self, case: Case, name: str, node: str, host: str = "127.0.0.2") -> None:
         self.case, self.name, self.node = case, name, node
         self.host, self.port = host, free_port(host)
-        self.behave: Callable[[PlatformExecutor, str, dict[str, str]], Awaitable[None]] = run_at_once
+        self.behave: Callable[[PlatformExecutor, str, dict[str, str]], Coroutine[Any, Any, None]] = (
+            run_at_once
+        )
         self.tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -332,7 +335,11 @@
         self.note(f"BROKEN: {text}")
 
     def start(
-        self, command: list[str], env: dict[str, str] | None = None, name: str = "", pass_fds: tuple[int, ...] = ()
+        self,
+        command: list[str],
+        env: dict[str, str] | None = None,
+        name: str = "",
+        pass_fds: tuple[int, ...] = (),
     ) -> subprocess.Popen[bytes]:
         """Start a process from the root of the repository; its output goes into the temporary folder."""
         with (self.tmp / f"{name or 'process'}-{len(self.processes)}.log").open("wb") as log:
@@ -374,7 +381,13 @@
             "settings": conf,
         }
         path.write_text(json.dumps(found))
-        told = {"LB_CONFIG": str(path), "LB_NAME": name, "LB_LISTEN": listen, "LB_DISCOVERY": discovery, **env}
+        told = {
+            "LB_CONFIG": str(path),
+            "LB_NAME": name,
+            "LB_LISTEN": listen,
+            "LB_DISCOVERY": discovery,
+            **env,
+        }
         if operator:
             (self.tmp / f"operator-{number}.toml").write_text(operator)
             told["LB_OPERATOR"] = str(self.tmp / f"operator-{number}.toml")
@@ -413,16 +426,12 @@
         async with asyncio.timeout(110):
             await play(case)
 
+    status = 2
     try:
         asyncio.run(limited())
-    except Exception as error:
-        case.note(f"could not run: {error!r}")
-        print(f"could not run: {error!r}", file=sys.stderr)
-        status = 2
-    else:
         status = 1 if case.broken else 0
     finally:
         case.end()
-    case.note("ends", status=status)
-    print("\n".join(case.broken) or ("held" if status == 0 else ""))
-    sys.exit(status)
+        case.note("ends", status=status, error=repr(sys.exc_info()[1]))
+        print("\n".join(case.broken) or ("held" if status == 0 else repr(sys.exc_info()[1])))
+        sys.exit(status)
