Review: show a crash of the node at 257 kinds of waiting batch jobs

Seen: Pacing.know forgets shapes of which jobs wait; the next look raises KeyError and the node ends.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,127 +1,113 @@
-"""A scheduler is restarted while it runs a job, and gives the job's id to another client's job."""
+"""A traffic jump fills the backlog with batch jobs of which each asks for an amount of memory of its own."""
 
 from __future__ import annotations
 
 import asyncio
-import base64
-import os
-import signal
-import subprocess
-import sys
 import time
 from typing import Any
 
 from review.lib2 import TROUBLE, Case, Discovery, call_json, free_port, main, settings
-
+from review.scheduler2 import RUN_S, SLOTS, Scheduler
+
+SCHEDULERS = 4
+CAPACITY = SCHEDULERS * SLOTS / RUN_S  # jobs a second
+USUAL = CAPACITY * 0.6
+JUMP = 2.4  # the pages: 1.4 to 2.5 times the usual
+JUMP_S = 8.0  # the pages: 2.4 to 8.7 s
+BEFORE_S = 3.0
+END_S = 40.0  # far more than the backlog needs
 OPERATOR = """
 [drmaa]
 front = true
 access.open = true
 servers = true
+memory_unit_kib = 1_048_576
+
+[drmaa.default]
+backlog = true
 """
-COMMAND = 'echo "$0 $$" >> "$2"; sleep "$1"; echo "$0"'
-NAMES = ("s-1", "s-2")
 
 
 class Play:
-    """The day: two schedulers, one node, and clients that submit jobs."""
+    """The day: four schedulers, one node, and clients that submit jobs."""
 
     def __init__(self, case: Case) -> None:
-        self.case, self.discovery = case, Discovery(case)
+        self.case = case
         self.node = f"127.0.0.1:{free_port('127.0.0.1')}"
-        self.ports = {name: free_port("127.0.0.2") for name in NAMES}
-        self.running: dict[str, subprocess.Popen[bytes]] = {}
-        self.place: dict[str, str] = {}  # where each job was when it was last asked after
-        self.ended: dict[str, dict[str, Any]] = {}
-
-    def start_scheduler(self, name: str) -> None:
-        """Start the project's scheduler, as its operator would."""
-        command = [sys.executable, "-B", "-m", "review.6.scheduler", name, str(self.ports[name]), str(self.case.tmp)]
-        self.running[name] = self.case.start(command, name=name)
-
-    def kill_jobs(self, server: str = "") -> None:
-        """Kill the jobs' processes, all of them or those of a scheduler: they die with its machine."""
-        for path in self.case.tmp.glob(f"runs-{server or '*'}"):
-            for line in path.read_text().splitlines():
-                try:
-                    os.killpg(int(line.split()[1]), signal.SIGKILL)
-                except ProcessLookupError:
-                    continue
-            path.rename(path.with_name(f"ran-{time.monotonic_ns()}"))
-
-    async def submit(self, token: str, seconds: float, machines: list[str]) -> None:
-        """Submit a job that prints its token, wait for its end, and check what its client is given."""
-        runs = str(self.case.tmp / f"runs-{machines[0] if len(machines) == 1 else 'any'}")
+        self.taken: dict[str, int] = {}  # by job id: the job's number
+        self.refused = self.unanswered = 0
+
+    async def submit(self, number: int) -> None:
+        """Submit a job; each needs a different amount of memory."""
         template = {
-            "remoteCommand": "/bin/sh",
-            "args": ["-c", COMMAND, token, str(seconds), runs],
+            "remoteCommand": "transcribe",
             "jobCategory": "admit",
-            "candidateMachines": machines,
+            "minPhysMemory": 200_000 + 512 * number,
         }
-        status, taken = await call_json(self.node, "POST", "/drmaa2/jobs", {"jobTemplate": template})
-        self.case.note("client submits", token=token, status=status, answer=taken)
-        if status != 201:
-            return
-        path = f"/drmaa2/jobs/{taken['jobId']}/waitTerminated?timeout=20"
-        status, info = await call_json(self.node, "GET", path, timeout=25)
-        printed = base64.b64decode(info.get("output", "") or "").decode().strip()
-        self.case.note("client is told", token=token, status=status, state=info.get("jobState"), output=printed)
-        self.ended[token] = info
-        if info.get("jobState") == "DONE" and printed != token:
-            self.case.breaks(f"the client of {token} was told DONE with the output {printed!r}")
+        try:
+            status, found = await call_json(self.node, "POST", "/drmaa2/jobs", {"jobTemplate": template})
+        except (OSError, TimeoutError, ValueError) as error:
+            status, found = 0, {"error": repr(error)}
+        self.case.note("client submits", number=number, status=status, answer=found)
+        if status == 201:
+            self.taken[found["jobId"]] = number
+        elif status == 503:
+            self.refused += 1
+        else:
+            self.unanswered += 1
+
+    async def state_of(self, job: str) -> str:
+        """Return what the node says of a job."""
+        try:
+            status, info = await call_json(self.node, "GET", f"/drmaa2/jobs/{job}")
+        except (OSError, TimeoutError) as error:
+            return repr(error)
+        return str(info.get("jobState", status))
+
+    async def wait_for_ends(self) -> dict[str, str]:
+        """Ask for the jobs until all have ended, or the time is over; return the states of the others."""
+        left: dict[str, str] = dict.fromkeys(self.taken, "")
+        until = time.monotonic() + END_S
+        while left and time.monotonic() < until and self.process.poll() is None:
+            for job in list(left):
+                left[job] = await self.state_of(job)
+                if left[job] in ("DONE", "FAILED"):
+                    self.case.note("client is told", job=job, number=self.taken[job], state=left.pop(job))
+            await asyncio.sleep(1)
+        return left
 
     async def run(self) -> None:
         """Play the day."""
-        await self.discovery.start()
-        for name in NAMES:
-            self.start_scheduler(name)
-            self.discovery.list(name, f"127.0.0.2:{self.ports[name]}")
-        known = self.discovery.listing()["servers"]
-        self.case.start_node(self.node, self.discovery.addr, settings(), known, OPERATOR)
-        await self.case.until_ready(self.node)
-        for name in NAMES:
-            await self.up(name)
+        case, discovery = self.case, Discovery(self.case)
+        await discovery.start()
+        for number in range(1, SCHEDULERS + 1):
+            scheduler = Scheduler(case, f"s-{number}")
+            await scheduler.start()
+            discovery.list(scheduler.name, scheduler.addr)
+        known: list[dict[str, Any]] = discovery.listing()["servers"]
+        self.process = case.start_node(self.node, discovery.addr, settings(), known, OPERATOR)
+        await case.until_ready(self.node)
         await asyncio.sleep(1)
+        began, number = time.monotonic(), 0
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.submit("long-1", 3.5, ["s-1"]))
-            await asyncio.sleep(0.3)
-            if TROUBLE:
-                self.case.note("s-1 is killed and started again")
-                self.running["s-1"].kill()
-                self.running["s-1"].wait()
-                self.kill_jobs("s-1")
-                self.start_scheduler("s-1")
-                started_ms = int(time.time() * 1000)
-                await self.up("s-1")
-                group.create_task(self.list_later(started_ms))
-            for number in range(8):
-                group.create_task(self.submit(f"short-{number}", 0.2, list(NAMES)))
-                await asyncio.sleep(0.2)
-
-    async def list_later(self, started_ms: int) -> None:
-        """Have discovery list the restart a second late."""
-        await asyncio.sleep(1)
-        self.discovery.list("s-1", f"127.0.0.2:{self.ports['s-1']}", started_ms=started_ms)
-
-    async def up(self, name: str) -> None:
-        """Wait until a scheduler answers."""
-        async with asyncio.timeout(20):
-            while True:
-                try:
-                    await call_json(f"127.0.0.2:{self.ports[name]}", "GET", "/drmaa2/jobs/0")
-                except OSError:
-                    await asyncio.sleep(0.02)
-                else:
-                    return
+            while (at_s := time.monotonic() - began) < BEFORE_S + JUMP_S:
+                group.create_task(self.submit(number))
+                number += 1
+                jumps = TROUBLE and at_s >= BEFORE_S
+                await asyncio.sleep(1 / (USUAL * JUMP if jumps else USUAL))
+        left = await self.wait_for_ends()
+        case.note("result", submitted=number, taken=len(self.taken), refused=self.refused, left=len(left))
+        if self.process.poll() is not None:
+            case.breaks(f"the node has ended by itself, with status {self.process.returncode}")
+        if left:
+            case.breaks(f"{len(left)} of {len(self.taken)} jobs that were taken have no final answer")
+        if self.unanswered:
+            case.breaks(f"{self.unanswered} submissions were answered by an error of the node, or not at all")
 
 
 async def play(case: Case) -> None:
     """Play the case."""
-    day = Play(case)
-    try:
-        await day.run()
-    finally:
-        day.kill_jobs()
+    await Play(case).run()
 
 
 main(__file__, play)
