--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,99 +1,138 @@
-"""A DNS-SD record disappears while the name of another instance's host cannot be resolved."""
+"""A scheduler is restarted while it runs a job, and gives the job's id to another client's job."""
 
 from __future__ import annotations
 
 import asyncio
-import secrets
+import base64
+import os
+import signal
+import subprocess
+import sys
 import time
-
-from review.dns2 import SERVICE, NameServer
-from review.lib2 import TROUBLE, Case, PlatformExecutor, call, free_port, main, settings
-
-NUMBER = 6
-GONE, FAILING = "s-2", "s-5"
-WINDOW_S = 0.55  # the 500 ms of the drain rule, and the 50 ms that every limit is longer on sockets
-OUTAGE_S = 12.0
-
-
-class Names(NameServer):
-    """The name server, which remembers when the node was told that the record has disappeared."""
-
-    told_at = 0.0
-
-    def answered(self, name: str, kind: str) -> None:
-        """Note the first list without the record."""
-        if name == SERVICE and self.instances and GONE not in self.instances and not self.told_at:
-            self.told_at = time.monotonic()
-            self.case.note("the node has been told", gone=GONE)
-
-
-class Executor(PlatformExecutor):
-    """An executor that checks when it is sent something."""
-
-    names: Names
-    late = 0
-
-    async def handle(self, method: str, target: str, headers: dict[str, str], body: bytes):  # type: ignore[no-untyped-def]
-        """Answer one call."""
-        told_at = self.names.told_at
-        if method == "POST" and self.name == GONE and told_at and time.monotonic() > told_at + WINDOW_S:
-            self.late += 1
-            self.case.note("late send", executor=self.name, after_s=f"{time.monotonic() - told_at:.3f}")
-        return await super().handle(method, target, headers, body)
-
-
-async def client(case: Case, node: str, until: float) -> None:
-    """Send a job every 30 ms."""
-    async with asyncio.TaskGroup() as group:
-        while time.monotonic() < until:
-            group.create_task(one(case, node))
-            await asyncio.sleep(0.03)
-
-
-async def one(case: Case, node: str) -> None:
-    """Send one job."""
-    job = secrets.token_hex(8)
-    headers = {
-        "X-Request-ID": job,
-        "X-Priority-Class": "admit",
-        "X-Timeout-Ms": "5000",
-        "Idempotency-Key": secrets.token_hex(16),
-        "X-Attrs": "slots=1,memory=0.5",
-    }
-    try:
-        status, _, body = await call(node, "POST", "/admit", headers, b"caller")
-    except OSError as error:
-        status, body = 0, repr(error).encode()
-    case.note("client is answered", id=job, status=status, body=body[:60])
+from typing import Any
+
+from review.lib2 import TROUBLE, Case, Discovery, call_json, free_port, main, settings
+
+OPERATOR = """
+[drmaa]
+front = true
+access.open = true
+servers = true
+"""
+COMMAND = 'echo "$0 $$" >> "$2"; sleep "$1"; echo "$0"'
+NAMES = tuple(f"s-{number}" for number in range(1, 7))  # one of six is restarted: 17 of 100
+SHORT = ["s-1", "s-2"]  # where the short jobs may run
+
+
+class Play:
+    """The day: six schedulers, one node, and clients that submit jobs."""
+
+    def __init__(self, case: Case) -> None:
+        self.case, self.discovery = case, Discovery(case)
+        self.node = f"127.0.0.1:{free_port('127.0.0.1')}"
+        self.ports = {name: free_port("127.0.0.2") for name in NAMES}
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.place: dict[str, str] = {}  # where each job was when it was last asked after
+        self.ended: dict[str, dict[str, Any]] = {}
+
+    def start_scheduler(self, name: str) -> None:
+        """Start the project's scheduler, as its operator would."""
+        command = [
+            sys.executable,
+            "-B",
+            "-m",
+            "review.7.scheduler",
+            name,
+            str(self.ports[name]),
+            str(self.case.tmp),
+        ]
+        self.running[name] = self.case.start(command, name=name)
+
+    def kill_jobs(self, server: str = "") -> None:
+        """Kill the jobs' processes, all of them or those of a scheduler: they die with its machine."""
+        for path in self.case.tmp.glob(f"runs-{server or '*'}"):
+            for line in path.read_text().splitlines():
+                try:
+                    os.killpg(int(line.split()[1]), signal.SIGKILL)
+                except ProcessLookupError:
+                    continue
+            path.rename(path.with_name(f"ran-{time.monotonic_ns()}"))
+
+    async def submit(self, token: str, seconds: float, machines: list[str]) -> None:
+        """Submit a job that prints its token, wait for its end, and check what its client is given."""
+        runs = str(self.case.tmp / f"runs-{machines[0] if len(machines) == 1 else 'any'}")
+        template = {
+            "remoteCommand": "/bin/sh",
+            "args": ["-c", COMMAND, token, str(seconds), runs],
+            "jobCategory": "admit",
+            "candidateMachines": machines,
+        }
+        status, taken = await call_json(self.node, "POST", "/drmaa2/jobs", {"jobTemplate": template})
+        self.case.note("client submits", token=token, status=status, answer=taken)
+        if status != 201:
+            return
+        path = f"/drmaa2/jobs/{taken['jobId']}/waitTerminated?timeout=20"
+        status, info = await call_json(self.node, "GET", path, timeout=25)
+        printed = base64.b64decode(info.get("output", "") or "").decode().strip()
+        self.case.note(
+            "client is told", token=token, status=status, state=info.get("jobState"), output=printed
+        )
+        self.ended[token] = info
+        if info.get("jobState") == "DONE" and printed != token:
+            self.case.breaks(f"the client of {token} was told DONE with the output {printed!r}")
+
+    async def run(self) -> None:
+        """Play the day."""
+        await self.discovery.start()
+        for name in NAMES:
+            self.start_scheduler(name)
+            self.discovery.list(name, f"127.0.0.2:{self.ports[name]}")
+        known = self.discovery.listing()["servers"]
+        self.case.start_node(self.node, self.discovery.addr, settings(), known, OPERATOR)
+        await self.case.until_ready(self.node)
+        for name in NAMES:
+            await self.up(name)
+        await asyncio.sleep(1)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.submit("long-1", 3.5, ["s-1"]))
+            await asyncio.sleep(0.3)
+            if TROUBLE:
+                self.case.note("s-1 is killed and started again")
+                self.running["s-1"].kill()
+                self.running["s-1"].wait()
+                self.kill_jobs("s-1")
+                self.start_scheduler("s-1")
+                started_ms = int(time.time() * 1000)
+                await self.up("s-1")
+                group.create_task(self.list_later(started_ms))
+            for number in range(8):
+                group.create_task(self.submit(f"short-{number}", 0.2, SHORT))
+                await asyncio.sleep(0.2)
+
+    async def list_later(self, started_ms: int) -> None:
+        """Have discovery list the restart a second late."""
+        await asyncio.sleep(1)
+        self.discovery.list("s-1", f"127.0.0.2:{self.ports['s-1']}", started_ms=started_ms)
+
+    async def up(self, name: str) -> None:
+        """Wait until a scheduler answers."""
+        async with asyncio.timeout(20):
+            while True:
+                try:
+                    await call_json(f"127.0.0.2:{self.ports[name]}", "GET", "/drmaa2/jobs/0")
+                except OSError:
+                    await asyncio.sleep(0.02)
+                else:
+                    return
 
 
 async def play(case: Case) -> None:
     """Play the case."""
-    names = Names(case)
-    await names.start()
-    node = f"127.0.0.1:{free_port('127.0.0.1')}"
-    executors = {}
-    for number in range(1, NUMBER + 1):
-        executor = executors[f"s-{number}"] = Executor(case, f"s-{number}", node)
-        executor.names = names
-        await executor.start()
-        names.add(executor.name, f"bridge-{number}.hall-a.example.", executor.addr, "zone=hall-a", "kind=plain-4", "cell=1")
-    operator = f'[dnssd]\nnameserver = "{names.addr}"\nservice = "{SERVICE}"\n'
-    nowhere = f"127.0.0.1:{free_port('127.0.0.1')}"
-    case.start_node(node, nowhere, settings(), [], operator)
-    await case.until_ready(node)
-    await asyncio.sleep(2)
-    if TROUBLE:
-        names.failing.add(f"bridge-{FAILING[2:]}.hall-a.example.")
-        case.note("the host name cannot be resolved from now on", instance=FAILING)
-    async with asyncio.TaskGroup() as group:
-        group.create_task(client(case, node, time.monotonic() + OUTAGE_S))
-        await asyncio.sleep(2)
-        names.remove(GONE)
-    if not names.told_at:
-        raise RuntimeError("the node has not asked for the list")
-    if late := executors[GONE].late:
-        case.breaks(f"{GONE} was sent {late} jobs later than {WINDOW_S} s after the node was told that it is gone")
+    day = Play(case)
+    try:
+        await day.run()
+    finally:
+        day.kill_jobs()
 
 
 main(__file__, play)
