Review: show that a node ends another client's job after a scheduler's restart

Seen: at a job's deadline the node terminates its id, which another client's job has since the restart.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A scheduler is restarted while it runs a job, and gives the job's id to another client's job."""
+"""A scheduler is restarted while it runs a job; at that job's deadline the node ends another client's job."""
 
 from __future__ import annotations
 
@@ -21,7 +21,15 @@
 """
 COMMAND = 'echo "$0 $$" >> "$2"; sleep "$1"; echo "$0"'
 NAMES = tuple(f"s-{number}" for number in range(1, 7))  # one of six is restarted: 17 of 100
-SHORT = ["s-1", "s-2"]  # where the short jobs may run
+OTHERS = ["s-2", "s-3", "s-4", "s-5", "s-6"]
+CLASS = {
+    "name": "admit",
+    "aimUs": 120_000,
+    "deadlineUs": 5_000_000,
+    "worth": 1.0,
+    "effect": "once",
+    "stream": False,
+}
 
 
 class Play:
@@ -32,7 +40,6 @@
         self.node = f"127.0.0.1:{free_port('127.0.0.1')}"
         self.ports = {name: free_port("127.0.0.2") for name in NAMES}
         self.running: dict[str, subprocess.Popen[bytes]] = {}
-        self.place: dict[str, str] = {}  # where each job was when it was last asked after
         self.ended: dict[str, dict[str, Any]] = {}
 
     def start_scheduler(self, name: str) -> None:
@@ -78,8 +85,9 @@
             "client is told", token=token, status=status, state=info.get("jobState"), output=printed
         )
         self.ended[token] = info
-        if info.get("jobState") == "DONE" and printed != token:
-            self.case.breaks(f"the client of {token} was told DONE with the output {printed!r}")
+        if token == "second" and info.get("terminatingSignal"):
+            why = f"{info.get('terminatingSignal')}, {info.get('annotation')}"
+            self.case.breaks(f"job {token!r}, which nobody gave up, was ended before its time: {why}")
 
     async def run(self) -> None:
         """Play the day."""
@@ -88,14 +96,15 @@
             self.start_scheduler(name)
             self.discovery.list(name, f"127.0.0.2:{self.ports[name]}")
         known = self.discovery.listing()["servers"]
-        self.case.start_node(self.node, self.discovery.addr, settings(), known, OPERATOR)
+        self.case.start_node(self.node, self.discovery.addr, settings(classes=[CLASS]), known, OPERATOR)
         await self.case.until_ready(self.node)
         for name in NAMES:
             await self.up(name)
         await asyncio.sleep(1)
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.submit("long-1", 3.5, ["s-1"]))
-            await asyncio.sleep(0.3)
+            # With the restart the first job is lost, and its deadline comes 5 s after its submission.
+            group.create_task(self.submit("first", 3.5, ["s-1"]))
+            await asyncio.sleep(0.2)
             if TROUBLE:
                 self.case.note("s-1 is killed and started again")
                 self.running["s-1"].kill()
@@ -105,9 +114,13 @@
                 started_ms = int(time.time() * 1000)
                 await self.up("s-1")
                 group.create_task(self.list_later(started_ms))
-            for number in range(8):
-                group.create_task(self.submit(f"short-{number}", 0.2, SHORT))
-                await asyncio.sleep(0.2)
+            await asyncio.sleep(0.4)
+            group.create_task(self.submit("second", 4.3, ["s-1"]))
+            for number in range(20):
+                group.create_task(self.submit(f"short-{number}", 0.2, OTHERS))
+                await asyncio.sleep(0.25)
+        if "second" not in self.ended:
+            raise RuntimeError("the second job was not taken")
 
     async def list_later(self, started_ms: int) -> None:
         """Have discovery list the restart a second late."""
