--- a/review/lib2.py
+++ b/review/lib2.py
@@ -266,6 +266,7 @@
             run_at_once
         )
         self.tasks: set[asyncio.Task[None]] = set()
+        self.running = 0  # jobs that run now
 
     @property
     def addr(self) -> str:
@@ -306,8 +307,10 @@
 async def run_at_once(executor: PlatformExecutor, job: str, headers: dict[str, str]) -> None:
     """Run a job for a quarter of a second, as the deployment's jobs do."""
     await executor.tell(job, "started")
+    executor.running += 1
     await asyncio.sleep(0.25)
-    load = {"eps": 0, "inflight": 0, "x0": 4, "x1": 4}
+    executor.running -= 1
+    load = {"eps": 0, "inflight": executor.running, "x0": max(4 - executor.running, 0), "x1": 4}
     await executor.tell(job, "done", result=f"{executor.name} ran {job}", load=load)
 
 
