Review: a case that cannot run exits with 2, whatever it fails by

Seen: a failing import or an unwritable record gave 1, which reads as a broken rule; cases 7 and 9 gave 0 and case 6 gave 1 where no server was sent anything. run.sh now makes 1 of status 3 alone and 2 of all others, and these cases ask for work that was done. SIGTERM to run.sh ends the case's processes.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -80,9 +80,11 @@
         """Play the day."""
         case, discovery = self.case, Discovery(self.case)
         await discovery.start()
+        schedulers: list[Scheduler] = []
         for number in range(1, SCHEDULERS + 1):
             scheduler = Scheduler(case, f"s-{number}")
             await scheduler.start()
+            schedulers.append(scheduler)
             discovery.list(scheduler.name, scheduler.addr)
         known: list[dict[str, Any]] = discovery.listing()["servers"]
         self.process = case.start_node(self.node, discovery.addr, settings(), known, OPERATOR)
@@ -97,6 +99,8 @@
                 await asyncio.sleep(1 / (USUAL * JUMP if jumps else USUAL))
         left = await self.wait_for_ends()
         case.note("result", submitted=number, taken=len(self.taken), refused=self.refused, left=len(left))
+        if not any(scheduler.jobs for scheduler in schedulers):
+            raise RuntimeError("no scheduler was sent anything")
         if self.process.poll() is not None:
             case.breaks(f"the node has ended by itself, with status {self.process.returncode}")
         if left:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -62,6 +62,8 @@
             await asyncio.sleep(GAP_S)
     if names.resets:
         raise RuntimeError("the node has made no call over TCP")
+    if 200 not in clients.answers:
+        raise RuntimeError("no request was served")
     if process.poll() is not None:
         case.breaks(f"the node has ended by itself, with status {process.returncode}")
     if unanswered := clients.answers.count(0):
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -58,6 +58,8 @@
         for _ in range(int(LENGTH_S / GAP_S)):
             group.create_task(one(case, node))
             await asyncio.sleep(draw.expovariate(1 / GAP_S))
+    if not any(scheduler.jobs for scheduler in schedulers):
+        raise RuntimeError("no scheduler was sent anything")
     duplicates = sum(scheduler.duplicates for scheduler in schedulers)
     if duplicates:
         case.breaks(f"schedulers were sent {duplicates} jobs that they had, neither ended nor given up")
--- a/review/lib2.py
+++ b/review/lib2.py
@@ -422,7 +422,11 @@
 
 
 def main(folder: str, play: Callable[[Case], Awaitable[None]]) -> None:
-    """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Play a case; exit with 3 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+    ``run.sh`` makes 1 of 3, and 2 of every other status: Python ends with 1 where it fails by itself.
+    """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # the processes are ended all the same
     case = Case(Path(folder).resolve().parent)
 
     async def limited() -> None:
@@ -432,7 +436,7 @@
     status = 2
     try:
         asyncio.run(limited())
-        status = 1 if case.broken else 0
+        status = 3 if case.broken else 0
     finally:
         case.end()
         case.note("ends", status=status, error=repr(sys.exc_info()[1]))
