Keep the pace of every shape of which batch jobs wait

Cause: the queue's counter said which shapes wait; the pace's table forgot, at 256 records, every shape that was not shut, also those of which jobs waited. Pacing.open and opens_us looked the forgotten ones up: KeyError in every flush, in the front's task and in the dispatcher's.

Change: Pacing counts what waits, by class and shape, and forgets a record only if nothing waits for it and it is not shut, so no second structure can disagree. The limit on records is a field of BatchLimits, so that drawn tests can lower it: TestPlay has two records and six shapes a class.

The invariant on waiting jobs in TestPlay compares by class too, and that each shape has its record.

--- a/merlinbay/batch/engine.py
+++ b/merlinbay/batch/engine.py
@@ -40,7 +40,7 @@
 
     def __init__(self, bounds: BatchLimits, new_id: Callable[[], str]) -> None:
         super().__init__(bounds, new_id)
-        self.waiting, self.ends = Counter(), Counter()
+        self.ends = Counter()
         self.stopping = False
 
     # Submission.
--- a/merlinbay/batch/queue.py
+++ b/merlinbay/batch/queue.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Hashable
 
 from merlinbay.batch.errors import DrmaaError, invalid_state
 from merlinbay.batch.fair_share import AccountQueue
@@ -15,11 +14,15 @@
 class JobQueue(JobRegistry):
     """Jobs on their way from their submission to the core, and from there to their end."""
 
-    waiting: Counter[Hashable]  # in lanes, by shape
     ends: Counter[JobState]  # how jobs ended,
     ended = 0  # and how many
     look_us = 0  # when the backlog is looked at next, though nothing else happens
 
+    @property
+    def waiting(self) -> int:
+        """The number of jobs in the lanes."""
+        return self.root.waiting
+
     def take(self, now_us: int) -> list[Effect]:
         """Offer what may be offered now; return the effects so far, and forget them."""
         if self.waiting:
@@ -48,9 +51,8 @@
             return
         self._arm(job)
         job.stage = JobStage.WAITING
-        self.pace.know(job.shape, job.job_class, now_us)
+        self.pace.queued(job.shape, job.job_class, now_us)
         self._lane(job).add(job)
-        self.waiting[job.shape] += 1
         if job.array is not None:
             job.array.queued += 1
 
@@ -67,9 +69,7 @@
     def _unqueue(self, job: Job) -> None:
         if job.stage is JobStage.WAITING:
             self._lane(job).remove(job)
-            self.waiting[job.shape] -= 1
-            if not self.waiting[job.shape]:
-                del self.waiting[job.shape]
+            self.pace.unqueued(job.shape, job.job_class)
             if job.array is not None:
                 job.array.queued -= 1
             job.stage = JobStage.PARKED
@@ -92,7 +92,7 @@
 
     def _offer(self, now_us: int) -> None:
         """Offer what comes next, as far as the pace allows."""
-        while may := self.pace.open(self.waiting, now_us):
+        while may := self.pace.open(now_us):
             found = self.root.first(may.__contains__)
             assert found is not None
             lane, job = found
@@ -106,9 +106,9 @@
             lane.charge(job.booked)
             self._send(job)
         # What is shut for a while is looked at again when it opens.
-        opens = [at for shape in self.waiting if (at := self.pace.opens_us(shape)) > now_us]
-        if opens and not now_us < self.look_us <= min(opens):
-            self.look_us = min(opens)
+        opens_us = self.pace.opens_us(now_us)
+        if opens_us and not now_us < self.look_us <= opens_us:
+            self.look_us = opens_us
             self.timers.at(self.look_us, lambda now: None)
 
     def _send(self, job: Job) -> None:
--- a/merlinbay/batch/registry.py
+++ b/merlinbay/batch/registry.py
@@ -34,6 +34,7 @@
     finished_keep_us: int = 60_000_000
     finished_bytes: int = 16 * 1024 * 1024
     waits: int = 100
+    shapes: int = 256  # records of shapes, see ``Pacing``; more only where jobs of more shapes wait
 
 
 class JobChange(Enum):
@@ -107,7 +108,7 @@
         self.bounds, self.new_id = bounds, new_id
         self.sessions: dict[str, JobSession] = {}
         self.effects: list[Effect] = []
-        self.timers, self.pace, self.root = TimerQueue(), Pacing(), FairShareBranch()
+        self.timers, self.pace, self.root = TimerQueue(), Pacing(bounds.shapes), FairShareBranch()
         self.jobs = 0  # unfinished ones
         self.waits: dict[object, PendingWait] = {}
         self.kept: dict[Job | JobArray, int] = {}  # finished ones and until when, the oldest first,
--- a/merlinbay/drmaa/monitoring.py
+++ b/merlinbay/drmaa/monitoring.py
@@ -66,11 +66,7 @@
                 "deadline": spec.deadline_us / 1e6,
             }
             if incoming.grant.account is None:
-                row["waiting"] = sum(
-                    number
-                    for shape, number in engine.waiting.items()
-                    if isinstance(shape, tuple) and shape[0] == name
-                )
+                row["waiting"] = engine.pace.jobs_waiting(name)
             rows.append(row)
         return ok({"queues": rows})
 
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -267,6 +267,55 @@
     )
 
 
+@pytest.mark.parametrize("own", ["memory", "slots", "machine", "reservation"])
+@pytest.mark.parametrize("way", ["submitted", "released", "refused", "array"])
+def test_jobs_of_more_kinds_than_records_are_kept_of_wait_and_all_end(own: str, way: str) -> None:
+    """Guards against a crash (KeyError): the 257th shape dropped the records of shapes that still waited."""
+    e, kinds = engine(), 600
+    session = opened(e)
+    first = e.submit(session, what(), T0)
+    assert offers(e.take(T0)) == [first]  # undecided: the others wait meanwhile
+    for number in range(1, kinds + 1):
+        submission = what(
+            slots=float(number) if own == "slots" else 1.0,
+            fits=(number if own == "memory" else None, (f"m-{number}",) if own == "machine" else ()),
+            reservation=f"r-{number}" if own == "reservation" else "",
+            held=way == "released",
+        )
+        if way == "array":
+            e.submit_array(session, submission, 1, 2, 1, 0, T0)
+            continue
+        job = e.submit(session, submission, T0)
+        if way == "released":
+            e.release(job, T0, None)
+    jobs = list(session.jobs.values())
+    assert e.root.waiting == len(jobs) - 1 >= kinds
+    for job in jobs[300:400]:  # Some leave while they wait, and leave records that may be forgotten.
+        e.terminate(job, T0)
+    now, tries = T0, Counter[Job]()
+    e.placed(first, "s", now)
+    e.finished(first, b"", now)
+    while e.jobs and now < T0 + 1000 * SECOND:
+        for job in offers(e.take(now)):
+            tries[job] += 1
+            if way == "refused" and tries[job] == 1:
+                e.refused(job, SECOND // 10, now)
+            else:
+                e.placed(job, "s", now)
+                e.finished(job, b"", now)
+        now += SECOND // 10
+        e.tick(now)
+    ends = Counter(job.state for job in jobs)
+    assert ends == {JobState.DONE: len(jobs) - 100, JobState.FAILED: 100}
+    for number in range(2 * kinds + 300):  # What nothing waits for any more is forgotten.
+        e.submit(session, what(fits=(None, (f"later-{number}",))), now)
+        [job] = offers(e.take(now))
+        e.placed(job, "s", now)
+        e.finished(job, b"", now)
+        now += SECOND
+    assert len(e.pace.shapes) <= BatchLimits().shapes
+
+
 def test_limits_of_a_session_refuse_with_when_to_come_back() -> None:
     """Jobs, bytes and rate; nothing is taken of what is refused, and what ends makes room."""
     e = engine(jobs=50)
@@ -416,7 +465,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = T0
-        self.e = engine(jobs=40, finished=5, waits=4, window=3, array=12)
+        self.e = engine(jobs=40, finished=5, waits=4, window=3, array=12, shapes=2)
         self.queued = self.e.create(
             "q", "", SessionLimits(jobs=30, size=1000), Backlog(wait_most_us=9 * SECOND), T0
         )
@@ -470,8 +519,11 @@
         end=st.integers(0, 12),
         account=st.sampled_from("ab"),
         job_class=st.sampled_from("cd"),
+        memory=st.integers(1, 6),
     )
-    def submit(self, held: bool, wait: int, priority: int, end: int, account: str, job_class: str) -> None:
+    def submit(
+        self, held: bool, wait: int, priority: int, end: int, account: str, job_class: str, memory: int
+    ) -> None:
         """Submit to the session with a backlog."""
         try:
             job = self.e.submit(
@@ -484,6 +536,7 @@
                     deadline_us=self.now + (wait + end) * SECOND if end else 0,
                     account=account,
                     size=10,
+                    fits=(memory, ()),
                 ),
                 self.now,
             )
@@ -644,8 +697,17 @@
             assert sum(array.counts().values()) == len(array.range)
             waits = [job for job in array.made.values() if job.stage is JobStage.WAITING]
             assert len(waits) == array.queued <= 3
-        waiting = Counter(job.shape for job in alive if job.stage is JobStage.WAITING)
-        assert waiting == e.waiting and e.root.waiting == waiting.total()
+        waiting = Counter((job.job_class, job.shape) for job in alive if job.stage is JobStage.WAITING)
+        counted = {
+            (name, shape): number
+            for name, pace in e.pace.classes.items()
+            for shape, number in pace.waiting.items()
+        }
+        assert (
+            waiting == counted
+            and e.waiting == waiting.total()
+            and set(e.pace.shapes) >= {shape for _, shape in counted}
+        )
         undecided = Counter(
             job.job_class for job in alive if job.stage is JobStage.OFFERED and job.session is self.queued
         )
