Let a failed DNS query be a failed query, however it fails

Cause: DnsSdDirectory.run listed the exceptions of the DNS library that end a query. trio.BrokenResourceError (a stream that is reset) and EOFError (one that ends early) are not among them, nor is ValueError (a name server given by a host name). Ruled out: damaged answers (240,000 drawn ones raised DNSException or InvalidRecordError alone) and silent servers (the library's timeout, which is listed).

Change: dnssd/name_server.py is the one caller of the library's queries and raises DnsQueryError with the query's name and the cause, whatever the library raises; run catches that alone. The section [dnssd] is checked when the file is read, at the start and at SIGHUP: an IP address and a port, and a domain name; before, a bad one ended the node.

--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -10,11 +10,7 @@
 
 import math
 
-import dns.asyncquery
-import dns.exception
-import dns.message
 import dns.name
-import dns.rcode
 import dns.rdatatype
 import trio
 
@@ -23,14 +19,11 @@
 from merlinbay.counters import Counters
 from merlinbay.decision.events import CallFailure
 from merlinbay.dnssd import records
+from merlinbay.dnssd.name_server import DnsQueryError, NameServer
 from merlinbay.limits import ResourceLimits
 from merlinbay.log import Log
 
 
-class DnsQueryError(Exception):
-    """The name server answered with an error code."""
-
-
 class DnsSdDirectory:
     """Reports the whole endpoint list after every change. A server that is not in the list is removed."""
 
@@ -85,7 +78,7 @@
                 try:
                     while True:
                         await self._refresh()
-                except (DnsQueryError, OSError, dns.exception.DNSException, trio.TooSlowError) as error:
+                except DnsQueryError as error:
                     # Keeps the last reported list, so that an outage does not empty it.
                     self.counters.add("dns_failed")
                     self.log.event("dnssd_failed", level="warning", error=repr(error))
@@ -107,12 +100,17 @@
         await trio.sleep_until(min(trio.current_time() + interval_s, self.confirm_at_s))
 
     async def query_list(self) -> tuple[dict[str, ServiceEntry], float]:
-        """Return the entries by server, and the shortest TTL of the records that they were read from."""
-        pointers, shortest_ttl = await self._query(self.service, dns.rdatatype.PTR)
+        """Return the entries by server, and the shortest TTL of the records that they were read from.
+
+        Raises ``DnsQueryError``.
+        """
+        host, port = self.nameserver
+        name_server = NameServer(host, port, self.limits.dns_query_timeout_s)
+        pointers, shortest_ttl = await name_server.query(self.service, dns.rdatatype.PTR)
         listed: dict[str, ServiceEntry] = {}
         for instance in records.instance_names(pointers)[: self.limits.dns_instances]:
             try:
-                entry, ttl = await self._query_entry(instance)
+                entry, ttl = await self._query_entry(name_server, instance)
             except records.InvalidRecordError as error:  # the other instances stay listed
                 self.counters.add("dns_bad_instances")
                 self.log.event(
@@ -123,26 +121,17 @@
             shortest_ttl = min(shortest_ttl, ttl)
         return listed, float(shortest_ttl)
 
-    async def _query_entry(self, instance: dns.name.Name) -> tuple[ServiceEntry, int]:
+    async def _query_entry(
+        self, name_server: NameServer, instance: dns.name.Name
+    ) -> tuple[ServiceEntry, int]:
         """Return the entry of an instance and the shortest TTL of its records.
 
-        Raises ``InvalidRecordError``.
+        Raises ``InvalidRecordError`` and ``DnsQueryError``.
         """
-        services, srv_ttl = await self._query(instance, dns.rdatatype.SRV)
+        services, srv_ttl = await name_server.query(instance, dns.rdatatype.SRV)
         target = records.best_target(services)
-        texts, txt_ttl = await self._query(instance, dns.rdatatype.TXT)
-        hosts, host_ttl = await self._query(target.target, dns.rdatatype.A)
+        texts, txt_ttl = await name_server.query(instance, dns.rdatatype.TXT)
+        hosts, host_ttl = await name_server.query(target.target, dns.rdatatype.A)
         host = records.first_address(hosts)
         entry = records.service_entry(instance, target, host, records.txt_attributes(texts))
         return entry, min(srv_ttl, txt_ttl, host_ttl)
-
-    async def _query(self, name: dns.name.Name, kind: dns.rdatatype.RdataType) -> tuple[list[object], int]:
-        """Return the records of a name and their TTL. Raises ``DnsQueryError`` and network errors."""
-        host, port = self.nameserver
-        query = dns.message.make_query(name, kind)
-        answer, _ = await dns.asyncquery.udp_with_fallback(
-            query, host, timeout=self.limits.dns_query_timeout_s, port=port
-        )
-        if answer.rcode() not in (dns.rcode.NOERROR, dns.rcode.NXDOMAIN):
-            raise DnsQueryError(f"the query for {name} was answered with {dns.rcode.to_text(answer.rcode())}")
-        return records.rrset_records(answer, name, kind)
--- a/merlinbay/operator_file.py
+++ b/merlinbay/operator_file.py
@@ -66,8 +66,8 @@
 def _check(operator: Operator) -> None:
     """Check the rules that types cannot express. Raises ``ConfigurationError`` with key and cause."""
     drmaa, fleet, control = operator.drmaa, operator.fleet, operator.control
-    if operator.dnssd is not None:
-        _check_address("dnssd.nameserver", operator.dnssd.nameserver)
+    if operator.dnssd is not None and (problem := operator.dnssd.validation_error()):
+        raise ConfigurationError(f"dnssd.{problem}")
     if drmaa.front and (problem := drmaa.access.validation_error()):
         raise ConfigurationError(f"drmaa.{problem}")
     if problem := fleet.validation_error():
