--- a/tests/test_wire_and_configuration.py
+++ b/tests/test_wire_and_configuration.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from merlinbay.access.settings import AccessSettings
 from merlinbay.config import read_operator_file
@@ -216,6 +220,24 @@
     assert read_operator_file("") is None and not DrmaaSettings().front and not DrmaaSettings().servers
 
 
+@pytest.mark.parametrize(
+    "text", ["a..b:80", ".a:80", f"{'x' * 64}.example:80", "a\0b:80", "a:\u00b2", "a:" + "1" * 5000]
+)
+def test_an_address_that_no_socket_takes_is_a_configuration_error(text: str) -> None:
+    """Guards against a crash: such an address, also of another member, raised ``ValueError`` when used."""
+    with pytest.raises(ConfigurationError, match="expected an address of the form host:port") as caught:
+        parse_address(text)
+    assert len(str(caught.value).splitlines()) == 1
+
+
+@settings(derandomize=True, database=None)
+@given(st.text(max_size=80), st.one_of(st.integers(0, 70_000).map(str), st.text(max_size=3)))
+def test_an_address_that_is_accepted_raises_no_error_but_oserror(host: str, port: str) -> None:
+    """What ``parse_address`` lets through, a socket takes or refuses by ``OSError``."""
+    with contextlib.suppress(ConfigurationError, OSError):
+        socket.getaddrinfo(*parse_address(f"{host}:{port}"), flags=socket.AI_NUMERICHOST)
+
+
 @pytest.mark.parametrize(
     "text",
     [
