Take DNS-SD records of one host and port for one server

The host's slots counted twice as well.

Cause: a server was told from another by the name of its entry. The directory made an entry of each record, and was_sent_to compared names. Ruled out by the stand-in's record: a retry (the first attempt is open), the client (one request each), a list that resets what was sent (the copy has the other name).

Change: dnssd/shared_hosts.py makes one entry of all records with one address. It keeps its name while a record has it, drains if any record says so, and has the latest start. A host's address is asked for once a list. The other names lead to the server too: call-backs, candidateMachines, maintenance (core/server_aliases.py). Attempts keep the address at their dispatch, and was_sent_to compares it, also for earlier offers: a list may rename a server that has a job. A list says whether an address tells the server; on the platform the id does, so nothing changes there (an existing test has 1,024 ids at one).

The reports that tests/test_dnssd.py expects name the new field.

--- a/merlinbay/core/dispatcher.py
+++ b/merlinbay/core/dispatcher.py
@@ -30,6 +30,7 @@
 from merlinbay.core.request_lifecycle import RequestLifecycle
 from merlinbay.core.request_trace import RequestTrace
 from merlinbay.core.requests import RequestTable
+from merlinbay.core.server_aliases import ServerAliases
 from merlinbay.core.timers import Timers
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
@@ -54,7 +55,8 @@
     ) -> None:
         self.balancer, self.clock, self.limits = balancer, clock, limits
         self.counters, self.log = counters, log
-        requests = self.requests = RequestTable(limits.finished_request_names)
+        aliases = ServerAliases()
+        requests = self.requests = RequestTable(limits.finished_request_names, aliases)
         timers = self.timers = Timers()
         batch = self.batch = EventBatch()
         trace = RequestTrace(log)
@@ -69,7 +71,7 @@
         self.actions = ActionExecutor(
             requests, request_lifecycle, attempt_lifecycle, timers, batch, servers, discovery, counters, log
         )
-        self.endpoints = EndpointMessages(balancer, servers, counters, batch)
+        self.endpoints = EndpointMessages(balancer, servers, counters, batch, aliases)
         controls = RequestControls(requests, request_lifecycle, attempt_lifecycle, servers)
         self.handlers: dict[type, Callable[[Any], None]] = {
             **request_lifecycle.handlers,
--- a/merlinbay/core/endpoint_messages.py
+++ b/merlinbay/core/endpoint_messages.py
@@ -22,6 +22,7 @@
     ServerChecked,
     SnapshotRequested,
 )
+from merlinbay.core.server_aliases import ServerAliases
 from merlinbay.core.values import EndpointView
 from merlinbay.counters import Counters
 from merlinbay.decision import Balancer
@@ -40,10 +41,15 @@
     """Handles messages about endpoints, by type. Only the dispatcher's task calls it; no method waits."""
 
     def __init__(
-        self, balancer: Balancer, servers: ServerTransport, counters: Counters, batch: EventBatch
+        self,
+        balancer: Balancer,
+        servers: ServerTransport,
+        counters: Counters,
+        batch: EventBatch,
+        aliases: ServerAliases,
     ) -> None:
         self.balancer, self.servers = balancer, servers
-        self.counters, self.batch = counters, batch
+        self.counters, self.batch, self.aliases = counters, batch, aliases
         self.observers: list[EndpointObserver] = []
         self.peer: PeerProcess | None = None  # the node's other process during a handover
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -67,6 +73,8 @@
 
     def _on_endpoint_list(self, message: EndpointListReceived) -> None:
         self.counters.add(f"entries_{message.scope}")
+        if message.scope == "all":
+            self.aliases.replace(message.aliases)
         self.servers.update_endpoints(message.scope, message.entries)
         for observer in self.observers:
             observer.update_endpoints(message.scope, message.entries)
@@ -79,6 +87,7 @@
                 entry.state,
                 entry.weight,
                 entry.started_at_us,
+                entry.address if message.identifies_by_address else "",
             )
             for entry in message.entries
         ]
@@ -105,14 +114,17 @@
         message.reply([EndpointView(**view) for view in self.balancer.endpoint_views(self.batch.now_us)])
 
     def _on_maintenance_requested(self, message: MaintenanceRequested) -> None:
-        is_known = self.balancer.knows(message.server)
+        server = self.aliases.listed_name(message.server)
+        is_known = self.balancer.knows(server)
         if is_known:
-            self.batch.add(MaintenanceChanged(message.server, message.is_disabled))
+            # The list may name the server by another of its records later.
+            for name in self.aliases.all_names(server):
+                self.batch.add(MaintenanceChanged(name, message.is_disabled))
         if message.reply is None:
             return
         message.reply(is_known)  # The caller resumes after this batch, so the module has the event by then.
         if is_known and self.peer is not None:
-            self.peer.relay_maintenance(message.server, message.is_disabled)
+            self.peer.relay_maintenance(server, message.is_disabled)
 
     def _on_snapshot_requested(self, message: SnapshotRequested) -> None:
         message.reply(self.balancer.take_snapshot())
--- a/merlinbay/core/messages.py
+++ b/merlinbay/core/messages.py
@@ -128,6 +128,9 @@
     last_answer_at_us: int = -1  # time of the last answer on a watch that failed; -1: the time of the failure
     failure: CallFailure = CallFailure.BROKEN  # how the call or watch has failed; with ``refused`` only
     is_from_former_discovery: bool = False  # whether the configuration now names another discovery
+    # Whether entries with one address are one server, whatever their names. On the platform the id tells.
+    identifies_by_address: bool = False
+    aliases: dict[str, str] = {}  # further names of servers, with scope ``all``; each with its server's name
 
 
 class DiscoveryReloaded(msgspec.Struct, frozen=True):
--- a/merlinbay/core/request_lifecycle.py
+++ b/merlinbay/core/request_lifecycle.py
@@ -112,7 +112,9 @@
         self.set_deadline(request, deadline_at_us)
         remaining_us = max(deadline_at_us - self.batch.now_us, 0)
         self.trace.taken(spec, remaining_us)
-        self.batch.add(received_event(request.number, spec, remaining_us))
+        listed_name = self.requests.aliases.listed_name
+        allowed = tuple(dict.fromkeys(map(listed_name, spec.allowed_servers)))
+        self.batch.add(received_event(request.number, spec, remaining_us, allowed))
 
     def _on_withdrawn(self, message: RequestWithdrawn) -> None:
         request = self.requests.find_unanswered(message.name, message.responder)
@@ -129,8 +131,13 @@
                 self.set_deadline(request, latest_us)
 
 
-def received_event(number: int, spec: RequestSpec, remaining_us: int) -> RequestReceived:
-    """Return the decision module's event for a new request, which has ``remaining_us`` until its deadline."""
+def received_event(
+    number: int, spec: RequestSpec, remaining_us: int, allowed: tuple[str, ...]
+) -> RequestReceived:
+    """Return the decision module's event for a new request, which has ``remaining_us`` until its deadline.
+
+    ``allowed`` are the servers that may run it, by their names in the endpoint list; empty: any server.
+    """
     return RequestReceived(
         number,
         spec.job_class,
@@ -141,7 +148,7 @@
         spec.tenant,
         spec.is_retry,
         spec.duration_hint_us,
-        spec.allowed_servers,
+        allowed,
         spec.needs_free_slot,
         spec.uses_reserved_slots,
         keyless=not spec.idempotency_key,
--- a/merlinbay/core/requests.py
+++ b/merlinbay/core/requests.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from merlinbay.core.attempts import Responder, ServerAttempt
+from merlinbay.core.server_aliases import ServerAliases
 from merlinbay.core.values import ExitDetails, RequestSpec, TimerKey
 
 
@@ -36,7 +37,8 @@
 class RequestTable:
     """Open requests by number and by name, and open attempts by request name and server."""
 
-    def __init__(self, remembered_limit: int) -> None:
+    def __init__(self, remembered_limit: int, aliases: ServerAliases) -> None:
+        self.aliases = aliases
         self.remembered_limit = remembered_limit  # maximum length of ``recent_names``
         self.by_number: dict[int, OpenRequest] = {}
         self.by_name: dict[str, OpenRequest] = {}
@@ -65,8 +67,11 @@
         return request
 
     def find_attempt(self, name: str, server: str) -> ServerAttempt | None:
-        """Return the open attempt of a request, given by its name, on a server."""
-        return self.attempts.get((name, server))
+        """Return the open attempt of a request, given by its name, on a server, given by any of its names."""
+        attempt = self.attempts.get((name, server))
+        if attempt is None and (listed_name := self.aliases.listed_name(server)) != server:
+            attempt = self.attempts.get((name, listed_name))
+        return attempt
 
     def request_of(self, attempt: ServerAttempt) -> OpenRequest:
         """Return the request of an open attempt."""
--- a/merlinbay/decision/eligibility.py
+++ b/merlinbay/decision/eligibility.py
@@ -143,7 +143,7 @@
         kind = request.class_state.spec.kind
         if kind >= 0 and self._endpoints.kinds[self._context.settings.kinds[kind]] is not endpoint.kind:
             return False
-        if request.was_sent_to(endpoint.name):
+        if request.was_sent_to(endpoint):
             return False
         return not self._reports.lacks_memory(endpoint, request.memory)
 
--- a/merlinbay/decision/endpoint_state.py
+++ b/merlinbay/decision/endpoint_state.py
@@ -113,6 +113,7 @@
     kind: Kind
     zone: str = ""
     cell: int = 0
+    address: str = ""  # endpoints with one address are one server; empty: the name tells
     state: str = "up"  # up, draining or removed: the listed state, but draining while operators disable it
     listed_state: str = "up"  # state in the endpoint list
     ready_at_us: int = 0  # time of its latest start; 0: long ago
--- a/merlinbay/decision/endpoints.py
+++ b/merlinbay/decision/endpoints.py
@@ -59,6 +59,7 @@
         endpoint = existing or Endpoint(entry.endpoint, kind)
         self.by_name[endpoint.name] = endpoint
         endpoint.kind, endpoint.zone, endpoint.cell = kind, entry.zone, entry.cell
+        endpoint.address = entry.address
         endpoint.listed_state = entry.state
         endpoint.state = self._state_of(endpoint)
         endpoint.reserved_slots = self._reserved_slots.get(entry.endpoint, 0.0)
--- a/merlinbay/decision/events.py
+++ b/merlinbay/decision/events.py
@@ -21,6 +21,7 @@
     state: str = "up"  # up | draining | removed
     share: float = 1.0
     ready_at_us: int = 0  # time of the latest start; 0: long ago
+    address: str = ""  # entries with one address are one server, whatever their names; empty: the name tells
 
 
 class CallFailure(Enum):
@@ -75,6 +76,7 @@
     zone: str  # zone of the endpoint at the dispatch
     cell: int  # cell of the endpoint at the dispatch
     dispatched_at_us: int
+    address: str = ""  # address of the endpoint at the dispatch; empty: the name tells the server
     may_have_run: ClassVar[bool] = True
 
 
--- a/merlinbay/decision/request_state.py
+++ b/merlinbay/decision/request_state.py
@@ -31,6 +31,7 @@
     dispatched_at_us: int
     zone: str = field(init=False)  # zone of the endpoint at the dispatch; a later list may name another one
     cell: int = field(init=False)  # cell of the endpoint at the dispatch; a later list may name another one
+    address: str = field(init=False)  # address of the endpoint at the dispatch; a later list may differ
     found_free_slots: bool = False  # whether the endpoint seemed to have free slots at the dispatch
     started_at_us: int = 0  # time of the start, moved on by pauses; 0: not started
     recheck_at_us: int = 0  # time of the next check of a running attempt; written by ``AttemptTimers``
@@ -40,6 +41,7 @@
 
     def __post_init__(self) -> None:
         self.zone, self.cell = self.endpoint.zone, self.endpoint.cell
+        self.address = self.endpoint.address
 
     @property
     def may_have_run(self) -> bool:
@@ -95,10 +97,15 @@
         """The first attempt that may have run."""
         return self.first_unresolved(self.attempts)
 
-    def was_sent_to(self, endpoint: str) -> bool:
+    def was_sent_to(self, endpoint: Endpoint) -> bool:
         """Return whether an attempt went to this endpoint, or one of an earlier offer that may have run."""
-        # Compares names, not records: an endpoint that was forgotten and listed again has a new record.
+        # Compares names, not records: an endpoint that was forgotten and listed again has a new record. Also
+        # compares addresses: the list may give the server another name while an attempt is there.
+        name, address = endpoint.name, endpoint.address
         for attempt in self.attempts:
-            if attempt.endpoint.name == endpoint:
+            if attempt.endpoint.name == name or (address and attempt.address == address):
                 return True
-        return bool(self.earlier_attempts) and endpoint in [one.endpoint for one in self.earlier_attempts]
+        for earlier in self.earlier_attempts:
+            if earlier.endpoint == name or (address and earlier.address == address):
+                return True
+        return False
--- a/merlinbay/decision/requests.py
+++ b/merlinbay/decision/requests.py
@@ -37,7 +37,9 @@
         if request is None or not 0 <= number < len(request.attempts):
             return None
         attempt = request.attempts[number]
-        return UnresolvedAttempt(attempt.endpoint.name, attempt.zone, attempt.cell, attempt.dispatched_at_us)
+        return UnresolvedAttempt(
+            attempt.endpoint.name, attempt.zone, attempt.cell, attempt.dispatched_at_us, attempt.address
+        )
 
     def add(self, request: TrackedRequest) -> None:
         """Add a request to the table."""
--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -19,10 +19,13 @@
 from merlinbay.counters import Counters
 from merlinbay.decision.events import CallFailure
 from merlinbay.dnssd import records
-from merlinbay.dnssd.name_server import DnsQueryError, NameServer
+from merlinbay.dnssd.name_server import DnsQueryError, NameServer, QueryAnswer
+from merlinbay.dnssd.shared_hosts import ServerList, merge_by_address
 from merlinbay.limits import ResourceLimits
 from merlinbay.log import Log
 
+MAX_ALIASES_LOGGED = 4
+
 
 class DnsSdDirectory:
     """Reports the whole endpoint list after every change. A server that is not in the list is removed."""
@@ -38,7 +41,7 @@
     ) -> None:
         self.nameserver, self.service = nameserver, dns.name.from_text(service)
         self.inbox, self.limits, self.counters, self.log = inbox, limits, counters, log
-        self.reported: dict[str, ServiceEntry] | None = None  # the last reported list, by server
+        self.reported: ServerList | None = None  # the last reported list
         # Time at which the list is reported once more, because all changes count as notified by then.
         self.confirm_at_s = math.inf
         self.reports_next = False  # the next list is reported even if nothing has changed
@@ -66,7 +69,7 @@
         """Return whether a server is up in the last reported list; before the first list, all are."""
         if self.reported is None:
             return True
-        entry = self.reported.get(server)
+        entry = self.reported.entries.get(server)
         return entry is not None and entry.state == "up"
 
     async def run(self) -> None:
@@ -91,16 +94,27 @@
         listed, ttl_s = await self.query_list()
         is_confirmation = trio.current_time() >= self.confirm_at_s
         if listed != self.reported or self.reports_next or is_confirmation:
+            self._log_aliases(listed)
             self.reported, self.reports_next = listed, False
             if is_confirmation:
                 self.confirm_at_s = math.inf
-            await self.inbox.send(EndpointListReceived("all", list(listed.values())))
+            entries = list(listed.entries.values())
+            await self.inbox.send(
+                EndpointListReceived("all", entries, identifies_by_address=True, aliases=listed.aliases)
+            )
         self.counters.add("dns_listings")
         interval_s = min(max(ttl_s, self.limits.dns_min_interval_s), self.limits.dns_max_interval_s)
         await trio.sleep_until(min(trio.current_time() + interval_s, self.confirm_at_s))
 
-    async def query_list(self) -> tuple[dict[str, ServiceEntry], float]:
-        """Return the entries by server, and the shortest TTL of the records that they were read from.
+    def _log_aliases(self, listed: ServerList) -> None:
+        """Log the instances that name a server which has its name from another instance, once they change."""
+        if listed.aliases != (self.reported.aliases if self.reported is not None else {}):
+            first = list(listed.aliases.items())[:MAX_ALIASES_LOGGED]
+            names = ",".join(f"{alias}={server}" for alias, server in first)
+            self.log.event("dnssd_aliases", level="warning", number=len(listed.aliases), first=names)
+
+    async def query_list(self) -> tuple[ServerList, float]:
+        """Return the servers, and the shortest TTL of the records that they were read from.
 
         Raises ``DnsQueryError``.
         """
@@ -108,9 +122,10 @@
         name_server = NameServer(host, port, self.limits.dns_query_timeout_s)
         pointers, shortest_ttl = await name_server.query(self.service, dns.rdatatype.PTR)
         listed: dict[str, ServiceEntry] = {}
+        host_answers: dict[dns.name.Name, QueryAnswer] = {}
         for instance in records.instance_names(pointers)[: self.limits.dns_instances]:
             try:
-                entry, ttl = await self._query_entry(name_server, instance)
+                entry, ttl = await self._query_entry(name_server, instance, host_answers)
             except records.InvalidRecordError as error:  # the other instances stay listed
                 self.counters.add("dns_bad_instances")
                 self.log.event(
@@ -119,19 +134,27 @@
                 continue
             listed[entry.server] = entry
             shortest_ttl = min(shortest_ttl, ttl)
-        return listed, float(shortest_ttl)
+        former = self.reported.entries if self.reported is not None else {}
+        return merge_by_address(listed.values(), former), float(shortest_ttl)
 
     async def _query_entry(
-        self, name_server: NameServer, instance: dns.name.Name
+        self,
+        name_server: NameServer,
+        instance: dns.name.Name,
+        host_answers: dict[dns.name.Name, QueryAnswer],
     ) -> tuple[ServiceEntry, int]:
         """Return the entry of an instance and the shortest TTL of its records.
 
-        Raises ``InvalidRecordError`` and ``DnsQueryError``.
+        ``host_answers`` has the answers for hosts in this list. A host is asked for once, because a name
+        server may answer the same query with another address each time. Raises ``InvalidRecordError`` and
+        ``DnsQueryError``.
         """
         services, srv_ttl = await name_server.query(instance, dns.rdatatype.SRV)
         target = records.best_target(services)
         texts, txt_ttl = await name_server.query(instance, dns.rdatatype.TXT)
-        hosts, host_ttl = await name_server.query(target.target, dns.rdatatype.A)
+        if target.target not in host_answers:
+            host_answers[target.target] = await name_server.query(target.target, dns.rdatatype.A)
+        hosts, host_ttl = host_answers[target.target]
         host = records.first_address(hosts)
         entry = records.service_entry(instance, target, host, records.txt_attributes(texts))
         return entry, min(srv_ttl, txt_ttl, host_ttl)
--- a/merlinbay/dnssd/name_server.py
+++ b/merlinbay/dnssd/name_server.py
@@ -17,6 +17,9 @@
 
 from merlinbay.dnssd import records
 
+QueryAnswer = tuple[list[object], int]
+"""The records of a name, and their TTL in seconds."""
+
 
 class DnsQueryError(Exception):
     """A query has failed: no whole answer came, it cannot be read, or it has an error code."""
@@ -30,7 +33,7 @@
     port: int
     timeout_s: float  # for the exchange over UDP, and for one over TCP that may follow
 
-    async def query(self, name: dns.name.Name, kind: dns.rdatatype.RdataType) -> tuple[list[object], int]:
+    async def query(self, name: dns.name.Name, kind: dns.rdatatype.RdataType) -> QueryAnswer:
         """Return the records of a name and their TTL. Raises ``DnsQueryError``."""
         answer = await self._exchange(name, kind)
         if answer.rcode() not in (dns.rcode.NOERROR, dns.rcode.NXDOMAIN):
--- a/merlinbay/node.py
+++ b/merlinbay/node.py
@@ -150,7 +150,12 @@
         if self.optional.fleet is not None:
             self.optional.fleet.gauges = dispatcher.gauges
         if inherited is None:
-            dispatcher.run_batch([EndpointListReceived("remembered", messages.entries(config.initial_list))])
+            remembered = EndpointListReceived(
+                "remembered",
+                messages.entries(config.initial_list),
+                identifies_by_address=not isinstance(discovery, Discovery),
+            )
+            dispatcher.run_batch([remembered])
             return dispatcher
         notified_in_us = config.limits.handover_notified_in_us
         if isinstance(discovery, Discovery):
--- a/tests/test_dnssd.py
+++ b/tests/test_dnssd.py
@@ -31,6 +31,7 @@
 from merlinbay.dnssd import records
 from merlinbay.dnssd.directory import DnsSdDirectory
 from merlinbay.dnssd.name_server import DnsQueryError
+from merlinbay.dnssd.shared_hosts import ServerList
 from merlinbay.errors import ConfigurationError
 from merlinbay.log import Log
 from tests.net import LIMITS, completes_job, node_fixture, run_scenario
@@ -57,6 +58,11 @@
 S2 = ServiceEntry("s-2", "127.0.0.9:9000", "", "", 0, "draining", 7.0, 0)
 
 
+def report(*entries: ServiceEntry) -> EndpointListReceived:
+    """Return the report of a list."""
+    return EndpointListReceived("all", list(entries), identifies_by_address=True)
+
+
 class Trouble(Enum):
     """What a fake name server does to a query over TCP in place of answering it."""
 
@@ -172,7 +178,7 @@
             at = await listen(nursery, NameServer(text))
             directory = DnsSdDirectory(at, SERVICE, send, LIMITS, Counters(), Log(9))
             listed, ttl = await directory.query_list()
-            assert (listed, ttl) == (expected, 1.0 if expected else 0.0)
+            assert (listed, ttl) == (ServerList(expected), 1.0 if expected else 0.0)
             nursery.cancel_scope.cancel()
 
     run_scenario(scenario)
@@ -203,11 +209,11 @@
             directory = DnsSdDirectory(at, SERVICE, send, limits, Counters(), Log(9))
             nursery.start_soon(directory.run)
             directory.subscribe()
-            assert await receive.receive() == EndpointListReceived("all", [S1, S2])
+            assert await receive.receive() == report(S1, S2)
             moved_at = trio.current_time()
             directory.move(at, SERVICE)
             for min_delay_s, max_delay_s in ((0.0, 0.3), (0.3, 0.8)):
-                assert await receive.receive() == EndpointListReceived("all", [S1, S2])
+                assert await receive.receive() == report(S1, S2)
                 assert min_delay_s <= trio.current_time() - moved_at < max_delay_s
             nursery.cancel_scope.cancel()
 
@@ -225,14 +231,14 @@
             directory = DnsSdDirectory(at, SERVICE, send, LIMITS, Counters(), Log(9))
             nursery.start_soon(directory.run)
             directory.subscribe()
-            assert await receive.receive() == EndpointListReceived("all", [S1, S2])
+            assert await receive.receive() == report(S1, S2)
             server.rcode = dns.rcode.SERVFAIL
             with pytest.raises(DnsQueryError):
                 await directory.query_list()
             assert await receive.receive() == EndpointListReceived("refused", failure=CallFailure.UNREACHABLE)
             server.rcode, server.text = dns.rcode.NOERROR, INSTANCE_2 + "host-1.example. 1 IN A 127.0.0.9"
             directory.subscribe()
-            assert await receive.receive() == EndpointListReceived("all", [S2])
+            assert await receive.receive() == report(S2)
             nursery.cancel_scope.cancel()
 
     run_scenario(scenario)
@@ -252,7 +258,7 @@
         nursery.start_soon(directory.run)
         directory.subscribe()
         with trio.fail_after(20):
-            assert await receive.receive() == EndpointListReceived("all", [S1, S2])
+            assert await receive.receive() == report(S1, S2)
             begin()
             for failures in (1, 2):
                 refused = EndpointListReceived("refused", failure=CallFailure.UNREACHABLE)
@@ -262,7 +268,7 @@
                 if failures == 2:
                     end()
                 directory.subscribe()
-            assert await receive.receive() == EndpointListReceived("all", [S1, S2])
+            assert await receive.receive() == report(S1, S2)
         nursery.cancel_scope.cancel()
 
 
