Name the parts of the backlog's pace by the field's terms

Need: pacing.py was touched for the crash at 257 shapes, and its names had to be explained (took, settled, untold, LEARN, OTHERS, whole).

Names in the log line dnssd_aliases are quoted, since TXT records may hold any character. The dispatchers of two new tests are made in one place. No behaviour changes but that.

--- a/merlinbay/batch/engine.py
+++ b/merlinbay/batch/engine.py
@@ -312,7 +312,7 @@
             self.timers.cancel(job.timer)
             job.timer = None
         if job.session.backlog is not None:
-            self.pace.took(job.job_class)
+            self.pace.record_placement(job.job_class)
         if job.hold_calls:
             self.effects.append(RecallJob(job))
         call, job.submit_call = job.submit_call, None
@@ -399,7 +399,7 @@
         if job.stage is JobStage.PLACED:
             self.unplaced(job, now_us)
         self._take_back(job)
-        self.pace.refused(job.shape, job.job_class, retry_after_us, now_us)
+        self.pace.record_refusal(job.shape, job.job_class, retry_after_us, now_us)
         if self.stopping:
             self._give_up(job, now_us)
         elif job.hold_calls:
--- a/merlinbay/batch/queue.py
+++ b/merlinbay/batch/queue.py
@@ -51,7 +51,7 @@
             return
         self._arm(job)
         job.stage = JobStage.WAITING
-        self.pace.queued(job.shape, job.job_class, now_us)
+        self.pace.add_waiting(job.shape, job.job_class, now_us)
         self._lane(job).add(job)
         if job.array is not None:
             job.array.queued += 1
@@ -69,7 +69,7 @@
     def _unqueue(self, job: Job) -> None:
         if job.stage is JobStage.WAITING:
             self._lane(job).remove(job)
-            self.pace.unqueued(job.shape, job.job_class)
+            self.pace.remove_waiting(job.shape, job.job_class)
             if job.array is not None:
                 job.array.queued -= 1
             job.stage = JobStage.PARKED
@@ -92,7 +92,7 @@
 
     def _offer(self, now_us: int) -> None:
         """Offer what comes next, as far as the pace allows."""
-        while may := self.pace.open(now_us):
+        while may := self.pace.offerable_shapes(now_us):
             found = self.root.first(may.__contains__)
             assert found is not None
             lane, job = found
@@ -101,14 +101,14 @@
             if job.array is not None:
                 job.array.out += 1
                 self._feed(job.array, now_us)
-            self.pace.offered(job.job_class)
-            job.booked = self.pace.work(job.job_class) * job.what.slots
+            self.pace.record_offer(job.job_class)
+            job.booked = self.pace.expected_run_time_s(job.job_class) * job.what.slots
             lane.charge(job.booked)
             self._send(job)
         # What is shut for a while is looked at again when it opens.
-        opens_us = self.pace.opens_us(now_us)
-        if opens_us and not now_us < self.look_us <= opens_us:
-            self.look_us = opens_us
+        next_look_us = self.pace.next_look_us(now_us)
+        if next_look_us and not now_us < self.look_us <= next_look_us:
+            self.look_us = next_look_us
             self.timers.at(self.look_us, lambda now: None)
 
     def _send(self, job: Job) -> None:
@@ -119,7 +119,7 @@
         """Take it that neither the core nor a server has a job of the backlog, and it did no work."""
         self._lane(job).charge(-job.booked)
         if job.stage is JobStage.OFFERED:
-            self.pace.settled(job.job_class)
+            self.pace.record_decision(job.job_class)
         if job.array is not None:
             job.array.out -= 1
         job.booked, job.stage = 0.0, JobStage.PARKED
@@ -300,10 +300,10 @@
             return
         used_s = max(now_us - job.running_us, 0) / 1e6 if job.running_us else 0.0
         if event is JobTransition.FINISH and job.running_us:
-            self.pace.learn(job.job_class, used_s)
+            self.pace.learn_run_time(job.job_class, used_s)
         self._lane(job).charge(used_s * job.what.slots - job.booked)
         if job.stage is JobStage.OFFERED:
-            self.pace.settled(job.job_class)
+            self.pace.record_decision(job.job_class)
         if job.array is not None:
             job.array.out -= 1
 
--- a/merlinbay/dnssd/directory.py
+++ b/merlinbay/dnssd/directory.py
@@ -110,7 +110,7 @@
         """Log the instances that name a server which has its name from another instance, once they change."""
         if listed.aliases != (self.reported.aliases if self.reported is not None else {}):
             first = list(listed.aliases.items())[:MAX_ALIASES_LOGGED]
-            names = ",".join(f"{alias}={server}" for alias, server in first)
+            names = ",".join(f"{alias!a}={server!a}" for alias, server in first)
             self.log.event("dnssd_aliases", level="warning", number=len(listed.aliases), first=names)
 
     async def query_list(self) -> tuple[ServerList, float]:
--- a/tests/test_shared_hosts.py
+++ b/tests/test_shared_hosts.py
@@ -199,14 +199,19 @@
 # The core: each of a server's names leads to it.
 
 
-def test_a_request_for_a_server_by_any_of_its_names_goes_there() -> None:
-    """Guards against a job that waits for ever for a machine which the list calls by its other name."""
+def dispatcher_with_servers() -> tuple[Dispatcher, Servers]:
+    """Return a dispatcher that has no list yet, and its servers."""
     clock = FakeClock()
     clock.now = SECOND
     core_clock: Any = clock
-    discovery: Any = Mock()
     servers = Servers(clock)
-    dispatcher = Dispatcher(balancer(), core_clock, ResourceLimits(), Counters(), Log(1), servers, discovery)
+    dispatcher = Dispatcher(balancer(), core_clock, ResourceLimits(), Counters(), Log(1), servers, Mock())
+    return dispatcher, servers
+
+
+def test_a_request_for_a_server_by_any_of_its_names_goes_there() -> None:
+    """Guards against a job that waits for ever for a machine which the list calls by its other name."""
+    dispatcher, servers = dispatcher_with_servers()
     entries = [ServiceEntry("a", X, kind="k"), ServiceEntry("c", Y, kind="k")]
     dispatcher.run_batch(
         [EndpointListReceived("all", entries, identifies_by_address=True, aliases={"b": "a"})]
@@ -225,12 +230,7 @@
     by_address: bool, expected: set[tuple[str, str]]
 ) -> None:
     """With DNS-SD an address is one server, whatever its name; on the platform the id tells."""
-    clock = FakeClock()
-    clock.now = SECOND
-    core_clock: Any = clock
-    discovery: Any = Mock()
-    servers = Servers(clock)
-    dispatcher = Dispatcher(balancer(), core_clock, ResourceLimits(), Counters(), Log(1), servers, discovery)
+    dispatcher, servers = dispatcher_with_servers()
 
     def listed(name: str) -> EndpointListReceived:
         entry = ServiceEntry(name, X, kind="k")
